--- /dev/null
+++ b/Makefile
@@ -0,0 +1,57 @@
+# The habitual verbs. `make help` lists them.
+
+DEPLOYMENT ?= kinh-sang
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := core schema store vmlist workers endpoints peers scheduler \
+	operators callers entry side testing
+EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
+STAMP := $(VENV)/.installed
+
+.PHONY: help setup run test lint format generate slopes clean
+
+help:
+	@echo 'make setup     install everything into $(VENV)'
+	@echo 'make run       run a whole deployment and check every answer;'
+	@echo '               DEPLOYMENT=kinh-sang (default) or floodwatch'
+	@echo 'make test      run the tests'
+	@echo 'make lint      run the linter and check the formatting'
+	@echo 'make format    format the code'
+	@echo 'make generate  make packages/schema anew from proto/'
+	@echo 'make slopes    measure what docs/CAPACITY.md is worked out from'
+	@echo 'make clean     remove $(VENV)'
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt requirements-dev.txt packages/*/pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -r requirements-dev.txt
+	$(BIN)/pip install -q --no-build-isolation --no-deps $(EDITABLE)
+	touch $(STAMP)
+
+run: setup
+	$(BIN)/python -m portwharf.testing.demo examples/$(DEPLOYMENT).toml
+
+test: setup
+	$(BIN)/python -m portwharf.testing.suite
+
+lint: setup
+	$(BIN)/flake8 packages
+	$(BIN)/ruff format --check packages
+
+format: setup
+	$(BIN)/ruff format packages
+
+generate: setup
+	PATH=$(BIN):$$PATH $(BIN)/python -m grpc_tools.protoc -I proto \
+		--py_out=packages/schema --connectrpc_out=packages/schema \
+		proto/portwharf/v1/*.proto
+	rm -f packages/schema/__init__.py packages/schema/portwharf/__init__.py
+	git checkout -q packages/schema/portwharf/v1/__init__.py
+
+slopes: setup
+	$(BIN)/python -m portwharf.testing.slopes
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/packages/callers/portwharf/callers/__init__.py
@@ -0,0 +1,21 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Callers: their requests to services, the outcomes and the burn."""
+
+from portwharf.callers.burn import BurnCounter
+from portwharf.callers.burn import compute_burn
+from portwharf.callers.burn import ServiceBuckets
+from portwharf.callers.service import Call
+from portwharf.callers.service import CallerService
+from portwharf.callers.service import CallResult
+from portwharf.callers.service import Router
+
+__all__ = (
+    'BurnCounter',
+    'Call',
+    'CallResult',
+    'CallerService',
+    'Router',
+    'ServiceBuckets',
+    'compute_burn',
+)
--- /dev/null
+++ b/packages/callers/portwharf/callers/service.py
@@ -0,0 +1,147 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""The schema's ``CallerService``: one request, one whole answer.
+
+Bad requests get a Connect error and have not run. All others get one of
+the four outcomes; which, is the router's to find out.
+"""
+
+import abc
+import dataclasses
+
+from connectrpc import code
+from connectrpc import errors
+
+from portwharf.core import data
+from portwharf.core import ids
+from portwharf.v1 import callers_pb as pb
+
+MAX_DEADLINE_MS = 600_000
+MAX_PAYLOAD_BYTES = 8 * 1024 * 1024
+
+_ADVICE = {
+    data.Outcome.ANSWERED: '',
+    data.Outcome.NOT_RUN: 'it did not run: send it again after retry_after_ms',
+    data.Outcome.FAILED: 'it ran and failed: see the payload',
+    data.Outcome.UNKNOWN: (
+        'it may have run: send it again if it is repeatable, else look at '
+        'its effect first'
+    ),
+}
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """A caller's request.
+
+    :param deadline_ms: from now
+    """
+
+    id: str = ''
+    service: str = ''
+    repeatable: bool = False
+    deadline_ms: int = 0
+    payload: bytes = b''
+
+
+@dataclasses.dataclass(slots=True)
+class CallResult:
+    """What became of a request."""
+
+    outcome: int = data.Outcome.UNKNOWN
+    payload: bytes = b''
+    reason: str = ''
+    retry_after_ms: int = 0
+    endpoint: str = ''
+
+
+class Router(abc.ABC):
+    """What carries requests to endpoints."""
+
+    @abc.abstractmethod
+    def route(self, call):
+        """Carry out a :class:`Call`.
+
+        :returns: a :class:`CallResult`, by the deadline
+        """
+
+
+class CallerService:
+    """The handlers of the schema's calls."""
+
+    def __init__(self, router):
+        self._router = router
+
+    def call(self, req, ctx):
+        """Carry a request to an endpoint and its answer back."""
+        problems = check_call(req)
+        if problems:
+            raise errors.ConnectError(
+                code.Code.INVALID_ARGUMENT,
+                '\n'.join(problem.describe() for problem in problems),
+            )
+        done = self._router.route(
+            Call(
+                req.id,
+                req.service,
+                req.repeatable,
+                req.deadline_ms,
+                bytes(req.payload),
+            )
+        )
+        return pb.CallResponse(
+            id=req.id,
+            outcome=pb.Outcome(done.outcome),
+            payload=done.payload,
+            reason=done.reason,
+            advice=_ADVICE[done.outcome],
+            retry_after_ms=done.retry_after_ms,
+            endpoint=done.endpoint,
+        )
+
+
+def check_call(req):
+    """Return all that is wrong with a request, as Problems."""
+    problems = []
+    if ids.read_unix_ms(req.id) is None:
+        problems.append(
+            data.Problem(
+                'bad-field',
+                'id',
+                repr(req.id),
+                'must be a UUID of version 7',
+                'make a new one for each new request',
+            )
+        )
+    team, slash, name = req.service.partition('/')
+    if not (team and slash and name):
+        problems.append(
+            data.Problem(
+                'bad-field',
+                'service',
+                repr(req.service),
+                'must be "team/name"',
+                'see "portwharf services"',
+            )
+        )
+    if not 1 <= req.deadline_ms <= MAX_DEADLINE_MS:
+        problems.append(
+            data.Problem(
+                'bad-field',
+                'deadline_ms',
+                str(req.deadline_ms),
+                f'must be from 1 to {MAX_DEADLINE_MS:,}',
+                'set how long you will wait',
+            )
+        )
+    if len(req.payload) > MAX_PAYLOAD_BYTES:
+        problems.append(
+            data.Problem(
+                'bad-field',
+                'payload',
+                f'{len(req.payload)} bytes',
+                f'must be at most {MAX_PAYLOAD_BYTES:,} bytes',
+                'send less at a time',
+            )
+        )
+    return problems
--- /dev/null
+++ b/packages/core/portwharf/core/data.py
@@ -0,0 +1,181 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""The few data types that every package uses.
+
+They hold values and do next to nothing. Types that travel between
+processes or into the store live here or beside the module that owns them,
+and all are turned into plain maps by :mod:`portwharf.core.codec`, which
+skips fields that it does not know, so that versions can mix.
+"""
+
+import dataclasses
+import enum
+
+
+class Kind(enum.IntEnum):
+    """How long a workload's tasks live; numbers as in the schema."""
+
+    SERVICE = 1
+    BATCH = 2
+    STANDING = 3
+
+
+class TaskState(enum.StrEnum):
+    """Where a task stands, by the shard log."""
+
+    WAITING = 'waiting'
+    PLACED = 'placed'
+    EVICTING = 'evicting'
+    SUCCEEDED = 'succeeded'
+    FAILED = 'failed'
+    CANCELLED = 'cancelled'
+
+
+ENDED_STATES = frozenset(
+    (TaskState.SUCCEEDED, TaskState.FAILED, TaskState.CANCELLED)
+)
+HELD_STATES = frozenset((TaskState.PLACED, TaskState.EVICTING))
+
+
+class RunState(enum.StrEnum):
+    """What has become of one attempt, by the worker that runs it."""
+
+    RUNNING = 'running'
+    SUCCEEDED = 'succeeded'
+    FAILED = 'failed'
+    # Stopped on request; ``checkpoint`` tells where to resume.
+    CHECKPOINTED = 'checkpointed'
+    # The worker or its side would not start it: it has not run.
+    REFUSED = 'refused'
+    # Stopped on request without a checkpoint, or never heard of.
+    GONE = 'gone'
+
+
+class Outcome(enum.IntEnum):
+    """What became of a caller's request; numbers as in the schema."""
+
+    ANSWERED = 1
+    NOT_RUN = 2
+    FAILED = 3
+    UNKNOWN = 4
+
+
+class VmState(enum.StrEnum):
+    """What the platform's VM list says of a VM."""
+
+    LIVE = 'live'
+    LEAVING = 'leaving'
+
+
+class Role(enum.StrEnum):
+    """What a VM is for."""
+
+    ENTRY = 'entry'
+    ENDPOINT = 'endpoint'
+
+
+@dataclasses.dataclass(slots=True)
+class Resources:
+    """An amount of what a VM can hold.
+
+    Processors in thousandths, memory in MB (2^20 bytes).
+    """
+
+    cpu_milli: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def add(self, other):
+        """Return the sum of this amount and another."""
+        return Resources(
+            self.cpu_milli + other.cpu_milli,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def subtract(self, other):
+        """Return what is left of this amount after taking another."""
+        return Resources(
+            self.cpu_milli - other.cpu_milli,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def fits(self, room):
+        """Tell whether this amount fits into ``room`` on every axis."""
+        return (
+            self.cpu_milli <= room.cpu_milli
+            and self.memory_mb <= room.memory_mb
+            and self.accelerators <= room.accelerators
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class Workload:
+    """What an operator declared: a service, batch job or standing task.
+
+    Fields and units as in the schema's ``Workload``.
+    """
+
+    name: str = ''
+    team: str = ''
+    kind: int = Kind.BATCH
+    resources: Resources = dataclasses.field(default_factory=Resources)
+    count: int = 1
+    importance: int = 0
+    run_seconds: int = 0
+    deadline_seconds: int = 0
+    checkpointable: bool = False
+    overlap_allowed: bool = False
+    urgent: bool = False
+    program: str = ''
+    argument: bytes = b''
+
+    @property
+    def key(self):
+        """The key that makes a second submission the same workload."""
+        return f'{self.team}/{self.name}'
+
+    @property
+    def exclusive(self):
+        """Whether a task of it must never run in two places at once."""
+        return self.kind != Kind.SERVICE and not self.overlap_allowed
+
+
+@dataclasses.dataclass(slots=True)
+class Vm:
+    """One VM as the platform's list or the settings describe it."""
+
+    name: str = ''
+    address: str = ''
+    port: int = 0
+    availability_zone: str = ''
+    rack: str = ''
+    role: str = Role.ENDPOINT
+    state: str = VmState.LIVE
+    shard: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Problem:
+    """One thing that is wrong, and what to do about it.
+
+    :param code: a reason code, as in ``no-worker-fits``
+    :param field: the field at fault, dotted, or ''
+    :param value: the value at fault, as text
+    :param text: what is wrong
+    :param remedy: what the operator or caller can do
+    """
+
+    code: str = ''
+    field: str = ''
+    value: str = ''
+    text: str = ''
+    remedy: str = ''
+
+    def describe(self):
+        """Return the problem as one line for people."""
+        where = f'{self.field}: ' if self.field else ''
+        value = f' (got {self.value})' if self.value else ''
+        remedy = f'; {self.remedy}' if self.remedy else ''
+        return f'{where}{self.text}{value}{remedy}'
--- /dev/null
+++ b/packages/entry/portwharf/entry/links.py
@@ -0,0 +1,314 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""An entry's connections to sides, one thread for each.
+
+A request's answer comes back on the connection that it was sent on or not
+at all: when a connection ends, whatever waits on it hears so at once. An
+answer counts only when it is whole, by length and checksum.
+"""
+
+import dataclasses
+import itertools
+import logging
+import threading
+
+import xxhash
+
+from portwharf.core import data
+from portwharf.core import logs
+from portwharf.peers import messages
+from portwharf.peers import streams
+
+LOG = logging.getLogger(__name__)
+
+_REDIAL_SECONDS = 0.5
+_BEAT_SECONDS = 2.0
+
+
+class Exchange:
+    """One request or operation that waits for its answer."""
+
+    def __init__(self):
+        self._done = threading.Event()
+        self._pieces = []
+        self._size = 0
+        self.answer = None
+        self.payload = b''
+        self.lost = ''
+
+    def wait(self, timeout):
+        """Wait for the end; returns whether it came in time."""
+        return self._done.wait(timeout)
+
+    def take(self, message):
+        """Take an answer, whole or its first piece.
+
+        :returns: whether nothing more is to come
+        """
+        self.answer = message
+        if isinstance(message, messages.OperationResult):
+            self._done.set()
+            return True
+        return self.extend(message.payload)
+
+    def extend(self, piece):
+        """Take one more piece of an answer's payload.
+
+        :returns: whether nothing more is to come
+        """
+        if self.answer is None:
+            return False
+        self._pieces.append(piece)
+        self._size += len(piece)
+        if self._size < self.answer.size:
+            return False
+        self.payload = b''.join(self._pieces)
+        whole = self._size == self.answer.size
+        checksum = xxhash.xxh64_intdigest(self.payload)
+        if not whole or checksum != self.answer.checksum:
+            self.lost = 'answer-damaged'
+        self._done.set()
+        return True
+
+    def lose(self, reason):
+        """End without an answer."""
+        self.lost = reason
+        self._done.set()
+
+
+@dataclasses.dataclass(slots=True)
+class LinkView:
+    """What the entry knows of a side at one time."""
+
+    vm: data.Vm = dataclasses.field(default_factory=data.Vm)
+    up: bool = False
+    state: messages.SideState = dataclasses.field(
+        default_factory=messages.SideState
+    )
+    services: frozenset = frozenset()
+    # Sent by this entry and not answered yet.
+    sent: int = 0
+
+
+class SideLink:
+    """The connection to one side; a context manager that ends it."""
+
+    def __init__(self, vm, dial, make_hello):
+        """Take the VM, a function that dials it and one that greets."""
+        self._dial = dial
+        self._make_hello = make_hello
+        self._conn = None
+        self._lock = threading.Lock()
+        self._exchanges = {}
+        self._numbers = itertools.count(1)
+        self._stop = threading.Event()
+        self.view = LinkView(vm)
+        self._thread = threading.Thread(
+            target=self._run, name=f'link-{vm.name}', daemon=True
+        )
+
+    def __enter__(self):
+        self._thread.start()
+        return self
+
+    def __exit__(self, *exc_info):
+        self._stop.set()
+        conn = self._conn
+        if conn is not None:
+            conn.close()
+        self._thread.join()
+
+    @property
+    def name(self):
+        """The VM's name."""
+        return self.view.vm.name
+
+    def begin(self, message, payload=b''):
+        """Send a request or an operation.
+
+        :param message: gets its ``id`` here
+        :param payload: the whole payload, sent in pieces
+        :returns: an :class:`Exchange`, or None if there is no connection
+            and so nothing was sent
+        """
+        conn = self._conn
+        if conn is None:
+            return None
+        exchange = Exchange()
+        with self._lock:
+            message.id = next(self._numbers)
+            self._exchanges[message.id] = exchange
+            self.view.sent += 1
+        if self._conn is not conn:
+            self._forget(message.id)
+            return None
+        try:
+            self._send(conn, message, payload)
+        except streams.PeerError:
+            # Part of it may have arrived.
+            self._forget(message.id)
+            exchange.lose('connection-lost')
+        return exchange
+
+    def withdraw(self, message):
+        """Tell the side that nobody waits for a request any longer."""
+        self._forget(message.id)
+        conn = self._conn
+        if conn is not None:
+            conn.try_send(messages.Withdraw(message.id))
+
+    def beat(self):
+        """Send a sign of life, so that the side keeps the connection."""
+        conn = self._conn
+        if conn is not None:
+            conn.try_send(messages.SideState())
+
+    def _send(self, conn, message, payload):
+        if not isinstance(message, messages.Request):
+            conn.send(message)
+            return
+        size = streams.CHUNK_BYTES
+        message.size = len(payload)
+        message.payload = payload[:size]
+        conn.send(message)
+        for at in range(size, len(payload), size):
+            piece = payload[at : at + size]
+            conn.send(messages.Chunk(message.id, piece))
+
+    def _run(self):
+        while not self._stop.is_set():
+            try:
+                self._talk()
+            except streams.PeerError as exc:
+                extra = logs.fields(peer=self.name)
+                LOG.debug('link: %s', exc, extra=extra)
+            self._lose_all()
+            self._stop.wait(_REDIAL_SECONDS)
+
+    def _talk(self):
+        with self._dial(self.view.vm) as conn:
+            streams.greet(conn, self._make_hello())
+            self._conn = conn
+            self.view.up = True
+            if self._stop.is_set():
+                return
+            while True:
+                self._take(conn.receive())
+
+    def _lose_all(self):
+        self._conn = None
+        self.view.up = False
+        with self._lock:
+            lost = list(self._exchanges.values())
+            self._exchanges.clear()
+            self.view.sent = 0
+        for exchange in lost:
+            exchange.lose('connection-lost')
+
+    def _forget(self, number):
+        with self._lock:
+            if self._exchanges.pop(number, None) is not None:
+                self.view.sent -= 1
+
+    def _take(self, message):
+        if isinstance(message, messages.SideState):
+            self.view.state = message
+            self.view.services = frozenset(message.services)
+            return
+        exchange = self._exchanges.get(getattr(message, 'id', None))
+        if exchange is None:
+            # The answer to a request that was given up.
+            return
+        if isinstance(message, messages.Answer):
+            self.view.state.in_flight = message.in_flight
+            if exchange.take(message):
+                self._forget(message.id)
+        elif isinstance(message, messages.Chunk):
+            if exchange.extend(message.payload):
+                self._forget(message.id)
+        elif isinstance(message, messages.OperationResult):
+            exchange.take(message)
+            self._forget(message.id)
+        else:
+            raise streams.PeerError(f'unexpected {type(message).__name__}')
+
+
+class LinkTable:
+    """Links to all sides on the VM list; a context manager."""
+
+    def __init__(self, vmlist, dial, make_hello):
+        """Take the VM list and what each :class:`SideLink` needs."""
+        self._vmlist = vmlist
+        self._dial = dial
+        self._make_hello = make_hello
+        self._links = {}
+        self._leaving = frozenset()
+        self._stop = threading.Event()
+        self.listed = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name='links', daemon=True
+        )
+
+    def __enter__(self):
+        self._thread.start()
+        return self
+
+    def __exit__(self, *exc_info):
+        self._stop.set()
+        self._thread.join()
+        for link in self._links.values():
+            link.__exit__(None, None, None)
+
+    def list_links(self):
+        """Return the links as they are now."""
+        return list(self._links.values())
+
+    def list_serving(self, service):
+        """Return the links to sides that take a service's requests."""
+        return [
+            link
+            for link in self._links.values()
+            if link.view.up
+            and service in link.view.services
+            and not link.view.state.draining
+            and link.name not in self._leaving
+        ]
+
+    def _run(self):
+        while not self._stop.is_set():
+            listed = self._vmlist.read()
+            if listed.is_ok():
+                self._follow(listed.ok_value)
+                self.listed.set()
+            for link in self.list_links():
+                link.beat()
+            self._stop.wait(_BEAT_SECONDS)
+
+    def _follow(self, vms):
+        """Link to each endpoint VM on the list.
+
+        A VM that the list no longer names keeps its link while that is up:
+        the list may lag or be wrong, and the connection tells the truth.
+        """
+        wanted = {vm.name: vm for vm in vms if vm.role == data.Role.ENDPOINT}
+        self._leaving = frozenset(
+            vm.name for vm in wanted.values() if vm.state != data.VmState.LIVE
+        )
+        links = dict(self._links)
+        for name, link in self._links.items():
+            vm = wanted.get(name)
+            if vm is None and link.view.up:
+                continue
+            if vm is None or _has_moved(link.view.vm, vm):
+                del links[name]
+                link.__exit__(None, None, None)
+        for name, vm in wanted.items():
+            if name not in links:
+                link = SideLink(vm, self._dial, self._make_hello)
+                links[name] = link
+                link.__enter__()
+        self._links = links
+
+
+def _has_moved(known, vm):
+    return (known.address, known.port) != (vm.address, vm.port)
--- /dev/null
+++ b/packages/entry/portwharf/entry/shards.py
@@ -0,0 +1,226 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Carries operators' calls to the owners of the shards.
+
+An owner is found by what the sides say of themselves; of several the
+highest epoch counts. Every call may be sent twice without harm (a
+submission by its key, the others by what they mean), so that a call whose
+answer is lost is sent again until its time is up.
+"""
+
+import collections
+import threading
+
+import result
+
+from portwharf import callers
+from portwharf.core import codec
+from portwharf.core import data
+from portwharf.core import ids
+from portwharf import operators
+from portwharf.peers import messages
+from portwharf.scheduler import configuration
+from portwharf.scheduler import operations
+from portwharf.v1 import operators_pb as pb
+
+CALL_SECONDS = 10.0
+_ATTEMPT_SECONDS = 9.0
+_PAUSE_SECONDS = 0.3
+
+
+class ShardBackend(operators.Backend):
+    """What carries operators' calls out, at an entry."""
+
+    def __init__(self, cfg, links, kv, keeper, entries, clock):
+        """Take settings, ``LinkTable``, store and configuration.
+
+        :param entries: a ``fellows.Fellows``, to ask the other entries
+        """
+        self._cfg = cfg
+        self._links = links
+        self._kv = kv
+        self._keeper = keeper
+        self._entries = entries
+        self._clock = clock
+        self._pause = threading.Event()
+
+    def submit(self, submission):
+        key = submission.key or submission.workload.key
+        shard = ids.hash_to_shard(key, self._cfg.shards)
+        return self._call(shard, 'submit', submission, operations.Accepted)
+
+    def change(self, change):
+        return self._call_by_id(
+            change.id, 'change', change, operations.Accepted
+        )
+
+    def cancel(self, workload_id):
+        query = operations.Query(workload_id)
+        return self._call_by_id(
+            workload_id, 'cancel', query, operations.Cancelled
+        )
+
+    def list_workloads(self, query):
+        listed = self._call_all(
+            'list-workloads', query, operations.WorkloadList
+        )
+        return listed.map(
+            lambda lists: [view for one in lists for view in one.workloads]
+        )
+
+    def list_tasks(self, workload_id):
+        query = operations.Query(workload_id)
+        listed = self._call_by_id(
+            workload_id, 'list-tasks', query, operations.TaskList
+        )
+        return listed.map(lambda one: one.tasks)
+
+    def explain(self, subject):
+        query = operations.Query(subject)
+        if operations.read_shard(subject) is not None:
+            return self._call_by_id(
+                subject, 'explain', query, operations.Explanation
+            )
+        shard = ids.hash_to_shard(subject, self._cfg.shards)
+        return self._call(shard, 'explain', query, operations.Explanation)
+
+    def read_shards(self):
+        return self._call_all(
+            'status', operations.Query(), operations.ShardReport
+        )
+
+    def read_config(self):
+        return self._keeper.read()
+
+    def propose_config(self, base_revision, text):
+        proposed = configuration.propose_configuration(
+            self._kv, base_revision, text
+        )
+        if proposed.is_ok():
+            self._keeper.offer(proposed.ok_value, text)
+        return proposed
+
+    def read_config_status(self):
+        status = {self._cfg.vm.name: self._keeper.read().revision}
+        for fellow in self._entries.read_all():
+            status[fellow.name] = fellow.config_revision
+        for link in self._links.list_links():
+            if link.view.up:
+                status[link.name] = link.view.state.config_revision
+        return status
+
+    def read_burn(self):
+        targets = self._keeper.read().targets
+        buckets = collections.defaultdict(list)
+        for page in self._entries.read_with_own():
+            for one in page.services:
+                buckets[one.service].extend(one.buckets)
+        now = self._clock.read_unix_ms() / 1000
+        return [
+            _write_burn(callers.compute_burn(name, target, buckets[name], now))
+            for name, target in sorted(targets.items())
+        ]
+
+    def _call_by_id(self, subject, method, arguments, answer_class):
+        shard = operations.read_shard(subject)
+        if shard is None or shard >= self._cfg.shards:
+            problem = data.Problem(
+                'unknown-id',
+                'id',
+                subject,
+                'is not an id of this cluster',
+                'see "portwharf jobs" or "portwharf services" for ids',
+            )
+            return result.Err([problem])
+        return self._call(shard, method, arguments, answer_class)
+
+    def _call_all(self, method, arguments, answer_class):
+        """Call every shard's owner.
+
+        :returns: Ok(list of answers), or the first Err
+        """
+        answers = []
+        for shard in range(self._cfg.shards):
+            answer = self._call(shard, method, arguments, answer_class)
+            if answer.is_err():
+                return answer
+            answers.append(answer.ok_value)
+        return result.Ok(answers)
+
+    def _call(self, shard, method, arguments, answer_class):
+        """Call one shard's owner, and again if it changes under way.
+
+        :returns: Ok(instance of answer_class), or Err(list of Problems)
+        """
+        deadline = self._clock.read_monotonic() + CALL_SECONDS
+        body = codec.pack(arguments)
+        sent = False
+        while True:
+            left = deadline - self._clock.read_monotonic()
+            if left <= 0:
+                return result.Err([_describe_no_owner(shard, sent)])
+            exchange = self._send(shard, method, body, left)
+            answer = exchange.answer if exchange else None
+            if answer is not None and answer.status == 'ok':
+                return result.Ok(codec.unpack(answer_class, answer.body))
+            if answer is not None and answer.status != 'not-owner':
+                return result.Err(answer.problems)
+            sent = sent or (exchange is not None and answer is None)
+            self._pause.wait(_PAUSE_SECONDS)
+
+    def _send(self, shard, method, body, left):
+        """Send a call to a shard's owner once; the exchange or None."""
+        link = self._find_owner(shard)
+        if link is None:
+            return None
+        operation = messages.Operation(0, method, body)
+        exchange = link.begin(operation)
+        if exchange is not None:
+            exchange.wait(min(left, _ATTEMPT_SECONDS))
+        return exchange
+
+    def _find_owner(self, shard):
+        """Return the link to a shard's owner, or None."""
+        links = [
+            link
+            for link in self._links.list_links()
+            if link.view.up and link.view.state.shard == shard
+        ]
+        if not links:
+            return None
+        latest = max(links, key=lambda link: link.view.state.epoch)
+        owner = latest.view.state.owner
+        return next((link for link in links if link.name == owner), None)
+
+
+def _describe_no_owner(shard, sent):
+    if sent:
+        return data.Problem(
+            'outcome-unknown',
+            text=f'no answer from the owner of shard {shard}',
+            remedy='send the same call with the same key again',
+        )
+    return data.Problem(
+        'not-accepted',
+        text=f'shard {shard} has no owner now; nothing was changed',
+        remedy='send the same call again in some seconds',
+    )
+
+
+def _write_burn(burn):
+    return pb.ServiceBurn(
+        service=burn.service,
+        target_ratio=burn.target_ratio,
+        target_ms=burn.target_ms,
+        windows=[
+            pb.BurnWindow(
+                window_seconds=window.seconds,
+                requests=window.total,
+                late_or_failed=window.bad,
+                burn_rate=window.rate,
+            )
+            for window in burn.windows
+        ],
+        budget_left=burn.budget_left,
+        exhausted_in_seconds=burn.exhausted_in,
+    )
--- /dev/null
+++ b/packages/operators/portwharf/operators/service.py
@@ -0,0 +1,194 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""The schema's ``OperatorService``, on top of a :class:`Backend`.
+
+This module checks what operators send and turns outcomes into Connect's
+errors, with an ``ErrorDetail`` for each problem. It decides nothing.
+"""
+
+import abc
+
+from connectrpc import code
+from connectrpc import errors
+import result
+
+from portwharf.core import data
+from portwharf.operators import convert
+from portwharf.operators import validators
+from portwharf.scheduler import operations
+from portwharf.v1 import operators_pb as pb
+
+_CODES = {
+    'unknown-id': code.Code.NOT_FOUND,
+    'key-in-use': code.Code.ALREADY_EXISTS,
+    'conflict': code.Code.ABORTED,
+    'not-accepted': code.Code.UNAVAILABLE,
+    'outcome-unknown': code.Code.DEADLINE_EXCEEDED,
+    'no-worker-can-ever-hold-it': code.Code.FAILED_PRECONDITION,
+}
+
+
+class Backend(abc.ABC):
+    """What carries operators' calls out.
+
+    Each call gives Ok, or Err(list of Problems).
+    """
+
+    @abc.abstractmethod
+    def submit(self, submission):
+        """Accept an ``operations.Submission``: Ok(Accepted)."""
+
+    @abc.abstractmethod
+    def change(self, change):
+        """Carry out an ``operations.Change``: Ok(Accepted)."""
+
+    @abc.abstractmethod
+    def cancel(self, workload_id):
+        """Cancel a workload: Ok(Cancelled)."""
+
+    @abc.abstractmethod
+    def list_workloads(self, query):
+        """List by an ``operations.Query``: Ok(list of WorkloadView)."""
+
+    @abc.abstractmethod
+    def list_tasks(self, workload_id):
+        """List a workload's tasks: Ok(list of TaskView)."""
+
+    @abc.abstractmethod
+    def explain(self, subject):
+        """Explain an id or "team/name": Ok(Explanation)."""
+
+    @abc.abstractmethod
+    def read_shards(self):
+        """Report on all shards: Ok(list of ShardReport)."""
+
+    @abc.abstractmethod
+    def read_config(self):
+        """Return the accepted ``Configuration``."""
+
+    @abc.abstractmethod
+    def propose_config(self, base_revision, text):
+        """Accept a configuration: Ok(revision)."""
+
+    @abc.abstractmethod
+    def read_config_status(self):
+        """Return map of process name to revision in force."""
+
+    @abc.abstractmethod
+    def read_burn(self):
+        """Return a list of ``burn.ServiceBurn``."""
+
+
+class OperatorService:
+    """The handlers of the schema's calls."""
+
+    def __init__(self, backend):
+        self._backend = backend
+
+    def create_workload(self, req, ctx):
+        """Accept a workload."""
+        workload = _read_workload(req.workload)
+        _raise(validators.check_workload(workload))
+        submission = operations.Submission(req.key, workload)
+        accepted = _open(self._backend.submit(submission))
+        return pb.CreateWorkloadResponse(
+            id=accepted.id, created=accepted.created
+        )
+
+    def update_workload(self, req, ctx):
+        """Change count and importance."""
+        workload = _read_workload(req.workload)
+        _raise(validators.check_workload(workload))
+        _open(self._backend.change(operations.Change(req.id, workload)))
+        return pb.UpdateWorkloadResponse()
+
+    def cancel_workload(self, req, ctx):
+        """Cancel a workload."""
+        cancelled = _open(self._backend.cancel(req.id))
+        return pb.CancelWorkloadResponse(cancelled=cancelled.tasks)
+
+    def list_workloads(self, req, ctx):
+        """List workloads."""
+        query = operations.Query('', int(req.kind), req.team)
+        views = _open(self._backend.list_workloads(query))
+        return pb.ListWorkloadsResponse(
+            workloads=[convert.write_status(view) for view in views]
+        )
+
+    def list_tasks(self, req, ctx):
+        """List a workload's tasks."""
+        views = _open(self._backend.list_tasks(req.workload_id))
+        return pb.ListTasksResponse(
+            tasks=[convert.write_task(view) for view in views]
+        )
+
+    def explain(self, req, ctx):
+        """Tell what was decided and why."""
+        found = _open(self._backend.explain(req.id))
+        return pb.ExplainResponse(
+            subject=found.subject,
+            state=found.state,
+            decisions=[convert.write_decision(d) for d in found.decisions],
+        )
+
+    def get_config(self, req, ctx):
+        """Give the accepted configuration."""
+        current = self._backend.read_config()
+        return pb.GetConfigResponse(
+            revision=current.revision, text=current.text
+        )
+
+    def propose_config(self, req, ctx):
+        """Accept a configuration as a whole, or refuse it."""
+        revision = _open(
+            self._backend.propose_config(req.base_revision, req.text)
+        )
+        return pb.ProposeConfigResponse(revision=revision)
+
+    def config_status(self, req, ctx):
+        """Tell which revision each process acts by."""
+        current = self._backend.read_config()
+        rows = sorted(self._backend.read_config_status().items())
+        return pb.ConfigStatusResponse(
+            revision=current.revision,
+            processes=[
+                pb.ConfigInForce(process=name, revision=revision)
+                for name, revision in rows
+            ],
+        )
+
+    def cluster_status(self, req, ctx):
+        """Report on VMs and shards."""
+        shards = _open(self._backend.read_shards())
+        return pb.ClusterStatusResponse(
+            vms=[convert.write_vm(vm) for s in shards for vm in s.vms],
+            shards=[convert.write_shard(shard) for shard in shards],
+        )
+
+    def burn_report(self, req, ctx):
+        """Report how fast services use up their error budgets."""
+        return pb.BurnReportResponse(services=self._backend.read_burn())
+
+
+def _read_workload(message):
+    if message is None:
+        return data.Workload(kind=0, count=0)
+    return convert.read_workload(message)
+
+
+def _open(outcome):
+    """Return an Ok's value, or raise its Problems as a Connect error."""
+    if isinstance(outcome, result.Err):
+        _raise(outcome.err_value)
+    return outcome.ok_value
+
+
+def _raise(problems):
+    if not problems:
+        return
+    text = '\n'.join(problem.describe() for problem in problems)
+    raise errors.ConnectError(
+        _CODES.get(problems[0].code, code.Code.INVALID_ARGUMENT),
+        text,
+        details=[convert.write_problem(problem) for problem in problems],
+    )
--- /dev/null
+++ b/packages/peers/portwharf/peers/messages.py
@@ -0,0 +1,303 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""The messages between portwharf's own processes.
+
+Each is a plain class; ``KINDS`` gives each a short name on the wire. Times
+called ``*_ms`` without more are on the *sender's* monotonic clock and mean
+something only to the process that first wrote them: the peer sends them
+back unread.
+"""
+
+import dataclasses
+
+from portwharf.core import data
+
+# Raised when a message changes its meaning. A peer with another major
+# version is refused; new fields and kinds need no new version.
+PROTOCOL_VERSION = 1
+
+
+@dataclasses.dataclass(slots=True)
+class Hello:
+    """The first message on a connection, from both ends.
+
+    :param role: ``owner``, ``entry`` or ``side``
+    :param name: the VM's name
+    :param instance: differs for each start of the process
+    :param epoch: the epoch of an owner; of a side, the highest it knows
+    """
+
+    version: int = PROTOCOL_VERSION
+    role: str = ''
+    name: str = ''
+    instance: str = ''
+    shard: int = 0
+    epoch: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class TaskReport:
+    """What a side knows of one attempt on its worker."""
+
+    task: str = ''
+    attempt: int = 0
+    state: str = ''
+    checkpoint: str = ''
+    result: bytes = b''
+    reason: str = ''
+    # Processors used on average lately, in thousandths.
+    cpu_milli: int = 0
+    memory_mb: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Heartbeat:
+    """From a side to its owner, at a steady beat.
+
+    :param side_ms: the side's clock, sent back in :class:`Grant`
+    :param owner_ms: the owner's clock from the last :class:`Grant`
+    :param epoch: the epoch that the side acknowledges by this message; 0
+        while a restarted side must not acknowledge any
+    """
+
+    side_ms: int = 0
+    owner_ms: int = 0
+    epoch: int = 0
+    capacity: data.Resources = dataclasses.field(
+        default_factory=data.Resources
+    )
+    draining: bool = False
+    config_revision: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Grant:
+    """From an owner to a side, in answer to each heartbeat.
+
+    :param side_ms: from the heartbeat that is answered
+    :param owner_ms: the owner's clock when this was sent
+    :param valid: the owner may grant; the side's tasks may go on
+    """
+
+    side_ms: int = 0
+    owner_ms: int = 0
+    epoch: int = 0
+    valid: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Reports:
+    """From a side to its owner: attempts that changed, or all of them.
+
+    :param whole: the list names every attempt that the side knows
+    """
+
+    whole: bool = False
+    reports: list[TaskReport] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class TaskRef:
+    """One attempt of one task."""
+
+    task: str = ''
+    attempt: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class ForgetTasks:
+    """From an owner: these endings are in the log, drop them."""
+
+    tasks: list[TaskRef] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class StartTask:
+    """From an owner: begin this attempt, which is in the log."""
+
+    epoch: int = 0
+    task: str = ''
+    attempt: int = 0
+    kind: int = data.Kind.BATCH
+    workload: str = ''
+    exclusive: bool = False
+    resources: data.Resources = dataclasses.field(
+        default_factory=data.Resources
+    )
+    program: str = ''
+    argument: bytes = b''
+    checkpoint: str = ''
+
+
+@dataclasses.dataclass(slots=True)
+class StopTask:
+    """From an owner: end this attempt.
+
+    :param checkpoint: save the work first, and report where it is
+    """
+
+    epoch: int = 0
+    task: str = ''
+    attempt: int = 0
+    checkpoint: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class ThrottleTask:
+    """From an owner: let this attempt use only part of its processors.
+
+    :param percent: 1 to 100
+    """
+
+    epoch: int = 0
+    task: str = ''
+    attempt: int = 0
+    percent: int = 100
+
+
+@dataclasses.dataclass(slots=True)
+class ConfigUpdate:
+    """A configuration and its revision, down from owners and entries."""
+
+    revision: int = 0
+    text: str = ''
+
+
+@dataclasses.dataclass(slots=True)
+class SideState:
+    """From a side to an entry: what it serves and whom it follows.
+
+    :param services: the services that may be sent here, as "team/name"
+    :param in_flight: requests running and waiting here
+    """
+
+    services: list[str] = dataclasses.field(default_factory=list)
+    draining: bool = False
+    in_flight: int = 0
+    slots: int = 0
+    availability_zone: str = ''
+    shard: int = 0
+    owner: str = ''
+    epoch: int = 0
+    config_revision: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """From an entry to a side: one caller's request.
+
+    :param left_ms: what is left of the deadline when this is sent
+    :param size: bytes of the whole payload; more may follow as chunks
+    """
+
+    id: int = 0
+    request: str = ''
+    service: str = ''
+    repeatable: bool = False
+    left_ms: int = 0
+    size: int = 0
+    payload: bytes = b''
+
+
+@dataclasses.dataclass(slots=True)
+class Chunk:
+    """More of a request's or an answer's payload, in order."""
+
+    id: int = 0
+    payload: bytes = b''
+
+
+@dataclasses.dataclass(slots=True)
+class Withdraw:
+    """From an entry: its caller no longer waits for this request."""
+
+    id: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """From a side: what became of one request.
+
+    :param size: bytes of the whole payload; more may follow as chunks
+    :param checksum: xxh64 of the whole payload
+    :param in_flight: the side's load, as in :class:`SideState`
+    """
+
+    id: int = 0
+    request: str = ''
+    outcome: int = 0
+    reason: str = ''
+    retry_after_ms: int = 0
+    size: int = 0
+    checksum: int = 0
+    in_flight: int = 0
+    payload: bytes = b''
+
+
+@dataclasses.dataclass(slots=True)
+class Operation:
+    """From an entry: an operator's call for a shard's owner.
+
+    :param body: the call's arguments, packed by the ``codec`` module
+    """
+
+    id: int = 0
+    method: str = ''
+    body: bytes = b''
+
+
+@dataclasses.dataclass(slots=True)
+class OperationResult:
+    """What became of an operator's call.
+
+    :param status: ``ok``, ``refused``, ``not-owner`` or ``unknown``
+    """
+
+    id: int = 0
+    status: str = ''
+    body: bytes = b''
+    problems: list[data.Problem] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class OwnerQuery:
+    """Between sides: do you hear the owner of this epoch?"""
+
+    epoch: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class OwnerAnswer:
+    """The answer to :class:`OwnerQuery`.
+
+    :param epoch: the highest epoch that the side knows
+    :param hears: it has heard that epoch's owner lately
+    :param restarted: it has forgotten, so its epoch proves nothing
+    """
+
+    epoch: int = 0
+    hears: bool = False
+    restarted: bool = False
+
+
+KINDS = {
+    'hello': Hello,
+    'beat': Heartbeat,
+    'grant': Grant,
+    'reports': Reports,
+    'forget': ForgetTasks,
+    'start': StartTask,
+    'stop': StopTask,
+    'throttle': ThrottleTask,
+    'config': ConfigUpdate,
+    'state': SideState,
+    'request': Request,
+    'chunk': Chunk,
+    'withdraw': Withdraw,
+    'answer': Answer,
+    'operation': Operation,
+    'result': OperationResult,
+    'query': OwnerQuery,
+    'hears': OwnerAnswer,
+}
+NAMES = {cls: name for name, cls in KINDS.items()}
--- /dev/null
+++ b/packages/peers/portwharf/peers/streams.py
@@ -0,0 +1,264 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Connections that carry messages both ways over TCP.
+
+A frame is one msgpack value, ``[kind, map]``; ``msgpack``'s own streaming
+reader finds where it ends. Frames of unknown kinds are skipped, so that a
+newer peer can send them. A frame that is too large or garbled, silence for
+longer than the idle limit, or a peer that does not read, end that one
+connection and nothing else. One thread reads; any thread may send, whole
+frames at a time.
+"""
+
+import logging
+import socket
+import ssl
+import threading
+
+import msgpack
+
+from portwharf.core import codec
+from portwharf.core import logs
+from portwharf.peers import messages
+
+LOG = logging.getLogger(__name__)
+
+# A frame holds at most a chunk of payload or a list of reports.
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+# Payloads go in pieces of this size, so that small frames get between.
+CHUNK_BYTES = 64 * 1024
+DIAL_SECONDS = 1.0
+GREETING_SECONDS = 3.0
+IDLE_SECONDS = 10.0
+SEND_SECONDS = 2.0
+_READ_BYTES = 64 * 1024
+_BACKLOG = 512
+
+
+class PeerError(Exception):
+    """The connection is over; the text says why."""
+
+
+class Connection:
+    """One stream of messages; a context manager that closes it."""
+
+    def __init__(self, sock, peer):
+        """Take a connected socket and a name for the log."""
+        self.peer = peer
+        self._sock = sock
+        self._lock = threading.Lock()
+        self._closed = False
+        self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._set_idle(IDLE_SECONDS)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        self.close()
+
+    @property
+    def closed(self):
+        """Whether this end has closed the connection."""
+        return self._closed
+
+    def close(self):
+        """Close the connection; a thread that reads it wakes up."""
+        self._closed = True
+        try:
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        self._sock.close()
+
+    def send(self, message):
+        """Send one message.
+
+        :raises PeerError: the connection is over
+        """
+        kind = messages.NAMES[type(message)]
+        frame = msgpack.packb([kind, codec.to_map(message)])
+        try:
+            with self._lock:
+                self._sock.sendall(frame)
+        except (OSError, ValueError) as exc:
+            self.close()
+            raise PeerError(f'cannot send: {exc}') from exc
+
+    def receive(self):
+        """Return the next message, waiting up to the idle limit.
+
+        :raises PeerError: the connection is over
+        """
+        while True:
+            frame = self._receive_frame()
+            message = _read_frame(frame)
+            if message is not None:
+                return message
+
+    def try_send(self, message):
+        """Send one message, or return False if the connection is over."""
+        try:
+            self.send(message)
+        except PeerError:
+            return False
+        return True
+
+    def _receive_frame(self):
+        try:
+            while True:
+                for frame in self._unpacker:
+                    return frame
+                raw = self._sock.recv(_READ_BYTES)
+                if not raw:
+                    raise PeerError('closed by the peer')
+                self._unpacker.feed(raw)
+        except TimeoutError as exc:
+            raise PeerError('silent for too long') from exc
+        except (OSError, ValueError, msgpack.UnpackException) as exc:
+            raise PeerError(f'cannot read: {exc}') from exc
+
+    def _set_idle(self, seconds):
+        self._sock.settimeout(max(seconds, SEND_SECONDS))
+
+
+class Listener:
+    """Accepts connections, each handled in a thread of its own."""
+
+    def __init__(self, address, port, handle, context=None):
+        """Listen on an address; port 0 takes any that is free.
+
+        :param handle: called with each :class:`Connection`, which is
+            closed when it returns
+        :param context: a server's ``ssl`` context, or None
+        """
+        self._handle = handle
+        self._context = context
+        self._sock = socket.create_server(
+            (address, port), backlog=_BACKLOG, reuse_port=False
+        )
+        self._conns = set()
+        self._lock = threading.Lock()
+        self._thread = threading.Thread(
+            target=self._accept_all, name='listener', daemon=True
+        )
+
+    @property
+    def port(self):
+        """The port that it listens on."""
+        return self._sock.getsockname()[1]
+
+    def __enter__(self):
+        self._thread.start()
+        return self
+
+    def __exit__(self, *exc_info):
+        self.close()
+
+    def close(self):
+        """Stop accepting and close every connection."""
+        try:
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        self._sock.close()
+        with self._lock:
+            conns = list(self._conns)
+        for conn in conns:
+            conn.close()
+
+    def _accept_all(self):
+        while True:
+            try:
+                sock, address = self._sock.accept()
+            except OSError:
+                return
+            peer = f'{address[0]}:{address[1]}'
+            threading.Thread(
+                target=self._serve, args=(sock, peer), name=peer, daemon=True
+            ).start()
+
+    def _serve(self, sock, peer):
+        try:
+            conn = Connection(self._wrap(sock), peer)
+        except (OSError, ssl.SSLError) as exc:
+            LOG.warning('no TLS: %s', exc, extra=logs.fields(peer=peer))
+            sock.close()
+            return
+        with self._lock:
+            self._conns.add(conn)
+        try:
+            with conn:
+                self._handle(conn)
+        except PeerError as exc:
+            LOG.debug('connection over: %s', exc, extra=logs.fields(peer=peer))
+        finally:
+            with self._lock:
+                self._conns.discard(conn)
+
+    def _wrap(self, sock):
+        if self._context is None:
+            return sock
+        sock.settimeout(GREETING_SECONDS)
+        return self._context.wrap_socket(sock, server_side=True)
+
+
+def dial(address, port, context=None):
+    """Connect to a peer.
+
+    :param context: a client's ``ssl`` context, or None
+    :returns: a :class:`Connection`
+    :raises PeerError: it cannot be reached
+    """
+    try:
+        sock = socket.create_connection((address, port), DIAL_SECONDS)
+        if context is not None:
+            sock = context.wrap_socket(sock, server_hostname=address)
+    except (OSError, ssl.SSLError) as exc:
+        raise PeerError(f'cannot reach {address}:{port}: {exc}') from exc
+    return Connection(sock, f'{address}:{port}')
+
+
+def greet(conn, hello):
+    """Exchange greetings on a new connection, from the dialling end.
+
+    :returns: the peer's :class:`messages.Hello`
+    :raises PeerError: no greeting, or another version
+    """
+    conn.send(hello)
+    return check_greeting(conn.receive())
+
+
+def check_greeting(message):
+    """Return the peer's greeting if it is one that we understand.
+
+    :raises PeerError: it is not
+    """
+    if not isinstance(message, messages.Hello):
+        raise PeerError(f'no greeting but {type(message).__name__}')
+    if message.version != messages.PROTOCOL_VERSION:
+        raise PeerError(
+            f'protocol version {message.version}, '
+            f'this is {messages.PROTOCOL_VERSION}'
+        )
+    return message
+
+
+def _read_frame(frame):
+    """Return the message in a frame, or None if its kind is unknown.
+
+    :raises PeerError: the frame is garbled
+    """
+    if not isinstance(frame, list) or len(frame) != 2:
+        raise PeerError('garbled frame')
+    kind, fields = frame
+    if not isinstance(kind, str):
+        raise PeerError('garbled kind')
+    cls = messages.KINDS.get(kind)
+    if cls is None:
+        return None
+    try:
+        return codec.from_map(cls, fields)
+    except (TypeError, ValueError) as exc:
+        raise PeerError(f'garbled {kind}: {exc}') from exc
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/configuration.py
@@ -0,0 +1,291 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""The operators' configuration: what it says, and which one is in force.
+
+It is one TOML text under one key of the store; its revision is the store's
+revision of that key's last change, so that it only grows. A change is a
+compare-and-swap against the revision that it was made from. Every process
+keeps the highest revision that it has seen, through outages of the store
+too, and takes no lower one.
+"""
+
+import dataclasses
+import logging
+import random
+import threading
+
+import result
+import voluptuous
+
+from portwharf.core import data
+from portwharf.core import settings
+from portwharf.peers import messages
+
+LOG = logging.getLogger(__name__)
+
+KEY = 'config/current'
+MAX_TEXT_BYTES = 512 * 1024
+_WATCH_SECONDS = 60
+_RETRY_SECONDS = 0.5
+_MAX_RETRY_SECONDS = 8.0
+_MAX_AMOUNT = 10**9
+
+_RESOURCES = {
+    voluptuous.Required('cpu_milli'): settings.whole(0, _MAX_AMOUNT),
+    voluptuous.Required('memory_mb'): settings.whole(0, _MAX_AMOUNT),
+    voluptuous.Optional('accelerators', default=0): settings.whole(0, 10**6),
+}
+SCHEMA = voluptuous.Schema(
+    {
+        voluptuous.Optional('weights', default=dict): {
+            voluptuous.Optional('tail_latency', default=5.0): settings.number(
+                0, 100
+            ),
+            voluptuous.Optional(
+                'batch_throughput', default=2.0
+            ): settings.number(0, 100),
+            voluptuous.Optional('evictions', default=1.0): settings.number(
+                0, 100
+            ),
+        },
+        voluptuous.Optional('teams', default=dict): {
+            str: {voluptuous.Required('quota'): _RESOURCES}
+        },
+        voluptuous.Optional('services', default=dict): {
+            str: {
+                voluptuous.Required('target_ms'): settings.whole(1, 600_000),
+                voluptuous.Required('target_ratio'): settings.number(
+                    0.5, 0.99999
+                ),
+            }
+        },
+    }
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Weights:
+    """How much each of the three measures counts."""
+
+    tail_latency: float = 5.0
+    batch_throughput: float = 2.0
+    evictions: float = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class Target:
+    """What a service promises: this share answered within this time."""
+
+    ms: int = 0
+    ratio: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Configuration:
+    """One accepted configuration.
+
+    :param quotas: team to Resources
+    :param targets: "team/name" of a service to Target
+    """
+
+    revision: int = 0
+    text: str = ''
+    weights: Weights = dataclasses.field(default_factory=Weights)
+    quotas: dict = dataclasses.field(default_factory=dict)
+    targets: dict = dataclasses.field(default_factory=dict)
+
+
+def parse_configuration(text, revision=0):
+    """Read and check a configuration's text.
+
+    :returns: Ok(Configuration), or Err(list of Problems)
+    """
+    if len(text.encode()) > MAX_TEXT_BYTES:
+        problem = data.Problem(
+            'too-large',
+            'text',
+            f'{len(text.encode())} bytes',
+            f'must be at most {MAX_TEXT_BYTES} bytes',
+            'shorten it',
+        )
+        return result.Err([problem])
+    checked = settings.check_text(text, SCHEMA)
+    if checked.is_err():
+        return checked
+    values = checked.ok_value
+    return result.Ok(
+        Configuration(
+            revision,
+            text,
+            Weights(**values['weights']),
+            {
+                team: data.Resources(**rules['quota'])
+                for team, rules in values['teams'].items()
+            },
+            {
+                name: Target(rules['target_ms'], rules['target_ratio'])
+                for name, rules in values['services'].items()
+            },
+        )
+    )
+
+
+class ConfigKeeper:
+    """The configuration in force in this process."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._current = Configuration()
+        self._followers = []
+
+    def read(self):
+        """Return the :class:`Configuration` in force."""
+        return self._current
+
+    def follow(self, call):
+        """Have a function called, without arguments, after a change."""
+        self._followers.append(call)
+
+    def make_update(self):
+        """Return the configuration in force as a message."""
+        current = self._current
+        return messages.ConfigUpdate(current.revision, current.text)
+
+    def offer(self, revision, text):
+        """Put a configuration in force if it is newer.
+
+        :returns: whether it was taken
+        """
+        if revision <= self._current.revision:
+            return False
+        parsed = parse_configuration(text, revision)
+        if parsed.is_err():
+            # Written past our check, or by a newer version of us. What is
+            # in force stays; ``config status`` shows that it does.
+            for problem in parsed.err_value:
+                LOG.error('configuration: %s', problem.describe())
+            return False
+        with self._lock:
+            if revision <= self._current.revision:
+                return False
+            self._current = parsed.ok_value
+        LOG.info('configuration %d in force', revision)
+        for call in self._followers:
+            call()
+        return True
+
+
+class ConfigWatcher:
+    """Keeps a keeper up to date from the store; a context manager.
+
+    One waiting watch at a time; after a failure it reads again, with a
+    jitter so that not all processes come at once after an outage.
+    """
+
+    def __init__(self, kv, keeper):
+        self._kv = kv
+        self._keeper = keeper
+        self._stop = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name='config', daemon=True
+        )
+
+    def __enter__(self):
+        self._thread.start()
+        return self
+
+    def __exit__(self, *exc_info):
+        # The thread may sit in a watch; it ends with the process.
+        self._stop.set()
+
+    def _run(self):
+        wait = _RETRY_SECONDS
+        while not self._stop.is_set():
+            if self._follow():
+                wait = _RETRY_SECONDS
+                continue
+            self._stop.wait(wait * random.uniform(0.5, 1.5))
+            wait = min(2 * wait, _MAX_RETRY_SECONDS)
+
+    def _follow(self):
+        """Read once, then wait for changes until something fails.
+
+        :returns: whether the store answered
+        """
+        found = self._kv.read(KEY)
+        while found.is_ok() and not self._stop.is_set():
+            entry = found.ok_value
+            if entry is not None:
+                self._offer(entry)
+            revision = entry.revision if entry else 0
+            if revision == 0:
+                # Nothing to watch from: look again shortly.
+                self._stop.wait(_RETRY_SECONDS)
+                return True
+            found = self._kv.wait_for_change(KEY, revision, _WATCH_SECONDS)
+            if found.is_ok() and found.ok_value is None:
+                return True
+        return False
+
+    def _offer(self, entry):
+        self._keeper.offer(entry.revision, entry.value.decode())
+
+
+def propose_configuration(kv, base_revision, text):
+    """Make a configuration the accepted one, as a whole.
+
+    :returns: Ok(revision), or Err(list of Problems)
+    """
+    parsed = parse_configuration(text)
+    if parsed.is_err():
+        return parsed
+    raw = text.encode()
+    answer = kv.swap(KEY, raw, base_revision)
+    if answer.is_ok() and answer.ok_value.done:
+        return result.Ok(answer.ok_value.revision)
+    return _settle_proposal(kv, base_revision, raw, answer)
+
+
+def _settle_proposal(kv, base_revision, raw, answer):
+    """Find out what became of a proposal that was not confirmed.
+
+    The same text at a higher revision than the base counts as ours: if
+    somebody else wrote just that, what was asked for is in force too.
+    """
+    found = kv.read(KEY)
+    if found.is_err():
+        unknown = answer.is_err() and answer.err_value.unknown
+        return result.Err([_describe_outage(unknown)])
+    entry = found.ok_value
+    revision = entry.revision if entry else 0
+    if entry and revision > base_revision and entry.value == raw:
+        return result.Ok(revision)
+    if answer.is_err() and revision == base_revision:
+        # Not there yet, but a lost call may still arrive.
+        return result.Err([_describe_outage(answer.err_value.unknown)])
+    return result.Err([_describe_conflict(base_revision, entry)])
+
+
+def _describe_outage(unknown):
+    if unknown:
+        return data.Problem(
+            'outcome-unknown',
+            text='the store has not confirmed the change',
+            remedy='see "portwharf config get" before trying again',
+        )
+    return data.Problem(
+        'not-accepted',
+        text='the store does not answer; nothing was changed',
+        remedy='try again in some seconds',
+    )
+
+
+def _describe_conflict(base_revision, entry):
+    current = entry.revision if entry else 0
+    return data.Problem(
+        'conflict',
+        'base_revision',
+        str(base_revision),
+        f'another change came first; the revision is now {current}',
+        'get the current text, make the change in it, and set it again',
+    )
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/members.py
@@ -0,0 +1,132 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""An owner's connections to the sides of its shard, a thread for each.
+
+The owner dials; the side sends heartbeats, each answered with a grant on
+the same connection, and reports. A command counts only on the connection
+that it was sent on: when that ends the side drops what it has not begun,
+and the next connection starts with a report of everything.
+"""
+
+import dataclasses
+import logging
+import threading
+
+from portwharf.core import data
+from portwharf.core import logs
+from portwharf.peers import messages
+from portwharf.peers import streams
+
+LOG = logging.getLogger(__name__)
+
+_REDIAL_SECONDS = 0.5
+
+
+@dataclasses.dataclass(slots=True)
+class MemberView:
+    """What the owner knows of a side at one time.
+
+    :param heard: the owner's clock at the last heartbeat, or None
+    :param granted: the last grant on this connection was valid
+    :param reported: the side has told all that it runs on this connection
+    """
+
+    vm: data.Vm = dataclasses.field(default_factory=data.Vm)
+    heard: float = None
+    reported: bool = False
+    granted: bool = False
+    draining: bool = False
+    capacity: data.Resources = dataclasses.field(
+        default_factory=data.Resources
+    )
+    config_revision: int = 0
+
+
+class MemberLink:
+    """The connection to one side; a context manager that ends it."""
+
+    def __init__(self, vm, owner):
+        """Take the member's VM and an :class:`OwnerCalls`."""
+        self._owner = owner
+        self._conn = None
+        self._lock = threading.Lock()
+        self._stop = threading.Event()
+        self._capacity = data.Resources()
+        self.view = MemberView(vm)
+        self._thread = threading.Thread(
+            target=self._run, name=f'member-{vm.name}', daemon=True
+        )
+
+    def __enter__(self):
+        self._thread.start()
+        return self
+
+    def __exit__(self, *exc_info):
+        self._stop.set()
+        self.drop()
+        self._thread.join()
+
+    @property
+    def name(self):
+        """The member's VM's name."""
+        return self.view.vm.name
+
+    def send(self, message):
+        """Send a command if there is a connection.
+
+        A command that is lost is made up for by the report of everything
+        that the next connection begins with.
+        """
+        conn = self._conn
+        return conn is not None and conn.try_send(message)
+
+    def drop(self):
+        """End the present connection; a new one is made after it."""
+        conn = self._conn
+        if conn is not None:
+            conn.close()
+
+    def _run(self):
+        while not self._stop.is_set():
+            try:
+                self._talk()
+            except streams.PeerError as exc:
+                extra = logs.fields(peer=self.name)
+                LOG.debug('member: %s', exc, extra=extra)
+            self._conn = None
+            self.view.reported = False
+            self.view.granted = False
+            self._stop.wait(_REDIAL_SECONDS)
+
+    def _talk(self):
+        vm = self.view.vm
+        with self._owner.dial(vm) as conn:
+            peer = streams.greet(conn, self._owner.make_hello())
+            self._owner.note_epoch(peer.epoch)
+            self._conn = conn
+            if self._stop.is_set():
+                return
+            conn.send(self._owner.make_grant(self.name, 0))
+            conn.send(self._owner.make_config())
+            while True:
+                self._handle(conn, conn.receive())
+
+    def _handle(self, conn, message):
+        if isinstance(message, messages.Heartbeat):
+            self._hear(message)
+            grant = self._owner.make_grant(self.name, message.side_ms)
+            conn.send(grant)
+            self.view.granted = grant.valid
+        elif isinstance(message, messages.Reports):
+            self._owner.take_reports(self, message)
+        else:
+            raise streams.PeerError(f'unexpected {type(message).__name__}')
+
+    def _hear(self, beat):
+        view = self.view
+        view.heard = self._owner.read_clock()
+        view.capacity = beat.capacity
+        view.draining = beat.draining
+        view.config_revision = beat.config_revision
+        self._owner.note_epoch(beat.epoch)
+        self._owner.record_ack(self.name, beat)
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/placement.py
@@ -0,0 +1,362 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Where waiting tasks go: the hard limits first, then a score.
+
+A pass goes over the waiting workloads in order of urgency, importance,
+deadline and age, and gives each task the VM with the lowest score among
+those that it fits on. Tasks of one workload are alike, so that the first
+one that fits nowhere settles the rest. Every choice keeps the addends of
+its score and the count of VMs refused by each reason, for ``explain``.
+
+What this module leaves out: when a placed task has to move again.
+"""
+
+import collections
+import dataclasses
+
+from portwharf.core import data
+from portwharf.scheduler import events
+
+# Tasks placed in one pass; the rest waits for the next.
+MAX_PLACEMENTS = 200
+
+REASON_PLACED = 'placed'
+REASON_NO_ROOM = 'no-worker-has-room-now'
+REASON_NEVER = 'no-worker-can-ever-hold-it'
+REASON_NO_WORKERS = 'no-worker-is-known'
+REASON_QUOTA = 'team-quota-is-used-up'
+
+_STRANDED_ACCELERATOR = 4.0
+_SAME_RACK = 0.5
+_SAME_ZONE = 0.25
+_SAME_VM = 4.0
+
+
+@dataclasses.dataclass(slots=True)
+class VmView:
+    """One VM as the owner sees it at the time of a pass.
+
+    :param closed: '' or why it gets nothing new
+    """
+
+    vm: data.Vm = dataclasses.field(default_factory=data.Vm)
+    capacity: data.Resources = dataclasses.field(
+        default_factory=data.Resources
+    )
+    reserved: data.Resources = dataclasses.field(
+        default_factory=data.Resources
+    )
+    closed: str = ''
+
+    @property
+    def room(self):
+        """What can still be reserved."""
+        return self.capacity.subtract(self.reserved)
+
+
+@dataclasses.dataclass(slots=True)
+class Demand:
+    """A workload with waiting tasks.
+
+    :param tasks: ids of the waiting tasks, in order
+    :param attempts: the number of the next attempt of each
+    :param placed: VM names where its tasks are, with how many
+    """
+
+    record: object = None
+    tasks: list = dataclasses.field(default_factory=list)
+    attempts: list = dataclasses.field(default_factory=list)
+    placed: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class Placement:
+    """One task's new place and why."""
+
+    task: str = ''
+    attempt: int = 0
+    vm: str = ''
+    decision: events.Decision = None
+
+
+@dataclasses.dataclass(slots=True)
+class Pass:
+    """What one pass decided.
+
+    :param waiting: a decision for each workload that could not be placed
+    """
+
+    placements: list = dataclasses.field(default_factory=list)
+    waiting: list = dataclasses.field(default_factory=list)
+
+
+def order_demands(demands, now_ms):
+    """Return demands in the order in which they are served."""
+    return sorted(demands, key=lambda demand: _rank(demand.record, now_ms))
+
+
+def place_demands(demands, views, quotas, now_ms):
+    """Choose a VM for as many waiting tasks as can be placed.
+
+    :param demands: list of :class:`Demand`
+    :param views: list of :class:`VmView`; their ``reserved`` grows
+    :param quotas: a :class:`Quotas`
+    :param now_ms: wall time, for the decisions
+    :returns: a :class:`Pass`
+    """
+    done = Pass()
+    for demand in order_demands(demands, now_ms):
+        room = MAX_PLACEMENTS - len(done.placements)
+        if room <= 0:
+            break
+        _place_demand(demand, views, quotas, now_ms, room, done)
+    return done
+
+
+def check_placeable(workload, views):
+    """Tell whether any known VM could hold a task of a workload.
+
+    :returns: None, or the data.Problem that the operator should hear
+    """
+    size = workload.resources
+    if not views:
+        return None
+    if any(size.fits(view.capacity) for view in views):
+        return None
+    if any(view.capacity.cpu_milli == 0 for view in views):
+        # Not all have told their capacity yet: too early to say never.
+        return None
+    near = _find_nearest(size, views)
+    return data.Problem(
+        code=REASON_NEVER,
+        field='workload.resources',
+        value=describe_resources(size),
+        text='no worker of the cluster can ever hold one task',
+        remedy=f'ask for at most {describe_resources(near)}',
+    )
+
+
+def describe_resources(size):
+    """Return an amount as text for people."""
+    text = f'{size.cpu_milli / 1000:g} processors, {size.memory_mb} MB'
+    if size.accelerators:
+        text += f', {size.accelerators} accelerators'
+    return text
+
+
+class Quotas:
+    """What each team may reserve, and has reserved.
+
+    A team without a quota of its own has no limit.
+    """
+
+    def __init__(self, limits, reserved):
+        """Take maps of team to Resources."""
+        self._limits = limits
+        self._reserved = collections.defaultdict(data.Resources, reserved)
+
+    def has_room(self, team, size):
+        """Tell whether a team may reserve this much more."""
+        limit = self._limits.get(team)
+        return limit is None or self._reserved[team].add(size).fits(limit)
+
+    def reserve(self, team, size):
+        """Count an amount against a team's quota."""
+        self._reserved[team] = self._reserved[team].add(size)
+
+
+def _rank(record, now_ms):
+    workload = record.workload
+    due = float('inf')
+    if workload.deadline_seconds:
+        end = record.unix_ms + workload.deadline_seconds * 1000
+        due = end - workload.run_seconds * 1000 - now_ms
+    latency_critical = workload.kind == data.Kind.SERVICE
+    return (
+        not workload.urgent,
+        not latency_critical,
+        -workload.importance,
+        due,
+        record.unix_ms,
+        record.id,
+    )
+
+
+def _place_demand(demand, views, quotas, now_ms, room, done):
+    workload = demand.record.workload
+    rows = zip(demand.tasks[:room], demand.attempts[:room], strict=True)
+    for task, attempt in rows:
+        if not quotas.has_room(workload.team, workload.resources):
+            done.waiting.append(_explain_quota(demand.record, now_ms))
+            return
+        choice = _choose_vm(demand, views)
+        if choice.view is None:
+            done.waiting.append(_explain_wait(demand.record, choice, now_ms))
+            return
+        choice.view.reserved = choice.view.reserved.add(workload.resources)
+        quotas.reserve(workload.team, workload.resources)
+        demand.placed[choice.view.vm.name] += 1
+        decision = events.Decision(
+            now_ms,
+            REASON_PLACED,
+            task,
+            choice.view.vm.name,
+            choice.list_refusals(),
+            choice.parts,
+        )
+        done.placements.append(
+            Placement(task, attempt, choice.view.vm.name, decision)
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class _Choice:
+    """The best VM for one task, and why not the others."""
+
+    view: VmView = None
+    parts: list = dataclasses.field(default_factory=list)
+    refusals: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+    def list_refusals(self):
+        return [
+            events.Count(name, number)
+            for name, number in sorted(self.refusals.items())
+        ]
+
+
+def _choose_vm(demand, views):
+    choice = _Choice()
+    best = float('inf')
+    spread = _count_spread(demand, views)
+    size = demand.record.workload.resources
+    lonely = demand.record.workload.kind == data.Kind.SERVICE
+    for view in views:
+        reason = _refuse(size, view)
+        if lonely and not reason and demand.placed[view.vm.name]:
+            # One runner a VM: a second replica there would add nothing.
+            reason = 'replica-there-already'
+        if reason:
+            choice.refusals[reason] += 1
+            continue
+        parts = _score(demand, view, spread)
+        total = sum(part.value for part in parts)
+        if total < best:
+            best = total
+            choice.view = view
+            choice.parts = parts
+    return choice
+
+
+def _refuse(size, view):
+    """Return why a VM cannot take a task of this size, or ''."""
+    if view.closed:
+        return view.closed
+    room = view.room
+    if size.cpu_milli > room.cpu_milli:
+        return 'processors'
+    if size.memory_mb > room.memory_mb:
+        return 'memory'
+    if size.accelerators > room.accelerators:
+        return 'accelerators'
+    return ''
+
+
+@dataclasses.dataclass(slots=True)
+class _Spread:
+    """How many tasks of a workload are in each rack and zone."""
+
+    racks: collections.Counter
+    zones: collections.Counter
+
+
+def _count_spread(demand, views):
+    spread = _Spread(collections.Counter(), collections.Counter())
+    if demand.record.workload.kind == data.Kind.BATCH:
+        return spread
+    for view in views:
+        count = demand.placed[view.vm.name]
+        if count:
+            spread.racks[view.vm.rack] += count
+            spread.zones[view.vm.availability_zone] += count
+    return spread
+
+
+def _score(demand, view, spread):
+    """Return the addends of a VM's score; the lowest sum wins."""
+    size = demand.record.workload.resources
+    after = view.reserved.add(size)
+    parts = [events.Part('fill', _measure_imbalance(after, view.capacity))]
+    if view.capacity.accelerators and not size.accelerators:
+        free = view.capacity.accelerators - after.accelerators
+        share = free / view.capacity.accelerators
+        parts.append(events.Part('stranding', _STRANDED_ACCELERATOR * share))
+    if demand.record.workload.kind != data.Kind.BATCH:
+        alike = demand.placed[view.vm.name]
+        parts.append(events.Part('same-vm', _SAME_VM * alike))
+        rack = spread.racks[view.vm.rack]
+        parts.append(events.Part('same-rack', _SAME_RACK * rack))
+        zone = spread.zones[view.vm.availability_zone]
+        parts.append(events.Part('same-zone', _SAME_ZONE * zone))
+    return parts
+
+
+def _measure_imbalance(reserved, capacity):
+    """Return how full a VM would be, by its fullest axis, 0 to 1.
+
+    The emptiest VM wins: with interference unknown, spreading batch work
+    costs services the least.
+    """
+    shares = [reserved.cpu_milli / max(1, capacity.cpu_milli)]
+    shares.append(reserved.memory_mb / max(1, capacity.memory_mb))
+    if capacity.accelerators:
+        shares.append(reserved.accelerators / capacity.accelerators)
+    return max(shares)
+
+
+def _explain_wait(record, choice, now_ms):
+    reason = REASON_NO_ROOM if choice.refusals else REASON_NO_WORKERS
+    size = describe_resources(record.workload.resources)
+    return events.Decision(
+        now_ms,
+        reason,
+        record.id,
+        refusals=choice.list_refusals(),
+        detail=f'one task needs {size}',
+        advice='wait for room, lower the size, or raise the importance',
+    )
+
+
+def _explain_quota(record, now_ms):
+    return events.Decision(
+        now_ms,
+        REASON_QUOTA,
+        record.id,
+        detail=f'team {record.workload.team} has reserved its quota',
+        advice='wait for tasks of the team to end, or raise the quota',
+    )
+
+
+def _find_nearest(size, views):
+    """Return the largest size like ``size`` that some VM could hold."""
+    best = max(
+        (view.capacity for view in views),
+        key=lambda capacity: _share(capacity, size),
+    )
+    return data.Resources(
+        min(size.cpu_milli, best.cpu_milli),
+        min(size.memory_mb, best.memory_mb),
+        min(size.accelerators, best.accelerators),
+    )
+
+
+def _share(capacity, size):
+    """Return the share of a size that a capacity covers, 0 to 3."""
+    return (
+        min(1.0, capacity.cpu_milli / max(1, size.cpu_milli))
+        + min(1.0, capacity.memory_mb / max(1, size.memory_mb))
+        + min(1.0, capacity.accelerators / max(1, size.accelerators))
+    )
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/planning.py
@@ -0,0 +1,116 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""What an owner works out from its state at each pass, without acting.
+
+Between the shard's state and :mod:`portwharf.scheduler.placement`, which
+knows neither the log nor members.
+"""
+
+import collections
+
+from portwharf.core import data
+from portwharf.core import ids
+from portwharf.scheduler import events
+from portwharf.scheduler import placement
+
+# Ended workloads are listed for this long.
+KEEP_ENDED_SECONDS = 24 * 3600
+# Ended workloads beyond this number go earlier, the oldest first.
+MAX_ENDED = 2000
+_MS = 1000
+
+REASON_LOST = 'vm-lost'
+
+
+def plan(state, views, quotas, now_ms):
+    """Choose places for waiting tasks.
+
+    :param views: list of ``placement.VmView``; their ``reserved`` changes
+    :param quotas: map of team to Resources
+    :returns: a ``placement.Pass``
+    """
+    demands = [
+        demand
+        for record in state.workloads.values()
+        if (demand := _make_demand(state, record)) is not None
+    ]
+    if not demands:
+        return placement.Pass()
+    used = placement.Quotas(quotas, sum_by_team(state))
+    return placement.place_demands(demands, views, used, now_ms)
+
+
+def sum_by_team(state):
+    """Return what each team has reserved, by team."""
+    used = collections.defaultdict(data.Resources)
+    for held in state.held.values():
+        for task_id in held:
+            workload = state.find_workload(task_id).workload
+            used[workload.team] = used[workload.team].add(workload.resources)
+    return used
+
+
+def explain_loss(task, vm, now_ms):
+    """Return the decision to run a silent VM's task again."""
+    return events.Decision(
+        now_ms,
+        REASON_LOST,
+        task.id,
+        vm,
+        detail=f'attempt {task.attempt} on {vm} is given up',
+        advice='nothing to do: the task waits for another VM',
+    )
+
+
+def find_old(state, now_ms):
+    """Return the ids of ended workloads that are not kept any longer."""
+    ended = [
+        record
+        for record in state.workloads.values()
+        if state.has_ended(record)
+    ]
+    ended.sort(key=lambda record: record.unix_ms)
+    surplus = max(0, len(ended) - MAX_ENDED)
+    limit = now_ms - KEEP_ENDED_SECONDS * _MS
+    return [
+        record.id
+        for number, record in enumerate(ended)
+        if number < surplus or record.unix_ms < limit
+    ]
+
+
+def pick_members(vms, shard):
+    """Return the endpoint VMs of a shard."""
+    return [
+        vm for vm in vms if vm.role == data.Role.ENDPOINT and vm.shard == shard
+    ]
+
+
+def is_same_place(one, other):
+    """Tell whether two entries of a VM name one address."""
+    return (one.address, one.port) == (other.address, other.port)
+
+
+def _make_demand(state, record):
+    """Return what a workload still wants placed, or None."""
+    if record.cancelled:
+        return None
+    limit = record.workload.count
+    waiting = [
+        task
+        for task in record.tasks
+        if task.state == data.TaskState.WAITING and task.number < limit
+    ]
+    unbegun = range(
+        record.begun, min(limit, record.begun + placement.MAX_PLACEMENTS)
+    )
+    if not waiting and not unbegun:
+        return None
+    demand = placement.Demand(record)
+    demand.tasks = [task.id for task in waiting]
+    demand.attempts = [task.attempt + 1 for task in waiting]
+    demand.tasks.extend(ids.make_task_id(record.id, n) for n in unbegun)
+    demand.attempts.extend(1 for _ in unbegun)
+    if record.workload.kind != data.Kind.BATCH:
+        demand.placed.update(task.vm for task in record.tasks if task.vm)
+    return demand
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/reconcile.py
@@ -0,0 +1,159 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""What a side's report of an attempt means for the log.
+
+Reports may come late, twice or from attempts that were given up long ago;
+only one about the attempt that the log holds changes anything. The outcome
+is a list of events and a list of commands for that side.
+"""
+
+import dataclasses
+
+from portwharf.core import data
+from portwharf.peers import messages
+from portwharf.scheduler import events
+
+# Attempts of a batch task that may fail before the task has failed.
+MAX_FAILURES = 3
+
+_OVER = frozenset(
+    (
+        data.RunState.SUCCEEDED,
+        data.RunState.FAILED,
+        data.RunState.CHECKPOINTED,
+        data.RunState.REFUSED,
+        data.RunState.GONE,
+    )
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Verdict:
+    """What follows from reports.
+
+    :param commands: messages for the side, to be sent after the events
+        are in the log
+    :param forget: attempts that the side may drop after that
+    """
+
+    events: list = dataclasses.field(default_factory=list)
+    commands: list = dataclasses.field(default_factory=list)
+    forget: list = dataclasses.field(default_factory=list)
+
+
+def judge_report(state, vm, report, verdict):
+    """Add what one report means to a verdict, and apply its event.
+
+    :param state: the shard's state, which is changed
+    :param vm: the name of the VM that reports
+    """
+    task = state.tasks.get(report.task)
+    if task is not None and _is_current(task, vm, report):
+        _judge_current(state, task, report, verdict)
+    elif task is not None and _ends_waiting(task, report):
+        _add(state, verdict, _end(report, data.TaskState.SUCCEEDED))
+        verdict.forget.append(_name(report))
+    elif report.state in _OVER:
+        verdict.forget.append(_name(report))
+    else:
+        verdict.commands.append(
+            messages.StopTask(state.epoch, report.task, report.attempt)
+        )
+
+
+def find_missing(state, vm, reports):
+    """Return the tasks that a VM holds by the log but did not report."""
+    known = {(report.task, report.attempt) for report in reports}
+    return [
+        task
+        for task in state.held[vm].values()
+        if (task.id, task.attempt) not in known
+    ]
+
+
+def make_start(state, task):
+    """Return the command that begins a placed task's attempt."""
+    workload = state.find_workload(task.id).workload
+    return messages.StartTask(
+        state.epoch,
+        task.id,
+        task.attempt,
+        workload.kind,
+        workload.key,
+        workload.exclusive,
+        workload.resources,
+        workload.program,
+        workload.argument,
+        task.checkpoint,
+    )
+
+
+def make_stop(state, task, checkpoint):
+    """Return the command that ends a placed task's attempt."""
+    return messages.StopTask(state.epoch, task.id, task.attempt, checkpoint)
+
+
+def is_unwanted(state, task):
+    """Tell whether a placed task's workload has no more use for it."""
+    record = state.find_workload(task.id)
+    return record.cancelled or task.number >= record.workload.count
+
+
+def _is_current(task, vm, report):
+    return (
+        task.vm == vm
+        and task.attempt == report.attempt
+        and task.state in data.HELD_STATES
+    )
+
+
+def _ends_waiting(task, report):
+    """Tell whether a given-up attempt's success came before the next.
+
+    The attempt was the last one begun and its task still waits, so taking
+    the result now ends the task exactly once.
+    """
+    return (
+        task.state == data.TaskState.WAITING
+        and task.attempt == report.attempt
+        and report.state == data.RunState.SUCCEEDED
+    )
+
+
+def _judge_current(state, task, report, verdict):
+    if report.state == data.RunState.RUNNING:
+        if is_unwanted(state, task):
+            verdict.commands.append(make_stop(state, task, False))
+        elif task.state == data.TaskState.EVICTING:
+            verdict.commands.append(make_stop(state, task, True))
+        return
+    _add(state, verdict, _conclude(state, task, report))
+    verdict.forget.append(_name(report))
+
+
+def _conclude(state, task, report):
+    """Return the event of an attempt that is over."""
+    batch = state.find_workload(task.id).workload.kind == data.Kind.BATCH
+    if report.state == data.RunState.SUCCEEDED and batch:
+        return _end(report, data.TaskState.SUCCEEDED)
+    if report.state == data.RunState.FAILED and batch:
+        failures = task.attempt - task.evictions
+        if failures >= MAX_FAILURES:
+            return _end(report, data.TaskState.FAILED)
+    evicted = report.state == data.RunState.CHECKPOINTED
+    return events.TaskRequeued(
+        report.task, report.attempt, evicted, report.checkpoint
+    )
+
+
+def _end(report, ended):
+    return events.TaskEnded(report.task, report.attempt, ended, report.result)
+
+
+def _add(state, verdict, event):
+    state.apply(event)
+    verdict.events.append(event)
+
+
+def _name(report):
+    return messages.TaskRef(report.task, report.attempt)
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/shardlog_test.py
@@ -0,0 +1,186 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""The log is kept whole through lost answers, rivals and trimming."""
+
+from portwharf.scheduler import events
+from portwharf.scheduler import shardlog
+from portwharf.testing import fixtures
+
+JOB = events.WorkloadCancelled('0-job')
+
+
+def open_log(kv, shard=0):
+    """Return a log that stands at its end."""
+    log = shardlog.ShardLog(kv, shard)
+    log.read()
+    return log
+
+
+def append_all(log, count):
+    """Append entries that are told apart by an id."""
+    for number in range(count):
+        log.append([events.WorkloadCancelled(str(number))])
+
+
+def list_ids(contents):
+    """Return the ids of a log's events, in order."""
+    return [event.id for batch in contents.batches for event in batch]
+
+
+def test_read_gives_what_was_appended(case):
+    kv, _ = fixtures.make_store()
+    append_all(open_log(kv), 3)
+    contents = shardlog.ShardLog(kv, 0).read().ok_value
+    case.assertEqual(list_ids(contents), ['0', '1', '2'])
+
+
+def test_empty_log_is_told(case):
+    kv, _ = fixtures.make_store()
+    case.assertTrue(shardlog.ShardLog(kv, 0).read().ok_value.empty)
+
+
+def test_shards_are_apart(case):
+    kv, _ = fixtures.make_store()
+    append_all(open_log(kv, 1), 2)
+    case.assertTrue(shardlog.ShardLog(kv, 0).read().ok_value.empty)
+
+
+def test_read_goes_on_past_one_call(case):
+    kv, _ = fixtures.make_store()
+    append_all(open_log(kv), shardlog.READ_LIMIT + 1)
+    contents = shardlog.ShardLog(kv, 0).read().ok_value
+    case.assertEqual(len(contents.batches), shardlog.READ_LIMIT + 1)
+
+
+def test_lost_answer_counts_as_ours(case):
+    kv, standin = fixtures.make_store()
+    log = open_log(kv)
+    standin.faults.lose_answers = 1
+    case.assertEqual(log.append([JOB]).ok_value, 0)
+    contents = shardlog.ShardLog(kv, 0).read().ok_value
+    case.assertEqual(len(contents.batches), 1)
+
+
+def test_lost_request_is_sent_again_once(case):
+    kv, standin = fixtures.make_store()
+    log = open_log(kv)
+    standin.faults.lose_requests = 1
+    case.assertIsInstance(log.append([JOB]).err_value, shardlog.Stalled)
+    case.assertEqual(log.append([JOB]).ok_value, 0)
+    contents = shardlog.ShardLog(kv, 0).read().ok_value
+    case.assertEqual(len(contents.batches), 1)
+
+
+def test_outage_after_the_effect_is_settled_later(case):
+    kv, standin = fixtures.make_store()
+    log = open_log(kv)
+    log.append([JOB])
+    standin.faults.lose_answers = 1
+    read = kv.read
+    kv.read = lambda key: _fail(standin, read, key)
+    case.assertIsInstance(log.append([JOB]).err_value, shardlog.Stalled)
+    kv.read = read
+    standin.faults.down = False
+    case.assertEqual(log.append([JOB]).ok_value, 1)
+    case.assertEqual(log.next_seq, 2)
+
+
+def test_second_writer_deposes_the_first(case):
+    kv, _ = fixtures.make_store()
+    first, second = open_log(kv), open_log(kv)
+    case.assertTrue(second.append([JOB]).is_ok())
+    deposed = first.append([JOB]).err_value
+    case.assertIsInstance(deposed, shardlog.Deposed)
+
+
+def test_two_writers_of_the_same_events_are_told_apart(case):
+    kv, standin = fixtures.make_store()
+    first, second = open_log(kv), open_log(kv)
+    second.append([JOB])
+    standin.faults.lose_requests = 1
+    deposed = first.append([JOB]).err_value
+    case.assertIsInstance(deposed, shardlog.Deposed)
+
+
+def test_trimmed_number_is_not_free_for_a_former_owner(case):
+    kv, _ = fixtures.make_store()
+    former = open_log(kv)
+    append_all(former, 3)
+    later = open_log(kv)
+    append_all(later, 5)
+    case.assertTrue(later.write_snapshot(b'state').is_ok())
+    deposed = former.append([JOB]).err_value
+    case.assertIsInstance(deposed, shardlog.Deposed)
+
+
+def test_entry_zero_is_never_free_again(case):
+    kv, _ = fixtures.make_store()
+    founder = open_log(kv)
+    later = open_log(kv)
+    append_all(later, 5)
+    later.write_snapshot(b'state')
+    deposed = founder.append([JOB]).err_value
+    case.assertIsInstance(deposed, shardlog.Deposed)
+
+
+def test_snapshot_stands_for_what_it_trims(case):
+    kv, standin = fixtures.make_store()
+    log = open_log(kv)
+    append_all(log, 4)
+    raw = bytes(range(256)) * 8000
+    log.write_snapshot(raw)
+    append_all(log, 2)
+    contents = shardlog.ShardLog(kv, 0).read().ok_value
+    case.assertEqual(contents.snapshot, raw)
+    case.assertEqual(list_ids(contents), ['0', '1'])
+    entries = [key for key in standin.list_keys() if '/log/' in key]
+    case.assertEqual(len(entries), 4)
+
+
+def test_second_snapshot_replaces_the_first(case):
+    kv, standin = fixtures.make_store()
+    log = open_log(kv)
+    append_all(log, 2)
+    log.write_snapshot(b'one')
+    append_all(log, 2)
+    log.write_snapshot(b'two')
+    contents = shardlog.ShardLog(kv, 0).read().ok_value
+    case.assertEqual(contents.snapshot, b'two')
+    chunks = [key for key in standin.list_keys() if '/snapshot/' in key]
+    case.assertEqual(len(chunks), 1)
+
+
+def test_former_owner_cannot_replace_a_snapshot(case):
+    kv, _ = fixtures.make_store()
+    former = open_log(kv)
+    append_all(former, 2)
+    later = open_log(kv)
+    append_all(later, 2)
+    later.write_snapshot(b'later')
+    case.assertTrue(former.write_snapshot(b'former').is_err())
+    contents = shardlog.ShardLog(kv, 0).read().ok_value
+    case.assertEqual(contents.snapshot, b'later')
+
+
+def test_head_is_confirmed_until_another_appends(case):
+    kv, _ = fixtures.make_store()
+    log = open_log(kv)
+    log.append([JOB])
+    case.assertTrue(log.check_head().ok_value)
+    open_log(kv).append([JOB])
+    case.assertFalse(log.check_head().ok_value)
+
+
+def test_store_down_stalls_and_loses_nothing(case):
+    kv, standin = fixtures.make_store()
+    log = open_log(kv)
+    standin.faults.down = True
+    case.assertIsInstance(log.append([JOB]).err_value, shardlog.Stalled)
+    standin.faults.down = False
+    case.assertEqual(log.append([JOB]).ok_value, 0)
+
+
+def _fail(standin, read, key):
+    """Make the store go down just before a read."""
+    standin.faults.down = True
+    return read(key)
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/state.py
@@ -0,0 +1,341 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""A shard's state: what applying its log's events comes to.
+
+A batch job of a thousand tasks is one record until its tasks are placed:
+tasks that were never placed are a range of numbers, so that waiting work
+costs next to nothing. Ended batch tasks keep their results until the
+workload is dropped.
+"""
+
+import collections
+import dataclasses
+
+import msgpack
+
+from portwharf.core import codec
+from portwharf.core import data
+from portwharf.core import ids
+from portwharf.scheduler import events
+
+# Bytes of past decisions that are kept for ``explain``.
+HISTORY_BYTES = 2_000_000
+_ROW_OVERHEAD = 120
+
+
+@dataclasses.dataclass(slots=True)
+class TaskRecord:
+    """One task that has been placed at least once."""
+
+    id: str = ''
+    number: int = 0
+    state: str = data.TaskState.WAITING
+    attempt: int = 0
+    vm: str = ''
+    checkpoint: str = ''
+    result: bytes = b''
+    evictions: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class WorkloadRecord:
+    """One accepted workload.
+
+    :param begun: tasks numbered from here on were never placed
+    """
+
+    id: str = ''
+    key: str = ''
+    unix_ms: int = 0
+    workload: data.Workload = dataclasses.field(default_factory=data.Workload)
+    begun: int = 0
+    cancelled: bool = False
+    tasks: list[TaskRecord] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class Snapshot:
+    """A whole state, for the store."""
+
+    epoch: int = 0
+    owner: str = ''
+    members: list[data.Vm] = dataclasses.field(default_factory=list)
+    workloads: list[WorkloadRecord] = dataclasses.field(default_factory=list)
+    history: list[bytes] = dataclasses.field(default_factory=list)
+
+
+class History:
+    """Past decisions, oldest first, within a budget of bytes."""
+
+    def __init__(self, budget=HISTORY_BYTES):
+        self._budget = budget
+        self._rows = collections.deque()
+        self._size = 0
+
+    def add(self, decision):
+        """Keep a decision, dropping the oldest if there is no room."""
+        self._add_row(decision.subject, codec.pack(decision))
+
+    def find(self, subject):
+        """Return the decisions about a subject or one of its tasks."""
+        prefix = subject + ids.TASK_SEPARATOR
+        return [
+            codec.unpack(events.Decision, raw)
+            for name, raw in self._rows
+            if name == subject or name.startswith(prefix)
+        ]
+
+    def pack(self):
+        """Return all decisions, packed."""
+        return [raw for _, raw in self._rows]
+
+    def load(self, rows):
+        """Take back what :meth:`pack` gave."""
+        for raw in rows:
+            decision = codec.unpack(events.Decision, raw)
+            self._add_row(decision.subject, raw)
+
+    def _add_row(self, subject, raw):
+        self._rows.append((subject, raw))
+        self._size += len(raw) + _ROW_OVERHEAD
+        while self._size > self._budget:
+            _, old = self._rows.popleft()
+            self._size -= len(old) + _ROW_OVERHEAD
+
+
+class ShardState:
+    """The state of one shard, changed only by :meth:`apply`."""
+
+    def __init__(self):
+        self.epoch = 0
+        self.owner = ''
+        self.members = {}
+        self.workloads = {}
+        self.tasks = {}
+        self.reserved = collections.defaultdict(data.Resources)
+        self.held = collections.defaultdict(dict)
+        self.history = History()
+        self._by_key = {}
+
+    def apply(self, event):
+        """Change the state as an event says.
+
+        :raises KeyError: the event names what was never accepted, which
+            the log cannot say: an invariant is broken
+        """
+        _APPLIERS[type(event)](self, event)
+
+    def find_by_key(self, key):
+        """Return the workload made with an operator's key, or None."""
+        return self.workloads.get(self._by_key.get(key))
+
+    def find_workload(self, task_id):
+        """Return the workload record of a task's id, or None."""
+        return self.workloads.get(ids.split_task_id(task_id))
+
+    def list_tasks(self, record):
+        """Return all tasks of a workload, begun or not."""
+        unbegun = (
+            data.TaskState.CANCELLED
+            if record.cancelled
+            else data.TaskState.WAITING
+        )
+        tasks = list(record.tasks)
+        for number in range(record.begun, record.workload.count):
+            task_id = ids.make_task_id(record.id, number)
+            tasks.append(TaskRecord(task_id, number, unbegun))
+        return tasks
+
+    def count_states(self, record):
+        """Return how many tasks of a workload are in each state."""
+        counts = collections.Counter(task.state for task in record.tasks)
+        unbegun = max(0, record.workload.count - record.begun)
+        if record.cancelled:
+            counts[data.TaskState.CANCELLED] += unbegun
+        else:
+            counts[data.TaskState.WAITING] += unbegun
+        return counts
+
+    def list_waiting(self, record):
+        """Return ids of a workload's waiting tasks, evicted ones first."""
+        if record.cancelled:
+            return []
+        limit = record.workload.count
+        waiting = [
+            task.id
+            for task in record.tasks
+            if task.state == data.TaskState.WAITING and task.number < limit
+        ]
+        unbegun = range(record.begun, limit)
+        waiting.extend(ids.make_task_id(record.id, n) for n in unbegun)
+        return waiting
+
+    def has_ended(self, record):
+        """Tell whether nothing of a workload runs or will run again."""
+        if not record.cancelled:
+            if record.workload.kind != data.Kind.BATCH:
+                return False
+            if record.begun < record.workload.count:
+                return False
+        return all(task.state in data.ENDED_STATES for task in record.tasks)
+
+    def pack(self):
+        """Return the whole state as bytes."""
+        snapshot = Snapshot(
+            self.epoch,
+            self.owner,
+            list(self.members.values()),
+            list(self.workloads.values()),
+            self.history.pack(),
+        )
+        return codec.pack(snapshot)
+
+    @classmethod
+    def unpack(cls, raw):
+        """Return the state that :meth:`pack` gave as bytes.
+
+        :raises ValueError: the bytes are not a state
+        """
+        snapshot = codec.unpack(Snapshot, raw)
+        state = cls()
+        state.epoch = snapshot.epoch
+        state.owner = snapshot.owner
+        state.members = {vm.name: vm for vm in snapshot.members}
+        for record in snapshot.workloads:
+            state.workloads[record.id] = record
+            state._by_key[record.key] = record.id
+            for task in record.tasks:
+                state.tasks[task.id] = task
+                if task.state in data.HELD_STATES:
+                    state._hold(record, task)
+        state.history.load(snapshot.history)
+        return state
+
+    def _hold(self, record, task):
+        """Reserve a placed task's size on its VM."""
+        self.held[task.vm][task.id] = task
+        size = record.workload.resources
+        self.reserved[task.vm] = self.reserved[task.vm].add(size)
+
+    def _release(self, record, task):
+        del self.held[task.vm][task.id]
+        size = record.workload.resources
+        self.reserved[task.vm] = self.reserved[task.vm].subtract(size)
+        task.vm = ''
+
+    def _change_owner(self, event):
+        self.epoch = event.epoch
+        self.owner = event.owner
+        for vm in event.members:
+            self.members[vm.name] = vm
+
+    def _add_member(self, event):
+        self.members[event.vm.name] = event.vm
+
+    def _remove_member(self, event):
+        self.members.pop(event.vm, None)
+
+    def _accept(self, event):
+        record = WorkloadRecord(
+            event.id, event.key, event.unix_ms, event.workload
+        )
+        self.workloads[event.id] = record
+        self._by_key[event.key] = event.id
+
+    def _change(self, event):
+        workload = self.workloads[event.id].workload
+        workload.count = event.count
+        workload.importance = event.importance
+
+    def _cancel(self, event):
+        record = self.workloads[event.id]
+        record.cancelled = True
+        for task in record.tasks:
+            if task.state == data.TaskState.WAITING:
+                task.state = data.TaskState.CANCELLED
+
+    def _drop(self, event):
+        record = self.workloads.pop(event.id)
+        if self._by_key.get(record.key) == event.id:
+            del self._by_key[record.key]
+        for task in record.tasks:
+            del self.tasks[task.id]
+
+    def _place(self, event):
+        record = self.find_workload(event.task)
+        task = self.tasks.get(event.task)
+        if task is None:
+            task = self._begin(record, event.task)
+        if task.vm:
+            raise RuntimeError(f'{task.id} is on {task.vm} already')
+        task.state = data.TaskState.PLACED
+        task.attempt = event.attempt
+        task.vm = event.vm
+        self._hold(record, task)
+
+    def _begin(self, record, task_id):
+        task = TaskRecord(task_id, record.begun)
+        if task_id != ids.make_task_id(record.id, record.begun):
+            raise RuntimeError(f'{task_id} is placed out of order')
+        record.begun += 1
+        record.tasks.append(task)
+        self.tasks[task_id] = task
+        return task
+
+    def _evict(self, event):
+        task = self.tasks[event.task]
+        task.state = data.TaskState.EVICTING
+
+    def _requeue(self, event):
+        task = self.tasks[event.task]
+        record = self.find_workload(event.task)
+        self._release(record, task)
+        task.checkpoint = event.checkpoint or task.checkpoint
+        task.evictions += event.evicted
+        over = record.cancelled or task.number >= record.workload.count
+        task.state = (
+            data.TaskState.CANCELLED if over else data.TaskState.WAITING
+        )
+
+    def _end(self, event):
+        task = self.tasks[event.task]
+        if task.vm:
+            self._release(self.find_workload(event.task), task)
+        task.state = event.state
+        task.result = event.result
+
+    def _note(self, event):
+        self.history.add(event.decision)
+
+
+_APPLIERS = {
+    events.OwnerChanged: ShardState._change_owner,
+    events.MemberAdded: ShardState._add_member,
+    events.MemberRemoved: ShardState._remove_member,
+    events.WorkloadAccepted: ShardState._accept,
+    events.WorkloadChanged: ShardState._change,
+    events.WorkloadCancelled: ShardState._cancel,
+    events.WorkloadDropped: ShardState._drop,
+    events.TaskPlaced: ShardState._place,
+    events.TaskEvicting: ShardState._evict,
+    events.TaskRequeued: ShardState._requeue,
+    events.TaskEnded: ShardState._end,
+    events.DecisionMade: ShardState._note,
+}
+
+
+def restore_state(contents):
+    """Return the state that a log's contents come to.
+
+    :raises ValueError: the log holds what no portwharf wrote
+    """
+    try:
+        state = ShardState()
+        if contents.snapshot:
+            state = ShardState.unpack(contents.snapshot)
+        for batch in contents.batches:
+            for event in batch:
+                state.apply(event)
+    except (msgpack.UnpackException, KeyError) as exc:
+        raise ValueError(f'the log cannot be read: {exc}') from exc
+    return state
--- /dev/null
+++ b/packages/side/portwharf/side/agent.py
@@ -0,0 +1,382 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""The side's hand on its worker: starts, watches and stops attempts.
+
+One thread does everything that touches the worker: commands of the owner
+in the order they came, and at a steady beat the listing, the renewal of
+leases, heartbeats and reports. What an attempt has come to stays in the
+worker's own listing until the owner says that it is in the log, so that a
+side that restarts has lost nothing.
+"""
+
+import dataclasses
+import logging
+import queue
+import threading
+
+from portwharf.core import data
+from portwharf.core import logs
+from portwharf.peers import messages
+from portwharf import workers
+
+LOG = logging.getLogger(__name__)
+
+_POLL_SECONDS = 0.2
+_MS = 1000
+
+REFUSED_CAPACITY = 'no-room-on-the-vm'
+REFUSED_EPOCH = 'command-of-a-former-owner'
+REFUSED_GRANT = 'no-valid-grant'
+REFUSED_ATTEMPT = 'older-than-a-known-attempt'
+
+
+@dataclasses.dataclass(slots=True)
+class _Command:
+    """An owner's command and the connection that it came on."""
+
+    conn: object = None
+    message: object = None
+
+
+class Agent:
+    """Runs the worker as the owner says; a context manager.
+
+    Without a worker it only sends heartbeats, with no capacity.
+    """
+
+    def __init__(self, worker, guard, limits, clock, on_change):
+        """Take the worker or None, and the side's guard.
+
+        :param on_change: called when the services that run have changed
+        """
+        self._worker = worker
+        self._guard = guard
+        self._limits = limits
+        self._clock = clock
+        self._on_change = on_change
+        self._commands = queue.SimpleQueue()
+        self._conn = None
+        self._sent = {}
+        self._whole = False
+        self._listing = workers.Listing()
+        self._stopped = set()
+        self._owner_ms = 0
+        self._listed_at = 0.0
+        self._next_beat = 0.0
+        self._next_poll = 0.0
+        self._services = frozenset()
+        self._stop = threading.Event()
+        self.draining = False
+        self.config_revision = 0
+        self._thread = threading.Thread(
+            target=self._run, name='agent', daemon=True
+        )
+
+    def __enter__(self):
+        self._thread.start()
+        return self
+
+    def __exit__(self, *exc_info):
+        self._stop.set()
+        self._commands.put(None)
+        self._thread.join()
+
+    @property
+    def services(self):
+        """The services that run here, as a set of "team/name"."""
+        return self._services
+
+    def take_owner(self, conn):
+        """Follow the owner at the other end of a connection from now on."""
+        former = self._conn
+        self._owner_ms = 0
+        self._conn = conn
+        self._commands.put(_Command(conn, None))
+        if former is not None:
+            former.close()
+
+    def lose_owner(self, conn):
+        """Stop following the owner of a connection that has ended."""
+        if self._conn is conn:
+            self._conn = None
+
+    def command(self, conn, message):
+        """Queue a command that came on a connection."""
+        self._commands.put(_Command(conn, message))
+
+    def take_grant(self, grant):
+        """Take the owner's time from a grant, for the next heartbeat.
+
+        The first of an owner is answered at once, and one that is not
+        valid soon, so that a new owner has its majority without delay.
+        """
+        first = self._owner_ms == 0
+        self._owner_ms = grant.owner_ms
+        if first:
+            self._next_beat = 0.0
+            self._commands.put(None)
+        elif not grant.valid:
+            soon = self._clock.read_monotonic() + _POLL_SECONDS
+            self._next_beat = min(self._next_beat, soon)
+
+    def _run(self):
+        while not self._stop.is_set():
+            try:
+                self._obey(self._commands.get(timeout=_POLL_SECONDS))
+            except queue.Empty:
+                pass
+            now = self._clock.read_monotonic()
+            if now >= self._next_poll:
+                self._next_poll = now + _POLL_SECONDS
+                self._poll()
+            self._beat()
+
+    def _obey(self, command):
+        """Carry out a command, unless its connection has ended."""
+        if command is None or command.conn is not self._conn:
+            return
+        message = command.message
+        if message is None:
+            self._greet_owner()
+        elif isinstance(message, messages.ForgetTasks):
+            self._forget(message.tasks)
+        elif not self._guard.accepts(message.epoch):
+            self._refuse(message, REFUSED_EPOCH)
+        elif isinstance(message, messages.StartTask):
+            self._start(message)
+        elif isinstance(message, messages.StopTask):
+            self._end(message)
+        elif isinstance(message, messages.ThrottleTask):
+            self._worker.throttle(
+                message.task, message.attempt, message.percent
+            )
+
+    def _greet_owner(self):
+        """Begin with a new owner connection: everything is told again."""
+        self._sent = {}
+        self._whole = True
+        self._next_beat = 0.0
+        self._next_poll = 0.0
+
+    def _start(self, message):
+        """Begin an attempt, if all that must hold does."""
+        known = self._find_known(message.task)
+        if known is not None and known.attempt == message.attempt:
+            return
+        reason = self._check_start(message, known)
+        if reason:
+            self._refuse(message, reason)
+            return
+        start = workers.Start(
+            message.task,
+            message.attempt,
+            message.program,
+            message.argument,
+            message.checkpoint,
+            message.kind,
+            message.workload,
+            self._compute_lease() if message.exclusive else 0,
+            message.resources,
+        )
+        answer = self._worker.start(start)
+        if answer.is_err():
+            # It may run all the same; the next listing tells.
+            LOG.warning('start: %s', answer.err_value, extra=_name(message))
+            self._whole = True
+        elif answer.ok_value:
+            self._refuse(message, answer.ok_value)
+        else:
+            self._listing.attempts.append(_make_attempt(start))
+        self._next_poll = 0.0
+
+    def _check_start(self, message, known):
+        """Return why an attempt must not begin here, or ''."""
+        if self._worker is None:
+            return REFUSED_CAPACITY
+        if known is not None and known.attempt > message.attempt:
+            return REFUSED_ATTEMPT
+        if known is not None and known.state == data.RunState.RUNNING:
+            return REFUSED_ATTEMPT
+        if message.exclusive and not self._guard.is_granted():
+            return REFUSED_GRANT
+        room = self._listing.capacity.subtract(self._sum_running())
+        if not message.resources.fits(room):
+            return REFUSED_CAPACITY
+        return ''
+
+    def _sum_running(self):
+        used = data.Resources()
+        for attempt in self._listing.attempts:
+            if attempt.state == data.RunState.RUNNING:
+                used = used.add(attempt.resources)
+        return used
+
+    def _find_known(self, task):
+        """Return the latest attempt of a task that the worker knows."""
+        known = [a for a in self._listing.attempts if a.task == task]
+        return max(known, key=lambda a: a.attempt, default=None)
+
+    def _refuse(self, message, reason):
+        """Report that an attempt was not begun, and why."""
+        if not isinstance(message, messages.StartTask):
+            return
+        LOG.warning('not started: %s', reason, extra=_name(message))
+        report = messages.TaskReport(
+            message.task,
+            message.attempt,
+            data.RunState.REFUSED,
+            reason=reason,
+        )
+        self._send(messages.Reports(reports=[report]))
+
+    def _end(self, message):
+        """End an attempt; one that is not known is reported as gone."""
+        known = [
+            a
+            for a in self._listing.attempts
+            if (a.task, a.attempt) == (message.task, message.attempt)
+        ]
+        if not known:
+            report = messages.TaskReport(
+                message.task, message.attempt, data.RunState.GONE
+            )
+            self._send(messages.Reports(reports=[report]))
+            return
+        self._worker.stop(message.task, message.attempt, message.checkpoint)
+        self._next_poll = 0.0
+
+    def _forget(self, refs):
+        for ref in refs:
+            self._worker.forget(ref.task, ref.attempt)
+            self._sent.pop((ref.task, ref.attempt), None)
+        gone = {(ref.task, ref.attempt) for ref in refs}
+        self._listing.attempts = [
+            a
+            for a in self._listing.attempts
+            if (a.task, a.attempt) not in gone
+        ]
+
+    def _poll(self):
+        """Read the listing, keep leases, and report what has changed."""
+        if self._worker is None:
+            self._report(self._whole)
+            return
+        asked = self._worker.read_listing()
+        if asked.is_err():
+            LOG.warning('worker: %s', asked.err_value)
+            return
+        self._listing = asked.ok_value
+        self._listed_at = self._clock.read_monotonic()
+        self._keep_leases()
+        self._note_services()
+        self._report(self._whole)
+
+    def _compute_lease(self):
+        """Return when a lease may end, on the worker's clock, in ms.
+
+        The listing's time is at or before ``_listed_at`` on our clock, so
+        that this comes out early and never late.
+        """
+        left = self._guard.granted_until - self._listed_at
+        until = self._listing.now_ms + (left + self._limits.lease) * _MS
+        return max(1, int(until))
+
+    def _keep_leases(self):
+        """Renew leases under a grant; past it, save and stop."""
+        held = [
+            a
+            for a in self._listing.attempts
+            if a.lease_until_ms and a.state == data.RunState.RUNNING
+        ]
+        if not held:
+            self._stopped.clear()
+            return
+        if self._guard.is_granted():
+            self._stopped.clear()
+            self._worker.renew(self._compute_lease())
+            return
+        for attempt in held:
+            name = (attempt.task, attempt.attempt)
+            if name in self._stopped:
+                continue
+            self._stopped.add(name)
+            LOG.warning('no grant: stopping', extra=_name(attempt))
+            self._worker.stop(attempt.task, attempt.attempt, True)
+
+    def _note_services(self):
+        running = frozenset(
+            attempt.workload
+            for attempt in self._listing.attempts
+            if attempt.kind == data.Kind.SERVICE
+            and attempt.state == data.RunState.RUNNING
+        )
+        if running != self._services:
+            self._services = running
+            self._on_change()
+
+    def _report(self, whole):
+        """Report attempts that changed, or all of them."""
+        if self._conn is None or self._guard.forgetful:
+            return
+        changed = []
+        for attempt in self._listing.attempts:
+            name = (attempt.task, attempt.attempt)
+            if whole or self._sent.get(name) != attempt.state:
+                changed.append(_make_report(attempt))
+                self._sent[name] = attempt.state
+        if not changed and not whole:
+            return
+        self._whole = False
+        self._send(messages.Reports(whole, changed))
+
+    def _beat(self):
+        now = self._clock.read_monotonic()
+        if self._conn is None or now < self._next_beat:
+            return
+        self._next_beat = now + self._limits.heartbeat
+        epoch = 0 if self._guard.forgetful else self._guard.epoch
+        self._send(
+            messages.Heartbeat(
+                int(now * _MS),
+                self._owner_ms,
+                epoch,
+                self._listing.capacity,
+                self.draining,
+                self.config_revision,
+            )
+        )
+
+    def _send(self, message):
+        conn = self._conn
+        if conn is not None:
+            conn.try_send(message)
+
+
+def _make_attempt(start):
+    """Return a started attempt as the next listing will show it."""
+    return workers.Attempt(
+        start.task,
+        start.attempt,
+        data.RunState.RUNNING,
+        kind=start.kind,
+        workload=start.workload,
+        lease_until_ms=start.lease_until_ms,
+        resources=start.resources,
+    )
+
+
+def _make_report(attempt):
+    return messages.TaskReport(
+        attempt.task,
+        attempt.attempt,
+        attempt.state,
+        attempt.checkpoint,
+        attempt.result,
+        attempt.reason,
+        attempt.used_cpu_milli,
+        attempt.used_memory_mb,
+    )
+
+
+def _name(item):
+    return logs.fields(task=item.task, attempt=item.attempt)
--- /dev/null
+++ b/packages/side/portwharf/side/server.py
@@ -0,0 +1,323 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""The side's listener: owners, entries and other sides call here.
+
+One thread reads each connection. What a greeting's role may send is all
+that is taken on its connection; anything else ends it.
+"""
+
+import concurrent.futures
+import dataclasses
+import logging
+import threading
+
+import xxhash
+
+from portwharf.core import logs
+from portwharf.peers import messages
+from portwharf.peers import streams
+from portwharf.side import admission
+
+LOG = logging.getLogger(__name__)
+
+_STATE_SECONDS = 1.0
+_OPERATION_THREADS = 8
+# Larger payloads are refused before they are taken in.
+MAX_PAYLOAD_BYTES = 16 * 1024 * 1024
+_COMMANDS = (
+    messages.StartTask,
+    messages.StopTask,
+    messages.ThrottleTask,
+    messages.ForgetTasks,
+)
+_MS = 1000
+
+
+class SideServer:
+    """Everything that a side does for callers of its port."""
+
+    def __init__(self, cfg, instance, clock, guard, keeper):
+        """Take settings, identity and what the side knows."""
+        self._cfg = cfg
+        self._instance = instance
+        self._clock = clock
+        self._guard = guard
+        self._keeper = keeper
+        self._entries = set()
+        self._lock = threading.Lock()
+        self._changed = threading.Event()
+        self._stop = threading.Event()
+        self._pool = concurrent.futures.ThreadPoolExecutor(
+            _OPERATION_THREADS, 'operation'
+        )
+        self.agent = None
+        self.admission = None
+        self.find_owner = None
+        self.draining = False
+        self._thread = threading.Thread(
+            target=self._tell_entries, name='state', daemon=True
+        )
+
+    def __enter__(self):
+        self._thread.start()
+        return self
+
+    def __exit__(self, *exc_info):
+        self._stop.set()
+        self._changed.set()
+        self._thread.join()
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def note_change(self):
+        """Tell the entries soon that something about this side changed."""
+        self._changed.set()
+
+    def drain(self):
+        """Announce that this side takes nothing new."""
+        self.draining = True
+        self.note_change()
+
+    def handle(self, conn):
+        """Serve a connection until it ends; for ``streams.Listener``."""
+        hello = streams.check_greeting(conn.receive())
+        if hello.role == 'owner':
+            self._serve_owner(conn, hello)
+        elif hello.role == 'entry':
+            self._serve_entry(conn)
+        elif hello.role == 'side':
+            self._serve_side(conn)
+        else:
+            raise streams.PeerError(f'unknown role {hello.role}')
+
+    def make_hello(self):
+        """Return this side's greeting."""
+        return messages.Hello(
+            role='side',
+            name=self._cfg.vm.name,
+            instance=self._instance,
+            shard=self._cfg.vm.shard,
+            epoch=self._guard.epoch,
+        )
+
+    def _serve_owner(self, conn, hello):
+        if hello.shard != self._cfg.vm.shard:
+            raise streams.PeerError(f'owner of shard {hello.shard}')
+        accepted = self._guard.accept_owner(hello.epoch, hello.name)
+        conn.send(self.make_hello())
+        if not accepted:
+            raise streams.PeerError('owner of a former epoch')
+        extra = logs.fields(peer=hello.name, epoch=hello.epoch)
+        LOG.info('following owner', extra=extra)
+        self.agent.take_owner(conn)
+        self.note_change()
+        try:
+            while True:
+                self._take_owner_message(conn, hello, conn.receive())
+        finally:
+            self.agent.lose_owner(conn)
+
+    def _take_owner_message(self, conn, hello, message):
+        if isinstance(message, messages.Grant):
+            if hello.epoch != message.epoch:
+                raise streams.PeerError('grant of another epoch')
+            self._guard.accept_grant(
+                message.epoch, message.side_ms / _MS, message.valid
+            )
+            self.agent.take_grant(message)
+        elif isinstance(message, messages.ConfigUpdate):
+            self._keeper.offer(message.revision, message.text)
+        elif isinstance(message, _COMMANDS):
+            self.agent.command(conn, message)
+        else:
+            raise streams.PeerError(f'unexpected {type(message).__name__}')
+
+    def _serve_side(self, conn):
+        """Answer another side that asks whether we hear the owner."""
+        conn.send(self.make_hello())
+        query = conn.receive()
+        if not isinstance(query, messages.OwnerQuery):
+            raise streams.PeerError(f'unexpected {type(query).__name__}')
+        conn.send(
+            messages.OwnerAnswer(
+                self._guard.epoch,
+                self._guard.hears_owner(query.epoch),
+                self._guard.forgetful,
+            )
+        )
+
+    def _serve_entry(self, conn):
+        conn.send(self.make_hello())
+        conn.send(self._make_state())
+        with self._lock:
+            self._entries.add(conn)
+        incoming = _Incoming(self, conn)
+        try:
+            while True:
+                self._take_entry_message(conn, incoming, conn.receive())
+        finally:
+            incoming.withdraw_all()
+            with self._lock:
+                self._entries.discard(conn)
+
+    def _take_entry_message(self, conn, incoming, message):
+        if isinstance(message, messages.Request):
+            incoming.begin(message)
+        elif isinstance(message, messages.Chunk):
+            incoming.extend(message)
+        elif isinstance(message, messages.Withdraw):
+            incoming.withdraw(message.id)
+        elif isinstance(message, messages.Operation):
+            self._pool.submit(self._operate, conn, message)
+        elif isinstance(message, messages.SideState):
+            # An entry's beat: it keeps an idle connection open.
+            pass
+        else:
+            raise streams.PeerError(f'unexpected {type(message).__name__}')
+
+    def _operate(self, conn, operation):
+        owner = self.find_owner()
+        if owner is None:
+            conn.try_send(messages.OperationResult(operation.id, 'not-owner'))
+            return
+        conn.try_send(owner.operate(operation))
+
+    def submit(self, conn, message, payload, jobs):
+        """Admit one whole request.
+
+        :param jobs: map of id to Job, where the request stays until it is
+            finished
+        """
+        now = self._clock.read_monotonic()
+        job = admission.Job(
+            message.request,
+            message.service,
+            message.repeatable,
+            now + message.left_ms / _MS,
+            payload,
+        )
+
+        def finish(verdict):
+            jobs.pop(message.id, None)
+            self._finish(conn, message, verdict)
+
+        job.finish = finish
+        if not self._serves(message.service):
+            reason = admission.REASON_SERVICE
+            finish(admission.Verdict(reason=reason))
+            return
+        jobs[message.id] = job
+        self.admission.offer(job)
+
+    def _serves(self, service):
+        return self.admission is not None and service in self._list_services()
+
+    def _list_services(self):
+        if self._cfg.runner is None:
+            return []
+        return sorted(set(self._cfg.runner.services) | self.agent.services)
+
+    def _finish(self, conn, message, verdict):
+        """Send what became of a request to the entry that asked."""
+        payload = verdict.payload
+        answer = messages.Answer(
+            message.id,
+            message.request,
+            verdict.outcome,
+            verdict.reason,
+            verdict.retry_after_ms,
+            len(payload),
+            xxhash.xxh64_intdigest(payload),
+            self.admission.in_flight if self.admission else 0,
+            payload[: streams.CHUNK_BYTES],
+        )
+        try:
+            conn.send(answer)
+            for at in range(
+                streams.CHUNK_BYTES, len(payload), streams.CHUNK_BYTES
+            ):
+                piece = payload[at : at + streams.CHUNK_BYTES]
+                conn.send(messages.Chunk(message.id, piece))
+        except streams.PeerError as exc:
+            extra = logs.fields(request=message.request)
+            LOG.info('answer not delivered: %s', exc, extra=extra)
+
+    def _tell_entries(self):
+        while not self._stop.is_set():
+            self._changed.wait(_STATE_SECONDS)
+            self._changed.clear()
+            self.agent.config_revision = self._keeper.read().revision
+            state = self._make_state()
+            with self._lock:
+                entries = list(self._entries)
+            for conn in entries:
+                conn.try_send(state)
+
+    def _make_state(self):
+        slots = self.admission.slots if self.admission else 0
+        in_flight = self.admission.in_flight if self.admission else 0
+        return messages.SideState(
+            self._list_services(),
+            self.draining,
+            in_flight,
+            slots,
+            self._cfg.vm.availability_zone,
+            self._cfg.vm.shard,
+            self._guard.owner,
+            self._guard.epoch,
+            self._keeper.read().revision,
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class _Partial:
+    """A request whose payload has not all come yet."""
+
+    message: messages.Request = None
+    pieces: list = dataclasses.field(default_factory=list)
+    size: int = 0
+
+
+class _Incoming:
+    """The requests of one entry connection."""
+
+    def __init__(self, server, conn):
+        self._server = server
+        self._conn = conn
+        self._partial = {}
+        self._jobs = {}
+
+    def begin(self, message):
+        """Take a request, whole or its first piece."""
+        if message.size > MAX_PAYLOAD_BYTES:
+            raise streams.PeerError('payload too large')
+        partial = _Partial(message)
+        self._partial[message.id] = partial
+        self._add(partial, message.payload)
+
+    def extend(self, chunk):
+        """Take one more piece of a request."""
+        partial = self._partial.get(chunk.id)
+        if partial is not None:
+            self._add(partial, chunk.payload)
+
+    def withdraw(self, number):
+        """Drop a request whose caller has gone, if it does not run yet."""
+        self._partial.pop(number, None)
+        job = self._jobs.pop(number, None)
+        if job is not None:
+            job.withdrawn = True
+
+    def withdraw_all(self):
+        """Drop all requests: their entry has gone."""
+        for number in list(self._jobs):
+            self.withdraw(number)
+
+    def _add(self, partial, piece):
+        partial.pieces.append(piece)
+        partial.size += len(piece)
+        if partial.size < partial.message.size:
+            return
+        message = partial.message
+        del self._partial[message.id]
+        payload = b''.join(partial.pieces)
+        self._server.submit(self._conn, message, payload, self._jobs)
--- /dev/null
+++ b/packages/store/portwharf/store/__init__.py
@@ -0,0 +1,23 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""The platform's key-value service, behind an abstract class."""
+
+from portwharf.store.base import Entry
+from portwharf.store.base import find_prefix_end
+from portwharf.store.base import MAX_VALUE_BYTES
+from portwharf.store.base import Store
+from portwharf.store.base import StoreError
+from portwharf.store.base import Swap
+from portwharf.store.etcd import EtcdStore
+from portwharf.store.etcd import open_etcd
+
+__all__ = (
+    'Entry',
+    'EtcdStore',
+    'MAX_VALUE_BYTES',
+    'Store',
+    'StoreError',
+    'Swap',
+    'find_prefix_end',
+    'open_etcd',
+)
--- /dev/null
+++ b/packages/store/portwharf/store/etcd.py
@@ -0,0 +1,189 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""The store over the published JSON gateway of etcd, version 3.
+
+Keys and values are base64 in its JSON; numbers of 64 bits are text. Used:
+``/v3/kv/range``, ``/v3/kv/txn``, ``/v3/kv/deleterange`` and ``/v3/watch``.
+"""
+
+import base64
+import json
+
+import result
+import urllib3
+
+from portwharf.store import base
+
+CALL_SECONDS = 2.0
+# Calls of one process that may be under way; a watch takes one.
+_POOL_SIZE = 8
+
+
+class EtcdStore(base.Store):
+    """A client of the gateway; a context manager that closes it."""
+
+    def __init__(self, pool, call_seconds=CALL_SECONDS):
+        """Take the gateway's connection pool; see :func:`open_etcd`."""
+        self._seconds = call_seconds
+        self._pool = pool
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        self._pool.close()
+
+    def read(self, key):
+        body = {'key': _encode(key.encode())}
+        answer = self._call('/v3/kv/range', body)
+        return answer.map(lambda value: _read_first(value.get('kvs')))
+
+    def read_range(self, first, last, limit=0, keys_only=False):
+        body = {
+            'key': _encode(first.encode()),
+            'range_end': _encode(last.encode()),
+            'limit': str(limit),
+            'sort_order': 'ASCEND',
+            'sort_target': 'KEY',
+            'keys_only': keys_only,
+        }
+        answer = self._call('/v3/kv/range', body)
+        return answer.map(_read_entries)
+
+    def swap(self, key, value, revision, guard=None):
+        compares = [_compare(key, revision)]
+        if guard is not None:
+            compares.append(_compare(guard.key, guard.revision))
+        put = {'key': _encode(key.encode()), 'value': _encode(value)}
+        body = {'compare': compares, 'success': [{'request_put': put}]}
+        answer = self._call('/v3/kv/txn', body, changes=True)
+        return answer.map(_read_swap)
+
+    def delete_range(self, first, last):
+        body = {
+            'key': _encode(first.encode()),
+            'range_end': _encode(last.encode()),
+        }
+        answer = self._call('/v3/kv/deleterange', body, changes=True)
+        return answer.map(lambda value: int(value.get('deleted', 0)))
+
+    def wait_for_change(self, key, revision, timeout):
+        create = {
+            'key': _encode(key.encode()),
+            'start_revision': str(revision + 1),
+        }
+        try:
+            response = self._pool.request(
+                'POST',
+                '/v3/watch',
+                body=json.dumps({'create_request': create}),
+                preload_content=False,
+                timeout=urllib3.Timeout(self._seconds, timeout),
+            )
+        except urllib3.exceptions.HTTPError as exc:
+            return result.Err(base.StoreError(str(exc)))
+        with response:
+            return _follow_watch(response)
+
+    def _call(self, path, body, changes=False):
+        """Make one call.
+
+        :param changes: the call may take effect without an answer
+        :returns: Ok(map), or Err(StoreError)
+        """
+        try:
+            response = self._pool.request(
+                'POST', path, body=json.dumps(body), timeout=self._seconds
+            )
+        except urllib3.exceptions.NewConnectionError as exc:
+            return result.Err(base.StoreError(str(exc)))
+        except urllib3.exceptions.HTTPError as exc:
+            return result.Err(base.StoreError(str(exc), unknown=changes))
+        return _read_response(response, changes)
+
+
+def open_etcd(address, port):
+    """Return an :class:`EtcdStore` for a gateway's IP number and port."""
+    return EtcdStore(
+        urllib3.HTTPConnectionPool(
+            address, port, maxsize=_POOL_SIZE, retries=False, block=False
+        )
+    )
+
+
+def _read_response(response, changes):
+    # 429 is given before anything is done; any other refusal may have
+    # come from a proxy after the effect.
+    if response.status == 429:
+        return result.Err(base.StoreError('rate exceeded'))
+    if response.status != 200:
+        text = f'HTTP status {response.status}'
+        return result.Err(base.StoreError(text, unknown=changes))
+    try:
+        return result.Ok(json.loads(response.data))
+    except ValueError as exc:
+        return result.Err(base.StoreError(str(exc), unknown=changes))
+
+
+def _follow_watch(response):
+    """Return the first change that a watch's stream of lines gives."""
+    if response.status != 200:
+        return result.Err(base.StoreError(f'HTTP status {response.status}'))
+    try:
+        buffer = b''
+        for part in response.stream(amt=None):
+            buffer += part
+            *lines, buffer = buffer.split(b'\n')
+            for line in lines:
+                entry = _read_watch_line(line)
+                if entry is not None:
+                    return result.Ok(entry)
+    except urllib3.exceptions.HTTPError:
+        return result.Ok(None)
+    except ValueError as exc:
+        return result.Err(base.StoreError(str(exc)))
+    return result.Ok(None)
+
+
+def _read_watch_line(line):
+    if not line.strip():
+        return None
+    events = json.loads(line).get('result', {}).get('events', [])
+    if not events:
+        return None
+    return _read_entry(events[-1]['kv'])
+
+
+def _read_first(kvs):
+    return _read_entry(kvs[0]) if kvs else None
+
+
+def _read_entries(value):
+    return [_read_entry(kv) for kv in value.get('kvs', [])]
+
+
+def _read_entry(kv):
+    return base.Entry(
+        base64.b64decode(kv['key']).decode(),
+        base64.b64decode(kv.get('value', '')),
+        int(kv['mod_revision']),
+    )
+
+
+def _compare(key, revision):
+    return {
+        'key': _encode(key.encode()),
+        'result': 'EQUAL',
+        'target': 'MOD',
+        'mod_revision': str(revision),
+    }
+
+
+def _read_swap(value):
+    if not value.get('succeeded'):
+        return base.Swap()
+    return base.Swap(True, int(value['header']['revision']))
+
+
+def _encode(raw):
+    return base64.b64encode(raw).decode()
--- /dev/null
+++ b/packages/testing/portwharf/testing/fixtures.py
@@ -0,0 +1,59 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""What tests share: the real adapters on stand-ins, without sockets.
+
+Each fixture is a context manager or a plain function; a test takes it by
+``case.enterContext`` or calls it.
+"""
+
+import dataclasses
+import io
+
+from portwharf import store
+from portwharf.testing import kv
+
+
+@dataclasses.dataclass(slots=True)
+class Response:
+    """An HTTP response as ``urllib3`` would give it."""
+
+    status: int = 0
+    data: bytes = b''
+    headers: dict = dataclasses.field(default_factory=dict)
+
+
+class WsgiPool:
+    """Calls a WSGI application as if by ``urllib3``, in this thread."""
+
+    def __init__(self, app):
+        self._app = app
+
+    def request(self, method, path, body=b'', headers=None, **_):
+        """Make one request and return the whole response."""
+        raw = body.encode() if isinstance(body, str) else body or b''
+        response = Response()
+        environ = {
+            'REQUEST_METHOD': method,
+            'PATH_INFO': path,
+            'CONTENT_LENGTH': str(len(raw)),
+            'wsgi.input': io.BytesIO(raw),
+        }
+        for name, value in (headers or {}).items():
+            key = 'HTTP_' + name.upper().replace('-', '_')
+            environ[key] = value
+
+        def start_response(status, pairs):
+            response.status = int(status.split()[0])
+            response.headers = dict(pairs)
+
+        response.data = b''.join(self._app(environ, start_response))
+        return response
+
+    def close(self):
+        """There is nothing to close."""
+
+
+def make_store(standin=None):
+    """Return the real store adapter on a stand-in, and the stand-in."""
+    standin = standin or kv.StoreStandIn()
+    return store.EtcdStore(WsgiPool(standin)), standin
--- /dev/null
+++ b/packages/testing/portwharf/testing/suite.py
@@ -0,0 +1,64 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Finds and runs all tests: ``x_test.py`` beside module ``x``.
+
+Tests are functions named ``test_...`` that take a ``unittest.TestCase``,
+for its assertions and for fixtures by ``enterContext``. Arguments name the
+modules to run, as in ``shardlog``; without any, all run. The last line
+counts what passed and failed.
+"""
+
+import importlib
+import inspect
+import pathlib
+import sys
+import unittest
+
+# packages/<name>/portwharf/<name>/<module>_test.py
+_PACKAGES = pathlib.Path(__file__).parents[3]
+_PATTERN = '*/portwharf/*/*_test.py'
+
+
+def load_tests(names=()):
+    """Return a suite of the tests in the named modules, or in all."""
+    suite = unittest.TestSuite()
+    for path in sorted(_PACKAGES.glob(_PATTERN)):
+        if names and path.stem.removesuffix('_test') not in names:
+            continue
+        parts = path.with_suffix('').parts[-3:]
+        suite.addTests(collect_tests(importlib.import_module('.'.join(parts))))
+    return suite
+
+
+def collect_tests(module):
+    """Return a test case for each test function of a module."""
+    return [
+        _make_case(module, name, function)
+        for name, function in inspect.getmembers(module, inspect.isfunction)
+        if name.startswith('test_')
+    ]
+
+
+def _make_case(module, name, function):
+    """Wrap a function as a test case of the library's."""
+
+    def run(self):
+        function(self)
+
+    body = {name: run, '__doc__': None, '__module__': module.__name__}
+    cls = type(module.__name__.rpartition('.')[2], (unittest.TestCase,), body)
+    return cls(name)
+
+
+def main():
+    """Run the tests; exit code 0 only if all passed."""
+    suite = load_tests(sys.argv[1:])
+    outcome = unittest.TextTestRunner(verbosity=1).run(suite)
+    failed = len(outcome.failures) + len(outcome.errors)
+    passed = outcome.testsRun - failed - len(outcome.skipped)
+    print(f'{passed} passed, {failed} failed', flush=True)
+    return 0 if outcome.wasSuccessful() and passed else 1
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/packages/testing/portwharf/testing/vms.py
@@ -0,0 +1,29 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""A stand-in for the platform's list of VMs."""
+
+from portwharf.core import codec
+from portwharf.core import data
+from portwharf.core import web
+
+
+class VmListStandIn:
+    """The VM list, as a WSGI application.
+
+    :ivar vms: map of name to data.Vm
+    """
+
+    def __init__(self, vms=()):
+        self.vms = {vm.name: vm for vm in vms}
+        self.down = False
+
+    def __call__(self, environ, start_response):
+        path = environ['PATH_INFO']
+        if path == '/control':
+            vm = codec.from_map(data.Vm, web.read_json(environ))
+            self.vms[vm.name] = vm
+            return web.answer_json(start_response, 200, {})
+        if path != '/vms' or self.down:
+            return web.answer_json(start_response, 503, {})
+        rows = [codec.to_map(vm) for vm in list(self.vms.values())]
+        return web.answer_json(start_response, 200, {'vms': rows})
--- /dev/null
+++ b/packages/testing/portwharf/testing/worker.py
@@ -0,0 +1,228 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""A stand-in for a worker: tasks as threads that compute, under leases.
+
+It keeps its own record of what ran from when to when, on the machine's
+monotonic clock, which the tests judge by. Usage is reported with a lag.
+"""
+
+import base64
+import dataclasses
+import threading
+import time
+
+from portwharf.core import codec
+from portwharf.core import data
+from portwharf.core import web
+from portwharf.testing import programs
+from portwharf import workers
+
+USAGE_LAG_SECONDS = 2.0
+# A step of a task computes this long before it looks up.
+_STEP_SECONDS = 0.01
+_MS = 1000
+
+
+@dataclasses.dataclass(slots=True)
+class Span:
+    """That an attempt ran, and when; ``end`` is 0 while it runs."""
+
+    task: str = ''
+    attempt: int = 0
+    start: float = 0.0
+    end: float = 0.0
+    lease: bool = False
+    cpu_milli: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+
+class _Run:
+    """One attempt that runs, or has run."""
+
+    def __init__(self, start, worker):
+        self.start = start
+        self.worker = worker
+        self.attempt = workers.Attempt(
+            start.task,
+            start.attempt,
+            data.RunState.RUNNING,
+            kind=start.kind,
+            workload=start.workload,
+            lease_until_ms=start.lease_until_ms,
+            resources=start.resources,
+        )
+        self.percent = 100
+        self.stop = None
+        self.span = Span(
+            start.task,
+            start.attempt,
+            time.monotonic(),
+            0.0,
+            bool(start.lease_until_ms),
+            start.resources.cpu_milli,
+            start.resources.memory_mb,
+            start.resources.accelerators,
+        )
+        self.thread = threading.Thread(target=self._run, daemon=True)
+
+    def _run(self):
+        try:
+            state, reason = self._compute()
+        except ValueError as exc:
+            state, reason = data.RunState.FAILED, str(exc)
+        self.span.end = time.monotonic()
+        self.attempt.reason = reason
+        self.attempt.state = state
+
+    def _compute(self):
+        """Do the task's steps; the argument is "steps seconds-a-step"."""
+        if self.start.program == 'fail':
+            raise ValueError('the program failed, as it always does')
+        forever = self.start.kind != data.Kind.BATCH
+        words = self.start.argument.decode().split()
+        steps = int(words[0]) if words else 1
+        pause = float(words[1]) if len(words) > 1 else _STEP_SECONDS
+        number, state = self._resume()
+        while forever or number < steps:
+            if self._is_over():
+                return self._leave(number, state)
+            if not forever:
+                state = programs.make_step(state, number)
+                number += 1
+            self.worker.stopping.wait(pause * 100 / self.percent)
+        self.attempt.result = str(state).encode()
+        return data.RunState.SUCCEEDED, ''
+
+    def _resume(self):
+        """Return step and state to begin with."""
+        if self.start.checkpoint:
+            number, state = self.start.checkpoint.split(':')
+            return int(number), int(state)
+        seed = int(self.start.task.rpartition('.')[2] or 0)
+        return 0, seed
+
+    def _is_over(self):
+        until = self.attempt.lease_until_ms
+        lapsed = until and time.monotonic() * _MS >= until
+        return lapsed or self.stop is not None or self.worker.ended
+
+    def _leave(self, number, state):
+        """End before the last step, with or without a checkpoint."""
+        if self.stop == 'checkpoint':
+            self.attempt.checkpoint = f'{number}:{state}'
+            return data.RunState.CHECKPOINTED, 'stopped'
+        return data.RunState.GONE, 'stopped or lapsed'
+
+
+class WorkerStandIn:
+    """A worker, as a WSGI application."""
+
+    def __init__(self, capacity):
+        """Take the Resources that it can hold."""
+        self.capacity = capacity
+        self.spans = []
+        self.ended = False
+        self.fail_starts = False
+        self.stopping = threading.Event()
+        self._runs = {}
+        self._lock = threading.Lock()
+
+    def __call__(self, environ, start_response):
+        path = environ['PATH_INFO']
+        if path == '/tasks' and environ['REQUEST_METHOD'] == 'GET':
+            return web.answer_json(start_response, 200, self._list())
+        if path == '/record':
+            rows = [codec.to_map(span) for span in list(self.spans)]
+            return web.answer_json(start_response, 200, {'spans': rows})
+        body = web.read_json(environ)
+        handler = {
+            '/tasks': self._start,
+            '/tasks/stop': self._stop,
+            '/tasks/throttle': self._throttle,
+            '/tasks/forget': self._forget,
+            '/leases': self._renew,
+            '/control': self._control,
+        }.get(path)
+        if handler is None:
+            return web.answer_json(start_response, 404, {})
+        answer = handler(body)
+        status = 409 if 'refused' in answer else 200
+        return web.answer_json(start_response, status, answer)
+
+    def close(self):
+        """End all tasks, as a VM's failure would."""
+        self.ended = True
+        self.stopping.set()
+
+    def _list(self):
+        with self._lock:
+            runs = list(self._runs.values())
+        listing = workers.Listing(int(time.monotonic() * _MS), self.capacity)
+        listing.attempts = [run.attempt for run in runs]
+        value = codec.to_map(listing)
+        for row, run in zip(value.get('attempts', []), runs, strict=True):
+            raw = row.get('result', b'')
+            row['result'] = base64.b64encode(raw).decode()
+            row['used_cpu_milli'] = self._measure(run)
+            row['measured_ms'] = int(USAGE_LAG_SECONDS * _MS)
+        return value
+
+    def _measure(self, run):
+        """Return the processors used a while ago, in thousandths."""
+        then = time.monotonic() - USAGE_LAG_SECONDS
+        if run.span.start > then:
+            return 0
+        return run.start.resources.cpu_milli * run.percent // 100
+
+    def _start(self, body):
+        body['argument'] = base64.b64decode(body.get('argument', ''))
+        start = codec.from_map(workers.Start, body)
+        until = start.lease_until_ms
+        if until and time.monotonic() * _MS >= until:
+            return {'refused': 'lease-is-past'}
+        if self.fail_starts:
+            return {'refused': 'worker-fails-everything'}
+        with self._lock:
+            if (start.task, start.attempt) in self._runs:
+                return {}
+            run = _Run(start, self)
+            self._runs[(start.task, start.attempt)] = run
+            self.spans.append(run.span)
+        run.thread.start()
+        return {}
+
+    def _find(self, body):
+        return self._runs.get((body['task'], body['attempt']))
+
+    def _stop(self, body):
+        run = self._find(body)
+        if run is not None and run.stop is None:
+            run.stop = 'checkpoint' if body.get('checkpoint') else 'stop'
+        return {}
+
+    def _throttle(self, body):
+        run = self._find(body)
+        if run is not None:
+            run.percent = max(1, min(100, body['percent']))
+        return {}
+
+    def _forget(self, body):
+        with self._lock:
+            run = self._find(body)
+            if run is not None and run.span.end:
+                del self._runs[(body['task'], body['attempt'])]
+        return {}
+
+    def _renew(self, body):
+        with self._lock:
+            runs = list(self._runs.values())
+        for run in runs:
+            until = run.attempt.lease_until_ms
+            if until and not run.span.end:
+                run.attempt.lease_until_ms = max(until, body['until_ms'])
+        return {}
+
+    def _control(self, body):
+        self.fail_starts = bool(body.get('fail_starts', False))
+        return {}
