Tests of the plumbing; timeouts of urllib3 given by name

Cause: urllib3.Timeout's first argument is the total, so that a runner had 0.5 s in all and a submission 1 s.

--- /dev/null
+++ b/packages/core/portwharf/core/codec_test.py
@@ -0,0 +1,101 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""What is packed comes back; neighbouring versions understand it."""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies
+import msgpack
+
+from portwharf.core import codec
+from portwharf.core import data
+
+WORKLOADS = strategies.builds(
+    data.Workload,
+    name=strategies.text(),
+    team=strategies.text(),
+    kind=strategies.integers(0, 3),
+    resources=strategies.builds(
+        data.Resources,
+        strategies.integers(0, 2**32),
+        strategies.integers(0, 2**32),
+        strategies.integers(0, 64),
+    ),
+    count=strategies.integers(0, 2**32),
+    urgent=strategies.booleans(),
+    argument=strategies.binary(),
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Newer:
+    """A later version of ``data.Problem``."""
+
+    code: str = ''
+    field: str = ''
+    severity: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Tree:
+    """A value with a list of values."""
+
+    name: str = ''
+    vms: list[data.Vm] = dataclasses.field(default_factory=list)
+    words: list[str] = dataclasses.field(default_factory=list)
+
+
+def test_any_workload_comes_back(case):
+    @hypothesis.settings(derandomize=True, database=None)
+    @hypothesis.given(WORKLOADS)
+    def check(workload):
+        raw = codec.pack(workload)
+        case.assertEqual(codec.unpack(data.Workload, raw), workload)
+
+    check()
+
+
+def test_lists_come_back(case):
+    tree = Tree('x', [data.Vm('a'), data.Vm('b', port=5)], ['one'])
+    case.assertEqual(codec.unpack(Tree, codec.pack(tree)), tree)
+
+
+def test_default_values_take_no_bytes(case):
+    case.assertEqual(codec.to_map(data.Workload(name='x')), {'name': 'x'})
+
+
+def test_unknown_field_is_skipped(case):
+    raw = codec.pack(Newer('gone', 'x', 3))
+    case.assertEqual(
+        codec.unpack(data.Problem, raw), data.Problem('gone', 'x')
+    )
+
+
+def test_missing_field_keeps_its_default(case):
+    raw = codec.pack(data.Problem('gone', 'x', 'y'))
+    case.assertEqual(codec.unpack(Newer, raw), Newer('gone', 'x', 0))
+
+
+def test_wrong_type_is_refused(case):
+    raw = msgpack.packb({'name': 5})
+    with case.assertRaisesRegex(ValueError, 'not a Workload'):
+        codec.unpack(data.Workload, raw)
+
+
+def test_wrong_shape_is_refused(case):
+    for value in (5, [], {'resources': 7}, {'resources': []}):
+        with case.assertRaises(ValueError):
+            codec.unpack(data.Workload, msgpack.packb(value))
+
+
+def test_any_bytes_are_a_value_or_refused(case):
+    @hypothesis.settings(derandomize=True, database=None)
+    @hypothesis.given(strategies.binary(max_size=64))
+    def check(raw):
+        try:
+            codec.unpack(Tree, raw)
+        except ValueError:
+            pass
+
+    check()
--- a/packages/core/portwharf/core/logs.py
+++ b/packages/core/portwharf/core/logs.py
@@ -8,10 +8,15 @@
 """
 
 import logging
+import os
 import sys
+import threading
 
 from pythonjsonlogger import json as jsonlogger
 
+LOG = logging.getLogger(__name__)
+
+CRASH_EXIT = 70
 FIELD_NAMES = (
     'request',
     'workload',
@@ -49,6 +54,23 @@
     return values
 
 
+def end_on_crash():
+    """End the process when one of its threads fails.
+
+    A thread ends by an exception only when an invariant is broken; a
+    process that went on without it would look alive and do nothing. The
+    platform starts it again.
+    """
+
+    def handle(crash):
+        error = (crash.exc_type, crash.exc_value, crash.exc_traceback)
+        LOG.critical('thread %s failed', crash.thread, exc_info=error)
+        logging.shutdown()
+        os._exit(CRASH_EXIT)
+
+    threading.excepthook = handle
+
+
 def set_up(style, level):
     """Send all logs to standard error.
 
--- /dev/null
+++ b/packages/core/portwharf/core/settings_test.py
@@ -0,0 +1,78 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Every error of a settings file is found at once, with its remedy."""
+
+import voluptuous
+
+from portwharf.core import settings
+
+SCHEMA = voluptuous.Schema(
+    {
+        voluptuous.Required('vm'): {
+            voluptuous.Required('address'): settings.ip_address,
+            voluptuous.Required('port'): settings.port,
+            voluptuous.Optional('share', default=1.0): settings.number(0, 1),
+        },
+        voluptuous.Optional('log', default=dict): settings.LOG,
+    }
+)
+GOOD = '[vm]\naddress = "10.0.0.5"\nport = 7000\n'
+
+
+def check(text):
+    """Return the problems of a text."""
+    return settings.check_text(text, SCHEMA).err_value
+
+
+def test_good_text_gets_its_defaults(case):
+    values = settings.check_text(GOOD, SCHEMA).ok_value
+    case.assertEqual(values['vm']['share'], 1.0)
+    case.assertEqual(values['log'], {'style': 'json', 'level': 'INFO'})
+
+
+def test_all_errors_are_found(case):
+    text = '[vm]\naddress = "vm.example"\nport = 0\nshare = 2\nprot = 1\n'
+    fields = {problem.field for problem in check(text)}
+    case.assertEqual(fields, {'vm.address', 'vm.port', 'vm.share', 'vm.prot'})
+
+
+def test_unknown_key_names_the_nearest(case):
+    (problem,) = check(GOOD + 'shar = 0.5\n')
+    case.assertEqual(problem.remedy, 'did you mean "share"?')
+
+
+def test_unknown_key_without_a_near_one_lists_all(case):
+    (problem,) = check(GOOD + 'zzz = 0.5\n')
+    case.assertIn('address, port, share', problem.remedy)
+
+
+def test_missing_key_is_named(case):
+    (problem,) = check('[vm]\nport = 7000\n')
+    case.assertEqual(problem.describe(), 'vm.address: is missing; add it')
+
+
+def test_value_is_quoted_in_the_error(case):
+    (problem,) = check(GOOD.replace('7000', '70000'))
+    case.assertEqual(problem.value, '70000')
+    case.assertIn('from 1 to 65,535', problem.text)
+
+
+def test_text_that_is_not_toml_is_told(case):
+    (problem,) = check('[vm\n')
+    case.assertEqual(problem.code, 'not-toml')
+
+
+def test_missing_file_is_told(case):
+    read = settings.read_file('/nowhere/at/all.toml', SCHEMA)
+    case.assertEqual(read.err_value[0].code, 'unreadable')
+
+
+def test_true_is_no_number(case):
+    case.assertEqual(check(GOOD.replace('7000', 'true'))[0].field, 'vm.port')
+
+
+def test_tls_is_off_only_when_told(case):
+    values = {'plaintext': False, 'certificate': '', 'key': ''}
+    values['authority'] = ''
+    case.assertEqual(len(settings.check_tls(values)), 1)
+    case.assertEqual(settings.check_tls({**values, 'plaintext': True}), [])
--- a/packages/endpoints/portwharf/endpoints/http.py
+++ b/packages/endpoints/portwharf/endpoints/http.py
@@ -38,7 +38,7 @@
                 f'/run/{service}',
                 body=payload,
                 headers={ID_HEADER: request},
-                timeout=urllib3.Timeout(CONNECT_SECONDS, timeout),
+                timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=timeout),
             )
         except (
             urllib3.exceptions.NewConnectionError,
--- a/packages/operators/portwharf/operators/client.py
+++ b/packages/operators/portwharf/operators/client.py
@@ -40,7 +40,9 @@
                 port,
                 maxsize=4,
                 retries=False,
-                timeout=urllib3.Timeout(CONNECT_SECONDS, CALL_SECONDS),
+                timeout=urllib3.Timeout(
+                    connect=CONNECT_SECONDS, read=CALL_SECONDS
+                ),
             )
             for address, port in addresses
         ]
--- a/packages/peers/portwharf/peers/streams.py
+++ b/packages/peers/portwharf/peers/streams.py
@@ -193,6 +193,9 @@
                 self._handle(conn)
         except PeerError as exc:
             LOG.debug('connection over: %s', exc, extra=logs.fields(peer=peer))
+        except Exception:
+            # A fault of ours, but one that this connection alone met.
+            LOG.exception('connection failed', extra=logs.fields(peer=peer))
         finally:
             with self._lock:
                 self._conns.discard(conn)
--- a/packages/scheduler/portwharf/scheduler/members.py
+++ b/packages/scheduler/portwharf/scheduler/members.py
@@ -93,25 +93,32 @@
             except streams.PeerError as exc:
                 extra = logs.fields(peer=self.name)
                 LOG.debug('member: %s', exc, extra=extra)
-            self._conn = None
-            self.view.reported = False
-            self.view.granted = False
+            self.detach()
             self._stop.wait(_REDIAL_SECONDS)
 
     def _talk(self):
         vm = self.view.vm
         with self._owner.dial(vm) as conn:
             peer = streams.greet(conn, self._owner.make_hello())
-            self._owner.note_epoch(peer.epoch)
-            self._conn = conn
-            if self._stop.is_set():
-                return
-            conn.send(self._owner.make_grant(self.name, 0))
-            conn.send(self._owner.make_config())
-            while True:
-                self._handle(conn, conn.receive())
-
-    def _handle(self, conn, message):
+            self.attach(conn, peer)
+            while not self._stop.is_set():
+                self.handle(conn, conn.receive())
+
+    def attach(self, conn, peer):
+        """Begin with a connection whose greetings are exchanged."""
+        self._owner.note_epoch(peer.epoch)
+        self._conn = conn
+        conn.send(self._owner.make_grant(self.name, 0))
+        conn.send(self._owner.make_config())
+
+    def detach(self):
+        """Forget a connection that has ended."""
+        self._conn = None
+        self.view.reported = False
+        self.view.granted = False
+
+    def handle(self, conn, message):
+        """Take one message of the side's."""
         if isinstance(message, messages.Heartbeat):
             self._hear(message)
             grant = self._owner.make_grant(self.name, message.side_ms)
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -69,6 +69,7 @@
     :param dial: function of a ``data.Vm`` giving a connection
     :param keeper: the configuration in force (``ConfigKeeper``)
     :param append_interval: least seconds between two appends
+    :param make_link: gives the link to a member, by its VM and the owner
     :param kv: the store, for the configuration
     """
 
@@ -81,6 +82,7 @@
     vmlist: object = None
     keeper: object = None
     append_interval: float = 0.05
+    make_link: object = members.MemberLink
     kv: object = None
 
 
@@ -292,7 +294,7 @@
         LOG.info('owner begins', extra=extra)
         try:
             while not self._stop.is_set():
-                if not self._pass(self._take_inbox()):
+                if not self.step(self._take_inbox()):
                     break
         finally:
             self.deposed.set()
@@ -313,8 +315,10 @@
             items.append(self._inbox.get())
         return [item for item in items if item is not None]
 
-    def _pass(self, items):
-        """Decide, log, then act.
+    def step(self, items=()):
+        """Decide on what has come in, log it, then act.
+
+        Called by the deciding thread alone, or by a test in its place.
 
         :returns: False when this process is no longer the owner
         """
@@ -478,7 +482,7 @@
                 link.__exit__(None, None, None)
         for name, vm in wanted.items():
             if name not in self._links:
-                link = members.MemberLink(vm, self)
+                link = self._env.make_link(vm, self)
                 self._links[name] = link
                 link.__enter__()
 
--- a/packages/scheduler/portwharf/scheduler/takeover.py
+++ b/packages/scheduler/portwharf/scheduler/takeover.py
@@ -11,9 +11,12 @@
 """
 
 import concurrent.futures
+import dataclasses
 import logging
 import threading
 
+import result
+
 from portwharf.core import ids
 from portwharf.core import logs
 from portwharf.peers import messages
@@ -23,15 +26,68 @@
 from portwharf.scheduler import planning
 from portwharf.scheduler import shardlog
 from portwharf.scheduler import state
+from portwharf import store
 
 LOG = logging.getLogger(__name__)
 
 # Without a majority to ask, silence has to last this many times longer.
 LONELY_FACTOR = 8
 _POLL_SECONDS = 0.2
+_FOUND_SECONDS = 0.4
+_CLAIM_TRIES = 3
 _ASK_THREADS = 8
 
 
+@dataclasses.dataclass(slots=True)
+class Claim:
+    """A shard that was taken: its log at the end, and its state."""
+
+    log: shardlog.ShardLog = None
+    state: 'state.ShardState' = None
+
+
+def claim_shard(kv, shard, name, above=None):
+    """Try once to become a shard's owner, by one append.
+
+    Nothing but the log decides, so that this is safe at any time.
+
+    :param above: give up if the log shows a higher epoch than this
+    :returns: Ok(Claim), Err(StoreError), or Err(Rival) if there is one
+    """
+    log = shardlog.ShardLog(kv, shard)
+    contents = log.read()
+    if contents.is_err():
+        return contents
+    restored = state.restore_state(contents.ok_value)
+    if above is not None and restored.epoch > above:
+        return result.Err(Rival(restored.epoch))
+    return append_claim(log, restored, name, [])
+
+
+@dataclasses.dataclass(slots=True)
+class Rival:
+    """Another process owns the shard, under this epoch or a later one."""
+
+    epoch: int = 0
+
+
+def append_claim(log, restored, name, members):
+    """Append that a process owns the shard from now on.
+
+    :param members: given for a new shard only
+    :returns: Ok(Claim), Err(StoreError), or Err(Rival)
+    """
+    event = events.OwnerChanged(restored.epoch + 1, name, members)
+    for _ in range(_CLAIM_TRIES):
+        answer = log.append([event])
+        if answer.is_ok():
+            restored.apply(event)
+            return result.Ok(Claim(log, restored))
+        if isinstance(answer.err_value, shardlog.Deposed):
+            return result.Err(Rival(event.epoch))
+    return result.Err(store.StoreError(answer.err_value.text, unknown=True))
+
+
 class Watcher:
     """Watches the owner and takes its place; a context manager."""
 
@@ -99,7 +155,11 @@
         self._guard.learn_epoch(restored.epoch)
 
     def _found_shard(self, log):
-        """Begin the log of a new shard, if we are the first in line."""
+        """Begin the log of a new shard, if it is our turn.
+
+        Until then the log is read again and again, as another's beginning
+        of it is what we wait for.
+        """
         listed = self._env.vmlist.read()
         if listed.is_err():
             return
@@ -109,12 +169,13 @@
             return
         order = ids.rank_by_rendezvous(str(self._env.shard), names)
         wait = order.index(self._env.name) * self._env.limits.rank_step
-        if self._stop.wait(wait):
+        if self._guard.measure_silence() < wait:
+            self._stop.wait(_FOUND_SECONDS)
             return
         fresh = state.ShardState()
         self._guard.learn_epoch(0)
         self._members = {vm.name: vm for vm in ours}
-        self._append_ownership(log, fresh, ours)
+        self._begin(append_claim(log, fresh, self._env.name, ours))
 
     def _is_our_turn(self):
         names = [n for n in self._members if n != self._guard.owner]
@@ -134,37 +195,25 @@
         alone = votes.hears == 0 and silence >= lonely
         if votes.silent + 1 < needed and not alone:
             return
-        log = shardlog.ShardLog(self._kv, self._env.shard)
-        contents = log.read()
-        if contents.is_err():
-            self._guard.hold_off()
-            return
-        restored = state.restore_state(contents.ok_value)
-        self._members = dict(restored.members)
-        if restored.epoch > self._guard.epoch:
-            # Somebody else was faster; it will dial us.
-            self._guard.learn_epoch(restored.epoch)
+        self._begin(
+            claim_shard(
+                self._kv, self._env.shard, self._env.name, self._guard.epoch
+            )
+        )
+
+    def _begin(self, claimed):
+        """Act as the owner if a claim went through, else wait for who is."""
+        if claimed.is_err():
+            if isinstance(claimed.err_value, Rival):
+                # Somebody else was faster; it will dial us.
+                self._guard.learn_epoch(claimed.err_value.epoch)
             self._guard.hold_off()
             return
-        self._append_ownership(log, restored, [])
-
-    def _append_ownership(self, log, restored, ours):
-        """Become the owner by an append, or leave it to who did."""
-        event = events.OwnerChanged(restored.epoch + 1, self._env.name, ours)
-        while not self._stop.is_set():
-            answer = log.append([event])
-            if answer.is_ok():
-                break
-            if isinstance(answer.err_value, shardlog.Deposed):
-                self._guard.hold_off()
-                return
-            self._stop.wait(_POLL_SECONDS)
-        else:
-            return
-        restored.apply(event)
-        extra = logs.fields(shard=self._env.shard, epoch=event.epoch)
+        claim = claimed.ok_value
+        self._members = dict(claim.state.members)
+        extra = logs.fields(shard=self._env.shard, epoch=claim.state.epoch)
         LOG.info('took over', extra=extra)
-        role = owner.Owner(self._env, log, restored)
+        role = owner.Owner(self._env, claim.log, claim.state)
         role.__enter__()
         self._owner = role
 
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -21,7 +21,7 @@
 
 LOG = logging.getLogger(__name__)
 
-_POLL_SECONDS = 0.2
+_POLL_SECONDS = 0.4
 _MS = 1000
 
 REFUSED_CAPACITY = 'no-room-on-the-vm'
@@ -121,15 +121,24 @@
 
     def _run(self):
         while not self._stop.is_set():
-            try:
-                self._obey(self._commands.get(timeout=_POLL_SECONDS))
-            except queue.Empty:
-                pass
-            now = self._clock.read_monotonic()
-            if now >= self._next_poll:
-                self._next_poll = now + _POLL_SECONDS
-                self._poll()
-            self._beat()
+            self.step(_POLL_SECONDS)
+
+    def step(self, timeout=0.0):
+        """Carry out one command, then poll and beat if it is time.
+
+        Called by the agent's thread alone, or by a test in its place.
+
+        :param timeout: seconds to wait for a command
+        """
+        try:
+            self._obey(self._commands.get(timeout > 0, timeout))
+        except queue.Empty:
+            pass
+        now = self._clock.read_monotonic()
+        if now >= self._next_poll:
+            self._next_poll = now + _POLL_SECONDS
+            self._poll()
+        self._beat()
 
     def _obey(self, command):
         """Carry out a command, unless its connection has ended."""
--- a/packages/side/portwharf/side/process.py
+++ b/packages/side/portwharf/side/process.py
@@ -116,17 +116,18 @@
         enter = self._stack.enter_context
         kv = enter(store.open_etcd(cfg.store.address, cfg.store.port))
         context = tls.make_client_context(cfg.tls)
+        listing = vmlist.HttpVmList(cfg.vm_list.address, cfg.vm_list.port)
         env = owner.Environment(
-            cfg.vm.name,
-            self._instance,
-            cfg.vm.shard,
-            self._clock,
-            cfg.limits,
-            lambda vm: streams.dial(vm.address, vm.port, context),
-            enter(vmlist.HttpVmList(cfg.vm_list.address, cfg.vm_list.port)),
-            self._keeper,
-            cfg.append_interval,
-            kv,
+            name=cfg.vm.name,
+            instance=self._instance,
+            shard=cfg.vm.shard,
+            clock=self._clock,
+            limits=cfg.limits,
+            dial=lambda vm: streams.dial(vm.address, vm.port, context),
+            vmlist=enter(listing),
+            keeper=self._keeper,
+            append_interval=cfg.append_interval,
+            kv=kv,
         )
         return takeover.Watcher(env, self._guard, kv)
 
--- a/packages/side/portwharf/side/server.py
+++ b/packages/side/portwharf/side/server.py
@@ -102,6 +102,18 @@
     def _serve_owner(self, conn, hello):
         if hello.shard != self._cfg.vm.shard:
             raise streams.PeerError(f'owner of shard {hello.shard}')
+        self.greet_owner(conn, hello)
+        try:
+            while True:
+                self.take_owner_message(conn, hello, conn.receive())
+        finally:
+            self.agent.lose_owner(conn)
+
+    def greet_owner(self, conn, hello):
+        """Follow an owner that has dialled us.
+
+        :raises PeerError: a newer owner is known
+        """
         accepted = self._guard.accept_owner(hello.epoch, hello.name)
         conn.send(self.make_hello())
         if not accepted:
@@ -110,13 +122,9 @@
         LOG.info('following owner', extra=extra)
         self.agent.take_owner(conn)
         self.note_change()
-        try:
-            while True:
-                self._take_owner_message(conn, hello, conn.receive())
-        finally:
-            self.agent.lose_owner(conn)
 
-    def _take_owner_message(self, conn, hello, message):
+    def take_owner_message(self, conn, hello, message):
+        """Take one message of the owner's that greeted us with hello."""
         if isinstance(message, messages.Grant):
             if hello.epoch != message.epoch:
                 raise streams.PeerError('grant of another epoch')
--- a/packages/store/portwharf/store/etcd.py
+++ b/packages/store/portwharf/store/etcd.py
@@ -78,7 +78,7 @@
                 '/v3/watch',
                 body=json.dumps({'create_request': create}),
                 preload_content=False,
-                timeout=urllib3.Timeout(self._seconds, timeout),
+                timeout=urllib3.Timeout(connect=self._seconds, read=timeout),
             )
         except urllib3.exceptions.HTTPError as exc:
             return result.Err(base.StoreError(str(exc)))
--- /dev/null
+++ b/packages/store/portwharf/store/etcd_test.py
@@ -0,0 +1,126 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""The store adapter against the stand-in, in health and in trouble."""
+
+import threading
+
+from portwharf import store
+from portwharf.testing import fixtures
+from portwharf.testing import kv as standins
+
+
+def open_served(case):
+    """Return the adapter on a stand-in behind a real server."""
+    standin = standins.StoreStandIn()
+    port = fixtures.serve(case, standin, threads=8)
+    case.addCleanup(standin.close)
+    return case.enterContext(store.open_etcd('127.0.0.1', port)), standin
+
+
+def test_swap_makes_a_key_only_once(case):
+    kv, _ = fixtures.make_store()
+    case.assertTrue(kv.swap('a', b'one', 0).ok_value.done)
+    case.assertFalse(kv.swap('a', b'two', 0).ok_value.done)
+    case.assertEqual(kv.read('a').ok_value.value, b'one')
+
+
+def test_swap_follows_the_revision(case):
+    kv, _ = fixtures.make_store()
+    first = kv.swap('a', b'one', 0).ok_value.revision
+    second = kv.swap('a', b'two', first).ok_value.revision
+    case.assertGreater(second, first)
+    case.assertFalse(kv.swap('a', b'three', first).ok_value.done)
+
+
+def test_swap_is_held_back_by_its_guard(case):
+    kv, _ = fixtures.make_store()
+    kv.swap('guard', b'', 0)
+    guard = kv.read('guard').ok_value
+    kv.swap('guard', b'changed', guard.revision)
+    case.assertFalse(kv.swap('a', b'x', 0, guard).ok_value.done)
+    case.assertIsNone(kv.read('a').ok_value)
+
+
+def test_range_is_ordered_and_limited(case):
+    kv, _ = fixtures.make_store()
+    for key in ('k/2', 'k/1', 'k/3', 'l/1'):
+        kv.swap(key, key.encode(), 0)
+    last = store.find_prefix_end('k/')
+    entries = kv.read_range('k/', last, limit=2).ok_value
+    case.assertEqual([entry.key for entry in entries], ['k/1', 'k/2'])
+
+
+def test_delete_range_leaves_its_end(case):
+    kv, _ = fixtures.make_store()
+    for key in ('k/1', 'k/2', 'k/3'):
+        kv.swap(key, b'', 0)
+    case.assertEqual(kv.delete_range('k/1', 'k/3').ok_value, 2)
+    case.assertIsNotNone(kv.read('k/3').ok_value)
+
+
+def test_lost_answer_is_unknown(case):
+    kv, standin = fixtures.make_store()
+    standin.faults.lose_answers = 1
+    case.assertTrue(kv.swap('a', b'one', 0).err_value.unknown)
+    case.assertEqual(kv.read('a').ok_value.value, b'one')
+
+
+def test_rate_refusal_is_no_effect(case):
+    kv, standin = fixtures.make_store()
+    standin.faults.writes_per_second = 1
+    errors = [
+        answer.err_value
+        for answer in (kv.swap(f'k{n}', b'', 0) for n in range(20))
+        if answer.is_err()
+    ]
+    case.assertTrue(errors)
+    case.assertFalse(any(error.unknown for error in errors))
+    case.assertEqual(len(standin.list_keys()), 20 - len(errors))
+
+
+def test_calls_are_counted(case):
+    kv, standin = fixtures.make_store()
+    kv.read('a')
+    kv.swap('a', b'', 0)
+    case.assertEqual((standin.reads, standin.writes), (1, 1))
+
+
+def test_no_server_is_known_to_have_done_nothing(case):
+    kv, standin = open_served(case)
+    with store.open_etcd('127.0.0.1', 1) as nobody:
+        case.assertFalse(nobody.swap('a', b'', 0).err_value.unknown)
+
+
+def test_watch_gives_a_change_that_comes_later(case):
+    kv, standin = open_served(case)
+    revision = kv.swap('a', b'one', 0).ok_value.revision
+    found = []
+    thread = threading.Thread(
+        target=lambda: found.append(kv.wait_for_change('a', revision, 20))
+    )
+    thread.start()
+    kv.swap('a', b'two', revision)
+    thread.join()
+    case.assertEqual(found[0].ok_value.value, b'two')
+    case.assertEqual(standin.watches, 1)
+
+
+def test_watch_gives_a_change_that_came_before(case):
+    kv, _ = open_served(case)
+    revision = kv.swap('a', b'one', 0).ok_value.revision
+    kv.swap('a', b'two', revision)
+    found = kv.wait_for_change('a', revision, 20)
+    case.assertEqual(found.ok_value.value, b'two')
+
+
+def test_dropped_watch_ends_without_a_change(case):
+    kv, standin = open_served(case)
+    revision = kv.swap('a', b'one', 0).ok_value.revision
+    standin.faults.drop_watches = True
+    case.assertIsNone(kv.wait_for_change('a', revision, 20).ok_value)
+
+
+def test_slow_answer_is_waited_for(case):
+    kv, standin = open_served(case)
+    standin.faults.slow_seconds = 0.6
+    case.assertTrue(kv.swap('a', b'', 0).is_ok())
