Tests of state, grants, placement, calls, admission, agent, command line

Found on the way and mended: retry budget in floats lost a retry in ten (now whole units); a not-repeatable request that was refused for a full queue counted as seen and could not come again; a repeated one got 'unknown' although its answer was known.

--- /dev/null
+++ b/packages/entry/portwharf/entry/main_test.py
@@ -0,0 +1,94 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""The command line as a person meets it: examples good, mistakes told."""
+
+import contextlib
+import io
+import pathlib
+import tempfile
+
+import cappa
+
+from portwharf.entry import commands
+from portwharf.entry import main
+
+EXAMPLES = pathlib.Path(__file__).parents[4] / 'examples'
+
+
+def run(*argv):
+    """Run a command line; returns exit code, output and errors."""
+    out, err = io.StringIO(), io.StringIO()
+    code = 0
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+        try:
+            cappa.invoke(main.Portwharf, argv=list(argv))
+        except (SystemExit, cappa.Exit) as exc:
+            code = exc.code
+    return code, out.getvalue(), err.getvalue()
+
+
+def write_changed(case, name, *pairs):
+    """Write an example with changes; returns its path."""
+    text = (EXAMPLES / name).read_text()
+    for old, new in pairs:
+        case.assertIn(old, text)
+        text = text.replace(old, new)
+    folder = case.enterContext(tempfile.TemporaryDirectory())
+    path = pathlib.Path(folder) / name
+    path.write_text(text)
+    return str(path)
+
+
+def test_examples_are_good(case):
+    for name in ('entry.toml', 'side.toml', 'overnight.toml'):
+        code, out, err = run('check-settings', str(EXAMPLES / name))
+        case.assertEqual((code, err), (0, ''))
+        case.assertIn('good', out)
+
+
+def test_all_mistakes_of_a_job_file_are_told(case):
+    path = write_changed(
+        case,
+        'overnight.toml',
+        ('kind = "batch"', 'kind = "bach"'),
+        ('count = 40', 'count = 0'),
+        ('cpu_milli', 'cpus'),
+        ('importance = 100', 'importance = "high"'),
+        ('name = "overnight"', 'name = "over night"'),
+    )
+    code, _, err = run('submit', path, '--entry', '127.0.0.1:1')
+    case.assertEqual(code, commands.EXIT_USAGE)
+    for field in ('kind', 'count', 'resources.cpus', 'importance', 'name'):
+        case.assertIn(f'workload.0.{field}: ', err)
+    case.assertIn('did you mean "cpu_milli"?', err)
+
+
+def test_mistakes_of_entry_settings_are_told(case):
+    path = write_changed(
+        case,
+        'entry.toml',
+        ('"10.0.0.10"', '"entry.example"'),
+        ('threads', 'treads'),
+    )
+    code, _, err = run('check-settings', path)
+    case.assertEqual(code, commands.EXIT_USAGE)
+    case.assertIn('entry.address: must be an IP number', err)
+    case.assertIn('did you mean "threads"?', err)
+
+
+def test_missing_entry_address_is_told(case):
+    code, _, err = run('jobs', '--entry', 'somewhere')
+    case.assertEqual(code, commands.EXIT_USAGE)
+    case.assertIn('must be IP:PORT', err)
+
+
+def test_unreachable_entry_has_an_exit_code_of_its_own(case):
+    code, _, err = run('jobs', '--entry', '127.0.0.1:1')
+    case.assertEqual(code, commands.EXIT_UNREACHABLE)
+    case.assertIn('unreachable', err)
+
+
+def test_help_has_examples(case):
+    for command in ('serve', 'submit', 'jobs', 'call', 'explain', 'cancel'):
+        code, out, _ = run(command, '--help')
+        case.assertIn('Example:', out)
--- a/packages/entry/portwharf/entry/routing.py
+++ b/packages/entry/portwharf/entry/routing.py
@@ -21,9 +21,10 @@
 LOG = logging.getLogger(__name__)
 
 MAX_ATTEMPTS = 4
-# Each first sending earns this share of a retry.
-RETRY_SHARE = 0.2
-RETRY_SAVINGS = 20.0
+# A retry costs what this many first sendings earn.
+RETRY_COST = 5
+# Retries that can be saved up for a bad moment.
+RETRY_SAVINGS = 20
 # A side in another availability zone counts as this much busier.
 OTHER_ZONE_LOAD = 1.5
 # How soon a caller may come back when nothing serves the service.
@@ -40,19 +41,20 @@
 
     def __init__(self):
         self._lock = threading.Lock()
-        self._savings = RETRY_SAVINGS
+        self._savings = RETRY_SAVINGS * RETRY_COST
 
     def earn(self):
         """Count a first sending."""
         with self._lock:
-            self._savings = min(RETRY_SAVINGS, self._savings + RETRY_SHARE)
+            most = RETRY_SAVINGS * RETRY_COST
+            self._savings = min(most, self._savings + 1)
 
     def spend(self):
         """Take a retry out of the budget; False if there is none."""
         with self._lock:
-            if self._savings < 1:
+            if self._savings < RETRY_COST:
                 return False
-            self._savings -= 1
+            self._savings -= RETRY_COST
             return True
 
 
--- /dev/null
+++ b/packages/entry/portwharf/entry/routing_test.py
@@ -0,0 +1,186 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Where requests go, and when they are sent again."""
+
+import xxhash
+
+from portwharf import callers
+from portwharf.core import clock
+from portwharf.core import data
+from portwharf.core import ids
+from portwharf.entry import links
+from portwharf.entry import routing
+from portwharf.peers import messages
+from portwharf.testing import fixtures
+
+SERVICE = 'lens/fit'
+
+
+class FakeLink:
+    """A link whose side answers at once, as it is told to."""
+
+    def __init__(self, number, outcome=data.Outcome.ANSWERED, reason=''):
+        self.view = links.LinkView(fixtures.make_vm(number), True)
+        self.view.state.slots = 8
+        self.outcome = outcome
+        self.reason = reason
+        self.sent = []
+        self.withdrawn = []
+        self.change = None
+
+    @property
+    def name(self):
+        """The VM's name."""
+        return self.view.vm.name
+
+    def begin(self, message, payload=b''):
+        """Answer a request."""
+        self.sent.append(message.request)
+        if self.outcome is None:
+            return None
+        exchange = links.Exchange()
+        if self.reason == 'lost':
+            exchange.lose('connection-lost')
+            return exchange
+        if self.reason == 'silent':
+            return exchange
+        answer = messages.Answer(
+            1,
+            message.request,
+            self.outcome,
+            self.reason,
+            size=2,
+            checksum=xxhash.xxh64_intdigest(b'ok'),
+            payload=b'ok',
+        )
+        if self.change:
+            self.change(answer)
+        exchange.take(answer)
+        return exchange
+
+    def withdraw(self, message):
+        """Note that the caller gave up."""
+        self.withdrawn.append(message.request)
+
+
+class FakeTable:
+    """Links that all serve the service."""
+
+    def __init__(self, *made):
+        self.links = made
+
+    def list_serving(self, service):
+        """Return all links."""
+        return list(self.links)
+
+
+def route(*made, repeatable=True, deadline_ms=50, zone='zone-0'):
+    """Route one request; returns the result."""
+    router = routing.EndpointRouter(
+        FakeTable(*made), clock.SystemClock(), zone, lambda *_: None
+    )
+    call = callers.Call(ids.make_id(), SERVICE, repeatable, deadline_ms)
+    return router.route(call)
+
+
+def count_sent(*made):
+    """Return how many requests the links were sent."""
+    return sum(len(link.sent) for link in made)
+
+
+def test_answer_goes_back_whole(case):
+    done = route(FakeLink(0))
+    case.assertEqual((done.outcome, done.payload), (1, b'ok'))
+    case.assertEqual(done.endpoint, 'vm-00')
+
+
+def test_nobody_serves_it(case):
+    done = route()
+    case.assertEqual(done.outcome, data.Outcome.NOT_RUN)
+    case.assertEqual(done.reason, routing.REASON_NO_ENDPOINT)
+    case.assertGreater(done.retry_after_ms, 0)
+
+
+def test_not_run_is_tried_elsewhere(case):
+    busy = [FakeLink(n, data.Outcome.NOT_RUN, 'busy') for n in range(2)]
+    done = route(*busy, FakeLink(3), repeatable=False)
+    case.assertEqual(done.outcome, data.Outcome.ANSWERED)
+
+
+def test_not_run_everywhere_is_told_at_once(case):
+    busy = [FakeLink(n, data.Outcome.NOT_RUN, 'busy') for n in range(9)]
+    done = route(*busy, deadline_ms=60_000)
+    case.assertEqual(done.outcome, data.Outcome.NOT_RUN)
+    case.assertEqual(count_sent(*busy), routing.MAX_ATTEMPTS)
+
+
+def test_lost_request_is_repeated_only_if_it_may_be(case):
+    made = [FakeLink(n, reason='lost') for n in range(3)]
+    done = route(*made, repeatable=False)
+    case.assertEqual(done.outcome, data.Outcome.UNKNOWN)
+    case.assertEqual(count_sent(*made), 1)
+    route(*made, repeatable=True)
+    case.assertEqual(count_sent(*made), 4)
+
+
+def test_failed_request_is_not_repeated(case):
+    made = [FakeLink(n, data.Outcome.FAILED, 'bad') for n in range(3)]
+    case.assertEqual(route(*made).outcome, data.Outcome.FAILED)
+    case.assertEqual(count_sent(*made), 1)
+
+
+def test_silence_until_the_deadline_is_unknown(case):
+    link = FakeLink(0, reason='silent')
+    done = route(link)
+    case.assertEqual(done.outcome, data.Outcome.UNKNOWN)
+    case.assertEqual(link.withdrawn, link.sent)
+
+
+def test_request_never_sent_is_not_run(case):
+    done = route(FakeLink(0, None), repeatable=False)
+    case.assertEqual(done.outcome, data.Outcome.NOT_RUN)
+
+
+def test_damaged_answer_is_never_given(case):
+    for change in (
+        lambda answer: setattr(answer, 'checksum', 1),
+        lambda answer: setattr(answer, 'payload', b'ok!'),
+        lambda answer: setattr(answer, 'request', 'another'),
+    ):
+        link = FakeLink(0)
+        link.change = change
+        done = route(link, repeatable=False)
+        case.assertEqual(done.outcome, data.Outcome.UNKNOWN)
+        case.assertEqual(done.payload, b'')
+
+
+def test_half_an_answer_is_none(case):
+    link = FakeLink(0)
+    link.change = lambda answer: setattr(answer, 'size', 5)
+    case.assertEqual(route(link).outcome, data.Outcome.UNKNOWN)
+
+
+def test_less_loaded_side_is_chosen(case):
+    idle, busy = FakeLink(0), FakeLink(3)
+    busy.view.state.in_flight = 8
+    for _ in range(10):
+        route(idle, busy)
+    case.assertEqual((len(idle.sent), len(busy.sent)), (10, 0))
+
+
+def test_own_zone_is_preferred_until_it_is_busier(case):
+    near, far = FakeLink(0), FakeLink(1)
+    route(near, far)
+    case.assertEqual((len(near.sent), len(far.sent)), (1, 0))
+    near.view.state.in_flight = 4
+    route(near, far)
+    case.assertEqual((len(near.sent), len(far.sent)), (1, 1))
+
+
+def test_retries_have_a_budget(case):
+    budget = routing.RetryBudget()
+    spent = sum(budget.spend() for _ in range(1000))
+    case.assertEqual(spent, routing.RETRY_SAVINGS)
+    for _ in range(10):
+        budget.earn()
+    case.assertEqual(sum(budget.spend() for _ in range(1000)), 2)
--- a/packages/scheduler/portwharf/scheduler/configuration.py
+++ b/packages/scheduler/portwharf/scheduler/configuration.py
@@ -10,6 +10,7 @@
 """
 
 import dataclasses
+import difflib
 import logging
 import random
 import threading
@@ -263,7 +264,7 @@
     if answer.is_err() and revision == base_revision:
         # Not there yet, but a lost call may still arrive.
         return result.Err([_describe_outage(answer.err_value.unknown)])
-    return result.Err([_describe_conflict(base_revision, entry)])
+    return result.Err([_describe_conflict(base_revision, raw, entry)])
 
 
 def _describe_outage(unknown):
@@ -280,12 +281,23 @@
     )
 
 
-def _describe_conflict(base_revision, entry):
+def _describe_conflict(base_revision, raw, entry):
     current = entry.revision if entry else 0
+    theirs = entry.value.decode() if entry else ''
+    difference = '\n'.join(
+        difflib.unified_diff(
+            theirs.splitlines(),
+            raw.decode().splitlines(),
+            f'revision {current}',
+            'yours',
+            lineterm='',
+        )
+    )
     return data.Problem(
         'conflict',
         'base_revision',
         str(base_revision),
-        f'another change came first; the revision is now {current}',
+        f'another change came first; the revision is now {current}:\n'
+        f'{difference}\n',
         'get the current text, make the change in it, and set it again',
     )
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/configuration_test.py
@@ -0,0 +1,97 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""One configuration at a time, never an older one, never half of one."""
+
+from portwharf.scheduler import configuration
+from portwharf.testing import fixtures
+
+TEXT = '[weights]\nevictions = 3.0\n'
+OTHER = '[weights]\nevictions = 4.0\n'
+
+
+def propose(kv, base, text=TEXT):
+    """Propose a text; returns the outcome."""
+    return configuration.propose_configuration(kv, base, text)
+
+
+def get_code(outcome):
+    """Return the code of a refusal."""
+    return outcome.err_value[0].code
+
+
+def test_text_is_read_with_defaults(case):
+    text = TEXT + '[teams.lens]\nquota = {cpu_milli = 5, memory_mb = 6}\n'
+    read = configuration.parse_configuration(text).ok_value
+    case.assertEqual(read.weights, configuration.Weights(5.0, 2.0, 3.0))
+    case.assertEqual(read.quotas['lens'].memory_mb, 6)
+
+
+def test_wrong_text_is_refused_as_a_whole(case):
+    kv, standin = fixtures.make_store()
+    bad = TEXT + '[services.x]\ntarget_ms = 0\ntarget_ratio = 2\n'
+    outcome = propose(kv, 0, bad)
+    fields = {problem.field for problem in outcome.err_value}
+    case.assertEqual(
+        fields, {'services.x.target_ms', 'services.x.target_ratio'}
+    )
+    case.assertEqual(standin.list_keys(), [])
+
+
+def test_loser_of_a_race_hears_of_the_conflict(case):
+    kv, _ = fixtures.make_store()
+    first = propose(kv, 0).ok_value
+    case.assertGreater(propose(kv, first, OTHER).ok_value, first)
+    outcome = propose(kv, first, TEXT)
+    case.assertEqual(get_code(outcome), 'conflict')
+
+
+def test_conflict_shows_the_difference(case):
+    kv, _ = fixtures.make_store()
+    propose(kv, 0, OTHER)
+    text = propose(kv, 0, TEXT).err_value[0].text
+    case.assertIn('-evictions = 4.0', text)
+    case.assertIn('+evictions = 3.0', text)
+
+
+def test_lost_answer_is_read_back(case):
+    kv, standin = fixtures.make_store()
+    standin.faults.lose_answers = 1
+    case.assertTrue(propose(kv, 0).is_ok())
+
+
+def test_lost_request_is_unknown(case):
+    kv, standin = fixtures.make_store()
+    standin.faults.lose_requests = 1
+    case.assertEqual(get_code(propose(kv, 0)), 'outcome-unknown')
+
+
+def test_store_down_changes_nothing(case):
+    kv, standin = fixtures.make_store()
+    standin.faults.down = True
+    case.assertIn(
+        get_code(propose(kv, 0)), ('not-accepted', 'outcome-unknown')
+    )
+
+
+def test_keeper_takes_only_higher_revisions(case):
+    keeper = configuration.ConfigKeeper()
+    case.assertTrue(keeper.offer(5, TEXT))
+    case.assertFalse(keeper.offer(5, OTHER))
+    case.assertFalse(keeper.offer(4, OTHER))
+    case.assertEqual(keeper.read().text, TEXT)
+
+
+def test_keeper_keeps_what_is_in_force_when_the_next_is_wrong(case):
+    keeper = configuration.ConfigKeeper()
+    keeper.offer(5, TEXT)
+    case.assertFalse(keeper.offer(6, '[weights]\nevictions = -1\n'))
+    case.assertEqual(keeper.read().revision, 5)
+
+
+def test_followers_hear_of_a_change_once(case):
+    keeper = configuration.ConfigKeeper()
+    heard = []
+    keeper.follow(lambda: heard.append(keeper.read().revision))
+    keeper.offer(5, TEXT)
+    keeper.offer(4, OTHER)
+    case.assertEqual(heard, [5])
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/grants_test.py
@@ -0,0 +1,149 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""An owner grants, and replaces, only when that is safe."""
+
+from portwharf.core import clock
+from portwharf.scheduler import grants
+from portwharf.scheduler import guard
+from portwharf.scheduler import limits
+
+LIMITS = limits.Limits(confirm=3, guard=6, lease=4)
+MEMBERS = ('a', 'b', 'c', 'd', 'e')
+
+
+def make_table(acks=(), now=100.0):
+    """Return a table with acknowledgements of questions sent just now."""
+    table = grants.GrantTable(MEMBERS, LIMITS)
+    for name in acks:
+        table.record_ack(name, now, now)
+    return table
+
+
+def test_minority_does_not_confirm(case):
+    case.assertFalse(make_table('ab').may_grant(100.0))
+
+
+def test_majority_confirms_for_a_while(case):
+    table = make_table('abc')
+    case.assertTrue(table.may_grant(102.9))
+    case.assertFalse(table.may_grant(103.0))
+
+
+def test_confirmation_counts_from_the_question(case):
+    table = make_table()
+    for name in 'abc':
+        table.record_ack(name, 100.0, 102.5)
+    case.assertFalse(table.may_grant(103.0))
+
+
+def test_oldest_of_the_majority_counts(case):
+    table = make_table('ab', now=102.0)
+    table.record_ack('c', 100.0, 102.0)
+    case.assertFalse(table.may_grant(103.0))
+
+
+def test_store_confirms_without_a_majority(case):
+    table = make_table('a')
+    table.record_store(100.0)
+    case.assertTrue(table.may_grant(102.9))
+    case.assertFalse(table.may_grant(103.0))
+
+
+def test_strangers_do_not_count(case):
+    table = make_table('ab')
+    table.record_ack('x', 100.0, 100.0)
+    case.assertFalse(table.may_grant(100.0))
+
+
+def test_members_that_join_raise_the_majority(case):
+    table = make_table('abc')
+    table.set_members([*MEMBERS, 'f', 'g'])
+    case.assertFalse(table.may_grant(100.0))
+
+
+def test_nothing_is_replaced_without_a_majority(case):
+    table = make_table('ab')
+    table.record_store(100.0)
+    case.assertFalse(table.may_replace('e', 1000.0))
+
+
+def test_replacing_waits_after_the_first_majority(case):
+    table = make_table('abc')
+    wait = LIMITS.replace_after_majority
+    case.assertFalse(table.may_replace('e', 100.0 + wait - 0.01))
+    case.assertTrue(table.may_replace('e', 100.01 + wait))
+
+
+def test_replacing_waits_after_our_own_last_grant(case):
+    table = make_table('abc')
+    later = 1000.0
+    for name in 'abc':
+        table.record_ack(name, later, later)
+    case.assertTrue(table.grant('e', later))
+    wait = LIMITS.replace_after_grant
+    case.assertFalse(table.may_replace('e', later + wait - 0.01))
+    case.assertTrue(table.may_replace('e', later + wait + 0.01))
+
+
+def test_refused_grant_is_not_remembered(case):
+    table = make_table('abc')
+    case.assertFalse(table.grant('e', 500.0))
+    case.assertTrue(table.may_replace('e', 500.0))
+
+
+def make_guard(epoch=3):
+    """Return a side's guard that has learnt an epoch, and its clock."""
+    now = clock.ManualClock()
+    made = guard.Guard(now, LIMITS)
+    if epoch is not None:
+        made.learn_epoch(epoch)
+    return made, now
+
+
+def test_former_owner_is_turned_away(case):
+    made, _ = make_guard()
+    case.assertTrue(made.accept_owner(4, 'vm-1'))
+    case.assertFalse(made.accept_owner(3, 'vm-0'))
+    case.assertFalse(made.accepts(3))
+    case.assertTrue(made.accepts(4))
+
+
+def test_grant_lasts_from_the_heartbeat(case):
+    made, now = make_guard()
+    made.accept_owner(4, 'vm-1')
+    sent = now.read_monotonic()
+    now.advance(5)
+    made.accept_grant(4, sent, True)
+    case.assertTrue(made.is_granted())
+    now.advance(1)
+    case.assertFalse(made.is_granted())
+
+
+def test_grants_of_others_do_not_count(case):
+    made, now = make_guard()
+    made.accept_owner(4, 'vm-1')
+    made.accept_grant(3, now.read_monotonic(), True)
+    made.accept_grant(4, now.read_monotonic(), False)
+    case.assertFalse(made.is_granted())
+
+
+def test_restarted_side_obeys_and_keeps_nothing(case):
+    made, now = make_guard(epoch=None)
+    case.assertTrue(made.accept_owner(4, 'vm-1'))
+    made.accept_grant(4, now.read_monotonic(), True)
+    case.assertFalse(made.accepts(4))
+    case.assertFalse(made.is_granted())
+    made.learn_epoch(5)
+    case.assertFalse(made.accepts(4))
+    case.assertFalse(made.accept_owner(4, 'vm-1'))
+
+
+def test_silence_is_heard_silence(case):
+    made, now = make_guard()
+    case.assertFalse(made.hears_owner(3))
+    made.accept_owner(4, 'vm-1')
+    case.assertTrue(made.hears_owner(4))
+    now.advance(LIMITS.takeover)
+    made.hold_off()
+    case.assertFalse(made.hears_owner(4))
+    case.assertEqual(made.measure_silence(), 0)
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/operations_test.py
@@ -0,0 +1,140 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Operators' calls change what they say and nothing else."""
+
+from portwharf.core import data
+from portwharf.scheduler import events
+from portwharf.scheduler import operations
+from portwharf.scheduler import placement
+from portwharf.scheduler import state
+from portwharf.testing import fixtures
+
+VIEWS = [placement.VmView(fixtures.make_vm(0), data.Resources(4000, 8000))]
+NOW_MS = 1000
+
+
+def submit(made, key='', **fields):
+    """Submit a workload; returns the outcome."""
+    submission = operations.Submission(key, fixtures.make_workload(**fields))
+    return operations.submit(made, submission, VIEWS, 0, NOW_MS)
+
+
+def accept(made, **fields):
+    """Submit a workload that is accepted; returns its id."""
+    return submit(made, **fields).ok_value.answer.id
+
+
+def test_same_submission_makes_one_workload(case):
+    made = state.ShardState()
+    first = submit(made).ok_value.answer
+    second = submit(made).ok_value
+    case.assertTrue(first.created)
+    case.assertEqual(second.answer, operations.Accepted(first.id, False))
+    case.assertEqual(second.events, [])
+
+
+def test_key_of_another_workload_is_a_conflict(case):
+    made = state.ShardState()
+    accept(made)
+    outcome = submit(made, program='other')
+    case.assertEqual(outcome.err_value.code, 'key-in-use')
+
+
+def test_operators_key_tells_submissions_apart(case):
+    made = state.ShardState()
+    first = submit(made, 'monday').ok_value.answer
+    second = submit(made, 'tuesday').ok_value.answer
+    case.assertNotEqual(first.id, second.id)
+
+
+def test_id_tells_its_shard(case):
+    made = operations.make_workload_id(17)
+    case.assertEqual(operations.read_shard(made), 17)
+    case.assertIsNone(operations.read_shard('lens/plans'))
+
+
+def test_what_can_never_run_is_refused_and_remembered(case):
+    made = state.ShardState()
+    step = submit(made, resources=data.Resources(9000, 1)).ok_value
+    case.assertEqual(step.answer.code, placement.REASON_NEVER)
+    case.assertEqual(made.workloads, {})
+    found = operations.explain(made, operations.Query('lens/plans'), {})
+    case.assertEqual(found.ok_value.state, 'refused')
+    case.assertIn('4 processors', found.ok_value.decisions[0].advice)
+
+
+def test_cancel_counts_what_had_not_ended(case):
+    made = state.ShardState()
+    job = accept(made, count=3)
+    made.apply(events.TaskPlaced(f'{job}.0', 1, 'vm-00'))
+    step = operations.cancel(made, operations.Query(job)).ok_value
+    case.assertEqual(step.answer.tasks, 3)
+    case.assertEqual([task.id for task in step.stop], [f'{job}.0'])
+
+
+def test_cancel_again_changes_nothing(case):
+    made = state.ShardState()
+    job = accept(made, count=3)
+    operations.cancel(made, operations.Query(job))
+    step = operations.cancel(made, operations.Query(job)).ok_value
+    case.assertEqual((step.events, step.answer.tasks), ([], 0))
+
+
+def test_unknown_id_is_told(case):
+    made = state.ShardState()
+    query = operations.Query('0-none')
+    for outcome in (
+        operations.cancel(made, query),
+        operations.list_tasks(made, query),
+        operations.explain(made, query, {}),
+        operations.change(made, operations.Change('0-none')),
+    ):
+        case.assertEqual(outcome.err_value.code, 'unknown-id')
+
+
+def test_only_count_and_importance_change(case):
+    made = state.ShardState()
+    job = accept(made, count=3)
+    good = fixtures.make_workload(count=5, importance=9)
+    case.assertTrue(
+        operations.change(made, operations.Change(job, good)).is_ok()
+    )
+    case.assertEqual(made.workloads[job].workload.count, 5)
+    bad = fixtures.make_workload(program='other')
+    outcome = operations.change(made, operations.Change(job, bad))
+    case.assertEqual(outcome.err_value.code, 'fixed-field')
+
+
+def test_shrinking_stops_the_last_tasks(case):
+    made = state.ShardState()
+    job = accept(made, count=3, kind=data.Kind.SERVICE)
+    for number in range(3):
+        task = f'{job}.{number}'
+        made.apply(events.TaskPlaced(task, 1, f'vm-0{number}'))
+    less = fixtures.make_workload(count=1, kind=data.Kind.SERVICE)
+    step = operations.change(made, operations.Change(job, less)).ok_value
+    case.assertEqual([task.id for task in step.stop], [f'{job}.1', f'{job}.2'])
+
+
+def test_lists_go_by_kind_and_team(case):
+    made = state.ShardState()
+    accept(made)
+    accept(made, name='fit', kind=data.Kind.SERVICE)
+    accept(made, name='stock', team='desk')
+    for query, count in (
+        (operations.Query(), 3),
+        (operations.Query(kind=data.Kind.SERVICE), 1),
+        (operations.Query(team='desk'), 1),
+        (operations.Query(kind=data.Kind.BATCH, team='lens'), 1),
+    ):
+        listed = operations.list_workloads(made, query, VIEWS)
+        case.assertEqual(len(listed.workloads), count)
+
+
+def test_explain_says_why_a_job_waits_now(case):
+    made = state.ShardState()
+    job = accept(made)
+    reason = events.Decision(5, placement.REASON_NO_ROOM, job)
+    found = operations.explain(made, operations.Query(job), {job: reason})
+    case.assertEqual(found.ok_value.state, '1 waiting')
+    case.assertEqual(found.ok_value.decisions, [reason])
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/placement_test.py
@@ -0,0 +1,164 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Placement keeps to what VMs hold and to what matters most."""
+
+import hypothesis
+from hypothesis import strategies
+
+from portwharf.core import data
+from portwharf.scheduler import placement
+from portwharf.scheduler import state
+from portwharf.testing import fixtures
+
+NOW_MS = 1_000_000
+
+
+def make_view(number, size=None, **fields):
+    """Return a VM with nothing on it."""
+    capacity = size or data.Resources(4000, 8000)
+    return placement.VmView(fixtures.make_vm(number), capacity, **fields)
+
+
+def make_demand(name='plans', count=1, **fields):
+    """Return a workload whose tasks all wait."""
+    workload = fixtures.make_workload(name=name, count=count, **fields)
+    record = state.WorkloadRecord(f'0-{name}', workload.key, 5, workload)
+    tasks = [f'0-{name}.{number}' for number in range(count)]
+    return placement.Demand(record, tasks, [1] * count)
+
+
+def place(demands, views, limits=None, reserved=None):
+    """Run a pass."""
+    quotas = placement.Quotas(limits or {}, reserved or {})
+    return placement.place_demands(demands, views, quotas, NOW_MS)
+
+
+def list_placed(done):
+    """Return task and VM of each placement."""
+    return [(one.task, one.vm) for one in done.placements]
+
+
+def test_batch_tasks_spread_over_empty_vms(case):
+    views = [make_view(number) for number in range(3)]
+    done = place([make_demand(count=3)], views)
+    vms = {one.vm for one in done.placements}
+    case.assertEqual(vms, {'vm-00', 'vm-01', 'vm-02'})
+
+
+def test_full_vms_are_counted_by_reason(case):
+    views = [
+        make_view(0, data.Resources(500, 8000)),
+        make_view(1, data.Resources(4000, 500)),
+        make_view(2, closed='leaving'),
+        make_view(3, data.Resources(400, 400)),
+    ]
+    done = place([make_demand()], views)
+    (decision,) = done.waiting
+    counts = {one.name: one.number for one in decision.refusals}
+    case.assertEqual(counts, {'processors': 2, 'memory': 1, 'leaving': 1})
+    case.assertEqual(decision.reason, placement.REASON_NO_ROOM)
+
+
+def test_order_is_urgent_then_services_then_importance(case):
+    demands = [
+        make_demand('low', importance=1),
+        make_demand('high', importance=9),
+        make_demand('service', kind=data.Kind.SERVICE),
+        make_demand('urgent', urgent=True),
+    ]
+    ordered = placement.order_demands(demands, NOW_MS)
+    names = [demand.record.workload.name for demand in ordered]
+    case.assertEqual(names, ['urgent', 'service', 'high', 'low'])
+
+
+def test_nearer_deadline_goes_first(case):
+    demands = [
+        make_demand('late', deadline_seconds=9000),
+        make_demand('none'),
+        make_demand('soon', deadline_seconds=9000, run_seconds=8000),
+    ]
+    ordered = placement.order_demands(demands, NOW_MS)
+    names = [demand.record.workload.name for demand in ordered]
+    case.assertEqual(names, ['soon', 'late', 'none'])
+
+
+def test_replicas_go_to_vms_of_their_own(case):
+    views = [make_view(number) for number in range(2)]
+    done = place([make_demand(count=3, kind=data.Kind.SERVICE)], views)
+    case.assertEqual(len(done.placements), 2)
+    (decision,) = done.waiting
+    case.assertEqual(decision.refusals[0].name, 'replica-there-already')
+
+
+def test_replicas_spread_over_racks(case):
+    views = [make_view(number) for number in range(9)]
+    done = place([make_demand(count=3, kind=data.Kind.SERVICE)], views)
+    racks = {int(one.vm[3:]) // 3 for one in done.placements}
+    case.assertEqual(racks, {0, 1, 2})
+
+
+def test_accelerators_are_left_to_who_needs_them(case):
+    views = [make_view(0, data.Resources(4000, 8000, 2)), make_view(1)]
+    done = place([make_demand(count=2)], views)
+    case.assertEqual({one.vm for one in done.placements}, {'vm-01'})
+    size = data.Resources(1000, 1000, 1)
+    done = place([make_demand(resources=size)], views)
+    case.assertEqual(list_placed(done), [('0-plans.0', 'vm-00')])
+
+
+def test_quota_holds_a_team_back_and_no_other(case):
+    demands = [
+        make_demand('mine', count=3, importance=5),
+        make_demand('theirs', team='stock'),
+    ]
+    limits = {'lens': data.Resources(2000, 9000)}
+    done = place(demands, [make_view(0, data.Resources(9000, 9000))], limits)
+    names = [one.task for one in done.placements]
+    case.assertEqual(names, ['0-mine.0', '0-mine.1', '0-theirs.0'])
+    case.assertEqual(done.waiting[0].reason, placement.REASON_QUOTA)
+
+
+def test_what_can_never_run_is_told_with_what_would(case):
+    views = [make_view(0), make_view(1, data.Resources(2000, 16000))]
+    workload = fixtures.make_workload(resources=data.Resources(8000, 4000))
+    problem = placement.check_placeable(workload, views)
+    case.assertIn('4 processors, 4000 MB', problem.remedy)
+    fitting = fixtures.make_workload(resources=data.Resources(2000, 16000))
+    case.assertIsNone(placement.check_placeable(fitting, views))
+
+
+def test_never_is_not_said_before_all_have_told(case):
+    views = [make_view(0), make_view(1, data.Resources())]
+    workload = fixtures.make_workload(resources=data.Resources(8000, 4000))
+    case.assertIsNone(placement.check_placeable(workload, views))
+
+
+SIZES = strategies.builds(
+    data.Resources,
+    strategies.integers(1, 5000),
+    strategies.integers(1, 5000),
+    strategies.integers(0, 3),
+)
+
+
+def test_no_vm_is_ever_over_its_capacity(case):
+    @hypothesis.settings(derandomize=True, database=None, max_examples=150)
+    @hypothesis.given(
+        strategies.lists(SIZES, min_size=1, max_size=6),
+        strategies.lists(
+            strategies.tuples(SIZES, strategies.integers(1, 9)), max_size=8
+        ),
+    )
+    def check(capacities, jobs):
+        views = [make_view(n, size) for n, size in enumerate(capacities)]
+        demands = [
+            make_demand(f'job-{n}', count, resources=size)
+            for n, (size, count) in enumerate(jobs)
+        ]
+        done = place(demands, views)
+        for view in views:
+            case.assertTrue(view.reserved.fits(view.capacity))
+        placed = [one.task for one in done.placements]
+        case.assertEqual(len(placed), len(set(placed)))
+
+    check()
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/state_test.py
@@ -0,0 +1,143 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""The state follows the log, and comes back whole from a snapshot."""
+
+from portwharf.core import data
+from portwharf.scheduler import events
+from portwharf.scheduler import state
+from portwharf.testing import fixtures
+
+JOB = '0-job'
+SIZE = data.Resources(1000, 1000)
+
+
+def make_state(count=3, **fields):
+    """Return a state with one accepted workload."""
+    made = state.ShardState()
+    workload = fixtures.make_workload(count=count, **fields)
+    made.apply(events.WorkloadAccepted(JOB, workload.key, 5, workload))
+    return made
+
+
+def place(made, number, attempt=1, vm='vm-1'):
+    """Place a task and return its id."""
+    task = f'{JOB}.{number}'
+    made.apply(events.TaskPlaced(task, attempt, vm))
+    return task
+
+
+def count(made):
+    """Return the job's counts of states, without zeros."""
+    counts = made.count_states(made.workloads[JOB])
+    return {str(name): number for name, number in counts.items() if number}
+
+
+def test_tasks_wait_until_placed(case):
+    made = make_state()
+    case.assertEqual(count(made), {'waiting': 3})
+    place(made, 0)
+    case.assertEqual(count(made), {'waiting': 2, 'placed': 1})
+    case.assertEqual(made.reserved['vm-1'], SIZE)
+
+
+def test_ended_task_frees_its_room_and_keeps_its_result(case):
+    made = make_state()
+    task = place(made, 0)
+    made.apply(events.TaskEnded(task, 1, data.TaskState.SUCCEEDED, b'42'))
+    case.assertEqual(made.reserved['vm-1'], data.Resources())
+    case.assertEqual(made.tasks[task].result, b'42')
+
+
+def test_evicted_task_waits_with_its_checkpoint(case):
+    made = make_state()
+    task = place(made, 0)
+    made.apply(events.TaskEvicting(task, 1))
+    made.apply(events.TaskRequeued(task, 1, True, 'step-7'))
+    record = made.tasks[task]
+    case.assertEqual(record.state, data.TaskState.WAITING)
+    case.assertEqual((record.checkpoint, record.evictions), ('step-7', 1))
+
+
+def test_lost_task_keeps_an_older_checkpoint(case):
+    made = make_state()
+    task = place(made, 0)
+    made.apply(events.TaskRequeued(task, 1, True, 'step-7'))
+    place(made, 0, 2)
+    made.apply(events.TaskRequeued(task, 2))
+    case.assertEqual(made.tasks[task].checkpoint, 'step-7')
+
+
+def test_placing_a_placed_task_breaks_an_invariant(case):
+    made = make_state()
+    place(made, 0)
+    with case.assertRaises(RuntimeError):
+        place(made, 0, 2, 'vm-2')
+
+
+def test_cancelled_job_ends_with_its_last_task(case):
+    made = make_state()
+    task = place(made, 0)
+    made.apply(events.WorkloadCancelled(JOB))
+    record = made.workloads[JOB]
+    case.assertEqual(count(made), {'cancelled': 2, 'placed': 1})
+    case.assertFalse(made.has_ended(record))
+    made.apply(events.TaskRequeued(task, 1))
+    case.assertEqual(count(made), {'cancelled': 3})
+    case.assertTrue(made.has_ended(record))
+
+
+def test_shrunk_service_drops_its_last_replicas(case):
+    made = make_state(3, kind=data.Kind.SERVICE)
+    tasks = [place(made, number, vm=f'vm-{number}') for number in range(3)]
+    made.apply(events.WorkloadChanged(JOB, 2, 7))
+    made.apply(events.TaskRequeued(tasks[2], 1))
+    case.assertEqual(made.tasks[tasks[2]].state, data.TaskState.CANCELLED)
+    case.assertEqual(made.workloads[JOB].workload.importance, 7)
+
+
+def test_dropped_job_leaves_nothing(case):
+    made = make_state(1)
+    task = place(made, 0)
+    made.apply(events.TaskEnded(task, 1, data.TaskState.SUCCEEDED))
+    made.apply(events.WorkloadDropped(JOB))
+    case.assertEqual((made.workloads, made.tasks), ({}, {}))
+    case.assertIsNone(made.find_by_key('lens/plans'))
+
+
+def test_snapshot_comes_back_the_same(case):
+    made = make_state()
+    made.apply(events.OwnerChanged(4, 'vm-2', [fixtures.make_vm(2)]))
+    task = place(made, 0)
+    place(made, 1)
+    made.apply(events.TaskEnded(task, 1, data.TaskState.SUCCEEDED, b'42'))
+    made.apply(events.DecisionMade(events.Decision(1, 'placed', task)))
+    again = state.ShardState.unpack(made.pack())
+    case.assertEqual(again.pack(), made.pack())
+    case.assertEqual(again.reserved['vm-1'], SIZE)
+    case.assertEqual(again.epoch, 4)
+    case.assertEqual(again.find_by_key('lens/plans').id, JOB)
+
+
+def test_events_survive_writing(case):
+    rows = events.write_events([events.TaskPlaced('0-job.1', 2, 'vm-1')])
+    rows.append(['of-a-later-version', {'x': 1}])
+    case.assertEqual(
+        events.read_events(rows), [events.TaskPlaced('0-job.1', 2, 'vm-1')]
+    )
+
+
+def test_history_stays_in_its_budget(case):
+    history = state.History(budget=10_000)
+    for number in range(1000):
+        history.add(events.Decision(number, 'placed', f'0-job.{number}'))
+    kept = history.find(JOB)
+    case.assertEqual(kept[-1].unix_ms, 999)
+    case.assertLess(len(kept), 100)
+
+
+def test_history_finds_a_workloads_tasks_alone(case):
+    history = state.History()
+    for subject in (JOB, f'{JOB}.1', f'{JOB}x', f'{JOB}x.1'):
+        history.add(events.Decision(1, 'placed', subject))
+    found = [decision.subject for decision in history.find(JOB)]
+    case.assertEqual(found, [JOB, f'{JOB}.1'])
--- a/packages/side/portwharf/side/admission.py
+++ b/packages/side/portwharf/side/admission.py
@@ -23,6 +23,8 @@
 REASON_REPEATED = 'not-repeatable-and-seen-before'
 # Not-repeatable requests that are remembered, the latest ones.
 MEMORY_SIZE = 10_000
+# Answers of theirs that are kept whole; of larger ones the id alone.
+MAX_KEPT_BYTES = 4096
 
 
 @dataclasses.dataclass(slots=True)
@@ -110,7 +112,7 @@
             refused, reason = self._insert(job)
             self._changed.notify()
         if refused is not None:
-            refused.finish(self._refuse(reason))
+            refused.finish(self._refuse(refused, reason))
 
     def wait_until_idle(self, timeout):
         """Wait until nothing runs or waits.
@@ -125,7 +127,6 @@
         if self._draining:
             return job, REASON_LEAVING
         if not job.repeatable and not self._remember(job.request):
-            # The first sending may have run: this is no "not run".
             return job, REASON_REPEATED
         row = (job.deadline, next(self._numbers), job)
         heapq.heappush(self._heap, row)
@@ -148,9 +149,13 @@
             del self._seen[next(iter(self._seen))]
         return True
 
-    def _refuse(self, reason):
+    def _refuse(self, job, reason):
         if reason == REASON_REPEATED:
-            return Verdict(data.Outcome.UNKNOWN, reason)
+            # The first sending may have run: this is no "not run".
+            unknown = Verdict(data.Outcome.UNKNOWN, reason)
+            return self._seen.get(job.request) or unknown
+        if not job.repeatable:
+            self._forget(job)
         wait = 0
         if reason == REASON_QUEUE:
             turns = (self._limit + self._slots) / self._slots
@@ -166,7 +171,9 @@
                 job = heapq.heappop(self._heap)[2]
                 self._running += 1
             try:
-                job.finish(self._run(job))
+                verdict = self._run(job)
+                self._keep(job, verdict)
+                job.finish(verdict)
             finally:
                 with self._changed:
                     self._running -= 1
@@ -193,6 +200,19 @@
 
     def _forgive(self, job, reason):
         """Answer "not run", and forget that the request was here."""
+        self._forget(job)
+        return Verdict(reason=reason)
+
+    def _forget(self, job):
         with self._changed:
             self._seen.pop(job.request, None)
-        return Verdict(reason=reason)
+
+    def _keep(self, job, verdict):
+        """Keep a not-repeatable request's answer for its next sending."""
+        if job.repeatable or verdict.outcome == data.Outcome.NOT_RUN:
+            return
+        if len(verdict.payload) > MAX_KEPT_BYTES:
+            return
+        with self._changed:
+            if job.request in self._seen:
+                self._seen[job.request] = verdict
--- /dev/null
+++ b/packages/side/portwharf/side/settings_test.py
@@ -0,0 +1,57 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""The side's settings: the examples are good, mistakes are named."""
+
+import pathlib
+import tempfile
+
+from portwharf.side import settings
+
+EXAMPLES = pathlib.Path(__file__).parents[4] / 'examples'
+GOOD = (EXAMPLES / 'side.toml').read_text()
+
+
+def read(case, text):
+    """Read settings from a text."""
+    folder = case.enterContext(tempfile.TemporaryDirectory())
+    path = pathlib.Path(folder) / 'side.toml'
+    path.write_text(text)
+    return settings.read_settings(path)
+
+
+def list_fields(case, text):
+    """Return the fields that a text has problems in."""
+    return {problem.field for problem in read(case, text).err_value}
+
+
+def test_example_is_good(case):
+    cfg = read(case, GOOD).ok_value
+    case.assertEqual(cfg.vm.name, 'vm-00')
+    case.assertEqual(cfg.runner.slots, 8)
+    case.assertIsNotNone(cfg.tls)
+
+
+def test_mistakes_are_found_together(case):
+    text = GOOD.replace('port = 7100', 'port = 71000')
+    text = text.replace('address = "10.0.0.2"', 'adress = "10.0.0.2"')
+    case.assertEqual(
+        list_fields(case, text), {'vm.port', 'store.adress', 'store.address'}
+    )
+
+
+def test_plain_text_has_to_be_asked_for(case):
+    head, _, _ = GOOD.partition('[tls]')
+    case.assertEqual(list_fields(case, head + '[tls]\n'), {'tls'})
+    made = read(case, head + '[tls]\nplaintext = true\n').ok_value
+    case.assertIsNone(made.tls)
+
+
+def test_limits_have_to_go_together(case):
+    text = GOOD + '[limits]\nheartbeat_seconds = 2.0\n'
+    case.assertEqual(list_fields(case, text), {'limits.confirm_seconds'})
+
+
+def test_side_needs_a_worker_or_a_runner(case):
+    head, _, rest = GOOD.partition('[worker]')
+    text = head + '[tls]' + rest.partition('[tls]')[2]
+    case.assertEqual(list_fields(case, text), {''})
--- a/packages/testing/portwharf/testing/suite.py
+++ b/packages/testing/portwharf/testing/suite.py
@@ -10,6 +10,7 @@
 
 import importlib
 import inspect
+import logging
 import pathlib
 import sys
 import unittest
@@ -52,6 +53,8 @@
 
 def main():
     """Run the tests; exit code 0 only if all passed."""
+    # Faults are brought about on purpose; what is logged of them is noise.
+    logging.lastResort = None
     suite = load_tests(sys.argv[1:])
     outcome = unittest.TextTestRunner(verbosity=1).run(suite)
     failed = len(outcome.failures) + len(outcome.errors)
