--- a/packages/entry/portwharf/entry/links.py
+++ b/packages/entry/portwharf/entry/links.py
@@ -9,18 +9,14 @@
 
 import dataclasses
 import itertools
-import logging
 import threading
 
 import xxhash
 
 from portwharf.core import data
-from portwharf.core import logs
 from portwharf.peers import messages
 from portwharf.peers import streams
 
-LOG = logging.getLogger(__name__)
-
 _REDIAL_SECONDS = 0.5
 _BEAT_SECONDS = 2.0
 
@@ -180,8 +176,7 @@
             try:
                 self._talk()
             except streams.PeerError as exc:
-                extra = logs.fields(peer=self.name)
-                LOG.debug('link: %s', exc, extra=extra)
+                streams.log_end(exc, self.name)
             self._lose_all()
             self._stop.wait(_REDIAL_SECONDS)
 
@@ -230,7 +225,7 @@
             exchange.take(message)
             self._forget(message.id)
         else:
-            raise streams.PeerError(f'unexpected {type(message).__name__}')
+            raise streams.GarbledError(f'unexpected {type(message).__name__}')
 
 
 class LinkTable:
--- a/packages/peers/portwharf/peers/messages.py
+++ b/packages/peers/portwharf/peers/messages.py
@@ -48,6 +48,8 @@
     # Processors used on average lately, in thousandths.
     cpu_milli: int = 0
     memory_mb: int = 0
+    # The worker itself would not start it, as told from the side.
+    at_worker: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -155,6 +157,17 @@
     percent: int = 100
 
 
+@dataclasses.dataclass(slots=True)
+class Resignation:
+    """From an owner that is stopping: it decides nothing any more.
+
+    :param successor: the VM that should take over at once, or ''
+    """
+
+    epoch: int = 0
+    successor: str = ''
+
+
 @dataclasses.dataclass(slots=True)
 class ConfigUpdate:
     """A configuration and its revision, down from owners and entries."""
@@ -289,6 +302,7 @@
     'start': StartTask,
     'stop': StopTask,
     'throttle': ThrottleTask,
+    'resign': Resignation,
     'config': ConfigUpdate,
     'state': SideState,
     'request': Request,
--- a/packages/peers/portwharf/peers/streams.py
+++ b/packages/peers/portwharf/peers/streams.py
@@ -39,6 +39,10 @@
     """The connection is over; the text says why."""
 
 
+class GarbledError(PeerError):
+    """The peer sent what no peer of ours would."""
+
+
 class Connection:
     """One stream of messages; a context manager that closes it."""
 
@@ -116,8 +120,10 @@
                 self._unpacker.feed(raw)
         except TimeoutError as exc:
             raise PeerError('silent for too long') from exc
-        except (OSError, ValueError, msgpack.UnpackException) as exc:
+        except OSError as exc:
             raise PeerError(f'cannot read: {exc}') from exc
+        except (ValueError, msgpack.UnpackException) as exc:
+            raise GarbledError(f'cannot read: {exc}') from exc
 
     def _set_idle(self, seconds):
         self._sock.settimeout(max(seconds, SEND_SECONDS))
@@ -192,7 +198,7 @@
             with conn:
                 self._handle(conn)
         except PeerError as exc:
-            LOG.debug('connection over: %s', exc, extra=logs.fields(peer=peer))
+            log_end(exc, peer)
         except Exception:
             # A fault of ours, but one that this connection alone met.
             LOG.exception('connection failed', extra=logs.fields(peer=peer))
@@ -207,6 +213,14 @@
         return self._context.wrap_socket(sock, server_side=True)
 
 
+def log_end(exc, peer):
+    """Log why a connection is over, louder if it should never happen."""
+    level = logging.DEBUG
+    if isinstance(exc, GarbledError):
+        level = logging.WARNING
+    LOG.log(level, 'connection over: %s', exc, extra=logs.fields(peer=peer))
+
+
 def dial(address, port, context=None):
     """Connect to a peer.
 
@@ -239,9 +253,9 @@
     :raises PeerError: it is not
     """
     if not isinstance(message, messages.Hello):
-        raise PeerError(f'no greeting but {type(message).__name__}')
+        raise GarbledError(f'no greeting but {type(message).__name__}')
     if message.version != messages.PROTOCOL_VERSION:
-        raise PeerError(
+        raise GarbledError(
             f'protocol version {message.version}, '
             f'this is {messages.PROTOCOL_VERSION}'
         )
@@ -254,14 +268,14 @@
     :raises PeerError: the frame is garbled
     """
     if not isinstance(frame, list) or len(frame) != 2:
-        raise PeerError('garbled frame')
+        raise GarbledError('garbled frame')
     kind, fields = frame
     if not isinstance(kind, str):
-        raise PeerError('garbled kind')
+        raise GarbledError('garbled kind')
     cls = messages.KINDS.get(kind)
     if cls is None:
         return None
     try:
         return codec.from_map(cls, fields)
     except (TypeError, ValueError) as exc:
-        raise PeerError(f'garbled {kind}: {exc}') from exc
+        raise GarbledError(f'garbled {kind}: {exc}') from exc
--- a/packages/scheduler/portwharf/scheduler/guard.py
+++ b/packages/scheduler/portwharf/scheduler/guard.py
@@ -23,6 +23,7 @@
         self._forgetful = True
         self._valid_until = 0.0
         self._heard = None
+        self._called = 0
         self._held_off = clock.read_monotonic()
 
     @property
@@ -108,6 +109,20 @@
             silence = self._clock.read_monotonic() - self._heard
             return silence < self._limits.takeover
 
+    def accept_resignation(self, epoch, ours):
+        """Take that an owner stops.
+
+        :param ours: this side is asked to take over at once
+        """
+        with self._lock:
+            if epoch == self._epoch:
+                self._called = epoch if ours else 0
+                self._held_off = self._clock.read_monotonic()
+
+    def is_called(self):
+        """Tell whether the last owner has asked this side to follow it."""
+        return 0 < self._called == self._epoch
+
     def hold_off(self):
         """Begin the wait for an owner afresh."""
         with self._lock:
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/health_test.py
@@ -0,0 +1,63 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Bad workers and bad jobs are told apart."""
+
+from portwharf.scheduler import health
+
+VM = 'vm-1'
+
+
+def fail(made, workloads, now=0.0):
+    """Have attempts of workloads fail; returns the last outcome."""
+    outcomes = [made.note_failure(VM, name, now) for name in workloads]
+    return outcomes[-1]
+
+
+def test_one_bad_job_does_not_condemn_a_worker(case):
+    made = health.Health()
+    case.assertFalse(fail(made, ['a'] * 50))
+    case.assertFalse(made.is_quarantined(VM, 0.0))
+
+
+def test_worker_that_fails_everything_is_left_alone(case):
+    made = health.Health()
+    case.assertTrue(fail(made, ['a', 'a', 'b', 'b']))
+    case.assertTrue(made.is_quarantined(VM, 1.0))
+    case.assertFalse(made.is_quarantined('vm-2', 1.0))
+
+
+def test_success_between_clears_it(case):
+    made = health.Health()
+    fail(made, ['a', 'b', 'c'])
+    made.note_success(VM)
+    case.assertFalse(fail(made, ['a', 'b', 'c']))
+
+
+def test_probe_that_fails_makes_it_longer(case):
+    made = health.Health()
+    fail(made, ['a', 'a', 'b', 'b'])
+    end = health.FIRST_SECONDS
+    case.assertFalse(made.is_quarantined(VM, end))
+    case.assertTrue(made.is_probed(VM, end))
+    case.assertTrue(fail(made, ['c'], end))
+    later = end + 2 * health.FIRST_SECONDS
+    case.assertTrue(made.is_quarantined(VM, later - 0.1))
+    case.assertFalse(made.is_quarantined(VM, later))
+
+
+def test_probe_that_succeeds_releases_it(case):
+    made = health.Health()
+    fail(made, ['a', 'a', 'b', 'b'])
+    made.note_success(VM)
+    case.assertFalse(made.is_quarantined(VM, 0.0))
+    case.assertFalse(made.is_probed(VM, 100.0))
+
+
+def test_workload_keeps_away_from_where_it_failed(case):
+    made = health.Health()
+    made.note_refusal(VM, 'a', 0.0)
+    case.assertEqual(made.list_avoided('a', 1.0), {VM})
+    case.assertEqual(made.list_avoided('b', 1.0), set())
+    case.assertEqual(made.list_avoided('a', health.AVOID_SECONDS), set())
+    made.note_refusal(VM, 'a', 10.0)
+    case.assertEqual(made.list_avoided('a', 13.9), {VM})
--- a/packages/scheduler/portwharf/scheduler/members.py
+++ b/packages/scheduler/portwharf/scheduler/members.py
@@ -9,16 +9,12 @@
 """
 
 import dataclasses
-import logging
 import threading
 
 from portwharf.core import data
-from portwharf.core import logs
 from portwharf.peers import messages
 from portwharf.peers import streams
 
-LOG = logging.getLogger(__name__)
-
 _REDIAL_SECONDS = 0.5
 
 
@@ -91,8 +87,7 @@
             try:
                 self._talk()
             except streams.PeerError as exc:
-                extra = logs.fields(peer=self.name)
-                LOG.debug('member: %s', exc, extra=extra)
+                streams.log_end(exc, self.name)
             self.detach()
             self._stop.wait(_REDIAL_SECONDS)
 
@@ -121,13 +116,17 @@
         """Take one message of the side's."""
         if isinstance(message, messages.Heartbeat):
             self._hear(message)
-            grant = self._owner.make_grant(self.name, message.side_ms)
+            # A side that does not acknowledge our epoch, as it has just
+            # restarted, gets no grant.
+            ours = message.epoch == self._owner.epoch
+            side_ms = message.side_ms if ours else 0
+            grant = self._owner.make_grant(self.name, side_ms)
             conn.send(grant)
             self.view.granted = grant.valid
         elif isinstance(message, messages.Reports):
             self._owner.take_reports(self, message)
         else:
-            raise streams.PeerError(f'unexpected {type(message).__name__}')
+            raise streams.GarbledError(f'unexpected {type(message).__name__}')
 
     def _hear(self, beat):
         view = self.view
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -0,0 +1,177 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""An owner's members: links to them, what they report, who comes and goes.
+
+The member list itself is in the shard's log; here is what the present
+owner has seen of the members in its own time.
+"""
+
+from portwharf.core import data
+from portwharf.peers import messages
+from portwharf.scheduler import events
+from portwharf.scheduler import placement
+from portwharf.scheduler import planning
+
+# What a new owner gives its members at the most to report.
+SETTLE_SECONDS = 2.0
+VMLIST_SECONDS = 5.0
+
+CLOSED_UNREACHABLE = 'unreachable'
+CLOSED_NOT_READY = 'not-ready-yet'
+CLOSED_LEAVING = 'leaving'
+CLOSED_QUARANTINED = 'quarantined'
+
+
+class Membership:
+    """The members of one shard, as its owner sees them."""
+
+    def __init__(self, env, state, grant_table, health):
+        """Take an ``owner.Environment`` and what the owner knows.
+
+        :param health: a ``health.Health`` of the shard's workers
+        """
+        self._env = env
+        self._state = state
+        self._grants = grant_table
+        self._health = health
+        self._links = {}
+        self._listed = {}
+        self._listed_at = {}
+        self._next_listing = 0.0
+        self._began = env.clock.read_monotonic()
+
+    def close(self):
+        """End all links."""
+        for link in self._links.values():
+            link.__exit__(None, None, None)
+        self._links = {}
+
+    def list_links(self):
+        """Return the links as they are now."""
+        return list(self._links.values())
+
+    def get_link(self, name):
+        """Return the link to a member, or None."""
+        return self._links.get(name)
+
+    def sync_links(self, owner):
+        """Have one link for each member of the state.
+
+        :param owner: what the links call
+        """
+        wanted = dict(self._state.members)
+        links = dict(self._links)
+        ended = []
+        for name, link in self._links.items():
+            vm = wanted.get(name)
+            if vm is None or not planning.is_same_place(link.view.vm, vm):
+                ended.append(links.pop(name))
+        for name, vm in wanted.items():
+            if name not in links:
+                links[name] = self._env.make_link(vm, owner)
+                links[name].__enter__()
+        self._links = links
+        for link in ended:
+            link.__exit__(None, None, None)
+
+    def has_settled(self, now):
+        """Tell whether the members have had time to report.
+
+        A new owner that placed at once would put everything on the VMs
+        that happened to report first.
+        """
+        if now - self._began >= SETTLE_SECONDS:
+            return True
+        return all(link.view.granted for link in self.list_links())
+
+    def is_silent(self, name, now):
+        """Tell whether a member has not been heard for too long."""
+        link = self._links.get(name)
+        limit = self._env.limits.unreachable
+        if link is None or link.view.heard is None:
+            return now - self._began >= limit
+        return now - link.view.heard >= limit
+
+    def is_leaving(self, name):
+        """Tell whether the platform is about to take a VM away."""
+        listed = self._listed.get(name)
+        return listed is not None and listed.state != data.VmState.LIVE
+
+    def view_vms(self):
+        """Return all members as placement sees them."""
+        now = self._env.clock.read_monotonic()
+        views = []
+        for name, link in self._links.items():
+            view = placement.VmView(link.view.vm, link.view.capacity)
+            view.reserved = self._state.reserved[name]
+            view.closed = self._find_closed(name, link, now)
+            views.append(view)
+        return views
+
+    def pick_successor(self, now):
+        """Return the name of a member that can take over, or ''."""
+        for name, link in self._links.items():
+            usable = not self._find_closed(name, link, now)
+            if usable and name != self._env.name:
+                return name
+        return ''
+
+    def follow_vm_list(self, now):
+        """Read the VM list if it is time.
+
+        :returns: an event that changes the member list by one, or None
+        """
+        if now < self._next_listing:
+            return None
+        self._next_listing = now + VMLIST_SECONDS
+        answer = self._env.vmlist.read()
+        if answer.is_err():
+            return None
+        ours = planning.pick_members(answer.ok_value, self._env.shard)
+        self._listed = {vm.name: vm for vm in ours}
+        self._listed_at.update((vm.name, now) for vm in ours)
+        if not self._grants.has_majority(now):
+            # Only who has had a majority of the list may change it, so
+            # that two owners never reckon with lists that do not overlap.
+            return None
+        event = self._find_change(ours, now)
+        if event is not None:
+            self._next_listing = now
+        return event
+
+    def _find_change(self, ours, now):
+        for vm in ours:
+            known = self._state.members.get(vm.name)
+            if known is None or not planning.is_same_place(known, vm):
+                return events.MemberAdded(vm)
+        for name in self._state.members:
+            if self._is_gone(name, now) and not self._state.held[name]:
+                return events.MemberRemoved(name)
+        return None
+
+    def _is_gone(self, name, now):
+        """Tell whether a VM is silent and off the list for long enough."""
+        seen = self._listed_at.setdefault(name, now)
+        unlisted = now - seen >= self._env.limits.gone
+        return unlisted and self.is_silent(name, now)
+
+    def _find_closed(self, name, link, now):
+        """Return why a VM gets nothing new, or ''."""
+        if link.view.heard is None or self.is_silent(name, now):
+            return CLOSED_UNREACHABLE
+        if not (link.view.reported and link.view.granted):
+            return CLOSED_NOT_READY
+        if link.view.draining or self.is_leaving(name):
+            return CLOSED_LEAVING
+        if self._health.is_quarantined(name, now):
+            return CLOSED_QUARANTINED
+        return ''
+
+    def announce(self, message):
+        """Send a message to all members."""
+        for link in self.list_links():
+            link.send(message)
+
+    def make_resignation(self, epoch, now):
+        """Return the message that hands the shard over."""
+        return messages.Resignation(epoch, self.pick_successor(now))
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/metrics.py
@@ -0,0 +1,13 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""The metrics of an owner, for Prometheus."""
+
+import prometheus_client
+
+APPENDS = prometheus_client.Counter(
+    'portwharf_owner_appends',
+    'Appends to the shard log, those that stalled among them.',
+)
+PLACEMENTS = prometheus_client.Counter(
+    'portwharf_owner_placements', 'Tasks that were given a VM.'
+)
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -12,6 +12,7 @@
 
 import concurrent.futures
 import dataclasses
+import enum
 import logging
 import queue
 import random
@@ -26,26 +27,27 @@
 from portwharf.scheduler import configuration
 from portwharf.scheduler import events
 from portwharf.scheduler import grants
+from portwharf.scheduler import health
 from portwharf.scheduler import members
+from portwharf.scheduler import membership
+from portwharf.scheduler import metrics
 from portwharf.scheduler import operations
-from portwharf.scheduler import placement
 from portwharf.scheduler import planning
 from portwharf.scheduler import reconcile
 from portwharf.scheduler import shardlog
 
 LOG = logging.getLogger(__name__)
 
-# Events of one log entry, so that an entry stays under the store's limit.
-MAX_BATCH = 400
+# Items taken into one pass, so that an entry stays under the store's limit.
+MAX_ITEMS = 400
+# Events of one log entry.
+MAX_ENTRY_EVENTS = 1000
 SNAPSHOT_ENTRIES = 300
 STALL_SECONDS = 2.0
-# What a new owner gives its members at the most to report.
-SETTLE_SECONDS = 2.0
 OPERATION_SECONDS = 8.0
 _TICK_SECONDS = 0.25
 _RETRY_SECONDS = 0.2
 _MAX_RETRY_SECONDS = 3.0
-_VMLIST_SECONDS = 5.0
 _MS = 1000
 
 READS = {
@@ -61,6 +63,15 @@
 }
 
 
+class Step(enum.Enum):
+    """What became of one step of the deciding thread."""
+
+    DONE = 1
+    # The store has not confirmed the append; the next step tries again.
+    STALLED = 2
+    DEPOSED = 3
+
+
 @dataclasses.dataclass(slots=True)
 class Environment:
     """What an owner works with.
@@ -87,7 +98,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Reported:
+class Reported:
     """A side's reports, waiting to be judged."""
 
     link: object = None
@@ -95,7 +106,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Called:
+class Called:
     """An operator's changing call, waiting to be carried out."""
 
     fut: object = None
@@ -130,19 +141,20 @@
         self._state = state
         self._lock = threading.RLock()
         self._inbox = queue.SimpleQueue()
-        self._links = {}
         self._waiting = {}
         self._stop = threading.Event()
+        self._resigned = False
         self._suspect = threading.Event()
+        self._batch = None
         self._pending_since = None
         self._next_append = 0.0
-        self._snapshot_seq = log.next_seq
-        self._listed = []
-        self._listed_at = {}
-        self._next_listing = 0.0
         self._next_check = 0.0
-        self._began = env.clock.read_monotonic()
+        self._snapshot_seq = log.next_seq
+        self._health = health.Health()
         self._grants = grants.GrantTable(state.members, env.limits)
+        self._members = membership.Membership(
+            env, state, self._grants, self._health
+        )
         self._config = configuration.ConfigWatcher(env.kv, env.keeper)
         self.deposed = threading.Event()
         self._thread = threading.Thread(
@@ -150,26 +162,47 @@
         )
 
     def __enter__(self):
-        self._sync_links()
+        self._members.sync_links(self)
         self._thread.start()
         self._config.__enter__()
         return self
 
     def __exit__(self, *exc_info):
+        """End the role, handing it over if it is still ours."""
         self._stop.set()
         self._config.__exit__()
         self._inbox.put(None)
         self._thread.join()
-        with self._lock:
-            links = list(self._links.values())
-        for link in links:
-            link.__exit__(None, None, None)
+        if not self._resigned and self._batch is None:
+            self.resign()
+        self._members.close()
 
     @property
     def epoch(self):
         """The epoch that this owner owns the shard under."""
         return self._state.epoch
 
+    @property
+    def stalled(self):
+        """Whether an append is under way that has to be tried again."""
+        return self._batch is not None
+
+    def list_links(self):
+        """Return the links to the members."""
+        return self._members.list_links()
+
+    def resign(self):
+        """Tell the members that we stop, and who should follow.
+
+        Called when the deciding thread has ended or is the caller, with no
+        append under way.
+        """
+        self._resigned = True
+        now = self.read_clock()
+        message = self._members.make_resignation(self.epoch, now)
+        self._members.announce(message)
+        LOG.info('resigned to %s', message.successor, extra=self._extra())
+
     # What the members' links call, each from its own thread.
 
     def dial(self, vm):
@@ -212,9 +245,7 @@
 
     def tell_config(self):
         """Pass the configuration in force down to the sides."""
-        update = self.make_config()
-        for link in list(self._links.values()):
-            link.send(update)
+        self._members.announce(self.make_config())
 
     def note_epoch(self, epoch):
         """Look at the log if a member knows a higher epoch than ours."""
@@ -223,7 +254,7 @@
 
     def take_reports(self, link, message):
         """Queue a side's reports."""
-        self._inbox.put(_Reported(link, message))
+        self._inbox.put(Reported(link, message))
 
     # What entries call, each from its connection's thread.
 
@@ -258,7 +289,7 @@
         :returns: Ok(a plain class of ``operations``), or Err(Problem)
         """
         with self._lock:
-            views = self._view_vms()
+            views = self._members.view_vms()
             if method == 'list-workloads':
                 listed = operations.list_workloads(self._state, query, views)
                 return result.Ok(listed)
@@ -273,36 +304,48 @@
 
         :returns: Ok(a plain class of ``operations``), or Err(Problem)
         """
-        if self._is_stalled():
+        if self.deposed.is_set() or self._is_stalled():
             return result.Err(_describe_stall())
-        fut = concurrent.futures.Future()
-        self._inbox.put(_Called(fut, method, call))
+        called = Called(concurrent.futures.Future(), method, call)
+        self.take_call(called)
         try:
-            answer = fut.result(OPERATION_SECONDS)
+            answer = called.fut.result(OPERATION_SECONDS)
         except concurrent.futures.TimeoutError:
-            if fut.cancel():
+            if called.fut.cancel():
                 return result.Err(_describe_stall())
             return result.Err(_describe_unknown())
         if isinstance(answer, data.Problem):
             return result.Err(answer)
         return result.Ok(answer)
 
+    def take_call(self, called):
+        """Queue an operator's changing call."""
+        self._inbox.put(called)
+
     # The deciding thread.
 
     def _run(self):
-        extra = logs.fields(shard=self._env.shard, epoch=self.epoch)
-        LOG.info('owner begins', extra=extra)
+        LOG.info('owner begins', extra=self._extra())
+        wait = _RETRY_SECONDS
         try:
             while not self._stop.is_set():
-                if not self.step(self._take_inbox()):
+                step = self.step(self._wait_for_items())
+                if step is Step.DEPOSED:
                     break
+                if step is Step.DONE:
+                    wait = _RETRY_SECONDS
+                    continue
+                self._stop.wait(wait * random.uniform(0.5, 1.0))
+                wait = min(2 * wait, _MAX_RETRY_SECONDS)
         finally:
             self.deposed.set()
             self._refuse_inbox()
-            LOG.info('owner ends', extra=extra)
+            LOG.info('owner ends', extra=self._extra())
 
-    def _take_inbox(self):
+    def _wait_for_items(self):
         """Return what has come in, waiting a tick for the first."""
+        if self._batch is not None:
+            return []
         items = []
         try:
             items.append(self._inbox.get(timeout=_TICK_SECONDS))
@@ -311,40 +354,55 @@
         wait = self._next_append - self.read_clock()
         if wait > 0:
             self._stop.wait(wait)
-        while len(items) < MAX_BATCH and not self._inbox.empty():
+        return items + self.take_items()
+
+    def take_items(self):
+        """Return what has come in, without waiting."""
+        items = []
+        while len(items) < MAX_ITEMS and not self._inbox.empty():
             items.append(self._inbox.get())
-        return [item for item in items if item is not None]
+        return items
 
     def step(self, items=()):
         """Decide on what has come in, log it, then act.
 
-        Called by the deciding thread alone, or by a test in its place.
+        An append that has stalled is tried again before anything new is
+        decided; ``items`` must be empty then. Called by the deciding
+        thread alone, or by a test in its place.
 
-        :returns: False when this process is no longer the owner
+        :returns: a :class:`Step`
         """
-        if not self._confirm():
-            return False
+        if self._batch is None:
+            if not self._confirm():
+                self.deposed.set()
+                return Step.DEPOSED
+            self._members.sync_links(self)
+            self._batch = self._decide(items)
+        step = self._commit()
+        if step is Step.DEPOSED:
+            self.deposed.set()
+        if step is Step.DONE:
+            batch, self._batch = self._batch, None
+            for effect in batch.effects:
+                effect()
+            self._snapshot()
+        return step
+
+    def _decide(self, items):
+        """Work out events and what is done after them."""
         batch = _Batch()
         with self._lock:
             for item in items:
-                self._handle(item, batch)
-            self._follow_vm_list(batch)
+                if isinstance(item, Reported):
+                    self._judge(item, batch)
+                elif item is not None:
+                    self._carry_out(item, batch)
+            self._change_members(batch)
             self._requeue_lost(batch)
+            self._empty_leaving(batch)
             self._place(batch)
             self._drop_old(batch)
-        if batch.events and not self._append(batch.events):
-            return False
-        for effect in batch.effects:
-            effect()
-        self._sync_links()
-        self._snapshot()
-        return True
-
-    def _handle(self, item, batch):
-        if isinstance(item, _Reported):
-            self._judge(item, batch)
-        else:
-            self._carry_out(item, batch)
+        return batch
 
     def _judge(self, item, batch):
         """Take in a side's reports."""
@@ -359,6 +417,7 @@
                 verdict.commands.append(command)
             item.link.view.reported = True
         for report in item.message.reports:
+            self._note_health(name, report)
             reconcile.judge_report(self._state, name, report, verdict)
         batch.events.extend(verdict.events)
         for command in verdict.commands:
@@ -366,13 +425,28 @@
         if verdict.forget:
             batch.send(item.link, messages.ForgetTasks(verdict.forget))
 
+    def _note_health(self, vm, report):
+        """Learn from an ended attempt whether its worker is sound."""
+        task = self._state.tasks.get(report.task)
+        if task is None or (task.vm, task.attempt) != (vm, report.attempt):
+            return
+        workload = self._state.find_workload(task.id).id
+        now = self.read_clock()
+        if report.state == data.RunState.SUCCEEDED:
+            self._health.note_success(vm)
+        elif report.state == data.RunState.FAILED or report.at_worker:
+            if self._health.note_failure(vm, workload, now):
+                LOG.warning('quarantined', extra=logs.fields(vm=vm))
+        elif report.state == data.RunState.REFUSED:
+            self._health.note_refusal(vm, workload, now)
+
     def _carry_out(self, item, batch):
         """Carry out an operator's changing call, if it still waits."""
         if not item.fut.set_running_or_notify_cancel():
             return
         now_ms = self._env.clock.read_unix_ms()
         if item.method == 'submit':
-            views = self._view_vms()
+            views = self._members.view_vms()
             step = operations.submit(
                 self._state, item.arguments, views, self._env.shard, now_ms
             )
@@ -386,20 +460,67 @@
         batch.events.extend(step.ok_value.events)
         for task in step.ok_value.stop:
             command = reconcile.make_stop(self._state, task, False)
-            batch.send(self._links.get(task.vm), command)
+            batch.send(self._members.get_link(task.vm), command)
         batch.answer(item.fut, step.ok_value.answer)
 
+    def _change_members(self, batch):
+        """Change the member list by one VM, if the VM list says so."""
+        event = self._members.follow_vm_list(self.read_clock())
+        if event is not None:
+            self._add(batch, event)
+            self._grants.set_members(self._state.members)
+
+    def _requeue_lost(self, batch):
+        """Queue the tasks of silent VMs again, once that is safe."""
+        now = self.read_clock()
+        now_ms = self._env.clock.read_unix_ms()
+        for name in list(self._state.held):
+            held = list(self._state.held[name].values())
+            if not held or not self._members.is_silent(name, now):
+                continue
+            safe = self._grants.may_replace(name, now)
+            for task in held:
+                workload = self._state.find_workload(task.id).workload
+                if workload.exclusive and not safe:
+                    continue
+                event = events.TaskRequeued(task.id, task.attempt)
+                self._add(batch, event)
+                decision = planning.explain_loss(task, name, now_ms)
+                self._add(batch, events.DecisionMade(decision))
+
+    def _empty_leaving(self, batch):
+        """Move tasks away from VMs that the platform will take away."""
+        now_ms = self._env.clock.read_unix_ms()
+        for link in self._members.list_links():
+            if not self._members.is_leaving(link.name):
+                continue
+            for task in list(self._state.held[link.name].values()):
+                if task.state == data.TaskState.PLACED:
+                    reason = planning.REASON_LEAVING
+                    self._evict(task, reason, now_ms, batch)
+
+    def _evict(self, task, reason, now_ms, batch):
+        """Have an attempt saved and stopped, to run again elsewhere."""
+        self._add(batch, events.TaskEvicting(task.id, task.attempt))
+        decision = planning.explain_eviction(task, reason, now_ms)
+        self._add(batch, events.DecisionMade(decision))
+        command = reconcile.make_stop(self._state, task, True)
+        batch.send(self._members.get_link(task.vm), command)
+
     def _place(self, batch):
         """Place waiting tasks."""
         now = self.read_clock()
-        views = self._view_vms()
-        if not self._grants.may_grant(now) or not self._has_settled(now):
+        views = self._members.view_vms()
+        if not self._grants.may_grant(now):
+            return
+        if not self._members.has_settled(now):
             return
         done = planning.plan(
             self._state,
             views,
             self._env.keeper.read().quotas,
             self._env.clock.read_unix_ms(),
+            lambda workload: self._health.list_avoided(workload, now),
         )
         self._waiting = {d.subject: d for d in done.waiting}
         for placed in done.placements:
@@ -408,120 +529,20 @@
             self._add(batch, events.DecisionMade(placed.decision))
             task = self._state.tasks[placed.task]
             command = reconcile.make_start(self._state, task)
-            batch.send(self._links.get(placed.vm), command)
-
-    def _requeue_lost(self, batch):
-        """Queue the tasks of silent VMs again, once that is safe."""
-        now = self.read_clock()
-        now_ms = self._env.clock.read_unix_ms()
-        for name in list(self._state.held):
-            if not self._state.held[name] or not self._is_silent(name, now):
-                continue
-            safe = self._grants.may_replace(name, now)
-            for task in list(self._state.held[name].values()):
-                workload = self._state.find_workload(task.id).workload
-                if workload.exclusive and not safe:
-                    continue
-                event = events.TaskRequeued(task.id, task.attempt)
-                self._add(batch, event)
-                decision = planning.explain_loss(task, name, now_ms)
-                self._add(batch, events.DecisionMade(decision))
+            batch.send(self._members.get_link(placed.vm), command)
+        metrics.PLACEMENTS.inc(len(done.placements))
 
     def _drop_old(self, batch):
         """Drop workloads that ended long ago."""
         now_ms = self._env.clock.read_unix_ms()
         for workload_id in planning.find_old(self._state, now_ms):
             self._add(batch, events.WorkloadDropped(workload_id))
+            self._health.drop_workload(workload_id)
 
     def _add(self, batch, event):
         self._state.apply(event)
         batch.events.append(event)
 
-    # Members.
-
-    def _follow_vm_list(self, batch):
-        """Change the member list by one VM, if the VM list says so."""
-        now = self.read_clock()
-        if now < self._next_listing:
-            return
-        self._next_listing = now + _VMLIST_SECONDS
-        listed = self._env.vmlist.read()
-        if listed.is_err() or not self._grants.has_majority(now):
-            return
-        ours = planning.pick_members(listed.ok_value, self._env.shard)
-        self._listed = ours
-        self._listed_at.update((vm.name, now) for vm in ours)
-        event = self._find_member_change(ours, now)
-        if event is not None:
-            self._add(batch, event)
-            self._grants.set_members(self._state.members)
-            self._next_listing = now
-
-    def _find_member_change(self, ours, now):
-        for vm in ours:
-            known = self._state.members.get(vm.name)
-            if known is None or not planning.is_same_place(known, vm):
-                return events.MemberAdded(vm)
-        for name in self._state.members:
-            seen = self._listed_at.setdefault(name, now)
-            absent = now - seen >= self._env.limits.gone
-            if absent and self._is_silent(name, now):
-                if not self._state.held[name]:
-                    return events.MemberRemoved(name)
-        return None
-
-    def _sync_links(self):
-        """Have one link for each member."""
-        with self._lock:
-            wanted = dict(self._state.members)
-            links = dict(self._links)
-        for name, link in links.items():
-            vm = wanted.get(name)
-            if vm is None or not planning.is_same_place(link.view.vm, vm):
-                del self._links[name]
-                link.__exit__(None, None, None)
-        for name, vm in wanted.items():
-            if name not in self._links:
-                link = self._env.make_link(vm, self)
-                self._links[name] = link
-                link.__enter__()
-
-    def _has_settled(self, now):
-        """Tell whether the members have had time to report.
-
-        A new owner that placed at once would put everything on the VMs
-        that happened to report first.
-        """
-        if now - self._began >= SETTLE_SECONDS:
-            return True
-        links = list(self._links.values())
-        return all(link.view.granted for link in links)
-
-    def _is_silent(self, name, now):
-        link = self._links.get(name)
-        if link is None or link.view.heard is None:
-            return now - self._began >= self._env.limits.unreachable
-        return now - link.view.heard >= self._env.limits.unreachable
-
-    def _view_vms(self):
-        """Return all members as placement sees them."""
-        now = self.read_clock()
-        leaving = {
-            vm.name for vm in self._listed if vm.state != data.VmState.LIVE
-        }
-        views = []
-        for name, link in self._links.items():
-            view = placement.VmView(link.view.vm, link.view.capacity)
-            view.reserved = self._state.reserved[name]
-            if self._is_silent(name, now) or link.view.heard is None:
-                view.closed = 'unreachable'
-            elif not (link.view.reported and link.view.granted):
-                view.closed = 'not-ready-yet'
-            elif link.view.draining or name in leaving:
-                view.closed = 'leaving'
-            views.append(view)
-        return views
-
     def _report_shard(self, views):
         """Return what operators see of the shard."""
         report = operations.ShardReport(
@@ -544,7 +565,7 @@
                     view.capacity,
                     view.reserved,
                     len(self._state.held[name]),
-                    self._links[name].view.config_revision,
+                    self._members.get_link(name).view.config_revision,
                 )
             )
         return report
@@ -573,39 +594,33 @@
         LOG.warning('deposed, by the log', extra=self._extra())
         return False
 
-    def _append(self, logged):
-        """Append events, for as long as it takes.
-
-        :returns: False when another process owns the shard
-        """
-        for at in range(0, len(logged), MAX_BATCH):
-            if not self._append_piece(logged[at : at + MAX_BATCH]):
-                return False
-        return True
-
-    def _append_piece(self, piece):
-        wait = _RETRY_SECONDS
-        self._pending_since = self.read_clock()
-        while True:
-            sent = self.read_clock()
-            answer = self._log.append(piece)
-            if answer.is_ok():
-                break
-            if isinstance(answer.err_value, shardlog.Deposed):
-                LOG.warning('deposed, by an append', extra=self._extra())
-                return False
-            LOG.warning(
-                'append stalled: %s',
-                answer.err_value.text,
-                extra=self._extra(),
-            )
-            if self._stop.wait(wait * random.uniform(0.5, 1.0)):
-                return False
-            wait = min(2 * wait, _MAX_RETRY_SECONDS)
-        self._pending_since = None
-        self._grants.record_store(sent)
-        self._next_append = sent + self._env.append_interval
-        return True
+    def _commit(self):
+        """Append the batch's events, as many entries as they need."""
+        rest = self._batch.events
+        while rest:
+            piece = rest[:MAX_ENTRY_EVENTS]
+            step = self._append(piece)
+            if step is not Step.DONE:
+                return step
+            del rest[: len(piece)]
+        return Step.DONE
+
+    def _append(self, piece):
+        sent = self.read_clock()
+        self._pending_since = self._pending_since or sent
+        answer = self._log.append(piece)
+        metrics.APPENDS.inc()
+        if answer.is_ok():
+            self._pending_since = None
+            self._grants.record_store(sent)
+            self._next_append = sent + self._env.append_interval
+            return Step.DONE
+        error = answer.err_value
+        if isinstance(error, shardlog.Deposed):
+            LOG.warning('deposed, by an append', extra=self._extra())
+            return Step.DEPOSED
+        LOG.warning('append stalled: %s', error.text, extra=self._extra())
+        return Step.STALLED
 
     def _snapshot(self):
         """Write a snapshot now and then."""
@@ -626,9 +641,8 @@
 
     def _refuse_inbox(self):
         """Answer the calls that will not be carried out any more."""
-        while not self._inbox.empty():
-            item = self._inbox.get()
-            if isinstance(item, _Called):
+        for item in self.take_items():
+            if isinstance(item, Called):
                 if item.fut.set_running_or_notify_cancel():
                     item.fut.set_result(_describe_stall())
 
--- a/packages/scheduler/portwharf/scheduler/placement.py
+++ b/packages/scheduler/portwharf/scheduler/placement.py
@@ -60,12 +60,14 @@
 
     :param tasks: ids of the waiting tasks, in order
     :param attempts: the number of the next attempt of each
+    :param avoided: VM names that its tasks keep away from
     :param placed: VM names where its tasks are, with how many
     """
 
     record: object = None
     tasks: list = dataclasses.field(default_factory=list)
     attempts: list = dataclasses.field(default_factory=list)
+    avoided: set = dataclasses.field(default_factory=set)
     placed: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -239,6 +241,8 @@
         if lonely and not reason and demand.placed[view.vm.name]:
             # One runner a VM: a second replica there would add nothing.
             reason = 'replica-there-already'
+        elif not reason and view.vm.name in demand.avoided:
+            reason = 'failed-there-lately'
         if reason:
             choice.refusals[reason] += 1
             continue
--- a/packages/scheduler/portwharf/scheduler/planning.py
+++ b/packages/scheduler/portwharf/scheduler/planning.py
@@ -20,13 +20,16 @@
 _MS = 1000
 
 REASON_LOST = 'vm-lost'
+REASON_LEAVING = 'vm-is-leaving'
 
 
-def plan(state, views, quotas, now_ms):
+def plan(state, views, quotas, now_ms, list_avoided):
     """Choose places for waiting tasks.
 
     :param views: list of ``placement.VmView``; their ``reserved`` changes
     :param quotas: map of team to Resources
+    :param list_avoided: function from a workload's id to the names of VMs
+        that it keeps away from
     :returns: a ``placement.Pass``
     """
     demands = [
@@ -36,6 +39,8 @@
     ]
     if not demands:
         return placement.Pass()
+    for demand in demands:
+        demand.avoided = list_avoided(demand.record.id)
     used = placement.Quotas(quotas, sum_by_team(state))
     return placement.place_demands(demands, views, used, now_ms)
 
@@ -62,6 +67,18 @@
     )
 
 
+def explain_eviction(task, reason, now_ms):
+    """Return the decision to stop an attempt and run the task elsewhere."""
+    return events.Decision(
+        now_ms,
+        f'evicted-{reason}',
+        task.id,
+        task.vm,
+        detail=f'attempt {task.attempt} is saved and stopped',
+        advice='nothing to do: the task goes on from its checkpoint',
+    )
+
+
 def find_old(state, now_ms):
     """Return the ids of ended workloads that are not kept any longer."""
     ended = [
--- a/packages/scheduler/portwharf/scheduler/takeover.py
+++ b/packages/scheduler/portwharf/scheduler/takeover.py
@@ -46,6 +46,34 @@
     state: 'state.ShardState' = None
 
 
+def read_state(kv, shard):
+    """Return the state that a shard's log comes to, or None."""
+    contents = shardlog.ShardLog(kv, shard).read()
+    if contents.is_err():
+        return None
+    return state.restore_state(contents.ok_value)
+
+
+def read_epoch(kv, shard):
+    """Return the epoch of a shard's log: Ok(number), or Err(StoreError)."""
+    contents = shardlog.ShardLog(kv, shard).read()
+    return contents.map(lambda found: state.restore_state(found).epoch)
+
+
+def found_shard(kv, shard, name, members):
+    """Begin the log of a new shard, as its first owner.
+
+    :returns: as :func:`claim_shard`
+    """
+    log = shardlog.ShardLog(kv, shard)
+    contents = log.read()
+    if contents.is_err():
+        return contents
+    if not contents.ok_value.empty:
+        return result.Err(Rival(1))
+    return append_claim(log, state.ShardState(), name, members)
+
+
 def claim_shard(kv, shard, name, above=None):
     """Try once to become a shard's owner, by one append.
 
@@ -125,6 +153,8 @@
                 self._end_if_deposed()
             elif self._guard.forgetful or not self._members:
                 self._learn()
+            elif self._guard.is_called():
+                self._claim()
             elif self._is_our_turn():
                 self._take_over()
         self._end()
@@ -195,6 +225,9 @@
         alone = votes.hears == 0 and silence >= lonely
         if votes.silent + 1 < needed and not alone:
             return
+        self._claim()
+
+    def _claim(self):
         self._begin(
             claim_shard(
                 self._kv, self._env.shard, self._env.name, self._guard.epoch
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -24,6 +24,9 @@
 _POLL_SECONDS = 0.4
 _MS = 1000
 
+# Refused attempts that are remembered. A copy of a command arrives within
+# the life of its connection, so that old ones can go.
+MAX_BURNT = 10_000
 REFUSED_CAPACITY = 'no-room-on-the-vm'
 REFUSED_EPOCH = 'command-of-a-former-owner'
 REFUSED_GRANT = 'no-valid-grant'
@@ -57,6 +60,8 @@
         self._commands = queue.SimpleQueue()
         self._conn = None
         self._sent = {}
+        # Tasks with the highest attempt that was refused, latest last.
+        self._burnt = {}
         self._whole = False
         self._listing = workers.Listing()
         self._stopped = set()
@@ -193,15 +198,17 @@
             LOG.warning('start: %s', answer.err_value, extra=_name(message))
             self._whole = True
         elif answer.ok_value:
-            self._refuse(message, answer.ok_value)
+            self._refuse(message, answer.ok_value, at_worker=True)
         else:
-            self._listing.attempts.append(_make_attempt(start))
+            self._listing.attempts.append(make_attempt(start))
         self._next_poll = 0.0
 
     def _check_start(self, message, known):
         """Return why an attempt must not begin here, or ''."""
         if self._worker is None:
             return REFUSED_CAPACITY
+        if message.attempt <= self._burnt.get(message.task, 0):
+            return REFUSED_ATTEMPT
         if known is not None and known.attempt > message.attempt:
             return REFUSED_ATTEMPT
         if known is not None and known.state == data.RunState.RUNNING:
@@ -225,19 +232,33 @@
         known = [a for a in self._listing.attempts if a.task == task]
         return max(known, key=lambda a: a.attempt, default=None)
 
-    def _refuse(self, message, reason):
-        """Report that an attempt was not begun, and why."""
+    def _refuse(self, message, reason, at_worker=False):
+        """Report that an attempt was not begun, and why.
+
+        It never will be: the owner, once it has heard this, begins the
+        next attempt elsewhere, and a second copy of this command may be
+        under way.
+        """
         if not isinstance(message, messages.StartTask):
             return
+        self._burn(message)
         LOG.warning('not started: %s', reason, extra=_name(message))
         report = messages.TaskReport(
             message.task,
             message.attempt,
             data.RunState.REFUSED,
             reason=reason,
+            at_worker=at_worker,
         )
         self._send(messages.Reports(reports=[report]))
 
+    def _burn(self, message):
+        """Remember that an attempt must not begin any more."""
+        attempt = max(message.attempt, self._burnt.pop(message.task, 0))
+        self._burnt[message.task] = attempt
+        if len(self._burnt) > MAX_BURNT:
+            del self._burnt[next(iter(self._burnt))]
+
     def _end(self, message):
         """End an attempt; one that is not known is reported as gone."""
         known = [
@@ -246,6 +267,7 @@
             if (a.task, a.attempt) == (message.task, message.attempt)
         ]
         if not known:
+            self._burn(message)
             report = messages.TaskReport(
                 message.task, message.attempt, data.RunState.GONE
             )
@@ -361,7 +383,7 @@
             conn.try_send(message)
 
 
-def _make_attempt(start):
+def make_attempt(start):
     """Return a started attempt as the next listing will show it."""
     return workers.Attempt(
         start.task,
@@ -376,14 +398,14 @@
 
 def _make_report(attempt):
     return messages.TaskReport(
-        attempt.task,
-        attempt.attempt,
-        attempt.state,
-        attempt.checkpoint,
-        attempt.result,
-        attempt.reason,
-        attempt.used_cpu_milli,
-        attempt.used_memory_mb,
+        task=attempt.task,
+        attempt=attempt.attempt,
+        state=attempt.state,
+        checkpoint=attempt.checkpoint,
+        result=attempt.result,
+        reason=attempt.reason,
+        cpu_milli=attempt.used_cpu_milli,
+        memory_mb=attempt.used_memory_mb,
     )
 
 
--- a/packages/side/portwharf/side/agent_test.py
+++ b/packages/side/portwharf/side/agent_test.py
@@ -34,7 +34,7 @@
 
     def start(self, start):
         self.calls.append(('start', start.task, start.attempt))
-        self.listing.attempts.append(agent._make_attempt(start))
+        self.listing.attempts.append(agent.make_attempt(start))
         return result.Ok('')
 
     def stop(self, task, attempt, checkpoint):
--- a/packages/side/portwharf/side/server.py
+++ b/packages/side/portwharf/side/server.py
@@ -132,19 +132,24 @@
                 message.epoch, message.side_ms / _MS, message.valid
             )
             self.agent.take_grant(message)
+        elif isinstance(message, messages.Resignation):
+            if message.epoch == hello.epoch:
+                self._guard.accept_resignation(
+                    message.epoch, message.successor == self._cfg.vm.name
+                )
         elif isinstance(message, messages.ConfigUpdate):
             self._keeper.offer(message.revision, message.text)
         elif isinstance(message, _COMMANDS):
             self.agent.command(conn, message)
         else:
-            raise streams.PeerError(f'unexpected {type(message).__name__}')
+            raise streams.GarbledError(f'unexpected {type(message).__name__}')
 
     def _serve_side(self, conn):
         """Answer another side that asks whether we hear the owner."""
         conn.send(self.make_hello())
         query = conn.receive()
         if not isinstance(query, messages.OwnerQuery):
-            raise streams.PeerError(f'unexpected {type(query).__name__}')
+            raise streams.GarbledError(f'unexpected {type(query).__name__}')
         conn.send(
             messages.OwnerAnswer(
                 self._guard.epoch,
@@ -180,7 +185,7 @@
             # An entry's beat: it keeps an idle connection open.
             pass
         else:
-            raise streams.PeerError(f'unexpected {type(message).__name__}')
+            raise streams.GarbledError(f'unexpected {type(message).__name__}')
 
     def _operate(self, conn, operation):
         owner = self.find_owner()
--- /dev/null
+++ b/packages/testing/portwharf/testing/cluster.py
@@ -0,0 +1,669 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""The real ownership code of one shard, stepped by hand in one thread.
+
+Sides, owners, the log and the store adapter are the real classes; what is
+fake is the worker, the connections and the time. A test decides who runs,
+what is cut, paused or restarted, and in which order messages arrive. After
+every action the workers' own record is checked against what must always
+hold. Clocks of the VMs run at slightly different speeds.
+"""
+
+import collections
+import dataclasses
+import itertools
+
+import result
+import urllib3
+
+from portwharf.core import clock
+from portwharf.core import data
+from portwharf.peers import streams
+from portwharf.scheduler import configuration
+from portwharf.scheduler import guard
+from portwharf.scheduler import limits
+from portwharf.scheduler import members
+from portwharf.scheduler import operations
+from portwharf.scheduler import owner
+from portwharf.scheduler import takeover
+from portwharf.side import agent
+from portwharf.side import server
+from portwharf.side import settings
+from portwharf.testing import fixtures
+from portwharf.testing import kv as standins
+from portwharf import vmlist
+from portwharf import workers
+
+LIMITS = limits.Limits()
+SPEEDS = (1.0, 1.004, 0.996, 1.002, 0.998)
+CAPACITY = data.Resources(2000, 2000)
+_ROUNDS = 6
+
+
+class Violation(AssertionError):
+    """Something that must always hold did not."""
+
+
+class SpeedClock(clock.Clock):
+    """A VM's clock: runs a little faster or slower than the true time."""
+
+    def __init__(self, true, speed):
+        self._true = true
+        self._speed = speed
+
+    def read_monotonic(self):
+        return self._true.read_monotonic() * self._speed
+
+    def read_unix_ms(self):
+        return self._true.read_unix_ms()
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """One attempt on a worker, by the worker's own record."""
+
+    attempt: workers.Attempt = None
+    began: float = 0.0
+    ended: float = 0.0
+    from_checkpoint: str = ''
+
+    @property
+    def running(self):
+        """Whether it has not ended."""
+        return self.attempt.state == data.RunState.RUNNING
+
+
+class FakeWorker(workers.Worker):
+    """Runs nothing, but keeps leases and the record like a real one."""
+
+    def __init__(self, now):
+        self.clock = now
+        self.runs = []
+        self.record = []
+        self.broken = False
+        self._numbers = itertools.count(1)
+
+    def expire(self):
+        """End the attempts whose lease is past."""
+        now = self._read_ms()
+        for run in self.runs:
+            until = run.attempt.lease_until_ms
+            if run.running and until and now >= until:
+                self._end(run, data.RunState.GONE)
+
+    def finish(self, task):
+        """Have a running attempt of a task come to its end."""
+        for run in self.runs:
+            if run.running and run.attempt.task == task:
+                run.attempt.result = f'result of {task}'.encode()
+                self._end(run, data.RunState.SUCCEEDED)
+
+    def lose_all(self):
+        """The VM fails: all is gone, the record of it stays."""
+        for run in self.runs:
+            if run.running:
+                self._end(run, data.RunState.GONE)
+        self.runs = []
+
+    def read_listing(self):
+        self.expire()
+        listing = workers.Listing(self._read_ms(), CAPACITY)
+        listing.attempts = [
+            dataclasses.replace(run.attempt) for run in self.runs
+        ]
+        return result.Ok(listing)
+
+    def start(self, start):
+        if self.broken:
+            return result.Ok('worker-is-broken')
+        if start.lease_until_ms and self._read_ms() >= start.lease_until_ms:
+            return result.Ok('lease-is-past')
+        for run in self.runs:
+            known = run.attempt
+            if (known.task, known.attempt) == (start.task, start.attempt):
+                return result.Ok('')
+        run = Run(
+            agent.make_attempt(start),
+            self.clock.read_monotonic(),
+            from_checkpoint=start.checkpoint,
+        )
+        self.runs.append(run)
+        self.record.append(run)
+        return result.Ok('')
+
+    def stop(self, task, attempt, checkpoint):
+        for run in self.runs:
+            known = run.attempt
+            if run.running and (known.task, known.attempt) == (task, attempt):
+                state = data.RunState.GONE
+                if checkpoint:
+                    known.checkpoint = f'{task}@{next(self._numbers)}'
+                    state = data.RunState.CHECKPOINTED
+                self._end(run, state)
+        return result.Ok(None)
+
+    def throttle(self, task, attempt, percent):
+        return result.Ok(None)
+
+    def renew(self, until_ms):
+        self.expire()
+        for run in self.runs:
+            until = run.attempt.lease_until_ms
+            if run.running and until:
+                run.attempt.lease_until_ms = max(until, until_ms)
+        return result.Ok(None)
+
+    def forget(self, task, attempt):
+        self.runs = [
+            run
+            for run in self.runs
+            if (run.attempt.task, run.attempt.attempt) != (task, attempt)
+            or run.running
+        ]
+        return result.Ok(None)
+
+    def _end(self, run, state):
+        run.attempt.state = state
+        run.ended = self.clock.read_monotonic()
+
+    def _read_ms(self):
+        return int(self.clock.read_monotonic() * 1000)
+
+
+class FakeVmList(vmlist.VmList):
+    """A list that a test changes."""
+
+    def __init__(self, vms):
+        self.vms = vms
+
+    def read(self):
+        return result.Ok(list(self.vms))
+
+
+class CuttablePool(fixtures.WsgiPool):
+    """A node's way to the store, which can be cut."""
+
+    def __init__(self, app):
+        super().__init__(app)
+        self.cut = False
+
+    def request(self, method, path, body=b'', headers=None, **more):
+        if self.cut:
+            raise urllib3.exceptions.ReadTimeoutError(None, path, 'cut')
+        return super().request(method, path, body, headers, **more)
+
+
+class End:
+    """One end of a pipe, as the code sees a connection."""
+
+    def __init__(self, pipe, out):
+        self._pipe = pipe
+        self._out = out
+        self.peer = 'pipe'
+
+    @property
+    def closed(self):
+        """Whether the pipe is closed."""
+        return self._pipe.closed
+
+    def send(self, message):
+        """Send a message; it arrives when the test delivers it."""
+        if self._pipe.closed:
+            raise streams.PeerError('closed')
+        self._out.append(message)
+
+    def try_send(self, message):
+        """Send a message, or return False if the pipe is closed."""
+        if self._pipe.closed:
+            return False
+        self._out.append(message)
+        return True
+
+    def close(self):
+        """Close the pipe; what is under way may still arrive."""
+        self._pipe.closed = True
+
+
+class Pipe:
+    """A connection from an owner to a side, with messages under way."""
+
+    def __init__(self):
+        self.closed = False
+        self.to_side = collections.deque()
+        self.to_owner = collections.deque()
+        self.side = End(self, self.to_owner)
+        self.owner = End(self, self.to_side)
+        self.hello = None
+
+
+class StillLink(members.MemberLink):
+    """A member link without a thread; the test moves its messages."""
+
+    def __init__(self, vm, role):
+        super().__init__(vm, role)
+        self.pipe = None
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        if self.pipe is not None:
+            self.pipe.closed = True
+
+
+class Node:
+    """One VM: a worker, a side, and at times an owner."""
+
+    def __init__(self, cluster, vm, speed):
+        self.cluster = cluster
+        self.vm = vm
+        self.clock = SpeedClock(cluster.time, speed)
+        self.worker = FakeWorker(self.clock)
+        self.pool = CuttablePool(cluster.standin)
+        self.kv = fixtures.open_store(self.pool)
+        self.owner = None
+        self.paused = False
+        self.down = False
+        self.boot()
+
+    def boot(self):
+        """Start the side anew; it has forgotten everything."""
+        self.keeper = configuration.ConfigKeeper()
+        self.guard = guard.Guard(self.clock, LIMITS)
+        cfg = settings.SideSettings(vm=self.vm)
+        self.server = server.SideServer(
+            cfg, 'instance', self.clock, self.guard, self.keeper
+        )
+        self.server.agent = agent.Agent(
+            self.worker, self.guard, LIMITS, self.clock, lambda: None
+        )
+        self.owner = None
+        self.learnt = False
+
+    def learn(self):
+        """Learn the epoch from the log, as a restarted side has to."""
+        if not self.learnt:
+            epoch = takeover.read_epoch(self.kv, 0)
+            if epoch.is_ok():
+                self.guard.learn_epoch(epoch.ok_value)
+                self.learnt = True
+
+    def claim(self):
+        """Try to become the owner, whoever owns the shard now."""
+        if self.owner is not None or not self.learnt:
+            return
+        claimed = takeover.claim_shard(self.kv, 0, self.vm.name)
+        if claimed.is_ok():
+            claim = claimed.ok_value
+            self.owner = owner.Owner(self.make_env(), claim.log, claim.state)
+
+    def make_env(self):
+        """Return what an owner on this VM works with."""
+        return owner.Environment(
+            name=self.vm.name,
+            clock=self.clock,
+            limits=LIMITS,
+            vmlist=self.cluster.listing,
+            keeper=self.keeper,
+            append_interval=0.0,
+            make_link=StillLink,
+            kv=self.kv,
+        )
+
+    def step(self):
+        """Let side and owner do what is due."""
+        if self.paused or self.down:
+            return
+        self.learn()
+        for _ in range(4):
+            self.server.agent.step()
+        if self.owner is not None:
+            waiting = self.owner.stalled
+            items = () if waiting else self.owner.take_items()
+            if self.owner.step(items) is owner.Step.DEPOSED:
+                self.end_owner()
+
+    def end_owner(self):
+        """End the owner without a word, as a crash would."""
+        if self.owner is not None:
+            for link in self.owner.list_links():
+                link.__exit__(None, None, None)
+            self.owner = None
+
+
+class Cluster:
+    """Some nodes, the store, and the operators' side of it."""
+
+    def __init__(self, size=3):
+        self.time = clock.ManualClock()
+        self.standin = standins.StoreStandIn()
+        vms = [fixtures.make_vm(number) for number in range(size)]
+        self.listing = FakeVmList(vms)
+        self.nodes = [
+            Node(self, vm, SPEEDS[number % len(SPEEDS)])
+            for number, vm in enumerate(vms)
+        ]
+        self.cuts = set()
+        self.calls = []
+        # Ended pipes whose last messages may still reach the side.
+        self.stale = []
+        self._found()
+
+    def _found(self):
+        """Begin the shard with the first node as its owner."""
+        first = self.nodes[0]
+        members_list = [node.vm for node in self.nodes]
+        claim = takeover.found_shard(
+            first.kv, 0, first.vm.name, members_list
+        ).ok_value
+        first.learn()
+        first.owner = owner.Owner(first.make_env(), claim.log, claim.state)
+
+    # Time and messages.
+
+    def run(self, seconds, step=0.5):
+        """Let everything that is not held up go on for a while."""
+        left = seconds
+        while left > 0:
+            self.tick(min(step, left))
+            left -= step
+
+    def tick(self, seconds):
+        """Let a little time go by and everybody act."""
+        self.time.advance(seconds)
+        for node in self.nodes:
+            node.worker.expire()
+        for _ in range(_ROUNDS):
+            self.connect_all()
+            self.deliver_all()
+            for node in self.nodes:
+                node.step()
+                self.check()
+
+    def connect_all(self):
+        """Have every owner connect to every side that it can reach."""
+        for node in self.nodes:
+            if node.owner is None or node.paused or node.down:
+                continue
+            for link in node.owner.list_links():
+                self._connect(node, link)
+
+    def deliver_all(self):
+        """Deliver what is under way between VMs that can talk."""
+        for node in self.nodes:
+            if node.owner is None or node.paused or node.down:
+                continue
+            for link in node.owner.list_links():
+                side = self.find(link.name)
+                if side.paused or self.is_cut(node, side):
+                    continue
+                self.deliver(node, link, side)
+
+    def deliver(self, node, link, side):
+        """Deliver what is under way on one connection."""
+        pipe = link.pipe
+        if pipe is None:
+            return
+        self.deliver_to_side(pipe, side)
+        try:
+            while pipe.to_owner and node.owner is not None:
+                link.handle(pipe.owner, pipe.to_owner.popleft())
+        except streams.PeerError:
+            pipe.closed = True
+
+    def deliver_to_side(self, pipe, side):
+        """Deliver an owner's messages, also those of a closed pipe."""
+        try:
+            while pipe.to_side:
+                message = pipe.to_side.popleft()
+                side.server.take_owner_message(pipe.side, pipe.hello, message)
+        except streams.PeerError:
+            pipe.closed = True
+            pipe.to_side.clear()
+
+    def deliver_stale(self):
+        """Deliver what was left on connections that have ended."""
+        for pipe, side in self.stale:
+            if not side.down:
+                self.deliver_to_side(pipe, side)
+        self.stale = []
+
+    def _connect(self, node, link):
+        side = self.find(link.name)
+        if link.pipe is not None and not link.pipe.closed:
+            return
+        if link.pipe is not None:
+            self.stale.append((link.pipe, side))
+            link.detach()
+            link.pipe = None
+        if self.is_cut(node, side) or side.paused or side.down:
+            return
+        pipe = Pipe()
+        pipe.hello = node.owner.make_hello()
+        try:
+            side.server.greet_owner(pipe.side, pipe.hello)
+        except streams.PeerError:
+            pipe.closed = True
+        answer = pipe.to_owner.popleft()
+        node.owner.note_epoch(answer.epoch)
+        if not pipe.closed:
+            link.pipe = pipe
+            link.attach(pipe.owner, answer)
+
+    # Faults.
+
+    def find(self, name):
+        """Return a node by its VM's name."""
+        return next(node for node in self.nodes if node.vm.name == name)
+
+    def is_cut(self, one, other):
+        """Tell whether two nodes cannot talk."""
+        return frozenset((one.vm.name, other.vm.name)) in self.cuts
+
+    def cut(self, one, other):
+        """Cut the network between two nodes; a VM reaches itself."""
+        if one is not other:
+            self.cuts.add(frozenset((one.vm.name, other.vm.name)))
+
+    def isolate(self, node, store=True):
+        """Cut a node off from all others, and from the store."""
+        for other in self.nodes:
+            self.cut(node, other)
+        node.pool.cut = store
+
+    def heal(self):
+        """Mend the network, wake everybody, and bring the store back."""
+        self.cuts.clear()
+        self.standin.faults = standins.Faults()
+        for node in self.nodes:
+            node.pool.cut = False
+            node.paused = False
+            node.down = False
+            node.worker.broken = False
+
+    def break_pipes(self, node):
+        """Break the connections of a node's owner and to its side."""
+        for other in self.nodes:
+            if other.owner is None:
+                continue
+            for link in other.owner.list_links():
+                mine = node in (other, self.find(link.name))
+                if mine and link.pipe is not None:
+                    link.pipe.closed = True
+
+    def restart_side(self, node):
+        """End a node's side process and start it anew."""
+        node.end_owner()
+        self.break_pipes(node)
+        node.boot()
+
+    def fail_vm(self, node):
+        """Have a VM fail; it comes back empty when healed."""
+        node.worker.lose_all()
+        self.restart_side(node)
+        node.down = True
+
+    # Operators.
+
+    def list_owners(self):
+        """Return the nodes that believe to be owners."""
+        return [node for node in self.nodes if node.owner is not None]
+
+    def submit(self, count=1, **fields):
+        """Submit a job to every owner there is; the latest answers."""
+        fields = {'resources': data.Resources(1000, 1000), **fields}
+        name = f'job-{len(self.calls)}'
+        workload = fixtures.make_workload(name=name, count=count, **fields)
+        submission = operations.Submission('', workload)
+        return self._call('submit', submission)
+
+    def cancel(self, job):
+        """Cancel a job that was accepted."""
+        return self._call('cancel', operations.Query(job))
+
+    def _call(self, method, arguments):
+        owners = self.list_owners()
+        if not owners:
+            return None
+        node = max(owners, key=lambda one: one.owner.epoch)
+        called = owner.Called(FakeFuture(), method, arguments)
+        self.calls.append(called)
+        node.owner.take_call(called)
+        return called.fut
+
+    def list_accepted(self):
+        """Return the ids of the jobs that operators were told of."""
+        return [
+            called.fut.value.id
+            for called in self.calls
+            if isinstance(called.fut.value, operations.Accepted)
+        ]
+
+    def list_cancelled(self):
+        """Return the ids of jobs whose cancelling was confirmed."""
+        return {
+            called.arguments.id
+            for called in self.calls
+            if isinstance(called.fut.value, operations.Cancelled)
+        }
+
+    def read_state(self):
+        """Return the state that the log comes to, read afresh."""
+        return takeover.read_state(fixtures.make_store(self.standin)[0], 0)
+
+    def finish_running(self):
+        """Have all running batch attempts come to their end."""
+        for node in self.nodes:
+            for run in list(node.worker.runs):
+                if run.running and not node.down:
+                    node.worker.finish(run.attempt.task)
+
+    # What must always hold.
+
+    def check(self):
+        """Check the workers' own record."""
+        self.check_capacity()
+        self.check_places()
+        self.check_checkpoints()
+
+    def check_capacity(self):
+        """No VM holds more than it can."""
+        for node in self.nodes:
+            used = data.Resources()
+            for run in node.worker.runs:
+                if run.running:
+                    used = used.add(run.attempt.resources)
+            if not used.fits(CAPACITY):
+                raise Violation(f'{node.vm.name} holds {used}')
+
+    def check_places(self):
+        """No exclusive task runs in two places, nor after its end."""
+        seen = {}
+        for node in self.nodes:
+            for run in node.worker.runs:
+                leased = run.running and run.attempt.lease_until_ms
+                if not leased:
+                    continue
+                task = run.attempt.task
+                if task in seen:
+                    where = f'{seen[task]} and {node.vm.name}'
+                    raise Violation(f'{task} runs on {where}')
+                seen[task] = node.vm.name
+
+    def check_checkpoints(self):
+        """Each checkpoint is resumed from at most once at a time."""
+        attempts = collections.Counter(
+            (run.attempt.task, run.attempt.attempt)
+            for node in self.nodes
+            for run in node.worker.record
+        )
+        for (task, attempt), count in attempts.items():
+            places = {
+                node.vm.name
+                for node in self.nodes
+                for run in node.worker.record
+                if (run.attempt.task, run.attempt.attempt) == (task, attempt)
+            }
+            if count > 1 and len(places) > 1:
+                raise Violation(f'attempt {attempt} of {task} on {places}')
+
+    def settle(self, seconds=150.0):
+        """Heal everything and let all work come to its end."""
+        self.heal()
+        left = seconds
+        while left > 0:
+            if not self.list_owners():
+                self.nodes[0].claim()
+            self.finish_running()
+            self.tick(1.0)
+            left -= 1.0
+            if self._is_done():
+                return
+        raise Violation(f'work is left: {self._list_unended()}')
+
+    def check_end(self):
+        """After settling: nothing lost, nothing invented."""
+        state = self.read_state()
+        cancelled = self.list_cancelled()
+        for job in self.list_accepted():
+            if job not in state.workloads:
+                raise Violation(f'accepted job {job} is lost')
+            for task in state.list_tasks(state.workloads[job]):
+                self._check_ending(task, job in cancelled)
+
+    def _check_ending(self, task, cancelled):
+        allowed = {data.TaskState.SUCCEEDED}
+        if cancelled:
+            allowed.add(data.TaskState.CANCELLED)
+        if task.state not in allowed:
+            raise Violation(f'{task.id} ended as {task.state}')
+        right = f'result of {task.id}'.encode()
+        if task.state == data.TaskState.SUCCEEDED and task.result != right:
+            raise Violation(f'{task.id} has the result {task.result}')
+
+    def _is_done(self):
+        return not self._list_unended()
+
+    def _list_unended(self):
+        state = self.read_state()
+        return [
+            (task.id, task.state, task.vm)
+            for record in state.workloads.values()
+            for task in state.list_tasks(record)
+            if task.state not in data.ENDED_STATES
+        ]
+
+
+class FakeFuture:
+    """An operator's call: keeps the answer."""
+
+    def __init__(self):
+        self.value = None
+
+    def set_running_or_notify_cancel(self):
+        """The call may be carried out."""
+        return True
+
+    def set_result(self, value):
+        """Take the answer."""
+        self.value = value
--- a/packages/testing/portwharf/testing/fixtures.py
+++ b/packages/testing/portwharf/testing/fixtures.py
@@ -58,6 +58,11 @@
         """There is nothing to close."""
 
 
+def open_store(pool):
+    """Return the real store adapter on a pool."""
+    return store.EtcdStore(pool)
+
+
 def make_store(standin=None):
     """Return the real store adapter on a stand-in, and the stand-in."""
     standin = standin or kv.StoreStandIn()
--- /dev/null
+++ b/packages/testing/portwharf/testing/walk.py
@@ -0,0 +1,183 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""A random walk over the ownership code: faults of all kinds, then peace.
+
+Each walk is given by its seed. It ends with everything healed, and then
+all accepted work has to come to its right end.
+"""
+
+import random
+import sys
+import time
+
+from portwharf.testing import cluster
+
+STEPS = 40
+_LONG_SECONDS = (0.3, 1.0, 3.0, 8.0, 16.0)
+
+
+class Walk:
+    """One walk."""
+
+    def __init__(self, seed, size=0):
+        self.random = random.Random(seed)
+        size = size or self.random.choice((3, 4, 5))
+        self.cluster = cluster.Cluster(size)
+
+    def run(self, steps=STEPS):
+        """Walk, then settle and check; raises ``cluster.Violation``."""
+        self.cluster.submit(3)
+        self.cluster.run(4)
+        for _ in range(steps):
+            self.act()
+        self.cluster.settle()
+        self.cluster.check_end()
+
+    def act(self):
+        """Do one random thing."""
+        (action,) = self.random.choices(ACTIONS, WEIGHTS)
+        action(self)
+        self.cluster.check()
+
+    def pick(self):
+        """Return a random node."""
+        return self.random.choice(self.cluster.nodes)
+
+    def pass_time(self):
+        """Let time go by."""
+        self.cluster.run(self.random.choice(_LONG_SECONDS), 0.5)
+
+    def submit(self):
+        """Submit a job."""
+        self.cluster.submit(self.random.randint(1, 3))
+
+    def cancel(self):
+        """Cancel a job."""
+        accepted = self.cluster.list_accepted()
+        if accepted:
+            self.cluster.cancel(self.random.choice(accepted))
+
+    def finish(self):
+        """Have a VM's tasks come to their end."""
+        node = self.pick()
+        for run in list(node.worker.runs):
+            if run.running:
+                node.worker.finish(run.attempt.task)
+
+    def cut(self):
+        """Cut two nodes apart."""
+        self.cluster.cut(self.pick(), self.pick())
+
+    def isolate(self):
+        """Cut a node off from all."""
+        self.cluster.isolate(self.pick(), self.random.random() < 0.5)
+
+    def cut_store(self):
+        """Cut a node off from the store."""
+        self.pick().pool.cut = True
+
+    def mend(self):
+        """Mend the network."""
+        self.cluster.cuts.clear()
+        for node in self.cluster.nodes:
+            node.pool.cut = False
+
+    def pause(self):
+        """Pause a node's processes."""
+        self.pick().paused = True
+
+    def resume(self):
+        """Resume all paused nodes."""
+        for node in self.cluster.nodes:
+            node.paused = False
+
+    def restart(self):
+        """Restart a side process."""
+        self.cluster.restart_side(self.pick())
+
+    def fail_vm(self):
+        """Have a VM fail."""
+        self.cluster.fail_vm(self.pick())
+
+    def repair(self):
+        """Bring failed VMs back."""
+        for node in self.cluster.nodes:
+            node.down = False
+            node.worker.broken = False
+
+    def break_worker(self):
+        """Have a worker refuse everything."""
+        self.pick().worker.broken = True
+
+    def claim(self):
+        """Have a node take the shard."""
+        node = self.pick()
+        if not node.paused and not node.down:
+            node.claim()
+
+    def break_pipes(self):
+        """Break a node's connections."""
+        self.cluster.break_pipes(self.pick())
+
+    def deliver_stale(self):
+        """Have late messages of ended connections arrive."""
+        self.cluster.deliver_stale()
+
+    def trouble_store(self):
+        """Have the store lose answers or requests, or be down."""
+        faults = self.cluster.standin.faults
+        kind = self.random.randrange(3)
+        if kind == 0:
+            faults.lose_answers = self.random.randint(1, 3)
+        elif kind == 1:
+            faults.lose_requests = self.random.randint(1, 3)
+        else:
+            faults.down = True
+
+    def mend_store(self):
+        """Bring the store back."""
+        self.cluster.standin.faults.down = False
+
+
+ACTIONS = (
+    Walk.pass_time,
+    Walk.submit,
+    Walk.cancel,
+    Walk.finish,
+    Walk.cut,
+    Walk.isolate,
+    Walk.cut_store,
+    Walk.mend,
+    Walk.pause,
+    Walk.resume,
+    Walk.restart,
+    Walk.fail_vm,
+    Walk.repair,
+    Walk.break_worker,
+    Walk.claim,
+    Walk.break_pipes,
+    Walk.deliver_stale,
+    Walk.trouble_store,
+    Walk.mend_store,
+)
+WEIGHTS = (30, 6, 2, 4, 4, 4, 3, 5, 4, 5, 4, 2, 4, 1, 8, 3, 4, 4, 5)
+
+
+def main():
+    """Walk for each seed from the first to the second argument."""
+    first, last = int(sys.argv[1]), int(sys.argv[2])
+    began = time.monotonic()
+    failed = 0
+    for seed in range(first, last):
+        try:
+            Walk(seed).run()
+        except cluster.Violation as exc:
+            failed += 1
+            print(f'seed {seed}: {exc}', flush=True)
+    took = time.monotonic() - began
+    print(f'{last - first} walks, {failed} violations, {took:.1f} s')
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
