Deliberate faults, each caught by a named test; restarted sides keep tasks

Cause of a change: a side that restarted had no grant yet and stopped the exclusive tasks that it found (4 runs instead of 3 in the focused test).

--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/faults_test.py
@@ -0,0 +1,289 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""The checks can fail: each deliberate fault is caught by a named test.
+
+A fault replaces one rule of the real code by its absence; the test that is
+meant for the rule must then fail. A fault that nothing catches would mean
+that the rule is not needed or not tested.
+"""
+
+import contextlib
+import unittest
+from unittest import mock
+
+from portwharf.core import data
+from portwharf.scheduler import grants
+from portwharf.scheduler import grants_test
+from portwharf.scheduler import guard
+from portwharf.scheduler import limits
+from portwharf.scheduler import owner
+from portwharf.scheduler import ownership_test
+from portwharf.scheduler import planning
+from portwharf.scheduler import reconcile
+from portwharf.scheduler import reconcile_test
+from portwharf.scheduler import shardlog
+from portwharf.scheduler import shardlog_test
+from portwharf.side import agent
+from portwharf.side import agent_test
+from portwharf.testing import cluster
+from portwharf.testing import walk
+
+
+def fails(test):
+    """Tell whether a test function fails."""
+    case = unittest.TestCase()
+    try:
+        test(case)
+    except Exception:
+        return True
+    finally:
+        case.doCleanups()
+    return False
+
+
+def check(case, test, cls, name, replacement):
+    """Check that a test passes, and fails when a rule is replaced."""
+    case.assertFalse(fails(test))
+    with mock.patch.object(cls, name, replacement):
+        case.assertTrue(fails(test))
+
+
+def test_epoch_of_commands_not_checked(case):
+    check(
+        case,
+        agent_test.test_command_of_a_former_owner_is_refused,
+        guard.Guard,
+        'accepts',
+        lambda self, epoch: True,
+    )
+
+
+def test_former_owner_not_turned_away(case):
+    def accept(self, epoch, name):
+        self._owner = name
+        return True
+
+    check(
+        case,
+        grants_test.test_former_owner_is_turned_away,
+        guard.Guard,
+        'accept_owner',
+        accept,
+    )
+
+
+def test_grants_without_a_majority(case):
+    check(
+        case,
+        ownership_test.test_owner_cut_off_from_all_stops_its_own_tasks,
+        grants.GrantTable,
+        '_may_grant',
+        lambda self, now: True,
+    )
+
+
+def test_no_wait_before_a_second_attempt(case):
+    check(
+        case,
+        ownership_test.test_tasks_of_a_silent_vm_run_again_after_its_leases,
+        grants.GrantTable,
+        'may_replace',
+        lambda self, vm, now: True,
+    )
+
+
+def test_own_last_grant_not_reckoned_with(case):
+    """An owner must wait for its own grants too, long after its start."""
+
+    def scenario(case):
+        made = ownership_test.make_cluster()
+        made.run(20)
+        made.isolate(made.nodes[2])
+        made.run(20)
+
+    wait = property(lambda self: 0.0)
+    check(case, scenario, limits.Limits, 'replace_after_grant', wait)
+
+
+def test_former_owners_grants_not_reckoned_with(case):
+    """A new owner that does not wait runs a task of a cut-off VM twice."""
+
+    def scenario(case):
+        made = ownership_test.make_cluster(5, size=5)
+        second, last = made.nodes[1], made.nodes[4]
+        made.cut(second, last)
+        second.claim()
+        made.run(12)
+
+    wait = property(lambda self: 0.0)
+    check(case, scenario, limits.Limits, 'replace_after_majority', wait)
+
+
+def test_commands_of_ended_connections_obeyed(case):
+    def obey(self, command):
+        if command is not None:
+            command.conn = self._conn
+        return original(self, command)
+
+    original = agent.Agent._obey
+    check(
+        case,
+        agent_test.test_command_of_an_ended_connection_is_dropped,
+        agent.Agent,
+        '_obey',
+        obey,
+    )
+
+
+def test_restarted_side_remembers_nothing_and_does_not_mind(case):
+    check(
+        case,
+        grants_test.test_restarted_side_obeys_and_keeps_nothing,
+        guard.Guard,
+        'accepts',
+        lambda self, epoch: epoch == self._epoch,
+    )
+
+
+def test_refused_attempts_begun_later(case):
+    check(
+        case,
+        ownership_test.test_refused_attempt_is_final,
+        agent.Agent,
+        '_burn',
+        lambda self, message: None,
+    )
+
+
+def test_capacity_not_checked_at_the_side(case):
+    check(
+        case,
+        agent_test.test_vm_is_never_given_more_than_it_holds,
+        agent.Agent,
+        '_sum_running',
+        lambda self: data.Resources(),
+    )
+
+
+def test_number_of_a_trimmed_entry_used_again(case):
+    def append(self, batch):
+        self._last = None
+        return original(self, batch)
+
+    original = shardlog.ShardLog.append
+    check(
+        case,
+        shardlog_test.test_trimmed_number_is_not_free_for_a_former_owner,
+        shardlog.ShardLog,
+        'append',
+        append,
+    )
+
+
+def test_unconfirmed_append_taken_for_done(case):
+    check(
+        case,
+        shardlog_test.test_second_writer_deposes_the_first,
+        shardlog.ShardLog,
+        '_read_back',
+        lambda self, key: self._advance(key, 1),
+    )
+
+
+def test_unconfirmed_append_taken_for_lost(case):
+    def read_back(self, key):
+        found = self._kv.read(key)
+        if found.is_ok() and found.ok_value is not None:
+            return shardlog.result.Err(shardlog.Deposed(self._next))
+        return original(self, key)
+
+    original = shardlog.ShardLog._read_back
+    check(
+        case,
+        shardlog_test.test_lost_answer_counts_as_ours,
+        shardlog.ShardLog,
+        '_read_back',
+        read_back,
+    )
+
+
+def test_leases_renewed_without_a_grant(case):
+    check(
+        case,
+        agent_test.test_without_a_grant_exclusive_tasks_are_saved_and_stopped,
+        guard.Guard,
+        'is_granted',
+        lambda self: True,
+    )
+
+
+def test_leases_counted_from_now_on(case):
+    check(
+        case,
+        agent_test.test_leases_end_a_while_after_the_grant,
+        agent.Agent,
+        '_compute_lease',
+        lambda self: self._listing.now_ms + 10_000,
+    )
+
+
+def test_late_results_taken_twice(case):
+    check(
+        case,
+        reconcile_test.test_late_success_of_a_former_attempt_is_dropped,
+        reconcile,
+        '_is_current',
+        lambda task, vm, report: True,
+    )
+
+
+def test_results_dropped_before_they_are_logged(case):
+    """A side that forgets at once loses results with the owner."""
+
+    def judge(self, item, batch):
+        original(self, item, batch)
+        for effect in batch.effects:
+            effect()
+        batch.effects = []
+
+    original = owner.Owner._judge
+    check(
+        case,
+        ownership_test.test_result_waits_out_an_outage_and_its_owner,
+        owner.Owner,
+        '_judge',
+        judge,
+    )
+
+
+def test_placing_on_a_silent_vm_again_at_once(case):
+    """The walk itself catches an owner that does not wait."""
+    with contextlib.ExitStack() as stack:
+        stack.enter_context(
+            mock.patch.object(
+                grants.GrantTable, 'may_replace', lambda self, vm, now: True
+            )
+        )
+        case.assertTrue(any(fails(make_walk(seed)) for seed in range(12)))
+
+
+def make_walk(seed):
+    """Return a test function that walks."""
+    return lambda case: walk.Walk(seed).run()
+
+
+def test_losing_members_of_the_plan(case):
+    """Work that is never placed is noticed at the end of a walk."""
+
+    def scenario(case):
+        made = cluster.Cluster(3)
+        made.submit(2)
+        made.settle(30)
+
+    check(
+        case,
+        scenario,
+        planning,
+        'plan',
+        lambda *arguments: planning.placement.Pass(),
+    )
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -313,7 +313,12 @@
         return max(1, int(until))
 
     def _keep_leases(self):
-        """Renew leases under a grant; past it, save and stop."""
+        """Renew leases under a grant; past it, save and stop.
+
+        A lease ends ``limits.lease`` after the grant that it was renewed
+        under, which is the time to save the work in. A side that has just
+        restarted has no grant yet but often leases with more time left.
+        """
         held = [
             a
             for a in self._listing.attempts
@@ -328,7 +333,8 @@
             return
         for attempt in held:
             name = (attempt.task, attempt.attempt)
-            if name in self._stopped:
+            left = attempt.lease_until_ms - self._listing.now_ms
+            if name in self._stopped or left > self._limits.lease * _MS:
                 continue
             self._stopped.add(name)
             LOG.warning('no grant: stopping', extra=_name(attempt))
