make faults: real processes under a seeded schedule; 'not run' after a lost try

Cause: a repeatable request lost at one endpoint and refused by the next was answered 'not run' although it may have run; now 'unknown'.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
 STAMP := $(VENV)/.installed
 
-.PHONY: help setup run test lint format generate slopes clean
+.PHONY: help setup run test lint format generate faults slopes clean
 
 help:
 	@echo 'make setup     install everything into $(VENV)'
@@ -19,6 +19,7 @@
 	@echo 'make lint      run the linter and check the formatting'
 	@echo 'make format    format the code'
 	@echo 'make generate  make packages/schema anew from proto/'
+	@echo 'make faults    run real processes under faults; FAULTS="--seed 2"'
 	@echo 'make slopes    measure what docs/CAPACITY.md is worked out from'
 	@echo 'make clean     remove $(VENV)'
 
@@ -50,6 +51,9 @@
 	rm -f packages/schema/__init__.py packages/schema/portwharf/__init__.py
 	git checkout -q packages/schema/portwharf/v1/__init__.py
 
+faults: setup
+	$(BIN)/python -m portwharf.testing.faults $(FAULTS)
+
 slopes: setup
 	$(BIN)/python -m portwharf.testing.slopes
 
--- a/packages/callers/portwharf/callers/service.py
+++ b/packages/callers/portwharf/callers/service.py
@@ -46,13 +46,18 @@
 
 @dataclasses.dataclass(slots=True)
 class CallResult:
-    """What became of a request."""
+    """What became of a request.
+
+    :param maybe_ran: some sending of it may have run, whatever became of
+        the last one
+    """
 
     outcome: int = data.Outcome.UNKNOWN
     payload: bytes = b''
     reason: str = ''
     retry_after_ms: int = 0
     endpoint: str = ''
+    maybe_ran: bool = False
 
 
 class Router(abc.ABC):
--- a/packages/entry/portwharf/entry/routing.py
+++ b/packages/entry/portwharf/entry/routing.py
@@ -78,6 +78,9 @@
         deadline = began + call.deadline_ms / _MS
         self._budget.earn()
         done = self._try_endpoints(call, deadline)
+        if done.maybe_ran and done.outcome == data.Outcome.NOT_RUN:
+            # The last endpoint did not run it, but an earlier one may have.
+            done.outcome = data.Outcome.UNKNOWN
         spent = self._clock.read_monotonic() - began
         self._observe(call.service, done.outcome, spent)
         return done
@@ -88,6 +91,7 @@
         )
         done.retry_after_ms = NO_ENDPOINT_MS
         tried = set()
+        maybe_ran = False
         for attempt in range(MAX_ATTEMPTS):
             link = self._choose(call.service, tried)
             if link is None:
@@ -97,6 +101,8 @@
                 return done
             tried.add(link.name)
             done = self._send(link, call, deadline)
+            maybe_ran = maybe_ran or done.outcome == data.Outcome.UNKNOWN
+            done.maybe_ran = maybe_ran
             if not _may_retry(call, done):
                 return done
             if self._clock.read_monotonic() >= deadline:
--- a/packages/entry/portwharf/entry/routing_test.py
+++ b/packages/entry/portwharf/entry/routing_test.py
@@ -123,6 +123,15 @@
     case.assertEqual(count_sent(*made), 4)
 
 
+def test_request_that_may_have_run_is_never_called_not_run(case):
+    lost = FakeLink(0, reason='lost')
+    busy = FakeLink(3, data.Outcome.NOT_RUN, 'busy')
+    busy.view.state.in_flight = 50
+    done = route(lost, busy, repeatable=True)
+    case.assertEqual(count_sent(lost, busy), 2)
+    case.assertEqual(done.outcome, data.Outcome.UNKNOWN)
+
+
 def test_failed_request_is_not_repeated(case):
     made = [FakeLink(n, data.Outcome.FAILED, 'bad') for n in range(3)]
     case.assertEqual(route(*made).outcome, data.Outcome.FAILED)
--- a/packages/testing/portwharf/testing/worker.py
+++ b/packages/testing/portwharf/testing/worker.py
@@ -224,5 +224,12 @@
         return {}
 
     def _control(self, body):
+        """Refuse all starts from now on, or fail like a VM."""
         self.fail_starts = bool(body.get('fail_starts', False))
+        if body.get('fail'):
+            with self._lock:
+                runs = list(self._runs.values())
+                self._runs = {}
+            for run in runs:
+                run.stop = 'stop'
         return {}
