Starts committed ahead: batch work goes on while the store is down

Before: with the store down nothing began (6 of 10 tasks ran); after: what was prepared on a VM begins when tasks there end (10 of 10), survives its owner, and waits like the rest on a silent VM.

--- a/packages/core/portwharf/core/data.py
+++ b/packages/core/portwharf/core/data.py
@@ -24,6 +24,8 @@
     """Where a task stands, by the shard log."""
 
     WAITING = 'waiting'
+    # Belongs to a VM that has no room for it yet.
+    PREPARED = 'prepared'
     PLACED = 'placed'
     EVICTING = 'evicting'
     SUCCEEDED = 'succeeded'
--- a/packages/scheduler/portwharf/scheduler/events.py
+++ b/packages/scheduler/portwharf/scheduler/events.py
@@ -119,6 +119,19 @@
     vm: str = ''
 
 
+@dataclasses.dataclass(slots=True)
+class TaskPrepared:
+    """An attempt belongs to a VM that has no room for it yet.
+
+    It is begun by a later :class:`TaskPlaced`; or, while the store does
+    not answer, without one, when a task on that VM has made room.
+    """
+
+    task: str = ''
+    attempt: int = 0
+    vm: str = ''
+
+
 @dataclasses.dataclass(slots=True)
 class TaskEvicting:
     """An attempt is to be stopped and its task to be queued again."""
@@ -171,6 +184,7 @@
     'cancel': WorkloadCancelled,
     'drop': WorkloadDropped,
     'place': TaskPlaced,
+    'prepare': TaskPrepared,
     'evicting': TaskEvicting,
     'requeue': TaskRequeued,
     'end': TaskEnded,
--- a/packages/scheduler/portwharf/scheduler/faults_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_test.py
@@ -284,6 +284,6 @@
         case,
         scenario,
         planning,
-        'plan',
-        lambda *arguments: planning.placement.Pass(),
+        'list_demands',
+        lambda state, list_avoided: [],
     )
--- a/packages/scheduler/portwharf/scheduler/operations.py
+++ b/packages/scheduler/portwharf/scheduler/operations.py
@@ -272,7 +272,7 @@
         record.id,
         record.workload,
         record.unix_ms,
-        counts[data.TaskState.WAITING],
+        counts[data.TaskState.WAITING] + counts[data.TaskState.PREPARED],
         running,
         counts[data.TaskState.SUCCEEDED],
         counts[data.TaskState.FAILED],
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -32,7 +32,9 @@
 from portwharf.scheduler import membership
 from portwharf.scheduler import metrics
 from portwharf.scheduler import operations
+from portwharf.scheduler import placement
 from portwharf.scheduler import planning
+from portwharf.scheduler import preparing
 from portwharf.scheduler import reconcile
 from portwharf.scheduler import shardlog
 
@@ -119,8 +121,14 @@
 
     def __init__(self):
         self.events = []
+        self.early = []
         self.effects = []
 
+    def send_early(self, link, message):
+        """Send a message that earlier entries of the log allow already."""
+        if link is not None:
+            self.early.append(lambda: link.send(message))
+
     def send(self, link, message):
         """Send a message after the events are logged."""
         if link is not None:
@@ -155,6 +163,9 @@
         self._members = membership.Membership(
             env, state, self._grants, self._health
         )
+        self._preparation = preparing.Preparation(state)
+        # Items that came in while an append was stalled.
+        self._deferred = []
         self._config = configuration.ConfigWatcher(env.kv, env.keeper)
         self.deposed = threading.Event()
         self._thread = threading.Thread(
@@ -335,6 +346,7 @@
                 if step is Step.DONE:
                     wait = _RETRY_SECONDS
                     continue
+                self.serve_stalled()
                 self._stop.wait(wait * random.uniform(0.5, 1.0))
                 wait = min(2 * wait, _MAX_RETRY_SECONDS)
         finally:
@@ -378,6 +390,8 @@
                 return Step.DEPOSED
             self._members.sync_links(self)
             self._batch = self._decide(items)
+            for effect in self._batch.early:
+                effect()
         step = self._commit()
         if step is Step.DEPOSED:
             self.deposed.set()
@@ -388,9 +402,23 @@
             self._snapshot()
         return step
 
+    def serve_stalled(self):
+        """Go on as far as that needs no append, while one is stalled."""
+        items = self.take_items()
+        self._deferred.extend(item for item in items if item is not None)
+        for item in items:
+            if isinstance(item, Reported):
+                starts = self._preparation.note_stalled(
+                    item.link.name, item.message.reports
+                )
+                for start in starts:
+                    item.link.send(start)
+
     def _decide(self, items):
         """Work out events and what is done after them."""
         batch = _Batch()
+        items = [*self._deferred, *items]
+        self._deferred = []
         with self._lock:
             for item in items:
                 if isinstance(item, Reported):
@@ -401,6 +429,7 @@
             self._requeue_lost(batch)
             self._empty_leaving(batch)
             self._place(batch)
+            self._prepare(batch)
             self._drop_old(batch)
         return batch
 
@@ -510,11 +539,10 @@
     def _place(self, batch):
         """Place waiting tasks."""
         now = self.read_clock()
-        views = self._members.view_vms()
-        if not self._grants.may_grant(now):
-            return
-        if not self._members.has_settled(now):
+        if not self._may_place(now):
             return
+        views = self._members.view_vms()
+        self._resolve_prepared(batch, views, now)
         done = planning.plan(
             self._state,
             views,
@@ -532,6 +560,43 @@
             batch.send(self._members.get_link(placed.vm), command)
         metrics.PLACEMENTS.inc(len(done.placements))
 
+    def _may_place(self, now):
+        return self._grants.may_grant(now) and self._members.has_settled(now)
+
+    def _resolve_prepared(self, batch, views, now):
+        """Place prepared tasks that there is room for now.
+
+        That they belong to their VM is in the log already, so that they
+        are begun without waiting for the next append.
+        """
+        resolved = self._preparation.resolve(
+            views,
+            lambda vm: self._members.is_silent(vm, now),
+            lambda vm: self._grants.may_replace(vm, now),
+        )
+        for event in resolved:
+            self._add(batch, event)
+            if isinstance(event, events.TaskPlaced):
+                task = self._state.tasks[event.task]
+                command = reconcile.make_start(self._state, task)
+                link = self._members.get_link(event.vm)
+                batch.send_early(link, command)
+
+    def _prepare(self, batch):
+        """Commit some starts ahead, for an outage of the store."""
+        now = self.read_clock()
+        if not self._may_place(now):
+            return
+        demands = planning.list_demands(
+            self._state,
+            lambda workload: self._health.list_avoided(workload, now),
+        )
+        now_ms = self._env.clock.read_unix_ms()
+        ordered = placement.order_demands(demands, now_ms)
+        views = self._members.view_vms()
+        for event in self._preparation.choose(ordered, views):
+            self._add(batch, event)
+
     def _drop_old(self, batch):
         """Drop workloads that ended long ago."""
         now_ms = self._env.clock.read_unix_ms()
@@ -612,6 +677,7 @@
         metrics.APPENDS.inc()
         if answer.is_ok():
             self._pending_since = None
+            self._preparation.note_confirmed()
             self._grants.record_store(sent)
             self._next_append = sent + self._env.append_interval
             return Step.DONE
@@ -641,7 +707,7 @@
 
     def _refuse_inbox(self):
         """Answer the calls that will not be carried out any more."""
-        for item in self.take_items():
+        for item in [*self._deferred, *self.take_items()]:
             if isinstance(item, Called):
                 if item.fut.set_running_or_notify_cancel():
                     item.fut.set_result(_describe_stall())
--- a/packages/scheduler/portwharf/scheduler/ownership_test.py
+++ b/packages/scheduler/portwharf/scheduler/ownership_test.py
@@ -141,6 +141,48 @@
     case.assertEqual(count_runs(made), 3)
 
 
+def test_prepared_work_goes_on_through_an_outage(case):
+    made = make_cluster(10)
+    case.assertEqual(count_runs(made), 6)
+    made.standin.faults.down = True
+    made.run(3)
+    made.finish_running()
+    made.run(5)
+    case.assertEqual(count_runs(made), 10)
+    finish(made)
+    case.assertEqual(count_runs(made), 10)
+
+
+def test_prepared_work_begun_in_an_outage_survives_its_owner(case):
+    made = make_cluster(10)
+    made.standin.faults.down = True
+    made.run(3)
+    made.finish_running()
+    made.run(5)
+    made.restart_side(made.nodes[0])
+    made.standin.faults.down = False
+    made.run(3)
+    made.nodes[1].claim()
+    finish(made)
+    case.assertEqual(count_runs(made), 10)
+
+
+def test_prepared_work_of_a_silent_vm_waits_like_the_rest(case):
+    made = make_cluster(10)
+    silent = made.nodes[2]
+    prepared = set(made.read_state().prepared[silent.vm.name])
+    case.assertTrue(prepared)
+    made.isolate(silent)
+    made.run(6)
+    made.finish_running()
+    made.run(3)
+    begun = {
+        run.attempt.task for node in made.nodes for run in node.worker.record
+    }
+    case.assertFalse(prepared & begun)
+    finish(made)
+
+
 def test_restarted_side_goes_on_with_what_its_worker_runs(case):
     made = make_cluster()
     made.restart_side(made.nodes[1])
--- a/packages/scheduler/portwharf/scheduler/planning.py
+++ b/packages/scheduler/portwharf/scheduler/planning.py
@@ -32,17 +32,23 @@
         that it keeps away from
     :returns: a ``placement.Pass``
     """
+    demands = list_demands(state, list_avoided)
+    if not demands:
+        return placement.Pass()
+    used = placement.Quotas(quotas, sum_by_team(state))
+    return placement.place_demands(demands, views, used, now_ms)
+
+
+def list_demands(state, list_avoided):
+    """Return what waits to be placed, as ``placement.Demand`` values."""
     demands = [
         demand
         for record in state.workloads.values()
         if (demand := _make_demand(state, record)) is not None
     ]
-    if not demands:
-        return placement.Pass()
     for demand in demands:
         demand.avoided = list_avoided(demand.record.id)
-    used = placement.Quotas(quotas, sum_by_team(state))
-    return placement.place_demands(demands, views, used, now_ms)
+    return demands
 
 
 def sum_by_team(state):
--- a/packages/scheduler/portwharf/scheduler/reconcile.py
+++ b/packages/scheduler/portwharf/scheduler/reconcile.py
@@ -49,7 +49,7 @@
     """
     task = state.tasks.get(report.task)
     if task is not None and _is_current(task, vm, report):
-        _judge_current(state, task, report, verdict)
+        _judge_current(state, vm, task, report, verdict)
     elif task is not None and _ends_waiting(task, report):
         _add(state, verdict, _end(report, data.TaskState.SUCCEEDED))
         verdict.forget.append(_name(report))
@@ -100,11 +100,7 @@
 
 
 def _is_current(task, vm, report):
-    return (
-        task.vm == vm
-        and task.attempt == report.attempt
-        and task.state in data.HELD_STATES
-    )
+    return task.vm == vm and task.attempt == report.attempt and bool(task.vm)
 
 
 def _ends_waiting(task, report):
@@ -120,8 +116,15 @@
     )
 
 
-def _judge_current(state, task, report, verdict):
+def _judge_current(state, vm, task, report, verdict):
     if report.state == data.RunState.RUNNING:
+        if task.state == data.TaskState.PREPARED:
+            # Begun while the store did not answer; now it is logged.
+            _add(
+                state,
+                verdict,
+                events.TaskPlaced(task.id, task.attempt, vm),
+            )
         if is_unwanted(state, task):
             verdict.commands.append(make_stop(state, task, False))
         elif task.state == data.TaskState.EVICTING:
--- a/packages/scheduler/portwharf/scheduler/state.py
+++ b/packages/scheduler/portwharf/scheduler/state.py
@@ -114,6 +114,7 @@
         self.tasks = {}
         self.reserved = collections.defaultdict(data.Resources)
         self.held = collections.defaultdict(dict)
+        self.prepared = collections.defaultdict(dict)
         self.history = History()
         self._by_key = {}
 
@@ -208,6 +209,8 @@
                 state.tasks[task.id] = task
                 if task.state in data.HELD_STATES:
                     state._hold(record, task)
+                elif task.state == data.TaskState.PREPARED:
+                    state.prepared[task.vm][task.id] = task
         state.history.load(snapshot.history)
         return state
 
@@ -218,6 +221,10 @@
         self.reserved[task.vm] = self.reserved[task.vm].add(size)
 
     def _release(self, record, task):
+        """Take a placed or prepared task off its VM."""
+        if self.prepared[task.vm].pop(task.id, None) is not None:
+            task.vm = ''
+            return
         del self.held[task.vm][task.id]
         size = record.workload.resources
         self.reserved[task.vm] = self.reserved[task.vm].subtract(size)
@@ -266,6 +273,10 @@
         task = self.tasks.get(event.task)
         if task is None:
             task = self._begin(record, event.task)
+        if task.state == data.TaskState.PREPARED:
+            if (task.vm, task.attempt) != (event.vm, event.attempt):
+                raise RuntimeError(f'{task.id} is prepared on {task.vm}')
+            self._release(record, task)
         if task.vm:
             raise RuntimeError(f'{task.id} is on {task.vm} already')
         task.state = data.TaskState.PLACED
@@ -273,6 +284,18 @@
         task.vm = event.vm
         self._hold(record, task)
 
+    def _prepare(self, event):
+        record = self.find_workload(event.task)
+        task = self.tasks.get(event.task)
+        if task is None:
+            task = self._begin(record, event.task)
+        if task.vm:
+            raise RuntimeError(f'{task.id} is on {task.vm} already')
+        task.state = data.TaskState.PREPARED
+        task.attempt = event.attempt
+        task.vm = event.vm
+        self.prepared[event.vm][task.id] = task
+
     def _begin(self, record, task_id):
         task = TaskRecord(task_id, record.begun)
         if task_id != ids.make_task_id(record.id, record.begun):
@@ -317,6 +340,7 @@
     events.WorkloadCancelled: ShardState._cancel,
     events.WorkloadDropped: ShardState._drop,
     events.TaskPlaced: ShardState._place,
+    events.TaskPrepared: ShardState._prepare,
     events.TaskEvicting: ShardState._evict,
     events.TaskRequeued: ShardState._requeue,
     events.TaskEnded: ShardState._end,
--- a/packages/testing/portwharf/testing/cluster.py
+++ b/packages/testing/portwharf/testing/cluster.py
@@ -320,8 +320,11 @@
         if self.owner is not None:
             waiting = self.owner.stalled
             items = () if waiting else self.owner.take_items()
-            if self.owner.step(items) is owner.Step.DEPOSED:
+            done = self.owner.step(items)
+            if done is owner.Step.DEPOSED:
                 self.end_owner()
+            elif done is owner.Step.STALLED:
+                self.owner.serve_stalled()
 
     def end_owner(self):
         """End the owner without a word, as a crash would."""
