--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
 STAMP := $(VENV)/.installed
 
-.PHONY: help setup run test lint format generate faults slopes clean
+.PHONY: help setup run test lint format generate faults bench slopes clean
 
 help:
 	@echo 'make setup     install everything into $(VENV)'
@@ -20,6 +20,7 @@
 	@echo 'make format    format the code'
 	@echo 'make generate  make packages/schema anew from proto/'
 	@echo 'make faults    run real processes under faults; FAULTS="--seed 2"'
+	@echo 'make bench     measure state and ownership against their bounds'
 	@echo 'make slopes    measure what docs/CAPACITY.md is worked out from'
 	@echo 'make clean     remove $(VENV)'
 
@@ -54,6 +55,9 @@
 faults: setup
 	$(BIN)/python -m portwharf.testing.faults $(FAULTS)
 
+bench: setup
+	$(BIN)/python -m portwharf.testing.bench
+
 slopes: setup
 	$(BIN)/python -m portwharf.testing.slopes
 
--- a/packages/entry/portwharf/entry/process.py
+++ b/packages/entry/portwharf/entry/process.py
@@ -71,7 +71,8 @@
     def _start_parts(self):
         cfg = self._cfg
         enter = self._stack.enter_context
-        kv = enter(store.open_etcd(cfg.store.address, cfg.store.port))
+        gateway = store.open_etcd(cfg.store.address, cfg.store.port)
+        kv = store.BudgetedStore(enter(gateway), self._clock)
         listing = enter(
             vmlist.HttpVmList(cfg.vm_list.address, cfg.vm_list.port)
         )
--- a/packages/entry/portwharf/entry/shards.py
+++ b/packages/entry/portwharf/entry/shards.py
@@ -93,6 +93,13 @@
         return self._keeper.read()
 
     def propose_config(self, base_revision, text):
+        parsed = configuration.parse_configuration(text)
+        if parsed.is_err():
+            return parsed
+        if parsed.ok_value.quotas != self._keeper.read().quotas:
+            checked = self._check_quotas(parsed.ok_value)
+            if checked.is_err():
+                return checked
         proposed = configuration.propose_configuration(
             self._kv, base_revision, text
         )
@@ -100,6 +107,21 @@
             self._keeper.offer(proposed.ok_value, text)
         return proposed
 
+    def _check_quotas(self, cfg):
+        """Tell whether quotas hold against what is reserved now.
+
+        :returns: Ok(None), or Err(list of Problems)
+        """
+        shards = self.read_shards()
+        if shards.is_err():
+            return shards
+        reserved = collections.defaultdict(data.Resources)
+        for shard in shards.ok_value:
+            for use in shard.teams:
+                reserved[use.team] = reserved[use.team].add(use.reserved)
+        problems = configuration.check_quotas(cfg, reserved)
+        return result.Err(problems) if problems else result.Ok(None)
+
     def read_config_status(self):
         status = {self._cfg.vm.name: self._keeper.read().revision}
         for fellow in self._entries.read_all():
--- a/packages/operators/portwharf/operators/service.py
+++ b/packages/operators/portwharf/operators/service.py
@@ -22,6 +22,7 @@
     'unknown-id': code.Code.NOT_FOUND,
     'key-in-use': code.Code.ALREADY_EXISTS,
     'conflict': code.Code.ABORTED,
+    'quota-below-reserved': code.Code.FAILED_PRECONDITION,
     'not-accepted': code.Code.UNAVAILABLE,
     'outcome-unknown': code.Code.DEADLINE_EXCEEDED,
     'no-worker-can-ever-hold-it': code.Code.FAILED_PRECONDITION,
--- a/packages/scheduler/portwharf/scheduler/configuration.py
+++ b/packages/scheduler/portwharf/scheduler/configuration.py
@@ -131,6 +131,30 @@
     )
 
 
+def check_quotas(cfg, reserved):
+    """Return the problems of quotas below what teams have reserved now.
+
+    :param cfg: a :class:`Configuration`
+    :param reserved: map of team to Resources, over all shards
+    """
+    problems = []
+    for team, quota in cfg.quotas.items():
+        used = reserved.get(team, data.Resources())
+        for axis in ('cpu_milli', 'memory_mb', 'accelerators'):
+            least, given = getattr(used, axis), getattr(quota, axis)
+            if given < least:
+                problems.append(
+                    data.Problem(
+                        'quota-below-reserved',
+                        f'teams.{team}.quota.{axis}',
+                        str(given),
+                        f'is below the {least} that the team has reserved',
+                        'raise it, or cancel or shrink its workloads first',
+                    )
+                )
+    return problems
+
+
 class ConfigKeeper:
     """The configuration in force in this process."""
 
--- a/packages/scheduler/portwharf/scheduler/configuration_test.py
+++ b/packages/scheduler/portwharf/scheduler/configuration_test.py
@@ -2,6 +2,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """One configuration at a time, never an older one, never half of one."""
 
+from portwharf.core import data
 from portwharf.scheduler import configuration
 from portwharf.testing import fixtures
 
@@ -73,6 +74,16 @@
     )
 
 
+def test_quota_below_what_is_reserved_is_refused(case):
+    text = '[teams.lens]\nquota = {cpu_milli = 5, memory_mb = 60}\n'
+    cfg = configuration.parse_configuration(text).ok_value
+    reserved = {'lens': data.Resources(6, 60), 'desk': data.Resources(9, 9)}
+    (problem,) = configuration.check_quotas(cfg, reserved)
+    case.assertEqual(problem.field, 'teams.lens.quota.cpu_milli')
+    case.assertIn('below the 6', problem.text)
+    case.assertEqual(configuration.check_quotas(cfg, {}), [])
+
+
 def test_keeper_takes_only_higher_revisions(case):
     keeper = configuration.ConfigKeeper()
     case.assertTrue(keeper.offer(5, TEXT))
--- a/packages/scheduler/portwharf/scheduler/operations.py
+++ b/packages/scheduler/portwharf/scheduler/operations.py
@@ -129,6 +129,16 @@
     config_revision: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class TeamUse:
+    """What a team has reserved in a shard."""
+
+    team: str = ''
+    reserved: data.Resources = dataclasses.field(
+        default_factory=data.Resources
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class ShardReport:
     """A shard as its owner sees it."""
@@ -141,6 +151,7 @@
     running: int = 0
     config_revision: int = 0
     vms: list[VmReport] = dataclasses.field(default_factory=list)
+    teams: list[TeamUse] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -621,6 +621,8 @@
             counts = self._state.count_states(record)
             report.waiting += counts[data.TaskState.WAITING]
             report.running += sum(counts[s] for s in data.HELD_STATES)
+        for team, used in planning.sum_by_team(self._state).items():
+            report.teams.append(operations.TeamUse(team, used))
         for view in views:
             name = view.vm.name
             report.vms.append(
--- a/packages/scheduler/portwharf/scheduler/takeover.py
+++ b/packages/scheduler/portwharf/scheduler/takeover.py
@@ -13,6 +13,7 @@
 import concurrent.futures
 import dataclasses
 import logging
+import random
 import threading
 
 import result
@@ -36,6 +37,7 @@
 _FOUND_SECONDS = 0.4
 _CLAIM_TRIES = 3
 _ASK_THREADS = 8
+_MAX_BACK_OFF_SECONDS = 8.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -126,6 +128,8 @@
         self._kv = kv
         self._owner = None
         self._members = {}
+        self._failures = 0
+        self._next_try = 0.0
         self._stop = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name='watcher', daemon=True
@@ -151,6 +155,8 @@
         while not self._stop.wait(_POLL_SECONDS):
             if self._owner is not None:
                 self._end_if_deposed()
+            elif self._env.clock.read_monotonic() < self._next_try:
+                continue
             elif self._guard.forgetful or not self._members:
                 self._learn()
             elif self._guard.is_called():
@@ -159,6 +165,17 @@
                 self._take_over()
         self._end()
 
+    def _back_off(self):
+        """Leave the store alone for a while, longer each time.
+
+        All sides of all shards may be here at once after an outage, so
+        that the time is drawn at random.
+        """
+        self._failures += 1
+        most = min(_MAX_BACK_OFF_SECONDS, 2.0**self._failures)
+        wait = random.uniform(0.5, 1.0) * most
+        self._next_try = self._env.clock.read_monotonic() + wait
+
     def _end_if_deposed(self):
         if self._owner.deposed.is_set():
             self._end()
@@ -175,8 +192,9 @@
         log = shardlog.ShardLog(self._kv, self._env.shard)
         contents = log.read()
         if contents.is_err():
-            self._stop.wait(self._env.limits.heartbeat)
+            self._back_off()
             return
+        self._failures = 0
         if contents.ok_value.empty:
             self._found_shard(log)
             return
@@ -240,8 +258,11 @@
             if isinstance(claimed.err_value, Rival):
                 # Somebody else was faster; it will dial us.
                 self._guard.learn_epoch(claimed.err_value.epoch)
-            self._guard.hold_off()
+                self._guard.hold_off()
+            else:
+                self._back_off()
             return
+        self._failures = 0
         claim = claimed.ok_value
         self._members = dict(claim.state.members)
         extra = logs.fields(shard=self._env.shard, epoch=claim.state.epoch)
--- a/packages/side/portwharf/side/process.py
+++ b/packages/side/portwharf/side/process.py
@@ -114,7 +114,8 @@
     def _make_watcher(self):
         cfg = self._cfg
         enter = self._stack.enter_context
-        kv = enter(store.open_etcd(cfg.store.address, cfg.store.port))
+        gateway = store.open_etcd(cfg.store.address, cfg.store.port)
+        kv = store.BudgetedStore(enter(gateway), self._clock)
         context = tls.make_client_context(cfg.tls)
         listing = vmlist.HttpVmList(cfg.vm_list.address, cfg.vm_list.port)
         env = owner.Environment(
--- a/packages/side/portwharf/side/settings.py
+++ b/packages/side/portwharf/side/settings.py
@@ -12,6 +12,9 @@
 from portwharf.peers import tls
 from portwharf.scheduler import limits
 
+# Appends a second of all owners together, under the users' 40 with room
+# for snapshots and trimming.
+STORE_WRITES = 36
 _SECONDS_MOST = 3600
 _LIMITS_SCHEMA = {
     voluptuous.Optional(
@@ -46,7 +49,7 @@
         voluptuous.Optional('shards', default=dict): {
             voluptuous.Optional('count', default=1): settings.whole(1, 10000),
             voluptuous.Optional(
-                'store_writes_per_second', default=40
+                'store_writes_per_second', default=STORE_WRITES
             ): settings.whole(1, 100_000),
         },
         voluptuous.Required('tls'): settings.TLS,
--- a/packages/store/portwharf/store/__init__.py
+++ b/packages/store/portwharf/store/__init__.py
@@ -8,10 +8,12 @@
 from portwharf.store.base import Store
 from portwharf.store.base import StoreError
 from portwharf.store.base import Swap
+from portwharf.store.budget import BudgetedStore
 from portwharf.store.etcd import EtcdStore
 from portwharf.store.etcd import open_etcd
 
 __all__ = (
+    'BudgetedStore',
     'Entry',
     'EtcdStore',
     'MAX_VALUE_BYTES',
