--- a/packages/entry/portwharf/entry/links.py
+++ b/packages/entry/portwharf/entry/links.py
@@ -93,6 +93,8 @@
         """Take the VM, a function that dials it and one that greets."""
         self._dial = dial
         self._make_hello = make_hello
+        # Open from dialling on; ``_conn`` only once greetings are exchanged.
+        self._open = None
         self._conn = None
         self._lock = threading.Lock()
         self._exchanges = {}
@@ -108,11 +110,15 @@
         return self
 
     def __exit__(self, *exc_info):
+        self.stop()
+        self._thread.join()
+
+    def stop(self):
+        """Begin to end, without waiting."""
         self._stop.set()
-        conn = self._conn
+        conn = self._open
         if conn is not None:
             conn.close()
-        self._thread.join()
 
     @property
     def name(self):
@@ -182,6 +188,9 @@
 
     def _talk(self):
         with self._dial(self.view.vm) as conn:
+            self._open = conn
+            if self._stop.is_set():
+                return
             streams.greet(conn, self._make_hello())
             self._conn = conn
             self.view.up = True
@@ -251,6 +260,8 @@
     def __exit__(self, *exc_info):
         self._stop.set()
         self._thread.join()
+        for link in self._links.values():
+            link.stop()
         for link in self._links.values():
             link.__exit__(None, None, None)
 
--- a/packages/scheduler/portwharf/scheduler/members.py
+++ b/packages/scheduler/portwharf/scheduler/members.py
@@ -44,8 +44,9 @@
     def __init__(self, vm, owner):
         """Take the member's VM and an :class:`OwnerCalls`."""
         self._owner = owner
+        # Open from dialling on; ``_conn`` only once greetings are exchanged.
+        self._open = None
         self._conn = None
-        self._lock = threading.Lock()
         self._stop = threading.Event()
         self._capacity = data.Resources()
         self.view = MemberView(vm)
@@ -58,9 +59,13 @@
         return self
 
     def __exit__(self, *exc_info):
+        self.stop()
+        self._thread.join()
+
+    def stop(self):
+        """Begin to end, without waiting."""
         self._stop.set()
         self.drop()
-        self._thread.join()
 
     @property
     def name(self):
@@ -78,7 +83,7 @@
 
     def drop(self):
         """End the present connection; a new one is made after it."""
-        conn = self._conn
+        conn = self._open
         if conn is not None:
             conn.close()
 
@@ -94,6 +99,9 @@
     def _talk(self):
         vm = self.view.vm
         with self._owner.dial(vm) as conn:
+            self._open = conn
+            if self._stop.is_set():
+                return
             peer = streams.greet(conn, self._owner.make_hello())
             self.attach(conn, peer)
             while not self._stop.is_set():
@@ -108,6 +116,7 @@
 
     def detach(self):
         """Forget a connection that has ended."""
+        self._open = None
         self._conn = None
         self.view.reported = False
         self.view.granted = False
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/members_test.py
@@ -0,0 +1,130 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Links to members over real sockets: greetings, silence, a quick end."""
+
+import queue
+import socket
+import threading
+
+from portwharf.core import data
+from portwharf.peers import messages
+from portwharf.peers import streams
+from portwharf.scheduler import members
+
+
+class FakeOwner:
+    """What a link calls."""
+
+    epoch = 3
+
+    def __init__(self):
+        self.reports = queue.Queue()
+        self.acks = queue.Queue()
+        self.dialled = threading.Event()
+
+    def dial(self, vm):
+        """Connect to a member."""
+        conn = streams.dial(vm.address, vm.port)
+        self.dialled.set()
+        return conn
+
+    def read_clock(self):
+        """Return any time."""
+        return 7.0
+
+    def make_hello(self):
+        """Return a greeting."""
+        return messages.Hello(role='owner', name='vm-9', epoch=3)
+
+    def make_config(self):
+        """Return a configuration."""
+        return messages.ConfigUpdate(5, 'text')
+
+    def make_grant(self, member, side_ms):
+        """Return a grant."""
+        return messages.Grant(side_ms, 7000, 3, side_ms > 0)
+
+    def note_epoch(self, epoch):
+        """Take an epoch."""
+
+    def record_ack(self, member, beat):
+        """Take an acknowledgement."""
+        self.acks.put((member, beat.owner_ms))
+
+    def take_reports(self, link, message):
+        """Take reports."""
+        self.reports.put(message)
+
+
+def make_link(case, port):
+    """Return a running link to a port, and its owner."""
+    owner = FakeOwner()
+    vm = data.Vm('vm-1', '127.0.0.1', port)
+    return case.enterContext(members.MemberLink(vm, owner)), owner
+
+
+def accept(case):
+    """Return a listener whose connections go to a queue."""
+    conns = queue.Queue()
+    ended = threading.Event()
+    case.addCleanup(ended.set)
+
+    def handle(conn):
+        conns.put(conn)
+        ended.wait()
+
+    listener = streams.Listener('127.0.0.1', 0, handle)
+    case.enterContext(listener)
+    return listener.port, conns
+
+
+def greet(conns):
+    """Take a connection and exchange greetings as a side does."""
+    conn = conns.get(timeout=10)
+    streams.check_greeting(conn.receive())
+    conn.send(messages.Hello(role='side', name='vm-1'))
+    return conn
+
+
+def test_heartbeat_is_answered_with_a_grant(case):
+    port, conns = accept(case)
+    link, owner = make_link(case, port)
+    conn = greet(conns)
+    case.assertEqual(conn.receive(), messages.Grant(0, 7000, 3, False))
+    case.assertEqual(conn.receive(), messages.ConfigUpdate(5, 'text'))
+    conn.send(messages.Heartbeat(11, 22, 3, data.Resources(1, 2)))
+    case.assertEqual(conn.receive(), messages.Grant(11, 7000, 3, True))
+    case.assertEqual(owner.acks.get(timeout=10), ('vm-1', 22))
+    case.assertEqual(link.view.capacity, data.Resources(1, 2))
+
+
+def test_side_of_another_epoch_gets_no_grant(case):
+    port, conns = accept(case)
+    make_link(case, port)
+    conn = greet(conns)
+    conn.receive()
+    conn.receive()
+    conn.send(messages.Heartbeat(11, 22, 0))
+    case.assertFalse(conn.receive().valid)
+
+
+def test_lost_connection_is_dialled_again(case):
+    port, conns = accept(case)
+    make_link(case, port)
+    greet(conns).close()
+    conn = greet(conns)
+    case.assertIsInstance(conn.receive(), messages.Grant)
+
+
+def test_link_ends_at_once_while_a_peer_does_not_greet(case):
+    """A paused side accepts connections and says nothing."""
+    server = socket.create_server(('127.0.0.1', 0))
+    case.addCleanup(server.close)
+    link, owner = make_link(case, server.getsockname()[1])
+    owner.dialled.wait(10)
+    sock, _ = server.accept()
+    case.addCleanup(sock.close)
+    sock.recv(1000)
+    link.stop()
+    link._thread.join(streams.IDLE_SECONDS / 2)
+    case.assertFalse(link._thread.is_alive())
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -41,7 +41,9 @@
         self._began = env.clock.read_monotonic()
 
     def close(self):
-        """End all links."""
+        """End all links, together, as each may wait for a slow peer."""
+        for link in self._links.values():
+            link.stop()
         for link in self._links.values():
             link.__exit__(None, None, None)
         self._links = {}
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -47,7 +47,7 @@
 SNAPSHOT_ENTRIES = 300
 STALL_SECONDS = 2.0
 OPERATION_SECONDS = 8.0
-_TICK_SECONDS = 0.25
+_TICK_SECONDS = 0.5
 _RETRY_SECONDS = 0.2
 _MAX_RETRY_SECONDS = 3.0
 _MS = 1000
@@ -545,10 +545,10 @@
         self._resolve_prepared(batch, views, now)
         done = planning.plan(
             self._state,
+            self._list_demands(now),
             views,
             self._env.keeper.read().quotas,
             self._env.clock.read_unix_ms(),
-            lambda workload: self._health.list_avoided(workload, now),
         )
         self._waiting = {d.subject: d for d in done.waiting}
         for placed in done.placements:
@@ -560,6 +560,12 @@
             batch.send(self._members.get_link(placed.vm), command)
         metrics.PLACEMENTS.inc(len(done.placements))
 
+    def _list_demands(self, now):
+        return planning.list_demands(
+            self._state,
+            lambda workload: self._health.list_avoided(workload, now),
+        )
+
     def _may_place(self, now):
         return self._grants.may_grant(now) and self._members.has_settled(now)
 
@@ -587,10 +593,9 @@
         now = self.read_clock()
         if not self._may_place(now):
             return
-        demands = planning.list_demands(
-            self._state,
-            lambda workload: self._health.list_avoided(workload, now),
-        )
+        demands = self._list_demands(now)
+        if not demands:
+            return
         now_ms = self._env.clock.read_unix_ms()
         ordered = placement.order_demands(demands, now_ms)
         views = self._members.view_vms()
--- a/packages/scheduler/portwharf/scheduler/planning.py
+++ b/packages/scheduler/portwharf/scheduler/planning.py
@@ -23,16 +23,14 @@
 REASON_LEAVING = 'vm-is-leaving'
 
 
-def plan(state, views, quotas, now_ms, list_avoided):
+def plan(state, demands, views, quotas, now_ms):
     """Choose places for waiting tasks.
 
+    :param demands: what :func:`list_demands` gave
     :param views: list of ``placement.VmView``; their ``reserved`` changes
     :param quotas: map of team to Resources
-    :param list_avoided: function from a workload's id to the names of VMs
-        that it keeps away from
     :returns: a ``placement.Pass``
     """
-    demands = list_demands(state, list_avoided)
     if not demands:
         return placement.Pass()
     used = placement.Quotas(quotas, sum_by_team(state))
@@ -40,7 +38,11 @@
 
 
 def list_demands(state, list_avoided):
-    """Return what waits to be placed, as ``placement.Demand`` values."""
+    """Return what waits to be placed, as ``placement.Demand`` values.
+
+    :param list_avoided: function from a workload's id to the names of VMs
+        that it keeps away from
+    """
     demands = [
         demand
         for record in state.workloads.values()
--- a/packages/testing/portwharf/testing/cluster.py
+++ b/packages/testing/portwharf/testing/cluster.py
@@ -247,6 +247,10 @@
         return self
 
     def __exit__(self, *exc_info):
+        self.stop()
+
+    def stop(self):
+        """End the connection."""
         if self.pipe is not None:
             self.pipe.closed = True
 
