--- a/packages/callers/portwharf/callers/service.py
+++ b/packages/callers/portwharf/callers/service.py
@@ -17,6 +17,7 @@
 from portwharf.v1 import callers_pb as pb
 
 MAX_DEADLINE_MS = 600_000
+MAX_CALLER = 63
 MAX_PAYLOAD_BYTES = 8 * 1024 * 1024
 
 _ADVICE = {
@@ -42,6 +43,7 @@
     repeatable: bool = False
     deadline_ms: int = 0
     payload: bytes = b''
+    caller: str = ''
 
 
 @dataclasses.dataclass(slots=True)
@@ -92,6 +94,7 @@
                 req.repeatable,
                 req.deadline_ms,
                 bytes(req.payload),
+                req.caller,
             )
         )
         return pb.CallResponse(
@@ -149,4 +152,14 @@
                 'send less at a time',
             )
         )
+    if len(req.caller) > MAX_CALLER:
+        problems.append(
+            data.Problem(
+                'bad-field',
+                'caller',
+                f'{len(req.caller)} characters',
+                f'must be at most {MAX_CALLER} characters',
+                'shorten it',
+            )
+        )
     return problems
--- a/packages/entry/portwharf/entry/links.py
+++ b/packages/entry/portwharf/entry/links.py
@@ -24,7 +24,8 @@
 class Exchange:
     """One request or operation that waits for its answer."""
 
-    def __init__(self):
+    def __init__(self, began=0.0):
+        self.began = began
         self._done = threading.Event()
         self._pieces = []
         self._size = 0
@@ -89,8 +90,9 @@
 class SideLink:
     """The connection to one side; a context manager that ends it."""
 
-    def __init__(self, vm, dial, make_hello):
+    def __init__(self, vm, dial, make_hello, clock):
         """Take the VM, a function that dials it and one that greets."""
+        self._clock = clock
         self._dial = dial
         self._make_hello = make_hello
         # Open from dialling on; ``_conn`` only once greetings are exchanged.
@@ -136,7 +138,7 @@
         conn = self._conn
         if conn is None:
             return None
-        exchange = Exchange()
+        exchange = Exchange(self._clock.read_monotonic())
         with self._lock:
             message.id = next(self._numbers)
             self._exchanges[message.id] = exchange
@@ -152,6 +154,12 @@
             exchange.lose('connection-lost')
         return exchange
 
+    def measure_oldest(self, now):
+        """Return the age of the oldest unanswered request, in seconds."""
+        with self._lock:
+            oldest = next(iter(self._exchanges.values()), None)
+        return now - oldest.began if oldest is not None else 0.0
+
     def withdraw(self, message):
         """Tell the side that nobody waits for a request any longer."""
         self._forget(message.id)
@@ -240,8 +248,9 @@
 class LinkTable:
     """Links to all sides on the VM list; a context manager."""
 
-    def __init__(self, vmlist, dial, make_hello):
+    def __init__(self, vmlist, dial, make_hello, clock):
         """Take the VM list and what each :class:`SideLink` needs."""
+        self._clock = clock
         self._vmlist = vmlist
         self._dial = dial
         self._make_hello = make_hello
@@ -310,7 +319,7 @@
                 link.__exit__(None, None, None)
         for name, vm in wanted.items():
             if name not in links:
-                link = SideLink(vm, self._dial, self._make_hello)
+                link = SideLink(vm, self._dial, self._make_hello, self._clock)
                 links[name] = link
                 link.__enter__()
         self._links = links
--- a/packages/entry/portwharf/entry/process.py
+++ b/packages/entry/portwharf/entry/process.py
@@ -83,6 +83,7 @@
                 listing,
                 lambda vm: streams.dial(vm.address, vm.port, context),
                 self._make_hello,
+                self._clock,
             )
         )
         entries = fellows.Fellows(cfg.vm.name, listing, self._make_page)
--- a/packages/entry/portwharf/entry/routing.py
+++ b/packages/entry/portwharf/entry/routing.py
@@ -2,11 +2,11 @@
 # SPDX-License-Identifier: Apache-2.0
 """Which endpoint a request goes to, and what becomes of it.
 
-Two endpoints are drawn at random and the one with less to do gets the
-request: nearly as good as asking all, and entries that know the same old
-loads do not all rush to one. A request that did not run goes to another
-endpoint while a budget for retries lasts. One that may have run is sent
-again only if its caller declared it repeatable.
+Two endpoints are drawn at random and the one that is expected to answer
+sooner gets the request: nearly as good as asking all, and entries that know
+the same old loads do not all rush to one. A request that did not run goes
+to another endpoint while a budget for retries lasts. One that may have run
+is sent again only if its caller declared it repeatable.
 """
 
 import logging
@@ -16,6 +16,8 @@
 from portwharf import callers
 from portwharf.core import data
 from portwharf.core import logs
+from portwharf.entry import gate
+from portwharf.entry import ratings
 from portwharf.peers import messages
 
 LOG = logging.getLogger(__name__)
@@ -25,14 +27,17 @@
 RETRY_COST = 5
 # Retries that can be saved up for a bad moment.
 RETRY_SAVINGS = 20
-# A side in another availability zone counts as this much busier.
-OTHER_ZONE_LOAD = 1.5
+# An endpoint in another availability zone is taken to need so much longer:
+# two ways more, and a share, to keep requests near while that costs little.
+OTHER_ZONE_SECONDS = 0.003
+OTHER_ZONE_FACTOR = 1.15
 # How soon a caller may come back when nothing serves the service.
 NO_ENDPOINT_MS = 500
 
 REASON_NO_ENDPOINT = 'no-endpoint-serves-it'
 REASON_DEADLINE = 'deadline'
 REASON_BUDGET = 'too-many-retries'
+REASON_OVERLOAD = 'service-is-overloaded'
 _MS = 1000
 
 
@@ -71,13 +76,14 @@
         self._zone = zone
         self._observe = observe
         self._budget = RetryBudget()
+        self._ratings = ratings.Ratings(clock)
+        self._gate = gate.Gate(clock)
         self._random = random.Random()
 
     def route(self, call):
         began = self._clock.read_monotonic()
         deadline = began + call.deadline_ms / _MS
-        self._budget.earn()
-        done = self._try_endpoints(call, deadline)
+        done = self._pass_gate(call, deadline)
         if done.maybe_ran and done.outcome == data.Outcome.NOT_RUN:
             # The last endpoint did not run it, but an earlier one may have.
             done.outcome = data.Outcome.UNKNOWN
@@ -85,6 +91,20 @@
         self._observe(call.service, done.outcome, spent)
         return done
 
+    def _pass_gate(self, call, deadline):
+        """Carry a request out, unless there is too much under way."""
+        if not self._gate.enter(call.service, call.caller):
+            return callers.CallResult(
+                data.Outcome.NOT_RUN,
+                reason=REASON_OVERLOAD,
+                retry_after_ms=gate.RETRY_MS,
+            )
+        try:
+            self._budget.earn()
+            return self._try_endpoints(call, deadline)
+        finally:
+            self._gate.leave(call.service, call.caller)
+
     def _try_endpoints(self, call, deadline):
         done = callers.CallResult(
             data.Outcome.NOT_RUN, reason=REASON_NO_ENDPOINT
@@ -112,7 +132,10 @@
     def _choose(self, service, tried):
         """Return the better of two random endpoints, or None."""
         serving = self._links.list_serving(service)
-        fresh = [link for link in serving if link.name not in tried]
+        usable = self._ratings.choose_usable(serving)
+        fresh = [link for link in usable if link.name not in tried]
+        if not fresh:
+            fresh = [link for link in serving if link.name not in tried]
         if not fresh:
             return None
         if len(fresh) == 1:
@@ -121,11 +144,10 @@
         return min(pair, key=self._weigh)
 
     def _weigh(self, link):
-        view = link.view
-        load = max(view.sent, view.state.in_flight) + 1
-        if view.vm.availability_zone != self._zone:
-            load *= OTHER_ZONE_LOAD
-        return load / max(1, view.state.slots)
+        seconds = self._ratings.estimate(link)
+        if link.view.vm.availability_zone != self._zone:
+            seconds = seconds * OTHER_ZONE_FACTOR + OTHER_ZONE_SECONDS
+        return seconds
 
     def _send(self, link, call, deadline):
         """Send a request to one side and wait for what becomes of it."""
@@ -134,6 +156,17 @@
             return callers.CallResult(
                 data.Outcome.NOT_RUN, reason=REASON_DEADLINE
             )
+        sent = self._clock.read_monotonic()
+        done = self._exchange(link, call, left)
+        spent = self._clock.read_monotonic() - sent
+        self._ratings.observe(link.name, done.outcome, done.reason, spent)
+        view = link.view
+        self._gate.note_load(
+            call.service, view.state.in_flight, view.state.slots
+        )
+        return done
+
+    def _exchange(self, link, call, left):
         message = messages.Request(
             0, call.id, call.service, call.repeatable, int(left * _MS)
         )
--- a/packages/schema/portwharf/v1/operators_pb.py
+++ b/packages/schema/portwharf/v1/operators_pb.py
@@ -293,7 +293,8 @@
             string workload_id = 2;
             ```
         state:
-            "waiting", "placed", "evicting", "succeeded", "failed" or "cancelled".
+            "waiting", "prepared", "placed", "evicting", "succeeded", "failed" or
+            "cancelled".
 
             ```proto
             string state = 3;
