Decisions: learnt interference, remedies, room for what matters; no duels

Cause: asking the members waited 10 s for the paused one, and each that had asked then claimed although it had heard a new owner meanwhile. Members now have 1 s to answer, and a candidate looks again before it claims.

--- a/packages/peers/portwharf/peers/messages.py
+++ b/packages/peers/portwharf/peers/messages.py
@@ -52,6 +52,22 @@
     at_worker: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class ServiceMeasure:
+    """How a service did at one side, over the time since the last one.
+
+    :param mean_us: mean time at the runner, in microseconds
+    :param load: share of the slots in use on average
+    :param age_ms: how long ago, on average, this was
+    """
+
+    service: str = ''
+    count: int = 0
+    mean_us: int = 0
+    load: float = 0.0
+    age_ms: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class Heartbeat:
     """From a side to its owner, at a steady beat.
@@ -71,6 +87,7 @@
     draining: bool = False
     config_revision: int = 0
     roster_seq: int = 0
+    measures: list[ServiceMeasure] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/peers/portwharf/peers/streams.py
+++ b/packages/peers/portwharf/peers/streams.py
@@ -30,7 +30,6 @@
 DIAL_SECONDS = 1.0
 GREETING_SECONDS = 3.0
 IDLE_SECONDS = 10.0
-SEND_SECONDS = 2.0
 _READ_BYTES = 64 * 1024
 _BACKLOG = 512
 
@@ -54,7 +53,7 @@
         self._closed = False
         self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._set_idle(IDLE_SECONDS)
+        self.set_idle(IDLE_SECONDS)
 
     def __enter__(self):
         return self
@@ -125,8 +124,9 @@
         except (ValueError, msgpack.UnpackException) as exc:
             raise GarbledError(f'cannot read: {exc}') from exc
 
-    def _set_idle(self, seconds):
-        self._sock.settimeout(max(seconds, SEND_SECONDS))
+    def set_idle(self, seconds):
+        """Bound the wait for the next message, and for a slow reader."""
+        self._sock.settimeout(seconds)
 
 
 class Listener:
@@ -237,14 +237,21 @@
     return Connection(sock, f'{address}:{port}')
 
 
-def greet(conn, hello):
+def greet(conn, hello, seconds=GREETING_SECONDS):
     """Exchange greetings on a new connection, from the dialling end.
 
+    A paused process accepts connections and says nothing, so that the wait
+    is shorter than that for later messages.
+
+    :param seconds: how long to wait for the peer's
     :returns: the peer's :class:`messages.Hello`
     :raises PeerError: no greeting, or another version
     """
+    conn.set_idle(seconds)
     conn.send(hello)
-    return check_greeting(conn.receive())
+    peer = check_greeting(conn.receive())
+    conn.set_idle(IDLE_SECONDS)
+    return peer
 
 
 def check_greeting(message):
--- a/packages/scheduler/portwharf/scheduler/members.py
+++ b/packages/scheduler/portwharf/scheduler/members.py
@@ -146,3 +146,5 @@
         view.config_revision = beat.config_revision
         self._owner.note_epoch(beat.epoch)
         self._owner.record_ack(self.name, beat)
+        if beat.measures:
+            self._owner.take_measures(self.name, beat.measures)
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -25,11 +25,13 @@
 class Membership:
     """The members of one shard, as its owner sees them."""
 
-    def __init__(self, env, state, grant_table, health):
+    def __init__(self, env, state, grant_table, health, pressure):
         """Take an ``owner.Environment`` and what the owner knows.
 
         :param health: a ``health.Health`` of the shard's workers
+        :param pressure: a ``pressure.Pressure`` of the same
         """
+        self._pressure = pressure
         self._env = env
         self._state = state
         self._grants = grant_table
@@ -108,6 +110,7 @@
             view.reserved = self._state.reserved[name]
             view.closed = self._find_closed(name, link, now)
             views.append(view)
+        self._pressure.fill_views(views, now)
         return views
 
     def pick_successor(self, now):
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -35,6 +35,7 @@
 from portwharf.scheduler import placement
 from portwharf.scheduler import planning
 from portwharf.scheduler import preparing
+from portwharf.scheduler import pressure
 from portwharf.scheduler import reconcile
 from portwharf.scheduler import rosters
 from portwharf.scheduler import shardlog
@@ -108,6 +109,14 @@
     message: object = None
 
 
+@dataclasses.dataclass(slots=True)
+class Measured:
+    """What a side measured of its services, waiting to be learnt from."""
+
+    vm: str = ''
+    measures: list = None
+
+
 @dataclasses.dataclass(slots=True)
 class Called:
     """An operator's changing call, waiting to be carried out."""
@@ -152,7 +161,7 @@
         self._inbox = queue.SimpleQueue()
         self._waiting = {}
         self._stop = threading.Event()
-        self._resigned = False
+        self._lost = False
         self._suspect = threading.Event()
         self._batch = None
         self._pending_since = None
@@ -161,8 +170,10 @@
         self._snapshot_seq = log.next_seq
         self._health = health.Health()
         self._grants = grants.GrantTable(state.members, env.limits)
+        began = env.clock.read_monotonic()
+        self._pressure = pressure.Pressure(state, began)
         self._members = membership.Membership(
-            env, state, self._grants, self._health
+            env, state, self._grants, self._health, self._pressure
         )
         self._preparation = preparing.Preparation(state)
         self._rosters = rosters.RosterKeeper(state)
@@ -186,7 +197,7 @@
         self._config.__exit__()
         self._inbox.put(None)
         self._thread.join()
-        if not self._resigned and self._batch is None:
+        if not self._lost and self._batch is None:
             self.resign()
         self._members.close()
 
@@ -210,7 +221,6 @@
         Called when the deciding thread has ended or is the caller, with no
         append under way.
         """
-        self._resigned = True
         now = self.read_clock()
         message = self._members.make_resignation(self.epoch, now)
         self._members.announce(message)
@@ -275,6 +285,10 @@
         """Queue a side's reports."""
         self._inbox.put(Reported(link, message))
 
+    def take_measures(self, vm, measures):
+        """Queue what a side measured of its services."""
+        self._inbox.put(Measured(vm, measures))
+
     # What entries call, each from its connection's thread.
 
     def operate(self, operation):
@@ -350,6 +364,7 @@
             while not self._stop.is_set():
                 step = self.step(self._wait_for_items())
                 if step is Step.DEPOSED:
+                    self._lost = True
                     break
                 if step is Step.DONE:
                     wait = _RETRY_SECONDS
@@ -431,11 +446,14 @@
             for item in items:
                 if isinstance(item, Reported):
                     self._judge(item, batch)
+                elif isinstance(item, Measured):
+                    self._learn(item)
                 elif item is not None:
                     self._carry_out(item, batch)
             self._change_members(batch)
             self._requeue_lost(batch)
             self._empty_leaving(batch)
+            self._remedy(batch)
             self._place(batch)
             self._prepare(batch)
             self._drop_old(batch)
@@ -463,6 +481,12 @@
         if verdict.forget:
             batch.send(item.link, messages.ForgetTasks(verdict.forget))
 
+    def _learn(self, item):
+        """Learn from what a side has measured."""
+        targets = self._env.keeper.read().targets
+        now = self.read_clock()
+        self._pressure.note_measures(item.vm, item.measures, targets, now)
+
     def _note_health(self, vm, report):
         """Learn from an ended attempt whether its worker is sound."""
         task = self._state.tasks.get(report.task)
@@ -537,6 +561,30 @@
                     reason = planning.REASON_LEAVING
                     self._evict(task, reason, now_ms, batch)
 
+    def _remedy(self, batch):
+        """Relieve services that are at risk."""
+        now = self.read_clock()
+        self._pressure.forget_ended()
+        self._pressure.note_running(now)
+        for action in self._pressure.find_actions(now):
+            self._act(action, batch)
+
+    def _act(self, action, batch):
+        """Throttle, release or evict one task."""
+        task = self._state.tasks[action.task]
+        now_ms = self._env.clock.read_unix_ms()
+        if not action.percent:
+            self._evict(task, action.reason, now_ms, batch)
+            return
+        decision = planning.explain_throttling(task, action, now_ms)
+        self._add(batch, events.DecisionMade(decision))
+        batch.send(
+            self._members.get_link(task.vm),
+            messages.ThrottleTask(
+                self.epoch, task.id, task.attempt, action.percent
+            ),
+        )
+
     def _evict(self, task, reason, now_ms, batch):
         """Have an attempt saved and stopped, to run again elsewhere."""
         self._add(batch, events.TaskEvicting(task.id, task.attempt))
@@ -552,12 +600,16 @@
             return
         views = self._members.view_vms()
         self._resolve_prepared(batch, views, now)
+        quotas = self._env.keeper.read().quotas
+        demands = self._list_demands(now)
+        now_ms = self._env.clock.read_unix_ms()
         done = planning.plan(
             self._state,
-            self._list_demands(now),
+            demands,
             views,
-            self._env.keeper.read().quotas,
-            self._env.clock.read_unix_ms(),
+            quotas,
+            now_ms,
+            self._pressure.remedies.judge,
         )
         self._waiting = {d.subject: d for d in done.waiting}
         for placed in done.placements:
@@ -565,8 +617,10 @@
             self._add(batch, event)
             self._add(batch, events.DecisionMade(placed.decision))
             task = self._state.tasks[placed.task]
+            self._pressure.note_begun((task.id, task.attempt), now)
             command = reconcile.make_start(self._state, task)
             batch.send(self._members.get_link(placed.vm), command)
+        self._make_room(demands, views, quotas, batch)
         metrics.PLACEMENTS.inc(len(done.placements))
 
     def _list_demands(self, now):
@@ -575,6 +629,26 @@
             lambda workload: self._health.list_avoided(workload, now),
         )
 
+    def _make_room(self, demands, views, quotas, batch):
+        """Evict what has to give way to work that still waits."""
+        now = self.read_clock()
+        now_ms = self._env.clock.read_unix_ms()
+        waiting = [one for one in demands if one.tasks]
+        if not waiting or self._is_evicting():
+            return
+        ordered = placement.order_demands(waiting, now_ms)
+        over = planning.find_over_quota(self._state, quotas)
+        for action in self._pressure.find_room(ordered, views, over, now):
+            self._act(action, batch)
+
+    def _is_evicting(self):
+        """Tell whether room is being made already."""
+        return any(
+            task.state == data.TaskState.EVICTING
+            for held in self._state.held.values()
+            for task in held.values()
+        )
+
     def _may_place(self, now):
         return self._grants.may_grant(now) and self._members.has_settled(now)
 
--- a/packages/scheduler/portwharf/scheduler/placement.py
+++ b/packages/scheduler/portwharf/scheduler/placement.py
@@ -20,12 +20,18 @@
 # Tasks placed in one pass; the rest waits for the next.
 MAX_PLACEMENTS = 200
 
+REFUSED_SLOWS = 'would-slow-a-service'
 REASON_PLACED = 'placed'
 REASON_NO_ROOM = 'no-worker-has-room-now'
 REASON_NEVER = 'no-worker-can-ever-hold-it'
 REASON_NO_WORKERS = 'no-worker-is-known'
 REASON_QUOTA = 'team-quota-is-used-up'
 
+# Importance that waiting adds, so that nothing starves.
+AGEING_A_MINUTE = 2.0
+MAX_AGEING = 400.0
+# What slowing services a little counts against an even fill.
+_INTERFERENCE = 6.0
 _STRANDED_ACCELERATOR = 4.0
 _SAME_RACK = 0.5
 _SAME_ZONE = 0.25
@@ -37,6 +43,8 @@
     """One VM as the owner sees it at the time of a pass.
 
     :param closed: '' or why it gets nothing new
+    :param services: list of ``remedies.ServiceView``
+    :param kinds: kinds of batch work on it, with how many tasks
     """
 
     vm: data.Vm = dataclasses.field(default_factory=data.Vm)
@@ -47,6 +55,10 @@
         default_factory=data.Resources
     )
     closed: str = ''
+    services: list = dataclasses.field(default_factory=list)
+    kinds: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
     @property
     def room(self):
@@ -88,10 +100,16 @@
     """What one pass decided.
 
     :param waiting: a decision for each workload that could not be placed
+    :param hopeless: shapes of tasks that fitted nowhere, with the choice
+        that came to nothing. Room only shrinks during a pass, so that a
+        second task of the shape need not be tried; this keeps a pass over
+        thousands of waiting jobs short.
     """
 
     placements: list = dataclasses.field(default_factory=list)
     waiting: list = dataclasses.field(default_factory=list)
+    judge: object = None
+    hopeless: dict = dataclasses.field(default_factory=dict)
 
 
 def order_demands(demands, now_ms):
@@ -99,24 +117,36 @@
     return sorted(demands, key=lambda demand: _rank(demand.record, now_ms))
 
 
-def place_demands(demands, views, quotas, now_ms):
+def place_demands(demands, views, quotas, now_ms, judge=None):
     """Choose a VM for as many waiting tasks as can be placed.
 
     :param demands: list of :class:`Demand`
     :param views: list of :class:`VmView`; their ``reserved`` grows
     :param quotas: a :class:`Quotas`
     :param now_ms: wall time, for the decisions
+    :param judge: function of services, kinds and a kind, that tells whether
+        targets hold and what it costs (``Remedies.judge``), or None
     :returns: a :class:`Pass`
     """
     done = Pass()
-    for demand in order_demands(demands, now_ms):
-        room = MAX_PLACEMENTS - len(done.placements)
-        if room <= 0:
-            break
-        _place_demand(demand, views, quotas, now_ms, room, done)
+    done.judge = judge
+    borrowers = []
+    ordered = order_demands(demands, now_ms)
+    for demand in ordered:
+        if not _place_demand(demand, views, quotas, now_ms, done):
+            borrowers.append(demand)
+    # What nobody within a quota could use is lent to those over theirs.
+    for demand in borrowers:
+        if demand.record.workload.kind == data.Kind.BATCH:
+            _place_demand(demand, views, Quotas({}, {}), now_ms, done)
     return done
 
 
+def find_kind(workload):
+    """Return what a batch workload's interference is learnt by."""
+    return f'{workload.team}/{workload.program}'
+
+
 def check_placeable(workload, views):
     """Tell whether any known VM could hold a task of a workload.
 
@@ -176,27 +206,41 @@
         end = record.unix_ms + workload.deadline_seconds * 1000
         due = end - workload.run_seconds * 1000 - now_ms
     latency_critical = workload.kind == data.Kind.SERVICE
+    minutes = max(0, now_ms - record.unix_ms) / 60_000
+    aged = min(MAX_AGEING, AGEING_A_MINUTE * minutes)
     return (
         not workload.urgent,
         not latency_critical,
-        -workload.importance,
+        -(workload.importance + aged),
         due,
         record.unix_ms,
         record.id,
     )
 
 
-def _place_demand(demand, views, quotas, now_ms, room, done):
+def _place_demand(demand, views, quotas, now_ms, done):
+    """Place a demand's tasks, taking them off its list.
+
+    :returns: False if only its team's quota was in the way
+    """
     workload = demand.record.workload
-    rows = zip(demand.tasks[:room], demand.attempts[:room], strict=True)
-    for task, attempt in rows:
+    while demand.tasks and len(done.placements) < MAX_PLACEMENTS:
         if not quotas.has_room(workload.team, workload.resources):
             done.waiting.append(_explain_quota(demand.record, now_ms))
-            return
-        choice = _choose_vm(demand, views)
+            return False
+        shape = _find_shape(demand)
+        choice = done.hopeless.get(shape)
+        if choice is None:
+            choice = _choose_vm(demand, views, done.judge)
         if choice.view is None:
+            if shape is not None:
+                done.hopeless[shape] = choice
             done.waiting.append(_explain_wait(demand.record, choice, now_ms))
-            return
+            return True
+        task = demand.tasks.pop(0)
+        attempt = demand.attempts.pop(0)
+        if workload.kind == data.Kind.BATCH:
+            choice.view.kinds[find_kind(workload)] += 1
         choice.view.reserved = choice.view.reserved.add(workload.resources)
         quotas.reserve(workload.team, workload.resources)
         demand.placed[choice.view.vm.name] += 1
@@ -211,6 +255,21 @@
         done.placements.append(
             Placement(task, attempt, choice.view.vm.name, decision)
         )
+    return True
+
+
+def _find_shape(demand):
+    """Return what decides where a batch task fits, or None."""
+    workload = demand.record.workload
+    if workload.kind != data.Kind.BATCH or demand.avoided:
+        return None
+    size = workload.resources
+    return (
+        size.cpu_milli,
+        size.memory_mb,
+        size.accelerators,
+        find_kind(workload),
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -230,8 +289,10 @@
         ]
 
 
-def _choose_vm(demand, views):
+def _choose_vm(demand, views, judge):
     choice = _Choice()
+    batch = demand.record.workload.kind == data.Kind.BATCH
+    kind = find_kind(demand.record.workload)
     best = float('inf')
     spread = _count_spread(demand, views)
     size = demand.record.workload.resources
@@ -247,6 +308,12 @@
             choice.refusals[reason] += 1
             continue
         parts = _score(demand, view, spread)
+        if batch and judge is not None and view.services:
+            holds, cost = judge(view.services, view.kinds, kind)
+            if not holds:
+                choice.refusals[REFUSED_SLOWS] += 1
+                continue
+            parts.append(events.Part('interference', _INTERFERENCE * cost))
         total = sum(part.value for part in parts)
         if total < best:
             best = total
--- a/packages/scheduler/portwharf/scheduler/placement_test.py
+++ b/packages/scheduler/portwharf/scheduler/placement_test.py
@@ -112,12 +112,56 @@
         make_demand('theirs', team='stock'),
     ]
     limits = {'lens': data.Resources(2000, 9000)}
-    done = place(demands, [make_view(0, data.Resources(9000, 9000))], limits)
+    done = place(demands, [make_view(0, data.Resources(3000, 9000))], limits)
     names = [one.task for one in done.placements]
     case.assertEqual(names, ['0-mine.0', '0-mine.1', '0-theirs.0'])
     case.assertEqual(done.waiting[0].reason, placement.REASON_QUOTA)
 
 
+def test_what_nobody_needs_is_lent_over_the_quota(case):
+    demands = [
+        make_demand('mine', count=3, importance=5),
+        make_demand('theirs', team='stock'),
+    ]
+    limits = {'lens': data.Resources(2000, 9000)}
+    done = place(demands, [make_view(0, data.Resources(9000, 9000))], limits)
+    names = [one.task for one in done.placements]
+    expected = ['0-mine.0', '0-mine.1', '0-theirs.0', '0-mine.2']
+    case.assertEqual(names, expected)
+
+
+def test_nothing_is_placed_that_would_slow_a_service(case):
+    quiet, near = make_view(0), make_view(1)
+    near.services = ['a service']
+    near.capacity = data.Resources(9000, 9000)
+
+    def judge(services, kinds, kind):
+        return kinds[kind] < 1, 0.1
+
+    done = placement.place_demands(
+        [make_demand(count=9)],
+        [quiet, near],
+        placement.Quotas({}, {}),
+        NOW_MS,
+        judge,
+    )
+    vms = [one.vm for one in done.placements]
+    case.assertEqual(vms.count('vm-01'), 1)
+    refusals = {one.name for one in done.waiting[0].refusals}
+    case.assertIn(placement.REFUSED_SLOWS, refusals)
+
+
+def test_waiting_adds_importance_up_to_a_limit(case):
+    old = make_demand('old', importance=1)
+    new = make_demand('new', importance=9)
+    new.record.unix_ms = NOW_MS + 600_000
+    ordered = placement.order_demands([new, old], NOW_MS + 600_000)
+    case.assertEqual(ordered[0].record.workload.name, 'old')
+    new.record.workload.importance = 600
+    ordered = placement.order_demands([new, old], NOW_MS + 10**9)
+    case.assertEqual(ordered[0].record.workload.name, 'new')
+
+
 def test_what_can_never_run_is_told_with_what_would(case):
     views = [make_view(0), make_view(1, data.Resources(2000, 16000))]
     workload = fixtures.make_workload(resources=data.Resources(8000, 4000))
--- a/packages/scheduler/portwharf/scheduler/planning.py
+++ b/packages/scheduler/portwharf/scheduler/planning.py
@@ -23,18 +23,19 @@
 REASON_LEAVING = 'vm-is-leaving'
 
 
-def plan(state, demands, views, quotas, now_ms):
+def plan(state, demands, views, quotas, now_ms, judge=None):
     """Choose places for waiting tasks.
 
     :param demands: what :func:`list_demands` gave
     :param views: list of ``placement.VmView``; their ``reserved`` changes
     :param quotas: map of team to Resources
+    :param judge: as for ``placement.place_demands``
     :returns: a ``placement.Pass``
     """
     if not demands:
         return placement.Pass()
     used = placement.Quotas(quotas, sum_by_team(state))
-    return placement.place_demands(demands, views, used, now_ms)
+    return placement.place_demands(demands, views, used, now_ms, judge)
 
 
 def list_demands(state, list_avoided):
@@ -87,6 +88,27 @@
     )
 
 
+def explain_throttling(task, action, now_ms):
+    """Return the decision to throttle a task, or to let it run in full."""
+    return events.Decision(
+        now_ms,
+        action.reason,
+        task.id,
+        task.vm,
+        detail=f'it may use {action.percent}% of its processors',
+        advice='nothing to do: it is released when the service has room',
+    )
+
+
+def find_over_quota(state, quotas):
+    """Return the names of the teams that have more than their quota."""
+    return {
+        team
+        for team, used in sum_by_team(state).items()
+        if team in quotas and not used.fits(quotas[team])
+    }
+
+
 def find_old(state, now_ms):
     """Return the ids of ended workloads that are not kept any longer."""
     ended = [
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/pressure.py
@@ -0,0 +1,215 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""How services and batch work press on each other, under one owner.
+
+Brings together what sides measure, what the model has learnt of it, and
+the remedies; and finds who has to make room for work that matters more.
+All of it is the present owner's own knowledge: the next owner learns anew,
+within some minutes, and cautiously until then.
+"""
+
+import collections
+
+from portwharf.core import data
+from portwharf.scheduler import interference
+from portwharf.scheduler import placement
+from portwharf.scheduler import remedies
+
+# Less important work makes room only for work that matters more by this.
+IMPORTANCE_MARGIN = 200
+# A measurement of fewer requests says too little.
+MIN_REQUESTS = 5
+# Measurements of a replica older than this no longer speak for it.
+STALE_SECONDS = 60.0
+REASON_ROOM = 'makes-room'
+_URGENT_BELOW = 10_000
+_MS = 1000
+
+
+class Pressure:
+    """What one owner knows of the VMs of its shard."""
+
+    def __init__(self, state, began):
+        """Take the shard's state and the owner's clock at its beginning."""
+        self._state = state
+        self._began = began
+        self.model = interference.Model()
+        self.remedies = remedies.Remedies(self.model)
+        self._timeline = interference.Timeline()
+        self._peaks = remedies.Peaks()
+        self._views = collections.defaultdict(dict)
+        self._measured = {}
+        self._begun = {}
+        self._throttled = set()
+
+    def note_begun(self, task, now):
+        """Note that an attempt has been placed."""
+        self._begun[task] = now
+
+    def note_measures(self, vm, measures, targets, now):
+        """Take what a side has measured of its services.
+
+        :param measures: list of ``messages.ServiceMeasure``
+        :param targets: map of service to ``configuration.Target``
+        """
+        for one in measures:
+            target = targets.get(one.service)
+            seconds = target.ms / _MS if target else 0.0
+            peak = self._peaks.note((vm, one.service), one.load, now)
+            self._views[vm][one.service] = remedies.ServiceView(
+                one.service, one.load, peak, seconds
+            )
+            self._measured[(vm, one.service)] = now
+            if one.count < MIN_REQUESTS:
+                continue
+            kinds = self._timeline.find(vm, now - one.age_ms / _MS)
+            mean = one.mean_us / 1e6
+            if kinds is not None:
+                self.model.observe(one.service, one.load, kinds, mean)
+            self.remedies.note_measured(vm, one.service, mean, seconds)
+
+    def note_running(self, now):
+        """Note what runs beside services, for late measurements."""
+        for vm in self._views:
+            kinds = remedies.count_kinds(self.list_neighbours(vm, now))
+            self._timeline.note(vm, kinds, now)
+
+    def fill_views(self, views, now):
+        """Add to placement's views what runs on each VM."""
+        for view in views:
+            name = view.vm.name
+            view.services = self._list_services(name, now)
+            view.kinds = collections.Counter()
+            if view.services:
+                neighbours = self.list_neighbours(name, now)
+                view.kinds = remedies.count_kinds(neighbours)
+
+    def list_neighbours(self, vm, now):
+        """Return the batch tasks that run on a VM."""
+        found = []
+        for task in self._state.held[vm].values():
+            workload = self._state.find_workload(task.id).workload
+            if workload.kind != data.Kind.BATCH:
+                continue
+            if task.state != data.TaskState.PLACED:
+                continue
+            began = self._begun.get((task.id, task.attempt), self._began)
+            found.append(
+                remedies.Neighbour(
+                    task.id,
+                    placement.find_kind(workload),
+                    now - began,
+                    workload.importance,
+                    task.evictions,
+                    workload.checkpointable,
+                    (task.id, task.attempt) in self._throttled,
+                    workload.resources,
+                )
+            )
+        return found
+
+    def find_actions(self, now):
+        """Return the remedies that are due."""
+        actions = []
+        for vm in list(self._views):
+            services = self._list_services(vm, now)
+            neighbours = self.list_neighbours(vm, now)
+            action = self.remedies.find_action(
+                vm, services, neighbours, now
+            ) or self.remedies.find_release(vm, services, neighbours, now)
+            if action is not None:
+                self._note_throttled(action)
+                actions.append(action)
+        return actions
+
+    def find_room(self, demands, views, over_quota, now):
+        """Return evictions that make room for work that matters more.
+
+        Urgent work has everything that is not urgent make room; services
+        and important batch work what matters less by a margin, and teams
+        within their quota the work of those over theirs.
+
+        :param demands: what still waits after a pass, in order
+        :param views: the VMs as the pass has left them
+        :param over_quota: names of the teams over their quotas
+        """
+        actions = []
+        for demand in demands:
+            workload = demand.record.workload
+            if workload.team in over_quota and not workload.urgent:
+                continue
+            for _ in demand.tasks[:1]:
+                actions += self._make_room(
+                    demand, views, over_quota, now, bool(actions)
+                )
+        return actions
+
+    def forget_ended(self):
+        """Forget attempts that have ended."""
+        live = {
+            (task.id, task.attempt)
+            for held in self._state.held.values()
+            for task in held.values()
+        }
+        self._throttled &= live
+        self._begun = {
+            name: began for name, began in self._begun.items() if name in live
+        }
+
+    def _make_room(self, demand, views, over_quota, now, another):
+        """Return the evictions on the cheapest VM for one waiting task."""
+        workload = demand.record.workload
+        if another and not workload.urgent:
+            # One at a time: what the first frees may serve the next.
+            return []
+        best, least = [], float('inf')
+        for view in views:
+            if view.closed or view.vm.name in demand.avoided:
+                continue
+            if self._has_replica(demand, view):
+                continue
+            chosen = self._pick_victims(workload, view, over_quota, now)
+            cost = sum(remedies.compute_cost(one) for one in chosen)
+            if chosen and cost < least:
+                best, least = [(one, view.vm.name) for one in chosen], cost
+        if not best:
+            return []
+        if not workload.urgent and not self.remedies.brake.take(now):
+            return []
+        return [remedies.Action(one.task, vm, REASON_ROOM) for one, vm in best]
+
+    def _has_replica(self, demand, view):
+        service = demand.record.workload.kind == data.Kind.SERVICE
+        return service and demand.placed[view.vm.name] > 0
+
+    def _pick_victims(self, workload, view, over_quota, now):
+        below = workload.importance - IMPORTANCE_MARGIN
+        if workload.urgent or workload.kind == data.Kind.SERVICE:
+            below = _URGENT_BELOW
+        neighbours = []
+        for one in self.list_neighbours(view.vm.name, now):
+            owner = self._state.find_workload(one.task).workload
+            if owner.urgent:
+                continue
+            if owner.team in over_quota:
+                one.importance = -1
+            neighbours.append(one)
+        return remedies.pick_to_make_room(
+            workload.resources, view.room, neighbours, max(0, below)
+        )
+
+    def _list_services(self, vm, now):
+        """Return the services that were measured on a VM lately."""
+        return [
+            view
+            for service, view in self._views[vm].items()
+            if now - self._measured[(vm, service)] < STALE_SECONDS
+        ]
+
+    def _note_throttled(self, action):
+        task = self._state.tasks[action.task]
+        name = (task.id, task.attempt)
+        if 0 < action.percent < 100:
+            self._throttled.add(name)
+        else:
+            self._throttled.discard(name)
--- a/packages/scheduler/portwharf/scheduler/takeover.py
+++ b/packages/scheduler/portwharf/scheduler/takeover.py
@@ -36,7 +36,9 @@
 _POLL_SECONDS = 0.2
 _FOUND_SECONDS = 0.4
 _CLAIM_TRIES = 3
-_ASK_THREADS = 8
+_ASK_THREADS = 16
+# What a member that is asked is given to answer.
+ASK_SECONDS = 1.0
 _MAX_BACK_OFF_SECONDS = 8.0
 
 
@@ -236,6 +238,7 @@
         return self._guard.measure_silence() >= wait
 
     def _take_over(self):
+        epoch = self._guard.epoch
         silence = self._guard.measure_silence()
         lonely = self._env.limits.takeover * LONELY_FACTOR
         votes = self._ask_members()
@@ -243,6 +246,9 @@
         alone = votes.hears == 0 and silence >= lonely
         if votes.silent + 1 < needed and not alone:
             return
+        if self._guard.epoch != epoch or not self._is_our_turn():
+            # Asking took a while, and an owner was heard meanwhile.
+            return
         self._claim()
 
     def _claim(self):
@@ -286,7 +292,8 @@
         """Return one member's answer, or None."""
         try:
             with self._env.dial(vm) as conn:
-                streams.greet(conn, self._make_hello())
+                streams.greet(conn, self._make_hello(), ASK_SECONDS)
+                conn.set_idle(ASK_SECONDS)
                 conn.send(messages.OwnerQuery(self._guard.epoch))
                 return conn.receive()
         except streams.PeerError:
--- a/packages/side/portwharf/side/admission.py
+++ b/packages/side/portwharf/side/admission.py
@@ -15,6 +15,7 @@
 import threading
 
 from portwharf.core import data
+from portwharf.peers import messages
 
 REASON_LEAVING = 'endpoint-is-leaving'
 REASON_QUEUE = 'queue-is-full'
@@ -70,6 +71,10 @@
         self._draining = False
         self._ended = False
         self._run_seconds = 0.0
+        # Count and seconds at the runner of each service since they were
+        # last taken.
+        self._spent = {}
+        self._taken = clock.read_monotonic()
         self._threads = [
             threading.Thread(target=self._work, name='runner', daemon=True)
             for _ in range(slots)
@@ -113,6 +118,24 @@
         if refused is not None:
             refused.finish(self._refuse(reason))
 
+    def take_measures(self):
+        """Return what was measured since the last call."""
+        now = self._clock.read_monotonic()
+        with self._changed:
+            spent, self._spent = self._spent, {}
+            since, self._taken = self._taken, now
+        length = max(0.001, now - since)
+        return [
+            messages.ServiceMeasure(
+                service,
+                count,
+                int(1e6 * seconds / count),
+                round(seconds / length / self._slots, 4),
+                int(500 * length),
+            )
+            for service, (count, seconds) in spent.items()
+        ]
+
     def wait_until_idle(self, timeout):
         """Wait until nothing runs or waits.
 
@@ -134,6 +157,12 @@
         heapq.heapify(self._heap)
         return last[-1], REASON_QUEUE
 
+    def _note_spent(self, service, spent):
+        with self._changed:
+            self._run_seconds += (spent - self._run_seconds) / 16
+            count, seconds = self._spent.get(service, (0, 0.0))
+            self._spent[service] = (count + 1, seconds + spent)
+
     def _refuse(self, reason):
         wait = 0
         if reason == REASON_QUEUE:
@@ -168,7 +197,7 @@
             return Verdict(reason=REASON_CHANGED)
         answer = self._runner.run(job.request, job.service, job.payload, left)
         spent = self._clock.read_monotonic() - began
-        self._run_seconds += (spent - self._run_seconds) / 16
+        self._note_spent(job.service, spent)
         if not answer.ran:
             return Verdict(reason=answer.reason)
         if not answer.whole:
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -74,6 +74,7 @@
         self.draining = False
         self.config_revision = 0
         self.read_roster_seq = lambda: 0
+        self.take_measures = list
         self._thread = threading.Thread(
             target=self._run, name='agent', daemon=True
         )
@@ -382,6 +383,7 @@
                 self.draining,
                 self.config_revision,
                 self.read_roster_seq(),
+                self.take_measures(),
             )
         )
 
--- a/packages/side/portwharf/side/process.py
+++ b/packages/side/portwharf/side/process.py
@@ -100,6 +100,8 @@
         enter(watcher)
         LOG.info('side of %s ready', cfg.vm.name)
 
+        self._server.agent.take_measures = self._server.admission.take_measures
+
     def _read_roster_seq(self):
         return self._server.home.seq
 
