--- a/packages/entry/portwharf/entry/process.py
+++ b/packages/entry/portwharf/entry/process.py
@@ -12,10 +12,10 @@
 from portwharf.core import ids
 from portwharf.core import web
 from portwharf.entry import fellows
-from portwharf.entry import links
 from portwharf.entry import metrics
 from portwharf.entry import routing
 from portwharf.entry import shards
+from portwharf.entry import sides
 from portwharf import operators
 from portwharf.peers import messages
 from portwharf.peers import streams
@@ -79,7 +79,7 @@
         enter(configuration.ConfigWatcher(kv, self._keeper))
         context = tls.make_client_context(cfg.tls)
         self._links = enter(
-            links.LinkTable(
+            sides.LinkTable(
                 listing,
                 lambda vm: streams.dial(vm.address, vm.port, context),
                 self._make_hello,
--- a/packages/entry/portwharf/entry/routing_test.py
+++ b/packages/entry/portwharf/entry/routing_test.py
@@ -8,8 +8,8 @@
 from portwharf.core import clock
 from portwharf.core import data
 from portwharf.core import ids
-from portwharf.entry import links
 from portwharf.entry import routing
+from portwharf.entry import sides
 from portwharf.peers import messages
 from portwharf.testing import fixtures
 
@@ -20,7 +20,7 @@
     """A link whose side answers at once, as it is told to."""
 
     def __init__(self, number, outcome=data.Outcome.ANSWERED, reason=''):
-        self.view = links.LinkView(fixtures.make_vm(number), True)
+        self.view = sides.LinkView(fixtures.make_vm(number), True)
         self.view.state.slots = 8
         self.outcome = outcome
         self.reason = reason
@@ -38,7 +38,7 @@
         self.sent.append(message.request)
         if self.outcome is None:
             return None
-        exchange = links.Exchange()
+        exchange = sides.Exchange()
         if self.reason == 'lost':
             exchange.lose('connection-lost')
             return exchange
--- a/packages/entry/portwharf/entry/links.py
+++ b/packages/entry/portwharf/entry/sides.py
@@ -14,11 +14,11 @@
 import xxhash
 
 from portwharf.core import data
+from portwharf.peers import links
 from portwharf.peers import messages
 from portwharf.peers import streams
 from portwharf.scheduler import homes
 
-_REDIAL_SECONDS = 0.5
 _BEAT_SECONDS = 2.0
 
 
@@ -88,49 +88,44 @@
     sent: int = 0
 
 
-class SideLink:
-    """The connection to one side; a context manager that ends it."""
+class SideLink(links.PeerLink):
+    """The connection to one side."""
 
     def __init__(self, vm, dial, make_hello, clock, note_roster=None):
         """Take the VM, a function that dials it and one that greets.
 
         :param note_roster: called with a shard and a ``RosterUpdate``
         """
+        super().__init__(vm.name)
         self._clock = clock
         self._note_roster = note_roster
         self._dial = dial
         self._make_hello = make_hello
-        # Open from dialling on; ``_conn`` only once greetings are exchanged.
-        self._open = None
-        self._conn = None
         self._lock = threading.Lock()
         self._exchanges = {}
         self._numbers = itertools.count(1)
-        self._stop = threading.Event()
         self.view = LinkView(vm)
-        self._thread = threading.Thread(
-            target=self._run, name=f'link-{vm.name}', daemon=True
-        )
 
-    def __enter__(self):
-        self._thread.start()
-        return self
+    def dial(self):
+        return self._dial(self.view.vm)
 
-    def __exit__(self, *exc_info):
-        self.stop()
-        self._thread.join()
+    def make_hello(self):
+        return self._make_hello()
 
-    def stop(self):
-        """Begin to end, without waiting."""
-        self._stop.set()
-        conn = self._open
-        if conn is not None:
-            conn.close()
+    def attach(self, conn, peer):
+        self.view.up = True
 
-    @property
-    def name(self):
-        """The VM's name."""
-        return self.view.vm.name
+    def handle(self, conn, message):
+        self._take(message)
+
+    def detach(self):
+        self.view.up = False
+        with self._lock:
+            lost = list(self._exchanges.values())
+            self._exchanges.clear()
+            self.view.sent = 0
+        for exchange in lost:
+            exchange.lose('connection-lost')
 
     def begin(self, message, payload=b''):
         """Send a request or an operation.
@@ -168,15 +163,11 @@
     def withdraw(self, message):
         """Tell the side that nobody waits for a request any longer."""
         self._forget(message.id)
-        conn = self._conn
-        if conn is not None:
-            conn.try_send(messages.Withdraw(message.id))
+        self.send(messages.Withdraw(message.id))
 
     def beat(self):
         """Send a sign of life, so that the side keeps the connection."""
-        conn = self._conn
-        if conn is not None:
-            conn.try_send(messages.SideState())
+        self.send(messages.SideState())
 
     def _send(self, conn, message, payload):
         if not isinstance(message, messages.Request):
@@ -190,38 +181,6 @@
             piece = payload[at : at + size]
             conn.send(messages.Chunk(message.id, piece))
 
-    def _run(self):
-        while not self._stop.is_set():
-            try:
-                self._talk()
-            except streams.PeerError as exc:
-                streams.log_end(exc, self.name)
-            self._lose_all()
-            self._stop.wait(_REDIAL_SECONDS)
-
-    def _talk(self):
-        with self._dial(self.view.vm) as conn:
-            self._open = conn
-            if self._stop.is_set():
-                return
-            streams.greet(conn, self._make_hello())
-            self._conn = conn
-            self.view.up = True
-            if self._stop.is_set():
-                return
-            while True:
-                self._take(conn.receive())
-
-    def _lose_all(self):
-        self._conn = None
-        self.view.up = False
-        with self._lock:
-            lost = list(self._exchanges.values())
-            self._exchanges.clear()
-            self.view.sent = 0
-        for exchange in lost:
-            exchange.lose('connection-lost')
-
     def _forget(self, number):
         with self._lock:
             if self._exchanges.pop(number, None) is not None:
--- a/packages/testing/portwharf/testing/bench_requests.py
+++ b/packages/testing/portwharf/testing/bench_requests.py
@@ -25,8 +25,8 @@
 from portwharf.core import data
 from portwharf.core import ids
 from portwharf import endpoints
-from portwharf.entry import links
 from portwharf.entry import routing
+from portwharf.entry import sides
 from portwharf.peers import messages
 from portwharf.side import admission
 from portwharf.testing import fixtures
@@ -63,7 +63,7 @@
         return endpoints.RunnerAnswer(whole=True, payload=payload)
 
 
-class DirectLink(links.SideLink):
+class DirectLink(sides.SideLink):
     """A link that hands requests to an admission in this process."""
 
     def __init__(self, vm, made, now):
@@ -74,7 +74,7 @@
 
     def begin(self, message, payload=b''):
         """Offer a request to the admission."""
-        exchange = links.Exchange(self._clock.read_monotonic())
+        exchange = sides.Exchange(self._clock.read_monotonic())
         with self._lock:
             message.id = next(self._numbers)
             self._exchanges[message.id] = exchange
--- a/packages/testing/portwharf/testing/cluster.py
+++ b/packages/testing/portwharf/testing/cluster.py
@@ -442,6 +442,7 @@
             return
         if link.pipe is not None:
             self.stale.append((link.pipe, side))
+            link._conn = None
             link.detach()
             link.pipe = None
         if self.is_cut(node, side) or side.paused or side.down:
@@ -456,6 +457,7 @@
         node.owner.note_epoch(answer.epoch)
         if not pipe.closed:
             link.pipe = pipe
+            link._conn = pipe.owner
             link.attach(pipe.owner, answer)
 
     # Faults.
