--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -0,0 +1,368 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""What an owner decides in one pass: events, and what is done after them.
+
+Everything here runs in the owner's deciding thread, under its lock, and
+touches neither the store nor a socket: a :class:`Batch` says what is to be
+logged and what may be sent before and after that.
+"""
+
+import dataclasses
+import logging
+
+from portwharf.core import data
+from portwharf.core import logs
+from portwharf.peers import messages
+from portwharf.scheduler import events
+from portwharf.scheduler import metrics
+from portwharf.scheduler import operations
+from portwharf.scheduler import planning
+from portwharf.scheduler import preparing
+from portwharf.scheduler import pressure
+from portwharf.scheduler import reconcile
+from portwharf.scheduler import rosters
+
+LOG = logging.getLogger(__name__)
+
+_DROP_SECONDS = 20.0
+
+
+@dataclasses.dataclass(slots=True)
+class Reported:
+    """A side's reports, waiting to be judged."""
+
+    link: object = None
+    message: object = None
+
+
+@dataclasses.dataclass(slots=True)
+class Measured:
+    """What a side measured of its services, waiting to be learnt from."""
+
+    vm: str = ''
+    measures: list = None
+
+
+@dataclasses.dataclass(slots=True)
+class Called:
+    """An operator's changing call, waiting to be carried out."""
+
+    fut: object = None
+    method: str = ''
+    arguments: object = None
+
+
+class Batch:
+    """Events of one pass and what is done once they are logged."""
+
+    def __init__(self):
+        self.events = []
+        self.early = []
+        self.effects = []
+
+    def send_early(self, link, message):
+        """Send a message that earlier entries of the log allow already."""
+        if link is not None:
+            self.early.append(lambda: link.send(message))
+
+    def send(self, link, message):
+        """Send a message after the events are logged."""
+        if link is not None:
+            self.effects.append(lambda: link.send(message))
+
+    def answer(self, fut, value):
+        """Answer an operator after the events are logged."""
+        self.effects.append(lambda: fut.set_result(value))
+
+
+class Decider:
+    """The decisions of one owner."""
+
+    def __init__(self, env, state, grant_table, health):
+        """Take an ``owner.Environment`` and what the owner knows."""
+        self._env = env
+        self._state = state
+        self._grants = grant_table
+        self._health = health
+        self._members = None
+        self._next_drop = 0.0
+        began = env.clock.read_monotonic()
+        self.pressure = pressure.Pressure(state, began)
+        self.preparation = preparing.Preparation(state)
+        self.rosters = rosters.RosterKeeper(state)
+        # Why workloads wait, as of the last pass, by their ids.
+        self.waiting = {}
+
+    def set_members(self, members):
+        """Take the ``membership.Membership``, which is made after this."""
+        self._members = members
+
+    def decide(self, items):
+        """Work out events and what is done after them."""
+        batch = Batch()
+        for item in items:
+            if isinstance(item, Reported):
+                self._judge(item, batch)
+            elif isinstance(item, Measured):
+                self._learn(item)
+            elif item is not None:
+                self._carry_out(item, batch)
+        self._change_members(batch)
+        self._requeue_lost(batch)
+        self._empty_leaving(batch)
+        self._remedy(batch)
+        self._place(batch)
+        self._drop_old(batch)
+        self._follow_services(batch)
+        return batch
+
+    def _judge(self, item, batch):
+        """Take in a side's reports."""
+        verdict = reconcile.Verdict()
+        name = item.link.name
+        if item.message.whole:
+            missing = reconcile.find_missing(
+                self._state, name, item.message.reports
+            )
+            for task in missing:
+                command = reconcile.make_start(self._state, task)
+                verdict.commands.append(command)
+            item.link.view.reported = True
+        for report in item.message.reports:
+            self._note_health(name, report)
+            reconcile.judge_report(self._state, name, report, verdict)
+        batch.events.extend(verdict.events)
+        for command in verdict.commands:
+            batch.send(item.link, command)
+        if verdict.forget:
+            batch.send(item.link, messages.ForgetTasks(verdict.forget))
+
+    def _learn(self, item):
+        """Learn from what a side has measured."""
+        targets = self._env.keeper.read().targets
+        now = self._env.clock.read_monotonic()
+        self.pressure.note_measures(item.vm, item.measures, targets, now)
+
+    def _note_health(self, vm, report):
+        """Learn from an ended attempt whether its worker is sound."""
+        task = self._state.tasks.get(report.task)
+        if task is None or (task.vm, task.attempt) != (vm, report.attempt):
+            return
+        workload = self._state.find_workload(task.id).id
+        now = self._env.clock.read_monotonic()
+        if report.state == data.RunState.SUCCEEDED:
+            self._health.note_success(vm)
+        elif report.state == data.RunState.FAILED or report.at_worker:
+            if self._health.note_failure(vm, workload, now):
+                LOG.warning('quarantined', extra=logs.fields(vm=vm))
+        elif report.state == data.RunState.REFUSED:
+            self._health.note_refusal(vm, workload, now)
+
+    def _carry_out(self, item, batch):
+        """Carry out an operator's changing call, if it still waits."""
+        if not item.fut.set_running_or_notify_cancel():
+            return
+        now_ms = self._env.clock.read_unix_ms()
+        if item.method == 'submit':
+            views = self._members.view_vms()
+            step = operations.submit(
+                self._state, item.arguments, views, self._env.shard, now_ms
+            )
+        elif item.method == 'change':
+            step = operations.change(self._state, item.arguments)
+        else:
+            step = operations.cancel(self._state, item.arguments)
+        if step.is_err():
+            batch.answer(item.fut, step.err_value)
+            return
+        batch.events.extend(step.ok_value.events)
+        for task in step.ok_value.stop:
+            command = reconcile.make_stop(self._state, task, False)
+            batch.send(self._members.get_link(task.vm), command)
+        batch.answer(item.fut, step.ok_value.answer)
+
+    def _change_members(self, batch):
+        """Change the member list by one VM, if the VM list says so."""
+        event = self._members.follow_vm_list(self._env.clock.read_monotonic())
+        if event is not None:
+            self._add(batch, event)
+            self._grants.set_members(self._state.members)
+
+    def _requeue_lost(self, batch):
+        """Queue the tasks of silent VMs again, once that is safe."""
+        now = self._env.clock.read_monotonic()
+        now_ms = self._env.clock.read_unix_ms()
+        for name in list(self._state.held):
+            held = list(self._state.held[name].values())
+            if not held or not self._members.is_silent(name, now):
+                continue
+            safe = self._grants.may_replace(name, now)
+            for task in held:
+                workload = self._state.find_workload(task.id).workload
+                if workload.exclusive and not safe:
+                    continue
+                event = events.TaskRequeued(task.id, task.attempt)
+                self._add(batch, event)
+                decision = planning.explain_loss(task, name, now_ms)
+                self._add(batch, events.DecisionMade(decision))
+
+    def _empty_leaving(self, batch):
+        """Move tasks away from VMs that the platform will take away."""
+        now_ms = self._env.clock.read_unix_ms()
+        for link in self._members.list_links():
+            if not self._members.is_leaving(link.name):
+                continue
+            for task in list(self._state.held[link.name].values()):
+                if task.state == data.TaskState.PLACED:
+                    reason = planning.REASON_LEAVING
+                    self._evict(task, reason, now_ms, batch)
+
+    def _remedy(self, batch):
+        """Relieve services that are at risk."""
+        now = self._env.clock.read_monotonic()
+        weights = self._env.keeper.read().weights
+        self.pressure.remedies.set_weights(weights)
+        self.pressure.forget_ended()
+        self.pressure.note_running(now)
+        for action in self.pressure.find_actions(now):
+            self._act(action, batch)
+
+    def _act(self, action, batch):
+        """Throttle, release or evict one task."""
+        task = self._state.tasks[action.task]
+        now_ms = self._env.clock.read_unix_ms()
+        if not action.percent:
+            self._evict(task, action.reason, now_ms, batch)
+            return
+        decision = planning.explain_throttling(task, action, now_ms)
+        self._add(batch, events.DecisionMade(decision))
+        batch.send(
+            self._members.get_link(task.vm),
+            messages.ThrottleTask(
+                self._state.epoch, task.id, task.attempt, action.percent
+            ),
+        )
+
+    def _evict(self, task, reason, now_ms, batch):
+        """Have an attempt saved and stopped, to run again elsewhere."""
+        self._add(batch, events.TaskEvicting(task.id, task.attempt))
+        decision = planning.explain_eviction(task, reason, now_ms)
+        self._add(batch, events.DecisionMade(decision))
+        command = reconcile.make_stop(self._state, task, True)
+        batch.send(self._members.get_link(task.vm), command)
+
+    def _place(self, batch):
+        """Place waiting tasks."""
+        now = self._env.clock.read_monotonic()
+        if not self._may_place(now):
+            return
+        views = self._members.view_vms()
+        self._resolve_prepared(batch, views, now)
+        quotas = self._env.keeper.read().quotas
+        demands = self._list_demands(now)
+        now_ms = self._env.clock.read_unix_ms()
+        done = planning.plan(
+            self._state,
+            demands,
+            views,
+            quotas,
+            now_ms,
+            self.pressure.remedies.judge,
+        )
+        self.waiting = {one.record.id: one for one in done.waiting}
+        for placed in done.placements:
+            event = events.TaskPlaced(placed.task, placed.attempt, placed.vm)
+            self._add(batch, event)
+            self._add(batch, events.DecisionMade(placed.decision))
+            task = self._state.tasks[placed.task]
+            self.pressure.note_begun((task.id, task.attempt), now)
+            command = reconcile.make_start(self._state, task)
+            batch.send(self._members.get_link(placed.vm), command)
+        self._make_room(done, views, quotas, batch)
+        self._prepare(done, batch)
+        metrics.PLACEMENTS.inc(len(done.placements))
+
+    def _list_demands(self, now):
+        return planning.list_demands(
+            self._state,
+            lambda workload: self._health.list_avoided(workload, now),
+        )
+
+    def _make_room(self, done, views, quotas, batch):
+        """Evict what has to give way to work that still waits."""
+        if not done.waiting or self._is_evicting():
+            return
+        now = self._env.clock.read_monotonic()
+        over = planning.find_over_quota(self._state, quotas)
+        for action in self.pressure.find_room(done.ordered, views, over, now):
+            self._act(action, batch)
+
+    def _is_evicting(self):
+        """Tell whether room is being made already."""
+        return any(
+            task.state == data.TaskState.EVICTING
+            for held in self._state.held.values()
+            for task in held.values()
+        )
+
+    def _may_place(self, now):
+        return self._grants.may_grant(now) and self._members.has_settled(now)
+
+    def _resolve_prepared(self, batch, views, now):
+        """Place prepared tasks that there is room for now.
+
+        That they belong to their VM is in the log already, so that they
+        are begun without waiting for the next append.
+        """
+        resolved = self.preparation.resolve(
+            views,
+            lambda vm: self._members.is_silent(vm, now),
+            lambda vm: self._grants.may_replace(vm, now),
+        )
+        for event in resolved:
+            self._add(batch, event)
+            if isinstance(event, events.TaskPlaced):
+                task = self._state.tasks[event.task]
+                command = reconcile.make_start(self._state, task)
+                link = self._members.get_link(event.vm)
+                batch.send_early(link, command)
+
+    def _prepare(self, done, batch):
+        """Commit some starts ahead, for an outage of the store."""
+        if not done.waiting:
+            return
+        views = self._members.view_vms()
+        for event in self.preparation.choose(done.ordered, views):
+            self._add(batch, event)
+
+    def _follow_services(self, batch):
+        """Change the roster when services run elsewhere."""
+        now = self._env.clock.read_monotonic()
+        if not self._may_place(now):
+            return
+        event, news = self.rosters.follow(
+            self._members.view_vms(),
+            self._env.clock.read_unix_ms(),
+            lambda vm: self._grants.has_lapsed(vm, now),
+        )
+        if event is not None:
+            self._add(batch, event)
+        if news:
+            batch.effects.append(
+                lambda: self._members.announce(self.rosters.make_update())
+            )
+
+    def _drop_old(self, batch):
+        """Drop workloads that ended long ago, now and then."""
+        now = self._env.clock.read_monotonic()
+        if now < self._next_drop:
+            return
+        self._next_drop = now + _DROP_SECONDS
+        now_ms = self._env.clock.read_unix_ms()
+        for workload_id in planning.find_old(self._state, now_ms):
+            self._add(batch, events.WorkloadDropped(workload_id))
+            self._health.drop_workload(workload_id)
+
+    def _add(self, batch, event):
+        self._state.apply(event)
+        batch.events.append(event)
--- a/packages/scheduler/portwharf/scheduler/faults_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_test.py
@@ -12,11 +12,11 @@
 from unittest import mock
 
 from portwharf.core import data
+from portwharf.scheduler import decider
 from portwharf.scheduler import grants
 from portwharf.scheduler import grants_test
 from portwharf.scheduler import guard
 from portwharf.scheduler import limits
-from portwharf.scheduler import owner
 from portwharf.scheduler import ownership_test
 from portwharf.scheduler import planning
 from portwharf.scheduler import reconcile
@@ -246,11 +246,11 @@
             effect()
         batch.effects = []
 
-    original = owner.Owner._judge
+    original = decider.Decider._judge
     check(
         case,
         ownership_test.test_result_waits_out_an_outage_and_its_owner,
-        owner.Owner,
+        decider.Decider,
         '_judge',
         judge,
     )
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -10,7 +10,6 @@
 submissions are refused at once.
 """
 
-import concurrent.futures
 import dataclasses
 import enum
 import logging
@@ -18,25 +17,16 @@
 import random
 import threading
 
-import result
-
-from portwharf.core import codec
-from portwharf.core import data
 from portwharf.core import logs
 from portwharf.peers import messages
 from portwharf.scheduler import configuration
-from portwharf.scheduler import events
+from portwharf.scheduler import decider
+from portwharf.scheduler import desk
 from portwharf.scheduler import grants
 from portwharf.scheduler import health
 from portwharf.scheduler import members
 from portwharf.scheduler import membership
 from portwharf.scheduler import metrics
-from portwharf.scheduler import operations
-from portwharf.scheduler import planning
-from portwharf.scheduler import preparing
-from portwharf.scheduler import pressure
-from portwharf.scheduler import reconcile
-from portwharf.scheduler import rosters
 from portwharf.scheduler import shardlog
 
 LOG = logging.getLogger(__name__)
@@ -47,25 +37,11 @@
 MAX_ENTRY_EVENTS = 1000
 SNAPSHOT_ENTRIES = 300
 STALL_SECONDS = 2.0
-OPERATION_SECONDS = 8.0
 _TICK_SECONDS = 0.5
-_DROP_SECONDS = 20.0
 _RETRY_SECONDS = 0.2
 _MAX_RETRY_SECONDS = 3.0
 _MS = 1000
 
-READS = {
-    'list-workloads': operations.Query,
-    'list-tasks': operations.Query,
-    'explain': operations.Query,
-    'status': operations.Query,
-}
-WRITES = {
-    'submit': operations.Submission,
-    'change': operations.Change,
-    'cancel': operations.Query,
-}
-
 
 class Step(enum.Enum):
     """What became of one step of the deciding thread."""
@@ -101,54 +77,6 @@
     kv: object = None
 
 
-@dataclasses.dataclass(slots=True)
-class Reported:
-    """A side's reports, waiting to be judged."""
-
-    link: object = None
-    message: object = None
-
-
-@dataclasses.dataclass(slots=True)
-class Measured:
-    """What a side measured of its services, waiting to be learnt from."""
-
-    vm: str = ''
-    measures: list = None
-
-
-@dataclasses.dataclass(slots=True)
-class Called:
-    """An operator's changing call, waiting to be carried out."""
-
-    fut: object = None
-    method: str = ''
-    arguments: object = None
-
-
-class _Batch:
-    """Events of one pass and what is done once they are logged."""
-
-    def __init__(self):
-        self.events = []
-        self.early = []
-        self.effects = []
-
-    def send_early(self, link, message):
-        """Send a message that earlier entries of the log allow already."""
-        if link is not None:
-            self.early.append(lambda: link.send(message))
-
-    def send(self, link, message):
-        """Send a message after the events are logged."""
-        if link is not None:
-            self.effects.append(lambda: link.send(message))
-
-    def answer(self, fut, value):
-        """Answer an operator after the events are logged."""
-        self.effects.append(lambda: fut.set_result(value))
-
-
 class Owner:
     """The owner role; a context manager that ends it."""
 
@@ -159,7 +87,6 @@
         self._state = state
         self._lock = threading.RLock()
         self._inbox = queue.SimpleQueue()
-        self._waiting = {}
         self._stop = threading.Event()
         self._lost = False
         self._suspect = threading.Event()
@@ -167,17 +94,17 @@
         self._pending_since = None
         self._next_append = 0.0
         self._next_check = 0.0
-        self._next_drop = 0.0
         self._snapshot_seq = log.next_seq
-        self._health = health.Health()
+        ailing = health.Health()
         self._grants = grants.GrantTable(state.members, env.limits)
-        began = env.clock.read_monotonic()
-        self._pressure = pressure.Pressure(state, began)
+        self._decider = decider.Decider(env, state, self._grants, ailing)
         self._members = membership.Membership(
-            env, state, self._grants, self._health, self._pressure
+            env, state, self._grants, ailing, self._decider.pressure
+        )
+        self._decider.set_members(self._members)
+        self._desk = desk.Desk(
+            env, self, self._lock, state, self._members, self._decider
         )
-        self._preparation = preparing.Preparation(state)
-        self._rosters = rosters.RosterKeeper(state)
         # Items that came in while an append was stalled.
         self._deferred = []
         self._config = configuration.ConfigWatcher(env.kv, env.keeper)
@@ -263,12 +190,12 @@
 
     def make_rosters(self):
         """Return the rosters, for a side."""
-        return self._rosters.make_update()
+        return self._decider.rosters.make_update()
 
     def record_ack(self, member, beat):
         """Count a heartbeat that acknowledges our epoch."""
         if beat.epoch == self.epoch:
-            self._rosters.note_ack(member, beat.roster_seq)
+            self._decider.rosters.note_ack(member, beat.roster_seq)
         if beat.epoch == self.epoch and beat.owner_ms:
             now = self.read_clock()
             self._grants.record_ack(member, beat.owner_ms / _MS, now)
@@ -284,11 +211,11 @@
 
     def take_reports(self, link, message):
         """Queue a side's reports."""
-        self._inbox.put(Reported(link, message))
+        self._inbox.put(decider.Reported(link, message))
 
     def take_measures(self, vm, measures):
         """Queue what a side measured of its services."""
-        self._inbox.put(Measured(vm, measures))
+        self._inbox.put(decider.Measured(vm, measures))
 
     # What entries call, each from its connection's thread.
 
@@ -297,63 +224,16 @@
 
         :returns: a ``messages.OperationResult``
         """
-        method = operation.method
-        if method in READS:
-            arguments = operations.read_arguments(
-                READS[method], operation.body
-            )
-            answer = arguments.and_then(
-                lambda query: self._read(method, query)
-            )
-        elif method in WRITES:
-            arguments = operations.read_arguments(
-                WRITES[method], operation.body
-            )
-            answer = arguments.and_then(lambda call: self._write(method, call))
-        else:
-            problem = data.Problem('unknown-method', 'method', method)
-            return _refuse(operation, problem)
-        if answer.is_err():
-            return _refuse(operation, answer.err_value)
-        return _answer(operation, answer.ok_value)
+        return self._desk.operate(operation)
 
-    def _read(self, method, query):
-        """Answer a reading call from the state.
-
-        :returns: Ok(a plain class of ``operations``), or Err(Problem)
-        """
-        with self._lock:
-            views = self._members.view_vms()
-            if method == 'list-workloads':
-                listed = operations.list_workloads(self._state, query, views)
-                return result.Ok(listed)
-            if method == 'list-tasks':
-                return operations.list_tasks(self._state, query)
-            if method == 'explain':
-                now_ms = self._env.clock.read_unix_ms()
-                return operations.explain(
-                    self._state, query, self._waiting, now_ms
-                )
-            return result.Ok(self._report_shard(views))
+    @property
+    def log_length(self):
+        """How many entries the log has had."""
+        return self._log.next_seq
 
-    def _write(self, method, call):
-        """Have a changing call carried out and wait until it is logged.
-
-        :returns: Ok(a plain class of ``operations``), or Err(Problem)
-        """
-        if self.deposed.is_set() or self._is_stalled():
-            return result.Err(_describe_stall())
-        called = Called(concurrent.futures.Future(), method, call)
-        self.take_call(called)
-        try:
-            answer = called.fut.result(OPERATION_SECONDS)
-        except concurrent.futures.TimeoutError:
-            if called.fut.cancel():
-                return result.Err(_describe_stall())
-            return result.Err(_describe_unknown())
-        if isinstance(answer, data.Problem):
-            return result.Err(answer)
-        return result.Ok(answer)
+    def takes_calls(self):
+        """Tell whether changing calls have a chance to be logged now."""
+        return not self.deposed.is_set() and not self._is_stalled()
 
     def take_call(self, called):
         """Queue an operator's changing call."""
@@ -416,7 +296,10 @@
                 self.deposed.set()
                 return Step.DEPOSED
             self._members.sync_links(self)
-            self._batch = self._decide(items)
+            items = [*self._deferred, *items]
+            self._deferred = []
+            with self._lock:
+                self._batch = self._decider.decide(items)
             for effect in self._batch.early:
                 effect()
         step = self._commit()
@@ -434,315 +317,13 @@
         items = self.take_items()
         self._deferred.extend(item for item in items if item is not None)
         for item in items:
-            if isinstance(item, Reported):
-                starts = self._preparation.note_stalled(
+            if isinstance(item, decider.Reported):
+                starts = self._decider.preparation.note_stalled(
                     item.link.name, item.message.reports
                 )
                 for start in starts:
                     item.link.send(start)
 
-    def _decide(self, items):
-        """Work out events and what is done after them."""
-        batch = _Batch()
-        items = [*self._deferred, *items]
-        self._deferred = []
-        with self._lock:
-            for item in items:
-                if isinstance(item, Reported):
-                    self._judge(item, batch)
-                elif isinstance(item, Measured):
-                    self._learn(item)
-                elif item is not None:
-                    self._carry_out(item, batch)
-            self._change_members(batch)
-            self._requeue_lost(batch)
-            self._empty_leaving(batch)
-            self._remedy(batch)
-            self._place(batch)
-            self._drop_old(batch)
-            self._follow_services(batch)
-        return batch
-
-    def _judge(self, item, batch):
-        """Take in a side's reports."""
-        verdict = reconcile.Verdict()
-        name = item.link.name
-        if item.message.whole:
-            missing = reconcile.find_missing(
-                self._state, name, item.message.reports
-            )
-            for task in missing:
-                command = reconcile.make_start(self._state, task)
-                verdict.commands.append(command)
-            item.link.view.reported = True
-        for report in item.message.reports:
-            self._note_health(name, report)
-            reconcile.judge_report(self._state, name, report, verdict)
-        batch.events.extend(verdict.events)
-        for command in verdict.commands:
-            batch.send(item.link, command)
-        if verdict.forget:
-            batch.send(item.link, messages.ForgetTasks(verdict.forget))
-
-    def _learn(self, item):
-        """Learn from what a side has measured."""
-        targets = self._env.keeper.read().targets
-        now = self.read_clock()
-        self._pressure.note_measures(item.vm, item.measures, targets, now)
-
-    def _note_health(self, vm, report):
-        """Learn from an ended attempt whether its worker is sound."""
-        task = self._state.tasks.get(report.task)
-        if task is None or (task.vm, task.attempt) != (vm, report.attempt):
-            return
-        workload = self._state.find_workload(task.id).id
-        now = self.read_clock()
-        if report.state == data.RunState.SUCCEEDED:
-            self._health.note_success(vm)
-        elif report.state == data.RunState.FAILED or report.at_worker:
-            if self._health.note_failure(vm, workload, now):
-                LOG.warning('quarantined', extra=logs.fields(vm=vm))
-        elif report.state == data.RunState.REFUSED:
-            self._health.note_refusal(vm, workload, now)
-
-    def _carry_out(self, item, batch):
-        """Carry out an operator's changing call, if it still waits."""
-        if not item.fut.set_running_or_notify_cancel():
-            return
-        now_ms = self._env.clock.read_unix_ms()
-        if item.method == 'submit':
-            views = self._members.view_vms()
-            step = operations.submit(
-                self._state, item.arguments, views, self._env.shard, now_ms
-            )
-        elif item.method == 'change':
-            step = operations.change(self._state, item.arguments)
-        else:
-            step = operations.cancel(self._state, item.arguments)
-        if step.is_err():
-            batch.answer(item.fut, step.err_value)
-            return
-        batch.events.extend(step.ok_value.events)
-        for task in step.ok_value.stop:
-            command = reconcile.make_stop(self._state, task, False)
-            batch.send(self._members.get_link(task.vm), command)
-        batch.answer(item.fut, step.ok_value.answer)
-
-    def _change_members(self, batch):
-        """Change the member list by one VM, if the VM list says so."""
-        event = self._members.follow_vm_list(self.read_clock())
-        if event is not None:
-            self._add(batch, event)
-            self._grants.set_members(self._state.members)
-
-    def _requeue_lost(self, batch):
-        """Queue the tasks of silent VMs again, once that is safe."""
-        now = self.read_clock()
-        now_ms = self._env.clock.read_unix_ms()
-        for name in list(self._state.held):
-            held = list(self._state.held[name].values())
-            if not held or not self._members.is_silent(name, now):
-                continue
-            safe = self._grants.may_replace(name, now)
-            for task in held:
-                workload = self._state.find_workload(task.id).workload
-                if workload.exclusive and not safe:
-                    continue
-                event = events.TaskRequeued(task.id, task.attempt)
-                self._add(batch, event)
-                decision = planning.explain_loss(task, name, now_ms)
-                self._add(batch, events.DecisionMade(decision))
-
-    def _empty_leaving(self, batch):
-        """Move tasks away from VMs that the platform will take away."""
-        now_ms = self._env.clock.read_unix_ms()
-        for link in self._members.list_links():
-            if not self._members.is_leaving(link.name):
-                continue
-            for task in list(self._state.held[link.name].values()):
-                if task.state == data.TaskState.PLACED:
-                    reason = planning.REASON_LEAVING
-                    self._evict(task, reason, now_ms, batch)
-
-    def _remedy(self, batch):
-        """Relieve services that are at risk."""
-        now = self.read_clock()
-        weights = self._env.keeper.read().weights
-        self._pressure.remedies.set_weights(weights)
-        self._pressure.forget_ended()
-        self._pressure.note_running(now)
-        for action in self._pressure.find_actions(now):
-            self._act(action, batch)
-
-    def _act(self, action, batch):
-        """Throttle, release or evict one task."""
-        task = self._state.tasks[action.task]
-        now_ms = self._env.clock.read_unix_ms()
-        if not action.percent:
-            self._evict(task, action.reason, now_ms, batch)
-            return
-        decision = planning.explain_throttling(task, action, now_ms)
-        self._add(batch, events.DecisionMade(decision))
-        batch.send(
-            self._members.get_link(task.vm),
-            messages.ThrottleTask(
-                self.epoch, task.id, task.attempt, action.percent
-            ),
-        )
-
-    def _evict(self, task, reason, now_ms, batch):
-        """Have an attempt saved and stopped, to run again elsewhere."""
-        self._add(batch, events.TaskEvicting(task.id, task.attempt))
-        decision = planning.explain_eviction(task, reason, now_ms)
-        self._add(batch, events.DecisionMade(decision))
-        command = reconcile.make_stop(self._state, task, True)
-        batch.send(self._members.get_link(task.vm), command)
-
-    def _place(self, batch):
-        """Place waiting tasks."""
-        now = self.read_clock()
-        if not self._may_place(now):
-            return
-        views = self._members.view_vms()
-        self._resolve_prepared(batch, views, now)
-        quotas = self._env.keeper.read().quotas
-        demands = self._list_demands(now)
-        now_ms = self._env.clock.read_unix_ms()
-        done = planning.plan(
-            self._state,
-            demands,
-            views,
-            quotas,
-            now_ms,
-            self._pressure.remedies.judge,
-        )
-        self._waiting = {one.record.id: one for one in done.waiting}
-        for placed in done.placements:
-            event = events.TaskPlaced(placed.task, placed.attempt, placed.vm)
-            self._add(batch, event)
-            self._add(batch, events.DecisionMade(placed.decision))
-            task = self._state.tasks[placed.task]
-            self._pressure.note_begun((task.id, task.attempt), now)
-            command = reconcile.make_start(self._state, task)
-            batch.send(self._members.get_link(placed.vm), command)
-        self._make_room(done, views, quotas, batch)
-        self._prepare(done, batch)
-        metrics.PLACEMENTS.inc(len(done.placements))
-
-    def _list_demands(self, now):
-        return planning.list_demands(
-            self._state,
-            lambda workload: self._health.list_avoided(workload, now),
-        )
-
-    def _make_room(self, done, views, quotas, batch):
-        """Evict what has to give way to work that still waits."""
-        if not done.waiting or self._is_evicting():
-            return
-        now = self.read_clock()
-        over = planning.find_over_quota(self._state, quotas)
-        for action in self._pressure.find_room(done.ordered, views, over, now):
-            self._act(action, batch)
-
-    def _is_evicting(self):
-        """Tell whether room is being made already."""
-        return any(
-            task.state == data.TaskState.EVICTING
-            for held in self._state.held.values()
-            for task in held.values()
-        )
-
-    def _may_place(self, now):
-        return self._grants.may_grant(now) and self._members.has_settled(now)
-
-    def _resolve_prepared(self, batch, views, now):
-        """Place prepared tasks that there is room for now.
-
-        That they belong to their VM is in the log already, so that they
-        are begun without waiting for the next append.
-        """
-        resolved = self._preparation.resolve(
-            views,
-            lambda vm: self._members.is_silent(vm, now),
-            lambda vm: self._grants.may_replace(vm, now),
-        )
-        for event in resolved:
-            self._add(batch, event)
-            if isinstance(event, events.TaskPlaced):
-                task = self._state.tasks[event.task]
-                command = reconcile.make_start(self._state, task)
-                link = self._members.get_link(event.vm)
-                batch.send_early(link, command)
-
-    def _prepare(self, done, batch):
-        """Commit some starts ahead, for an outage of the store."""
-        if not done.waiting:
-            return
-        views = self._members.view_vms()
-        for event in self._preparation.choose(done.ordered, views):
-            self._add(batch, event)
-
-    def _follow_services(self, batch):
-        """Change the roster when services run elsewhere."""
-        now = self.read_clock()
-        if not self._may_place(now):
-            return
-        event, news = self._rosters.follow(
-            self._members.view_vms(),
-            self._env.clock.read_unix_ms(),
-            lambda vm: self._grants.has_lapsed(vm, now),
-        )
-        if event is not None:
-            self._add(batch, event)
-        if news:
-            batch.effects.append(
-                lambda: self._members.announce(self.make_rosters())
-            )
-
-    def _drop_old(self, batch):
-        """Drop workloads that ended long ago, now and then."""
-        now = self.read_clock()
-        if now < self._next_drop:
-            return
-        self._next_drop = now + _DROP_SECONDS
-        now_ms = self._env.clock.read_unix_ms()
-        for workload_id in planning.find_old(self._state, now_ms):
-            self._add(batch, events.WorkloadDropped(workload_id))
-            self._health.drop_workload(workload_id)
-
-    def _add(self, batch, event):
-        self._state.apply(event)
-        batch.events.append(event)
-
-    def _report_shard(self, views):
-        """Return what operators see of the shard."""
-        report = operations.ShardReport(
-            self._env.shard,
-            self._env.name,
-            self.epoch,
-            self._log.next_seq,
-            config_revision=self._env.keeper.read().revision,
-        )
-        for record in self._state.workloads.values():
-            counts = self._state.count_states(record)
-            report.waiting += counts[data.TaskState.WAITING]
-            report.running += sum(counts[s] for s in data.HELD_STATES)
-        for team, used in planning.sum_by_team(self._state).items():
-            report.teams.append(operations.TeamUse(team, used))
-        for view in views:
-            name = view.vm.name
-            report.vms.append(
-                operations.VmReport(
-                    view.vm,
-                    view.closed or 'live',
-                    view.capacity,
-                    view.reserved,
-                    len(self._state.held[name]),
-                    self._members.get_link(name).view.config_revision,
-                )
-            )
-        return report
-
     # The log.
 
     def _confirm(self):
@@ -785,7 +366,7 @@
         metrics.APPENDS.inc()
         if answer.is_ok():
             self._pending_since = None
-            self._preparation.note_confirmed()
+            self._decider.preparation.note_confirmed()
             self._grants.record_store(sent)
             self._next_append = sent + self._env.append_interval
             return Step.DONE
@@ -816,34 +397,9 @@
     def _refuse_inbox(self):
         """Answer the calls that will not be carried out any more."""
         for item in [*self._deferred, *self.take_items()]:
-            if isinstance(item, Called):
+            if isinstance(item, decider.Called):
                 if item.fut.set_running_or_notify_cancel():
-                    item.fut.set_result(_describe_stall())
+                    item.fut.set_result(desk.describe_stall())
 
     def _extra(self):
         return logs.fields(shard=self._env.shard, epoch=self.epoch)
-
-
-def _answer(operation, value):
-    return messages.OperationResult(operation.id, 'ok', codec.pack(value))
-
-
-def _refuse(operation, problem):
-    status = 'unknown' if problem.code == 'outcome-unknown' else 'refused'
-    return messages.OperationResult(operation.id, status, problems=[problem])
-
-
-def _describe_stall():
-    return data.Problem(
-        'not-accepted',
-        text="the platform's store does not answer; nothing was changed",
-        remedy='send the same call again in some seconds',
-    )
-
-
-def _describe_unknown():
-    return data.Problem(
-        'outcome-unknown',
-        text='the store has not confirmed the change; it may be in force',
-        remedy='send the same call with the same key again',
-    )
--- a/packages/testing/portwharf/testing/cluster.py
+++ b/packages/testing/portwharf/testing/cluster.py
@@ -20,6 +20,7 @@
 from portwharf.core import data
 from portwharf.peers import streams
 from portwharf.scheduler import configuration
+from portwharf.scheduler import decider
 from portwharf.scheduler import guard
 from portwharf.scheduler import limits
 from portwharf.scheduler import members
@@ -536,7 +537,7 @@
         if not owners:
             return None
         node = max(owners, key=lambda one: one.owner.epoch)
-        called = owner.Called(FakeFuture(), method, arguments)
+        called = decider.Called(FakeFuture(), method, arguments)
         self.calls.append(called)
         node.owner.take_call(called)
         return called.fut
