--- /dev/null
+++ b/packages/testing/portwharf/testing/stay.py
@@ -0,0 +1,27 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Starts a deployment on loopback and keeps it up until interrupted."""
+
+import signal
+import sys
+import tempfile
+import threading
+
+from portwharf.testing import launcher
+
+
+def main():
+    """Keep the deployment that the first argument names."""
+    stopped = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopped.set())
+    with tempfile.TemporaryDirectory(prefix='portwharf-') as folder:
+        with launcher.Deployment(sys.argv[1], folder) as deployment:
+            print(f'entries: {",".join(deployment.entries)}')
+            print(f'settings and logs: {folder}')
+            print('Ctrl-C ends it', flush=True)
+            stopped.wait()
+
+
+if __name__ == '__main__':
+    main()
