--- a/packages/testing/portwharf/testing/demo.py
+++ b/packages/testing/portwharf/testing/demo.py
@@ -51,7 +51,7 @@
         self._set_configuration()
         ids_by_name = self._submit()
         service_id = ids_by_name[f'{self._team}/{self._service}']
-        replicas = self._deployment.spec['deployment']['vms']
+        replicas = self._count_replicas()
         self._wait_for(
             'replicas run',
             lambda: self._read_status(service_id).running == replicas,
@@ -69,6 +69,14 @@
         self._show('report', 'burn')
         self._show('config', 'status')
 
+    def _count_replicas(self):
+        """Return how many VMs the service's shard has for its replicas."""
+        spec = self._deployment.spec['deployment']
+        shards = spec.get('shards', 1)
+        key = f'{self._team}/{self._service}'
+        shard = ids.hash_to_shard(key, shards)
+        return len(range(shard, spec['vms'], shards))
+
     def _set_configuration(self):
         weights = self._deployment.spec['weights']
         lines = ['[weights]']
@@ -87,7 +95,7 @@
             _WORKLOADS.format(
                 team=self._team,
                 service=self._service,
-                replicas=self._deployment.spec['deployment']['vms'],
+                replicas=self._count_replicas(),
                 tasks=TASKS,
                 steps=STEPS,
                 seconds=_STEP_SECONDS,
--- a/packages/testing/portwharf/testing/launcher.py
+++ b/packages/testing/portwharf/testing/launcher.py
@@ -53,6 +53,7 @@
         self.processes = {}
         self._base = self.spec['deployment']['base_port']
         self._address = self.spec['deployment']['address']
+        self._shards = self.spec['deployment'].get('shards', 1)
         self._http = urllib3.PoolManager(retries=False, timeout=2.0)
         self.extra_side = ''
 
@@ -87,6 +88,7 @@
             port = self._base + _SIDE_PORTS + number
             name = f'vm-{number:02d}'
             vm = data.Vm(name, self._address, port, zone, f'rack-{rack}')
+            vm.shard = number % self._shards
             vms.append(vm)
         for number in range(spec['entries']):
             port = self._base + _ENTRY_PORTS + number
@@ -210,6 +212,7 @@
             vm_list=_write_place(self._place(_LIST_PORT)),
             worker=_write_place(self._place(_WORKER_PORTS + number)),
             runner=_write_place(self._place(_RUNNER_PORTS + number)),
+            shards=self._shards,
             slots=size['slots'],
             connections=size['connections'],
         )
@@ -221,6 +224,7 @@
     def _start_entry(self, vm):
         text = _ENTRY_TEXT.format(
             vm=vm,
+            shards=self._shards,
             store=_write_place(self._place(_STORE_PORT)),
             vm_list=_write_place(self._place(_LIST_PORT)),
         )
@@ -259,6 +263,10 @@
 pages_port = {pages}
 availability_zone = "{vm.availability_zone}"
 rack = "{vm.rack}"
+shard = {vm.shard}
+
+[shards]
+count = {shards}
 
 [store]
 {store}
@@ -288,6 +296,9 @@
 port = {vm.port}
 availability_zone = "{vm.availability_zone}"
 
+[shards]
+count = {shards}
+
 [store]
 {store}
 
