Entries within the store's limit; one probe; what was unused goes

Found by looking for unused names: nothing bounded an entry's bytes (40 submissions of 60 KB in one pass made one of 2.4 MB, which the store would refuse for ever); a worker after quarantine got as many tasks as it held instead of one; the weight of tail latency did nothing; a restarted member's answer counted as a vote.

--- a/packages/entry/portwharf/entry/gate.py
+++ b/packages/entry/portwharf/entry/gate.py
@@ -99,11 +99,6 @@
                 one.shrunk = now
                 one.limit = max(LEAST, one.limit * _SHRINK)
 
-    def get_limit(self, service):
-        """Return a service's present limit."""
-        one = self._services.get(service)
-        return one.limit if one else _Service().limit
-
     def _admits(self, one, caller):
         if one.total < one.limit:
             return True
--- a/packages/scheduler/portwharf/scheduler/faults_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_test.py
@@ -287,3 +287,13 @@
         'list_demands',
         lambda state, list_avoided: [],
     )
+
+
+def test_entries_not_cut_to_what_the_store_holds(case):
+    check(
+        case,
+        ownership_test.test_large_submissions_are_cut_into_entries,
+        shardlog,
+        'cut_batch',
+        len,
+    )
--- a/packages/scheduler/portwharf/scheduler/grants.py
+++ b/packages/scheduler/portwharf/scheduler/grants.py
@@ -76,10 +76,6 @@
             sent = self._find_majority_time()
             return sent is not None and now - sent < self._limits.confirm
 
-    def has_had_majority(self):
-        """Tell whether a majority ever acknowledged our epoch."""
-        return self._majority_since is not None
-
     def may_replace(self, vm, now):
         """Tell whether an exclusive task of a silent VM can run again."""
         return self._has_run_out(
--- a/packages/scheduler/portwharf/scheduler/interference.py
+++ b/packages/scheduler/portwharf/scheduler/interference.py
@@ -133,10 +133,6 @@
         part = self._parts[service][('kind', kind)]
         return part.mean * (_IDLE_WEIGHT + load)
 
-    def knows(self, service):
-        """Tell whether a service has been measured at all."""
-        return service in self._parts
-
     def _list_weights(self, service, load, kinds):
         """Return names and weights of the parts that count now."""
         parts = self._parts[service]
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -109,6 +109,7 @@
             view = placement.VmView(link.view.vm, link.view.capacity)
             view.reserved = self._state.reserved[name]
             view.closed = self._find_closed(name, link, now)
+            view.probe = self._health.is_probed(name, now)
             views.append(view)
         self._pressure.fill_views(views, now)
         return views
@@ -170,6 +171,9 @@
             return CLOSED_LEAVING
         if self._health.is_quarantined(name, now):
             return CLOSED_QUARANTINED
+        if self._health.is_probed(name, now) and self._state.held[name]:
+            # The probe is under way.
+            return CLOSED_QUARANTINED
         return ''
 
     def announce(self, message):
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -33,8 +33,6 @@
 
 # Items taken into one pass, so that an entry stays under the store's limit.
 MAX_ITEMS = 400
-# Events of one log entry.
-MAX_ENTRY_EVENTS = 1000
 SNAPSHOT_ENTRIES = 300
 STALL_SECONDS = 2.0
 _TICK_SECONDS = 0.5
@@ -91,6 +89,7 @@
         self._lost = False
         self._suspect = threading.Event()
         self._batch = None
+        self._cut = 0
         self._pending_since = None
         self._next_append = 0.0
         self._next_check = 0.0
@@ -352,11 +351,14 @@
         """Append the batch's events, as many entries as they need."""
         rest = self._batch.events
         while rest:
-            piece = rest[:MAX_ENTRY_EVENTS]
+            # A stalled piece is tried again as it was.
+            self._cut = self._cut or shardlog.cut_batch(rest)
+            piece = rest[: self._cut]
             step = self._append(piece)
             if step is not Step.DONE:
                 return step
-            del rest[: len(piece)]
+            del rest[: self._cut]
+            self._cut = 0
         return Step.DONE
 
     def _append(self, piece):
--- a/packages/scheduler/portwharf/scheduler/ownership_test.py
+++ b/packages/scheduler/portwharf/scheduler/ownership_test.py
@@ -203,6 +203,30 @@
     finish(made)
 
 
+def test_large_submissions_are_cut_into_entries(case):
+    made = cluster.Cluster(3)
+    for _ in range(40):
+        made.submit(1, argument=bytes(60_000))
+    made.run(2)
+    case.assertEqual(len(made.list_accepted()), 40)
+    finish(made)
+
+
+def test_worker_in_quarantine_is_probed_with_one_task(case):
+    made = cluster.Cluster(3)
+    broken = made.nodes[0]
+    broken.worker.broken = True
+    for _ in range(6):
+        made.submit(1)
+        made.run(2)
+    made.run(20)
+    broken.worker.broken = False
+    made.submit(6)
+    made.run(1)
+    case.assertLessEqual(len(list_running(broken)), 1)
+    finish(made)
+
+
 def test_lost_answers_double_nothing(case):
     made = cluster.Cluster(3)
     for _ in range(5):
--- a/packages/scheduler/portwharf/scheduler/placement.py
+++ b/packages/scheduler/portwharf/scheduler/placement.py
@@ -45,6 +45,7 @@
     """One VM as the owner sees it at the time of a pass.
 
     :param closed: '' or why it gets nothing new
+    :param probe: it gets one task, to see whether it is sound again
     :param services: list of ``remedies.ServiceView``
     :param kinds: kinds of batch work on it, with how many tasks
     """
@@ -57,6 +58,7 @@
         default_factory=data.Resources
     )
     closed: str = ''
+    probe: bool = False
     services: list = dataclasses.field(default_factory=list)
     kinds: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
@@ -297,6 +299,8 @@
         if workload.kind == data.Kind.BATCH:
             choice.view.kinds[find_kind(workload)] += 1
         choice.view.reserved = choice.view.reserved.add(workload.resources)
+        if choice.view.probe:
+            choice.view.closed = 'quarantined'
         quotas.reserve(workload.team, workload.resources)
         demand.placed[choice.view.vm.name] += 1
         decision = events.Decision(
--- a/packages/scheduler/portwharf/scheduler/remedies.py
+++ b/packages/scheduler/portwharf/scheduler/remedies.py
@@ -18,6 +18,7 @@
 # more, less where batch throughput does.
 HEADROOM = 2.5
 _HEADROOM_A_WEIGHT = 0.02
+_USUAL_TAIL_WEIGHT = 5.0
 # Deviations that a prediction is taken worse by: placing beside a service
 # near its target, and elsewhere.
 CAUTION = 1.5
@@ -136,6 +137,7 @@
     def set_weights(self, weights):
         """Follow the operators' weights of the three measures."""
         lean = weights.evictions - weights.batch_throughput
+        lean += (weights.tail_latency - _USUAL_TAIL_WEIGHT) / 2
         self.headroom = HEADROOM * (1 + _HEADROOM_A_WEIGHT * lean)
         self.evict_patience = EVICT_PATIENCE * max(1.0, weights.evictions)
 
--- a/packages/scheduler/portwharf/scheduler/shardlog.py
+++ b/packages/scheduler/portwharf/scheduler/shardlog.py
@@ -72,6 +72,16 @@
     empty: bool = False
 
 
+def cut_batch(batch):
+    """Return how many of a batch's events fit into one entry, at least 1."""
+    size = 0
+    for count, row in enumerate(events.write_events(batch)):
+        size += len(msgpack.packb(row))
+        if count and size > MAX_ENTRY_BYTES:
+            return count
+    return len(batch)
+
+
 class ShardLog:
     """One shard's log, read and appended to by one process."""
 
--- a/packages/scheduler/portwharf/scheduler/state.py
+++ b/packages/scheduler/portwharf/scheduler/state.py
@@ -161,20 +161,6 @@
             counts[data.TaskState.WAITING] += unbegun
         return counts
 
-    def list_waiting(self, record):
-        """Return ids of a workload's waiting tasks, evicted ones first."""
-        if record.cancelled:
-            return []
-        limit = record.workload.count
-        waiting = [
-            task.id
-            for task in record.tasks
-            if task.state == data.TaskState.WAITING and task.number < limit
-        ]
-        unbegun = range(record.begun, limit)
-        waiting.extend(ids.make_task_id(record.id, n) for n in unbegun)
-        return waiting
-
     def has_ended(self, record):
         """Tell whether nothing of a workload runs or will run again."""
         if not record.cancelled:
--- a/packages/scheduler/portwharf/scheduler/takeover.py
+++ b/packages/scheduler/portwharf/scheduler/takeover.py
@@ -198,13 +198,13 @@
             return
         self._failures = 0
         if contents.ok_value.empty:
-            self._found_shard(log)
+            self._found_shard()
             return
         restored = state.restore_state(contents.ok_value)
         self._members = dict(restored.members)
         self._guard.learn_epoch(restored.epoch)
 
-    def _found_shard(self, log):
+    def _found_shard(self):
         """Begin the log of a new shard, if it is our turn.
 
         Until then the log is read again and again, as another's beginning
@@ -222,10 +222,11 @@
         if self._guard.measure_silence() < wait:
             self._stop.wait(_FOUND_SECONDS)
             return
-        fresh = state.ShardState()
         self._guard.learn_epoch(0)
         self._members = {vm.name: vm for vm in ours}
-        self._begin(append_claim(log, fresh, self._env.name, ours))
+        self._begin(
+            found_shard(self._kv, self._env.shard, self._env.name, ours)
+        )
 
     def _is_our_turn(self):
         names = [n for n in self._members if n != self._guard.owner]
@@ -318,7 +319,7 @@
 
     def count(self, answer):
         """Count an answer; a dead or restarted member says nothing."""
-        if not isinstance(answer, messages.OwnerAnswer):
+        if not isinstance(answer, messages.OwnerAnswer) or answer.restarted:
             return
         if answer.hears:
             self.hears += 1
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -27,6 +27,9 @@
 # Refused attempts that are remembered. A copy of a command arrives within
 # the life of its connection, so that old ones can go.
 MAX_BURNT = 10_000
+# A task's result is in the log: a reference to anything larger.
+MAX_RESULT_BYTES = 64 * 1024
+REASON_RESULT = 'result-is-over-64-KiB'
 REFUSED_CAPACITY = 'no-room-on-the-vm'
 REFUSED_EPOCH = 'command-of-a-former-owner'
 REFUSED_GRANT = 'no-valid-grant'
@@ -407,6 +410,18 @@
 
 
 def _make_report(attempt):
+    """Return what the owner is told of an attempt.
+
+    A result that the log cannot hold makes the attempt a failed one, which
+    is said, instead of a log that stands still.
+    """
+    if len(attempt.result) > MAX_RESULT_BYTES:
+        attempt = dataclasses.replace(
+            attempt,
+            state=data.RunState.FAILED,
+            result=b'',
+            reason=REASON_RESULT,
+        )
     return messages.TaskReport(
         task=attempt.task,
         attempt=attempt.attempt,
--- a/packages/side/portwharf/side/agent_test.py
+++ b/packages/side/portwharf/side/agent_test.py
@@ -265,6 +265,20 @@
     case.assertEqual(conn.take(messages.Heartbeat)[-1].epoch, 3)
 
 
+def test_result_too_large_for_the_log_is_a_failure(case):
+    bench = Bench()
+    bench.grant()
+    bench.start()
+    bench.conn.take(messages.Reports)
+    attempt = bench.worker.listing.attempts[0]
+    attempt.state = data.RunState.SUCCEEDED
+    attempt.result = bytes(agent.MAX_RESULT_BYTES + 1)
+    bench.step(1.0)
+    (message,) = bench.conn.take(messages.Reports)
+    case.assertEqual(message.reports[0].state, data.RunState.FAILED)
+    case.assertEqual(message.reports[0].reason, agent.REASON_RESULT)
+
+
 def test_forgotten_ending_leaves_the_worker(case):
     bench = Bench()
     bench.grant()
--- a/packages/testing/portwharf/testing/kv.py
+++ b/packages/testing/portwharf/testing/kv.py
@@ -15,6 +15,7 @@
 import time
 
 from portwharf.core import web
+from portwharf import store
 
 _WATCH_POLL_SECONDS = 0.05
 
@@ -137,6 +138,8 @@
                 return {'header': self._header(), 'succeeded': False}
         for operation in body.get('success', []):
             put = operation['request_put']
+            if len(put['value']) * 3 // 4 > store.MAX_VALUE_BYTES:
+                raise ValueError('the value is too large for the store')
             self._put(put['key'], put['value'])
         return {'header': self._header(), 'succeeded': True}
 
