--- a/packages/entry/portwharf/entry/shards.py
+++ b/packages/entry/portwharf/entry/shards.py
@@ -26,6 +26,8 @@
 CALL_SECONDS = 10.0
 _ATTEMPT_SECONDS = 9.0
 _PAUSE_SECONDS = 0.3
+# How often to look whether the owner that was asked is still the owner.
+_LOOK_SECONDS = 0.4
 
 
 class ShardBackend(operators.Backend):
@@ -197,8 +199,14 @@
             return None
         operation = messages.Operation(0, method, body)
         exchange = link.begin(operation)
-        if exchange is not None:
-            exchange.wait(min(left, _ATTEMPT_SECONDS))
+        if exchange is None:
+            return None
+        deadline = self._clock.read_monotonic() + min(left, _ATTEMPT_SECONDS)
+        while not exchange.wait(_LOOK_SECONDS):
+            now = self._clock.read_monotonic()
+            if now >= deadline or self._find_owner(shard) is not link:
+                # A paused owner keeps its connection; another has followed.
+                break
         return exchange
 
     def _find_owner(self, shard):
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -13,7 +13,7 @@
 from portwharf.scheduler import planning
 
 # What a new owner gives its members at the most to report.
-SETTLE_SECONDS = 2.0
+SETTLE_SECONDS = 1.0
 VMLIST_SECONDS = 5.0
 
 CLOSED_UNREACHABLE = 'unreachable'
--- a/packages/testing/portwharf/testing/faults.py
+++ b/packages/testing/portwharf/testing/faults.py
@@ -87,8 +87,13 @@
 class Chaos:
     """The schedule, the work under it, and the report."""
 
-    def __init__(self, deployment, seed):
+    def __init__(self, deployment, seed, only=''):
+        """Take a deployment, a seed and the faults' names, '' for all."""
         self._deployment = deployment
+        self._faults = _FAULTS
+        if only:
+            names = [f'_{name}' for name in only.split(',')]
+            self._faults = [getattr(Chaos, name) for name in names]
         self._random = random.Random(seed)
         self._clients = [
             operators.Client([_split(place)]) for place in deployment.entries
@@ -118,6 +123,7 @@
         """Run the schedule, settle, and print the report."""
         self._submit('fit-check', 'KIND_SERVICE', len(self._sides))
         self._wait('replicas run', self._all_replicas_run)
+        self._wait('requests are answered', self._answers_all)
         threads = [threading.Thread(target=self._work)]
         threads += [
             threading.Thread(target=self._call_on, args=(number,))
@@ -143,8 +149,8 @@
     # Faults.
 
     def _do_fault(self, number):
-        fault = self._random.choice(_FAULTS)
-        if number % 8 == 4:
+        fault = self._random.choice(self._faults)
+        if number % 8 == 4 and self._faults is _FAULTS:
             fault = Chaos._stop_store
         name = fault.__name__.strip('_')
         print(f'{self._tell_time()} fault {number}: {name}', flush=True)
@@ -539,6 +545,15 @@
         listed = self._list()
         return listed is not None and listed[0].running == len(self._sides)
 
+    def _answers_all(self):
+        """Tell whether not-repeatable requests have their homes."""
+        rnd = random.Random(0)
+        rows = [Sent(ids.make_id()) for _ in range(10)]
+        for sent in rows:
+            self._ask(sent, rnd)
+        good = callers_pb.Outcome.ANSWERED
+        return all(sent.outcomes == [good] for sent in rows)
+
     def _list(self):
         listed = self._any.call(
             _OPERATORS,
@@ -591,12 +606,13 @@
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--faults', type=int, default=FAULTS)
     parser.add_argument('--keep', default='')
+    parser.add_argument('--only', default='', help='as in kill_owner,...')
     arguments = parser.parse_args()
     example = pathlib.Path(__file__).parents[4] / 'examples/kinh-sang.toml'
     with tempfile.TemporaryDirectory(prefix='portwharf-') as folder:
         folder = arguments.keep or folder
         with RelayedDeployment(example, folder) as deployment:
-            chaos = Chaos(deployment, arguments.seed)
+            chaos = Chaos(deployment, arguments.seed, arguments.only)
             chaos.run(arguments.faults)
     return 1 if chaos.problems else 0
 
--- a/packages/testing/portwharf/testing/slopes.py
+++ b/packages/testing/portwharf/testing/slopes.py
@@ -8,6 +8,7 @@
 Exit code 1 if a bound that the users set is exceeded.
 """
 
+import base64
 import concurrent.futures
 import dataclasses
 import json
@@ -37,6 +38,8 @@
 STARTS = 600
 REQUESTS = 3000
 TASKS = 10_000
+# About what a worker runs at the letter's size.
+RUNNING_A_VM = 20
 MAX_SIDE_MB = 45
 MAX_ENTRY_MB = 60
 MAX_START_MS = 3.0
@@ -84,6 +87,9 @@
         slopes = self._measure_idle(owner, others)
         slopes += self._measure_starts(owner, others)
         slopes += self._measure_requests(others)
+        slopes += self._measure_configuration()
+        slopes += self._measure_running(owner, others, slopes)
+        slopes += self._measure_urgent()
         return slopes
 
     def _measure_idle(self, owner, others):
@@ -150,6 +156,69 @@
             ),
         ]
 
+    def _measure_configuration(self):
+        """Return how long a change takes to be in force everywhere."""
+        text = '[weights]\nevictions = 1.5\n'
+        began = time.monotonic()
+        req = pb.ProposeConfigRequest(text=text)
+        self._call('ProposeConfig', req, pb.ProposeConfigResponse)
+
+        def in_force():
+            got = self._call(
+                'ConfigStatus',
+                pb.ConfigStatusRequest(),
+                pb.ConfigStatusResponse,
+            )
+            return all(one.revision == got.revision for one in got.processes)
+
+        self._wait(in_force, 0.05)
+        took = time.monotonic() - began
+        return [Slope('configuration in force everywhere', took, 's', 10)]
+
+    def _measure_running(self, owner, others, slopes):
+        """Return what a running task costs side and owner."""
+        idle = {slope.name: slope.value for slope in slopes}
+        count = RUNNING_A_VM * len(self._sides)
+        self._submit('long', 'KIND_BATCH', count, b'100000 0.2', 100)
+        replicas = len(self._sides)
+        self._wait(lambda: self._count('running') == count + replicas)
+        spent = self._measure_time(lambda: time.sleep(IDLE_SECONDS))
+        share = {name: 100 * s / IDLE_SECONDS for name, s in spent.items()}
+        side = statistics.median(share[name] for name in others)
+        more = (side - idle['side, idle']) / RUNNING_A_VM
+        extra = (share[owner] - side) / len(self._sides)
+        extra -= idle['owner, idle, per member']
+        return [
+            Slope('side, a running task', more, '% of a core'),
+            Slope(
+                'owner, a running task',
+                extra * len(self._sides) / count,
+                '% of a core',
+            ),
+            Slope('owner, resident, then', self._read_rss(owner), 'MB'),
+        ]
+
+    def _measure_urgent(self):
+        """Return how long urgent work takes to start when all is full."""
+        spec = self._deployment.spec['vm']
+        size = spec['cpu_milli'] - 1000 - 100 * RUNNING_A_VM
+        self._submit('filler', 'KIND_BATCH', 64, b'100000 0.2', size // 2)
+        self._wait(lambda: self._count('waiting') > 0)
+        began = time.monotonic()
+        self._submit('urgent', 'KIND_BATCH', 1, b'1 0.01', size, urgent=True)
+        self._wait(lambda: self._find_start(size) > 0, 0.05)
+        took = self._find_start(size) - began
+        return [Slope('urgent start, all full', took, 's', 5.7)]
+
+    def _find_start(self, size):
+        """Return when a task of a size began on any worker, or 0."""
+        for number in range(len(self._sides)):
+            url = self._deployment.get_url('worker', number) + '/record'
+            for row in self._deployment.fetch(url)['spans']:
+                if row.get('cpu_milli') == size:
+                    return row['start']
+        return 0.0
+
     def _measure_time(self, work):
         """Return the processor seconds of each process during work."""
         names = self._sides + self._entries
@@ -185,16 +254,26 @@
         )
         return sum(getattr(one, field) for one in listed.workloads)
 
-    def _submit(self, name, kind, count):
+    def _submit(
+        self,
+        name,
+        kind,
+        count,
+        argument=b'1 0.001',
+        cpu_milli=1000,
+        urgent=False,
+    ):
         workload = {
             'name': name,
             'team': 'lens',
             'kind': kind,
             'count': count,
             'program': 'plan',
-            'resources': {'cpuMilli': 1000, 'memoryMb': 500},
+            'resources': {'cpuMilli': cpu_milli, 'memoryMb': 100},
+            'argument': base64.b64encode(argument).decode(),
+            'urgent': urgent,
+            'checkpointable': True,
         }
-        workload['argument'] = 'MSAwLjAwMQ=='
         req = pb.CreateWorkloadRequest.from_json(
             json.dumps({'workload': workload})
         )
@@ -219,12 +298,12 @@
             _OPERATORS, method, req, answer_class
         ).unwrap()
 
-    def _wait(self, holds):
+    def _wait(self, holds, pause=0.5):
         deadline = time.monotonic() + 120
         while not holds():
             if time.monotonic() > deadline:
                 raise RuntimeError('the deployment does not get on')
-            time.sleep(0.5)
+            time.sleep(pause)
 
 
 def measure_sizes():
