--- a/packages/scheduler/portwharf/scheduler/limits.py
+++ b/packages/scheduler/portwharf/scheduler/limits.py
@@ -34,8 +34,8 @@
     confirm: float = 3.0
     guard: float = 6.0
     lease: float = 4.0
-    takeover: float = 3.0
-    rank_step: float = 0.7
+    takeover: float = 2.2
+    rank_step: float = 0.5
     unreachable: float = 3.0
     gone: float = 120.0
 
--- a/packages/scheduler/portwharf/scheduler/placement.py
+++ b/packages/scheduler/portwharf/scheduler/placement.py
@@ -188,7 +188,11 @@
     borrowers = []
     done.ordered = order_demands(demands, now_ms)
     for demand in done.ordered:
-        if not _place_demand(demand, views, quotas, now_ms, done):
+        known = done.hopeless.get(_find_shape(demand))
+        if known is not None:
+            waiting = Waiting(demand.record, known.reason, known)
+            done.waiting.append(waiting)
+        elif not _place_demand(demand, views, quotas, now_ms, done):
             borrowers.append(demand)
     # What nobody within a quota could use is lent to those over theirs.
     for demand in borrowers:
@@ -277,22 +281,17 @@
     :returns: False if only its team's quota was in the way
     """
     workload = demand.record.workload
-    shape = _find_shape(demand)
-    known = done.hopeless.get(shape)
-    if known is not None:
-        reason = REASON_NO_ROOM if known.refusals else REASON_NO_WORKERS
-        done.waiting.append(Waiting(demand.record, reason, known))
-        return True
     while demand.tasks and len(done.placements) < MAX_PLACEMENTS:
         if not quotas.has_room(workload.team, workload.resources):
             done.waiting.append(Waiting(demand.record, REASON_QUOTA))
             return False
         choice = _choose_vm(demand, views, done.judge)
         if choice.view is None:
+            shape = _find_shape(demand)
             if shape is not None:
                 done.hopeless[shape] = choice
-            reason = REASON_NO_ROOM if choice.refusals else REASON_NO_WORKERS
-            done.waiting.append(Waiting(demand.record, reason, choice))
+            waiting = Waiting(demand.record, choice.reason, choice)
+            done.waiting.append(waiting)
             return True
         task = demand.tasks.pop(0)
         attempt = demand.attempts.pop(0)
@@ -327,7 +326,8 @@
         size.cpu_milli,
         size.memory_mb,
         size.accelerators,
-        find_kind(workload),
+        workload.team,
+        workload.program,
     )
 
 
@@ -341,6 +341,11 @@
         default_factory=collections.Counter
     )
 
+    @property
+    def reason(self):
+        """Why there is no VM, if there is none."""
+        return REASON_NO_ROOM if self.refusals else REASON_NO_WORKERS
+
     def list_refusals(self):
         return [
             events.Count(name, number)
--- a/packages/testing/portwharf/testing/bench.py
+++ b/packages/testing/portwharf/testing/bench.py
@@ -34,6 +34,7 @@
 WRITES_PER_SECOND = 40
 RUNNING = 800
 WAITING = 2000
+TRIES = 7
 
 
 @dataclasses.dataclass(slots=True)
@@ -206,13 +207,23 @@
     return views
 
 
-def time_pass(made, views):
-    """Return the processor seconds of one pass, and what it placed."""
-    judge = remedies.Remedies(interference.Model()).judge
-    began = time.process_time()
-    demands = planning.list_demands(made, lambda workload: set())
-    done = planning.plan(made, demands, views, {}, 10**12, judge)
-    return time.process_time() - began, len(done.placements)
+def time_pass(made, vms, room_milli):
+    """Return the processor seconds of one pass, and what it placed.
+
+    The least of some tries, as other work on the machine only adds.
+    """
+    model = interference.Model()
+    for _ in range(100):
+        model.observe('lens/fit', 0.5, {'lens/surface-plan': 1}, 0.05)
+    judge = remedies.Remedies(model).judge
+    least = float('inf')
+    for _ in range(TRIES):
+        views = make_views(vms, room_milli)
+        began = time.process_time()
+        demands = planning.list_demands(made, lambda workload: set())
+        done = planning.plan(made, demands, views, {}, 10**12, judge)
+        least = min(least, time.process_time() - began)
+    return least, len(done.placements)
 
 
 def measure_decisions():
@@ -220,12 +231,14 @@
     costs = {}
     for vms in (11, 35, 70):
         made = make_waiting_state(WAITING, 770, vms)
-        spent, placed = time_pass(made, make_views(vms, 200_000 // vms))
-        empty, _ = time_pass(made, make_views(vms, 0))
-        costs[vms] = (spent - empty) / max(1, placed)
+        spent, placed = time_pass(made, vms, 200_000 // vms)
+        empty, _ = time_pass(made, vms, 0)
+        if not placed:
+            raise RuntimeError('nothing was placed')
+        costs[vms] = (spent - empty) / placed
     growth = (costs[70] / costs[35]) / (70 / 35)
     full = make_waiting_state(10_000, 0, 11)
-    whole, _ = time_pass(full, make_views(11, 0))
+    whole, _ = time_pass(full, 11, 0)
     return [
         Row('a decision, 35 VMs', 1000 * costs[35], 'ms', 1.0),
         Row('its growth from 35 to 70 VMs', growth, 'of linear', 1.15),
