Bench of the search uses VMs that are full, not empty of capacity

With no capacity no VM could ever be prepared on, so that the bench walked all jobs (150 ms), which no cluster does.

--- a/packages/testing/portwharf/testing/bench.py
+++ b/packages/testing/portwharf/testing/bench.py
@@ -234,7 +234,9 @@
     All VMs are full, of work that none of the waiting may push out.
     """
     made = make_waiting_state(waiting, 100, 11)
-    views = make_views(11, 0)
+    views = make_views(11, 16_000)
+    for view in views:
+        view.reserved = view.capacity
     demands = planning.list_demands(made, lambda workload: set())
     done = planning.plan(made, demands, views, {}, 10**12)
     search = pressure.Pressure(made, 0.0)
