Jobs are graphs of steps; orders without an answer are settled; pacing

Cause: the model knew independent workloads only, a start without an answer was left to the next listing, and nothing kept what fills a VM from slowing what serves on it. Change: a job's steps are workloads that come after others; limits a step (pool, label, tasks a VM, attempts); a doubtful start is stopped before its attempt counts as gone; a side paces what fills by the tails it reads.

--- a/packages/core/portwharf/core/data.py
+++ b/packages/core/portwharf/core/data.py
@@ -116,7 +116,24 @@
 class Workload:
     """What an operator declared: a service, batch job or standing task.
 
-    Fields and units as in the schema's ``Workload``.
+    Fields and units as in the schema's ``Workload``; a step of a job has
+    these besides:
+
+    :param job: the id of the job that it is a step of, or ''
+    :param after: ids of the steps whose tasks must all have succeeded
+    :param pool: the pool of workers that may run it, '' for any
+    :param label: what a worker must be labelled with, or ''
+    :param data_rack: the rack that its data are in, or ''
+    :param most_per_vm: tasks of it that one VM may hold, 0 for any number
+    :param gang: its tasks work only all together
+    :param same_rack: its tasks work best within one rack
+    :param image: what its tasks run; tasks of one image behave alike
+    :param target_ms: what the tail of its tasks' answers has to stay under
+    :param fills: its tasks use the processors that others leave unused
+    :param most_away: tasks that we may have away at a time, 0 for any
+    :param run_ms: a rough estimate of how long one task runs
+    :param max_failures: attempts that may fail before a task has failed,
+        0 for the usual number
     """
 
     name: str = ''
@@ -132,6 +149,33 @@
     urgent: bool = False
     program: str = ''
     argument: bytes = b''
+    # What follows is used by steps of jobs; see :class:`Job`.
+    job: str = ''
+    after: list[str] = dataclasses.field(default_factory=list)
+    pool: str = ''
+    label: str = ''
+    data_rack: str = ''
+    most_per_vm: int = 0
+    gang: bool = False
+    same_rack: bool = False
+    image: str = ''
+    target_ms: int = 0
+    fills: bool = False
+    most_away: int = 0
+    run_ms: int = 0
+    max_failures: int = 0
+
+    @property
+    def reserved(self):
+        """What one task reserves on its VM.
+
+        A task that fills takes the processors that others leave unused,
+        so that it reserves none.
+        """
+        if not self.fills:
+            return self.resources
+        size = self.resources
+        return Resources(0, size.memory_mb, size.accelerators)
 
     @property
     def key(self):
@@ -144,6 +188,47 @@
         return self.kind != Kind.SERVICE and not self.overlap_allowed
 
 
+@dataclasses.dataclass(slots=True)
+class Job:
+    """A graph of steps that is accepted, cancelled and shown as one.
+
+    :param id: chosen by who submits it; a second submission is the same
+    :param queue: the queue that it came by
+    :param rank: the rank of its queue; 0 goes first
+    :param argument: what its tasks are given
+    :param steps: a Workload for each, with ``after`` naming their numbers
+    :param objective_ms: when it should have ended, from its acceptance
+    :param times: how often the steps are run; 0 for once, at once
+    :param first_ms: wall time at which the first time is due
+    :param interval_ms: between two times
+    """
+
+    id: str = ''
+    queue: str = ''
+    rank: int = 0
+    argument: bytes = b''
+    steps: list[Workload] = dataclasses.field(default_factory=list)
+    objective_ms: int = 0
+    times: int = 0
+    first_ms: int = 0
+    interval_ms: int = 0
+
+
+class JobState(enum.StrEnum):
+    """Where a job stands."""
+
+    QUEUED = 'queued'
+    RUNNING = 'running'
+    COMPLETED = 'completed'
+    FAILED = 'failed'
+    CANCELLED = 'cancelled'
+
+
+ENDED_JOB_STATES = frozenset(
+    (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
+)
+
+
 @dataclasses.dataclass(slots=True)
 class Vm:
     """One VM as the platform's list or the settings describe it."""
--- a/packages/peers/portwharf/peers/messages.py
+++ b/packages/peers/portwharf/peers/messages.py
@@ -76,6 +76,9 @@
     :param owner_ms: the owner's clock from the last :class:`Grant`
     :param epoch: the epoch that the side acknowledges by this message; 0
         while a restarted side must not acknowledge any
+    :param pool: the pool that the worker belongs to, or ''
+    :param labels: what the worker is labelled with
+    :param leaves_in_ms: of a draining worker, how long it stays at least
     """
 
     side_ms: int = 0
@@ -88,6 +91,9 @@
     config_revision: int = 0
     roster_seq: int = 0
     measures: list[ServiceMeasure] = dataclasses.field(default_factory=list)
+    pool: str = ''
+    labels: list[str] = dataclasses.field(default_factory=list)
+    leaves_in_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -147,6 +153,10 @@
     program: str = ''
     argument: bytes = b''
     checkpoint: str = ''
+    # It uses what others leave unused, and may be paced for their sake.
+    fills: bool = False
+    # What the tail of its answers has to stay under, 0 for nothing.
+    target_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -94,6 +94,8 @@
         self.rosters = rosters.RosterKeeper(state)
         # Why workloads wait, as of the last pass, by their ids.
         self.waiting = {}
+        # Jobs whose end is not in the log yet, and so must not be shown.
+        self.unlogged = set()
 
     def set_members(self, members):
         """Take the ``membership.Membership``, which is made after this."""
@@ -135,11 +137,29 @@
             self._note_health(name, report)
             reconcile.judge_report(self._state, name, report, verdict)
         batch.events.extend(verdict.events)
+        for event in verdict.events:
+            if isinstance(event, events.TaskEnded):
+                self._note_ended(event, batch)
         for command in verdict.commands:
             batch.send(item.link, command)
         if verdict.forget:
             batch.send(item.link, messages.ForgetTasks(verdict.forget))
 
+    def _note_ended(self, event, batch):
+        """Follow up a task that is over, when it is part of a job."""
+        name = self._state.find_workload(event.task).workload.job
+        if not name:
+            return
+        job = self._state.jobs[name]
+        if event.state == data.TaskState.FAILED and not job.cancelled:
+            self._add(batch, events.JobCancelled(name))
+            for task in operations.list_held(self._state, job):
+                command = reconcile.make_stop(self._state, task, False)
+                batch.send(self._members.get_link(task.vm), command)
+        if self._state.find_job_state(name) in data.ENDED_JOB_STATES:
+            self.unlogged.add(name)
+            batch.effects.append(lambda: self.unlogged.discard(name))
+
     def _learn(self, item):
         """Learn from what a side has measured."""
         targets = self._env.keeper.read().targets
@@ -176,6 +196,10 @@
                 self._env.shard,
                 now_ms,
             )
+        elif item.method == 'submit-job':
+            step = operations.submit_job(self._state, item.arguments, now_ms)
+        elif item.method == 'cancel-job':
+            step = operations.cancel_job(self._state, item.arguments.id)
         elif item.method == 'change':
             step = operations.change(self._state, item.arguments)
         else:
@@ -294,6 +318,7 @@
         return planning.list_demands(
             self._state,
             lambda workload: self._health.list_avoided(workload, now),
+            self._env.clock.read_unix_ms(),
         )
 
     def _make_room(self, done, views, quotas, batch):
@@ -370,6 +395,8 @@
         for workload_id in planning.find_old(self._state, now_ms):
             self._add(batch, events.WorkloadDropped(workload_id))
             self._health.drop_workload(workload_id)
+        for job_id in planning.find_old_jobs(self._state, now_ms):
+            self._add(batch, events.JobDropped(job_id))
 
     def _add(self, batch, event):
         self._state.apply(event)
--- a/packages/scheduler/portwharf/scheduler/desk.py
+++ b/packages/scheduler/portwharf/scheduler/desk.py
@@ -24,8 +24,12 @@
     'list-tasks': operations.Query,
     'explain': operations.Query,
     'status': operations.Query,
+    'read-job': operations.Query,
+    'count-pending': operations.Query,
 }
 WRITES = {
+    'submit-job': operations.JobSubmission,
+    'cancel-job': operations.Query,
     'submit': operations.Submission,
     'change': operations.Change,
     'cancel': operations.Query,
@@ -75,10 +79,16 @@
         :returns: Ok(a plain class of ``operations``), or Err(Problem)
         """
         with self._lock:
-            views = self._members.view_vms()
             if method == 'list-workloads':
+                views = self._members.view_vms()
                 listed = operations.list_workloads(self._state, query, views)
                 return result.Ok(listed)
+            if method == 'read-job':
+                return result.Ok(self._view_job(query.id))
+            if method == 'count-pending':
+                queue = query.id
+                return result.Ok(operations.count_pending(self._state, queue))
+            views = self._members.view_vms()
             if method == 'list-tasks':
                 return operations.list_tasks(self._state, query)
             if method == 'explain':
@@ -88,6 +98,16 @@
                 )
             return result.Ok(self._report_shard(views))
 
+    def _view_job(self, job_id):
+        """Return a job as it may be shown.
+
+        An end that a later owner would not know is not shown yet.
+        """
+        found = self._state.find_job_state(job_id)
+        if job_id in self._decider.unlogged:
+            found = data.JobState.RUNNING
+        return operations.JobView(job_id, str(found or ''))
+
     def _write(self, method, call):
         """Have a changing call carried out and wait until it is logged.
 
--- a/packages/scheduler/portwharf/scheduler/events.py
+++ b/packages/scheduler/portwharf/scheduler/events.py
@@ -103,6 +103,28 @@
     id: str = ''
 
 
+@dataclasses.dataclass(slots=True)
+class JobAccepted:
+    """A job is ours to run from now on."""
+
+    unix_ms: int = 0
+    job: data.Job = dataclasses.field(default_factory=data.Job)
+
+
+@dataclasses.dataclass(slots=True)
+class JobCancelled:
+    """Nobody wants a job any more, or one of its tasks has failed."""
+
+    id: str = ''
+
+
+@dataclasses.dataclass(slots=True)
+class JobDropped:
+    """An ended job is too old to be kept."""
+
+    id: str = ''
+
+
 @dataclasses.dataclass(slots=True)
 class WorkloadDropped:
     """An ended workload is too old to be kept."""
@@ -147,12 +169,14 @@
     :param evicted: it was stopped on our request
     :param checkpoint: where the next attempt starts; '' for the last one
         that was known
+    :param failed: it ended by a failure, which counts against the task
     """
 
     task: str = ''
     attempt: int = 0
     evicted: bool = False
     checkpoint: str = ''
+    failed: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -190,6 +214,9 @@
     'change': WorkloadChanged,
     'cancel': WorkloadCancelled,
     'drop': WorkloadDropped,
+    'job': JobAccepted,
+    'job-cancel': JobCancelled,
+    'job-drop': JobDropped,
     'place': TaskPlaced,
     'prepare': TaskPrepared,
     'evicting': TaskEvicting,
--- a/packages/scheduler/portwharf/scheduler/faults_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_test.py
@@ -25,6 +25,7 @@
 from portwharf.scheduler import shardlog_test
 from portwharf.side import agent
 from portwharf.side import agent_test
+from portwharf.side import leases
 from portwharf.testing import cluster
 from portwharf.testing import walk
 
@@ -221,8 +222,8 @@
     check(
         case,
         agent_test.test_leases_end_a_while_after_the_grant,
-        agent.Agent,
-        '_compute_lease',
+        leases.LeaseKeeper,
+        'compute_end',
         lambda self: self._listing.now_ms + 10_000,
     )
 
--- a/packages/scheduler/portwharf/scheduler/members.py
+++ b/packages/scheduler/portwharf/scheduler/members.py
@@ -34,6 +34,9 @@
         default_factory=data.Resources
     )
     config_revision: int = 0
+    pool: str = ''
+    labels: list[str] = dataclasses.field(default_factory=list)
+    leaves_in_ms: int = 0
 
 
 class MemberLink(links.PeerLink):
@@ -85,6 +88,9 @@
         view.heard = self._owner.read_clock()
         view.capacity = beat.capacity
         view.draining = beat.draining
+        view.pool = beat.pool
+        view.labels = beat.labels
+        view.leaves_in_ms = beat.leaves_in_ms
         view.config_revision = beat.config_revision
         self._owner.note_epoch(beat.epoch)
         self._owner.record_ack(self.name, beat)
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -108,12 +108,21 @@
         for name, link in self._links.items():
             view = placement.VmView(link.view.vm, link.view.capacity)
             view.reserved = self._state.reserved[name]
+            view.pool = link.view.pool
+            view.labels = link.view.labels
+            self._count_fill(name, view)
             view.closed = self._find_closed(name, link, now)
             view.probe = self._health.is_probed(name, now)
             views.append(view)
         self._pressure.fill_views(views, now)
         return views
 
+    def _count_fill(self, name, view):
+        """Add what fills a VM beside what it has reserved."""
+        for task_id in self._state.held[name]:
+            workload = self._state.find_workload(task_id).workload
+            view.count_fill(workload)
+
     def pick_successor(self, now):
         """Return the name of a member that can take over, or ''."""
         for name, link in self._links.items():
--- a/packages/scheduler/portwharf/scheduler/operations.py
+++ b/packages/scheduler/portwharf/scheduler/operations.py
@@ -15,6 +15,7 @@
 from portwharf.core import data
 from portwharf.core import ids
 from portwharf.scheduler import events
+from portwharf.scheduler import jobs
 from portwharf.scheduler import placement
 
 
@@ -154,6 +155,31 @@
     teams: list[TeamUse] = dataclasses.field(default_factory=list)
 
 
+@dataclasses.dataclass(slots=True)
+class JobSubmission:
+    """A job to accept, once for each id."""
+
+    job: data.Job = dataclasses.field(default_factory=data.Job)
+
+
+@dataclasses.dataclass(slots=True)
+class JobView:
+    """A job as it is shown.
+
+    :param state: one of ``data.JobState``, or '' if it is not known
+    """
+
+    id: str = ''
+    state: str = ''
+
+
+@dataclasses.dataclass(slots=True)
+class Pending:
+    """How many accepted jobs of a queue have not begun."""
+
+    count: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class Step:
     """What a changing call comes to.
@@ -259,6 +285,58 @@
     return result.Ok(step)
 
 
+def submit_job(state, call, now_ms):
+    """Accept a job, once for each id.
+
+    :returns: Ok(Step), or Err(Problem)
+    """
+    if call.job.id in state.jobs:
+        return result.Ok(Step(answer=Accepted(call.job.id)))
+    problem = jobs.find_problem(call.job)
+    if problem is not None:
+        return result.Err(problem)
+    step = Step(answer=Accepted(call.job.id, True))
+    _add(state, step, events.JobAccepted(now_ms, call.job))
+    return result.Ok(step)
+
+
+def cancel_job(state, job_id):
+    """Cancel a job; doing it twice changes nothing more.
+
+    :returns: Ok(Step), or Err(Problem)
+    """
+    record = state.jobs.get(job_id)
+    if record is None:
+        return result.Err(_describe_unknown(job_id))
+    step = Step(answer=Cancelled())
+    if not record.cancelled:
+        _add(state, step, events.JobCancelled(job_id))
+    step.stop = list_held(state, record)
+    step.answer.tasks = len(step.stop)
+    return result.Ok(step)
+
+
+def list_held(state, record):
+    """Return the tasks of a job that belong to a VM."""
+    return [
+        task
+        for name in record.steps
+        for task in state.workloads[name].tasks
+        if task.vm
+    ]
+
+
+def count_pending(state, queue):
+    """Return how many jobs of a queue, '' for all, have not begun."""
+    count = sum(
+        1
+        for record in state.jobs.values()
+        if queue in ('', record.job.queue)
+        and state.find_job_state(record.job.id) == data.JobState.QUEUED
+    )
+    return Pending(count)
+
+
 def list_workloads(state, query, views):
     """Return the workloads of a kind and a team.
 
--- a/packages/scheduler/portwharf/scheduler/placement.py
+++ b/packages/scheduler/portwharf/scheduler/placement.py
@@ -32,6 +32,14 @@
 AGEING_A_MINUTE = 2.0
 MAX_AGEING = 400.0
 _NO_DEADLINE = float('inf')
+# The share of its reservation that a task with a target uses at its peak;
+# what is left is for tasks that fill.
+SERVING_USE = 0.65
+# What a busy VM counts against one with a free processor.
+_BUSY = 1.0
+_FAR_RACK = 2.0
+# A job that is late is served last, but not for longer than this.
+_PATIENCE_MS = 30_000
 # What slowing services a little counts against an even fill.
 _INTERFERENCE = 6.0
 _STRANDED_ACCELERATOR = 4.0
@@ -48,6 +56,8 @@
     :param probe: it gets one task, to see whether it is sound again
     :param services: list of ``remedies.ServiceView``
     :param kinds: kinds of batch work on it, with how many tasks
+    :param filling_milli: processors that tasks which fill ask for
+    :param serving_milli: processors reserved by tasks with a target
     """
 
     vm: data.Vm = dataclasses.field(default_factory=data.Vm)
@@ -63,12 +73,35 @@
     kinds: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
+    pool: str = ''
+    labels: list = dataclasses.field(default_factory=list)
+    filling_milli: int = 0
+    serving_milli: int = 0
 
     @property
     def room(self):
         """What can still be reserved."""
         return self.capacity.subtract(self.reserved)
 
+    @property
+    def busy_milli(self):
+        """Processors that are likely to be in use, in thousandths."""
+        idle = self.serving_milli * (1 - SERVING_USE)
+        return int(self.reserved.cpu_milli - idle + self.filling_milli)
+
+    def count_fill(self, workload):
+        """Count one task of a workload among what fills the VM."""
+        size = workload.resources.cpu_milli
+        if workload.fills:
+            self.filling_milli += size
+        elif workload.target_ms:
+            self.serving_milli += size
+
+    def add_task(self, workload):
+        """Count one more task that is placed on the VM."""
+        self.reserved = self.reserved.add(workload.reserved)
+        self.count_fill(workload)
+
 
 class Demand:
     """A workload with waiting tasks.
@@ -258,8 +291,30 @@
         self._reserved[team] = self._reserved[team].add(size)
 
 
+def _rank_step(record, now_ms):
+    """Return the rank of a job's step: by when it has to begin.
+
+    Lasting work is served before others of its importance, to be whole.
+    What is too late to matter waits for what is not, but not for ever.
+    """
+    workload = record.workload
+    spent = now_ms - record.late_ms
+    lasts = workload.kind == data.Kind.STANDING
+    return (
+        True,
+        True,
+        -workload.importance,
+        0 < spent < _PATIENCE_MS and not lasts,
+        not lasts,
+        record.due_ms,
+        record.id,
+    )
+
+
 def _rank(record, now_ms):
     workload = record.workload
+    if workload.job:
+        return _rank_step(record, now_ms)
     due = _NO_DEADLINE
     if workload.deadline_seconds:
         end = record.unix_ms + workload.deadline_seconds * 1000
@@ -297,7 +352,7 @@
         attempt = demand.attempts.pop(0)
         if workload.kind == data.Kind.BATCH:
             choice.view.kinds[find_kind(workload)] += 1
-        choice.view.reserved = choice.view.reserved.add(workload.resources)
+        choice.view.add_task(workload)
         if choice.view.probe:
             choice.view.closed = 'quarantined'
         quotas.reserve(workload.team, workload.resources)
@@ -321,6 +376,8 @@
     workload = demand.record.workload
     if workload.kind != data.Kind.BATCH or demand.avoided:
         return None
+    if workload.most_per_vm or workload.gang:
+        return None
     size = workload.resources
     return (
         size.cpu_milli,
@@ -328,6 +385,9 @@
         size.accelerators,
         workload.team,
         workload.program,
+        workload.fills,
+        workload.pool,
+        workload.label,
     )
 
 
@@ -359,10 +419,10 @@
     kind = find_kind(demand.record.workload)
     best = float('inf')
     spread = _count_spread(demand, views)
-    size = demand.record.workload.resources
+    size = demand.record.workload.reserved
     lonely = demand.record.workload.kind == data.Kind.SERVICE
     for view in views:
-        reason = _refuse(size, view)
+        reason = _refuse(size, view) or _refuse_step(demand, view)
         if lonely and not reason and demand.placed[view.vm.name]:
             # One runner a VM: a second replica there would add nothing.
             reason = 'replica-there-already'
@@ -400,6 +460,23 @@
     return ''
 
 
+def _refuse_step(demand, view):
+    """Return why a VM cannot take a task of a job's step, or ''."""
+    workload = demand.record.workload
+    if workload.pool and workload.pool != view.pool:
+        return 'other-pool'
+    if workload.label and workload.label not in view.labels:
+        return 'label'
+    most = workload.most_per_vm
+    if most and demand.placed[view.vm.name] >= most:
+        return 'enough-of-them-there'
+    if workload.fills:
+        room = view.capacity.cpu_milli - view.busy_milli
+        if workload.resources.cpu_milli > room:
+            return 'processors'
+    return ''
+
+
 @dataclasses.dataclass(slots=True)
 class _Spread:
     """How many tasks of a workload are in each rack and zone."""
@@ -422,14 +499,20 @@
 
 def _score(demand, view, spread):
     """Return the addends of a VM's score; the lowest sum wins."""
-    size = demand.record.workload.resources
+    workload = demand.record.workload
+    size = workload.reserved
     after = view.reserved.add(size)
     parts = [events.Part('fill', _measure_imbalance(after, view.capacity))]
     if view.capacity.accelerators and not size.accelerators:
         free = view.capacity.accelerators - after.accelerators
         share = free / view.capacity.accelerators
         parts.append(events.Part('stranding', _STRANDED_ACCELERATOR * share))
-    if demand.record.workload.kind != data.Kind.BATCH:
+    if workload.job:
+        busy = view.busy_milli / max(1, view.capacity.cpu_milli)
+        parts.append(events.Part('busy', _BUSY * busy))
+        if workload.data_rack and workload.data_rack not in view.labels:
+            parts.append(events.Part('far-from-data', _FAR_RACK))
+    if workload.kind != data.Kind.BATCH:
         alike = demand.placed[view.vm.name]
         parts.append(events.Part('same-vm', _SAME_VM * alike))
         rack = spread.racks[view.vm.rack]
--- a/packages/scheduler/portwharf/scheduler/planning.py
+++ b/packages/scheduler/portwharf/scheduler/planning.py
@@ -37,7 +37,7 @@
     return placement.place_demands(demands, views, used, now_ms, judge)
 
 
-def list_demands(state, list_avoided):
+def list_demands(state, list_avoided, now_ms):
     """Return what waits to be placed, as ``placement.Demand`` values.
 
     :param list_avoided: function from a workload's id to the names of VMs
@@ -45,8 +45,10 @@
     """
     return [
         placement.Demand(record, list_avoided(record.id))
-        for record in state.workloads.values()
+        for record in state.list_unended()
         if _has_waiting(record)
+        and record.not_before_ms <= now_ms
+        and state.is_ready(record)
     ]
 
 
@@ -110,7 +112,7 @@
     ended = [
         record
         for record in state.workloads.values()
-        if state.has_ended(record)
+        if not record.workload.job and state.has_ended(record)
     ]
     ended.sort(key=lambda record: record.unix_ms)
     surplus = max(0, len(ended) - MAX_ENDED)
@@ -122,6 +124,23 @@
     ]
 
 
+def find_old_jobs(state, now_ms):
+    """Return the ids of ended jobs that are not kept any longer."""
+    ended = [
+        record
+        for record in state.jobs.values()
+        if state.find_job_state(record.job.id) in data.ENDED_JOB_STATES
+        and all(state.has_ended(state.workloads[n]) for n in record.steps)
+    ]
+    surplus = max(0, len(ended) - MAX_ENDED)
+    limit = now_ms - KEEP_ENDED_SECONDS * _MS
+    return [
+        record.job.id
+        for number, record in enumerate(ended)
+        if number < surplus or record.unix_ms < limit
+    ]
+
+
 def pick_members(vms, shard):
     """Return the endpoint VMs of a shard."""
     return [
--- a/packages/scheduler/portwharf/scheduler/preparing.py
+++ b/packages/scheduler/portwharf/scheduler/preparing.py
@@ -66,7 +66,8 @@
             if not any(left > 0 for left in space.values()):
                 # The rest need not even be asked for their tasks.
                 break
-            if demand.record.workload.kind != data.Kind.BATCH:
+            workload = demand.record.workload
+            if workload.kind != data.Kind.BATCH or workload.job:
                 continue
             rows = zip(demand.tasks, demand.attempts, strict=True)
             for task, attempt in rows:
--- a/packages/scheduler/portwharf/scheduler/reconcile.py
+++ b/packages/scheduler/portwharf/scheduler/reconcile.py
@@ -74,6 +74,7 @@
 def make_start(state, task):
     """Return the command that begins a placed task's attempt."""
     workload = state.find_workload(task.id).workload
+    job = state.jobs.get(workload.job)
     return messages.StartTask(
         state.epoch,
         task.id,
@@ -81,10 +82,12 @@
         workload.kind,
         workload.key,
         workload.exclusive,
-        workload.resources,
+        workload.reserved,
         workload.program,
-        workload.argument,
+        job.job.argument if job else workload.argument,
         task.checkpoint,
+        workload.fills,
+        workload.target_ms,
     )
 
 
@@ -136,19 +139,30 @@
 
 def _conclude(state, task, report):
     """Return the event of an attempt that is over."""
-    batch = state.find_workload(task.id).workload.kind == data.Kind.BATCH
+    workload = state.find_workload(task.id).workload
+    batch = workload.kind == data.Kind.BATCH
     if report.state == data.RunState.SUCCEEDED and batch:
         return _end(report, data.TaskState.SUCCEEDED)
-    if report.state == data.RunState.FAILED and batch:
-        failures = task.attempt - task.evictions
-        if failures >= MAX_FAILURES:
-            return _end(report, data.TaskState.FAILED)
+    failed = report.state == data.RunState.FAILED
+    if failed and batch and _is_last_try(task, workload):
+        return _end(report, data.TaskState.FAILED)
     evicted = report.state == data.RunState.CHECKPOINTED
     return events.TaskRequeued(
-        report.task, report.attempt, evicted, report.checkpoint
+        report.task, report.attempt, evicted, report.checkpoint, failed
     )
 
 
+def _is_last_try(task, workload):
+    """Tell whether a task that fails once more has failed for good.
+
+    A job's task may fail so often by itself; attempts that were lost with
+    their VM do not count against it.
+    """
+    if workload.max_failures:
+        return task.failures + 1 >= workload.max_failures
+    return task.attempt - task.evictions >= MAX_FAILURES
+
+
 def _end(report, ended):
     return events.TaskEnded(report.task, report.attempt, ended, report.result)
 
--- a/packages/scheduler/portwharf/scheduler/state.py
+++ b/packages/scheduler/portwharf/scheduler/state.py
@@ -17,6 +17,7 @@
 from portwharf.core import data
 from portwharf.core import ids
 from portwharf.scheduler import events
+from portwharf.scheduler import jobs
 
 # Bytes of past decisions that are kept for ``explain``.
 HISTORY_BYTES = 2_000_000
@@ -37,6 +38,7 @@
     checkpoint: str = ''
     result: bytes = b''
     evictions: int = 0
+    failures: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,6 +46,11 @@
     """One accepted workload.
 
     :param begun: tasks numbered from here on were never placed
+    :param succeeded: how many of its tasks have succeeded
+    :param not_before_ms: wall time before which nothing of it begins
+    :param due_ms: wall time by which a step has to begin, for its job to
+        end in time
+    :param late_ms: wall time after which its job is too late to matter
     """
 
     id: str = ''
@@ -53,6 +60,25 @@
     begun: int = 0
     cancelled: bool = False
     tasks: list[TaskRecord] = dataclasses.field(default_factory=list)
+    succeeded: int = 0
+    not_before_ms: int = 0
+    due_ms: int = 0
+    late_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class JobRecord:
+    """One accepted job; its steps are workloads of their own.
+
+    :param steps: ids of its workloads, those of each time in order
+    :param failed: one of its tasks has failed for good
+    """
+
+    unix_ms: int = 0
+    job: data.Job = dataclasses.field(default_factory=data.Job)
+    steps: list[str] = dataclasses.field(default_factory=list)
+    cancelled: bool = False
+    failed: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -65,6 +91,7 @@
     workloads: list[WorkloadRecord] = dataclasses.field(default_factory=list)
     history: list[bytes] = dataclasses.field(default_factory=list)
     rosters: list[data.Roster] = dataclasses.field(default_factory=list)
+    jobs: list[JobRecord] = dataclasses.field(default_factory=list)
 
 
 class History:
@@ -114,6 +141,9 @@
         self.owner = ''
         self.members = {}
         self.workloads = {}
+        self.jobs = {}
+        # Workloads of which something may still run, by id.
+        self.unended = {}
         self.tasks = {}
         self.reserved = collections.defaultdict(data.Resources)
         self.held = collections.defaultdict(dict)
@@ -161,6 +191,40 @@
             counts[data.TaskState.WAITING] += unbegun
         return counts
 
+    def list_unended(self):
+        """Return the workloads of which something may still run."""
+        for workload_id, record in list(self.unended.items()):
+            if self.has_ended(record):
+                del self.unended[workload_id]
+        return list(self.unended.values())
+
+    def is_ready(self, record):
+        """Tell whether the steps that a workload comes after are done."""
+        return all(
+            self.is_done(self.workloads[name])
+            for name in record.workload.after
+        )
+
+    def is_done(self, record):
+        """Tell whether all tasks of a workload have succeeded."""
+        return record.succeeded >= record.workload.count
+
+    def find_job_state(self, job_id):
+        """Return a job's ``data.JobState``, or None if it is not known."""
+        job = self.jobs.get(job_id)
+        if job is None:
+            return None
+        if job.failed:
+            return data.JobState.FAILED
+        if job.cancelled:
+            return data.JobState.CANCELLED
+        steps = [self.workloads[name] for name in job.steps]
+        if all(self.is_done(step) for step in steps):
+            return data.JobState.COMPLETED
+        if any(step.begun for step in steps):
+            return data.JobState.RUNNING
+        return data.JobState.QUEUED
+
     def has_ended(self, record):
         """Tell whether nothing of a workload runs or will run again."""
         if not record.cancelled:
@@ -179,6 +243,7 @@
             list(self.workloads.values()),
             self.history.pack(),
             self.rosters,
+            list(self.jobs.values()),
         )
         return codec.pack(snapshot)
 
@@ -193,8 +258,10 @@
         state.epoch = snapshot.epoch
         state.owner = snapshot.owner
         state.members = {vm.name: vm for vm in snapshot.members}
+        state.jobs = {record.job.id: record for record in snapshot.jobs}
         for record in snapshot.workloads:
             state.workloads[record.id] = record
+            state.unended[record.id] = record
             state._by_key[record.key] = record.id
             for task in record.tasks:
                 state.tasks[task.id] = task
@@ -209,7 +276,7 @@
     def _hold(self, record, task):
         """Reserve a placed task's size on its VM."""
         self.held[task.vm][task.id] = task
-        size = record.workload.resources
+        size = record.workload.reserved
         self.reserved[task.vm] = self.reserved[task.vm].add(size)
 
     def _release(self, record, task):
@@ -218,7 +285,7 @@
             task.vm = ''
             return
         del self.held[task.vm][task.id]
-        size = record.workload.resources
+        size = record.workload.reserved
         self.reserved[task.vm] = self.reserved[task.vm].subtract(size)
         task.vm = ''
 
@@ -238,8 +305,31 @@
         record = WorkloadRecord(
             event.id, event.key, event.unix_ms, event.workload
         )
-        self.workloads[event.id] = record
-        self._by_key[event.key] = event.id
+        self._add_workload(record)
+
+    def _add_workload(self, record):
+        self.workloads[record.id] = record
+        self.unended[record.id] = record
+        self._by_key[record.key] = record.id
+
+    def _accept_job(self, event):
+        job = event.job
+        record = JobRecord(event.unix_ms, job)
+        self.jobs[job.id] = record
+        for time in range(max(1, job.times)):
+            for step in jobs.make_steps(job, time, event.unix_ms):
+                record.steps.append(step.id)
+                self._add_workload(WorkloadRecord(**jobs.list_fields(step)))
+
+    def _cancel_job(self, event):
+        record = self.jobs[event.id]
+        record.cancelled = True
+        for name in record.steps:
+            self._cancel(events.WorkloadCancelled(name))
+
+    def _drop_job(self, event):
+        for name in self.jobs.pop(event.id).steps:
+            self._drop(events.WorkloadDropped(name))
 
     def _change(self, event):
         workload = self.workloads[event.id].workload
@@ -255,6 +345,7 @@
 
     def _drop(self, event):
         record = self.workloads.pop(event.id)
+        self.unended.pop(event.id, None)
         if self._by_key.get(record.key) == event.id:
             del self._by_key[record.key]
         for task in record.tasks:
@@ -307,6 +398,7 @@
         self._release(record, task)
         task.checkpoint = event.checkpoint or task.checkpoint
         task.evictions += event.evicted
+        task.failures += event.failed
         over = record.cancelled or task.number >= record.workload.count
         task.state = (
             data.TaskState.CANCELLED if over else data.TaskState.WAITING
@@ -314,10 +406,16 @@
 
     def _end(self, event):
         task = self.tasks[event.task]
+        record = self.find_workload(event.task)
         if task.vm:
-            self._release(self.find_workload(event.task), task)
+            self._release(record, task)
         task.state = event.state
         task.result = event.result
+        if event.state == data.TaskState.SUCCEEDED:
+            record.succeeded += 1
+        job = self.jobs.get(record.workload.job)
+        if job is not None and event.state == data.TaskState.FAILED:
+            job.failed = job.failed or not job.cancelled
 
     def _change_roster(self, event):
         self.rosters.append(event.roster)
@@ -335,6 +433,9 @@
     events.WorkloadChanged: ShardState._change,
     events.WorkloadCancelled: ShardState._cancel,
     events.WorkloadDropped: ShardState._drop,
+    events.JobAccepted: ShardState._accept_job,
+    events.JobCancelled: ShardState._cancel_job,
+    events.JobDropped: ShardState._drop_job,
     events.TaskPlaced: ShardState._place,
     events.TaskPrepared: ShardState._prepare,
     events.TaskEvicting: ShardState._evict,
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -17,6 +17,9 @@
 from portwharf.core import data
 from portwharf.core import logs
 from portwharf.peers import messages
+from portwharf.side import doubts
+from portwharf.side import leases
+from portwharf.side import pacing
 from portwharf import workers
 
 LOG = logging.getLogger(__name__)
@@ -34,6 +37,7 @@
 REFUSED_EPOCH = 'command-of-a-former-owner'
 REFUSED_GRANT = 'no-valid-grant'
 REFUSED_ATTEMPT = 'older-than-a-known-attempt'
+REFUSED_LEAVING = 'the-worker-is-leaving'
 
 
 @dataclasses.dataclass(slots=True)
@@ -67,7 +71,9 @@
         self._burnt = {}
         self._whole = False
         self._listing = workers.Listing()
-        self._stopped = set()
+        self._leases = leases.LeaseKeeper(worker, guard, limits)
+        self._doubts = doubts.Doubts()
+        self._pacer = pacing.Pacer()
         self._owner_ms = 0
         self._listed_at = 0.0
         self._next_beat = 0.0
@@ -83,6 +89,8 @@
         )
 
     def __enter__(self):
+        if self._worker is not None:
+            self._worker.follow(self._look_soon)
         self._thread.start()
         return self
 
@@ -129,6 +137,11 @@
             soon = self._clock.read_monotonic() + _POLL_SECONDS
             self._next_beat = min(self._next_beat, soon)
 
+    def _look_soon(self):
+        """Have the listing read now instead of at the next poll."""
+        self._next_poll = 0.0
+        self._commands.put(None)
+
     def _run(self):
         while not self._stop.is_set():
             self.step(_POLL_SECONDS)
@@ -179,9 +192,17 @@
 
     def _start(self, message):
         """Begin an attempt, if all that must hold does."""
+        self._pacer.note_start(message)
         known = self._find_known(message.task)
         if known is not None and known.attempt == message.attempt:
             return
+        if self._doubts.is_doubtful(message.task, message.attempt):
+            return
+        begun = self._doubts.has_begun(message.task, message.attempt)
+        if begun and known is None:
+            # It ran in a former life of the worker.
+            self._report_gone(message.task, message.attempt)
+            return
         reason = self._check_start(message, known)
         if reason:
             self._refuse(message, reason)
@@ -194,24 +215,33 @@
             message.checkpoint,
             message.kind,
             message.workload,
-            self._compute_lease() if message.exclusive else 0,
+            self._leases.compute_end() if message.exclusive else 0,
             message.resources,
         )
-        answer = self._worker.start(start)
-        if answer.is_err():
-            # It may run all the same; the next listing tells.
-            LOG.warning('start: %s', answer.err_value, extra=_name(message))
-            self._whole = True
-        elif answer.ok_value:
-            self._refuse(message, answer.ok_value, at_worker=True)
-        else:
-            self._listing.attempts.append(make_attempt(start))
+        self._try_start(message, start)
+
+    def _try_start(self, message, start):
+        """Send a start, and once more if it is not answered."""
+        self._doubts.note_begun(start.task, start.attempt)
+        first = self._worker.start(start)
+        answer = self._worker.start(start) if first.is_err() else first
         self._next_poll = 0.0
+        if answer.is_ok() and not answer.ok_value:
+            self._listing.attempts.append(make_attempt(start))
+            return
+        unclear = first.is_err() or answer.ok_value == workers.REFUSED_OLD
+        if unclear:
+            self._doubts.doubt_start(start.task, start.attempt)
+            return
+        sound = answer.ok_value in workers.SOUND_REFUSALS
+        self._refuse(message, answer.ok_value, at_worker=not sound)
 
     def _check_start(self, message, known):
         """Return why an attempt must not begin here, or ''."""
         if self._worker is None:
             return REFUSED_CAPACITY
+        if self._listing.draining:
+            return REFUSED_LEAVING
         if message.attempt <= self._burnt.get(message.task, 0):
             return REFUSED_ATTEMPT
         if known is not None and known.attempt > message.attempt:
@@ -271,16 +301,25 @@
             for a in self._listing.attempts
             if (a.task, a.attempt) == (message.task, message.attempt)
         ]
+        if self._doubts.is_doubtful(message.task, message.attempt):
+            return
         if not known:
             self._burn(message)
-            report = messages.TaskReport(
-                message.task, message.attempt, data.RunState.GONE
-            )
-            self._send(messages.Reports(reports=[report]))
+            self._report_gone(message.task, message.attempt)
             return
-        self._worker.stop(message.task, message.attempt, message.checkpoint)
+        self._doubts.want_stop(
+            message.task, message.attempt, message.checkpoint
+        )
+        now = self._clock.read_monotonic()
+        self._doubts.repeat_stops(self._worker, self._listing, now)
         self._next_poll = 0.0
 
+    def _report_gone(self, task, attempt, checkpoint=''):
+        """Tell the owner that an attempt does not run and never will."""
+        gone = data.RunState.GONE
+        report = messages.TaskReport(task, attempt, gone, checkpoint)
+        self._send(messages.Reports(reports=[report]))
+
     def _forget(self, refs):
         for ref in refs:
             self._worker.forget(ref.task, ref.attempt)
@@ -301,49 +340,44 @@
         if asked.is_err():
             LOG.warning('worker: %s', asked.err_value)
             return
+        former = self._listing
         self._listing = asked.ok_value
         self._listed_at = self._clock.read_monotonic()
-        self._keep_leases()
+        self._note_vanished(former)
+        self._leases.take_listing(self._listing, self._listed_at)
+        self._leases.keep()
+        self._settle_orders()
+        self._pace()
         self._note_services()
         self._report(self._whole)
 
-    def _compute_lease(self):
-        """Return when a lease may end, on the worker's clock, in ms.
-
-        The listing's time is at or before ``_listed_at`` on our clock, so
-        that this comes out early and never late.
-        """
-        left = self._guard.granted_until - self._listed_at
-        until = self._listing.now_ms + (left + self._limits.lease) * _MS
-        return max(1, int(until))
-
-    def _keep_leases(self):
-        """Renew leases under a grant; past it, save and stop.
-
-        A lease ends ``limits.lease`` after the grant that it was renewed
-        under, which is the time to save the work in. A side that has just
-        restarted has no grant yet but often leases with more time left.
-        """
-        held = [
-            a
-            for a in self._listing.attempts
-            if a.lease_until_ms and a.state == data.RunState.RUNNING
-        ]
-        if not held:
-            self._stopped.clear()
-            return
-        if self._guard.is_granted():
-            self._stopped.clear()
-            self._worker.renew(self._compute_lease())
-            return
-        for attempt in held:
+    def _note_vanished(self, former):
+        """Report what ran and is not listed: the worker began anew."""
+        listed = {(a.task, a.attempt) for a in self._listing.attempts}
+        for attempt in former.attempts:
             name = (attempt.task, attempt.attempt)
-            left = attempt.lease_until_ms - self._listing.now_ms
-            if name in self._stopped or left > self._limits.lease * _MS:
+            running = attempt.state == data.RunState.RUNNING
+            if not running or name in listed:
                 continue
-            self._stopped.add(name)
-            LOG.warning('no grant: stopping', extra=_name(attempt))
-            self._worker.stop(attempt.task, attempt.attempt, True)
+            LOG.warning('attempt is gone', extra=_name(attempt))
+            self._sent.pop(name, None)
+            self._report_gone(*name, attempt.checkpoint)
+
+    def _settle_orders(self):
+        """Follow up starts and stops that got no clear answer."""
+        now = self._clock.read_monotonic()
+        self._doubts.repeat_stops(self._worker, self._listing, now)
+        for name in self._doubts.settle_starts(self._worker, self._listing):
+            self._report_gone(*name)
+
+    def _pace(self):
+        """Have what fills give way to what serves, and take it back."""
+        for pace in self._pacer.plan(self._listing.attempts):
+            paced = self._worker.throttle(
+                pace.task, pace.attempt, pace.percent
+            )
+            if paced.is_err():
+                self._pacer.forget_told(pace)
 
     def _note_services(self):
         running = frozenset(
@@ -383,10 +417,13 @@
                 self._owner_ms,
                 epoch,
                 self._listing.capacity,
-                self.draining,
+                self.draining or self._listing.draining,
                 self.config_revision,
                 self.read_roster_seq(),
                 self.take_measures(),
+                self._listing.pool,
+                self._listing.labels,
+                self._listing.leaves_in_ms,
             )
         )
 
--- /dev/null
+++ b/packages/side/portwharf/side/doubts.py
@@ -0,0 +1,95 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Orders to a worker that got no clear answer, until one is found.
+
+A start without an answer may have been carried out, or may be seconds
+later. It is followed by a stop of the same attempt: once a worker has
+answered that, the attempt runs no more, and a start that arrives later is
+refused. Only then is the owner told that the attempt is gone. A stop is
+sent again until the listing shows the attempt ended, or no more.
+"""
+
+import logging
+
+from portwharf.core import data
+from portwharf.core import logs
+
+LOG = logging.getLogger(__name__)
+
+# Attempts begun here that are remembered, by task.
+MAX_BEGUN = 20_000
+# How long a stop has to show an effect before it is sent again.
+STOP_AGAIN_SECONDS = 0.6
+
+
+class Doubts:
+    """What the side still has to find out from its worker."""
+
+    def __init__(self):
+        self._starts = set()
+        # Attempts to be stopped: whether to save them, and when last asked.
+        self._stops = {}
+        # Tasks with the highest attempt that was begun here.
+        self._begun = {}
+
+    def note_begun(self, task, attempt):
+        """Remember that an attempt may have begun here."""
+        self._begun[task] = max(attempt, self._begun.pop(task, 0))
+        if len(self._begun) > MAX_BEGUN:
+            del self._begun[next(iter(self._begun))]
+
+    def has_begun(self, task, attempt):
+        """Tell whether an attempt, or a later one, began here before."""
+        return attempt <= self._begun.get(task, 0)
+
+    def doubt_start(self, task, attempt):
+        """Note that nobody knows whether a start was carried out."""
+        self._starts.add((task, attempt))
+        extra = logs.fields(task=task, attempt=attempt)
+        LOG.warning('start without a clear answer', extra=extra)
+
+    def is_doubtful(self, task, attempt):
+        """Tell whether a start is still to be found out about."""
+        return (task, attempt) in self._starts
+
+    def want_stop(self, task, attempt, checkpoint):
+        """Have an attempt stopped, as often as it takes."""
+        self._stops[(task, attempt)] = (checkpoint, None)
+
+    def settle_starts(self, worker, listing):
+        """Find out about doubtful starts.
+
+        :param listing: the latest ``workers.Listing``
+        :returns: names of attempts that will never run, as a list of
+            (task, attempt)
+        """
+        listed = {(a.task, a.attempt) for a in listing.attempts}
+        self._starts -= listed
+        stopped = [
+            name
+            for name in sorted(self._starts)
+            if worker.stop(name[0], name[1], False).is_ok()
+        ]
+        if not stopped:
+            return []
+        # An attempt that ran when the stop came is listed from now on.
+        again = worker.read_listing()
+        if again.is_err():
+            return []
+        listed = {(a.task, a.attempt) for a in again.ok_value.attempts}
+        self._starts -= set(stopped)
+        return [name for name in stopped if name not in listed]
+
+    def repeat_stops(self, worker, listing, now):
+        """Send stops that have shown no effect yet, again."""
+        running = {
+            (a.task, a.attempt)
+            for a in listing.attempts
+            if a.state == data.RunState.RUNNING
+        }
+        for name, (checkpoint, asked) in list(self._stops.items()):
+            if name not in running:
+                del self._stops[name]
+            elif asked is None or now - asked >= STOP_AGAIN_SECONDS:
+                worker.stop(name[0], name[1], checkpoint)
+                self._stops[name] = (checkpoint, now)
--- a/packages/testing/portwharf/testing/bench.py
+++ b/packages/testing/portwharf/testing/bench.py
@@ -222,7 +222,7 @@
     for _ in range(TRIES):
         views = make_views(vms, room_milli)
         began = time.process_time()
-        demands = planning.list_demands(made, lambda workload: set())
+        demands = planning.list_demands(made, lambda workload: set(), 0)
         done = planning.plan(made, demands, views, {}, 10**12, judge)
         least = min(least, time.process_time() - began)
     return least, len(done.placements)
@@ -237,7 +237,7 @@
     views = make_views(11, 16_000)
     for view in views:
         view.reserved = view.capacity
-    demands = planning.list_demands(made, lambda workload: set())
+    demands = planning.list_demands(made, lambda workload: set(), 0)
     done = planning.plan(made, demands, views, {}, 10**12)
     search = pressure.Pressure(made, 0.0)
     ahead = preparing.Preparation(made)
--- a/packages/workers/portwharf/workers/__init__.py
+++ b/packages/workers/portwharf/workers/__init__.py
@@ -4,8 +4,24 @@
 
 from portwharf.workers.base import Attempt
 from portwharf.workers.base import Listing
+from portwharf.workers.base import REFUSED_FENCE
+from portwharf.workers.base import REFUSED_LATE
+from portwharf.workers.base import REFUSED_OLD
+from portwharf.workers.base import REFUSED_ROOM
+from portwharf.workers.base import SOUND_REFUSALS
 from portwharf.workers.base import Start
 from portwharf.workers.base import Worker
 from portwharf.workers.http import HttpWorker
 
-__all__ = ('Attempt', 'HttpWorker', 'Listing', 'Start', 'Worker')
+__all__ = (
+    'REFUSED_FENCE',
+    'REFUSED_LATE',
+    'REFUSED_OLD',
+    'REFUSED_ROOM',
+    'SOUND_REFUSALS',
+    'Attempt',
+    'HttpWorker',
+    'Listing',
+    'Start',
+    'Worker',
+)
--- a/packages/workers/portwharf/workers/base.py
+++ b/packages/workers/portwharf/workers/base.py
@@ -13,6 +13,14 @@
 
 from portwharf.core import data
 
+# Reasons of a refusal that say nothing against the worker.
+REFUSED_ROOM = 'no-room-at-the-worker'
+REFUSED_LATE = 'lease-over-at-the-worker'
+REFUSED_FENCE = 'newer-side-at-the-worker'
+SOUND_REFUSALS = frozenset((REFUSED_ROOM, REFUSED_LATE, REFUSED_FENCE))
+# The attempt, or a later one, ended or was stopped there before.
+REFUSED_OLD = 'attempt-is-over-at-the-worker'
+
 
 @dataclasses.dataclass(slots=True)
 class Start:
@@ -44,6 +52,9 @@
     :param state: one of ``data.RunState``
     :param used_cpu_milli: processors used lately, in thousandths
     :param measured_ms: how long ago the usage was measured
+    :param percent: how much of its work is done; 100 for a lasting task
+        that is at work
+    :param tail_ms: of a task with a target, the tail of its answers' times
     """
 
     task: str = ''
@@ -61,6 +72,8 @@
     used_cpu_milli: int = 0
     used_memory_mb: int = 0
     measured_ms: int = 0
+    percent: int = 0
+    tail_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -69,6 +82,9 @@
 
     :param now_ms: the worker's clock when it answered
     :param capacity: what the worker can hold
+    :param pool: the pool that the worker belongs to, or ''
+    :param draining: the worker takes no more starts and will leave
+    :param leaves_in_ms: of a draining worker, how long it stays at least
     """
 
     now_ms: int = 0
@@ -76,6 +92,10 @@
         default_factory=data.Resources
     )
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
+    pool: str = ''
+    labels: list[str] = dataclasses.field(default_factory=list)
+    draining: bool = False
+    leaves_in_ms: int = 0
 
 
 class Worker(abc.ABC):
@@ -92,8 +112,16 @@
     def start(self, start):
         """Begin an attempt.
 
-        :returns: Ok(''), or Ok(reason) if it was refused and not run
+        :returns: Ok(''), or Ok(reason) if it was refused and not run; by
+            Err, it may run, now or later
+        """
+
+    def follow(self, on_change):
+        """Have a function called when an attempt has ended.
+
+        A worker that cannot tell never calls it; it is polled besides.
         """
+        return None
 
     @abc.abstractmethod
     def stop(self, task, attempt, checkpoint):
