--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := core schema store vmlist workers endpoints peers scheduler \
-	operators callers entry side testing
+	operators callers entry side platform testing
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
 STAMP := $(VENV)/.installed
 
--- a/packages/entry/portwharf/entry/shards.py
+++ b/packages/entry/portwharf/entry/shards.py
@@ -1,34 +1,20 @@
 # Copyright the portwharf authors.
 # SPDX-License-Identifier: Apache-2.0
-"""Carries operators' calls to the owners of the shards.
-
-An owner is found by what the sides say of themselves; of several the
-highest epoch counts. Every call may be sent twice without harm (a
-submission by its key, the others by what they mean), so that a call whose
-answer is lost is sent again until its time is up.
-"""
+"""Carries operators' calls to the owners of the shards."""
 
 import collections
-import threading
 
 import result
 
 from portwharf import callers
-from portwharf.core import codec
 from portwharf.core import data
 from portwharf.core import ids
+from portwharf.entry import owners
 from portwharf import operators
-from portwharf.peers import messages
 from portwharf.scheduler import configuration
 from portwharf.scheduler import operations
 from portwharf.v1 import operators_pb as pb
 
-CALL_SECONDS = 10.0
-_ATTEMPT_SECONDS = 9.0
-_PAUSE_SECONDS = 0.3
-# How often to look whether the owner that was asked is still the owner.
-_LOOK_SECONDS = 0.4
-
 
 class ShardBackend(operators.Backend):
     """What carries operators' calls out, at an entry."""
@@ -44,12 +30,14 @@
         self._keeper = keeper
         self._entries = entries
         self._clock = clock
-        self._pause = threading.Event()
+        self._owners = owners.OwnerCalls(links, clock)
 
     def submit(self, submission):
         key = submission.key or submission.workload.key
         shard = ids.hash_to_shard(key, self._cfg.shards)
-        return self._call(shard, 'submit', submission, operations.Accepted)
+        return self._owners.call(
+            shard, 'submit', submission, operations.Accepted
+        )
 
     def change(self, change):
         return self._call_by_id(
@@ -84,7 +72,9 @@
                 subject, 'explain', query, operations.Explanation
             )
         shard = ids.hash_to_shard(subject, self._cfg.shards)
-        return self._call(shard, 'explain', query, operations.Explanation)
+        return self._owners.call(
+            shard, 'explain', query, operations.Explanation
+        )
 
     def read_shards(self):
         return self._call_all(
@@ -156,7 +146,7 @@
                 'see "portwharf jobs" or "portwharf services" for ids',
             )
             return result.Err([problem])
-        return self._call(shard, method, arguments, answer_class)
+        return self._owners.call(shard, method, arguments, answer_class)
 
     def _call_all(self, method, arguments, answer_class):
         """Call every shard's owner.
@@ -165,77 +155,12 @@
         """
         answers = []
         for shard in range(self._cfg.shards):
-            answer = self._call(shard, method, arguments, answer_class)
+            answer = self._owners.call(shard, method, arguments, answer_class)
             if answer.is_err():
                 return answer
             answers.append(answer.ok_value)
         return result.Ok(answers)
 
-    def _call(self, shard, method, arguments, answer_class):
-        """Call one shard's owner, and again if it changes under way.
-
-        :returns: Ok(instance of answer_class), or Err(list of Problems)
-        """
-        deadline = self._clock.read_monotonic() + CALL_SECONDS
-        body = codec.pack(arguments)
-        sent = False
-        while True:
-            left = deadline - self._clock.read_monotonic()
-            if left <= 0:
-                return result.Err([_describe_no_owner(shard, sent)])
-            exchange = self._send(shard, method, body, left)
-            answer = exchange.answer if exchange else None
-            if answer is not None and answer.status == 'ok':
-                return result.Ok(codec.unpack(answer_class, answer.body))
-            if answer is not None and answer.status != 'not-owner':
-                return result.Err(answer.problems)
-            sent = sent or (exchange is not None and answer is None)
-            self._pause.wait(_PAUSE_SECONDS)
-
-    def _send(self, shard, method, body, left):
-        """Send a call to a shard's owner once; the exchange or None."""
-        link = self._find_owner(shard)
-        if link is None:
-            return None
-        operation = messages.Operation(0, method, body)
-        exchange = link.begin(operation)
-        if exchange is None:
-            return None
-        deadline = self._clock.read_monotonic() + min(left, _ATTEMPT_SECONDS)
-        while not exchange.wait(_LOOK_SECONDS):
-            now = self._clock.read_monotonic()
-            if now >= deadline or self._find_owner(shard) is not link:
-                # A paused owner keeps its connection; another has followed.
-                break
-        return exchange
-
-    def _find_owner(self, shard):
-        """Return the link to a shard's owner, or None."""
-        links = [
-            link
-            for link in self._links.list_links()
-            if link.view.up and link.view.state.shard == shard
-        ]
-        if not links:
-            return None
-        latest = max(links, key=lambda link: link.view.state.epoch)
-        owner = latest.view.state.owner
-        return next((link for link in links if link.name == owner), None)
-
-
-def _describe_no_owner(shard, sent):
-    if sent:
-        return data.Problem(
-            'outcome-unknown',
-            text=f'no answer from the owner of shard {shard}',
-            remedy='send the same call with the same key again',
-        )
-    return data.Problem(
-        'not-accepted',
-        text=f'shard {shard} has no owner now; nothing was changed',
-        remedy='send the same call again in some seconds',
-    )
-
 
 def _write_burn(burn):
     return pb.ServiceBurn(
--- /dev/null
+++ b/packages/platform/portwharf/platform/clients.py
@@ -0,0 +1,182 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Serves clients' job calls, and the balancer's question, at an entry."""
+
+import dataclasses
+import json
+import logging
+import re
+import threading
+
+from portwharf.core import data
+from portwharf.core import logs
+from portwharf.core import web
+from portwharf.entry import owners
+from portwharf.platform import routes
+from portwharf.scheduler import operations
+
+LOG = logging.getLogger(__name__)
+
+READINESS_PATH = '/portwharf/readiness'
+MAX_BODY_BYTES = 1024 * 1024
+# How long a submission waits for an owner to be there and to answer; less
+# than the time that clients give, so that they hear before they leave.
+SUBMIT_SECONDS = 1.5
+READ_SECONDS = 2.0
+# When to come back after a refusal: an owner is replaced within this.
+RETRY_SECONDS = 1
+# A count of waiting jobs may be this old.
+PENDING_SECONDS = 0.8
+_ID = re.compile('[0-9a-fA-F]{16}')
+_SHARD = 0
+_STATUSES = {
+    owners.NOT_ACCEPTED: 503,
+    owners.OUTCOME_UNKNOWN: 504,
+    owners.UNKNOWN_ID: 410,
+}
+_BAD_GATEWAY = 502
+
+
+@dataclasses.dataclass(slots=True)
+class _Counted:
+    """How many jobs of a queue waited, and when that was asked."""
+
+    at: float = 0.0
+    count: int = 0
+
+
+class JobCalls:
+    """The WSGI application that clients call."""
+
+    def __init__(self, calls, keeper, clock, is_stopping):
+        """Take ``owners.OwnerCalls``, configuration and clock.
+
+        :param is_stopping: tells whether clients should go elsewhere
+        """
+        self._calls = calls
+        self._keeper = keeper
+        self._clock = clock
+        self._is_stopping = is_stopping
+        self._lock = threading.Lock()
+        self._pending = {}
+
+    def __call__(self, environ, start_response):
+        headers = []
+        if self._is_stopping():
+            headers.append(('Connection', 'close'))
+
+        def respond(status, answer_headers):
+            return start_response(status, answer_headers + headers)
+
+        cfg = self._keeper.read()
+        if not cfg.revision:
+            return _refuse(respond, 503, 'no configuration yet')
+        host = environ.get('HTTP_HOST', '').partition(':')[0]
+        path = environ.get('PATH_INFO', '')
+        queue = routes.find_queue(cfg, host, path)
+        if queue is None:
+            return _refuse(respond, 404, 'no such queue')
+        job_id = path[len(queue.prefix) :]
+        method = environ['REQUEST_METHOD']
+        if not job_id and method == 'GET':
+            return self._count(queue, respond)
+        if not _ID.fullmatch(job_id):
+            return _refuse(respond, 404, 'an id has 16 hex digits')
+        if method == 'POST':
+            return self._submit(job_id, queue, environ, respond)
+        if method == 'GET':
+            return self._show(job_id, respond)
+        if method == 'DELETE':
+            return self._cancel(job_id, respond)
+        return _refuse(respond, 400, 'use POST, GET or DELETE')
+
+    def _submit(self, job_id, queue, environ, respond):
+        size = int(environ.get('CONTENT_LENGTH') or 0)
+        if size > MAX_BODY_BYTES:
+            return _refuse(respond, 400, 'the body is too large')
+        try:
+            value = json.loads(environ['wsgi.input'].read(size))
+        except ValueError as exc:
+            return _refuse(respond, 400, f'the body is not JSON: {exc}')
+        read = routes.read_job(job_id, queue, value)
+        if read.is_err():
+            return _refuse(respond, 400, read.err_value.describe())
+        call = operations.JobSubmission(read.ok_value)
+        answer = self._call('submit-job', call, operations.Accepted)
+        if answer.is_err():
+            return _fail(respond, 'submit', job_id, answer.err_value)
+        return web.answer_json(respond, 200, {})
+
+    def _show(self, job_id, respond):
+        query = operations.Query(job_id)
+        answer = self._call(
+            'read-job', query, operations.JobView, READ_SECONDS
+        )
+        if answer.is_err():
+            return _fail(respond, 'read', job_id, answer.err_value)
+        if not answer.ok_value.state:
+            return _refuse(respond, 410, 'no such job')
+        state = {'state': answer.ok_value.state}
+        return web.answer_json(respond, 200, state)
+
+    def _cancel(self, job_id, respond):
+        query = operations.Query(job_id)
+        answer = self._call('cancel-job', query, operations.Cancelled)
+        if answer.is_err():
+            return _fail(respond, 'cancel', job_id, answer.err_value)
+        return web.answer_json(respond, 200, {})
+
+    def _count(self, queue, respond):
+        now = self._clock.read_monotonic()
+        with self._lock:
+            known = self._pending.get(queue.name)
+        if known is None or now - known.at > PENDING_SECONDS:
+            query = operations.Query(queue.name)
+            answer = self._call(
+                'count-pending', query, operations.Pending, READ_SECONDS
+            )
+            if answer.is_err():
+                return _fail(respond, 'count', '', answer.err_value)
+            known = _Counted(now, answer.ok_value.count)
+            with self._lock:
+                self._pending[queue.name] = known
+        return web.answer_json(respond, 200, {'pending': known.count})
+
+    def _call(self, method, arguments, cls, seconds=SUBMIT_SECONDS):
+        return self._calls.call(_SHARD, method, arguments, cls, seconds)
+
+
+class Readiness:
+    """The WSGI application that the balancer asks."""
+
+    def __init__(self, is_ready):
+        """Take a function that tells whether clients should come here."""
+        self._is_ready = is_ready
+
+    def __call__(self, environ, start_response):
+        if environ.get('PATH_INFO', '') != READINESS_PATH:
+            return web.answer_text(start_response, 404, 'no such page\n')
+        if self._is_ready():
+            return web.answer_text(start_response, 200, 'ready\n')
+        return web.answer_text(start_response, 503, 'not ready\n')
+
+
+def _fail(respond, verb, job_id, problems):
+    """Answer a call that was not carried out, or may not have been."""
+    problem = problems[0] if problems else data.Problem(owners.NOT_ACCEPTED)
+    status = _STATUSES.get(problem.code, _BAD_GATEWAY)
+    if status != 410:
+        extra = logs.fields(request=job_id)
+        LOG.warning('%s: %s', verb, problem.describe(), extra=extra)
+    return _refuse(respond, status, problem.describe())
+
+
+def _refuse(respond, status, text):
+    headers = []
+    if status in (503, 504):
+        headers.append(('Retry-After', str(RETRY_SECONDS)))
+
+    def respond_later(line, answer_headers):
+        return respond(line, answer_headers + headers)
+
+    return web.answer_json(respond_later, status, {'error': text})
--- /dev/null
+++ b/packages/platform/portwharf/platform/runner.py
@@ -0,0 +1,308 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""The runner beside a side as portwharf's own ``workers.Worker``.
+
+A runner lists what runs, and what has ended under rising numbers until it
+is told up to which number the ends may go. Both come with every answer to
+a ``hold``, which also renews leases. What a runner can hold and which life
+of it this is come with its heartbeats.
+
+On the wire an attempt is called a run; a listed run is a row of task, run,
+checkpoint, percent and a figure: of a task with a target the tail of its
+answers in ms, of any other the processors that it uses.
+"""
+
+import dataclasses
+import logging
+import threading
+
+import result
+
+from portwharf.core import data
+from portwharf.platform import http
+from portwharf import workers
+
+LOG = logging.getLogger(__name__)
+
+# A runner answers within a millisecond; one that leaves an order
+# unanswered must not hold up the others for long.
+CALL_SECONDS = 0.4
+# How long a runner holds an answer back until something ends.
+WAIT_SECONDS = 1.0
+# Between two looks while ends are listed that may not go yet.
+_PAUSE_SECONDS = 0.05
+_RETRY_SECONDS = 0.3
+_OK = 200
+_CONFLICT = 409
+_MS = 1000
+MAX_SIZES = 5000
+
+_REASONS = {
+    'fence': workers.REFUSED_FENCE,
+    'late': workers.REFUSED_LATE,
+    'old': workers.REFUSED_OLD,
+    'room': workers.REFUSED_ROOM,
+}
+_ENDS = {
+    'done': data.RunState.SUCCEEDED,
+    'failed': data.RunState.FAILED,
+    'stopped': data.RunState.CHECKPOINTED,
+}
+
+
+@dataclasses.dataclass(slots=True)
+class Life:
+    """What a runner's last heartbeat said of it.
+
+    :param instance: differs for each start of the runner
+    """
+
+    instance: str = ''
+    pool: str = ''
+    zone: str = ''
+    capacity: data.Resources = dataclasses.field(
+        default_factory=data.Resources
+    )
+    labels: list = dataclasses.field(default_factory=list)
+    draining: bool = False
+    leaves_in_ms: int = 0
+
+
+class RunnerWorker(workers.Worker):
+    """A client of the runner; a context manager that closes it."""
+
+    def __init__(self, endpoint, read_token, max_hold_ms):
+        """Take the runner's ``settings.Endpoint``.
+
+        :param read_token: gives the fencing token of this side, 0 if it
+            has none yet
+        :param max_hold_ms: the longest lease that the runner gives
+        """
+        self._client = http.Client(endpoint)
+        self._read_token = read_token
+        self._max_hold_ms = max_hold_ms
+        self._lock = threading.Lock()
+        self._life = Life()
+        # Ended attempts that are still listed, by number, and which of
+        # them may go.
+        self._ended = {}
+        self._logged = set()
+        self._acked = 0
+        self._seen = 0
+        self._until_ms = 0
+        # Starts of this life, for what the listing does not tell.
+        self._starts = {}
+        self._on_change = None
+        self._changed = threading.Event()
+        self._stop = threading.Event()
+        self._thread = threading.Thread(
+            target=self._watch, name='runner', daemon=True
+        )
+
+    def __enter__(self):
+        self._thread.start()
+        return self
+
+    def __exit__(self, *exc_info):
+        self._stop.set()
+        self._client.__exit__(*exc_info)
+
+    def take_life(self, life):
+        """Take what a heartbeat says of the runner."""
+        with self._lock:
+            former, self._life = self._life, life
+            if former.instance not in ('', life.instance):
+                LOG.warning('the runner began anew')
+                self._forget_life()
+        news = (former.instance, former.draining, former.pool)
+        if news != (life.instance, life.draining, life.pool):
+            self._notify()
+
+    def follow(self, on_change):
+        self._on_change = on_change
+
+    def read_listing(self):
+        return self._hold().map(self._read_listing)
+
+    def renew(self, until_ms):
+        answer = self._hold(until_ms=until_ms)
+        if answer.is_ok():
+            self._until_ms = max(self._until_ms, until_ms)
+        return answer.map(lambda _: None)
+
+    def start(self, start):
+        body = {
+            'task': start.task,
+            'run': start.attempt,
+            'spec': start.argument.decode(),
+            'untilMs': start.lease_until_ms,
+        }
+        if start.checkpoint:
+            body['saved'] = start.checkpoint
+        self._starts[(start.task, start.attempt)] = start
+        if len(self._starts) > MAX_SIZES:
+            del self._starts[next(iter(self._starts))]
+        answer = self._order('/portwharf/run-start', body)
+        if answer.is_err():
+            return answer
+        reply = answer.ok_value
+        if reply.status == _OK:
+            self._until_ms = max(self._until_ms, start.lease_until_ms)
+            return result.Ok('')
+        if reply.status == _CONFLICT:
+            reason = reply.value.get('reason', '')
+            return result.Ok(_REASONS.get(reason, f'runner: {reason}'))
+        return result.Ok(f'runner: HTTP status {reply.status}')
+
+    def stop(self, task, attempt, checkpoint):
+        body = {'task': task, 'run': attempt}
+        return self._demand('/portwharf/run-stop', body)
+
+    def throttle(self, task, attempt, percent):
+        body = {'task': task, 'run': attempt, 'percent': percent}
+        return self._demand('/portwharf/pace', body)
+
+    def forget(self, task, attempt):
+        with self._lock:
+            self._logged.add((task, attempt))
+            self._move_ack()
+        self._changed.set()
+        return result.Ok(None)
+
+    def _move_ack(self):
+        """Raise the number up to which all listed ends may go."""
+        for number in sorted(self._ended):
+            if self._ended[number] not in self._logged:
+                return
+            self._logged.discard(self._ended.pop(number))
+            self._acked = number
+
+    def _forget_life(self):
+        self._ended.clear()
+        self._logged.clear()
+        self._starts.clear()
+        self._acked = 0
+        self._seen = 0
+        self._until_ms = 0
+
+    def _order(self, path, body, seconds=CALL_SECONDS):
+        """Send an order to the life of the runner that we know.
+
+        :returns: Ok(http.Reply), or Err(text) if it may be carried out
+        """
+        token = self._read_token()
+        if not token:
+            return result.Err('no fencing token yet')
+        headers = {}
+        if self._life.instance:
+            headers['Portwharf-Target-Instance'] = self._life.instance
+        body['fence'] = token
+        answer = self._client.call('POST', path, seconds, body, headers)
+        return answer.map_err(lambda lost: lost.text)
+
+    def _demand(self, path, body):
+        """Send an order that is either carried out or fails."""
+        answer = self._order(path, body)
+        if answer.is_ok() and answer.ok_value.status != _OK:
+            status = answer.ok_value.status
+            return result.Err(f'runner: HTTP status {status}')
+        return answer.map(lambda _: None)
+
+    def _hold(self, until_ms=0, wait_ms=0):
+        """Look at the runner, renewing leases if a time is given.
+
+        :returns: Ok(value of the answer), or Err(text)
+        """
+        with self._lock:
+            life, acked = self._life, self._acked
+        body = {'ackedUpto': acked}
+        if until_ms:
+            body['untilMs'] = until_ms
+        if wait_ms:
+            body['waitMs'] = wait_ms
+        seconds = CALL_SECONDS + wait_ms / _MS
+        answer = self._order('/portwharf/hold', body, seconds)
+        if answer.is_err():
+            return answer
+        if answer.ok_value.status != _OK:
+            status = answer.ok_value.status
+            return result.Err(f'runner: HTTP status {status}')
+        value = answer.ok_value.value
+        with self._lock:
+            if self._life.instance == life.instance:
+                self._note_ended(value['ended'])
+        return result.Ok(value)
+
+    def _note_ended(self, rows):
+        for number, task, run, *_ in rows:
+            if number > self._acked:
+                self._ended[number] = (task, run)
+        # A number may have been passed that was logged before it was seen.
+        self._move_ack()
+
+    def _read_listing(self, value):
+        """Return an answer to ``hold`` as a ``workers.Listing``."""
+        life = self._life
+        now_ms = value['clockMs']
+        running = [self._read_running(row, now_ms) for row in value['running']]
+        ended = [
+            _read_ended(row) for row in value['ended'] if row[0] > self._acked
+        ]
+        return workers.Listing(
+            now_ms,
+            life.capacity,
+            running + ended,
+            life.pool,
+            life.labels,
+            life.draining,
+            life.leaves_in_ms,
+        )
+
+    def _read_running(self, row, now_ms):
+        task, run, saved, percent, *figures = row
+        figure = figures[0] if figures else 0
+        start = self._starts.get((task, run)) or workers.Start()
+        # A lease that a former life of this side gave is not known here.
+        until = self._until_ms or now_ms + self._max_hold_ms
+        return workers.Attempt(
+            task,
+            run,
+            data.RunState.RUNNING,
+            saved,
+            kind=start.kind,
+            workload=start.workload,
+            lease_until_ms=until,
+            resources=start.resources,
+            used_cpu_milli=figure,
+            percent=percent,
+            tail_ms=figure,
+        )
+
+    def _notify(self):
+        if self._on_change is not None:
+            self._on_change()
+
+    def _watch(self):
+        """Have the runner tell when something ends."""
+        while not self._stop.is_set():
+            self._changed.clear()
+            answer = self._hold(wait_ms=int(WAIT_SECONDS * _MS))
+            if answer.is_err():
+                self._stop.wait(_RETRY_SECONDS)
+                continue
+            latest = max(
+                (row[0] for row in answer.ok_value['ended']), default=0
+            )
+            if latest > self._seen:
+                self._seen = latest
+                self._notify()
+            if self._ended:
+                self._changed.wait(_PAUSE_SECONDS)
+
+
+def _read_ended(row):
+    number, task, run, how, saved = row
+    state = _ENDS.get(how, data.RunState.GONE)
+    if state == data.RunState.CHECKPOINTED and not saved:
+        state = data.RunState.GONE
+    return workers.Attempt(task, run, state, saved, reason=how)
--- a/packages/scheduler/portwharf/scheduler/configuration.py
+++ b/packages/scheduler/portwharf/scheduler/configuration.py
@@ -81,12 +81,38 @@
     ratio: float = 0.0
 
 
+@dataclasses.dataclass(slots=True)
+class Queue:
+    """Where jobs of one kind come in, and how they are treated.
+
+    :param host: the host that they are sent to
+    :param prefix: what their path begins with
+    :param pool: the pool of workers that runs them
+    :param rank: 0 goes first
+    :param max_failures: attempts of a task that may fail
+    :param stretch: a job's objective is this many times its chain of work
+    :param allowance_ms: and so much more
+    :param advised: a policy says which workers may run a step
+    """
+
+    name: str = ''
+    host: str = ''
+    prefix: str = ''
+    pool: str = ''
+    rank: int = 0
+    max_failures: int = 0
+    stretch: float = 1.0
+    allowance_ms: int = 0
+    advised: bool = False
+
+
 @dataclasses.dataclass(slots=True)
 class Configuration:
     """One accepted configuration.
 
     :param quotas: team to Resources
     :param targets: "team/name" of a service to Target
+    :param queues: list of :class:`Queue`
     """
 
     revision: int = 0
@@ -94,6 +120,7 @@
     weights: Weights = dataclasses.field(default_factory=Weights)
     quotas: dict = dataclasses.field(default_factory=dict)
     targets: dict = dataclasses.field(default_factory=dict)
+    queues: list = dataclasses.field(default_factory=list)
 
 
 def parse_configuration(text, revision=0):
@@ -158,7 +185,12 @@
 class ConfigKeeper:
     """The configuration in force in this process."""
 
-    def __init__(self):
+    def __init__(self, parse=parse_configuration):
+        """Take a function of text and revision that reads and checks.
+
+        :param parse: gives Ok(Configuration) or Err(list of Problems)
+        """
+        self._parse = parse
         self._lock = threading.Lock()
         self._current = Configuration()
         self._followers = []
@@ -183,7 +215,7 @@
         """
         if revision <= self._current.revision:
             return False
-        parsed = parse_configuration(text, revision)
+        parsed = self._parse(text, revision)
         if parsed.is_err():
             # Written past our check, or by a newer version of us. What is
             # in force stays; ``config status`` shows that it does.
@@ -207,7 +239,8 @@
     jitter so that not all processes come at once after an outage.
     """
 
-    def __init__(self, kv, keeper):
+    def __init__(self, kv, keeper, key=KEY):
+        self._key = key
         self._kv = kv
         self._keeper = keeper
         self._stop = threading.Event()
@@ -237,7 +270,7 @@
 
         :returns: whether the store answered
         """
-        found = self._kv.read(KEY)
+        found = self._kv.read(self._key)
         while found.is_ok() and not self._stop.is_set():
             entry = found.ok_value
             if entry is not None:
@@ -247,7 +280,9 @@
                 # Nothing to watch from: look again shortly.
                 self._stop.wait(_RETRY_SECONDS)
                 return True
-            found = self._kv.wait_for_change(KEY, revision, _WATCH_SECONDS)
+            found = self._kv.wait_for_change(
+                self._key, revision, _WATCH_SECONDS
+            )
             if found.is_ok() and found.ok_value is None:
                 return True
         return False
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -60,6 +60,7 @@
     :param append_interval: least seconds between two appends
     :param make_link: gives the link to a member, by its VM and the owner
     :param kv: the store, for the configuration
+    :param config_key: the key that the configuration is under
     """
 
     name: str = ''
@@ -73,6 +74,7 @@
     append_interval: float = 0.05
     make_link: object = members.MemberLink
     kv: object = None
+    config_key: str = configuration.KEY
 
 
 class Owner:
@@ -106,7 +108,9 @@
         )
         # Items that came in while an append was stalled.
         self._deferred = []
-        self._config = configuration.ConfigWatcher(env.kv, env.keeper)
+        self._config = configuration.ConfigWatcher(
+            env.kv, env.keeper, env.config_key
+        )
         self.deposed = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name='owner', daemon=True
--- a/packages/side/portwharf/side/process.py
+++ b/packages/side/portwharf/side/process.py
@@ -18,10 +18,8 @@
 from portwharf.scheduler import takeover
 from portwharf.side import admission
 from portwharf.side import agent
+from portwharf.side import outside
 from portwharf.side import server
-from portwharf import store
-from portwharf import vmlist
-from portwharf import workers
 
 LOG = logging.getLogger(__name__)
 
@@ -34,14 +32,19 @@
 class SideProcess:
     """A side, while in its block."""
 
-    def __init__(self, cfg):
-        """Take checked :class:`settings.SideSettings`."""
+    def __init__(self, cfg, surroundings=None):
+        """Take checked :class:`settings.SideSettings`.
+
+        :param surroundings: an ``outside.Outside``; what the settings
+            name, if it is None
+        """
         self._cfg = cfg
+        self._outside = surroundings or outside.SettingsOutside(cfg)
         self._stack = contextlib.ExitStack()
         self._stopping = threading.Event()
         self._clock = clock.SystemClock()
         self._guard = guard.Guard(self._clock, cfg.limits)
-        self._keeper = configuration.ConfigKeeper()
+        self._keeper = configuration.ConfigKeeper(self._outside.parse_config)
         self._instance = ids.make_nonce()
         self._server = server.SideServer(
             cfg, self._instance, self._clock, self._guard, self._keeper
@@ -68,11 +71,11 @@
     def _start_parts(self):
         cfg = self._cfg
         enter = self._stack.enter_context
-        worker = None
-        if cfg.worker is not None:
-            worker = enter(
-                workers.HttpWorker(cfg.worker.address, cfg.worker.port)
-            )
+        kv = enter(self._outside.open_store(self._clock))
+        listing = enter(self._outside.open_vm_list(kv))
+        worker = self._outside.open_worker()
+        if worker is not None:
+            enter(worker)
         self._server.agent = agent.Agent(
             worker,
             self._guard,
@@ -83,7 +86,7 @@
         self._server.agent.read_roster_seq = self._read_roster_seq
         if cfg.runner is not None:
             self._start_runner(cfg.runner)
-        watcher = self._make_watcher()
+        watcher = self._make_watcher(kv, listing)
         self._server.find_owner = lambda: watcher.owner
         self._keeper.follow(self._server.note_change)
         self._keeper.follow(lambda: _pass_on(watcher.owner))
@@ -100,8 +103,6 @@
         enter(watcher)
         LOG.info('side of %s ready', cfg.vm.name)
 
-        self._server.agent.take_measures = self._server.admission.take_measures
-
     def _read_roster_seq(self):
         return self._server.home.seq
 
@@ -116,14 +117,11 @@
                 client, runner.slots, runner.queue, self._clock
             )
         )
+        self._server.agent.take_measures = self._server.admission.take_measures
 
-    def _make_watcher(self):
+    def _make_watcher(self, kv, listing):
         cfg = self._cfg
-        enter = self._stack.enter_context
-        gateway = store.open_etcd(cfg.store.address, cfg.store.port)
-        kv = store.BudgetedStore(enter(gateway), self._clock)
         context = tls.make_client_context(cfg.tls)
-        listing = vmlist.HttpVmList(cfg.vm_list.address, cfg.vm_list.port)
         env = owner.Environment(
             name=cfg.vm.name,
             instance=self._instance,
@@ -131,10 +129,11 @@
             clock=self._clock,
             limits=cfg.limits,
             dial=lambda vm: streams.dial(vm.address, vm.port, context),
-            vmlist=enter(listing),
+            vmlist=listing,
             keeper=self._keeper,
             append_interval=cfg.append_interval,
             kv=kv,
+            config_key=self._outside.config_key,
         )
         return takeover.Watcher(env, self._guard, kv)
 
--- a/packages/store/portwharf/store/__init__.py
+++ b/packages/store/portwharf/store/__init__.py
@@ -4,6 +4,7 @@
 
 from portwharf.store.base import Entry
 from portwharf.store.base import find_prefix_end
+from portwharf.store.base import LeaseStore
 from portwharf.store.base import MAX_VALUE_BYTES
 from portwharf.store.base import Store
 from portwharf.store.base import StoreError
@@ -16,6 +17,7 @@
     'BudgetedStore',
     'Entry',
     'EtcdStore',
+    'LeaseStore',
     'MAX_VALUE_BYTES',
     'Store',
     'StoreError',
--- a/packages/store/portwharf/store/base.py
+++ b/packages/store/portwharf/store/base.py
@@ -93,6 +93,32 @@
         """
 
 
+class LeaseStore(Store):
+    """A store that has leases: keys that go when nobody renews them."""
+
+    @abc.abstractmethod
+    def put(self, key, value, lease):
+        """Write a key, whatever it holds, under a lease.
+
+        :param lease: from :meth:`open_lease`, or 0 for none
+        :returns: Ok(Swap), or Err(StoreError)
+        """
+
+    @abc.abstractmethod
+    def open_lease(self, seconds):
+        """Begin a lease.
+
+        :returns: Ok(number of the lease), or Err(StoreError)
+        """
+
+    @abc.abstractmethod
+    def keep_lease(self, lease):
+        """Renew a lease.
+
+        :returns: Ok(whether it still runs), or Err(StoreError)
+        """
+
+
 def find_prefix_end(prefix):
     """Return the first key after all keys that begin with ``prefix``."""
     return prefix[:-1] + chr(ord(prefix[-1]) + 1)
--- a/packages/store/portwharf/store/budget.py
+++ b/packages/store/portwharf/store/budget.py
@@ -20,7 +20,7 @@
 MAX_WAIT_SECONDS = 3.0
 
 
-class BudgetedStore(base.Store):
+class BudgetedStore(base.LeaseStore):
     """Another store, with a bounded rate of calls."""
 
     def __init__(self, inner, clock, rate=CALLS_PER_SECOND, burst=BURST_CALLS):
@@ -34,6 +34,13 @@
         self._counted = clock.read_monotonic()
         self._pause = threading.Event()
 
+    def __enter__(self):
+        self._inner.__enter__()
+        return self
+
+    def __exit__(self, *exc_info):
+        self._inner.__exit__(*exc_info)
+
     def read(self, key):
         return self._take() or self._inner.read(key)
 
@@ -53,6 +60,15 @@
             key, revision, timeout
         )
 
+    def put(self, key, value, lease):
+        return self._take() or self._inner.put(key, value, lease)
+
+    def open_lease(self, seconds):
+        return self._take() or self._inner.open_lease(seconds)
+
+    def keep_lease(self, lease):
+        return self._take() or self._inner.keep_lease(lease)
+
     def _take(self):
         """Take one call out of the budget, waiting for it if need be.
 
--- a/packages/vmlist/portwharf/vmlist/__init__.py
+++ b/packages/vmlist/portwharf/vmlist/__init__.py
@@ -1,8 +1,10 @@
 # Copyright the portwharf authors.
 # SPDX-License-Identifier: Apache-2.0
-"""The platform's list of VMs, behind an abstract class."""
+"""Which VMs there are: the platform's list, or what they register."""
 
 from portwharf.vmlist.base import VmList
 from portwharf.vmlist.http import HttpVmList
+from portwharf.vmlist.register import Register
+from portwharf.vmlist.register import Registration
 
-__all__ = ('HttpVmList', 'VmList')
+__all__ = ('HttpVmList', 'Register', 'Registration', 'VmList')
--- /dev/null
+++ b/packages/vmlist/portwharf/vmlist/register.py
@@ -0,0 +1,119 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""VMs that register themselves in the store, where nobody lists them.
+
+Each process keeps one key under a lease. The register serves for finding
+each other and for noticing who is gone, and never for safety: a key can go
+while its process lives, and comes back as soon as the process sees that.
+The revision of a process's first registration is its fencing token: it
+rises with each start and belongs to one process alone.
+"""
+
+import logging
+import threading
+
+import result
+
+from portwharf.core import codec
+from portwharf.core import data
+from portwharf.core import logs
+from portwharf import store
+from portwharf.vmlist import base
+
+LOG = logging.getLogger(__name__)
+
+PREFIX = 'vms/'
+# A key stays this long after its process's last sign of life.
+LEASE_SECONDS = 6.0
+# Between two looks; a key that has gone is back within this and a call.
+LOOK_SECONDS = 1.5
+_FIRST_SECONDS = 0.1
+
+
+class Register(base.VmList):
+    """The list of all VMs that are registered."""
+
+    def __init__(self, kv):
+        """Take the store."""
+        self._kv = kv
+
+    def read(self):
+        last = store.find_prefix_end(PREFIX)
+        listed = self._kv.read_range(PREFIX, last)
+        if listed.is_err():
+            return result.Err(listed.err_value.text)
+        return result.Ok([_read_vm(entry) for entry in listed.ok_value])
+
+
+class Registration(Register):
+    """The list, and this VM kept on it; a context manager.
+
+    The key is left to its lease at the end, as most ends are restarts.
+    """
+
+    def __init__(self, kv, vm):
+        """Take a ``store.LeaseStore`` and this process's VM."""
+        super().__init__(kv)
+        self._vm = vm
+        self._key = PREFIX + vm.name
+        self._lease = 0
+        self._present = False
+        self._stop = threading.Event()
+        self.registered = threading.Event()
+        self.token = 0
+        self._thread = threading.Thread(
+            target=self._run, name='register', daemon=True
+        )
+
+    def __enter__(self):
+        self._thread.start()
+        return self
+
+    def __exit__(self, *exc_info):
+        self._stop.set()
+
+    def look(self):
+        """Renew the lease, and write the key anew if it has gone.
+
+        :returns: whether the key is there
+        """
+        if self._lease and self._is_kept():
+            return True
+        if self._present:
+            LOG.warning('registration lost', extra=logs.fields(vm=self._key))
+        self._present = False
+        opened = self._kv.open_lease(LEASE_SECONDS)
+        if opened.is_err():
+            return False
+        self._lease = opened.ok_value
+        written = self._kv.put(self._key, codec.pack(self._vm), self._lease)
+        if written.is_err():
+            return False
+        self._present = True
+        self.token = self.token or written.ok_value.revision
+        self.registered.set()
+        LOG.info('registered', extra=logs.fields(vm=self._vm.name))
+        return True
+
+    def _is_kept(self):
+        """Renew; tells whether lease and key are still there.
+
+        Without an answer both count as kept, until the store says more.
+        """
+        kept = self._kv.keep_lease(self._lease)
+        if kept.is_err():
+            return True
+        if not kept.ok_value:
+            return False
+        found = self._kv.read(self._key)
+        return found.is_err() or found.ok_value is not None
+
+    def _run(self):
+        wait = _FIRST_SECONDS
+        while not self._stop.is_set():
+            wait = LOOK_SECONDS if self.look() else _FIRST_SECONDS
+            self._stop.wait(wait)
+
+
+def _read_vm(entry):
+    return codec.unpack(data.Vm, entry.value)
