What fills is paced and placed by pairs of images

Change: sides learn from differences between samples how much each pair presses; owners put the estimates together; light images get the room first; filling tasks wait for a VM where they would work at 0.35 or more; what serves is packed, so that some VMs stay clear. Ruled out: load of the server as the cause (tails at rest stay under 0.75 of their targets; one heavy task trebled a tail within half a second).

--- a/packages/peers/portwharf/peers/messages.py
+++ b/packages/peers/portwharf/peers/messages.py
@@ -68,6 +68,40 @@
     age_ms: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class Press:
+    """How much one image that fills slows one that serves.
+
+    :param press: growth of the logarithm of the server's tail by the share
+        of the VM's processors that the filling tasks use
+    :param weight: how much experience is behind it: the sum of the
+        squared differences that it was learnt from
+    """
+
+    serving: str = ''
+    filling: str = ''
+    press: float = 0.0
+    weight: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Headroom:
+    """What a serving image on a VM could bear beside what is there now.
+
+    :param room: growth of the logarithm of its tail until the target
+    """
+
+    serving: str = ''
+    room: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class PressUpdate:
+    """From an owner to its sides: what all of them have learnt."""
+
+    presses: list[Press] = dataclasses.field(default_factory=list)
+
+
 @dataclasses.dataclass(slots=True)
 class Heartbeat:
     """From a side to its owner, at a steady beat.
@@ -79,6 +113,7 @@
     :param pool: the pool that the worker belongs to, or ''
     :param labels: what the worker is labelled with
     :param leaves_in_ms: of a draining worker, how long it stays at least
+    :param presses: estimates of the side that changed since the last beat
     """
 
     side_ms: int = 0
@@ -94,6 +129,8 @@
     pool: str = ''
     labels: list[str] = dataclasses.field(default_factory=list)
     leaves_in_ms: int = 0
+    presses: list[Press] = dataclasses.field(default_factory=list)
+    headrooms: list[Headroom] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
@@ -153,8 +190,9 @@
     program: str = ''
     argument: bytes = b''
     checkpoint: str = ''
-    # It uses what others leave unused, and may be paced for their sake.
-    fills: bool = False
+    # Processors that it asks for, in thousandths, if it uses what others
+    # leave unused and may be paced for their sake; else 0.
+    fill_milli: int = 0
     # What the tail of its answers has to stay under, 0 for nothing.
     target_ms: int = 0
 
@@ -341,6 +379,7 @@
     'hello': Hello,
     'beat': Heartbeat,
     'grant': Grant,
+    'presses': PressUpdate,
     'reports': Reports,
     'forget': ForgetTasks,
     'start': StartTask,
--- a/packages/scheduler/portwharf/scheduler/members.py
+++ b/packages/scheduler/portwharf/scheduler/members.py
@@ -37,6 +37,7 @@
     pool: str = ''
     labels: list[str] = dataclasses.field(default_factory=list)
     leaves_in_ms: int = 0
+    headrooms: list = dataclasses.field(default_factory=list)
 
 
 class MemberLink(links.PeerLink):
@@ -63,6 +64,7 @@
         conn.send(self._owner.make_grant(self.name, 0))
         conn.send(self._owner.make_config())
         conn.send(self._owner.make_rosters())
+        conn.send(self._owner.make_presses())
 
     def detach(self):
         self.view.reported = False
@@ -91,6 +93,8 @@
         view.pool = beat.pool
         view.labels = beat.labels
         view.leaves_in_ms = beat.leaves_in_ms
+        view.headrooms = beat.headrooms
+        self._owner.take_presses(self.name, beat.presses)
         view.config_revision = beat.config_revision
         self._owner.note_epoch(beat.epoch)
         self._owner.record_ack(self.name, beat)
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -25,12 +25,14 @@
 class Membership:
     """The members of one shard, as its owner sees them."""
 
-    def __init__(self, env, state, grant_table, health, pressure):
+    def __init__(self, env, state, grant_table, health, pressure, pairs=None):
         """Take an ``owner.Environment`` and what the owner knows.
 
         :param health: a ``health.Health`` of the shard's workers
         :param pressure: a ``pressure.Pressure`` of the same
+        :param pairs: a ``presses.Presses``, or None
         """
+        self._pairs = pairs
         self._pressure = pressure
         self._env = env
         self._state = state
@@ -110,6 +112,7 @@
             view.reserved = self._state.reserved[name]
             view.pool = link.view.pool
             view.labels = link.view.labels
+            view.take_pairs(self._pairs, link.view.headrooms)
             self._count_fill(name, view)
             view.closed = self._find_closed(name, link, now)
             view.probe = self._health.is_probed(name, now)
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -27,6 +27,7 @@
 from portwharf.scheduler import members
 from portwharf.scheduler import membership
 from portwharf.scheduler import metrics
+from portwharf.scheduler import presses
 from portwharf.scheduler import shardlog
 
 LOG = logging.getLogger(__name__)
@@ -36,6 +37,7 @@
 SNAPSHOT_ENTRIES = 300
 STALL_SECONDS = 2.0
 _TICK_SECONDS = 0.5
+_PRESSES_SECONDS = 0.5
 _RETRY_SECONDS = 0.2
 _MAX_RETRY_SECONDS = 3.0
 _MS = 1000
@@ -95,12 +97,19 @@
         self._pending_since = None
         self._next_append = 0.0
         self._next_check = 0.0
+        self._next_presses = 0.0
         self._snapshot_seq = log.next_seq
         ailing = health.Health()
         self._grants = grants.GrantTable(state.members, env.limits)
         self._decider = decider.Decider(env, state, self._grants, ailing)
+        self._presses = presses.Pool()
         self._members = membership.Membership(
-            env, state, self._grants, ailing, self._decider.pressure
+            env,
+            state,
+            self._grants,
+            ailing,
+            self._decider.pressure,
+            self._presses.presses,
         )
         self._decider.set_members(self._members)
         self._desk = desk.Desk(
@@ -195,6 +204,14 @@
         """Return the rosters, for a side."""
         return self._decider.rosters.make_update()
 
+    def make_presses(self):
+        """Return what is known of pairs of images, for a side."""
+        return messages.PressUpdate(self._presses.list_all())
+
+    def take_presses(self, member, estimates):
+        """Take what a side has learnt of pairs of images."""
+        self._presses.take(member, estimates)
+
     def record_ack(self, member, beat):
         """Count a heartbeat that acknowledges our epoch."""
         if beat.epoch == self.epoch:
@@ -299,6 +316,7 @@
                 self.deposed.set()
                 return Step.DEPOSED
             self._members.sync_links(self)
+            self._tell_presses()
             items = [*self._deferred, *items]
             self._deferred = []
             with self._lock:
@@ -315,6 +333,16 @@
             self._snapshot()
         return step
 
+    def _tell_presses(self):
+        """Pass on what sides have learnt, now and then."""
+        now = self.read_clock()
+        if now < self._next_presses:
+            return
+        self._next_presses = now + _PRESSES_SECONDS
+        news = self._presses.take_news()
+        if news:
+            self._members.announce(messages.PressUpdate(news))
+
     def serve_stalled(self):
         """Go on as far as that needs no append, while one is stalled."""
         items = self.take_items()
--- a/packages/scheduler/portwharf/scheduler/placement.py
+++ b/packages/scheduler/portwharf/scheduler/placement.py
@@ -38,6 +38,12 @@
 # What a busy VM counts against one with a free processor.
 _BUSY = 1.0
 _FAR_RACK = 2.0
+# What working at no pace counts against one with a free processor.
+_PACE = 3.0
+# Below this a filling task rather waits for another VM.
+_LEAST_PACE = 0.35
+# What a VM that nothing serves on is worth to what has to be served.
+_KEEP_CLEAR = 3.0
 # A job that is late is served last, but not for longer than this.
 _PATIENCE_MS = 30_000
 # What slowing services a little counts against an even fill.
@@ -58,6 +64,8 @@
     :param kinds: kinds of batch work on it, with how many tasks
     :param filling_milli: processors that tasks which fill ask for
     :param serving_milli: processors reserved by tasks with a target
+    :param pairs: a ``presses.Presses``, or None
+    :param headrooms: what each serving image can bear, by image
     """
 
     vm: data.Vm = dataclasses.field(default_factory=data.Vm)
@@ -77,6 +85,8 @@
     labels: list = dataclasses.field(default_factory=list)
     filling_milli: int = 0
     serving_milli: int = 0
+    pairs: object = None
+    headrooms: dict = dataclasses.field(default_factory=dict)
 
     @property
     def room(self):
@@ -97,8 +107,32 @@
         elif workload.target_ms:
             self.serving_milli += size
 
+    def take_pairs(self, pairs, headrooms):
+        """Take what is known of pairs, and a list of ``Headroom``."""
+        self.pairs = pairs
+        self.headrooms = {one.serving: one.room for one in headrooms}
+
+    def predict_pace(self, workload):
+        """Return the share, 0 to 1, that a filling task would work at."""
+        pace = 1.0
+        for serving, room in self.headrooms.items():
+            cost = self._find_cost(serving, workload)
+            if cost > 0:
+                pace = min(pace, max(0.0, room) / cost)
+        return pace
+
+    def _find_cost(self, serving, workload):
+        """Return what a task at work takes of a server's headroom."""
+        share = workload.resources.cpu_milli / max(1, self.capacity.cpu_milli)
+        return self.pairs.find(serving, workload.image) * share
+
     def add_task(self, workload):
         """Count one more task that is placed on the VM."""
+        if workload.fills:
+            pace = self.predict_pace(workload)
+            for serving in self.headrooms:
+                cost = self._find_cost(serving, workload)
+                self.headrooms[serving] -= cost * pace
         self.reserved = self.reserved.add(workload.reserved)
         self.count_fill(workload)
 
@@ -474,6 +508,8 @@
         room = view.capacity.cpu_milli - view.busy_milli
         if workload.resources.cpu_milli > room:
             return 'processors'
+        if view.predict_pace(workload) < _LEAST_PACE:
+            return REFUSED_SLOWS
     return ''
 
 
@@ -510,9 +546,18 @@
     if workload.job:
         busy = view.busy_milli / max(1, view.capacity.cpu_milli)
         parts.append(events.Part('busy', _BUSY * busy))
+        if workload.fills:
+            slow = 1.0 - view.predict_pace(workload)
+            parts.append(events.Part('paced', _PACE * slow))
         if workload.data_rack and workload.data_rack not in view.labels:
             parts.append(events.Part('far-from-data', _FAR_RACK))
-    if workload.kind != data.Kind.BATCH:
+    if workload.target_ms:
+        # What serves is packed, so that some VMs are left to what fills.
+        share = view.serving_milli / max(1, view.capacity.cpu_milli)
+        parts = [events.Part('packed', -_KEEP_CLEAR * share)]
+        filled = view.filling_milli / max(1, view.capacity.cpu_milli)
+        parts.append(events.Part('filled', filled))
+    elif workload.kind != data.Kind.BATCH:
         alike = demand.placed[view.vm.name]
         parts.append(events.Part('same-vm', _SAME_VM * alike))
         rack = spread.racks[view.vm.rack]
--- a/packages/scheduler/portwharf/scheduler/reconcile.py
+++ b/packages/scheduler/portwharf/scheduler/reconcile.py
@@ -86,7 +86,7 @@
         workload.program,
         job.job.argument if job else workload.argument,
         task.checkpoint,
-        workload.fills,
+        workload.resources.cpu_milli if workload.fills else 0,
         workload.target_ms,
     )
 
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -172,6 +172,8 @@
             self._greet_owner()
         elif isinstance(message, messages.ForgetTasks):
             self._forget(message.tasks)
+        elif isinstance(message, messages.PressUpdate):
+            self._pacer.presses.take_told(message.presses)
         elif not self._guard.accepts(message.epoch):
             self._refuse(message, REFUSED_EPOCH)
         elif isinstance(message, messages.StartTask):
@@ -372,7 +374,8 @@
 
     def _pace(self):
         """Have what fills give way to what serves, and take it back."""
-        for pace in self._pacer.plan(self._listing.attempts):
+        now = self._clock.read_monotonic()
+        for pace in self._pacer.plan(self._listing, now):
             paced = self._worker.throttle(
                 pace.task, pace.attempt, pace.percent
             )
@@ -424,6 +427,8 @@
                 self._listing.pool,
                 self._listing.labels,
                 self._listing.leaves_in_ms,
+                self._pacer.presses.take_news(),
+                self._pacer.list_headrooms(),
             )
         )
 
--- a/packages/side/portwharf/side/pacing.py
+++ b/packages/side/portwharf/side/pacing.py
@@ -4,38 +4,47 @@
 
 A reflex of the side, within a poll of the measurement: what the owner
 would hear a heartbeat later comes too late for a load that swings within
-seconds. All tasks that fill one VM work at one share. It falls by a factor
-while a task's tail is near its target or over it, and is given back in
-small steps when all have room.
+seconds. By what is known of each pair (``scheduler.presses``) the room that
+each server has under its target is given to filling tasks, the lightest
+first, so that a heavy one gives way before a light one does. A brake on all
+of them makes up for what is not known yet.
 """
 
+import collections
 import dataclasses
+import math
 
 from portwharf.core import data
+from portwharf.peers import messages
+from portwharf.scheduler import presses
 
 FULL = 100
-# Tails over targets at which work is taken back, fast and faster, and
-# below which it is given again. Chosen so that a swing of the load by a
-# third between two polls stays under the target.
-NEAR = 0.75
-OVER = 1.0
-ROOMY = 0.6
-_NEAR_FACTOR = 0.7
-_OVER_FACTOR = 0.35
-_GIVE_STEP = 8
+# Tails are steered to this share of their targets; what a load swings by
+# between two polls has to fit above it.
+AIM = 0.85
+# A tail above this share of its target pulls the brake.
+_OVER = 1.0
+_BRAKE_FACTOR = 0.5
+_RELEASE_STEP = 0.2
+# The least that a filling task works at: it has to end some day.
+LEAST = 3
 # Less than this is not worth a call.
-_LEAST_CHANGE = 3
-# At a share this low, what fills is not the cause.
-LEAST = 4
+_LEAST_CHANGE = 4
+# Tails are measured over half a second; nearer samples overlap.
+SAMPLE_SECONDS = 0.5
 # Traits that are remembered, for tasks that ended long ago.
 MAX_TRAITS = 5000
 
 
 @dataclasses.dataclass(slots=True)
 class Trait:
-    """What matters here of a task: it fills, or has a target."""
+    """What matters here of a task.
 
-    fills: bool = False
+    :param fill_milli: processors that it asks for if it fills, else 0
+    """
+
+    image: str = ''
+    fill_milli: int = 0
     target_ms: int = 0
 
 
@@ -48,50 +57,66 @@
     percent: int = FULL
 
 
+@dataclasses.dataclass(slots=True)
+class _Sample:
+    """What was measured at one time.
+
+    :param tails: logarithm of the tail, by serving attempt
+    :param used: share of the processors, by filling image
+    """
+
+    at: float = 0.0
+    tails: dict = dataclasses.field(default_factory=dict)
+    used: dict = dataclasses.field(default_factory=dict)
+
+
 class Pacer:
-    """The share that what fills one VM works at."""
+    """The shares that what fills one VM works at."""
 
     def __init__(self):
+        self.presses = presses.Presses()
         self._traits = {}
         self._told = {}
-        self._share = float(FULL)
-
-    @property
-    def share(self):
-        """The share that filling tasks work at, in percent."""
-        return self._share
+        self._brake = 1.0
+        self._sample = None
+        self._headrooms = []
 
     def note_start(self, message):
         """Take the traits of a task from its ``messages.StartTask``."""
         self._traits.pop(message.task, None)
-        if message.fills or message.target_ms:
-            trait = Trait(message.fills, message.target_ms)
-            self._traits[message.task] = trait
+        if message.fill_milli or message.target_ms:
+            self._traits[message.task] = Trait(
+                message.program, message.fill_milli, message.target_ms
+            )
         if len(self._traits) > MAX_TRAITS:
             del self._traits[next(iter(self._traits))]
 
-    def plan(self, attempts):
+    def list_headrooms(self):
+        """Return the ``messages.Headroom`` of each image that serves."""
+        return self._headrooms
+
+    def plan(self, listing, now):
         """Return the :class:`Pace` changes that are due.
 
-        :param attempts: list of ``workers.Attempt``, just listed
+        :param listing: a ``workers.Listing``, just read
         """
-        running = [a for a in attempts if a.state == data.RunState.RUNNING]
-        filling = [a for a in running if self._find_trait(a).fills]
-        self._adjust(self._find_worst(running), bool(filling))
-        live = {(a.task, a.attempt) for a in filling}
-        self._told = {n: p for n, p in self._told.items() if n in live}
-        changes = []
-        share = int(self._share)
-        for one in filling:
-            name = (one.task, one.attempt)
-            told = self._told.get(name, FULL)
-            if abs(told - share) < _LEAST_CHANGE and share != FULL:
-                continue
-            if told == share:
-                continue
-            self._told[name] = share
-            changes.append(Pace(one.task, one.attempt, share))
-        return changes
+        running = [
+            a for a in listing.attempts if a.state == data.RunState.RUNNING
+        ]
+        filling = [a for a in running if self._find_trait(a).fill_milli]
+        serving = [
+            a
+            for a in running
+            if self._find_trait(a).target_ms and a.tail_ms > 0
+        ]
+        cores = max(1, listing.capacity.cpu_milli)
+        self._learn(serving, filling, cores, now)
+        self._pull_brake(serving, bool(filling))
+        used = self._sum_used(filling, cores)
+        rooms = self._find_rooms(serving, used)
+        self._note_headrooms(serving)
+        wanted = self._share_out(filling, rooms, cores)
+        return self._list_changes(filling, wanted)
 
     def forget_told(self, pace):
         """Take back that a change was made: the worker did not answer."""
@@ -100,19 +125,120 @@
     def _find_trait(self, attempt):
         return self._traits.get(attempt.task) or Trait()
 
-    def _find_worst(self, running):
-        """Return the highest tail over its target, 0 without targets."""
-        ratios = [
-            one.tail_ms / self._find_trait(one).target_ms
-            for one in running
-            if self._find_trait(one).target_ms and one.tail_ms
+    def _sum_used(self, filling, cores):
+        """Return the share of the processors used by filling image."""
+        used = collections.defaultdict(float)
+        for one in filling:
+            image = self._find_trait(one).image
+            used[image] += one.used_cpu_milli / cores
+        return used
+
+    def _learn(self, serving, filling, cores, now):
+        """Learn from what changed since the last sample."""
+        former = self._sample
+        if former is not None and now - former.at < SAMPLE_SECONDS:
+            return
+        sample = _Sample(now, {}, self._sum_used(filling, cores))
+        for one in serving:
+            name = (one.task, one.attempt)
+            sample.tails[name] = math.log(one.tail_ms)
+        self._sample = sample
+        if former is None or now - former.at > 2 * SAMPLE_SECONDS:
+            return
+        images = set(former.used) | set(sample.used)
+        differences = {
+            image: sample.used.get(image, 0.0) - former.used.get(image, 0.0)
+            for image in images
+        }
+        for one in serving:
+            name = (one.task, one.attempt)
+            if name in former.tails:
+                growth = sample.tails[name] - former.tails[name]
+                image = self._find_trait(one).image
+                self.presses.learn(image, differences, growth)
+
+    def _pull_brake(self, serving, filled):
+        worst = max(
+            (one.tail_ms / self._find_trait(one).target_ms for one in serving),
+            default=0.0,
+        )
+        if worst > _OVER and filled:
+            self._brake = max(LEAST / FULL, self._brake * _BRAKE_FACTOR)
+        else:
+            self._brake = min(1.0, self._brake + _RELEASE_STEP)
+
+    def _find_rooms(self, serving, used):
+        """Return how much each serving image bears in all, by image.
+
+        :returns: map of image to growth of the logarithm of its tail over
+            what it would be with nothing that fills beside it
+        """
+        rooms = {}
+        for one in serving:
+            trait = self._find_trait(one)
+            pressed = sum(
+                self.presses.find(trait.image, image) * share
+                for image, share in used.items()
+            )
+            free = math.log(AIM * trait.target_ms / one.tail_ms)
+            room = max(0.0, free + pressed)
+            rooms[trait.image] = min(room, rooms.get(trait.image, room))
+        return rooms
+
+    def _note_headrooms(self, serving):
+        left = {}
+        for one in serving:
+            trait = self._find_trait(one)
+            room = math.log(AIM * trait.target_ms / one.tail_ms)
+            left[trait.image] = min(room, left.get(trait.image, room))
+        self._headrooms = [
+            messages.Headroom(image, room) for image, room in left.items()
         ]
-        return max(ratios, default=0.0)
-
-    def _adjust(self, worst, filled):
-        if worst >= OVER and filled:
-            self._share = max(LEAST, self._share * _OVER_FACTOR)
-        elif worst >= NEAR and filled:
-            self._share = max(LEAST, self._share * _NEAR_FACTOR)
-        elif worst < ROOMY:
-            self._share = min(FULL, self._share + _GIVE_STEP)
+
+    def _share_out(self, filling, rooms, cores):
+        """Give each filling task its share, the lightest first.
+
+        :returns: map of (task, attempt) to percent
+        """
+        left = dict(rooms)
+        wanted = {}
+        for one in sorted(filling, key=lambda a: self._weigh(a, rooms)):
+            trait = self._find_trait(one)
+            share = 1.0
+            for image, room in left.items():
+                press = self.presses.find(image, trait.image)
+                cost = press * trait.fill_milli / cores
+                if cost > 0:
+                    share = min(share, room / cost)
+            share = max(LEAST / FULL, share)
+            for image in left:
+                press = self.presses.find(image, trait.image)
+                cost = press * trait.fill_milli / cores
+                left[image] = max(0.0, left[image] - cost * share)
+            percent = int(FULL * share * self._brake)
+            wanted[(one.task, one.attempt)] = max(LEAST, percent)
+        return wanted
+
+    def _weigh(self, attempt, rooms):
+        """Return what a filling task presses at the most, and its name."""
+        trait = self._find_trait(attempt)
+        press = max(
+            (self.presses.find(image, trait.image) for image in rooms),
+            default=0.0,
+        )
+        return (press, attempt.task)
+
+    def _list_changes(self, filling, wanted):
+        live = set(wanted)
+        self._told = {n: p for n, p in self._told.items() if n in live}
+        changes = []
+        for one in filling:
+            name = (one.task, one.attempt)
+            percent = wanted[name]
+            told = self._told.get(name, FULL)
+            near = abs(told - percent) < _LEAST_CHANGE
+            if told == percent or (near and percent not in (LEAST, FULL)):
+                continue
+            self._told[name] = percent
+            changes.append(Pace(one.task, one.attempt, percent))
+        return changes
--- a/packages/side/portwharf/side/server.py
+++ b/packages/side/portwharf/side/server.py
@@ -31,6 +31,7 @@
     messages.StopTask,
     messages.ThrottleTask,
     messages.ForgetTasks,
+    messages.PressUpdate,
 )
 _MS = 1000
 
