A side knows when its worker is gone; entries hear configurations by sides

Change: a worker that nothing listens for runs nothing; a silent one gets nothing new and its attempts are gone once every lease ever sent has lapsed; entries tell sides their revision and get a newer one; what nobody wants is stopped and not caught up on. Drift is 3%, as a runner's clock may be 2% slow.

--- a/packages/entry/portwharf/entry/process.py
+++ b/packages/entry/portwharf/entry/process.py
@@ -84,6 +84,7 @@
                 lambda vm: streams.dial(vm.address, vm.port, context),
                 self._make_hello,
                 self._clock,
+                self._keeper,
             )
         )
         entries = fellows.Fellows(cfg.vm.name, listing, self._make_page)
--- a/packages/entry/portwharf/entry/sides.py
+++ b/packages/entry/portwharf/entry/sides.py
@@ -19,7 +19,9 @@
 from portwharf.peers import streams
 from portwharf.scheduler import homes
 
-_BEAT_SECONDS = 2.0
+_BEAT_SECONDS = 1.0
+_BEATS_A_LISTING = 2
+_ANY_REVISION = 2**62
 
 
 class Exchange:
@@ -91,11 +93,15 @@
 class SideLink(links.PeerLink):
     """The connection to one side."""
 
-    def __init__(self, vm, dial, make_hello, clock, note_roster=None):
+    def __init__(
+        self, vm, dial, make_hello, clock, note_roster=None, keeper=None
+    ):
         """Take the VM, a function that dials it and one that greets.
 
         :param note_roster: called with a shard and a ``RosterUpdate``
+        :param keeper: the entry's ``ConfigKeeper``, or None
         """
+        self._keeper = keeper
         super().__init__(vm.name)
         self._clock = clock
         self._note_roster = note_roster
@@ -167,7 +173,10 @@
 
     def beat(self):
         """Send a sign of life, so that the side keeps the connection."""
-        self.send(messages.SideState())
+        revision = self._keeper.read().revision if self._keeper else 0
+        # Without a keeper no side needs to tell what it has.
+        known = revision if self._keeper else _ANY_REVISION
+        self.send(messages.SideState(config_revision=known))
 
     def _send(self, conn, message, payload):
         if not isinstance(message, messages.Request):
@@ -191,6 +200,10 @@
             self.view.state = message
             self.view.services = frozenset(message.services)
             return
+        if isinstance(message, messages.ConfigUpdate):
+            if self._keeper is not None:
+                self._keeper.offer(message.revision, message.text)
+            return
         if isinstance(message, messages.RosterUpdate):
             self._note_roster(self.view.state.shard, message)
             return
@@ -215,8 +228,9 @@
 class LinkTable:
     """Links to all sides on the VM list; a context manager."""
 
-    def __init__(self, vmlist, dial, make_hello, clock):
+    def __init__(self, vmlist, dial, make_hello, clock, keeper=None):
         """Take the VM list and what each :class:`SideLink` needs."""
+        self._keeper = keeper
         self._clock = clock
         self._vmlist = vmlist
         self._dial = dial
@@ -278,15 +292,21 @@
         ]
 
     def _run(self):
+        beats = 0
         while not self._stop.is_set():
-            listed = self._vmlist.read()
-            if listed.is_ok():
-                self._follow(listed.ok_value)
-                self.listed.set()
+            if beats % _BEATS_A_LISTING == 0 or not self.listed.is_set():
+                self._read_list()
+            beats += 1
             for link in self.list_links():
                 link.beat()
             self._stop.wait(_BEAT_SECONDS)
 
+    def _read_list(self):
+        listed = self._vmlist.read()
+        if listed.is_ok():
+            self._follow(listed.ok_value)
+            self.listed.set()
+
     def _follow(self, vms):
         """Link to each endpoint VM on the list.
 
@@ -313,6 +333,7 @@
                     self._make_hello,
                     self._clock,
                     self._note_roster,
+                    self._keeper,
                 )
                 links[name] = link
                 link.__enter__()
--- a/packages/platform/portwharf/platform/http.py
+++ b/packages/platform/portwharf/platform/http.py
@@ -24,10 +24,12 @@
     """A call that got no answer.
 
     :param sent: it may have been carried out, or may be later
+    :param refused: nothing listens there
     """
 
     text: str = ''
     sent: bool = False
+    refused: bool = False
 
 
 class Client:
@@ -69,7 +71,8 @@
                 timeout=urllib3.Timeout(connect=seconds, read=seconds),
             )
         except urllib3.exceptions.NewConnectionError as exc:
-            return result.Err(NoReply(str(exc)))
+            refused = isinstance(exc.__cause__, ConnectionRefusedError)
+            return result.Err(NoReply(str(exc), refused=refused))
         except urllib3.exceptions.HTTPError as exc:
             return result.Err(NoReply(str(exc), sent=True))
         try:
--- a/packages/platform/portwharf/platform/programs.py
+++ b/packages/platform/portwharf/platform/programs.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import logging
+import os
 import signal
 import sys
 import threading
@@ -89,6 +90,7 @@
                 lambda vm: streams.dial(vm.address, vm.port, None),
                 self._make_hello,
                 self._clock,
+                self._keeper,
             )
         )
         calls = owners.OwnerCalls(self._links, self._clock)
@@ -158,3 +160,5 @@
         program.wait()
     LOG.info('%s ends', role)
     logging.shutdown()
+    # Threads that wait for a silent peer would hold the end up.
+    os._exit(0)
--- a/packages/platform/portwharf/platform/runner.py
+++ b/packages/platform/portwharf/platform/runner.py
@@ -122,13 +122,19 @@
         self._on_change = on_change
 
     def read_listing(self):
-        return self._hold().map(self._read_listing)
+        answer = self._hold()
+        if answer.is_ok():
+            return answer.map(self._read_listing)
+        if answer.err_value.refused:
+            # The runner's process is gone, and what it ran with it.
+            return result.Ok(workers.Listing(absent=True))
+        return result.Err(answer.err_value.text)
 
     def renew(self, until_ms):
         answer = self._hold(until_ms=until_ms)
         if answer.is_ok():
             self._until_ms = max(self._until_ms, until_ms)
-        return answer.map(lambda _: None)
+        return answer.map(lambda _: None).map_err(_get_text)
 
     def start(self, start):
         body = {
@@ -144,7 +150,7 @@
             del self._starts[next(iter(self._starts))]
         answer = self._order('/portwharf/run-start', body)
         if answer.is_err():
-            return answer
+            return answer.map_err(_get_text)
         reply = answer.ok_value
         if reply.status == _OK:
             self._until_ms = max(self._until_ms, start.lease_until_ms)
@@ -188,17 +194,16 @@
     def _order(self, path, body, seconds=CALL_SECONDS):
         """Send an order to the life of the runner that we know.
 
-        :returns: Ok(http.Reply), or Err(text) if it may be carried out
+        :returns: Ok(http.Reply), or Err(http.NoReply)
         """
         token = self._read_token()
         if not token:
-            return result.Err('no fencing token yet')
+            return result.Err(http.NoReply('no fencing token yet'))
         headers = {}
         if self._life.instance:
             headers['Portwharf-Target-Instance'] = self._life.instance
         body['fence'] = token
-        answer = self._client.call('POST', path, seconds, body, headers)
-        return answer.map_err(lambda lost: lost.text)
+        return self._client.call('POST', path, seconds, body, headers)
 
     def _demand(self, path, body):
         """Send an order that is either carried out or fails."""
@@ -206,12 +211,12 @@
         if answer.is_ok() and answer.ok_value.status != _OK:
             status = answer.ok_value.status
             return result.Err(f'runner: HTTP status {status}')
-        return answer.map(lambda _: None)
+        return answer.map(lambda _: None).map_err(_get_text)
 
     def _hold(self, until_ms=0, wait_ms=0):
         """Look at the runner, renewing leases if a time is given.
 
-        :returns: Ok(value of the answer), or Err(text)
+        :returns: Ok(value of the answer), or Err(http.NoReply)
         """
         with self._lock:
             life, acked = self._life, self._acked
@@ -226,7 +231,7 @@
             return answer
         if answer.ok_value.status != _OK:
             status = answer.ok_value.status
-            return result.Err(f'runner: HTTP status {status}')
+            return result.Err(http.NoReply(f'HTTP status {status}'))
         value = answer.ok_value.value
         with self._lock:
             if self._life.instance == life.instance:
@@ -256,6 +261,7 @@
             life.labels,
             life.draining,
             life.leaves_in_ms,
+            life=life.instance,
         )
 
     def _read_running(self, row, now_ms):
@@ -300,6 +306,10 @@
                 self._changed.wait(_PAUSE_SECONDS)
 
 
+def _get_text(lost):
+    return lost.text
+
+
 def _read_ended(row):
     number, task, run, how, saved = row
     state = _ENDS.get(how, data.RunState.GONE)
--- a/packages/scheduler/portwharf/scheduler/configuration.py
+++ b/packages/scheduler/portwharf/scheduler/configuration.py
@@ -28,7 +28,9 @@
 MAX_TEXT_BYTES = 512 * 1024
 _WATCH_SECONDS = 60
 _RETRY_SECONDS = 0.5
-_MAX_RETRY_SECONDS = 8.0
+# Only owners and entries watch, so that this many more calls a second are
+# few; an entry that is back has to follow within a second or two.
+_MAX_RETRY_SECONDS = 1.0
 _MAX_AMOUNT = 10**9
 
 _RESOURCES = {
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -130,7 +130,7 @@
                 self._state, name, item.message.reports
             )
             for task in missing:
-                command = reconcile.make_start(self._state, task)
+                command = reconcile.make_catch_up(self._state, task)
                 verdict.commands.append(command)
             item.link.view.reported = True
         for report in item.message.reports:
--- a/packages/scheduler/portwharf/scheduler/limits.py
+++ b/packages/scheduler/portwharf/scheduler/limits.py
@@ -9,8 +9,9 @@
 
 import dataclasses
 
-# Two monotonic clocks may differ in speed by this share at the most.
-DRIFT = 0.01
+# Two monotonic clocks may differ in speed by this share at the most; a
+# worker's may be 2% slow, and a VM's by less.
+DRIFT = 0.03
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/scheduler/portwharf/scheduler/members.py
+++ b/packages/scheduler/portwharf/scheduler/members.py
@@ -64,7 +64,9 @@
         conn.send(self._owner.make_grant(self.name, 0))
         conn.send(self._owner.make_config())
         conn.send(self._owner.make_rosters())
-        conn.send(self._owner.make_presses())
+        known = self._owner.make_presses()
+        if known.presses:
+            conn.send(known)
 
     def detach(self):
         self.view.reported = False
--- a/packages/scheduler/portwharf/scheduler/members_test.py
+++ b/packages/scheduler/portwharf/scheduler/members_test.py
@@ -44,6 +44,13 @@
         """Return rosters."""
         return messages.RosterUpdate()
 
+    def make_presses(self):
+        """Return what is known of pairs of images."""
+        return messages.PressUpdate()
+
+    def take_presses(self, member, estimates):
+        """Take what a side has learnt."""
+
     def make_grant(self, member, side_ms):
         """Return a grant."""
         return messages.Grant(side_ms, 7000, 3, side_ms > 0)
--- a/packages/scheduler/portwharf/scheduler/reconcile.py
+++ b/packages/scheduler/portwharf/scheduler/reconcile.py
@@ -91,6 +91,17 @@
     )
 
 
+def make_catch_up(state, task):
+    """Return the command for a placed task that its VM does not list.
+
+    What nobody wants any more is not begun: its stop has the side answer
+    that it is gone.
+    """
+    if is_unwanted(state, task) or task.state == data.TaskState.EVICTING:
+        return make_stop(state, task, False)
+    return make_start(state, task)
+
+
 def make_stop(state, task, checkpoint):
     """Return the command that ends a placed task's attempt."""
     return messages.StopTask(state.epoch, task.id, task.attempt, checkpoint)
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -25,6 +25,8 @@
 LOG = logging.getLogger(__name__)
 
 _POLL_SECONDS = 0.4
+# A worker that does not answer for so long gets nothing new.
+SILENT_SECONDS = 0.9
 _MS = 1000
 
 # Refused attempts that are remembered. A copy of a command arrives within
@@ -75,6 +77,7 @@
         self._doubts = doubts.Doubts()
         self._pacer = pacing.Pacer()
         self._owner_ms = 0
+        self._silent_since = None
         self._listed_at = 0.0
         self._next_beat = 0.0
         self._next_poll = 0.0
@@ -340,11 +343,16 @@
             return
         asked = self._worker.read_listing()
         if asked.is_err():
-            LOG.warning('worker: %s', asked.err_value)
+            self._note_silent(asked.err_value)
             return
+        if self._silent_since is not None:
+            LOG.info('worker answers again')
+            self._silent_since = None
         former = self._listing
         self._listing = asked.ok_value
         self._listed_at = self._clock.read_monotonic()
+        if self._listing.absent or self._listing.life != former.life:
+            self._leases.begin_anew()
         self._note_vanished(former)
         self._leases.take_listing(self._listing, self._listed_at)
         self._leases.keep()
@@ -353,6 +361,26 @@
         self._note_services()
         self._report(self._whole)
 
+    def _note_silent(self, text):
+        """Count the worker as silent, and as lapsed once that is sure."""
+        now = self._clock.read_monotonic()
+        if self._silent_since is None:
+            self._silent_since = now
+            LOG.warning('worker does not answer: %s', text)
+        if now - self._silent_since < SILENT_SECONDS:
+            return
+        # Nothing is to be placed here until it answers.
+        former = self._listing
+        attempts = former.attempts
+        if self._leases.have_lapsed(now):
+            attempts = [
+                a for a in attempts if a.state != data.RunState.RUNNING
+            ]
+        self._listing = dataclasses.replace(
+            former, capacity=data.Resources(), attempts=attempts
+        )
+        self._note_vanished(former)
+
     def _note_vanished(self, former):
         """Report what ran and is not listed: the worker began anew."""
         listed = {(a.task, a.attempt) for a in self._listing.attempts}
--- a/packages/side/portwharf/side/leases.py
+++ b/packages/side/portwharf/side/leases.py
@@ -11,6 +11,7 @@
 
 from portwharf.core import data
 from portwharf.core import logs
+from portwharf.scheduler import limits
 from portwharf import workers
 
 LOG = logging.getLogger(__name__)
@@ -21,19 +22,36 @@
 class LeaseKeeper:
     """The leases of one worker, for the agent's thread."""
 
-    def __init__(self, worker, guard, limits):
-        """Take the worker, the side's ``Guard`` and the time limits."""
+    def __init__(self, worker, guard, cfg):
+        """Take the worker, the side's ``Guard`` and its ``Limits``."""
         self._worker = worker
         self._guard = guard
-        self._limits = limits
+        self._limits = cfg
         self._stopped = set()
         self._listing = workers.Listing()
         self._listed_at = 0.0
+        # The latest end that was ever sent, on the worker's clock.
+        self._sent_ms = 0
 
     def take_listing(self, listing, listed_at):
         """Take a listing and the time on our clock just after it."""
         self._listing = listing
         self._listed_at = listed_at
+        for attempt in listing.attempts:
+            self._sent_ms = max(self._sent_ms, attempt.lease_until_ms)
+
+    def begin_anew(self):
+        """Forget the leases of a worker that has begun anew."""
+        self._sent_ms = 0
+
+    def have_lapsed(self, now):
+        """Tell whether no lease that was ever sent can still run.
+
+        What was sent without an answer counts; the worker's clock may be
+        slow by ``limits.DRIFT``.
+        """
+        left = (self._sent_ms - self._listing.now_ms) / _MS
+        return now - self._listed_at > left * (1 + limits.DRIFT)
 
     def compute_end(self):
         """Return when a lease may end, on the worker's clock, in ms.
@@ -43,6 +61,7 @@
         """
         left = self._guard.granted_until - self._listed_at
         until = self._listing.now_ms + (left + self._limits.lease) * _MS
+        self._sent_ms = max(self._sent_ms, int(until))
         return max(1, int(until))
 
     def keep(self):
--- a/packages/side/portwharf/side/server.py
+++ b/packages/side/portwharf/side/server.py
@@ -192,8 +192,11 @@
         elif isinstance(message, messages.Operation):
             self._pool.submit(self._operate, conn, message)
         elif isinstance(message, messages.SideState):
-            # An entry's beat: it keeps an idle connection open.
-            pass
+            # An entry's beat keeps an idle connection open, and tells which
+            # configuration the entry has: it may be cut off from the store.
+            update = self._keeper.make_update()
+            if update.revision > message.config_revision:
+                conn.send(update)
         else:
             raise streams.GarbledError(f'unexpected {type(message).__name__}')
 
--- a/packages/workers/portwharf/workers/base.py
+++ b/packages/workers/portwharf/workers/base.py
@@ -85,6 +85,8 @@
     :param pool: the pool that the worker belongs to, or ''
     :param draining: the worker takes no more starts and will leave
     :param leaves_in_ms: of a draining worker, how long it stays at least
+    :param absent: no worker is there, so that nothing runs
+    :param life: differs for each start of the worker, if it is known
     """
 
     now_ms: int = 0
@@ -96,6 +98,8 @@
     labels: list[str] = dataclasses.field(default_factory=list)
     draining: bool = False
     leaves_in_ms: int = 0
+    absent: bool = False
+    life: str = ''
 
 
 class Worker(abc.ABC):
@@ -105,7 +109,8 @@
     def read_listing(self):
         """Read what the worker knows.
 
-        :returns: Ok(Listing)
+        :returns: Ok(Listing); one with ``absent`` set when nothing is there
+            that could run a task
         """
 
     @abc.abstractmethod
