Stalled owners ask for a successor; prepared work waits for its side's word

After a loss of all power starts were sent before the first grant, refused, and their jobs kept away from every VM for two seconds or more. Change: an owner whose append stalls asks a member to claim, and goes on granting meanwhile; a higher epoch ends it at once; calls that came during a stall are refused at once, truthfully; starts that a side did not list are sent once it has a grant. A restarted side waits half as long for an owner. Found on the way: a new owner's first pass took prepared work back before the side had told whether it had begun (a run twice); the order of reports hid it. Test: test_prepared_work_is_not_taken_back_before_its_side_has_told. Ruled out: holding the report of everything back at the side, which broke test_restarted_side_finds_what_its_worker_runs.

--- a/packages/entry/portwharf/entry/owners.py
+++ b/packages/entry/portwharf/entry/owners.py
@@ -36,10 +36,20 @@
         self._clock = clock
         self._pause = threading.Event()
 
-    def call(self, shard, method, arguments, answer_class, seconds=None):
+    def call(
+        self,
+        shard,
+        method,
+        arguments,
+        answer_class,
+        seconds=None,
+        find_seconds=None,
+    ):
         """Call one shard's owner, and again if it changes under way.
 
         :param seconds: how long to try; None for the usual time
+        :param find_seconds: how long to look for an owner while nothing
+            has been sent; None for as long as all
         :returns: Ok(instance of answer_class), or Err(list of Problems)
         """
         began = self._clock.read_monotonic()
@@ -48,7 +58,9 @@
         sent = False
         while True:
             left = deadline - self._clock.read_monotonic()
-            if left <= 0:
+            patience = seconds if sent else find_seconds
+            now = self._clock.read_monotonic()
+            if left <= 0 or (patience and now - began > patience):
                 return result.Err([_describe_no_owner(shard, sent)])
             exchange = self._send(shard, method, body, left)
             answer = exchange.answer if exchange else None
--- a/packages/peers/portwharf/peers/messages.py
+++ b/packages/peers/portwharf/peers/messages.py
@@ -15,6 +15,8 @@
 # Raised when a message changes its meaning. A peer with another major
 # version is refused; new fields and kinds need no new version.
 PROTOCOL_VERSION = 1
+# The reason of a refusal by a side that holds no valid grant.
+REFUSED_GRANT = 'no-valid-grant'
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/platform/portwharf/platform/clients.py
+++ b/packages/platform/portwharf/platform/clients.py
@@ -21,8 +21,11 @@
 MAX_BODY_BYTES = 1024 * 1024
 # How long a submission waits for an owner to be there and to answer; less
 # than the time that clients give, so that they hear before they leave.
-SUBMIT_SECONDS = 1.5
+SUBMIT_SECONDS = 2.2
 READ_SECONDS = 2.0
+# How long an owner is looked for before a call is refused: a quarter of the
+# shortest objective is soon over, and a refusal can be tried elsewhere.
+FIND_SECONDS = 0.5
 # When to come back after a refusal: an owner is replaced within this.
 RETRY_SECONDS = 1
 # A count of waiting jobs may be this old.
@@ -143,7 +146,9 @@
         return web.answer_json(respond, 200, {'pending': known.count})
 
     def _call(self, method, arguments, cls, seconds=SUBMIT_SECONDS):
-        return self._calls.call(_SHARD, method, arguments, cls, seconds)
+        return self._calls.call(
+            _SHARD, method, arguments, cls, seconds, FIND_SECONDS
+        )
 
 
 class Readiness:
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -94,6 +94,8 @@
         self.rosters = rosters.RosterKeeper(state)
         # Why workloads wait, as of the last pass, by their ids.
         self.waiting = {}
+        # Attempts that a side did not list and that it has to be told of.
+        self._owed = {}
         # Jobs whose end is not in the log yet, and so must not be shown.
         self.unlogged = set()
 
@@ -112,6 +114,7 @@
                 self._learn(item)
             elif item is not None:
                 self._carry_out(item, batch)
+        self._catch_up(batch)
         self._change_members(batch)
         self._requeue_lost(batch)
         self._empty_leaving(batch)
@@ -129,9 +132,7 @@
             missing = reconcile.find_missing(
                 self._state, name, item.message.reports
             )
-            for task in missing:
-                command = reconcile.make_catch_up(self._state, task)
-                verdict.commands.append(command)
+            self._owed[name] = [(task.id, task.attempt) for task in missing]
             item.link.view.reported = True
         for report in item.message.reports:
             self._note_health(name, report)
@@ -145,6 +146,22 @@
         if verdict.forget:
             batch.send(item.link, messages.ForgetTasks(verdict.forget))
 
+    def _catch_up(self, batch):
+        """Send what a side did not list, once it has a grant to begin it."""
+        for name, rows in list(self._owed.items()):
+            link = self._members.get_link(name)
+            if link is None or not link.view.reported:
+                del self._owed[name]
+                continue
+            if not link.view.granted:
+                continue
+            del self._owed[name]
+            for task_id, attempt in rows:
+                task = self._state.held[name].get(task_id)
+                if task is not None and task.attempt == attempt:
+                    command = reconcile.make_catch_up(self._state, task)
+                    batch.send(link, command)
+
     def _note_ended(self, event, batch):
         """Follow up a task that is over, when it is part of a job."""
         name = self._state.find_workload(event.task).workload.job
@@ -178,6 +195,9 @@
         elif report.state == data.RunState.FAILED or report.at_worker:
             if self._health.note_failure(vm, workload, now):
                 LOG.warning('quarantined', extra=logs.fields(vm=vm))
+        elif report.reason == messages.REFUSED_GRANT:
+            # That side has no grant yet: nothing against its VM.
+            return
         elif report.state == data.RunState.REFUSED:
             self._health.note_refusal(vm, workload, now)
 
--- a/packages/scheduler/portwharf/scheduler/desk.py
+++ b/packages/scheduler/portwharf/scheduler/desk.py
@@ -166,6 +166,12 @@
     return messages.OperationResult(operation.id, status, problems=[problem])
 
 
+def refuse_call(called):
+    """Answer a call that has not been carried out, unless its caller left."""
+    if called.fut.set_running_or_notify_cancel():
+        called.fut.set_result(describe_stall())
+
+
 def describe_stall():
     return data.Problem(
         'not-accepted',
--- a/packages/scheduler/portwharf/scheduler/guard.py
+++ b/packages/scheduler/portwharf/scheduler/guard.py
@@ -119,9 +119,16 @@
                 self._called = epoch if ours else 0
                 self._held_off = self._clock.read_monotonic()
 
-    def is_called(self):
-        """Tell whether the last owner has asked this side to follow it."""
-        return 0 < self._called == self._epoch
+    @property
+    def has_heard(self):
+        """Whether any owner was heard since the start."""
+        return self._heard is not None
+
+    def take_call(self):
+        """Tell, once, whether the owner has asked this side to follow it."""
+        called = 0 < self._called == self._epoch
+        self._called = 0
+        return called
 
     def hold_off(self):
         """Begin the wait for an owner afresh."""
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -110,6 +110,7 @@
         for name, link in self._links.items():
             view = placement.VmView(link.view.vm, link.view.capacity)
             view.reserved = self._state.reserved[name]
+            view.reported = link.view.reported
             view.pool = link.view.pool
             view.labels = link.view.labels
             view.take_pairs(self._pairs, link.view.headrooms)
@@ -128,11 +129,16 @@
 
     def pick_successor(self, now):
         """Return the name of a member that can take over, or ''."""
-        for name, link in self._links.items():
-            usable = not self._find_closed(name, link, now)
-            if usable and name != self._env.name:
-                return name
-        return ''
+        return next(iter(self.list_usable(now)), '')
+
+    def list_usable(self, now):
+        """Return the names of the other members that are well."""
+        return [
+            name
+            for name, link in self._links.items()
+            if name != self._env.name
+            and not self._find_closed(name, link, now)
+        ]
 
     def follow_vm_list(self, now):
         """Read the VM list if it is time.
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -35,11 +35,15 @@
 # Items taken into one pass, so that an entry stays under the store's limit.
 MAX_ITEMS = 400
 SNAPSHOT_ENTRIES = 300
-STALL_SECONDS = 2.0
+# Calls are refused once an append has been under way for so long; the
+# slowest that a working store was seen to take is 0.4 s.
+STALL_SECONDS = 0.5
+# After so long another VM is asked whether the store answers it.
+INVITE_SECONDS = 0.8
 _TICK_SECONDS = 0.5
 _PRESSES_SECONDS = 0.5
 _RETRY_SECONDS = 0.2
-_MAX_RETRY_SECONDS = 3.0
+_MAX_RETRY_SECONDS = 0.4
 _MS = 1000
 
 
@@ -92,6 +96,8 @@
         self._stop = threading.Event()
         self._lost = False
         self._suspect = threading.Event()
+        self._superseded = False
+        self._invited = 0
         self._batch = None
         self._cut = 0
         self._pending_since = None
@@ -228,6 +234,8 @@
         """Look at the log if a member knows a higher epoch than ours."""
         if epoch > self.epoch:
             self._suspect.set()
+            # Only an append to the log makes a higher epoch.
+            self._superseded = True
 
     def take_reports(self, link, message):
         """Queue a side's reports."""
@@ -311,6 +319,10 @@
 
         :returns: a :class:`Step`
         """
+        if self._superseded:
+            LOG.warning('deposed, by a higher epoch', extra=self._extra())
+            self.deposed.set()
+            return Step.DEPOSED
         if self._batch is None:
             if not self._confirm():
                 self.deposed.set()
@@ -346,7 +358,12 @@
     def serve_stalled(self):
         """Go on as far as that needs no append, while one is stalled."""
         items = self.take_items()
-        self._deferred.extend(item for item in items if item is not None)
+        for item in items:
+            if isinstance(item, decider.Called):
+                desk.refuse_call(item)
+            elif item is not None:
+                self._deferred.append(item)
+        self._invite()
         for item in items:
             if isinstance(item, decider.Reported):
                 starts = self._decider.preparation.note_stalled(
@@ -355,6 +372,25 @@
                 for start in starts:
                     item.link.send(start)
 
+    def _invite(self):
+        """Ask a member, each time the next, to take the shard over.
+
+        The store may refuse this VM and serve others. Until one of them
+        has appended its epoch, this owner goes on granting; if none can,
+        it stays the owner.
+        """
+        since = self._pending_since
+        if since is None or self.read_clock() - since < INVITE_SECONDS:
+            return
+        names = self._members.list_usable(self.read_clock())
+        if not names:
+            return
+        self._invited += 1
+        name = names[self._invited % len(names)]
+        LOG.warning('asks for a successor', extra=logs.fields(peer=name))
+        message = messages.Resignation(self.epoch, name)
+        self._members.get_link(name).send(message)
+
     # The log.
 
     def _confirm(self):
@@ -432,8 +468,7 @@
         """Answer the calls that will not be carried out any more."""
         for item in [*self._deferred, *self.take_items()]:
             if isinstance(item, decider.Called):
-                if item.fut.set_running_or_notify_cancel():
-                    item.fut.set_result(desk.describe_stall())
+                desk.refuse_call(item)
 
     def _extra(self):
         return logs.fields(shard=self._env.shard, epoch=self.epoch)
--- a/packages/scheduler/portwharf/scheduler/ownership_test.py
+++ b/packages/scheduler/portwharf/scheduler/ownership_test.py
@@ -167,6 +167,24 @@
     case.assertEqual(count_runs(made), 10)
 
 
+def test_prepared_work_is_not_taken_back_before_its_side_has_told(case):
+    made = make_cluster(10)
+    made.standin.faults.down = True
+    made.run(3)
+    made.finish_running()
+    made.run(5)
+    made.restart_side(made.nodes[0])
+    made.standin.faults.down = False
+    made.run(3)
+    made.nodes[1].claim()
+    # The first pass of the new owner comes before any side has told.
+    made.nodes[1].owner.step()
+    prepared = made.read_state().prepared
+    case.assertTrue(prepared['vm-00'])
+    finish(made)
+    case.assertEqual(count_runs(made), 10)
+
+
 def test_prepared_work_of_a_silent_vm_waits_like_the_rest(case):
     made = make_cluster(10)
     silent = made.nodes[2]
@@ -349,7 +367,7 @@
     made.nodes[0].owner.resign()
     made.connect_all()
     made.deliver_all()
-    called = [node for node in made.nodes if node.guard.is_called()]
+    called = [node for node in made.nodes if node.guard.take_call()]
     case.assertEqual(len(called), 1)
     case.assertNotEqual(called[0], made.nodes[0])
 
--- a/packages/scheduler/portwharf/scheduler/placement.py
+++ b/packages/scheduler/portwharf/scheduler/placement.py
@@ -64,6 +64,7 @@
     :param kinds: kinds of batch work on it, with how many tasks
     :param filling_milli: processors that tasks which fill ask for
     :param serving_milli: processors reserved by tasks with a target
+    :param reported: its side has told all that it runs to this owner
     :param pairs: a ``presses.Presses``, or None
     :param headrooms: what each serving image can bear, by image
     """
@@ -85,6 +86,7 @@
     labels: list = dataclasses.field(default_factory=list)
     filling_milli: int = 0
     serving_milli: int = 0
+    reported: bool = True
     pairs: object = None
     headrooms: dict = dataclasses.field(default_factory=dict)
 
--- a/packages/scheduler/portwharf/scheduler/preparing.py
+++ b/packages/scheduler/portwharf/scheduler/preparing.py
@@ -143,7 +143,9 @@
         name = (task.id, task.attempt)
         if name in self._begun or view is None:
             return None
-        if view.closed == 'not-ready-yet':
+        if not view.reported:
+            # It may have begun while the store was down, and its side has
+            # not told this owner yet.
             return None
         if view.closed or reconcile.is_unwanted(self._state, task):
             return events.TaskRequeued(task.id, task.attempt)
--- a/packages/scheduler/portwharf/scheduler/takeover.py
+++ b/packages/scheduler/portwharf/scheduler/takeover.py
@@ -33,12 +33,15 @@
 
 # Without a majority to ask, silence has to last this many times longer.
 LONELY_FACTOR = 8
-_POLL_SECONDS = 0.2
+_POLL_SECONDS = 0.1
 _FOUND_SECONDS = 0.4
+# A side that has heard no owner since its start waits for one this much
+# shorter: all may have restarted, and nobody is there to wait for.
+RESTARTED_SHARE = 0.5
 _CLAIM_TRIES = 3
 _ASK_THREADS = 16
 # What a member that is asked is given to answer.
-ASK_SECONDS = 1.0
+ASK_SECONDS = 0.5
 _MAX_BACK_OFF_SECONDS = 8.0
 
 
@@ -161,7 +164,7 @@
                 continue
             elif self._guard.forgetful or not self._members:
                 self._learn()
-            elif self._guard.is_called():
+            elif self._guard.take_call():
                 self._claim()
             elif self._is_our_turn():
                 self._take_over()
@@ -236,6 +239,9 @@
         rank = order.index(self._env.name)
         limits = self._env.limits
         wait = limits.takeover + rank * limits.rank_step
+        if not self._guard.has_heard:
+            # An owner that lives redials at once whoever has restarted.
+            wait *= RESTARTED_SHARE
         return self._guard.measure_silence() >= wait
 
     def _take_over(self):
@@ -318,8 +324,11 @@
         self.silent = 0
 
     def count(self, answer):
-        """Count an answer; a dead or restarted member says nothing."""
-        if not isinstance(answer, messages.OwnerAnswer) or answer.restarted:
+        """Count an answer; a dead member says nothing.
+
+        One that has restarted does not hear the owner either.
+        """
+        if not isinstance(answer, messages.OwnerAnswer):
             return
         if answer.hears:
             self.hears += 1
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -37,7 +37,7 @@
 REASON_RESULT = 'result-is-over-64-KiB'
 REFUSED_CAPACITY = 'no-room-on-the-vm'
 REFUSED_EPOCH = 'command-of-a-former-owner'
-REFUSED_GRANT = 'no-valid-grant'
+REFUSED_GRANT = messages.REFUSED_GRANT
 REFUSED_ATTEMPT = 'older-than-a-known-attempt'
 REFUSED_LEAVING = 'the-worker-is-leaving'
 
