What serves opens few VMs, large ones first, whatever fills there now

Change: among VMs in use the fullest that fits; a new one is opened only when none fits, the largest first; what fills there counts a twentieth.

--- a/packages/scheduler/portwharf/scheduler/placement.py
+++ b/packages/scheduler/portwharf/scheduler/placement.py
@@ -42,8 +42,13 @@
 _PACE = 3.0
 # Below this a filling task rather waits for another VM.
 _LEAST_PACE = 0.35
-# What a VM that nothing serves on is worth to what has to be served.
+# What a VM that nothing serves on is worth: to what serves, and to other
+# work that is better off beside what serves.
 _KEEP_CLEAR = 3.0
+_CLEAR = 0.4
+_LARGEST_MILLI = 1_000_000
+# What fills is gone within seconds; what serves stays.
+_FILLED = 0.05
 # A job that is late is served last, but not for longer than this.
 _PATIENCE_MS = 30_000
 # What slowing services a little counts against an even fill.
@@ -551,14 +556,12 @@
         if workload.fills:
             slow = 1.0 - view.predict_pace(workload)
             parts.append(events.Part('paced', _PACE * slow))
+        elif not workload.target_ms and not view.serving_milli:
+            parts.append(events.Part('clear', _CLEAR))
         if workload.data_rack and workload.data_rack not in view.labels:
             parts.append(events.Part('far-from-data', _FAR_RACK))
     if workload.target_ms:
-        # What serves is packed, so that some VMs are left to what fills.
-        share = view.serving_milli / max(1, view.capacity.cpu_milli)
-        parts = [events.Part('packed', -_KEEP_CLEAR * share)]
-        filled = view.filling_milli / max(1, view.capacity.cpu_milli)
-        parts.append(events.Part('filled', filled))
+        parts = _score_server(view, after)
     elif workload.kind != data.Kind.BATCH:
         alike = demand.placed[view.vm.name]
         parts.append(events.Part('same-vm', _SAME_VM * alike))
@@ -569,6 +572,20 @@
     return parts
 
 
+def _score_server(view, after):
+    """Return the addends for what serves: packed on as few VMs as it goes.
+
+    The VMs that nothing serves on are left to what fills, which works there
+    unpaced. Large ones are opened first, as fewer are needed then.
+    """
+    cores = max(1, view.capacity.cpu_milli)
+    filled = events.Part('filled', _FILLED * view.filling_milli / cores)
+    if view.serving_milli:
+        return [events.Part('packed', -after.cpu_milli / cores), filled]
+    size = events.Part('size', -cores / _LARGEST_MILLI)
+    return [events.Part('opens', _KEEP_CLEAR), size, filled]
+
+
 def _measure_imbalance(reserved, capacity):
     """Return how full a VM would be, by its fullest axis, 0 to 1.
 
