--- a/packages/peers/portwharf/peers/messages.py
+++ b/packages/peers/portwharf/peers/messages.py
@@ -76,14 +76,45 @@
 
     :param press: growth of the logarithm of the server's tail by the share
         of the VM's processors that the filling tasks use
-    :param weight: how much experience is behind it: the sum of the
-        squared differences that it was learnt from
+    :param deviation: how far off the estimate may be
     """
 
     serving: str = ''
     filling: str = ''
     press: float = 0.0
-    weight: float = 0.0
+    deviation: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class FillChange:
+    """By how much the processors that one image uses have changed.
+
+    :param share: of the VM's processors
+    """
+
+    image: str = ''
+    share: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class PressObserved:
+    """What changed beside a serving image, and how its tail answered.
+
+    :param growth: of the logarithm of its tail
+    """
+
+    serving: str = ''
+    growth: float = 0.0
+    differences: list[FillChange] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class PacedTask:
+    """An attempt that works at less than its full pace, in percent."""
+
+    task: str = ''
+    attempt: int = 0
+    percent: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -115,7 +146,7 @@
     :param pool: the pool that the worker belongs to, or ''
     :param labels: what the worker is labelled with
     :param leaves_in_ms: of a draining worker, how long it stays at least
-    :param presses: estimates of the side that changed since the last beat
+    :param observed: what was observed of pairs since the last beat
     """
 
     side_ms: int = 0
@@ -131,8 +162,9 @@
     pool: str = ''
     labels: list[str] = dataclasses.field(default_factory=list)
     leaves_in_ms: int = 0
-    presses: list[Press] = dataclasses.field(default_factory=list)
+    observed: list[PressObserved] = dataclasses.field(default_factory=list)
     headrooms: list[Headroom] = dataclasses.field(default_factory=list)
+    paced: list[PacedTask] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -20,6 +20,7 @@
 from portwharf.scheduler import preparing
 from portwharf.scheduler import pressure
 from portwharf.scheduler import reconcile
+from portwharf.scheduler import rehoming
 from portwharf.scheduler import rosters
 
 LOG = logging.getLogger(__name__)
@@ -330,10 +331,23 @@
             self.pressure.note_begun((task.id, task.attempt), now)
             command = reconcile.make_start(self._state, task)
             batch.send(self._members.get_link(placed.vm), command)
+        self._rehome(views, now, batch)
         self._make_room(done, views, quotas, batch)
         self._prepare(done, batch)
         metrics.PLACEMENTS.inc(len(done.placements))
 
+    def _rehome(self, views, now, batch):
+        """Move filling tasks that hardly work to where they would."""
+        stuck = rehoming.find_stuck(
+            self._state,
+            self._members.list_links(),
+            self.pressure.read_begun,
+            now,
+        )
+        now_ms = self._env.clock.read_unix_ms()
+        for task in rehoming.choose_moves(stuck, views):
+            self._evict(task, rehoming.REASON_STUCK, now_ms, batch)
+
     def _list_demands(self, now):
         return planning.list_demands(
             self._state,
--- a/packages/scheduler/portwharf/scheduler/members.py
+++ b/packages/scheduler/portwharf/scheduler/members.py
@@ -38,6 +38,7 @@
     labels: list[str] = dataclasses.field(default_factory=list)
     leaves_in_ms: int = 0
     headrooms: list = dataclasses.field(default_factory=list)
+    paced: list = dataclasses.field(default_factory=list)
 
 
 class MemberLink(links.PeerLink):
@@ -96,7 +97,9 @@
         view.labels = beat.labels
         view.leaves_in_ms = beat.leaves_in_ms
         view.headrooms = beat.headrooms
-        self._owner.take_presses(self.name, beat.presses)
+        view.paced = beat.paced
+        if beat.observed:
+            self._owner.take_observed(beat.observed)
         view.config_revision = beat.config_revision
         self._owner.note_epoch(beat.epoch)
         self._owner.record_ack(self.name, beat)
--- a/packages/scheduler/portwharf/scheduler/members_test.py
+++ b/packages/scheduler/portwharf/scheduler/members_test.py
@@ -48,8 +48,8 @@
         """Return what is known of pairs of images."""
         return messages.PressUpdate()
 
-    def take_presses(self, member, estimates):
-        """Take what a side has learnt."""
+    def take_observed(self, observed):
+        """Take what a side has observed."""
 
     def make_grant(self, member, side_ms):
         """Return a grant."""
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -108,14 +108,16 @@
         ailing = health.Health()
         self._grants = grants.GrantTable(state.members, env.limits)
         self._decider = decider.Decider(env, state, self._grants, ailing)
-        self._presses = presses.Pool()
+        self._presses = presses.Presses()
+        self._presses_lock = threading.Lock()
+        self._presses_news = False
         self._members = membership.Membership(
             env,
             state,
             self._grants,
             ailing,
             self._decider.pressure,
-            self._presses.presses,
+            self._presses,
         )
         self._decider.set_members(self._members)
         self._desk = desk.Desk(
@@ -212,11 +214,15 @@
 
     def make_presses(self):
         """Return what is known of pairs of images, for a side."""
-        return messages.PressUpdate(self._presses.list_all())
+        with self._presses_lock:
+            return messages.PressUpdate(self._presses.list_all())
 
-    def take_presses(self, member, estimates):
-        """Take what a side has learnt of pairs of images."""
-        self._presses.take(member, estimates)
+    def take_observed(self, observed):
+        """Learn from what a side has observed of pairs of images."""
+        with self._presses_lock:
+            for one in observed:
+                self._presses.learn(one)
+            self._presses_news = True
 
     def record_ack(self, member, beat):
         """Count a heartbeat that acknowledges our epoch."""
@@ -348,12 +354,11 @@
     def _tell_presses(self):
         """Pass on what sides have learnt, now and then."""
         now = self.read_clock()
-        if now < self._next_presses:
+        if now < self._next_presses or not self._presses_news:
             return
         self._next_presses = now + _PRESSES_SECONDS
-        news = self._presses.take_news()
-        if news:
-            self._members.announce(messages.PressUpdate(news))
+        self._presses_news = False
+        self._members.announce(self.make_presses())
 
     def serve_stalled(self):
         """Go on as far as that needs no append, while one is stalled."""
--- a/packages/scheduler/portwharf/scheduler/placement.py
+++ b/packages/scheduler/portwharf/scheduler/placement.py
@@ -119,6 +119,12 @@
         self.pairs = pairs
         self.headrooms = {one.serving: one.room for one in headrooms}
 
+    def suits(self, workload):
+        """Tell whether pool and label are those that a step asks for."""
+        if workload.pool and workload.pool != self.pool:
+            return False
+        return not workload.label or workload.label in self.labels
+
     def predict_pace(self, workload):
         """Return the share, 0 to 1, that a filling task would work at."""
         pace = 1.0
@@ -131,7 +137,7 @@
     def _find_cost(self, serving, workload):
         """Return what a task at work takes of a server's headroom."""
         share = workload.resources.cpu_milli / max(1, self.capacity.cpu_milli)
-        return self.pairs.find(serving, workload.image) * share
+        return self.pairs.find_upper(serving, workload.image) * share
 
     def add_task(self, workload):
         """Count one more task that is placed on the VM."""
@@ -504,10 +510,8 @@
 def _refuse_step(demand, view):
     """Return why a VM cannot take a task of a job's step, or ''."""
     workload = demand.record.workload
-    if workload.pool and workload.pool != view.pool:
-        return 'other-pool'
-    if workload.label and workload.label not in view.labels:
-        return 'label'
+    if not view.suits(workload):
+        return 'other-pool-or-label'
     most = workload.most_per_vm
     if most and demand.placed[view.vm.name] >= most:
         return 'enough-of-them-there'
--- a/packages/scheduler/portwharf/scheduler/presses.py
+++ b/packages/scheduler/portwharf/scheduler/presses.py
@@ -8,129 +8,122 @@
 between two measurements half a second apart are learnt from, in which what
 began, ended or was paced between them shows and the load hardly does.
 
-A side learns from its own VM and tells its owner, who puts the estimates
-of all sides together and tells them to all.
+Sides send what they observed to their owner, who learns from all of it and
+tells all sides: the images are the same everywhere, and one VM alone sees
+too few changes. A Kalman filter for each serving image tells apart what
+began at the same moment, and how sure it is of each press.
 """
 
-import collections
-import dataclasses
+import math
 
 from portwharf.peers import messages
 
-# Taken for a pair that nothing is known of: a press between the light and
-# the heavy ones that were measured.
-UNKNOWN_PRESS = 3.0
-# No pair is believed to press more than this.
+# What a press is taken for before anything is known of it, and how far off
+# that may be: between the light ones and the heaviest that were measured.
+PRIOR_PRESS = 2.5
+PRIOR_DEVIATION = 4.0
 MAX_PRESS = 40.0
-# How far an estimate moves towards what one difference says.
-_RATE = 0.5
+# Noise of a difference: half a second of swinging load, and tails that are
+# told in whole milliseconds.
+_NOISE_DEVIATION = 0.15
+# Presses change within seconds by some amount; variance by observation.
+_DRIFT_VARIANCE = 0.02
 # Differences of processors smaller than this share say too little.
 LEAST_DIFFERENCE = 0.02
-# The weight of experience is bounded, so that estimates can still move.
-_MAX_WEIGHT = 2.0
+
+
+class _Filter:
+    """What is known of the presses on one serving image."""
+
+    def __init__(self):
+        self.images = []
+        self.presses = []
+        self._covariance = []
+
+    def add(self, image):
+        """Begin to reckon with a filling image."""
+        if image in self.images:
+            return
+        for row in self._covariance:
+            row.append(0.0)
+        self.images.append(image)
+        self.presses.append(PRIOR_PRESS)
+        self._covariance.append([0.0] * len(self.images))
+        self._covariance[-1][-1] = PRIOR_DEVIATION**2
+
+    def measure(self, number):
+        """Return how far off the press of an image may be."""
+        return math.sqrt(max(0.0, self._covariance[number][number]))
+
+    def observe(self, differences, growth):
+        """Learn from one observation.
+
+        :param differences: map of filling image to a share of processors
+        """
+        for image in differences:
+            self.add(image)
+        shares = [differences.get(image, 0.0) for image in self.images]
+        size = len(shares)
+        spread = [
+            sum(row[j] * shares[j] for j in range(size))
+            for row in self._covariance
+        ]
+        variance = sum(s * d for s, d in zip(spread, shares, strict=True))
+        variance += _NOISE_DEVIATION**2
+        expected = sum(
+            p * d for p, d in zip(self.presses, shares, strict=True)
+        )
+        gain = [s / variance for s in spread]
+        error = growth - expected
+        for i in range(size):
+            press = self.presses[i] + gain[i] * error
+            self.presses[i] = min(MAX_PRESS, max(0.0, press))
+            for j in range(size):
+                self._covariance[i][j] -= gain[i] * spread[j]
+            if shares[i]:
+                self._covariance[i][i] += _DRIFT_VARIANCE
 
 
 class Presses:
-    """Estimates by pair, from own experience and from others'."""
+    """The presses of all pairs, as far as they are known."""
 
     def __init__(self):
-        self._own = {}
+        self._filters = {}
         self._told = {}
-        self._news = set()
 
     def find(self, serving, filling):
         """Return the press of a pair, the best that is known."""
-        own = self._own.get((serving, filling))
         told = self._told.get((serving, filling))
-        if own is None and told is None:
-            return UNKNOWN_PRESS
-        if own is None:
-            return told.press
+        return told.press if told is not None else PRIOR_PRESS
+
+    def find_upper(self, serving, filling):
+        """Return what a pair's press is taken for when it matters."""
+        told = self._told.get((serving, filling))
         if told is None:
-            return own.press
-        weight = own.weight + told.weight
-        total = own.press * own.weight + told.press * told.weight
-        return total / weight if weight else own.press
-
-    def is_known(self, serving, filling):
-        """Tell whether anybody has any experience of a pair."""
-        name = (serving, filling)
-        return name in self._own or name in self._told
-
-    def learn(self, serving, differences, growth):
-        """Learn from what changed between two measurements.
-
-        :param differences: map of filling image to the change of the share
-            of processors that it uses
-        :param growth: change of the logarithm of the server's tail
-        """
-        square = sum(d * d for d in differences.values())
+            return PRIOR_PRESS + PRIOR_DEVIATION
+        return told.press + told.deviation
+
+    def learn(self, observed):
+        """Learn from a ``messages.PressObserved``."""
+        differences = {
+            one.image: one.share for one in observed.differences if one.share
+        }
+        square = sum(share**2 for share in differences.values())
         if square < LEAST_DIFFERENCE**2:
             return
-        expected = sum(
-            self.find(serving, filling) * d
-            for filling, d in differences.items()
-        )
-        error = growth - expected
-        for filling, difference in differences.items():
-            if not difference:
-                continue
-            name = (serving, filling)
-            one = self._own.get(name)
-            if one is None:
-                known = self.find(serving, filling)
-                one = self._own[name] = messages.Press(serving, filling, known)
-            step = _RATE * error * difference / square
-            one.press = min(MAX_PRESS, max(0.0, one.press + step))
-            weight = one.weight + difference * difference
-            one.weight = min(_MAX_WEIGHT, weight)
-            self._news.add(name)
-
-    def take_news(self):
-        """Return the own estimates that changed since the last time."""
-        news = [dataclasses.replace(self._own[name]) for name in self._news]
-        self._news.clear()
-        return news
+        name = observed.serving
+        known = self._filters.setdefault(name, _Filter())
+        known.observe(differences, observed.growth)
+        for number, image in enumerate(known.images):
+            self._told[(name, image)] = messages.Press(
+                name, image, known.presses[number], known.measure(number)
+            )
 
     def take_told(self, told):
-        """Take the estimates of others."""
+        """Take what somebody else has learnt."""
         for one in told:
             self._told[(one.serving, one.filling)] = one
 
-
-class Pool:
-    """The owner's: the estimates of all sides, put together."""
-
-    def __init__(self):
-        self.presses = Presses()
-        self._by_pair = collections.defaultdict(dict)
-        self._news = set()
-
-    def take(self, side, estimates):
-        """Take what a side has learnt."""
-        for one in estimates:
-            name = (one.serving, one.filling)
-            self._by_pair[name][side] = one
-            self._news.add(name)
-        if estimates:
-            self.presses.take_told(self._merge(self._news))
-
-    def take_news(self):
-        """Return the joint estimates that changed since the last time."""
-        merged = self._merge(self._news)
-        self._news.clear()
-        return merged
-
     def list_all(self):
-        """Return all joint estimates, for a side that is new."""
-        return self._merge(self._by_pair)
-
-    def _merge(self, names):
-        merged = []
-        for name in names:
-            rows = self._by_pair[name].values()
-            weight = sum(one.weight for one in rows)
-            total = sum(one.press * one.weight for one in rows)
-            press = total / weight if weight else UNKNOWN_PRESS
-            merged.append(messages.Press(*name, press, weight))
-        return merged
+        """Return all that is known, as ``messages.Press``."""
+        return list(self._told.values())
--- a/packages/scheduler/portwharf/scheduler/pressure.py
+++ b/packages/scheduler/portwharf/scheduler/pressure.py
@@ -46,6 +46,10 @@
         """Note that an attempt has been placed."""
         self._begun[task] = now
 
+    def read_begun(self, name):
+        """Return when an attempt was placed, as far as this owner knows."""
+        return self._begun.get(name, self._began)
+
     def note_measures(self, vm, measures, targets, now):
         """Take what a side has measured of its services.
 
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -455,8 +455,9 @@
                 self._listing.pool,
                 self._listing.labels,
                 self._listing.leaves_in_ms,
-                self._pacer.presses.take_news(),
+                self._pacer.take_observed(),
                 self._pacer.list_headrooms(),
+                self._pacer.list_paced(),
             )
         )
 
--- a/packages/side/portwharf/side/pacing.py
+++ b/packages/side/portwharf/side/pacing.py
@@ -32,6 +32,10 @@
 _LEAST_CHANGE = 4
 # Tails are measured over half a second; nearer samples overlap.
 SAMPLE_SECONDS = 0.5
+# Smaller changes of the processors in use say too little.
+_LEAST_OBSERVED = 0.02
+# Kept while there is no owner to tell.
+MAX_OBSERVED = 50
 # Traits that are remembered, for tasks that ended long ago.
 MAX_TRAITS = 5000
 
@@ -80,6 +84,7 @@
         self._brake = 1.0
         self._sample = None
         self._headrooms = []
+        self._observed = []
 
     def note_start(self, message):
         """Take the traits of a task from its ``messages.StartTask``."""
@@ -110,7 +115,7 @@
             if self._find_trait(a).target_ms and a.tail_ms > 0
         ]
         cores = max(1, listing.capacity.cpu_milli)
-        self._learn(serving, filling, cores, now)
+        self._observe(serving, filling, cores, now)
         self._pull_brake(serving, bool(filling))
         used = self._sum_used(filling, cores)
         rooms = self._find_rooms(serving, used)
@@ -133,8 +138,21 @@
             used[image] += one.used_cpu_milli / cores
         return used
 
-    def _learn(self, serving, filling, cores, now):
-        """Learn from what changed since the last sample."""
+    def take_observed(self):
+        """Return what was observed since the last time."""
+        observed, self._observed = self._observed, []
+        return observed
+
+    def list_paced(self):
+        """Return the ``messages.PacedTask`` of what works at less."""
+        return [
+            messages.PacedTask(*name, percent)
+            for name, percent in self._told.items()
+            if percent < FULL
+        ]
+
+    def _observe(self, serving, filling, cores, now):
+        """Note what changed since the last sample, for the owner."""
         former = self._sample
         if former is not None and now - former.at < SAMPLE_SECONDS:
             return
@@ -146,16 +164,26 @@
         if former is None or now - former.at > 2 * SAMPLE_SECONDS:
             return
         images = set(former.used) | set(sample.used)
-        differences = {
-            image: sample.used.get(image, 0.0) - former.used.get(image, 0.0)
+        differences = [
+            messages.FillChange(
+                image, sample.used.get(image, 0.0) - former.used.get(image, 0)
+            )
             for image in images
-        }
+        ]
+        if sum(abs(one.share) for one in differences) < _LEAST_OBSERVED:
+            return
+        growths = collections.defaultdict(list)
         for one in serving:
             name = (one.task, one.attempt)
             if name in former.tails:
                 growth = sample.tails[name] - former.tails[name]
-                image = self._find_trait(one).image
-                self.presses.learn(image, differences, growth)
+                growths[self._find_trait(one).image].append(growth)
+        for image, rows in growths.items():
+            mean = sum(rows) / len(rows)
+            self._observed.append(
+                messages.PressObserved(image, mean, differences)
+            )
+        del self._observed[:-MAX_OBSERVED]
 
     def _pull_brake(self, serving, filled):
         worst = max(
