--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/jobs_test.py
@@ -0,0 +1,211 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Jobs keep their order, their attempts and their word."""
+
+from portwharf.core import data
+from portwharf.peers import messages
+from portwharf.scheduler import events
+from portwharf.scheduler import jobs
+from portwharf.scheduler import operations
+from portwharf.scheduler import planning
+from portwharf.scheduler import reconcile
+from portwharf.scheduler import state
+from portwharf.testing import cluster
+
+ID = '5c0e7a21d94b36f8'
+FIRST = f'{ID}.0.0'
+SECOND = f'{ID}.0.1'
+SIZE = data.Resources(1000, 1000)
+NOW = 1_000_000
+
+
+def make_step(count=1, after=(), **fields):
+    """Return a step of a job."""
+    values = {'count': count, 'after': list(after), 'resources': SIZE}
+    values |= {'run_ms': 500, 'max_failures': 2}
+    return data.Workload(**{**values, **fields})
+
+
+def make_job(*steps, **fields):
+    """Return a job with two steps, one after the other, or those given."""
+    steps = list(steps) or [make_step(2), make_step(1, ['0'])]
+    return data.Job(ID, 'plans', 1, b'spec', steps, 2000, **fields)
+
+
+def accept(*steps, **fields):
+    """Return a state that has accepted a job."""
+    made = state.ShardState()
+    made.apply(events.JobAccepted(NOW, make_job(*steps, **fields)))
+    return made
+
+
+def list_demanded(made, now_ms=NOW):
+    """Return the ids of the workloads that wait to be placed."""
+    demands = planning.list_demands(made, lambda _: frozenset(), now_ms)
+    return [demand.record.id for demand in demands]
+
+
+def run_task(made, task, attempt=1, ended=data.RunState.SUCCEEDED):
+    """Place an attempt and judge its end."""
+    made.apply(events.TaskPlaced(task, attempt, 'vm-1'))
+    report = messages.TaskReport(task, attempt, ended)
+    verdict = reconcile.Verdict()
+    reconcile.judge_report(made, 'vm-1', report, verdict)
+    return verdict
+
+
+def test_step_waits_until_all_before_it_have_succeeded(case):
+    made = accept()
+    case.assertEqual(list_demanded(made), [FIRST])
+    run_task(made, f'{FIRST}.0')
+    case.assertEqual(list_demanded(made), [FIRST])
+    run_task(made, f'{FIRST}.1')
+    case.assertEqual(list_demanded(made), [SECOND])
+
+
+def test_job_is_completed_with_its_last_task(case):
+    made = accept()
+    case.assertEqual(made.find_job_state(ID), data.JobState.QUEUED)
+    run_task(made, f'{FIRST}.0')
+    case.assertEqual(made.find_job_state(ID), data.JobState.RUNNING)
+    run_task(made, f'{FIRST}.1')
+    case.assertEqual(made.find_job_state(ID), data.JobState.RUNNING)
+    run_task(made, f'{SECOND}.0')
+    case.assertEqual(made.find_job_state(ID), data.JobState.COMPLETED)
+
+
+def test_job_fails_only_with_its_last_attempt(case):
+    made = accept()
+    run_task(made, f'{FIRST}.0', 1, data.RunState.FAILED)
+    case.assertEqual(made.find_job_state(ID), data.JobState.RUNNING)
+    run_task(made, f'{FIRST}.0', 2, data.RunState.FAILED)
+    case.assertEqual(made.find_job_state(ID), data.JobState.FAILED)
+
+
+def test_lost_attempts_do_not_count_as_failures(case):
+    made = accept()
+    for attempt in (1, 2, 3):
+        run_task(made, f'{FIRST}.0', attempt, data.RunState.GONE)
+    run_task(made, f'{FIRST}.0', 4, data.RunState.FAILED)
+    case.assertEqual(made.find_job_state(ID), data.JobState.RUNNING)
+
+
+def test_lasting_task_is_begun_again_however_it_ends(case):
+    made = accept(make_step(kind=data.Kind.STANDING))
+    for attempt in (1, 2, 3, 4):
+        run_task(made, f'{FIRST}.0', attempt, data.RunState.FAILED)
+    case.assertEqual(list_demanded(made), [FIRST])
+
+
+def test_cancelled_job_wants_nothing_more(case):
+    made = accept()
+    made.apply(events.JobCancelled(ID))
+    case.assertEqual(list_demanded(made), [])
+    case.assertEqual(made.find_job_state(ID), data.JobState.CANCELLED)
+
+
+def test_what_nobody_wants_is_stopped_when_its_side_does_not_list_it(case):
+    made = accept()
+    made.apply(events.TaskPlaced(f'{FIRST}.0', 1, 'vm-1'))
+    task = made.tasks[f'{FIRST}.0']
+    command = reconcile.make_catch_up(made, task)
+    case.assertIsInstance(command, messages.StartTask)
+    made.apply(events.JobCancelled(ID))
+    command = reconcile.make_catch_up(made, task)
+    case.assertIsInstance(command, messages.StopTask)
+
+
+def test_times_become_due_one_by_one(case):
+    made = accept(make_step(), times=2, first_ms=NOW + 10, interval_ms=50)
+    case.assertEqual(list_demanded(made), [])
+    case.assertEqual(list_demanded(made, NOW + 10), [f'{ID}.0.0'])
+    both = [f'{ID}.0.0', f'{ID}.1.0']
+    case.assertEqual(list_demanded(made, NOW + 60), both)
+
+
+def test_steps_are_due_by_what_comes_after_them(case):
+    made = accept()
+    case.assertEqual(made.workloads[FIRST].due_ms, NOW + 2000 - 1000)
+    case.assertEqual(made.workloads[SECOND].due_ms, NOW + 2000 - 500)
+
+
+def test_state_survives_a_snapshot(case):
+    made = accept()
+    run_task(made, f'{FIRST}.0')
+    again = state.ShardState.unpack(made.pack())
+    case.assertEqual(again.find_job_state(ID), data.JobState.RUNNING)
+    case.assertEqual(list_demanded(again), [FIRST])
+    run_task(again, f'{FIRST}.1')
+    case.assertEqual(list_demanded(again), [SECOND])
+
+
+def test_second_submission_is_the_same_job(case):
+    made = state.ShardState()
+    call = operations.JobSubmission(make_job())
+    first = operations.submit_job(made, call, NOW).ok_value
+    second = operations.submit_job(made, call, NOW).ok_value
+    case.assertEqual((len(first.events), second.events), (1, []))
+
+
+def test_step_after_a_later_one_is_refused(case):
+    problem = jobs.find_problem(make_job(make_step(after=['0'])))
+    case.assertEqual(problem.field, 'steps.0.after')
+    case.assertIn('earlier step', problem.text)
+
+
+def test_filling_task_reserves_no_processors(case):
+    made = accept(make_step(fills=True))
+    made.apply(events.TaskPlaced(f'{FIRST}.0', 1, 'vm-1'))
+    case.assertEqual(made.reserved['vm-1'], data.Resources(0, 1000))
+    start = reconcile.make_start(made, made.tasks[f'{FIRST}.0'])
+    case.assertEqual((start.fill_milli, start.argument), (1000, b'spec'))
+
+
+def submit(made, *steps):
+    """Submit a job to a cluster and let it begin."""
+    call = operations.JobSubmission(make_job(*steps))
+    fut = made._call('submit-job', call)
+    made.run(4)
+    return fut
+
+
+def list_begun(made):
+    """Return the tasks that workers have begun, with their attempts."""
+    return [
+        (run.attempt.task, run.attempt.attempt)
+        for node in made.nodes
+        for run in node.worker.record
+    ]
+
+
+def test_job_runs_through_a_loss_of_owner_and_outage(case):
+    made = cluster.Cluster()
+    submit(made)
+    made.standin.faults.down = True
+    made.finish_running()
+    made.run(2)
+    made.restart_side(made.nodes[0])
+    made.standin.faults.down = False
+    made.run(2)
+    made.nodes[1].claim()
+    made.run(6)
+    made.finish_running()
+    made.run(4)
+    begun = [task for task, _ in list_begun(made)]
+    case.assertEqual(sorted(begun), sorted(set(begun)))
+    case.assertEqual(made.read_state().find_job_state(ID), 'completed')
+
+
+def test_end_is_not_shown_before_it_is_in_the_log(case):
+    made = cluster.Cluster()
+    submit(made, make_step())
+    node = made.list_owners()[0]
+    made.standin.faults.down = True
+    made.finish_running()
+    made.run(1)
+    query = messages.Operation(1, 'read-job', b'\x81\xa2id\xb0' + ID.encode())
+    shown = node.owner.operate(query)
+    case.assertIn(b'running', shown.body)
+    made.standin.faults.down = False
+    made.run(2)
+    case.assertIn(b'completed', node.owner.operate(query).body)
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/presses_test.py
@@ -0,0 +1,60 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Heavy and light images are told apart from what is observed."""
+
+from portwharf.peers import messages
+from portwharf.scheduler import presses
+
+
+def observe(growth, **shares):
+    """Return an observation beside the image "desk"."""
+    changes = [messages.FillChange(n, s) for n, s in shares.items()]
+    return messages.PressObserved('desk', growth, changes)
+
+
+def test_unknown_pair_is_taken_for_heavy_when_it_matters(case):
+    known = presses.Presses()
+    case.assertEqual(known.find('desk', 'plan'), presses.PRIOR_PRESS)
+    case.assertGreater(
+        known.find_upper('desk', 'plan'), presses.PRIOR_PRESS + 1
+    )
+
+
+def test_heavy_and_light_are_told_apart(case):
+    known = presses.Presses()
+    for _ in range(4):
+        known.learn(observe(1.0, heavy=0.1))
+        known.learn(observe(0.0, light=0.1))
+    case.assertGreater(known.find('desk', 'heavy'), 7.0)
+    case.assertLess(known.find('desk', 'light'), 1.0)
+
+
+def test_what_began_together_is_told_apart_later(case):
+    known = presses.Presses()
+    for _ in range(3):
+        known.learn(observe(1.0, heavy=0.1, light=0.1))
+        known.learn(observe(0.0, light=-0.1))
+    heavy = known.find('desk', 'heavy')
+    case.assertGreater(heavy, 3 * known.find('desk', 'light'))
+
+
+def test_experience_makes_sure(case):
+    known = presses.Presses()
+    before = known.find_upper('desk', 'plan') - known.find('desk', 'plan')
+    for _ in range(5):
+        known.learn(observe(0.5, plan=0.1))
+    after = known.find_upper('desk', 'plan') - known.find('desk', 'plan')
+    case.assertLess(after, before / 2)
+
+
+def test_small_changes_teach_nothing(case):
+    known = presses.Presses()
+    known.learn(observe(3.0, plan=0.001))
+    case.assertEqual(known.list_all(), [])
+
+
+def test_what_is_told_is_believed(case):
+    owner, side = presses.Presses(), presses.Presses()
+    owner.learn(observe(1.0, plan=0.1))
+    side.take_told(owner.list_all())
+    case.assertEqual(side.find('desk', 'plan'), owner.find('desk', 'plan'))
--- a/packages/side/portwharf/side/agent_test.py
+++ b/packages/side/portwharf/side/agent_test.py
@@ -314,3 +314,141 @@
     (beat,) = bench.conn.take(messages.Heartbeat)
     case.assertEqual((beat.owner_ms, beat.epoch), (777, 3))
     case.assertEqual(beat.capacity, data.Resources(4000, 4000))
+
+
+def lose_answers(bench, *answers):
+    """Have the worker's next starts give these instead of starting."""
+    given = list(answers)
+    really = bench.worker.start
+
+    def start(message):
+        bench.worker.calls.append(('start', message.task, message.attempt))
+        return given.pop(0) if given else really(message)
+
+    bench.worker.start = start
+
+
+def list_gone(bench):
+    """Return the attempts reported as gone since last time."""
+    return [
+        (report.task, report.attempt)
+        for message in bench.conn.take(messages.Reports)
+        for report in message.reports
+        if report.state == data.RunState.GONE
+    ]
+
+
+def test_start_without_an_answer_is_sent_again(case):
+    bench = Bench()
+    bench.grant()
+    lose_answers(bench, result.Err('timed out'))
+    bench.start()
+    case.assertEqual(bench.worker.listing.attempts[0].task, 'w.0')
+    case.assertEqual(list_gone(bench), [])
+
+
+def test_start_that_is_never_answered_is_stopped_before_it_is_gone(case):
+    bench = Bench()
+    bench.grant()
+    lose_answers(bench, result.Err('lost'), result.Err('lost'))
+    bench.start()
+    bench.step(0.5)
+    stops = [call for call in bench.worker.calls if call[0] == 'stop']
+    case.assertEqual(stops, [('stop', 'w.0', 1)])
+    case.assertEqual(list_gone(bench), [('w.0', 1)])
+
+
+def test_start_is_not_called_gone_while_its_stop_is_unanswered(case):
+    bench = Bench()
+    bench.grant()
+    lose_answers(bench, result.Err('lost'), result.Err('lost'))
+    bench.worker.stop = lambda *_: result.Err('lost')
+    bench.start()
+    bench.step(0.5)
+    case.assertEqual(list_gone(bench), [])
+    case.assertEqual(bench.list_refused(), [])
+
+
+def test_refusal_after_a_lost_answer_is_not_believed(case):
+    bench = Bench()
+    bench.grant()
+    refused = result.Ok(workers.REFUSED_ROOM)
+    lose_answers(bench, result.Err('lost'), refused)
+    bench.start()
+    case.assertEqual(bench.list_refused(), [])
+
+
+def test_attempt_of_a_former_life_of_the_worker_is_gone(case):
+    bench = Bench()
+    bench.grant()
+    bench.start()
+    bench.conn.take(messages.Reports)
+    bench.worker.listing.attempts.clear()
+    bench.step(0.5)
+    case.assertEqual(list_gone(bench), [('w.0', 1)])
+    bench.start()
+    case.assertEqual(list_gone(bench), [('w.0', 1)])
+    starts = [call for call in bench.worker.calls if call[0] == 'start']
+    case.assertEqual(len(starts), 1)
+
+
+def test_silent_worker_offers_nothing(case):
+    bench = Bench()
+    bench.grant()
+    bench.worker.read_listing = lambda: result.Err('silent')
+    for _ in range(4):
+        bench.step(0.5)
+    beat = bench.conn.take(messages.Heartbeat)[-1]
+    case.assertEqual(beat.capacity, data.Resources())
+
+
+def test_attempts_of_a_silent_worker_are_gone_once_all_leases_lapsed(case):
+    bench = Bench()
+    bench.grant()
+    bench.start()
+    bench.step(0.5)
+    bench.conn.take(messages.Reports)
+    bench.worker.read_listing = lambda: result.Err('silent')
+    for _ in range(16):
+        bench.step(0.5)
+    case.assertEqual(list_gone(bench), [])
+    for _ in range(8):
+        bench.step(0.5)
+    case.assertEqual(list_gone(bench), [('w.0', 1)])
+
+
+def test_absent_worker_runs_nothing(case):
+    bench = Bench()
+    bench.grant()
+    bench.start()
+    bench.conn.take(messages.Reports)
+    absent = workers.Listing(absent=True)
+    bench.worker.read_listing = lambda: result.Ok(absent)
+    bench.step(0.5)
+    case.assertEqual(list_gone(bench), [('w.0', 1)])
+
+
+def test_leaving_worker_takes_no_starts(case):
+    bench = Bench()
+    bench.grant()
+    listing = workers.Listing(1, data.Resources(4000, 4000), draining=True)
+    bench.worker.read_listing = lambda: result.Ok(listing)
+    bench.step(1.5)
+    bench.grant()
+    bench.conn.take(messages.Reports)
+    bench.start()
+    case.assertEqual(bench.list_refused(), [agent.REFUSED_LEAVING])
+    beat = bench.conn.take(messages.Heartbeat)[-1]
+    case.assertTrue(beat.draining)
+
+
+def test_stop_is_sent_until_it_shows(case):
+    bench = Bench()
+    bench.grant()
+    bench.start()
+    stop = messages.StopTask(3, 'w.0', 1, True)
+    bench.agent.command(bench.conn, stop)
+    for _ in range(4):
+        bench.step(0.5)
+    stops = [call for call in bench.worker.calls if call[0] == 'stop']
+    case.assertGreater(len(stops), 1)
--- /dev/null
+++ b/packages/side/portwharf/side/pacing_test.py
@@ -0,0 +1,101 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""What fills gives way to what serves, the heaviest first."""
+
+from portwharf.core import data
+from portwharf.peers import messages
+from portwharf.side import pacing
+from portwharf import workers
+
+
+def make_pacer(**presses):
+    """Return a pacer that knows a server and the presses of images."""
+    pacer = pacing.Pacer()
+    start = messages.StartTask(task='s.0', program='desk', target_ms=20)
+    pacer.note_start(start)
+    told = [
+        messages.Press('desk', image, press)
+        for image, press in presses.items()
+    ]
+    pacer.presses.take_told(told)
+    for image in presses:
+        start = messages.StartTask(task=f'{image}.0', program=image)
+        start.fill_milli = 4000
+        pacer.note_start(start)
+    return pacer
+
+
+def make_listing(tail_ms, *images, used=4000):
+    """Return a listing of the server and filling tasks."""
+    running = data.RunState.RUNNING
+    attempts = [workers.Attempt('s.0', 1, running, tail_ms=tail_ms)]
+    for image in images:
+        one = workers.Attempt(f'{image}.0', 1, running, used_cpu_milli=used)
+        attempts.append(one)
+    return workers.Listing(0, data.Resources(16000, 64000), attempts)
+
+
+def plan(pacer, listing, now=0.0):
+    """Return the changes as a map of task to percent."""
+    return {one.task: one.percent for one in pacer.plan(listing, now)}
+
+
+def test_light_work_is_not_paced(case):
+    pacer = make_pacer(light=0.1)
+    case.assertEqual(plan(pacer, make_listing(10, 'light')), {})
+
+
+def test_heavy_work_gives_way_before_light_work(case):
+    pacer = make_pacer(light=0.2, heavy=8.0)
+    changes = plan(pacer, make_listing(16, 'light', 'heavy', used=100))
+    case.assertNotIn('light.0', changes)
+    case.assertLess(changes['heavy.0'], 30)
+
+
+def test_tail_over_its_target_brakes_everything_that_fills(case):
+    pacer = make_pacer(light=0.1)
+    changes = plan(pacer, make_listing(30, 'light'))
+    case.assertLessEqual(changes['light.0'], 50)
+
+
+def test_brake_is_released_when_there_is_room(case):
+    pacer = make_pacer(light=0.1)
+    plan(pacer, make_listing(30, 'light'))
+    changes = {}
+    for step in range(8):
+        changes |= plan(pacer, make_listing(5, 'light'), 1.0 + step)
+    case.assertEqual(changes['light.0'], pacing.FULL)
+
+
+def test_nothing_is_paced_without_a_server(case):
+    pacer = make_pacer(heavy=30.0)
+    listing = make_listing(90, 'heavy')
+    del listing.attempts[0]
+    case.assertEqual(plan(pacer, listing), {})
+
+
+def test_change_that_did_not_arrive_is_made_again(case):
+    pacer = make_pacer(light=0.1)
+    (change,) = pacer.plan(make_listing(30, 'light'), 0.0)
+    pacer.forget_told(change)
+    case.assertIn('light.0', plan(pacer, make_listing(30, 'light')))
+
+
+def test_change_beside_a_server_is_observed_once(case):
+    pacer = make_pacer(heavy=3.0)
+    pacer.plan(make_listing(5, 'heavy', used=0), 0.0)
+    pacer.plan(make_listing(10, 'heavy', used=4000), 0.6)
+    (observed,) = pacer.take_observed()
+    case.assertEqual(observed.serving, 'desk')
+    case.assertAlmostEqual(observed.growth, 0.693, 3)
+    case.assertEqual(observed.differences[0].share, 0.25)
+    case.assertEqual(pacer.take_observed(), [])
+
+
+def test_owner_is_told_what_is_paced_and_what_has_room(case):
+    pacer = make_pacer(light=0.1)
+    pacer.plan(make_listing(30, 'light'), 0.0)
+    (paced,) = pacer.list_paced()
+    case.assertEqual(paced.task, 'light.0')
+    (headroom,) = pacer.list_headrooms()
+    case.assertLess(headroom.room, 0)
