--- /dev/null
+++ b/packages/platform/portwharf/platform/clients_test.py
@@ -0,0 +1,199 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Clients' calls are translated both ways, and refusals are true."""
+
+import json
+
+import result
+
+from portwharf.core import clock
+from portwharf.core import data
+from portwharf.entry import owners
+from portwharf.platform import clients
+from portwharf.platform import routes
+from portwharf.scheduler import configuration
+from portwharf.scheduler import operations
+from portwharf.testing import fixtures
+
+ID = '5c0e7a21d94b36f8'
+CONFIG = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'short',
+            'host': 'desk.example',
+            'pathPrefix': '/a/',
+            'service': 'pool-1',
+            'priority': 2,
+            'maxAttempts': 4,
+            'stretch': 2.0,
+            'targetLatencyMs': 1000,
+        },
+        {
+            'name': 'long',
+            'host': 'desk.example',
+            'pathPrefix': '/a/b/',
+            'service': 'pool-2',
+        },
+    ],
+}
+BODY = {
+    'spec': 'text',
+    'steps': [
+        {'count': 4, 'cpu': 500, 'memMb': 256, 'estimateMs': 900},
+        {
+            'count': 2,
+            'cpu': 2000,
+            'estimateMs': 700,
+            'watchRev': [0],
+            'checkpoints': True,
+            'fills': True,
+            'image': 'plan',
+            'antiAffinity': 1,
+        },
+    ],
+}
+
+
+class FakeCalls:
+    """Owners that give what a test has set."""
+
+    def __init__(self):
+        self.calls = []
+        self.answers = {}
+
+    def call(self, shard, method, arguments, *_):
+        """Note a call and answer it."""
+        self.calls.append((method, arguments))
+        return self.answers[method]
+
+
+def open_calls(stopping=False):
+    """Return a client of the application, and the owners behind it."""
+    keeper = configuration.ConfigKeeper(routes.parse_config)
+    calls = FakeCalls()
+    now = clock.ManualClock()
+    app = clients.JobCalls(calls, keeper, now, lambda: stopping)
+    keeper.offer(5, json.dumps(CONFIG))
+    return fixtures.WsgiPool(app), calls, now, keeper
+
+
+def send(pool, method, path, body=None):
+    """Send a client's call."""
+    raw = json.dumps(body) if body is not None else ''
+    return pool.request(method, path, raw, {'Host': 'desk.example:80'})
+
+
+def fail(code):
+    """Return the error of a call that was not carried out."""
+    return result.Err([data.Problem(code)])
+
+
+def test_job_is_handed_to_its_owner_in_our_words(case):
+    pool, calls, _, _ = open_calls()
+    accepted = result.Ok(operations.Accepted(ID, True))
+    calls.answers['submit-job'] = accepted
+    case.assertEqual(send(pool, 'POST', f'/a/{ID}', BODY).status, 200)
+    job = calls.calls[0][1].job
+    case.assertEqual((job.id, job.queue, job.rank), (ID, 'short', 2))
+    case.assertEqual(job.objective_ms, 2 * 1600 + 1000)
+    second = job.steps[1]
+    case.assertEqual((second.after, second.pool), (['0'], 'pool-1'))
+    case.assertEqual((second.max_failures, second.most_per_vm), (4, 1))
+    case.assertTrue(second.checkpointable and second.fills)
+
+
+def test_longest_prefix_wins(case):
+    pool, calls, _, _ = open_calls()
+    calls.answers['submit-job'] = result.Ok(operations.Accepted(ID, True))
+    send(pool, 'POST', f'/a/b/{ID}', BODY)
+    case.assertEqual(calls.calls[0][1].job.queue, 'long')
+
+
+def test_refusals_say_what_is_true(case):
+    statuses = {
+        owners.NOT_ACCEPTED: 503,
+        owners.OUTCOME_UNKNOWN: 504,
+        owners.UNKNOWN_ID: 410,
+    }
+    for code, status in statuses.items():
+        pool, calls, _, _ = open_calls()
+        calls.answers['cancel-job'] = fail(code)
+        answer = send(pool, 'DELETE', f'/a/{ID}')
+        case.assertEqual(answer.status, status)
+        later = 'Retry-After' in answer.headers
+        case.assertEqual(later, status in (503, 504))
+
+
+def test_state_is_shown_and_an_unknown_job_is_gone(case):
+    pool, calls, _, _ = open_calls()
+    view = operations.JobView(ID, 'running')
+    calls.answers['read-job'] = result.Ok(view)
+    answer = send(pool, 'GET', f'/a/{ID}')
+    case.assertEqual(json.loads(answer.data), {'state': 'running'})
+    calls.answers['read-job'] = result.Ok(operations.JobView(ID, ''))
+    case.assertEqual(send(pool, 'GET', f'/a/{ID}').status, 410)
+
+
+def test_count_of_waiting_jobs_is_asked_now_and_then(case):
+    pool, calls, now, _ = open_calls()
+    calls.answers['count-pending'] = result.Ok(operations.Pending(3))
+    for _ in range(3):
+        answer = send(pool, 'GET', '/a/')
+        case.assertEqual(json.loads(answer.data), {'pending': 3})
+    case.assertEqual(len(calls.calls), 1)
+    now.advance(1)
+    send(pool, 'GET', '/a/')
+    case.assertEqual(len(calls.calls), 2)
+
+
+def test_unknown_route_and_bad_id_are_not_found(case):
+    pool, _, _, _ = open_calls()
+    case.assertEqual(send(pool, 'POST', f'/x/{ID}', BODY).status, 404)
+    case.assertEqual(send(pool, 'POST', '/a/short', BODY).status, 404)
+
+
+def test_route_that_was_dropped_is_not_found(case):
+    pool, _, _, keeper = open_calls()
+    keeper.offer(6, json.dumps({**CONFIG, 'routes': []}))
+    case.assertEqual(send(pool, 'GET', f'/a/{ID}').status, 404)
+    keeper.offer(5, json.dumps(CONFIG))
+    case.assertEqual(send(pool, 'GET', f'/a/{ID}').status, 404)
+
+
+def test_entry_without_a_configuration_says_come_back(case):
+    keeper = configuration.ConfigKeeper(routes.parse_config)
+    app = clients.JobCalls(None, keeper, None, lambda: False)
+    answer = send(fixtures.WsgiPool(app), 'GET', f'/a/{ID}')
+    case.assertEqual(answer.status, 503)
+    case.assertIn('Retry-After', answer.headers)
+
+
+def test_bad_bodies_name_what_is_wrong(case):
+    pool, _, _, _ = open_calls()
+    bad = [
+        [],
+        {'steps': 3},
+        {'steps': [{'cpu': 3}]},
+        {'steps': [{'count': 0}]},
+        {'steps': [{'count': 1, 'watchRev': [0]}]},
+        {'steps': [], 'spec': 'x'},
+        {'steps': [{'count': 1}], 'spec': 'x' * 4001},
+    ]
+    for body in bad:
+        answer = send(pool, 'POST', f'/a/{ID}', body)
+        case.assertEqual(answer.status, 400, body)
+        case.assertIn('mend', json.loads(answer.data)['error'])
+
+
+def test_stopping_entry_closes_its_connections(case):
+    pool, calls, _, _ = open_calls(stopping=True)
+    calls.answers['read-job'] = result.Ok(operations.JobView(ID, 'queued'))
+    answer = send(pool, 'GET', f'/a/{ID}')
+    case.assertEqual(answer.headers['Connection'], 'close')
+
+
+def test_garbled_configuration_changes_nothing(case):
+    pool, calls, _, keeper = open_calls()
+    case.assertFalse(keeper.offer(9, '{"routes": [{}]}'))
+    case.assertEqual(keeper.read().revision, 5)
--- /dev/null
+++ b/packages/platform/portwharf/platform/kv_test.py
@@ -0,0 +1,119 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""The platform's store does what portwharf's own interface promises."""
+
+from portwharf.core import settings
+from portwharf.platform import kv
+from portwharf.scheduler import events
+from portwharf.scheduler import shardlog
+from portwharf import store
+from portwharf.testing import fixtures
+from portwharf.testing import platform_store
+
+
+def open_store(case):
+    """Return the real adapter on a stand-in, and the stand-in."""
+    standin = platform_store.PlatformStoreStandIn()
+    port = fixtures.serve(case, standin)
+    place = settings.Endpoint('127.0.0.1', port)
+    return case.enterContext(kv.PlatformStore(place)), standin
+
+
+def test_key_is_made_once(case):
+    client, _ = open_store(case)
+    case.assertTrue(client.swap('a', b'\0\xff', 0).ok_value.done)
+    case.assertFalse(client.swap('a', b'other', 0).ok_value.done)
+    case.assertEqual(client.read('a').ok_value.value, b'\0\xff')
+    case.assertIsNone(client.read('b').ok_value)
+
+
+def test_swap_needs_its_guard_unchanged(case):
+    client, _ = open_store(case)
+    first = client.swap('a', b'1', 0).ok_value
+    guard = store.Entry('a', b'', first.revision)
+    client.swap('a', b'2', first.revision)
+    case.assertFalse(client.swap('b', b'x', 0, guard).ok_value.done)
+
+
+def test_lost_answer_is_unknown_and_a_refusal_is_not(case):
+    client, standin = open_store(case)
+    standin.faults.lost = True
+    lost = client.swap('a', b'1', 0)
+    case.assertTrue(lost.err_value.unknown)
+    case.assertEqual(client.read('a').ok_value.value, b'1')
+    standin.faults.down = True
+    case.assertFalse(client.swap('b', b'1', 0).err_value.unknown)
+
+
+def test_range_reads_all_pages_within_its_bounds(case):
+    client, _ = open_store(case)
+    for number in range(9):
+        client.swap(f'log/{number}', b'%d' % number, 0)
+    found = client.read_range('log/1', 'log/8').ok_value
+    case.assertEqual([e.key[-1] for e in found], list('1234567'))
+    case.assertEqual(len(client.read_range('log/1', 'log/8', 2).ok_value), 2)
+
+
+def test_range_is_deleted_without_its_end(case):
+    client, _ = open_store(case)
+    for number in range(5):
+        client.swap(f'log/{number}', b'', 0)
+    case.assertEqual(client.delete_range('log/1', 'log/4').ok_value, 3)
+    left = client.read_range('log/', 'log0').ok_value
+    case.assertEqual([e.key for e in left], ['log/0', 'log/4'])
+
+
+def test_watch_gives_the_change(case):
+    client, standin = open_store(case)
+    entry = client.swap('a', b'1', 0).ok_value
+    standin.set_item('a', 'Mg==')
+    found = client.wait_for_change('a', entry.revision, 1)
+    case.assertEqual(found.ok_value.value, b'2')
+
+
+def test_watch_goes_on_from_the_last_look(case):
+    client, standin = open_store(case)
+    entry = client.swap('a', b'1', 0).ok_value
+    standin.set_item('other', '')
+    client.read('a')
+    standin.faults.history = entry.revision + 1
+    found = client.wait_for_change('a', entry.revision, 0.05)
+    case.assertIsNone(found.ok_value)
+    case.assertEqual(standin.calls[-1], 'kv-watch')
+
+
+def test_forgotten_history_asks_for_another_look(case):
+    client, standin = open_store(case)
+    standin.faults.history = 10**6
+    found = client.wait_for_change('a', 3, 0.05)
+    case.assertTrue(found.is_ok())
+    case.assertIsNone(found.ok_value)
+
+
+def test_lease_takes_its_keys_along(case):
+    client, standin = open_store(case)
+    lease = client.open_lease(5).ok_value
+    client.put('a', b'1', lease)
+    case.assertTrue(client.keep_lease(lease).ok_value)
+    standin.end_leases()
+    case.assertFalse(client.keep_lease(lease).ok_value)
+    case.assertIsNone(client.read('a').ok_value)
+
+
+def test_shard_log_lives_in_it(case):
+    client, standin = open_store(case)
+    log = shardlog.ShardLog(client, 0)
+    case.assertTrue(log.read().ok_value.empty)
+    event = events.OwnerChanged(1, 'vm-1', [])
+    case.assertEqual(log.append([event]).ok_value, 0)
+    standin.faults.lost = True
+    case.assertEqual(log.append([event]).ok_value, 1)
+    standin.faults.lost = False
+    case.assertTrue(log.check_head().ok_value)
+    rival = shardlog.ShardLog(client, 0)
+    rival.read()
+    rival.append([event])
+    case.assertIsInstance(log.append([event]).err_value, shardlog.Deposed)
+    case.assertEqual(
+        len(shardlog.ShardLog(client, 0).read().ok_value.batches), 3
+    )
--- /dev/null
+++ b/packages/platform/portwharf/platform/runner_test.py
@@ -0,0 +1,154 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""A runner obeys as portwharf's own worker does."""
+
+import threading
+import time
+
+from portwharf.core import data
+from portwharf.core import settings
+from portwharf.platform import runner
+from portwharf.testing import fixtures
+from portwharf.testing import platform_runner
+from portwharf import workers
+
+TASK = '5c0e7a21d94b36f8.0.0.1'
+SIZE = data.Resources(8000, 1000)
+
+
+def open_runner(case, token=7):
+    """Return the real adapter on a stand-in, and the stand-in."""
+    standin = platform_runner.RunnerStandIn()
+    port = fixtures.serve(case, standin, threads=6)
+    place = settings.Endpoint('127.0.0.1', port)
+    client = runner.RunnerWorker(place, lambda: token, 6000)
+    client.take_life(make_life())
+    return client, standin
+
+
+def make_life(instance='i-1', **fields):
+    """Return what a heartbeat says."""
+    return runner.Life(instance, 'pool', 'zone', SIZE, ['a'], **fields)
+
+
+def start(client, attempt=1, task=TASK):
+    """Start an attempt for some seconds."""
+    until = int(time.monotonic() * 1000) + 5000
+    message = workers.Start(task, attempt, argument=b'spec', resources=SIZE)
+    message.lease_until_ms = until
+    return client.start(message)
+
+
+def list_states(client):
+    """Return the state of each listed attempt."""
+    listing = client.read_listing().ok_value
+    return [str(attempt.state) for attempt in listing.attempts]
+
+
+def test_listing_tells_what_heartbeat_and_runner_say(case):
+    client, _ = open_runner(case)
+    case.assertEqual(start(client).ok_value, '')
+    listing = client.read_listing().ok_value
+    case.assertEqual((listing.capacity, listing.pool), (SIZE, 'pool'))
+    (attempt,) = listing.attempts
+    case.assertEqual((attempt.task, attempt.percent), (TASK, 5))
+    case.assertEqual((attempt.tail_ms, attempt.resources), (7, SIZE))
+
+
+def test_nothing_is_ordered_without_a_token(case):
+    client, standin = open_runner(case, token=0)
+    case.assertTrue(start(client).is_err())
+    case.assertEqual(standin.orders, [])
+
+
+def test_start_twice_is_one_run_and_an_ended_one_is_old(case):
+    client, standin = open_runner(case)
+    start(client)
+    case.assertEqual(start(client).ok_value, '')
+    standin.end_run(TASK)
+    case.assertEqual(start(client).ok_value, workers.REFUSED_OLD)
+
+
+def test_stop_of_what_is_not_there_keeps_it_from_beginning(case):
+    client, _ = open_runner(case)
+    case.assertTrue(client.stop(TASK, 1, True).is_ok())
+    case.assertEqual(start(client).ok_value, workers.REFUSED_OLD)
+    case.assertEqual(start(client, 2).ok_value, '')
+
+
+def test_former_side_is_refused(case):
+    client, standin = open_runner(case)
+    standin.fence = 9
+    case.assertEqual(start(client).ok_value, workers.REFUSED_FENCE)
+
+
+def test_ends_stay_until_they_are_logged_in_order(case):
+    client, standin = open_runner(case)
+    for number in (1, 2):
+        start(client, task=f'j.0.0.{number}')
+        standin.end_run(f'j.0.0.{number}')
+    case.assertEqual(list_states(client), ['succeeded', 'succeeded'])
+    client.forget('j.0.0.2', 1)
+    case.assertEqual(len(list_states(client)), 2)
+    client.forget('j.0.0.1', 1)
+    case.assertEqual(list_states(client), [])
+    case.assertEqual(standin.orders[-1][1]['ackedUpto'], 2)
+
+
+def test_new_life_is_never_told_of_the_old_ones_numbers(case):
+    client, standin = open_runner(case)
+    start(client)
+    standin.end_run(TASK)
+    client.read_listing()
+    client.forget(TASK, 1)
+    standin.begin_life('i-2')
+    case.assertTrue(client.read_listing().is_err())
+    client.take_life(make_life('i-2'))
+    start(client, 2)
+    standin.end_run(TASK)
+    case.assertEqual(list_states(client), ['succeeded'])
+    acked = [o['ackedUpto'] for v, o in standin.orders if v == 'hold']
+    case.assertEqual(acked[-1], 0)
+
+
+def test_how_runs_end(case):
+    client, standin = open_runner(case)
+    ends = {
+        'done': 'succeeded',
+        'failed': 'failed',
+        'stopped': 'checkpointed',
+        'lapsed': 'gone',
+        'broken': 'gone',
+        'alone': 'gone',
+    }
+    for how, state in ends.items():
+        start(client, task=f'{how}.0.0.0')
+        standin.end_run(f'{how}.0.0.0', how, 'kept')
+        found = client.read_listing().ok_value.attempts[-1]
+        case.assertEqual((found.state, found.checkpoint), (state, 'kept'))
+
+
+def test_runner_that_is_gone_runs_nothing(case):
+    client = runner.RunnerWorker(
+        settings.Endpoint('127.0.0.1', 1), lambda: 7, 6000
+    )
+    case.assertTrue(client.read_listing().ok_value.absent)
+
+
+def test_end_is_told_at_once(case):
+    client, standin = open_runner(case)
+    told = threading.Event()
+    client.follow(told.set)
+    case.enterContext(client)
+    start(client)
+    standin.end_run(TASK)
+    case.assertTrue(told.wait(10))
+
+
+def test_draining_is_told_at_once(case):
+    client, _ = open_runner(case)
+    told = threading.Event()
+    client.follow(told.set)
+    client.take_life(make_life(draining=True, leaves_in_ms=2500))
+    case.assertTrue(told.is_set())
+    case.assertEqual(client.read_listing().ok_value.leaves_in_ms, 2500)
--- /dev/null
+++ b/packages/testing/portwharf/testing/platform_runner.py
@@ -0,0 +1,107 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""A small stand-in of a runner of the users' platform, by its protocol.
+
+Runs under a lease, fencing tokens, ends that are listed until they are
+acknowledged, lives, and starts that are left unanswered.
+"""
+
+import json
+import threading
+import time
+
+from portwharf.testing import platform_store
+
+
+class RunnerStandIn:
+    """The WSGI application of one runner."""
+
+    def __init__(self, instance='i-1'):
+        self._lock = threading.Condition()
+        self.begin_life(instance)
+        # The next starts are carried out, and then answered with 500.
+        self.lose_answers = 0
+        self.orders = []
+
+    def begin_life(self, instance):
+        """Begin anew, as after a crash."""
+        with self._lock:
+            self.instance = instance
+            self.running = {}
+            self.ended = []
+            self.fence = 0
+            self._over = {}
+            self._numbers = 0
+            self._until_ms = 0
+
+    def end_run(self, task, how='done', saved=''):
+        """Have a run come to its end."""
+        with self._lock:
+            run = self.running.pop(task)
+            self._note_end(task, run, how, saved)
+
+    def __call__(self, environ, start_response):
+        size = int(environ.get('CONTENT_LENGTH') or 0)
+        body = json.loads(environ['wsgi.input'].read(size))
+        verb = environ['PATH_INFO'].removeprefix('/portwharf/')
+        meant = environ.get('HTTP_PORTWHARF_TARGET_INSTANCE', self.instance)
+        with self._lock:
+            self.orders.append((verb, dict(body)))
+            status, value = self._obey(verb, body, meant)
+        value['clockMs'] = _read_ms()
+        return platform_store.answer(start_response, status, value)
+
+    def _obey(self, verb, body, meant):
+        if meant != self.instance:
+            return 421, {}
+        if body['fence'] < self.fence:
+            return 409, {'reason': 'fence'}
+        self.fence = body['fence']
+        self._until_ms = max(self._until_ms, body.get('untilMs', 0))
+        calls = {
+            'run-start': self._start,
+            'run-stop': self._stop,
+            'hold': self._hold,
+            'pace': lambda _: (200, {}),
+        }
+        return calls[verb](body)
+
+    def _start(self, body):
+        task, run = body['task'], body['run']
+        if self.running.get(task) == run:
+            return 200, {}
+        if run <= self._over.get(task, 0):
+            return 409, {'reason': 'old'}
+        if body['untilMs'] <= _read_ms():
+            return 409, {'reason': 'late'}
+        self.running[task] = run
+        if self.lose_answers:
+            self.lose_answers -= 1
+            return 500, {}
+        return 200, {}
+
+    def _stop(self, body):
+        task, run = body['task'], body['run']
+        self._over[task] = max(run, self._over.get(task, 0))
+        if self.running.get(task) == run:
+            del self.running[task]
+            self._note_end(task, run, 'stopped', 'kept')
+        return 200, {}
+
+    def _hold(self, body):
+        acked = body.get('ackedUpto', 0)
+        self.ended = [row for row in self.ended if row[0] > acked]
+        if not self.ended and body.get('waitMs'):
+            self._lock.wait(body['waitMs'] / 1000)
+        rows = [[task, run, '', 5, 7] for task, run in self.running.items()]
+        return 200, {'running': rows, 'ended': list(self.ended)}
+
+    def _note_end(self, task, run, how, saved):
+        self._numbers += 1
+        self._over[task] = max(run, self._over.get(task, 0))
+        self.ended.append([self._numbers, task, run, how, saved])
+        self._lock.notify_all()
+
+
+def _read_ms():
+    return int(time.monotonic() * 1000)
--- /dev/null
+++ b/packages/vmlist/portwharf/vmlist/register_test.py
@@ -0,0 +1,59 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""VMs are registered for as long as they live, whatever the store does."""
+
+from portwharf.core import settings
+from portwharf.platform import kv
+from portwharf.testing import fixtures
+from portwharf.testing import platform_store
+from portwharf import vmlist
+
+
+def open_registration(case):
+    """Return a registration that is stepped by hand, and its store."""
+    standin = platform_store.PlatformStoreStandIn()
+    port = fixtures.serve(case, standin)
+    client = kv.PlatformStore(settings.Endpoint('127.0.0.1', port))
+    case.enterContext(client)
+    vm = fixtures.make_vm(3)
+    return vmlist.Registration(client, vm), standin, vm
+
+
+def test_registered_vm_is_listed(case):
+    made, _, vm = open_registration(case)
+    case.assertEqual(made.read().ok_value, [])
+    case.assertTrue(made.look())
+    case.assertEqual(made.read().ok_value, [vm])
+
+
+def test_token_is_the_first_revision_and_stays(case):
+    made, standin, vm = open_registration(case)
+    made.look()
+    token = made.token
+    standin.end_leases()
+    case.assertTrue(made.look())
+    case.assertEqual(made.token, token)
+    other = vmlist.Registration(made._kv, vm)
+    other.look()
+    case.assertGreater(other.token, token)
+
+
+def test_revoked_key_comes_back(case):
+    made, standin, vm = open_registration(case)
+    made.look()
+    standin.revoke(f'vms/{vm.name}')
+    case.assertEqual(made.read().ok_value, [])
+    made.look()
+    case.assertEqual(made.read().ok_value, [vm])
+
+
+def test_outage_is_borne(case):
+    made, standin, vm = open_registration(case)
+    standin.faults.down = True
+    case.assertFalse(made.look())
+    case.assertFalse(made.registered.is_set())
+    standin.faults.down = False
+    case.assertTrue(made.look())
+    standin.faults.down = True
+    case.assertTrue(made.look())
+    case.assertTrue(made.read().is_err())
