--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
@@ -0,0 +1,256 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Rules of jobs, orders and pairs taken out one at a time, each caught."""
+
+import result
+
+from portwharf.platform import clients
+from portwharf.platform import clients_test
+from portwharf.platform import kv
+from portwharf.platform import kv_test
+from portwharf.platform import runner
+from portwharf.platform import runner_test
+from portwharf.scheduler import decider
+from portwharf.scheduler import faults_test
+from portwharf.scheduler import jobs_test
+from portwharf.scheduler import ownership_test
+from portwharf.scheduler import placement
+from portwharf.scheduler import planning
+from portwharf.scheduler import preparing
+from portwharf.scheduler import reconcile
+from portwharf.scheduler import rehoming
+from portwharf.scheduler import rehoming_test
+from portwharf.scheduler import state
+from portwharf.side import agent
+from portwharf.side import agent_test
+from portwharf.side import doubts
+from portwharf.side import pacing
+from portwharf.side import pacing_test
+
+check = faults_test.check
+
+
+def test_steps_begin_before_what_they_come_after(case):
+    check(
+        case,
+        jobs_test.test_step_waits_until_all_before_it_have_succeeded,
+        state.ShardState,
+        'is_ready',
+        lambda self, record: True,
+    )
+
+
+def test_lost_attempts_count_as_failures(case):
+    check(
+        case,
+        jobs_test.test_lost_attempts_do_not_count_as_failures,
+        reconcile,
+        '_is_last_try',
+        lambda task, workload: task.attempt >= workload.max_failures,
+    )
+
+
+def test_attempts_without_end(case):
+    check(
+        case,
+        jobs_test.test_job_fails_only_with_its_last_attempt,
+        reconcile,
+        '_is_last_try',
+        lambda task, workload: False,
+    )
+
+
+def test_cancelled_tasks_begun_anew(case):
+    check(
+        case,
+        jobs_test.test_what_nobody_wants_is_stopped_when_it_is_not_listed,
+        reconcile,
+        'make_catch_up',
+        reconcile.make_start,
+    )
+
+
+def test_times_begin_early(case):
+    check(
+        case,
+        jobs_test.test_times_become_due_one_by_one,
+        planning,
+        'list_demands',
+        lambda made, avoided, now_ms: [
+            placement.Demand(record) for record in made.list_unended()
+        ],
+    )
+
+
+def test_ends_shown_before_they_are_logged(case):
+    def note(self, event, batch):
+        original(self, event, batch)
+        self.unlogged.clear()
+
+    original = decider.Decider._note_ended
+    check(
+        case,
+        jobs_test.test_end_is_not_shown_before_it_is_in_the_log,
+        decider.Decider,
+        '_note_ended',
+        note,
+    )
+
+
+def test_prepared_work_taken_back_too_early(case):
+    original = preparing.Preparation._resolve_task
+
+    def resolve(self, task, view, *more):
+        if view is not None:
+            view.reported = True
+        return original(self, task, view, *more)
+
+    check(
+        case,
+        ownership_test.test_prepared_work_is_kept_until_its_side_has_told,
+        preparing.Preparation,
+        '_resolve_task',
+        resolve,
+    )
+
+
+def test_doubtful_starts_called_gone_at_once(case):
+    check(
+        case,
+        agent_test.test_start_is_not_called_gone_while_its_stop_is_unanswered,
+        doubts.Doubts,
+        'settle_starts',
+        lambda self, worker, listing: sorted(self._starts),
+    )
+
+
+def test_former_lives_forgotten(case):
+    check(
+        case,
+        agent_test.test_attempt_of_a_former_life_of_the_worker_is_gone,
+        doubts.Doubts,
+        'has_begun',
+        lambda self, task, attempt: False,
+    )
+
+
+def test_vanished_attempts_kept_quiet(case):
+    check(
+        case,
+        agent_test.test_absent_worker_runs_nothing,
+        agent.Agent,
+        '_note_vanished',
+        lambda self, former: None,
+    )
+
+
+def test_leaving_workers_given_work(case):
+    original = agent.Agent._check_start
+
+    def check_start(self, message, known):
+        self._listing.draining = False
+        return original(self, message, known)
+
+    check(
+        case,
+        agent_test.test_leaving_worker_takes_no_starts,
+        agent.Agent,
+        '_check_start',
+        check_start,
+    )
+
+
+def test_tails_over_their_targets_ignored(case):
+    check(
+        case,
+        pacing_test.test_tail_over_its_target_brakes_everything_that_fills,
+        pacing.Pacer,
+        '_pull_brake',
+        lambda self, serving, filled: None,
+    )
+
+
+def test_stuck_tasks_moved_anywhere(case):
+    check(
+        case,
+        rehoming_test.test_nothing_moves_where_it_would_work_no_better,
+        placement.VmView,
+        'predict_pace',
+        lambda self, workload: 1.0,
+    )
+
+
+def test_tasks_moved_before_they_had_a_chance(case):
+    check(
+        case,
+        rehoming_test.test_task_that_has_just_begun_stays,
+        rehoming,
+        'LEAST_SECONDS',
+        0.0,
+    )
+
+
+def test_lost_answers_of_the_store_taken_for_refusals(case):
+    check(
+        case,
+        kv_test.test_lost_answer_is_unknown_and_a_refusal_is_not,
+        kv,
+        '_NOT_DONE',
+        (400, 403, 404, 429, 500, 503),
+    )
+
+
+def test_unlogged_ends_acknowledged(case):
+    def move(self):
+        for number in sorted(self._ended):
+            self._ended.pop(number)
+            self._acked = number
+
+    check(
+        case,
+        runner_test.test_ends_stay_until_they_are_logged_in_order,
+        runner.RunnerWorker,
+        '_move_ack',
+        move,
+    )
+
+
+def test_numbers_of_a_former_life_acknowledged(case):
+    check(
+        case,
+        runner_test.test_new_life_is_never_told_of_the_old_ones_numbers,
+        runner.RunnerWorker,
+        '_forget_life',
+        lambda self: None,
+    )
+
+
+def test_unknown_outcomes_called_not_run(case):
+    def fail(respond, verb, job_id, problems):
+        return clients._refuse(respond, 503, 'not run')
+
+    check(
+        case,
+        clients_test.test_refusals_say_what_is_true,
+        clients,
+        '_fail',
+        fail,
+    )
+
+
+def test_silent_runners_believed_dead(case):
+    original = runner.RunnerWorker.read_listing
+
+    def read(self):
+        answer = original(self)
+        if answer.is_err():
+            return result.Ok(runner.workers.Listing(absent=True))
+        return answer
+
+    check(
+        case,
+        runner_test.test_new_life_is_never_told_of_the_old_ones_numbers,
+        runner.RunnerWorker,
+        'read_listing',
+        read,
+    )
