--- a/packages/core/portwharf/core/logs_test.py
+++ b/packages/core/portwharf/core/logs_test.py
@@ -8,6 +8,7 @@
 import logging
 import subprocess
 import sys
+import threading
 
 from portwharf.core import logs
 
@@ -61,3 +62,30 @@
     )
     case.assertEqual(done.returncode, logs.CRASH_EXIT)
     case.assertIn(b'ZeroDivisionError', done.stderr)
+
+
+class Stuck:
+    """A stream that nobody reads until it is let go."""
+
+    def __init__(self):
+        self.go = threading.Event()
+        self.written = []
+
+    def write(self, text):
+        """Block as a full pipe does."""
+        self.go.wait(20)
+        self.written.append(text)
+
+    def flush(self):
+        """Nothing is kept back."""
+
+
+def test_reader_that_has_stopped_holds_nobody_up(case):
+    stuck = Stuck()
+    printer = logs.Printer(stuck, 3)
+    for number in range(50):
+        printer.write(f'{number}\n')
+    stuck.go.set()
+    printer.wait_until_printed(20)
+    case.assertIn('lines were dropped', ''.join(stuck.written))
+    case.assertLess(len(stuck.written), 10)
--- a/packages/platform/portwharf/platform/clients.py
+++ b/packages/platform/portwharf/platform/clients.py
@@ -8,7 +8,6 @@
 import re
 import threading
 
-from portwharf.core import data
 from portwharf.core import logs
 from portwharf.core import web
 from portwharf.entry import owners
@@ -38,6 +37,7 @@
     owners.UNKNOWN_ID: 410,
 }
 _BAD_GATEWAY = 502
+_MS = 1000
 
 
 @dataclasses.dataclass(slots=True)
@@ -90,7 +90,7 @@
         if method == 'GET':
             return self._show(job_id, respond)
         if method == 'DELETE':
-            return self._cancel(job_id, respond)
+            return self._cancel(job_id, queue, respond)
         return _refuse(respond, 400, 'use POST, GET or DELETE')
 
     def _submit(self, job_id, queue, environ, respond):
@@ -105,9 +105,12 @@
         if read.is_err():
             return _refuse(respond, 400, read.err_value.describe())
         call = operations.JobSubmission(read.ok_value)
+        began = self._clock.read_monotonic()
         answer = self._call('submit-job', call, operations.Accepted)
+        status = _find_status(answer)
+        self._log('submit', job_id, queue, status, began)
         if answer.is_err():
-            return _fail(respond, 'submit', job_id, answer.err_value)
+            return _fail(respond, status, answer.err_value)
         return web.answer_json(respond, 200, {})
 
     def _show(self, job_id, respond):
@@ -116,19 +119,34 @@
             'read-job', query, operations.JobView, READ_SECONDS
         )
         if answer.is_err():
-            return _fail(respond, 'read', job_id, answer.err_value)
+            return _fail(respond, _find_status(answer), answer.err_value)
         if not answer.ok_value.state:
             return _refuse(respond, 410, 'no such job')
         state = {'state': answer.ok_value.state}
         return web.answer_json(respond, 200, state)
 
-    def _cancel(self, job_id, respond):
+    def _cancel(self, job_id, queue, respond):
         query = operations.Query(job_id)
+        began = self._clock.read_monotonic()
         answer = self._call('cancel-job', query, operations.Cancelled)
+        status = _find_status(answer)
+        self._log('cancel', job_id, queue, status, began)
         if answer.is_err():
-            return _fail(respond, 'cancel', job_id, answer.err_value)
+            return _fail(respond, status, answer.err_value)
         return web.answer_json(respond, 200, {})
 
+    def _log(self, verb, job_id, queue, status, began):
+        """Log what a client was told, and by which configuration."""
+        took = self._clock.read_monotonic() - began
+        extra = logs.fields(
+            request=job_id,
+            queue=queue.name,
+            status=status,
+            revision=self._keeper.read().revision,
+            took_ms=int(took * _MS),
+        )
+        LOG.info('%s answered', verb, extra=extra)
+
     def _count(self, queue, respond):
         now = self._clock.read_monotonic()
         with self._lock:
@@ -139,7 +157,8 @@
                 'count-pending', query, operations.Pending, READ_SECONDS
             )
             if answer.is_err():
-                return _fail(respond, 'count', '', answer.err_value)
+                status = _find_status(answer)
+                return _fail(respond, status, answer.err_value)
             known = _Counted(now, answer.ok_value.count)
             with self._lock:
                 self._pending[queue.name] = known
@@ -166,14 +185,19 @@
         return web.answer_text(start_response, 503, 'not ready\n')
 
 
-def _fail(respond, verb, job_id, problems):
+def _find_status(answer):
+    """Return the status that tells what became of a call."""
+    if answer.is_ok():
+        return 200
+    problems = answer.err_value
+    code = problems[0].code if problems else owners.OUTCOME_UNKNOWN
+    return _STATUSES.get(code, _BAD_GATEWAY)
+
+
+def _fail(respond, status, problems):
     """Answer a call that was not carried out, or may not have been."""
-    problem = problems[0] if problems else data.Problem(owners.NOT_ACCEPTED)
-    status = _STATUSES.get(problem.code, _BAD_GATEWAY)
-    if status != 410:
-        extra = logs.fields(request=job_id)
-        LOG.warning('%s: %s', verb, problem.describe(), extra=extra)
-    return _refuse(respond, status, problem.describe())
+    text = problems[0].describe() if problems else 'no answer'
+    return _refuse(respond, status, text)
 
 
 def _refuse(respond, status, text):
--- a/packages/platform/portwharf/platform/programs.py
+++ b/packages/platform/portwharf/platform/programs.py
@@ -28,6 +28,8 @@
 APPEND_SECONDS = 0.03
 # Before the platform kills us, answers that are under way are given.
 LEAVE_MARGIN_SECONDS = 1.5
+# For the last lines of the log to be printed.
+LAST_LINES_SECONDS = 0.2
 
 
 def open_store(settings, now):
@@ -137,6 +139,11 @@
     return process.SideProcess(cfg, beside.PlatformOutside(settings))
 
 
+def _note_change(*_):
+    """Log that the settings have changed: they are read at the start."""
+    LOG.info('settings changed; they count from the next start on')
+
+
 def main(role):
     """Run a role until SIGTERM.
 
@@ -147,18 +154,18 @@
         for problem in read.err_value:
             print(problem.describe(), file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    logs.set_up('json', 'INFO')
+    printer = logs.Printer(sys.stdout)
+    logs.set_up('json', 'INFO', printer)
     logs.end_on_crash()
     make = EntryProgram if role == 'entry' else make_side
     program = make(read.ok_value)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: program.stop())
-    # The settings are read at the start only; what changes in them later
-    # concerns the next start.
-    signal.signal(signal.SIGHUP, lambda *_: None)
+    signal.signal(signal.SIGHUP, _note_change)
     with program:
         program.wait()
     LOG.info('%s ends', role)
     logging.shutdown()
+    printer.wait_until_printed(LAST_LINES_SECONDS)
     # Threads that wait for a silent peer would hold the end up.
     os._exit(0)
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -13,6 +13,7 @@
 from portwharf.core import data
 from portwharf.core import logs
 from portwharf.peers import messages
+from portwharf.scheduler import decisionlog
 from portwharf.scheduler import events
 from portwharf.scheduler import metrics
 from portwharf.scheduler import operations
@@ -137,6 +138,8 @@
             item.link.view.reported = True
         for report in item.message.reports:
             self._note_health(name, report)
+            if report.task in self._state.tasks:
+                decisionlog.log_end(name, report)
             reconcile.judge_report(self._state, name, report, verdict)
         batch.events.extend(verdict.events)
         for event in verdict.events:
@@ -174,7 +177,11 @@
             for task in operations.list_held(self._state, job):
                 command = reconcile.make_stop(self._state, task, False)
                 batch.send(self._members.get_link(task.vm), command)
-        if self._state.find_job_state(name) in data.ENDED_JOB_STATES:
+        ended = self._state.find_job_state(name)
+        if ended in data.ENDED_JOB_STATES and name not in self.unlogged:
+            now_ms = self._env.clock.read_unix_ms()
+            decisionlog.log_job_end(job, ended, now_ms)
+        if ended in data.ENDED_JOB_STATES:
             self.unlogged.add(name)
             batch.effects.append(lambda: self.unlogged.discard(name))
 
@@ -219,6 +226,7 @@
             )
         elif item.method == 'submit-job':
             step = operations.submit_job(self._state, item.arguments, now_ms)
+            decisionlog.log_submission(step, item.arguments.job)
         elif item.method == 'cancel-job':
             step = operations.cancel_job(self._state, item.arguments.id)
         elif item.method == 'change':
@@ -255,6 +263,7 @@
                 if workload.exclusive and not safe:
                     continue
                 event = events.TaskRequeued(task.id, task.attempt)
+                decisionlog.log_loss(task, name)
                 self._add(batch, event)
                 decision = planning.explain_loss(task, name, now_ms)
                 self._add(batch, events.DecisionMade(decision))
@@ -299,6 +308,7 @@
     def _evict(self, task, reason, now_ms, batch):
         """Have an attempt saved and stopped, to run again elsewhere."""
         self._add(batch, events.TaskEvicting(task.id, task.attempt))
+        decisionlog.log_eviction(task, reason)
         decision = planning.explain_eviction(task, reason, now_ms)
         self._add(batch, events.DecisionMade(decision))
         command = reconcile.make_stop(self._state, task, True)
@@ -323,6 +333,7 @@
             self.pressure.remedies.judge,
         )
         self.waiting = {one.record.id: one for one in done.waiting}
+        decisionlog.log_placements(done.placements)
         for placed in done.placements:
             event = events.TaskPlaced(placed.task, placed.attempt, placed.vm)
             self._add(batch, event)
--- a/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
@@ -226,15 +226,12 @@
 
 
 def test_unknown_outcomes_called_not_run(case):
-    def fail(respond, verb, job_id, problems):
-        return clients._refuse(respond, 503, 'not run')
-
     check(
         case,
         clients_test.test_refusals_say_what_is_true,
         clients,
-        '_fail',
-        fail,
+        '_find_status',
+        lambda answer: 503,
     )
 
 
