--- a/packages/platform/portwharf/platform/clients.py
+++ b/packages/platform/portwharf/platform/clients.py
@@ -12,6 +12,7 @@
 from portwharf.core import web
 from portwharf.entry import owners
 from portwharf.platform import routes
+from portwharf.scheduler import job_operations
 from portwharf.scheduler import operations
 
 LOG = logging.getLogger(__name__)
@@ -104,7 +105,7 @@
         read = routes.read_job(job_id, queue, value)
         if read.is_err():
             return _refuse(respond, 400, read.err_value.describe())
-        call = operations.JobSubmission(read.ok_value)
+        call = job_operations.JobSubmission(read.ok_value)
         began = self._clock.read_monotonic()
         answer = self._call('submit-job', call, operations.Accepted)
         status = _find_status(answer)
@@ -116,7 +117,7 @@
     def _show(self, job_id, respond):
         query = operations.Query(job_id)
         answer = self._call(
-            'read-job', query, operations.JobView, READ_SECONDS
+            'read-job', query, job_operations.JobView, READ_SECONDS
         )
         if answer.is_err():
             return _fail(respond, _find_status(answer), answer.err_value)
@@ -154,7 +155,7 @@
         if known is None or now - known.at > PENDING_SECONDS:
             query = operations.Query(queue.name)
             answer = self._call(
-                'count-pending', query, operations.Pending, READ_SECONDS
+                'count-pending', query, job_operations.Pending, READ_SECONDS
             )
             if answer.is_err():
                 status = _find_status(answer)
--- a/packages/platform/portwharf/platform/clients_test.py
+++ b/packages/platform/portwharf/platform/clients_test.py
@@ -12,6 +12,7 @@
 from portwharf.platform import clients
 from portwharf.platform import routes
 from portwharf.scheduler import configuration
+from portwharf.scheduler import job_operations
 from portwharf.scheduler import operations
 from portwharf.testing import fixtures
 
@@ -127,17 +128,17 @@
 
 def test_state_is_shown_and_an_unknown_job_is_gone(case):
     pool, calls, _, _ = open_calls()
-    view = operations.JobView(ID, 'running')
+    view = job_operations.JobView(ID, 'running')
     calls.answers['read-job'] = result.Ok(view)
     answer = send(pool, 'GET', f'/a/{ID}')
     case.assertEqual(json.loads(answer.data), {'state': 'running'})
-    calls.answers['read-job'] = result.Ok(operations.JobView(ID, ''))
+    calls.answers['read-job'] = result.Ok(job_operations.JobView(ID, ''))
     case.assertEqual(send(pool, 'GET', f'/a/{ID}').status, 410)
 
 
 def test_count_of_waiting_jobs_is_asked_now_and_then(case):
     pool, calls, now, _ = open_calls()
-    calls.answers['count-pending'] = result.Ok(operations.Pending(3))
+    calls.answers['count-pending'] = result.Ok(job_operations.Pending(3))
     for _ in range(3):
         answer = send(pool, 'GET', '/a/')
         case.assertEqual(json.loads(answer.data), {'pending': 3})
@@ -188,7 +189,7 @@
 
 def test_stopping_entry_closes_its_connections(case):
     pool, calls, _, _ = open_calls(stopping=True)
-    calls.answers['read-job'] = result.Ok(operations.JobView(ID, 'queued'))
+    calls.answers['read-job'] = result.Ok(job_operations.JobView(ID, 'queued'))
     answer = send(pool, 'GET', f'/a/{ID}')
     case.assertEqual(answer.headers['Connection'], 'close')
 
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -15,6 +15,7 @@
 from portwharf.peers import messages
 from portwharf.scheduler import decisionlog
 from portwharf.scheduler import events
+from portwharf.scheduler import job_operations
 from portwharf.scheduler import metrics
 from portwharf.scheduler import operations
 from portwharf.scheduler import planning
@@ -81,7 +82,7 @@
     """The decisions of one owner."""
 
     def __init__(self, env, state, grant_table, health):
-        """Take an ``owner.Environment`` and what the owner knows."""
+        """Take an ``environment.Environment`` and what the owner knows."""
         self._env = env
         self._state = state
         self._grants = grant_table
@@ -174,7 +175,7 @@
         job = self._state.jobs[name]
         if event.state == data.TaskState.FAILED and not job.cancelled:
             self._add(batch, events.JobCancelled(name))
-            for task in operations.list_held(self._state, job):
+            for task in job_operations.list_held(self._state, job):
                 command = reconcile.make_stop(self._state, task, False)
                 batch.send(self._members.get_link(task.vm), command)
         ended = self._state.find_job_state(name)
@@ -225,10 +226,12 @@
                 now_ms,
             )
         elif item.method == 'submit-job':
-            step = operations.submit_job(self._state, item.arguments, now_ms)
+            step = job_operations.submit_job(
+                self._state, item.arguments, now_ms
+            )
             decisionlog.log_submission(step, item.arguments.job)
         elif item.method == 'cancel-job':
-            step = operations.cancel_job(self._state, item.arguments.id)
+            step = job_operations.cancel_job(self._state, item.arguments.id)
         elif item.method == 'change':
             step = operations.change(self._state, item.arguments)
         else:
--- a/packages/scheduler/portwharf/scheduler/desk.py
+++ b/packages/scheduler/portwharf/scheduler/desk.py
@@ -15,6 +15,7 @@
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.scheduler import decider
+from portwharf.scheduler import job_operations
 from portwharf.scheduler import operations
 from portwharf.scheduler import planning
 
@@ -28,7 +29,7 @@
     'count-pending': operations.Query,
 }
 WRITES = {
-    'submit-job': operations.JobSubmission,
+    'submit-job': job_operations.JobSubmission,
     'cancel-job': operations.Query,
     'submit': operations.Submission,
     'change': operations.Change,
@@ -87,7 +88,9 @@
                 return result.Ok(self._view_job(query.id))
             if method == 'count-pending':
                 queue = query.id
-                return result.Ok(operations.count_pending(self._state, queue))
+                return result.Ok(
+                    job_operations.count_pending(self._state, queue)
+                )
             views = self._members.view_vms()
             if method == 'list-tasks':
                 return operations.list_tasks(self._state, query)
@@ -106,7 +109,7 @@
         found = self._state.find_job_state(job_id)
         if job_id in self._decider.unlogged:
             found = data.JobState.RUNNING
-        return operations.JobView(job_id, str(found or ''))
+        return job_operations.JobView(job_id, str(found or ''))
 
     def _write(self, method, call):
         """Have a changing call carried out and wait until it is logged.
--- a/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
@@ -21,6 +21,7 @@
 from portwharf.scheduler import rehoming
 from portwharf.scheduler import rehoming_test
 from portwharf.scheduler import state
+from portwharf.scheduler import vmview
 from portwharf.side import agent
 from portwharf.side import agent_test
 from portwharf.side import doubts
@@ -174,7 +175,7 @@
     check(
         case,
         rehoming_test.test_nothing_moves_where_it_would_work_no_better,
-        placement.VmView,
+        vmview.VmView,
         'predict_pace',
         lambda self, workload: 1.0,
     )
--- a/packages/scheduler/portwharf/scheduler/jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/jobs_test.py
@@ -5,8 +5,8 @@
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.scheduler import events
+from portwharf.scheduler import job_operations
 from portwharf.scheduler import jobs
-from portwharf.scheduler import operations
 from portwharf.scheduler import planning
 from portwharf.scheduler import reconcile
 from portwharf.scheduler import state
@@ -141,9 +141,9 @@
 
 def test_second_submission_is_the_same_job(case):
     made = state.ShardState()
-    call = operations.JobSubmission(make_job())
-    first = operations.submit_job(made, call, NOW).ok_value
-    second = operations.submit_job(made, call, NOW).ok_value
+    call = job_operations.JobSubmission(make_job())
+    first = job_operations.submit_job(made, call, NOW).ok_value
+    second = job_operations.submit_job(made, call, NOW).ok_value
     case.assertEqual((len(first.events), second.events), (1, []))
 
 
@@ -163,7 +163,7 @@
 
 def submit(made, *steps):
     """Submit a job to a cluster and let it begin."""
-    call = operations.JobSubmission(make_job(*steps))
+    call = job_operations.JobSubmission(make_job(*steps))
     fut = made._call('submit-job', call)
     made.run(4)
     return fut
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -9,8 +9,8 @@
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.scheduler import events
-from portwharf.scheduler import placement
 from portwharf.scheduler import planning
+from portwharf.scheduler import vmview
 
 # What a new owner gives its members at the most to report.
 SETTLE_SECONDS = 1.0
@@ -26,7 +26,7 @@
     """The members of one shard, as its owner sees them."""
 
     def __init__(self, env, state, grant_table, health, pressure, pairs=None):
-        """Take an ``owner.Environment`` and what the owner knows.
+        """Take an ``environment.Environment`` and what the owner knows.
 
         :param health: a ``health.Health`` of the shard's workers
         :param pressure: a ``pressure.Pressure`` of the same
@@ -108,7 +108,7 @@
         now = self._env.clock.read_monotonic()
         views = []
         for name, link in self._links.items():
-            view = placement.VmView(link.view.vm, link.view.capacity)
+            view = vmview.VmView(link.view.vm, link.view.capacity)
             view.reserved = self._state.reserved[name]
             view.reported = link.view.reported
             view.pool = link.view.pool
--- a/packages/scheduler/portwharf/scheduler/operations.py
+++ b/packages/scheduler/portwharf/scheduler/operations.py
@@ -15,7 +15,6 @@
 from portwharf.core import data
 from portwharf.core import ids
 from portwharf.scheduler import events
-from portwharf.scheduler import jobs
 from portwharf.scheduler import placement
 
 
@@ -155,31 +154,6 @@
     teams: list[TeamUse] = dataclasses.field(default_factory=list)
 
 
-@dataclasses.dataclass(slots=True)
-class JobSubmission:
-    """A job to accept, once for each id."""
-
-    job: data.Job = dataclasses.field(default_factory=data.Job)
-
-
-@dataclasses.dataclass(slots=True)
-class JobView:
-    """A job as it is shown.
-
-    :param state: one of ``data.JobState``, or '' if it is not known
-    """
-
-    id: str = ''
-    state: str = ''
-
-
-@dataclasses.dataclass(slots=True)
-class Pending:
-    """How many accepted jobs of a queue have not begun."""
-
-    count: int = 0
-
-
 @dataclasses.dataclass(slots=True)
 class Step:
     """What a changing call comes to.
@@ -218,11 +192,11 @@
     step = Step()
     if problem is not None:
         decision = _explain_refusal(call.workload.key, problem, now_ms)
-        _add(state, step, events.DecisionMade(decision))
+        add_event(state, step, events.DecisionMade(decision))
         step.answer = problem
         return result.Ok(step)
     workload_id = make_workload_id(shard)
-    _add(
+    add_event(
         state,
         step,
         events.WorkloadAccepted(workload_id, key, now_ms, call.workload),
@@ -238,7 +212,7 @@
     """
     record = state.workloads.get(call.id)
     if record is None or record.cancelled:
-        return result.Err(_describe_unknown(call.id))
+        return result.Err(describe_unknown(call.id))
     fixed = dataclasses.replace(
         call.workload,
         count=record.workload.count,
@@ -258,7 +232,7 @@
     event = events.WorkloadChanged(
         call.id, call.workload.count, call.workload.importance
     )
-    _add(state, step, event)
+    add_event(state, step, event)
     step.stop = [
         task
         for task in record.tasks
@@ -274,69 +248,17 @@
     """
     record = state.workloads.get(call.id)
     if record is None:
-        return result.Err(_describe_unknown(call.id))
+        return result.Err(describe_unknown(call.id))
     step = Step()
     counts = state.count_states(record)
     unended = [s for s in counts if s not in data.ENDED_STATES]
     step.answer = Cancelled(sum(counts[s] for s in unended))
     if not record.cancelled:
-        _add(state, step, events.WorkloadCancelled(call.id))
+        add_event(state, step, events.WorkloadCancelled(call.id))
     step.stop = [task for task in record.tasks if task.vm]
     return result.Ok(step)
 
 
-def submit_job(state, call, now_ms):
-    """Accept a job, once for each id.
-
-    :returns: Ok(Step), or Err(Problem)
-    """
-    if call.job.id in state.jobs:
-        return result.Ok(Step(answer=Accepted(call.job.id)))
-    problem = jobs.find_problem(call.job)
-    if problem is not None:
-        return result.Err(problem)
-    step = Step(answer=Accepted(call.job.id, True))
-    _add(state, step, events.JobAccepted(now_ms, call.job))
-    return result.Ok(step)
-
-
-def cancel_job(state, job_id):
-    """Cancel a job; doing it twice changes nothing more.
-
-    :returns: Ok(Step), or Err(Problem)
-    """
-    record = state.jobs.get(job_id)
-    if record is None:
-        return result.Err(_describe_unknown(job_id))
-    step = Step(answer=Cancelled())
-    if not record.cancelled:
-        _add(state, step, events.JobCancelled(job_id))
-    step.stop = list_held(state, record)
-    step.answer.tasks = len(step.stop)
-    return result.Ok(step)
-
-
-def list_held(state, record):
-    """Return the tasks of a job that belong to a VM."""
-    return [
-        task
-        for name in record.steps
-        for task in state.workloads[name].tasks
-        if task.vm
-    ]
-
-
-def count_pending(state, queue):
-    """Return how many jobs of a queue, '' for all, have not begun."""
-    count = sum(
-        1
-        for record in state.jobs.values()
-        if queue in ('', record.job.queue)
-        and state.find_job_state(record.job.id) == data.JobState.QUEUED
-    )
-    return Pending(count)
-
-
 def list_workloads(state, query, views):
     """Return the workloads of a kind and a team.
 
@@ -377,7 +299,7 @@
     """
     record = state.workloads.get(query.id)
     if record is None:
-        return result.Err(_describe_unknown(query.id))
+        return result.Err(describe_unknown(query.id))
     tasks = [
         TaskView(
             task.id,
@@ -411,7 +333,7 @@
     elif found.decisions:
         found.state = 'refused'
     else:
-        return result.Err(_describe_unknown(query.id))
+        return result.Err(describe_unknown(query.id))
     now = waiting.get(record.id) if record else None
     if now is not None:
         found.decisions.append(placement.explain_wait(now, now_ms))
@@ -450,7 +372,7 @@
     return dataclasses.replace(workload, count=0, importance=0)
 
 
-def _describe_unknown(subject):
+def describe_unknown(subject):
     return data.Problem(
         'unknown-id',
         'id',
@@ -475,6 +397,6 @@
     )
 
 
-def _add(state, step, event):
+def add_event(state, step, event):
     state.apply(event)
     step.events.append(event)
--- a/packages/scheduler/portwharf/scheduler/operations_test.py
+++ b/packages/scheduler/portwharf/scheduler/operations_test.py
@@ -7,9 +7,10 @@
 from portwharf.scheduler import operations
 from portwharf.scheduler import placement
 from portwharf.scheduler import state
+from portwharf.scheduler import vmview
 from portwharf.testing import fixtures
 
-VIEWS = [placement.VmView(fixtures.make_vm(0), data.Resources(4000, 8000))]
+VIEWS = [vmview.VmView(fixtures.make_vm(0), data.Resources(4000, 8000))]
 NOW_MS = 1000
 
 
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -10,7 +10,6 @@
 submissions are refused at once.
 """
 
-import dataclasses
 import enum
 import logging
 import queue
@@ -24,7 +23,6 @@
 from portwharf.scheduler import desk
 from portwharf.scheduler import grants
 from portwharf.scheduler import health
-from portwharf.scheduler import members
 from portwharf.scheduler import membership
 from portwharf.scheduler import metrics
 from portwharf.scheduler import presses
@@ -56,33 +54,6 @@
     DEPOSED = 3
 
 
-@dataclasses.dataclass(slots=True)
-class Environment:
-    """What an owner works with.
-
-    :param name: the VM that the owner runs on
-    :param dial: function of a ``data.Vm`` giving a connection
-    :param keeper: the configuration in force (``ConfigKeeper``)
-    :param append_interval: least seconds between two appends
-    :param make_link: gives the link to a member, by its VM and the owner
-    :param kv: the store, for the configuration
-    :param config_key: the key that the configuration is under
-    """
-
-    name: str = ''
-    instance: str = ''
-    shard: int = 0
-    clock: object = None
-    limits: object = None
-    dial: object = None
-    vmlist: object = None
-    keeper: object = None
-    append_interval: float = 0.05
-    make_link: object = members.MemberLink
-    kv: object = None
-    config_key: str = configuration.KEY
-
-
 class Owner:
     """The owner role; a context manager that ends it."""
 
--- a/packages/scheduler/portwharf/scheduler/placement.py
+++ b/packages/scheduler/portwharf/scheduler/placement.py
@@ -17,6 +17,7 @@
 from portwharf.core import data
 from portwharf.core import ids
 from portwharf.scheduler import events
+from portwharf.scheduler import scoring
 
 # Tasks placed in one pass; the rest waits for the next.
 MAX_PLACEMENTS = 200
@@ -32,122 +33,12 @@
 AGEING_A_MINUTE = 2.0
 MAX_AGEING = 400.0
 _NO_DEADLINE = float('inf')
-# The share of its reservation that a task with a target uses at its peak;
-# what is left is for tasks that fill.
-SERVING_USE = 0.65
-# What a busy VM counts against one with a free processor.
-_BUSY = 1.0
-_FAR_RACK = 2.0
-# What working at no pace counts against one with a free processor.
-_PACE = 3.0
 # Below this a filling task rather waits for another VM.
 _LEAST_PACE = 0.35
-# What a VM that nothing serves on is worth: to what serves, and to other
-# work that is better off beside what serves.
-_KEEP_CLEAR = 3.0
-_CLEAR = 0.4
-_LARGEST_MILLI = 1_000_000
-# What fills is gone within seconds; what serves stays.
-_FILLED = 0.05
 # A job that is late is served last, but not for longer than this.
 _PATIENCE_MS = 30_000
 # What slowing services a little counts against an even fill.
 _INTERFERENCE = 6.0
-_STRANDED_ACCELERATOR = 4.0
-_SAME_RACK = 0.5
-_SAME_ZONE = 0.25
-_SAME_VM = 4.0
-
-
-@dataclasses.dataclass(slots=True)
-class VmView:
-    """One VM as the owner sees it at the time of a pass.
-
-    :param closed: '' or why it gets nothing new
-    :param probe: it gets one task, to see whether it is sound again
-    :param services: list of ``remedies.ServiceView``
-    :param kinds: kinds of batch work on it, with how many tasks
-    :param filling_milli: processors that tasks which fill ask for
-    :param serving_milli: processors reserved by tasks with a target
-    :param reported: its side has told all that it runs to this owner
-    :param pairs: a ``presses.Presses``, or None
-    :param headrooms: what each serving image can bear, by image
-    """
-
-    vm: data.Vm = dataclasses.field(default_factory=data.Vm)
-    capacity: data.Resources = dataclasses.field(
-        default_factory=data.Resources
-    )
-    reserved: data.Resources = dataclasses.field(
-        default_factory=data.Resources
-    )
-    closed: str = ''
-    probe: bool = False
-    services: list = dataclasses.field(default_factory=list)
-    kinds: collections.Counter = dataclasses.field(
-        default_factory=collections.Counter
-    )
-    pool: str = ''
-    labels: list = dataclasses.field(default_factory=list)
-    filling_milli: int = 0
-    serving_milli: int = 0
-    reported: bool = True
-    pairs: object = None
-    headrooms: dict = dataclasses.field(default_factory=dict)
-
-    @property
-    def room(self):
-        """What can still be reserved."""
-        return self.capacity.subtract(self.reserved)
-
-    @property
-    def busy_milli(self):
-        """Processors that are likely to be in use, in thousandths."""
-        idle = self.serving_milli * (1 - SERVING_USE)
-        return int(self.reserved.cpu_milli - idle + self.filling_milli)
-
-    def count_fill(self, workload):
-        """Count one task of a workload among what fills the VM."""
-        size = workload.resources.cpu_milli
-        if workload.fills:
-            self.filling_milli += size
-        elif workload.target_ms:
-            self.serving_milli += size
-
-    def take_pairs(self, pairs, headrooms):
-        """Take what is known of pairs, and a list of ``Headroom``."""
-        self.pairs = pairs
-        self.headrooms = {one.serving: one.room for one in headrooms}
-
-    def suits(self, workload):
-        """Tell whether pool and label are those that a step asks for."""
-        if workload.pool and workload.pool != self.pool:
-            return False
-        return not workload.label or workload.label in self.labels
-
-    def predict_pace(self, workload):
-        """Return the share, 0 to 1, that a filling task would work at."""
-        pace = 1.0
-        for serving, room in self.headrooms.items():
-            cost = self._find_cost(serving, workload)
-            if cost > 0:
-                pace = min(pace, max(0.0, room) / cost)
-        return pace
-
-    def _find_cost(self, serving, workload):
-        """Return what a task at work takes of a server's headroom."""
-        share = workload.resources.cpu_milli / max(1, self.capacity.cpu_milli)
-        return self.pairs.find_upper(serving, workload.image) * share
-
-    def add_task(self, workload):
-        """Count one more task that is placed on the VM."""
-        if workload.fills:
-            pace = self.predict_pace(workload)
-            for serving in self.headrooms:
-                cost = self._find_cost(serving, workload)
-                self.headrooms[serving] -= cost * pace
-        self.reserved = self.reserved.add(workload.reserved)
-        self.count_fill(workload)
 
 
 class Demand:
@@ -256,7 +147,7 @@
     """Choose a VM for as many waiting tasks as can be placed.
 
     :param demands: list of :class:`Demand`
-    :param views: list of :class:`VmView`; their ``reserved`` grows
+    :param views: list of ``vmview.VmView``; their ``reserved`` grows
     :param quotas: a :class:`Quotas`
     :param now_ms: wall time, for the decisions
     :param judge: function of services, kinds and a kind, that tells whether
@@ -442,7 +333,7 @@
 class _Choice:
     """The best VM for one task, and why not the others."""
 
-    view: VmView = None
+    view: object = None
     parts: list = dataclasses.field(default_factory=list)
     refusals: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
@@ -465,7 +356,7 @@
     batch = demand.record.workload.kind == data.Kind.BATCH
     kind = find_kind(demand.record.workload)
     best = float('inf')
-    spread = _count_spread(demand, views)
+    spread = scoring.count_spread(demand, views)
     size = demand.record.workload.reserved
     lonely = demand.record.workload.kind == data.Kind.SERVICE
     for view in views:
@@ -478,7 +369,7 @@
         if reason:
             choice.refusals[reason] += 1
             continue
-        parts = _score(demand, view, spread)
+        parts = scoring.score_vm(demand, view, spread)
         if batch and judge is not None and view.services:
             holds, cost = judge(view.services, view.kinds, kind)
             if not holds:
@@ -524,85 +415,6 @@
     return ''
 
 
-@dataclasses.dataclass(slots=True)
-class _Spread:
-    """How many tasks of a workload are in each rack and zone."""
-
-    racks: collections.Counter
-    zones: collections.Counter
-
-
-def _count_spread(demand, views):
-    spread = _Spread(collections.Counter(), collections.Counter())
-    if demand.record.workload.kind == data.Kind.BATCH:
-        return spread
-    for view in views:
-        count = demand.placed[view.vm.name]
-        if count:
-            spread.racks[view.vm.rack] += count
-            spread.zones[view.vm.availability_zone] += count
-    return spread
-
-
-def _score(demand, view, spread):
-    """Return the addends of a VM's score; the lowest sum wins."""
-    workload = demand.record.workload
-    size = workload.reserved
-    after = view.reserved.add(size)
-    parts = [events.Part('fill', _measure_imbalance(after, view.capacity))]
-    if view.capacity.accelerators and not size.accelerators:
-        free = view.capacity.accelerators - after.accelerators
-        share = free / view.capacity.accelerators
-        parts.append(events.Part('stranding', _STRANDED_ACCELERATOR * share))
-    if workload.job:
-        busy = view.busy_milli / max(1, view.capacity.cpu_milli)
-        parts.append(events.Part('busy', _BUSY * busy))
-        if workload.fills:
-            slow = 1.0 - view.predict_pace(workload)
-            parts.append(events.Part('paced', _PACE * slow))
-        elif not workload.target_ms and not view.serving_milli:
-            parts.append(events.Part('clear', _CLEAR))
-        if workload.data_rack and workload.data_rack not in view.labels:
-            parts.append(events.Part('far-from-data', _FAR_RACK))
-    if workload.target_ms:
-        parts = _score_server(view, after)
-    elif workload.kind != data.Kind.BATCH:
-        alike = demand.placed[view.vm.name]
-        parts.append(events.Part('same-vm', _SAME_VM * alike))
-        rack = spread.racks[view.vm.rack]
-        parts.append(events.Part('same-rack', _SAME_RACK * rack))
-        zone = spread.zones[view.vm.availability_zone]
-        parts.append(events.Part('same-zone', _SAME_ZONE * zone))
-    return parts
-
-
-def _score_server(view, after):
-    """Return the addends for what serves: packed on as few VMs as it goes.
-
-    The VMs that nothing serves on are left to what fills, which works there
-    unpaced. Large ones are opened first, as fewer are needed then.
-    """
-    cores = max(1, view.capacity.cpu_milli)
-    filled = events.Part('filled', _FILLED * view.filling_milli / cores)
-    if view.serving_milli:
-        return [events.Part('packed', -after.cpu_milli / cores), filled]
-    size = events.Part('size', -cores / _LARGEST_MILLI)
-    return [events.Part('opens', _KEEP_CLEAR), size, filled]
-
-
-def _measure_imbalance(reserved, capacity):
-    """Return how full a VM would be, by its fullest axis, 0 to 1.
-
-    The emptiest VM wins: with interference unknown, spreading batch work
-    costs services the least.
-    """
-    shares = [reserved.cpu_milli / max(1, capacity.cpu_milli)]
-    shares.append(reserved.memory_mb / max(1, capacity.memory_mb))
-    if capacity.accelerators:
-        shares.append(reserved.accelerators / capacity.accelerators)
-    return max(shares)
-
-
 def explain_wait(waiting, now_ms):
     """Return the decision that says why a workload waits."""
     workload = waiting.record.workload
--- a/packages/scheduler/portwharf/scheduler/placement_test.py
+++ b/packages/scheduler/portwharf/scheduler/placement_test.py
@@ -8,6 +8,7 @@
 from portwharf.core import data
 from portwharf.scheduler import placement
 from portwharf.scheduler import state
+from portwharf.scheduler import vmview
 from portwharf.testing import fixtures
 
 NOW_MS = 1_000_000
@@ -16,7 +17,7 @@
 def make_view(number, size=None, **fields):
     """Return a VM with nothing on it."""
     capacity = size or data.Resources(4000, 8000)
-    return placement.VmView(fixtures.make_vm(number), capacity, **fields)
+    return vmview.VmView(fixtures.make_vm(number), capacity, **fields)
 
 
 def make_demand(name='plans', count=1, **fields):
--- a/packages/scheduler/portwharf/scheduler/planning.py
+++ b/packages/scheduler/portwharf/scheduler/planning.py
@@ -26,7 +26,7 @@
     """Choose places for waiting tasks.
 
     :param demands: what :func:`list_demands` gave
-    :param views: list of ``placement.VmView``; their ``reserved`` changes
+    :param views: list of ``vmview.VmView``; their ``reserved`` changes
     :param quotas: map of team to Resources
     :param judge: as for ``placement.place_demands``
     :returns: a ``placement.Pass``
--- a/packages/scheduler/portwharf/scheduler/preparing.py
+++ b/packages/scheduler/portwharf/scheduler/preparing.py
@@ -81,7 +81,7 @@
     def resolve(self, views, is_silent, may_replace):
         """Place prepared tasks where there is room, or take them back.
 
-        :param views: list of ``placement.VmView``; their room is used up
+        :param views: list of ``vmview.VmView``; their room is used up
         :param is_silent: function of a VM's name
         :param may_replace: function of a VM's name
         :returns: list of events
--- a/packages/scheduler/portwharf/scheduler/rehoming.py
+++ b/packages/scheduler/portwharf/scheduler/rehoming.py
@@ -61,7 +61,7 @@
     """Return the tasks that have somewhere better to go.
 
     :param stuck: list of :class:`Stuck`
-    :param views: list of ``placement.VmView`` after a pass; what is chosen
+    :param views: list of ``vmview.VmView`` after a pass; what is chosen
         is counted on them
     """
     chosen = []
--- a/packages/scheduler/portwharf/scheduler/rehoming_test.py
+++ b/packages/scheduler/portwharf/scheduler/rehoming_test.py
@@ -7,10 +7,10 @@
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.scheduler import events
-from portwharf.scheduler import placement
 from portwharf.scheduler import presses
 from portwharf.scheduler import rehoming
 from portwharf.scheduler import state
+from portwharf.scheduler import vmview
 
 ID = '5c0e7a21d94b36f8'
 TASK = f'{ID}.0.0.0'
@@ -49,7 +49,7 @@
 
 def make_view(name='vm-2', **fields):
     """Return a view of a VM that is clear."""
-    view = placement.VmView(data.Vm(name), data.Resources(16000, 64000))
+    view = vmview.VmView(data.Vm(name), data.Resources(16000, 64000))
     view.pairs = presses.Presses()
     for field, value in fields.items():
         setattr(view, field, value)
--- a/packages/scheduler/portwharf/scheduler/rosters.py
+++ b/packages/scheduler/portwharf/scheduler/rosters.py
@@ -38,7 +38,7 @@
     def follow(self, views, now_ms, has_lapsed):
         """Follow where services run.
 
-        :param views: list of ``placement.VmView``
+        :param views: list of ``vmview.VmView``
         :param has_lapsed: function of a VM's name: it holds no valid grant
         :returns: (event or None, whether there is news to announce)
         """
--- a/packages/scheduler/portwharf/scheduler/state_test.py
+++ b/packages/scheduler/portwharf/scheduler/state_test.py
@@ -4,6 +4,7 @@
 
 from portwharf.core import data
 from portwharf.scheduler import events
+from portwharf.scheduler import history
 from portwharf.scheduler import state
 from portwharf.testing import fixtures
 
@@ -127,17 +128,17 @@
 
 
 def test_history_stays_in_its_budget(case):
-    history = state.History(budget=10_000)
+    past = history.History(budget=10_000)
     for number in range(1000):
-        history.add(events.Decision(number, 'placed', f'0-job.{number}'))
-    kept = history.find(JOB)
+        past.add(events.Decision(number, 'placed', f'0-job.{number}'))
+    kept = past.find(JOB)
     case.assertEqual(kept[-1].unix_ms, 999)
     case.assertLess(len(kept), 100)
 
 
 def test_history_finds_a_workloads_tasks_alone(case):
-    history = state.History()
+    past = history.History()
     for subject in (JOB, f'{JOB}.1', f'{JOB}x', f'{JOB}x.1'):
-        history.add(events.Decision(1, 'placed', subject))
-    found = [decision.subject for decision in history.find(JOB)]
+        past.add(events.Decision(1, 'placed', subject))
+    found = [decision.subject for decision in past.find(JOB)]
     case.assertEqual(found, [JOB, f'{JOB}.1'])
--- a/packages/scheduler/portwharf/scheduler/takeover.py
+++ b/packages/scheduler/portwharf/scheduler/takeover.py
@@ -127,7 +127,7 @@
     """Watches the owner and takes its place; a context manager."""
 
     def __init__(self, env, guard, kv):
-        """Take an ``owner.Environment``, a ``Guard`` and the store."""
+        """Take an ``environment.Environment``, a ``Guard`` and the store."""
         self._env = env
         self._guard = guard
         self._kv = kv
--- a/packages/scheduler/portwharf/scheduler/takeover_test.py
+++ b/packages/scheduler/portwharf/scheduler/takeover_test.py
@@ -7,9 +7,9 @@
 from portwharf.peers import messages
 from portwharf.peers import streams
 from portwharf.scheduler import configuration
+from portwharf.scheduler import environment
 from portwharf.scheduler import guard
 from portwharf.scheduler import limits
-from portwharf.scheduler import owner
 from portwharf.scheduler import takeover
 from portwharf.testing import fixtures
 
@@ -62,7 +62,7 @@
         self.guard = guard.Guard(self.clock, LIMITS)
         self.conns = []
         self.answers = answers
-        env = owner.Environment(
+        env = environment.Environment(
             name=FIRST,
             clock=self.clock,
             limits=LIMITS,
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -20,6 +20,7 @@
 from portwharf.side import doubts
 from portwharf.side import leases
 from portwharf.side import pacing
+from portwharf.side import reports
 from portwharf import workers
 
 LOG = logging.getLogger(__name__)
@@ -32,9 +33,6 @@
 # Refused attempts that are remembered. A copy of a command arrives within
 # the life of its connection, so that old ones can go.
 MAX_BURNT = 10_000
-# A task's result is in the log: a reference to anything larger.
-MAX_RESULT_BYTES = 64 * 1024
-REASON_RESULT = 'result-is-over-64-KiB'
 REFUSED_CAPACITY = 'no-room-on-the-vm'
 REFUSED_EPOCH = 'command-of-a-former-owner'
 REFUSED_GRANT = messages.REFUSED_GRANT
@@ -232,7 +230,7 @@
         answer = self._worker.start(start) if first.is_err() else first
         self._next_poll = 0.0
         if answer.is_ok() and not answer.ok_value:
-            self._listing.attempts.append(make_attempt(start))
+            self._listing.attempts.append(reports.make_attempt(start))
             return
         unclear = first.is_err() or answer.ok_value == workers.REFUSED_OLD
         if unclear:
@@ -429,7 +427,7 @@
         for attempt in self._listing.attempts:
             name = (attempt.task, attempt.attempt)
             if whole or self._sent.get(name) != attempt.state:
-                changed.append(_make_report(attempt))
+                changed.append(reports.make_report(attempt))
                 self._sent[name] = attempt.state
         if not changed and not whole:
             return
@@ -467,43 +465,5 @@
             conn.try_send(message)
 
 
-def make_attempt(start):
-    """Return a started attempt as the next listing will show it."""
-    return workers.Attempt(
-        start.task,
-        start.attempt,
-        data.RunState.RUNNING,
-        kind=start.kind,
-        workload=start.workload,
-        lease_until_ms=start.lease_until_ms,
-        resources=start.resources,
-    )
-
-
-def _make_report(attempt):
-    """Return what the owner is told of an attempt.
-
-    A result that the log cannot hold makes the attempt a failed one, which
-    is said, instead of a log that stands still.
-    """
-    if len(attempt.result) > MAX_RESULT_BYTES:
-        attempt = dataclasses.replace(
-            attempt,
-            state=data.RunState.FAILED,
-            result=b'',
-            reason=REASON_RESULT,
-        )
-    return messages.TaskReport(
-        task=attempt.task,
-        attempt=attempt.attempt,
-        state=attempt.state,
-        checkpoint=attempt.checkpoint,
-        result=attempt.result,
-        reason=attempt.reason,
-        cpu_milli=attempt.used_cpu_milli,
-        memory_mb=attempt.used_memory_mb,
-    )
-
-
 def _name(item):
     return logs.fields(task=item.task, attempt=item.attempt)
--- a/packages/side/portwharf/side/agent_test.py
+++ b/packages/side/portwharf/side/agent_test.py
@@ -10,6 +10,7 @@
 from portwharf.scheduler import guard
 from portwharf.scheduler import limits
 from portwharf.side import agent
+from portwharf.side import reports
 from portwharf import workers
 
 LIMITS = limits.Limits(heartbeat=1, guard=6, lease=4)
@@ -34,7 +35,7 @@
 
     def start(self, start):
         self.calls.append(('start', start.task, start.attempt))
-        self.listing.attempts.append(agent.make_attempt(start))
+        self.listing.attempts.append(reports.make_attempt(start))
         return result.Ok('')
 
     def stop(self, task, attempt, checkpoint):
@@ -272,11 +273,11 @@
     bench.conn.take(messages.Reports)
     attempt = bench.worker.listing.attempts[0]
     attempt.state = data.RunState.SUCCEEDED
-    attempt.result = bytes(agent.MAX_RESULT_BYTES + 1)
+    attempt.result = bytes(reports.MAX_RESULT_BYTES + 1)
     bench.step(1.0)
     (message,) = bench.conn.take(messages.Reports)
     case.assertEqual(message.reports[0].state, data.RunState.FAILED)
-    case.assertEqual(message.reports[0].reason, agent.REASON_RESULT)
+    case.assertEqual(message.reports[0].reason, reports.REASON_RESULT)
 
 
 def test_forgotten_ending_leaves_the_worker(case):
--- a/packages/side/portwharf/side/home_test.py
+++ b/packages/side/portwharf/side/home_test.py
@@ -17,9 +17,9 @@
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.scheduler import events
-from portwharf.scheduler import placement
 from portwharf.scheduler import rosters
 from portwharf.scheduler import state
+from portwharf.scheduler import vmview
 from portwharf.side import admission
 from portwharf.side import home
 from portwharf.testing import fixtures
@@ -248,7 +248,7 @@
     def follow(self):
         """Let the owner look once."""
         views = [
-            placement.VmView(
+            vmview.VmView(
                 data.Vm(name),
                 closed='unreachable' if name in self.closed else '',
             )
--- a/packages/side/portwharf/side/process.py
+++ b/packages/side/portwharf/side/process.py
@@ -13,8 +13,8 @@
 from portwharf.peers import streams
 from portwharf.peers import tls
 from portwharf.scheduler import configuration
+from portwharf.scheduler import environment
 from portwharf.scheduler import guard
-from portwharf.scheduler import owner
 from portwharf.scheduler import takeover
 from portwharf.side import admission
 from portwharf.side import agent
@@ -122,7 +122,7 @@
     def _make_watcher(self, kv, listing):
         cfg = self._cfg
         context = tls.make_client_context(cfg.tls)
-        env = owner.Environment(
+        env = environment.Environment(
             name=cfg.vm.name,
             instance=self._instance,
             shard=cfg.vm.shard,
--- /dev/null
+++ b/packages/side/portwharf/side/reports.py
@@ -0,0 +1,51 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""What a side tells its owner of an attempt."""
+
+import dataclasses
+
+from portwharf.core import data
+from portwharf.peers import messages
+from portwharf import workers
+
+# A task's result is in the log: a reference to anything larger.
+MAX_RESULT_BYTES = 64 * 1024
+REASON_RESULT = 'result-is-over-64-KiB'
+
+
+def make_attempt(start):
+    """Return a started attempt as the next listing will show it."""
+    return workers.Attempt(
+        start.task,
+        start.attempt,
+        data.RunState.RUNNING,
+        kind=start.kind,
+        workload=start.workload,
+        lease_until_ms=start.lease_until_ms,
+        resources=start.resources,
+    )
+
+
+def make_report(attempt):
+    """Return what the owner is told of an attempt.
+
+    A result that the log cannot hold makes the attempt a failed one, which
+    is said, instead of a log that stands still.
+    """
+    if len(attempt.result) > MAX_RESULT_BYTES:
+        attempt = dataclasses.replace(
+            attempt,
+            state=data.RunState.FAILED,
+            result=b'',
+            reason=REASON_RESULT,
+        )
+    return messages.TaskReport(
+        task=attempt.task,
+        attempt=attempt.attempt,
+        state=attempt.state,
+        checkpoint=attempt.checkpoint,
+        result=attempt.result,
+        reason=attempt.reason,
+        cpu_milli=attempt.used_cpu_milli,
+        memory_mb=attempt.used_memory_mb,
+    )
--- a/packages/testing/portwharf/testing/bench.py
+++ b/packages/testing/portwharf/testing/bench.py
@@ -19,13 +19,13 @@
 from portwharf.scheduler import events
 from portwharf.scheduler import interference
 from portwharf.scheduler import owner
-from portwharf.scheduler import placement
 from portwharf.scheduler import planning
 from portwharf.scheduler import preparing
 from portwharf.scheduler import pressure
 from portwharf.scheduler import remedies
 from portwharf.scheduler import shardlog
 from portwharf.scheduler import state
+from portwharf.scheduler import vmview
 from portwharf.side import settings
 from portwharf.testing import cluster
 from portwharf.testing import fixtures
@@ -202,7 +202,7 @@
     """Return VMs with a service on each, and some room."""
     views = []
     for number in range(vms):
-        view = placement.VmView(fixtures.make_vm(number))
+        view = vmview.VmView(fixtures.make_vm(number))
         view.capacity = data.Resources(room_milli, 10**6)
         view.services = [remedies.ServiceView('lens/fit', 0.5, 0.6, 0.2)]
         views.append(view)
--- a/packages/testing/portwharf/testing/bench_decisions.py
+++ b/packages/testing/portwharf/testing/bench_decisions.py
@@ -29,6 +29,7 @@
 from portwharf.scheduler import placement
 from portwharf.scheduler import remedies
 from portwharf.scheduler import state
+from portwharf.scheduler import vmview
 from portwharf.testing import fixtures
 
 SECONDS = 2400
@@ -295,7 +296,7 @@
         views = []
         for number in range(VMS):
             vm = fixtures.make_vm(number)
-            view = placement.VmView(vm, _VM_SIZE)
+            view = vmview.VmView(vm, _VM_SIZE)
             service = self.world.replicas.get(vm.name)
             if service:
                 view.reserved = _REPLICA
--- a/packages/testing/portwharf/testing/cluster.py
+++ b/packages/testing/portwharf/testing/cluster.py
@@ -21,6 +21,7 @@
 from portwharf.peers import streams
 from portwharf.scheduler import configuration
 from portwharf.scheduler import decider
+from portwharf.scheduler import environment
 from portwharf.scheduler import guard
 from portwharf.scheduler import limits
 from portwharf.scheduler import members
@@ -28,6 +29,7 @@
 from portwharf.scheduler import owner
 from portwharf.scheduler import takeover
 from portwharf.side import agent
+from portwharf.side import reports
 from portwharf.side import server
 from portwharf.side import settings
 from portwharf.testing import fixtures
@@ -124,7 +126,7 @@
             if (known.task, known.attempt) == (start.task, start.attempt):
                 return result.Ok('')
         run = Run(
-            agent.make_attempt(start),
+            reports.make_attempt(start),
             self.clock.read_monotonic(),
             from_checkpoint=start.checkpoint,
         )
@@ -305,7 +307,7 @@
 
     def make_env(self):
         """Return what an owner on this VM works with."""
-        return owner.Environment(
+        return environment.Environment(
             name=self.vm.name,
             clock=self.clock,
             limits=LIMITS,
