A step that has waited goes wherever there is room

A step waited for a VM where it would work at 0.35 or more, and kept away from VMs for up to two minutes after refusals; nothing bounded either. Change: after 1.5 s of waiting a job's step takes any VM with room.

--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -97,6 +97,7 @@
         self.rosters = rosters.RosterKeeper(state)
         # Why workloads wait, as of the last pass, by their ids.
         self.waiting = {}
+        self._patience = planning.Patience()
         # Attempts that a side did not list and that it has to be told of.
         self._owed = {}
         # Jobs whose end is not in the log yet, and so must not be shown.
@@ -336,6 +337,7 @@
             self.pressure.remedies.judge,
         )
         self.waiting = {one.record.id: one for one in done.waiting}
+        self._patience.note(self.waiting, now)
         decisionlog.log_placements(done.placements)
         for placed in done.placements:
             event = events.TaskPlaced(placed.task, placed.attempt, placed.vm)
@@ -363,11 +365,13 @@
             self._evict(task, rehoming.REASON_STUCK, now_ms, batch)
 
     def _list_demands(self, now):
-        return planning.list_demands(
+        demands = planning.list_demands(
             self._state,
             lambda workload: self._health.list_avoided(workload, now),
             self._env.clock.read_unix_ms(),
         )
+        self._patience.apply(demands, now)
+        return demands
 
     def _make_room(self, done, views, quotas, batch):
         """Evict what has to give way to work that still waits."""
--- a/packages/scheduler/portwharf/scheduler/jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/jobs_test.py
@@ -8,8 +8,10 @@
 from portwharf.scheduler import job_operations
 from portwharf.scheduler import jobs
 from portwharf.scheduler import planning
+from portwharf.scheduler import presses
 from portwharf.scheduler import reconcile
 from portwharf.scheduler import state
+from portwharf.scheduler import vmview
 from portwharf.testing import cluster
 
 ID = '5c0e7a21d94b36f8'
@@ -209,3 +211,18 @@
     made.standin.faults.down = False
     made.run(2)
     case.assertIn(b'completed', node.owner.operate(query).body)
+
+
+def test_step_that_has_waited_goes_wherever_there_is_room(case):
+    made = accept(make_step(fills=True, image='plan'))
+    view = vmview.VmView(data.Vm('vm-1'), data.Resources(9000, 9000))
+    view.take_pairs(presses.Presses(), [messages.Headroom('desk', 0.0)])
+    patience = planning.Patience()
+    placed = []
+    for now in (0.0, 1.0, 2.0):
+        demands = planning.list_demands(made, lambda _: {'vm-1'}, NOW)
+        patience.apply(demands, now)
+        done = planning.plan(made, demands, [view], {}, NOW)
+        patience.note({one.record.id for one in done.waiting}, now)
+        placed.append(len(done.placements))
+    case.assertEqual(placed, [0, 0, 1])
--- a/packages/scheduler/portwharf/scheduler/placement.py
+++ b/packages/scheduler/portwharf/scheduler/placement.py
@@ -48,7 +48,14 @@
     thousands of jobs most are never asked.
     """
 
-    __slots__ = ('_attempts', '_placed', '_tasks', 'avoided', 'record')
+    __slots__ = (
+        '_attempts',
+        '_placed',
+        '_tasks',
+        'avoided',
+        'choosy',
+        'record',
+    )
 
     def __init__(self, record, avoided=frozenset()):
         """Take a ``state.WorkloadRecord``.
@@ -57,6 +64,8 @@
         """
         self.record = record
         self.avoided = avoided
+        # It rather waits than goes where it would hardly work.
+        self.choosy = True
         self._tasks = None
         self._attempts = None
         self._placed = None
@@ -84,6 +93,11 @@
             )
         return self._placed
 
+    def take_any(self):
+        """Go wherever there is room: it has waited for long enough."""
+        self.choosy = False
+        self.avoided = frozenset()
+
     def _list_tasks(self):
         record = self.record
         limit = record.workload.count
@@ -326,6 +340,7 @@
         workload.fills,
         workload.pool,
         workload.label,
+        demand.choosy,
     )
 
 
@@ -410,7 +425,7 @@
         room = view.capacity.cpu_milli - view.busy_milli
         if workload.resources.cpu_milli > room:
             return 'processors'
-        if view.predict_pace(workload) < _LEAST_PACE:
+        if demand.choosy and view.predict_pace(workload) < _LEAST_PACE:
             return REFUSED_SLOWS
     return ''
 
--- a/packages/scheduler/portwharf/scheduler/planning.py
+++ b/packages/scheduler/portwharf/scheduler/planning.py
@@ -16,12 +16,33 @@
 KEEP_ENDED_SECONDS = 24 * 3600
 # Ended workloads beyond this number go earlier, the oldest first.
 MAX_ENDED = 2000
+# A step of a job waits this long at the most for a VM that suits it, while
+# others have room; working slowly is better than not at all.
+PATIENCE_SECONDS = 1.5
 _MS = 1000
 
 REASON_LOST = 'vm-lost'
 REASON_LEAVING = 'vm-is-leaving'
 
 
+class Patience:
+    """How long steps of jobs have waited for a place that suits them."""
+
+    def __init__(self):
+        self._since = {}
+
+    def note(self, waiting, now):
+        """Take the ids of what waits after a pass."""
+        self._since = {name: self._since.get(name, now) for name in waiting}
+
+    def apply(self, demands, now):
+        """Let those that have waited for long go wherever there is room."""
+        for demand in demands:
+            since = self._since.get(demand.record.id, now)
+            if demand.record.workload.job and now - since > PATIENCE_SECONDS:
+                demand.take_any()
+
+
 def plan(state, demands, views, quotas, now_ms, judge=None):
     """Choose places for waiting tasks.
 
