A job that stands still gets one task beyond the processors

What fills reserves no processors, so that the room counts as free, but we keep filling tasks to the processors that others leave unused; a job that was late stood at the end of that queue for over 3 s. Change: a step that has waited 1.5 s and has nothing running gets one task wherever memory is free.

--- a/packages/scheduler/portwharf/scheduler/jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/jobs_test.py
@@ -226,3 +226,16 @@
         patience.note({one.record.id for one in done.waiting}, now)
         placed.append(len(done.placements))
     case.assertEqual(placed, [0, 0, 1])
+
+
+def test_job_that_stands_still_gets_one_task_beyond_the_processors(case):
+    made = accept(make_step(3, fills=True, image='plan'))
+    view = vmview.VmView(data.Vm('vm-1'), data.Resources(9000, 9000))
+    view.take_pairs(presses.Presses(), [])
+    view.filling_milli = 9000
+    (demand,) = planning.list_demands(made, lambda _: frozenset(), NOW)
+    done = planning.plan(made, [demand], [view], {}, NOW)
+    case.assertEqual(done.placements, [])
+    demand.take_any()
+    done = planning.plan(made, [demand], [view], {}, NOW)
+    case.assertEqual(len(done.placements), 1)
--- a/packages/scheduler/portwharf/scheduler/placement.py
+++ b/packages/scheduler/portwharf/scheduler/placement.py
@@ -98,6 +98,15 @@
         self.choosy = False
         self.avoided = frozenset()
 
+    @property
+    def starves(self):
+        """Whether it has waited for long and has nothing running.
+
+        One of its tasks then goes where only memory is free: a job that
+        stands still is worse than one that works slowly.
+        """
+        return not self.choosy and not self.placed
+
     def _list_tasks(self):
         record = self.record
         limit = record.workload.count
@@ -421,7 +430,7 @@
     most = workload.most_per_vm
     if most and demand.placed[view.vm.name] >= most:
         return 'enough-of-them-there'
-    if workload.fills:
+    if workload.fills and not demand.starves:
         room = view.capacity.cpu_milli - view.busy_milli
         if workload.resources.cpu_milli > room:
             return 'processors'
