--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/backlog.py
@@ -0,0 +1,173 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Workloads with waiting tasks, and the order in which they are served.
+
+Urgency first, then importance, deadline and age. A job's step goes by the
+time at which it has to begin, so that its job ends in time.
+"""
+
+import collections
+
+from portwharf.core import data
+from portwharf.core import ids
+
+# Tasks placed in one pass; the rest waits for the next.
+MAX_PLACEMENTS = 200
+# Importance that waiting adds, so that nothing starves.
+AGEING_A_MINUTE = 2.0
+MAX_AGEING = 400.0
+_NO_DEADLINE = float('inf')
+# A job that is late is served last, but not for longer than this.
+_PATIENCE_MS = 30_000
+
+
+class Demand:
+    """A workload with waiting tasks.
+
+    Which tasks wait is worked out when it is first asked for: in a pass over
+    thousands of jobs most are never asked.
+    """
+
+    __slots__ = (
+        '_attempts',
+        '_placed',
+        '_tasks',
+        'avoided',
+        'choosy',
+        'record',
+    )
+
+    def __init__(self, record, avoided=frozenset()):
+        """Take a ``state.WorkloadRecord``.
+
+        :param avoided: VM names that its tasks keep away from
+        """
+        self.record = record
+        self.avoided = avoided
+        # It rather waits than goes where it would hardly work.
+        self.choosy = True
+        self._tasks = None
+        self._attempts = None
+        self._placed = None
+
+    @property
+    def tasks(self):
+        """Ids of the waiting tasks, in order; placed ones are taken off."""
+        if self._tasks is None:
+            self._list_tasks()
+        return self._tasks
+
+    @property
+    def attempts(self):
+        """The number of the next attempt of each waiting task."""
+        if self._attempts is None:
+            self._list_tasks()
+        return self._attempts
+
+    @property
+    def placed(self):
+        """Counter of VM names where its tasks are."""
+        if self._placed is None:
+            self._placed = collections.Counter(
+                task.vm for task in self.record.tasks if task.vm
+            )
+        return self._placed
+
+    def take_any(self):
+        """Go wherever there is room: it has waited for long enough."""
+        self.choosy = False
+        self.avoided = frozenset()
+
+    @property
+    def starves(self):
+        """Whether it has waited for long and has nothing running.
+
+        One of its tasks then goes where only memory is free: a job that
+        stands still is worse than one that works slowly.
+        """
+        return not self.choosy and not self.placed
+
+    def _list_tasks(self):
+        record = self.record
+        limit = record.workload.count
+        waiting = [
+            task
+            for task in record.tasks
+            if task.state == data.TaskState.WAITING and task.number < limit
+        ]
+        most = min(limit, record.begun + MAX_PLACEMENTS)
+        unbegun = range(record.begun, most)
+        self._tasks = [task.id for task in waiting]
+        self._tasks += [ids.make_task_id(record.id, n) for n in unbegun]
+        self._attempts = [task.attempt + 1 for task in waiting]
+        self._attempts += [1 for _ in unbegun]
+
+
+class Quotas:
+    """What each team may reserve, and has reserved.
+
+    A team without a quota of its own has no limit.
+    """
+
+    def __init__(self, limits, reserved):
+        """Take maps of team to Resources."""
+        self._limits = limits
+        self._reserved = collections.defaultdict(data.Resources, reserved)
+
+    def has_room(self, team, size):
+        """Tell whether a team may reserve this much more."""
+        limit = self._limits.get(team)
+        return limit is None or self._reserved[team].add(size).fits(limit)
+
+    def reserve(self, team, size):
+        """Count an amount against a team's quota."""
+        self._reserved[team] = self._reserved[team].add(size)
+
+
+def order_demands(demands, now_ms):
+    """Return demands in the order in which they are served."""
+    return sorted(demands, key=lambda demand: _rank(demand.record, now_ms))
+
+
+def find_kind(workload):
+    """Return what a batch workload's interference is learnt by."""
+    return f'{workload.team}/{workload.program}'
+
+
+def _rank_step(record, now_ms):
+    """Return the rank of a job's step: by when it has to begin.
+
+    Lasting work is served before others of its importance, to be whole.
+    What is too late to matter waits for what is not, but not for ever.
+    """
+    workload = record.workload
+    spent = now_ms - record.late_ms
+    lasts = workload.kind == data.Kind.STANDING
+    return (
+        True,
+        True,
+        -workload.importance,
+        0 < spent < _PATIENCE_MS and not lasts,
+        not lasts,
+        record.due_ms,
+        record.id,
+    )
+
+
+def _rank(record, now_ms):
+    workload = record.workload
+    if workload.job:
+        return _rank_step(record, now_ms)
+    due = _NO_DEADLINE
+    if workload.deadline_seconds:
+        end = record.unix_ms + workload.deadline_seconds * 1000
+        due = end - workload.run_seconds * 1000 - now_ms
+    aged = (now_ms - record.unix_ms) * AGEING_A_MINUTE / 60_000
+    return (
+        not workload.urgent,
+        workload.kind != data.Kind.SERVICE,
+        -workload.importance - min(MAX_AGEING, aged),
+        due,
+        record.unix_ms,
+        record.id,
+    )
--- a/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
@@ -10,11 +10,11 @@
 from portwharf.platform import kv_test
 from portwharf.platform import runner
 from portwharf.platform import runner_test
+from portwharf.scheduler import backlog
 from portwharf.scheduler import decider
 from portwharf.scheduler import faults_test
 from portwharf.scheduler import jobs_test
 from portwharf.scheduler import ownership_test
-from portwharf.scheduler import placement
 from portwharf.scheduler import planning
 from portwharf.scheduler import preparing
 from portwharf.scheduler import reconcile
@@ -78,7 +78,7 @@
         planning,
         'list_demands',
         lambda made, avoided, now_ms: [
-            placement.Demand(record) for record in made.list_unended()
+            backlog.Demand(record) for record in made.list_unended()
         ],
     )
 
--- a/packages/scheduler/portwharf/scheduler/placement_test.py
+++ b/packages/scheduler/portwharf/scheduler/placement_test.py
@@ -6,6 +6,8 @@
 from hypothesis import strategies
 
 from portwharf.core import data
+from portwharf.scheduler import backlog
+from portwharf.scheduler import choosing
 from portwharf.scheduler import placement
 from portwharf.scheduler import state
 from portwharf.scheduler import vmview
@@ -24,12 +26,12 @@
     """Return a workload whose tasks all wait."""
     workload = fixtures.make_workload(name=name, count=count, **fields)
     record = state.WorkloadRecord(f'0-{name}', workload.key, 5, workload)
-    return placement.Demand(record)
+    return backlog.Demand(record)
 
 
 def place(demands, views, limits=None, reserved=None):
     """Run a pass."""
-    quotas = placement.Quotas(limits or {}, reserved or {})
+    quotas = backlog.Quotas(limits or {}, reserved or {})
     return placement.place_demands(demands, views, quotas, NOW_MS)
 
 
@@ -57,7 +59,7 @@
     decision = placement.explain_wait(waiting, NOW_MS)
     counts = {one.name: one.number for one in decision.refusals}
     case.assertEqual(counts, {'processors': 2, 'memory': 1, 'leaving': 1})
-    case.assertEqual(decision.reason, placement.REASON_NO_ROOM)
+    case.assertEqual(decision.reason, choosing.REASON_NO_ROOM)
 
 
 def test_order_is_urgent_then_services_then_importance(case):
@@ -67,7 +69,7 @@
         make_demand('service', kind=data.Kind.SERVICE),
         make_demand('urgent', urgent=True),
     ]
-    ordered = placement.order_demands(demands, NOW_MS)
+    ordered = backlog.order_demands(demands, NOW_MS)
     names = [demand.record.workload.name for demand in ordered]
     case.assertEqual(names, ['urgent', 'service', 'high', 'low'])
 
@@ -78,7 +80,7 @@
         make_demand('none'),
         make_demand('soon', deadline_seconds=9000, run_seconds=8000),
     ]
-    ordered = placement.order_demands(demands, NOW_MS)
+    ordered = backlog.order_demands(demands, NOW_MS)
     names = [demand.record.workload.name for demand in ordered]
     case.assertEqual(names, ['soon', 'late', 'none'])
 
@@ -143,7 +145,7 @@
     done = placement.place_demands(
         [make_demand(count=9)],
         [quiet, near],
-        placement.Quotas({}, {}),
+        backlog.Quotas({}, {}),
         NOW_MS,
         judge,
     )
@@ -151,17 +153,17 @@
     case.assertEqual(vms.count('vm-01'), 1)
     decision = placement.explain_wait(done.waiting[0], NOW_MS)
     refusals = {one.name for one in decision.refusals}
-    case.assertIn(placement.REFUSED_SLOWS, refusals)
+    case.assertIn(choosing.REFUSED_SLOWS, refusals)
 
 
 def test_waiting_adds_importance_up_to_a_limit(case):
     old = make_demand('old', importance=1)
     new = make_demand('new', importance=9)
     new.record.unix_ms = NOW_MS + 600_000
-    ordered = placement.order_demands([new, old], NOW_MS + 600_000)
+    ordered = backlog.order_demands([new, old], NOW_MS + 600_000)
     case.assertEqual(ordered[0].record.workload.name, 'old')
     new.record.workload.importance = 600
-    ordered = placement.order_demands([new, old], NOW_MS + 10**9)
+    ordered = backlog.order_demands([new, old], NOW_MS + 10**9)
     case.assertEqual(ordered[0].record.workload.name, 'new')
 
 
--- a/packages/scheduler/portwharf/scheduler/planning.py
+++ b/packages/scheduler/portwharf/scheduler/planning.py
@@ -9,6 +9,7 @@
 import collections
 
 from portwharf.core import data
+from portwharf.scheduler import backlog
 from portwharf.scheduler import events
 from portwharf.scheduler import placement
 
@@ -54,18 +55,18 @@
     """
     if not demands:
         return placement.Pass()
-    used = placement.Quotas(quotas, sum_by_team(state))
+    used = backlog.Quotas(quotas, sum_by_team(state))
     return placement.place_demands(demands, views, used, now_ms, judge)
 
 
 def list_demands(state, list_avoided, now_ms):
-    """Return what waits to be placed, as ``placement.Demand`` values.
+    """Return what waits to be placed, as ``backlog.Demand`` values.
 
     :param list_avoided: function from a workload's id to the names of VMs
         that it keeps away from
     """
     return [
-        placement.Demand(record, list_avoided(record.id))
+        backlog.Demand(record, list_avoided(record.id))
         for record in state.list_unended()
         if _has_waiting(record)
         and record.not_before_ms <= now_ms
--- a/packages/scheduler/portwharf/scheduler/preparing.py
+++ b/packages/scheduler/portwharf/scheduler/preparing.py
@@ -52,7 +52,7 @@
     def choose(self, demands, views):
         """Prepare waiting batch tasks on VMs that could hold them.
 
-        :param demands: list of ``placement.Demand``, in order, with what
+        :param demands: list of ``backlog.Demand``, in order, with what
             is still waiting after a pass
         :returns: list of events
         """
--- a/packages/scheduler/portwharf/scheduler/pressure.py
+++ b/packages/scheduler/portwharf/scheduler/pressure.py
@@ -11,8 +11,8 @@
 import collections
 
 from portwharf.core import data
+from portwharf.scheduler import backlog
 from portwharf.scheduler import interference
-from portwharf.scheduler import placement
 from portwharf.scheduler import remedies
 
 # Less important work makes room only for work that matters more by this.
@@ -101,7 +101,7 @@
             found.append(
                 remedies.Neighbour(
                     task.id,
-                    placement.find_kind(workload),
+                    backlog.find_kind(workload),
                     now - began,
                     workload.importance,
                     task.evictions,
--- a/packages/testing/portwharf/testing/bench_decisions.py
+++ b/packages/testing/portwharf/testing/bench_decisions.py
@@ -24,6 +24,7 @@
 import sys
 
 from portwharf.core import data
+from portwharf.scheduler import backlog
 from portwharf.scheduler import configuration
 from portwharf.scheduler import interference
 from portwharf.scheduler import placement
@@ -335,7 +336,7 @@
         demands = [self._make_demand(task) for task in self.waiting]
         judge = self.remedies.judge if self.policy.judge else None
         done = placement.place_demands(
-            demands, views, placement.Quotas({}, {}), now * 1000, judge
+            demands, views, backlog.Quotas({}, {}), now * 1000, judge
         )
         for placed in done.placements:
             self._begin(tasks[placed.task], placed.vm, now)
@@ -350,7 +351,7 @@
         )
         name = task.name.rpartition('.')[0]
         record = state.WorkloadRecord(name, name, 0, workload)
-        return placement.Demand(record)
+        return backlog.Demand(record)
 
     def _place_simply(self, views, now):
         for task in list(self.waiting):
