Gangs, steps of one rack, and policies that allow only some workers

Cause: jobs of these kinds could not be served. Tasks of a gang began one by one, so that a part waited in vain; on a queue with a policy every start was refused for want of a ticket; a step of one rack was spread. Change: a gang is one demand, placed whole under one number of an attempt; one success ends it, anything else stops the others, and all begin again from what any saved. An owner asks the policy in a thread of its own, names at most 30 workers a question, keeps refusals for good and tickets for nine tenths of their time. Racks come with the runner's labels. Ruled out: starting gang members as room comes up (holds room and works on nothing); asking the policy in the deciding thread (answers take tens of ms).

--- a/packages/core/portwharf/core/data.py
+++ b/packages/core/portwharf/core/data.py
@@ -134,6 +134,8 @@
     :param run_ms: a rough estimate of how long one task runs
     :param max_failures: attempts that may fail before a task has failed,
         0 for the usual number
+    :param ticket_ms: how long a ticket of the policy that governs its
+        queue is valid; 0 if there is no policy
     """
 
     name: str = ''
@@ -164,6 +166,7 @@
     most_away: int = 0
     run_ms: int = 0
     max_failures: int = 0
+    ticket_ms: int = 0
 
     @property
     def reserved(self):
--- a/packages/peers/portwharf/peers/messages.py
+++ b/packages/peers/portwharf/peers/messages.py
@@ -147,6 +147,8 @@
     :param labels: what the worker is labelled with
     :param leaves_in_ms: of a draining worker, how long it stays at least
     :param observed: what was observed of pairs since the last beat
+    :param rack: the rack that the worker stands in, or ''
+    :param life: differs for each start of the worker, or ''
     """
 
     side_ms: int = 0
@@ -165,6 +167,8 @@
     observed: list[PressObserved] = dataclasses.field(default_factory=list)
     headrooms: list[Headroom] = dataclasses.field(default_factory=list)
     paced: list[PacedTask] = dataclasses.field(default_factory=list)
+    rack: str = ''
+    life: str = ''
 
 
 @dataclasses.dataclass(slots=True)
@@ -229,6 +233,8 @@
     fill_milli: int = 0
     # What the tail of its answers has to stay under, 0 for nothing.
     target_ms: int = 0
+    # What the policy gave for this VM's worker, or ''.
+    ticket: str = ''
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/packages/platform/portwharf/platform/advice_test.py
@@ -0,0 +1,41 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""The advice service is asked in its words and answers in ours."""
+
+import json
+
+from portwharf.core import settings
+from portwharf.platform import advice
+from portwharf.scheduler import policy
+from portwharf.testing import fixtures
+from portwharf.testing import platform_store
+
+STEP = '5c0e7a21d94b36f8.0.1'
+
+
+def open_service(case, status=200):
+    """Return the client of a service that allows the first worker."""
+    bodies = []
+
+    def answer(environ, start_response):
+        size = int(environ['CONTENT_LENGTH'])
+        body = json.loads(environ['wsgi.input'].read(size))
+        bodies.append(body)
+        value = {'good': [[body['workers'][0], 'ticket-1']]}
+        return platform_store.answer(start_response, status, value)
+
+    port = fixtures.serve(case, answer)
+    place = settings.Endpoint('127.0.0.1', port)
+    return case.enterContext(advice.AdviceService(place)), bodies
+
+
+def test_allowed_workers_come_with_their_tickets(case):
+    service, bodies = open_service(case)
+    permits = service.ask(STEP, ['i-1', 'i-2']).ok_value
+    case.assertEqual(permits, [policy.Permit('i-1', 'ticket-1')])
+    case.assertEqual(bodies, [{'step': STEP, 'workers': ['i-1', 'i-2']}])
+
+
+def test_full_service_is_no_answer(case):
+    service, _ = open_service(case, status=429)
+    case.assertTrue(service.ask(STEP, ['i-1']).is_err())
--- a/packages/platform/portwharf/platform/beats.py
+++ b/packages/platform/portwharf/platform/beats.py
@@ -42,6 +42,8 @@
 def read_life(instance, value):
     """Return the ``runner.Life`` of a heartbeat's body."""
     size = value.get('capacity', {})
+    # A runner's labels are its kind and its rack, in this order.
+    labels = list(value.get('labels', []))
     return runner.Life(
         instance,
         value['service'],
@@ -49,7 +51,8 @@
         data.Resources(
             size.get('cpu', 0), size.get('memMb', 0), size.get('gpu', 0)
         ),
-        list(value.get('labels', [])),
+        labels,
+        labels[1] if len(labels) > 1 else '',
         value.get('state') == 'draining',
         int(value.get('remainingMs', 0)),
     )
--- a/packages/platform/portwharf/platform/beside.py
+++ b/packages/platform/portwharf/platform/beside.py
@@ -3,6 +3,7 @@
 """What a side meets on the users' platform."""
 
 from portwharf.core import web
+from portwharf.platform import advice
 from portwharf.platform import beats
 from portwharf.platform import programs
 from portwharf.platform import routes
@@ -39,6 +40,10 @@
             self._boot.beats,
         )
 
+    def open_policy(self):
+        place = self._boot.advice
+        return advice.AdviceService(place) if place is not None else None
+
     def parse_config(self, text, revision):
         return routes.parse_config(text, revision)
 
--- a/packages/platform/portwharf/platform/clients_test.py
+++ b/packages/platform/portwharf/platform/clients_test.py
@@ -29,6 +29,7 @@
             'maxAttempts': 4,
             'stretch': 2.0,
             'targetLatencyMs': 1000,
+            'advice': {'decide_ms': 20, 'each_ms': 2, 'valid_ms': 900},
         },
         {
             'name': 'long',
@@ -101,6 +102,7 @@
     second = job.steps[1]
     case.assertEqual((second.after, second.pool), (['0'], 'pool-1'))
     case.assertEqual((second.max_failures, second.most_per_vm), (4, 1))
+    case.assertEqual(second.ticket_ms, 900)
     case.assertTrue(second.checkpointable and second.fills)
 
 
--- a/packages/platform/portwharf/platform/routes.py
+++ b/packages/platform/portwharf/platform/routes.py
@@ -82,7 +82,7 @@
         int(route.get('maxAttempts', 0)),
         float(route.get('stretch', 1.0)),
         int(route.get('targetLatencyMs', 0)),
-        bool(route.get('advice')),
+        int((route.get('advice') or {}).get('valid_ms', 0)),
     )
 
 
@@ -129,6 +129,7 @@
         most_away=int(step.get('may_miss', 0)),
         run_ms=int(step.get('estimateMs', 0)),
         max_failures=queue.max_failures,
+        ticket_ms=queue.ticket_ms,
     )
 
 
--- a/packages/platform/portwharf/platform/runner.py
+++ b/packages/platform/portwharf/platform/runner.py
@@ -42,6 +42,7 @@
     'late': workers.REFUSED_LATE,
     'old': workers.REFUSED_OLD,
     'room': workers.REFUSED_ROOM,
+    'ticket': workers.REFUSED_TICKET,
 }
 _ENDS = {
     'done': data.RunState.SUCCEEDED,
@@ -64,6 +65,7 @@
         default_factory=data.Resources
     )
     labels: list = dataclasses.field(default_factory=list)
+    rack: str = ''
     draining: bool = False
     leaves_in_ms: int = 0
 
@@ -145,6 +147,8 @@
         }
         if start.checkpoint:
             body['saved'] = start.checkpoint
+        if start.ticket:
+            body['ticket'] = start.ticket
         self._starts[(start.task, start.attempt)] = start
         if len(self._starts) > MAX_SIZES:
             del self._starts[next(iter(self._starts))]
@@ -262,6 +266,7 @@
             life.draining,
             life.leaves_in_ms,
             life=life.instance,
+            rack=life.rack,
         )
 
     def _read_running(self, row, now_ms):
--- a/packages/platform/portwharf/platform/runner_test.py
+++ b/packages/platform/portwharf/platform/runner_test.py
@@ -61,6 +61,18 @@
     case.assertEqual(standin.orders, [])
 
 
+def test_ticket_is_brought_and_its_refusal_is_sound(case):
+    client, standin = open_runner(case)
+    standin.ticket = 'right'
+    until = int(time.monotonic() * 1000) + 5000
+    message = workers.Start(TASK, 1, argument=b'spec', lease_until_ms=until)
+    message.ticket = 'wrong'
+    refused = client.start(message).ok_value
+    case.assertIn(refused, workers.SOUND_REFUSALS)
+    message.ticket = 'right'
+    case.assertEqual(client.start(message).ok_value, '')
+
+
 def test_start_twice_is_one_run_and_an_ended_one_is_old(case):
     client, standin = open_runner(case)
     start(client)
--- a/packages/scheduler/portwharf/scheduler/backlog.py
+++ b/packages/scheduler/portwharf/scheduler/backlog.py
@@ -34,7 +34,9 @@
         '_tasks',
         'avoided',
         'choosy',
+        'rack',
         'record',
+        'tickets',
     )
 
     def __init__(self, record, avoided=frozenset()):
@@ -46,6 +48,10 @@
         self.avoided = avoided
         # It rather waits than goes where it would hardly work.
         self.choosy = True
+        # The rack that its tasks should share, or ''.
+        self.rack = ''
+        # Tickets of the policy that governs it, by VM name.
+        self.tickets = {}
         self._tasks = None
         self._attempts = None
         self._placed = None
@@ -90,6 +96,9 @@
     def _list_tasks(self):
         record = self.record
         limit = record.workload.count
+        if record.workload.gang:
+            self._list_gang()
+            return
         waiting = [
             task
             for task in record.tasks
@@ -102,6 +111,21 @@
         self._attempts = [task.attempt + 1 for task in waiting]
         self._attempts += [1 for _ in unbegun]
 
+    def _list_gang(self):
+        """List all tasks of a gang, under one number of an attempt.
+
+        Nothing is listed while a member of the last attempt is somewhere.
+        """
+        record = self.record
+        self._tasks = []
+        self._attempts = []
+        if any(task.vm for task in record.tasks):
+            return
+        count = record.workload.count
+        self._tasks = [ids.make_task_id(record.id, n) for n in range(count)]
+        last = max((task.attempt for task in record.tasks), default=0)
+        self._attempts = [last + 1] * count
+
 
 class Quotas:
     """What each team may reserve, and has reserved.
--- a/packages/scheduler/portwharf/scheduler/choosing.py
+++ b/packages/scheduler/portwharf/scheduler/choosing.py
@@ -15,6 +15,8 @@
 from portwharf.scheduler import scoring
 
 REFUSED_SLOWS = 'would-slow-a-service'
+REFUSED_PROBED = 'quarantined'
+REFUSED_POLICY = 'not-allowed-by-policy-yet'
 REASON_NO_ROOM = 'no-worker-has-room-now'
 REASON_NO_WORKERS = 'no-worker-is-known'
 # Below this a filling task rather waits for another VM.
@@ -78,6 +80,17 @@
     return choice
 
 
+def count_placed(demand, view):
+    """Count one more task of a demand on a view."""
+    workload = demand.record.workload
+    if workload.kind == data.Kind.BATCH:
+        view.kinds[backlog.find_kind(workload)] += 1
+    view.add_task(workload)
+    if view.probe:
+        view.closed = REFUSED_PROBED
+    demand.placed[view.vm.name] += 1
+
+
 def _refuse(size, view):
     """Return why a VM cannot take a task of this size, or ''."""
     if view.closed:
@@ -100,6 +113,8 @@
     most = workload.most_per_vm
     if most and demand.placed[view.vm.name] >= most:
         return 'enough-of-them-there'
+    if workload.ticket_ms and view.vm.name not in demand.tickets:
+        return REFUSED_POLICY
     if workload.fills and not demand.starves:
         room = view.capacity.cpu_milli - view.busy_milli
         if workload.resources.cpu_milli > room:
--- a/packages/scheduler/portwharf/scheduler/configuration.py
+++ b/packages/scheduler/portwharf/scheduler/configuration.py
@@ -94,7 +94,7 @@
     :param max_failures: attempts of a task that may fail
     :param stretch: a job's objective is this many times its chain of work
     :param allowance_ms: and so much more
-    :param advised: a policy says which workers may run a step
+    :param ticket_ms: how long a ticket of its policy is valid; 0: no policy
     """
 
     name: str = ''
@@ -105,7 +105,7 @@
     max_failures: int = 0
     stretch: float = 1.0
     allowance_ms: int = 0
-    advised: bool = False
+    ticket_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -11,14 +11,17 @@
 import logging
 
 from portwharf.core import data
+from portwharf.core import ids
 from portwharf.core import logs
 from portwharf.peers import messages
 from portwharf.scheduler import decisionlog
 from portwharf.scheduler import events
+from portwharf.scheduler import gangs
 from portwharf.scheduler import job_operations
 from portwharf.scheduler import metrics
 from portwharf.scheduler import operations
 from portwharf.scheduler import planning
+from portwharf.scheduler import policy
 from portwharf.scheduler import preparing
 from portwharf.scheduler import pressure
 from portwharf.scheduler import reconcile
@@ -81,8 +84,12 @@
 class Decider:
     """The decisions of one owner."""
 
-    def __init__(self, env, state, grant_table, health):
-        """Take an ``environment.Environment`` and what the owner knows."""
+    def __init__(self, env, state, grant_table, health, advisor=None):
+        """Take an ``environment.Environment`` and what the owner knows.
+
+        :param advisor: a ``policy.Advisor``, or None
+        """
+        self._advisor = advisor
         self._env = env
         self._state = state
         self._grants = grant_table
@@ -147,6 +154,8 @@
         for event in verdict.events:
             if isinstance(event, events.TaskEnded):
                 self._note_ended(event, batch)
+            elif isinstance(event, events.TaskRequeued):
+                self._break_gang(event, batch)
         for command in verdict.commands:
             batch.send(item.link, command)
         if verdict.forget:
@@ -165,9 +174,18 @@
             for task_id, attempt in rows:
                 task = self._state.held[name].get(task_id)
                 if task is not None and task.attempt == attempt:
-                    command = reconcile.make_catch_up(self._state, task)
+                    ticket = self._find_ticket(task.id, link.view.life)
+                    command = reconcile.make_catch_up(
+                        self._state, task, ticket
+                    )
                     batch.send(link, command)
 
+    def _find_ticket(self, task_id, life):
+        """Return the policy's ticket for a task and a worker, or ''."""
+        if self._advisor is None:
+            return ''
+        return self._advisor.find_ticket(ids.split_task_id(task_id), life)
+
     def _note_ended(self, event, batch):
         """Follow up a task that is over, when it is part of a job."""
         name = self._state.find_workload(event.task).workload.job
@@ -187,6 +205,18 @@
             self.unlogged.add(name)
             batch.effects.append(lambda: self.unlogged.discard(name))
 
+    def _break_gang(self, event, batch):
+        """Stop the other members when one of a gang is over.
+
+        They can do nothing without it, and all begin again together.
+        """
+        record = self._state.find_workload(event.task)
+        if not record.workload.gang or record.cancelled:
+            return
+        now_ms = self._env.clock.read_unix_ms()
+        for task in gangs.list_broken(record):
+            self._evict(task, planning.REASON_BROKEN, now_ms, batch)
+
     def _learn(self, item):
         """Learn from what a side has measured."""
         targets = self._env.keeper.read().targets
@@ -271,6 +301,7 @@
                 self._add(batch, event)
                 decision = planning.explain_loss(task, name, now_ms)
                 self._add(batch, events.DecisionMade(decision))
+                self._break_gang(event, batch)
 
     def _empty_leaving(self, batch):
         """Move tasks away from VMs that the platform will take away."""
@@ -327,6 +358,8 @@
         self._resolve_prepared(batch, views, now)
         quotas = self._env.keeper.read().quotas
         demands = self._list_demands(now)
+        if self._advisor is not None:
+            policy.find_tickets(self._advisor, demands, views)
         now_ms = self._env.clock.read_unix_ms()
         done = planning.plan(
             self._state,
@@ -345,7 +378,7 @@
             self._add(batch, events.DecisionMade(placed.decision))
             task = self._state.tasks[placed.task]
             self.pressure.note_begun((task.id, task.attempt), now)
-            command = reconcile.make_start(self._state, task)
+            command = reconcile.make_start(self._state, task, placed.ticket)
             batch.send(self._members.get_link(placed.vm), command)
         self._rehome(views, now, batch)
         self._make_room(done, views, quotas, batch)
--- a/packages/scheduler/portwharf/scheduler/environment.py
+++ b/packages/scheduler/portwharf/scheduler/environment.py
@@ -19,6 +19,7 @@
     :param make_link: gives the link to a member, by its VM and the owner
     :param kv: the store, for the configuration
     :param config_key: the key that the configuration is under
+    :param policy: a ``policy.Policy`` that governs queues, or None
     """
 
     name: str = ''
@@ -33,3 +34,4 @@
     make_link: object = members.MemberLink
     kv: object = None
     config_key: str = configuration.KEY
+    policy: object = None
--- a/packages/scheduler/portwharf/scheduler/members.py
+++ b/packages/scheduler/portwharf/scheduler/members.py
@@ -39,6 +39,8 @@
     leaves_in_ms: int = 0
     headrooms: list = dataclasses.field(default_factory=list)
     paced: list = dataclasses.field(default_factory=list)
+    rack: str = ''
+    life: str = ''
 
 
 class MemberLink(links.PeerLink):
@@ -98,6 +100,8 @@
         view.leaves_in_ms = beat.leaves_in_ms
         view.headrooms = beat.headrooms
         view.paced = beat.paced
+        view.rack = beat.rack
+        view.life = beat.life
         if beat.observed:
             self._owner.take_observed(beat.observed)
         view.config_revision = beat.config_revision
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -113,6 +113,8 @@
             view.reported = link.view.reported
             view.pool = link.view.pool
             view.labels = link.view.labels
+            view.rack = link.view.rack or view.rack
+            view.life = link.view.life
             view.take_pairs(self._pairs, link.view.headrooms)
             self._count_fill(name, view)
             view.closed = self._find_closed(name, link, now)
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -25,6 +25,7 @@
 from portwharf.scheduler import health
 from portwharf.scheduler import membership
 from portwharf.scheduler import metrics
+from portwharf.scheduler import policy
 from portwharf.scheduler import presses
 from portwharf.scheduler import shardlog
 
@@ -78,7 +79,12 @@
         self._snapshot_seq = log.next_seq
         ailing = health.Health()
         self._grants = grants.GrantTable(state.members, env.limits)
-        self._decider = decider.Decider(env, state, self._grants, ailing)
+        self._advisor = policy.Advisor(
+            env.policy, env.clock, lambda: self._inbox.put(None)
+        )
+        self._decider = decider.Decider(
+            env, state, self._grants, ailing, self._advisor
+        )
         self._presses = presses.Presses()
         self._presses_lock = threading.Lock()
         self._presses_news = False
@@ -106,6 +112,7 @@
 
     def __enter__(self):
         self._members.sync_links(self)
+        self._advisor.__enter__()
         self._thread.start()
         self._config.__enter__()
         return self
@@ -114,6 +121,7 @@
         """End the role, handing it over if it is still ours."""
         self._stop.set()
         self._config.__exit__()
+        self._advisor.__exit__()
         self._inbox.put(None)
         self._thread.join()
         if not self._lost and self._batch is None:
--- a/packages/scheduler/portwharf/scheduler/placement.py
+++ b/packages/scheduler/portwharf/scheduler/placement.py
@@ -18,6 +18,7 @@
 from portwharf.scheduler import backlog
 from portwharf.scheduler import choosing
 from portwharf.scheduler import events
+from portwharf.scheduler import gangs
 
 REASON_PLACED = 'placed'
 REASON_NEVER = 'no-worker-can-ever-hold-it'
@@ -35,12 +36,16 @@
 
 @dataclasses.dataclass(slots=True)
 class Placement:
-    """One task's new place and why."""
+    """One task's new place and why.
+
+    :param ticket: what the policy gave for this place, or ''
+    """
 
     task: str = ''
     attempt: int = 0
     vm: str = ''
     decision: events.Decision = None
+    ticket: str = ''
 
 
 @dataclasses.dataclass(slots=True)
@@ -128,6 +133,10 @@
     :returns: False if only its team's quota was in the way
     """
     workload = demand.record.workload
+    if workload.same_rack:
+        demand.rack = gangs.pick_rack(demand, views)
+    if workload.gang:
+        return _place_gang(demand, views, quotas, now_ms, done)
     while demand.tasks and len(done.placements) < backlog.MAX_PLACEMENTS:
         if not quotas.has_room(workload.team, workload.resources):
             done.waiting.append(Waiting(demand.record, REASON_QUOTA))
@@ -140,35 +149,61 @@
             waiting = Waiting(demand.record, choice.reason, choice)
             done.waiting.append(waiting)
             return True
-        task = demand.tasks.pop(0)
-        attempt = demand.attempts.pop(0)
-        if workload.kind == data.Kind.BATCH:
-            choice.view.kinds[backlog.find_kind(workload)] += 1
-        choice.view.add_task(workload)
-        if choice.view.probe:
-            choice.view.closed = 'quarantined'
         quotas.reserve(workload.team, workload.resources)
-        demand.placed[choice.view.vm.name] += 1
-        decision = events.Decision(
-            now_ms,
-            REASON_PLACED,
-            task,
-            choice.view.vm.name,
-            choice.list_refusals(),
-            choice.parts,
-        )
-        done.placements.append(
-            Placement(task, attempt, choice.view.vm.name, decision)
-        )
+        choosing.count_placed(demand, choice.view)
+        _take(demand, choice, now_ms, done)
+    return True
+
+
+def _place_gang(demand, views, quotas, now_ms, done):
+    """Place all tasks of a gang, or none.
+
+    :returns: False if only its team's quota was in the way
+    """
+    workload = demand.record.workload
+    if not demand.tasks:
+        return True
+    whole = gangs.sum_sizes(workload)
+    if not quotas.has_room(workload.team, whole):
+        done.waiting.append(Waiting(demand.record, REASON_QUOTA))
+        return False
+    choices = gangs.choose_all(demand, views, done.judge)
+    failed = choices[-1]
+    if failed.view is None:
+        waiting = Waiting(demand.record, failed.reason, failed)
+        done.waiting.append(waiting)
+        return True
+    quotas.reserve(workload.team, whole)
+    rows = {view.vm.name: view for view in views}
+    for choice in choices:
+        choosing.count_placed(demand, rows[choice.view.vm.name])
+        _take(demand, choice, now_ms, done)
     return True
 
 
+def _take(demand, choice, now_ms, done):
+    """Note that a demand's next task goes where a choice says."""
+    task = demand.tasks.pop(0)
+    attempt = demand.attempts.pop(0)
+    name = choice.view.vm.name
+    decision = events.Decision(
+        now_ms,
+        REASON_PLACED,
+        task,
+        name,
+        choice.list_refusals(),
+        choice.parts,
+    )
+    ticket = demand.tickets.get(name, '')
+    done.placements.append(Placement(task, attempt, name, decision, ticket))
+
+
 def _find_shape(demand):
     """Return what decides where a batch task fits, or None."""
     workload = demand.record.workload
     if workload.kind != data.Kind.BATCH or demand.avoided:
         return None
-    if workload.most_per_vm or workload.gang:
+    if workload.most_per_vm or workload.gang or workload.ticket_ms:
         return None
     size = workload.resources
     return (
--- a/packages/scheduler/portwharf/scheduler/planning.py
+++ b/packages/scheduler/portwharf/scheduler/planning.py
@@ -24,6 +24,7 @@
 
 REASON_LOST = 'vm-lost'
 REASON_LEAVING = 'vm-is-leaving'
+REASON_BROKEN = 'gang-is-broken'
 
 
 class Patience:
@@ -179,6 +180,9 @@
     """Tell whether a workload has tasks that wait to be placed."""
     if record.cancelled:
         return False
+    if record.workload.gang and any(task.vm for task in record.tasks):
+        # All members have to be there for the next attempt.
+        return False
     limit = record.workload.count
     if record.begun < limit:
         return True
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/policy_test.py
@@ -0,0 +1,141 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Steps that a policy governs begin only where it gave a ticket."""
+
+import result
+
+from portwharf.core import clock
+from portwharf.core import data
+from portwharf.scheduler import backlog
+from portwharf.scheduler import choosing
+from portwharf.scheduler import faults_test
+from portwharf.scheduler import gangs_test
+from portwharf.scheduler import jobs_test
+from portwharf.scheduler import placement
+from portwharf.scheduler import policy
+
+STEP = jobs_test.FIRST
+VALID_MS = 1000
+
+
+class FakePolicy(policy.Policy):
+    """Allows some lives; counts the questions."""
+
+    def __init__(self, allowed):
+        self.allowed = allowed
+        self.asked = []
+        self.down = False
+
+    def ask(self, step, lives):
+        self.asked.append(list(lives))
+        if self.down:
+            return result.Err('no answer')
+        return result.Ok(
+            [
+                policy.Permit(one, f't-{one}')
+                for one in lives
+                if one in self.allowed
+            ]
+        )
+
+
+def open_advisor(*allowed):
+    """Return an advisor that is stepped by hand, its policy and clock."""
+    asked = FakePolicy(allowed)
+    now = clock.ManualClock()
+    return policy.Advisor(asked, now, lambda: None), asked, now
+
+
+def make_demand(count=2):
+    """Return the demand of a step that a policy governs."""
+    step = jobs_test.make_step(count, ticket_ms=VALID_MS)
+    return backlog.Demand(jobs_test.accept(step).workloads[STEP])
+
+
+def make_views():
+    """Return two views with room, of workers that are known by life."""
+    views = gangs_test.make_views(4, 4)
+    for number, view in enumerate(views):
+        view.life = f'i-{number}'
+    return views
+
+
+def place(demand, views):
+    """Make one pass."""
+    quotas = backlog.Quotas({}, {})
+    return placement.place_demands([demand], views, quotas, jobs_test.NOW)
+
+
+def test_step_waits_for_the_policy_and_brings_its_ticket(case):
+    advisor, _, _ = open_advisor('i-1')
+    demand, views = make_demand(), make_views()
+    policy.find_tickets(advisor, [demand], views)
+    (waiting,) = place(demand, views).waiting
+    refused = waiting.choice.refusals[choosing.REFUSED_POLICY]
+    case.assertEqual(refused, 2)
+    case.assertTrue(advisor.ask_next())
+    policy.find_tickets(advisor, [demand], views)
+    placed = place(demand, views).placements
+    rows = [(one.vm, one.ticket) for one in placed]
+    case.assertEqual(rows, [('vm-1', 't-i-1')] * 2)
+
+
+def test_refused_workers_are_asked_about_once(case):
+    advisor, asked, _ = open_advisor('i-1')
+    for _ in range(3):
+        advisor.want(STEP, ['i-0', 'i-1'], VALID_MS)
+        advisor.ask_next()
+    case.assertEqual(asked.asked, [['i-0', 'i-1']])
+
+
+def test_ticket_ends_before_its_time_and_is_asked_for_again(case):
+    advisor, asked, now = open_advisor('i-1')
+    advisor.want(STEP, ['i-0', 'i-1'], VALID_MS)
+    advisor.ask_next()
+    now.advance(0.95)
+    case.assertEqual(advisor.find_ticket(STEP, 'i-1'), '')
+    advisor.want(STEP, ['i-0', 'i-1'], VALID_MS)
+    advisor.ask_next()
+    case.assertEqual(asked.asked[-1], ['i-1'])
+    case.assertEqual(advisor.find_ticket(STEP, 'i-1'), 't-i-1')
+
+
+def test_new_life_of_a_worker_needs_a_ticket_of_its_own(case):
+    advisor, _, _ = open_advisor('i-1')
+    advisor.want(STEP, ['i-1'], VALID_MS)
+    advisor.ask_next()
+    case.assertEqual(advisor.find_ticket(STEP, 'i-2'), '')
+
+
+def test_question_without_an_answer_is_asked_again(case):
+    advisor, asked, _ = open_advisor('i-1')
+    asked.down = True
+    advisor.want(STEP, ['i-1'], VALID_MS)
+    case.assertFalse(advisor.ask_next())
+    asked.down = False
+    case.assertTrue(advisor.ask_next())
+    case.assertEqual(advisor.find_ticket(STEP, 'i-1'), 't-i-1')
+
+
+def test_more_workers_than_one_question_takes_come_in_turn(case):
+    advisor, asked, _ = open_advisor()
+    lives = [f'i-{number}' for number in range(40)]
+    for _ in range(2):
+        advisor.want(STEP, lives, VALID_MS)
+        advisor.ask_next()
+    case.assertEqual([len(one) for one in asked.asked], [30, 10])
+
+
+def test_starts_without_a_ticket_are_caught(case):
+    faults_test.check(
+        case,
+        test_step_waits_for_the_policy_and_brings_its_ticket,
+        choosing,
+        '_refuse_step',
+        lambda demand, view: '',
+    )
+
+
+def test_size_of_a_demand_is_unchanged_by_its_policy(case):
+    size = make_demand().record.workload.reserved
+    case.assertEqual(size, data.Resources(1000, 1000))
--- a/packages/scheduler/portwharf/scheduler/pressure.py
+++ b/packages/scheduler/portwharf/scheduler/pressure.py
@@ -95,7 +95,7 @@
             workload = self._state.find_workload(task.id).workload
             if workload.kind != data.Kind.BATCH:
                 continue
-            if task.state != data.TaskState.PLACED:
+            if task.state != data.TaskState.PLACED or workload.gang:
                 continue
             began = self._begun.get((task.id, task.attempt), self._began)
             found.append(
--- a/packages/scheduler/portwharf/scheduler/reconcile.py
+++ b/packages/scheduler/portwharf/scheduler/reconcile.py
@@ -12,6 +12,7 @@
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.scheduler import events
+from portwharf.scheduler import gangs
 
 # Attempts of a batch task that may fail before the task has failed.
 MAX_FAILURES = 3
@@ -51,7 +52,9 @@
     if task is not None and _is_current(task, vm, report):
         _judge_current(state, vm, task, report, verdict)
     elif task is not None and _ends_waiting(task, report):
-        _add(state, verdict, _end(report, data.TaskState.SUCCEEDED))
+        ended = _end(report, data.TaskState.SUCCEEDED)
+        _add(state, verdict, ended)
+        _end_gang(state, ended, verdict)
         verdict.forget.append(_name(report))
     elif report.state in _OVER:
         verdict.forget.append(_name(report))
@@ -71,9 +74,13 @@
     ]
 
 
-def make_start(state, task):
-    """Return the command that begins a placed task's attempt."""
-    workload = state.find_workload(task.id).workload
+def make_start(state, task, ticket=''):
+    """Return the command that begins a placed task's attempt.
+
+    :param ticket: what the policy gave for its VM, or ''
+    """
+    record = state.find_workload(task.id)
+    workload = record.workload
     job = state.jobs.get(workload.job)
     return messages.StartTask(
         state.epoch,
@@ -85,13 +92,14 @@
         workload.reserved,
         workload.program,
         job.job.argument if job else workload.argument,
-        task.checkpoint,
+        record.checkpoint if workload.gang else task.checkpoint,
         workload.resources.cpu_milli if workload.fills else 0,
         workload.target_ms,
+        ticket,
     )
 
 
-def make_catch_up(state, task):
+def make_catch_up(state, task, ticket=''):
     """Return the command for a placed task that its VM does not list.
 
     What nobody wants any more is not begun: its stop has the side answer
@@ -99,7 +107,7 @@
     """
     if is_unwanted(state, task) or task.state == data.TaskState.EVICTING:
         return make_stop(state, task, False)
-    return make_start(state, task)
+    return make_start(state, task, ticket)
 
 
 def make_stop(state, task, checkpoint):
@@ -144,10 +152,22 @@
         elif task.state == data.TaskState.EVICTING:
             verdict.commands.append(make_stop(state, task, True))
         return
-    _add(state, verdict, _conclude(state, task, report))
+    ended = _conclude(state, task, report)
+    _add(state, verdict, ended)
+    _end_gang(state, ended, verdict)
     verdict.forget.append(_name(report))
 
 
+def _end_gang(state, ended, verdict):
+    """End the other members of a gang of which one has succeeded."""
+    record = state.find_workload(ended.task)
+    if not record.workload.gang or not isinstance(ended, events.TaskEnded):
+        return
+    if ended.state == data.TaskState.SUCCEEDED:
+        for event in gangs.end_others(record, ended):
+            _add(state, verdict, event)
+
+
 def _conclude(state, task, report):
     """Return the event of an attempt that is over."""
     workload = state.find_workload(task.id).workload
@@ -155,7 +175,8 @@
     if report.state == data.RunState.SUCCEEDED and batch:
         return _end(report, data.TaskState.SUCCEEDED)
     failed = report.state == data.RunState.FAILED
-    if failed and batch and _is_last_try(task, workload):
+    record = state.find_workload(task.id)
+    if failed and batch and _is_last_try(task, record):
         return _end(report, data.TaskState.FAILED)
     evicted = report.state == data.RunState.CHECKPOINTED
     return events.TaskRequeued(
@@ -163,12 +184,17 @@
     )
 
 
-def _is_last_try(task, workload):
+def _is_last_try(task, record):
     """Tell whether a task that fails once more has failed for good.
 
     A job's task may fail so often by itself; attempts that were lost with
     their VM do not count against it.
     """
+    workload = record.workload
+    if workload.gang:
+        fresh = task.attempt > record.failed_attempt
+        most = workload.max_failures or MAX_FAILURES
+        return record.failures + fresh >= most
     if workload.max_failures:
         return task.failures + 1 >= workload.max_failures
     return task.attempt - task.evictions >= MAX_FAILURES
--- a/packages/scheduler/portwharf/scheduler/scoring.py
+++ b/packages/scheduler/portwharf/scheduler/scoring.py
@@ -46,7 +46,7 @@
     for view in views:
         count = demand.placed[view.vm.name]
         if count:
-            spread.racks[view.vm.rack] += count
+            spread.racks[view.rack] += count
             spread.zones[view.vm.availability_zone] += count
     return spread
 
@@ -71,12 +71,14 @@
             parts.append(events.Part('clear', _CLEAR))
         if workload.data_rack and workload.data_rack not in view.labels:
             parts.append(events.Part('far-from-data', _FAR_RACK))
+        if demand.rack and demand.rack != view.rack:
+            parts.append(events.Part('far-from-others', _FAR_RACK))
     if workload.target_ms:
         parts = _score_server(view, after)
     elif workload.kind != data.Kind.BATCH:
         alike = demand.placed[view.vm.name]
         parts.append(events.Part('same-vm', _SAME_VM * alike))
-        rack = spread.racks[view.vm.rack]
+        rack = spread.racks[view.rack]
         parts.append(events.Part('same-rack', _SAME_RACK * rack))
         zone = spread.zones[view.vm.availability_zone]
         parts.append(events.Part('same-zone', _SAME_ZONE * zone))
--- a/packages/scheduler/portwharf/scheduler/state.py
+++ b/packages/scheduler/portwharf/scheduler/state.py
@@ -49,6 +49,9 @@
     :param due_ms: wall time by which a step has to begin, for its job to
         end in time
     :param late_ms: wall time after which its job is too late to matter
+    :param checkpoint: of a gang, what any of its members saved last
+    :param failures: of a gang, how many of its attempts have failed
+    :param failed_attempt: of a gang, the last attempt that failed
     """
 
     id: str = ''
@@ -62,6 +65,9 @@
     not_before_ms: int = 0
     due_ms: int = 0
     late_ms: int = 0
+    checkpoint: str = ''
+    failures: int = 0
+    failed_attempt: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -358,11 +364,20 @@
         task.checkpoint = event.checkpoint or task.checkpoint
         task.evictions += event.evicted
         task.failures += event.failed
+        if record.workload.gang:
+            self._note_gang(record, event)
         over = record.cancelled or task.number >= record.workload.count
         task.state = (
             data.TaskState.CANCELLED if over else data.TaskState.WAITING
         )
 
+    def _note_gang(self, record, event):
+        """Keep what a gang's member saved, and whether it failed."""
+        record.checkpoint = event.checkpoint or record.checkpoint
+        if event.failed and event.attempt > record.failed_attempt:
+            record.failures += 1
+            record.failed_attempt = event.attempt
+
     def _end(self, event):
         task = self.tasks[event.task]
         record = self.find_workload(event.task)
--- a/packages/scheduler/portwharf/scheduler/vmview.py
+++ b/packages/scheduler/portwharf/scheduler/vmview.py
@@ -25,6 +25,8 @@
     :param reported: its side has told all that it runs to this owner
     :param pairs: a ``presses.Presses``, or None
     :param headrooms: what each serving image can bear, by image
+    :param rack: the rack that it stands in, or ''
+    :param life: differs for each start of its worker, or ''
     """
 
     vm: data.Vm = dataclasses.field(default_factory=data.Vm)
@@ -47,6 +49,19 @@
     reported: bool = True
     pairs: object = None
     headrooms: dict = dataclasses.field(default_factory=dict)
+    rack: str = ''
+    life: str = ''
+
+    def __post_init__(self):
+        self.rack = self.rack or self.vm.rack
+
+    def copy(self):
+        """Return a view to try placements on, without a trace here."""
+        return dataclasses.replace(
+            self,
+            kinds=collections.Counter(self.kinds),
+            headrooms=dict(self.headrooms),
+        )
 
     @property
     def room(self):
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -220,6 +220,7 @@
             message.workload,
             self._leases.compute_end() if message.exclusive else 0,
             message.resources,
+            message.ticket,
         )
         self._try_start(message, start)
 
@@ -456,6 +457,8 @@
                 self._pacer.take_observed(),
                 self._pacer.list_headrooms(),
                 self._pacer.list_paced(),
+                self._listing.rack,
+                self._listing.life,
             )
         )
 
--- a/packages/side/portwharf/side/outside.py
+++ b/packages/side/portwharf/side/outside.py
@@ -32,6 +32,10 @@
     def open_worker(self):
         """Return the ``workers.Worker``, or None if there is none."""
 
+    def open_policy(self):
+        """Return the ``policy.Policy`` that governs queues, or None."""
+        return None
+
     def parse_config(self, text, revision):
         """Read and check a configuration's text.
 
--- a/packages/side/portwharf/side/process.py
+++ b/packages/side/portwharf/side/process.py
@@ -134,9 +134,16 @@
             append_interval=cfg.append_interval,
             kv=kv,
             config_key=self._outside.config_key,
+            policy=self._open_policy(),
         )
         return takeover.Watcher(env, self._guard, kv)
 
+    def _open_policy(self):
+        service = self._outside.open_policy()
+        if service is not None:
+            self._stack.enter_context(service)
+        return service
+
     def _drain(self):
         """Let entries know, then finish what has been admitted."""
         self._server.agent.draining = True
--- a/packages/testing/portwharf/testing/cluster.py
+++ b/packages/testing/portwharf/testing/cluster.py
@@ -23,6 +23,7 @@
 from portwharf.scheduler import decider
 from portwharf.scheduler import environment
 from portwharf.scheduler import guard
+from portwharf.scheduler import job_operations
 from portwharf.scheduler import limits
 from portwharf.scheduler import members
 from portwharf.scheduler import operations
@@ -530,6 +531,10 @@
         submission = operations.Submission('', workload)
         return self._call('submit', submission)
 
+    def submit_job(self, job):
+        """Submit a ``data.Job`` to every owner there is."""
+        return self._call('submit-job', job_operations.JobSubmission(job))
+
     def cancel(self, job):
         """Cancel a job that was accepted."""
         return self._call('cancel', operations.Query(job))
--- a/packages/testing/portwharf/testing/platform_runner.py
+++ b/packages/testing/portwharf/testing/platform_runner.py
@@ -22,6 +22,8 @@
         # The next starts are carried out, and then answered with 500.
         self.lose_answers = 0
         self.orders = []
+        # What starts have to bring, '' for nothing.
+        self.ticket = ''
 
     def begin_life(self, instance):
         """Begin anew, as after a crash."""
@@ -72,6 +74,8 @@
             return 200, {}
         if run <= self._over.get(task, 0):
             return 409, {'reason': 'old'}
+        if body.get('ticket', '') != self.ticket:
+            return 409, {'reason': 'ticket'}
         if body['untilMs'] <= _read_ms():
             return 409, {'reason': 'late'}
         self.running[task] = run
--- a/packages/workers/portwharf/workers/__init__.py
+++ b/packages/workers/portwharf/workers/__init__.py
@@ -8,6 +8,7 @@
 from portwharf.workers.base import REFUSED_LATE
 from portwharf.workers.base import REFUSED_OLD
 from portwharf.workers.base import REFUSED_ROOM
+from portwharf.workers.base import REFUSED_TICKET
 from portwharf.workers.base import SOUND_REFUSALS
 from portwharf.workers.base import Start
 from portwharf.workers.base import Worker
@@ -18,6 +19,7 @@
     'REFUSED_LATE',
     'REFUSED_OLD',
     'REFUSED_ROOM',
+    'REFUSED_TICKET',
     'SOUND_REFUSALS',
     'Attempt',
     'HttpWorker',
--- a/packages/workers/portwharf/workers/base.py
+++ b/packages/workers/portwharf/workers/base.py
@@ -17,7 +17,10 @@
 REFUSED_ROOM = 'no-room-at-the-worker'
 REFUSED_LATE = 'lease-over-at-the-worker'
 REFUSED_FENCE = 'newer-side-at-the-worker'
-SOUND_REFUSALS = frozenset((REFUSED_ROOM, REFUSED_LATE, REFUSED_FENCE))
+REFUSED_TICKET = 'ticket-not-valid-at-the-worker'
+SOUND_REFUSALS = frozenset(
+    (REFUSED_ROOM, REFUSED_LATE, REFUSED_FENCE, REFUSED_TICKET)
+)
 # The attempt, or a later one, ended or was stopped there before.
 REFUSED_OLD = 'attempt-is-over-at-the-worker'
 
@@ -30,6 +33,7 @@
     :param workload: "team/name"; the worker lists it again
     :param lease_until_ms: when it ends without a renewal, on the worker's
         clock; 0: no lease. If that time is past it is not begun.
+    :param ticket: what the policy gave for this worker, or ''
     """
 
     task: str = ''
@@ -43,6 +47,7 @@
     resources: data.Resources = dataclasses.field(
         default_factory=data.Resources
     )
+    ticket: str = ''
 
 
 @dataclasses.dataclass(slots=True)
@@ -87,6 +92,7 @@
     :param leaves_in_ms: of a draining worker, how long it stays at least
     :param absent: no worker is there, so that nothing runs
     :param life: differs for each start of the worker, if it is known
+    :param rack: the rack that it stands in, or ''
     """
 
     now_ms: int = 0
@@ -100,6 +106,7 @@
     leaves_in_ms: int = 0
     absent: bool = False
     life: str = ''
+    rack: str = ''
 
 
 class Worker(abc.ABC):
