--- a/packages/scheduler/portwharf/scheduler/scoring.py
+++ b/packages/scheduler/portwharf/scheduler/scoring.py
@@ -22,9 +22,6 @@
 # work that is better off beside what serves.
 _KEEP_CLEAR = 3.0
 _CLEAR = 0.4
-# What each other serving image on a VM counts against it: what fills there
-# has to be light for all of them. More than opening a clear VM.
-_MIXED = 4.0
 _LARGEST_MILLI = 1_000_000
 # What fills is gone within seconds; what serves stays.
 _FILLED = 0.05
@@ -77,7 +74,7 @@
         if demand.rack and demand.rack != view.rack:
             parts.append(events.Part('far-from-others', _FAR_RACK))
     if workload.target_ms:
-        parts = _score_server(workload, view, after)
+        parts = _score_server(view, after)
     elif workload.kind != data.Kind.BATCH:
         alike = demand.placed[view.vm.name]
         parts.append(events.Part('same-vm', _SAME_VM * alike))
@@ -88,20 +85,17 @@
     return parts
 
 
-def _score_server(workload, view, after):
+def _score_server(view, after):
     """Return the addends for what serves: packed on as few VMs as it goes.
 
     The VMs that nothing serves on are left to what fills, which works there
-    unpaced. Large ones are opened first, as fewer are needed then. One
-    image keeps to itself, so that what is light for it can work in full.
+    unpaced. Large ones are opened first, as fewer are needed then.
     """
     cores = max(1, view.capacity.cpu_milli)
-    mixed = len(view.images - {workload.image})
     filled = events.Part('filled', _FILLED * view.filling_milli / cores)
     if view.serving_milli:
         return [
             events.Part('packed', -after.cpu_milli / cores),
-            events.Part('mixed', _MIXED * mixed),
             filled,
         ]
     size = events.Part('size', -cores / _LARGEST_MILLI)
--- a/packages/scheduler/portwharf/scheduler/vmview.py
+++ b/packages/scheduler/portwharf/scheduler/vmview.py
@@ -27,7 +27,6 @@
     :param headrooms: what each serving image can bear, by image
     :param rack: the rack that it stands in, or ''
     :param life: differs for each start of its worker, or ''
-    :param images: what serves on it
     """
 
     vm: data.Vm = dataclasses.field(default_factory=data.Vm)
@@ -52,7 +51,6 @@
     headrooms: dict = dataclasses.field(default_factory=dict)
     rack: str = ''
     life: str = ''
-    images: set = dataclasses.field(default_factory=set)
 
     def __post_init__(self):
         self.rack = self.rack or self.vm.rack
@@ -63,7 +61,6 @@
             self,
             kinds=collections.Counter(self.kinds),
             headrooms=dict(self.headrooms),
-            images=set(self.images),
         )
 
     @property
@@ -84,7 +81,6 @@
             self.filling_milli += size
         elif workload.target_ms:
             self.serving_milli += size
-            self.images.add(workload.image)
 
     def take_pairs(self, pairs, headrooms):
         """Take what is known of pairs, and a list of ``Headroom``."""
