The rest of a step waits for room where it works

After 1.5 s of waiting every task went wherever memory was free, and held its job up there, while younger jobs took the room that came up. Change: only a step with nothing running goes anywhere after 1.5 s; the rest waits 8 s, and is served in its order.

--- a/packages/scheduler/portwharf/scheduler/jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/jobs_test.py
@@ -228,6 +228,22 @@
     case.assertEqual(placed, [0, 0, 1])
 
 
+def test_rest_of_a_step_waits_longer_for_room_where_it_works(case):
+    made = accept(make_step(2, fills=True, image='plan'))
+    made.apply(events.TaskPlaced(f'{FIRST}.0', 1, 'vm-2'))
+    view = vmview.VmView(data.Vm('vm-1'), data.Resources(9000, 9000))
+    view.take_pairs(presses.Presses(), [messages.Headroom('desk', 0.0)])
+    patience = planning.Patience()
+    patience.note({FIRST}, 0.0)
+    placed = []
+    for now in (2.0, planning.REST_PATIENCE_SECONDS + 1):
+        demands = planning.list_demands(made, lambda _: frozenset(), NOW)
+        patience.apply(demands, now)
+        done = planning.plan(made, demands, [view], {}, NOW)
+        placed.append(len(done.placements))
+    case.assertEqual(placed, [0, 1])
+
+
 def test_job_that_stands_still_gets_one_task_beyond_the_processors(case):
     made = accept(make_step(3, fills=True, image='plan'))
     view = vmview.VmView(data.Vm('vm-1'), data.Resources(9000, 9000))
--- a/packages/scheduler/portwharf/scheduler/planning.py
+++ b/packages/scheduler/portwharf/scheduler/planning.py
@@ -17,9 +17,13 @@
 KEEP_ENDED_SECONDS = 24 * 3600
 # Ended workloads beyond this number go earlier, the oldest first.
 MAX_ENDED = 2000
-# A step of a job waits this long at the most for a VM that suits it, while
-# others have room; working slowly is better than not at all.
+# A step of a job of which nothing runs waits this long at the most for a VM
+# that suits it, while others have room: working slowly is better than not
+# at all.
 PATIENCE_SECONDS = 1.5
+# One that has begun waits so long for its other tasks: where they hardly
+# work they would hold it up for longer than the room that comes up next.
+REST_PATIENCE_SECONDS = 8.0
 _MS = 1000
 
 REASON_LOST = 'vm-lost'
@@ -40,8 +44,10 @@
     def apply(self, demands, now):
         """Let those that have waited for long go wherever there is room."""
         for demand in demands:
-            since = self._since.get(demand.record.id, now)
-            if demand.record.workload.job and now - since > PATIENCE_SECONDS:
+            waited = now - self._since.get(demand.record.id, now)
+            if not demand.record.workload.job or waited <= PATIENCE_SECONDS:
+                continue
+            if not demand.placed or waited > REST_PATIENCE_SECONDS:
                 demand.take_any()
 
 
