--- a/packages/platform/portwharf/platform/clients.py
+++ b/packages/platform/portwharf/platform/clients.py
@@ -19,10 +19,13 @@
 
 READINESS_PATH = '/portwharf/readiness'
 MAX_BODY_BYTES = 1024 * 1024
-# How long a submission waits for an owner to be there and to answer; less
-# than the time that clients give, so that they hear before they leave.
-SUBMIT_SECONDS = 2.2
-READ_SECONDS = 2.0
+# How long a call waits for an owner to be there and to answer, at the most,
+# and as a share of the time that its client gives: a call that is given up
+# half way can be tried once more at another entry.
+CALL_SECONDS = 2.0
+CALL_SHARE = 0.45
+# What clients give that do not say so.
+DEADLINE_MS = 3000
 # How long an owner is looked for before a call is refused: a quarter of the
 # shortest objective is soon over, and a refusal can be tried elsewhere.
 FIND_SECONDS = 0.5
@@ -83,15 +86,15 @@
         job_id = path[len(queue.prefix) :]
         method = environ['REQUEST_METHOD']
         if not job_id and method == 'GET':
-            return self._count(queue, respond)
+            return self._count(queue, environ, respond)
         if not _ID.fullmatch(job_id):
             return _refuse(respond, 404, 'an id has 16 hex digits')
         if method == 'POST':
             return self._submit(job_id, queue, environ, respond)
         if method == 'GET':
-            return self._show(job_id, respond)
+            return self._show(job_id, environ, respond)
         if method == 'DELETE':
-            return self._cancel(job_id, queue, respond)
+            return self._cancel(job_id, queue, environ, respond)
         return _refuse(respond, 400, 'use POST, GET or DELETE')
 
     def _submit(self, job_id, queue, environ, respond):
@@ -107,18 +110,18 @@
             return _refuse(respond, 400, read.err_value.describe())
         call = job_operations.JobSubmission(read.ok_value)
         began = self._clock.read_monotonic()
-        answer = self._call('submit-job', call, operations.Accepted)
+        seconds = _read_patience(environ)
+        answer = self._call('submit-job', call, operations.Accepted, seconds)
         status = _find_status(answer)
         self._log('submit', job_id, queue, status, began)
         if answer.is_err():
             return _fail(respond, status, answer.err_value)
         return web.answer_json(respond, 200, {})
 
-    def _show(self, job_id, respond):
+    def _show(self, job_id, environ, respond):
         query = operations.Query(job_id)
-        answer = self._call(
-            'read-job', query, job_operations.JobView, READ_SECONDS
-        )
+        seconds = _read_patience(environ)
+        answer = self._call('read-job', query, job_operations.JobView, seconds)
         if answer.is_err():
             return _fail(respond, _find_status(answer), answer.err_value)
         if not answer.ok_value.state:
@@ -126,10 +129,11 @@
         state = {'state': answer.ok_value.state}
         return web.answer_json(respond, 200, state)
 
-    def _cancel(self, job_id, queue, respond):
+    def _cancel(self, job_id, queue, environ, respond):
         query = operations.Query(job_id)
         began = self._clock.read_monotonic()
-        answer = self._call('cancel-job', query, operations.Cancelled)
+        seconds = _read_patience(environ)
+        answer = self._call('cancel-job', query, operations.Cancelled, seconds)
         status = _find_status(answer)
         self._log('cancel', job_id, queue, status, began)
         if answer.is_err():
@@ -148,14 +152,17 @@
         )
         LOG.info('%s answered', verb, extra=extra)
 
-    def _count(self, queue, respond):
+    def _count(self, queue, environ, respond):
         now = self._clock.read_monotonic()
         with self._lock:
             known = self._pending.get(queue.name)
         if known is None or now - known.at > PENDING_SECONDS:
             query = operations.Query(queue.name)
             answer = self._call(
-                'count-pending', query, job_operations.Pending, READ_SECONDS
+                'count-pending',
+                query,
+                job_operations.Pending,
+                _read_patience(environ),
             )
             if answer.is_err():
                 status = _find_status(answer)
@@ -165,7 +172,7 @@
                 self._pending[queue.name] = known
         return web.answer_json(respond, 200, {'pending': known.count})
 
-    def _call(self, method, arguments, cls, seconds=SUBMIT_SECONDS):
+    def _call(self, method, arguments, cls, seconds):
         return self._calls.call(
             _SHARD, method, arguments, cls, seconds, FIND_SECONDS
         )
@@ -186,6 +193,13 @@
         return web.answer_text(start_response, 503, 'not ready\n')
 
 
+def _read_patience(environ):
+    """Return for how many seconds a client's call may be tried."""
+    text = environ.get('HTTP_PORTWHARF_DEADLINE_MS', '')
+    deadline_ms = int(text) if text.isdigit() else DEADLINE_MS
+    return min(CALL_SECONDS, CALL_SHARE * deadline_ms / _MS)
+
+
 def _find_status(answer):
     """Return the status that tells what became of a call."""
     if answer.is_ok():
--- a/packages/platform/portwharf/platform/clients_test.py
+++ b/packages/platform/portwharf/platform/clients_test.py
@@ -62,11 +62,13 @@
 
     def __init__(self):
         self.calls = []
+        self.seconds = []
         self.answers = {}
 
-    def call(self, shard, method, arguments, *_):
+    def call(self, shard, method, arguments, cls, seconds, *_):
         """Note a call and answer it."""
         self.calls.append((method, arguments))
+        self.seconds.append(seconds)
         return self.answers[method]
 
 
@@ -150,6 +152,18 @@
     case.assertEqual(len(calls.calls), 2)
 
 
+def test_call_is_given_up_while_its_client_can_try_again(case):
+    pool, calls, _, _ = open_calls()
+    calls.answers['read-job'] = fail(owners.OUTCOME_UNKNOWN)
+    for deadline in ('', '1000', 'soon', '60000'):
+        headers = {'Host': 'desk.example'}
+        if deadline:
+            headers['Portwharf-Deadline-Ms'] = deadline
+        pool.request('GET', f'/a/{ID}', '', headers)
+    waits = [round(seconds, 2) for seconds in calls.seconds]
+    case.assertEqual(waits, [1.35, 0.45, 1.35, 2.0])
+
+
 def test_unknown_route_and_bad_id_are_not_found(case):
     pool, _, _, _ = open_calls()
     case.assertEqual(send(pool, 'POST', f'/x/{ID}', BODY).status, 404)
