One job cannot condemn a worker; a worker that holds lasting work is probed

And a worker left out that holds lasting tasks was never probed, as holding anything counted as a probe under way. Change: failures count by job, two of one at the most; five seconds out at first and a minute at the most, as disturbances last some seconds; a probe counts as under way for 4 s from its placement. Tests: health_test, two, which fail on the code before.

--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -228,12 +228,14 @@
         task = self._state.tasks.get(report.task)
         if task is None or (task.vm, task.attempt) != (vm, report.attempt):
             return
-        workload = self._state.find_workload(task.id).id
+        record = self._state.find_workload(task.id)
+        workload = record.id
         now = self._env.clock.read_monotonic()
         if report.state == data.RunState.SUCCEEDED:
             self._health.note_success(vm)
         elif report.state == data.RunState.FAILED or report.at_worker:
-            if self._health.note_failure(vm, workload, now):
+            job = record.workload.job
+            if self._health.note_failure(vm, workload, now, job):
                 LOG.warning('quarantined', extra=logs.fields(vm=vm))
         elif report.reason == messages.REFUSED_GRANT:
             # That side has no grant yet: nothing against its VM.
@@ -376,6 +378,7 @@
             event = events.TaskPlaced(placed.task, placed.attempt, placed.vm)
             self._add(batch, event)
             self._add(batch, events.DecisionMade(placed.decision))
+            self._health.note_placed(placed.vm, now)
             task = self._state.tasks[placed.task]
             self.pressure.note_begun((task.id, task.attempt), now)
             command = reconcile.make_start(self._state, task, placed.ticket)
--- a/packages/scheduler/portwharf/scheduler/health.py
+++ b/packages/scheduler/portwharf/scheduler/health.py
@@ -10,13 +10,20 @@
 failed on, so that a retry goes elsewhere and does not run in circles.
 """
 
+import collections
 import dataclasses
 
 # Bad endings in a row, and of how many workloads, that tell.
 SUSPICIOUS_FAILURES = 4
 SUSPICIOUS_WORKLOADS = 2
-FIRST_SECONDS = 15.0
-LONGEST_SECONDS = 600.0
+# Failures of one workload, or of one job, that count against a worker: all
+# its tasks may fail by their own fault.
+MOST_OF_ONE = 2
+FIRST_SECONDS = 5.0
+LONGEST_SECONDS = 60.0
+# How long a probe may take before another one is made: what it holds
+# besides may last for ever.
+PROBE_SECONDS = 4.0
 # How long a workload stays away from a worker that it failed on, doubled
 # with each failure there.
 AVOID_SECONDS = 2.0
@@ -27,13 +34,17 @@
 class _Record:
     """What one worker has done lately.
 
+    :param failures: bad endings in a row, by workload or job
     :param until: end of its quarantine, 0 if there is none
+    :param probed: when the last probe was placed there
     """
 
-    failures: int = 0
-    workloads: set = dataclasses.field(default_factory=set)
+    failures: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
     until: float = 0.0
     seconds: float = 0.0
+    probed: float = float('-inf')
 
 
 @dataclasses.dataclass(slots=True)
@@ -64,22 +75,34 @@
         """Forget a workload that has ended."""
         self._avoided.pop(workload, None)
 
-    def note_failure(self, vm, workload, now):
+    def note_failure(self, vm, workload, now, job=''):
         """Count an attempt that ended badly.
 
+        :param job: the job that the workload is a step of, or ''
         :returns: whether the worker is quarantined by this
         """
         self._avoid(vm, workload, now)
         record = self._records.setdefault(vm, _Record())
-        record.failures += 1
-        record.workloads.add(workload)
+        record.failures[job or workload] += 1
         if record.until:
             return self._quarantine(record, now)
-        enough = record.failures >= SUSPICIOUS_FAILURES
-        if enough and len(record.workloads) >= SUSPICIOUS_WORKLOADS:
+        counted = sum(min(MOST_OF_ONE, n) for n in record.failures.values())
+        enough = counted >= SUSPICIOUS_FAILURES
+        if enough and len(record.failures) >= SUSPICIOUS_WORKLOADS:
             return self._quarantine(record, now)
         return False
 
+    def note_placed(self, vm, now):
+        """Note that something was placed on a worker."""
+        if self.is_probed(vm, now):
+            self._records[vm].probed = now
+
+    def is_probing(self, vm, now):
+        """Tell whether a probe of a worker is under way."""
+        if not self.is_probed(vm, now):
+            return False
+        return now - self._records[vm].probed < PROBE_SECONDS
+
     def is_quarantined(self, vm, now):
         """Tell whether a worker gets nothing now."""
         record = self._records.get(vm)
--- a/packages/scheduler/portwharf/scheduler/health_test.py
+++ b/packages/scheduler/portwharf/scheduler/health_test.py
@@ -26,6 +26,26 @@
     case.assertFalse(made.is_quarantined('vm-2', 1.0))
 
 
+def test_one_job_counts_twice_at_the_most(case):
+    made = health.Health()
+    for step in ('a.0', 'a.1', 'a.2'):
+        case.assertFalse(made.note_failure(VM, step, 0.0, 'a'))
+    case.assertFalse(made.note_failure(VM, 'b.0', 0.0, 'b'))
+    case.assertTrue(made.note_failure(VM, 'b.0', 0.0, 'b'))
+
+
+def test_probe_that_comes_to_no_end_is_followed_by_another(case):
+    made = health.Health()
+    fail(made, ['a', 'a', 'b', 'b'])
+    end = health.FIRST_SECONDS
+    case.assertFalse(made.is_probing(VM, end))
+    made.note_placed(VM, end)
+    case.assertTrue(made.is_probing(VM, end + 1))
+    later = end + health.PROBE_SECONDS
+    case.assertFalse(made.is_probing(VM, later))
+    case.assertTrue(made.is_probed(VM, later))
+
+
 def test_success_between_clears_it(case):
     made = health.Health()
     fail(made, ['a', 'b', 'c'])
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -191,8 +191,7 @@
             return CLOSED_LEAVING
         if self._health.is_quarantined(name, now):
             return CLOSED_QUARANTINED
-        if self._health.is_probed(name, now) and self._state.held[name]:
-            # The probe is under way.
+        if self._health.is_probing(name, now):
             return CLOSED_QUARANTINED
         return ''
 
