With too much to do, the least left to do goes first, late jobs after

Change: what can still end in time comes first, by what is left of its job; what is late after it; what is too late to matter last, as before. Ruled out: due times alone (the overload makes all late by turns).

--- a/packages/scheduler/portwharf/scheduler/backlog.py
+++ b/packages/scheduler/portwharf/scheduler/backlog.py
@@ -19,6 +19,8 @@
 _NO_DEADLINE = float('inf')
 # A job that is late is served last, but not for longer than this.
 _PATIENCE_MS = 30_000
+# Estimates of run times are off by a third or so either way.
+_ESTIMATE_TOLERANCE = 0.3
 
 
 class Demand:
@@ -34,18 +36,22 @@
         '_tasks',
         'avoided',
         'choosy',
+        'left',
         'rack',
         'record',
         'tickets',
     )
 
-    def __init__(self, record, avoided=frozenset()):
+    def __init__(self, record, avoided=frozenset(), left=0):
         """Take a ``state.WorkloadRecord``.
 
         :param avoided: VM names that its tasks keep away from
+        :param left: what is left to do of its job, in thousandths of a
+            processor times ms
         """
         self.record = record
         self.avoided = avoided
+        self.left = left
         # It rather waits than goes where it would hardly work.
         self.choosy = True
         # The rack that its tasks should share, or ''.
@@ -150,7 +156,7 @@
 
 def order_demands(demands, now_ms):
     """Return demands in the order in which they are served."""
-    return sorted(demands, key=lambda demand: _rank(demand.record, now_ms))
+    return sorted(demands, key=lambda demand: _rank(demand, now_ms))
 
 
 def find_kind(workload):
@@ -158,30 +164,44 @@
     return f'{workload.team}/{workload.program}'
 
 
-def _rank_step(record, now_ms):
-    """Return the rank of a job's step: by when it has to begin.
+def _rank_step(demand, now_ms):
+    """Return the rank of a job's step.
 
     Lasting work is served before others of its importance, to be whole.
-    What is too late to matter waits for what is not, but not for ever.
+    Then what can still end in time comes before what is late, and what is
+    too late to matter comes last, but not for ever. With too much to do at
+    once, jobs with the least left to do go first: they are worth the most
+    for what they take, and most of them end in time.
     """
+    record = demand.record
     workload = record.workload
-    spent = now_ms - record.late_ms
     lasts = workload.kind == data.Kind.STANDING
     return (
         True,
         True,
         -workload.importance,
-        0 < spent < _PATIENCE_MS and not lasts,
         not lasts,
+        0 if lasts else _rank_lateness(record, now_ms),
+        demand.left,
         record.due_ms,
         record.id,
     )
 
 
-def _rank(record, now_ms):
+def _rank_lateness(record, now_ms):
+    """Return 0 for a step in time, 1 for a late one, 2 for too late."""
+    spent = now_ms - record.late_ms
+    if 0 < spent < _PATIENCE_MS:
+        return 2
+    tolerance = _ESTIMATE_TOLERANCE * record.workload.run_ms
+    return int(now_ms > record.due_ms + tolerance)
+
+
+def _rank(demand, now_ms):
+    record = demand.record
     workload = record.workload
     if workload.job:
-        return _rank_step(record, now_ms)
+        return _rank_step(demand, now_ms)
     due = _NO_DEADLINE
     if workload.deadline_seconds:
         end = record.unix_ms + workload.deadline_seconds * 1000
--- a/packages/scheduler/portwharf/scheduler/planning.py
+++ b/packages/scheduler/portwharf/scheduler/planning.py
@@ -72,13 +72,40 @@
     :param list_avoided: function from a workload's id to the names of VMs
         that it keeps away from
     """
-    return [
-        backlog.Demand(record, list_avoided(record.id))
+    ready = [
+        record
         for record in state.list_unended()
         if _has_waiting(record)
         and record.not_before_ms <= now_ms
         and state.is_ready(record)
     ]
+    left = {
+        name: measure_left(state, name)
+        for name in {record.workload.job for record in ready}
+    }
+    return [
+        backlog.Demand(
+            record, list_avoided(record.id), left[record.workload.job]
+        )
+        for record in ready
+    ]
+
+
+def measure_left(state, job_id):
+    """Return what is left to do of a job, by its estimates.
+
+    :returns: thousandths of a processor times ms; 0 if there is no job
+    """
+    record = state.jobs.get(job_id)
+    if record is None:
+        return 0
+    steps = [state.workloads[name] for name in record.steps]
+    return sum(
+        (step.workload.count - step.succeeded)
+        * step.workload.resources.cpu_milli
+        * step.workload.run_ms
+        for step in steps
+    )
 
 
 def sum_by_team(state):
