--- a/packages/testing/portwharf/testing/platform_runner.py
+++ b/packages/testing/portwharf/testing/platform_runner.py
@@ -42,6 +42,10 @@
             run = self.running.pop(task)
             self._note_end(task, run, how, saved)
 
+    def read_ms(self):
+        """Return the runner's clock."""
+        return int(time.monotonic() * 1000)
+
     def __call__(self, environ, start_response):
         size = int(environ.get('CONTENT_LENGTH') or 0)
         body = json.loads(environ['wsgi.input'].read(size))
@@ -50,7 +54,7 @@
         with self._lock:
             self.orders.append((verb, dict(body)))
             status, value = self._obey(verb, body, meant)
-        value['clockMs'] = _read_ms()
+        value['clockMs'] = self.read_ms()
         return platform_store.answer(start_response, status, value)
 
     def _obey(self, verb, body, meant):
@@ -76,7 +80,7 @@
             return 409, {'reason': 'old'}
         if body.get('ticket', '') != self.ticket:
             return 409, {'reason': 'ticket'}
-        if body['untilMs'] <= _read_ms():
+        if body['untilMs'] <= self.read_ms():
             return 409, {'reason': 'late'}
         self.running[task] = run
         if self.lose_answers:
@@ -105,7 +109,3 @@
         self._over[task] = max(run, self._over.get(task, 0))
         self.ended.append([self._numbers, task, run, how, saved])
         self._lock.notify_all()
-
-
-def _read_ms():
-    return int(time.monotonic() * 1000)
--- a/packages/testing/portwharf/testing/platform_store.py
+++ b/packages/testing/portwharf/testing/platform_store.py
@@ -24,11 +24,13 @@
     :param down: every call is refused with 503
     :param lost: changes are made and then answered with 500
     :param history: watches from before this revision are refused
+    :param slow_seconds: each call takes so much longer
     """
 
     down: bool = False
     lost: bool = False
     history: int = 0
+    slow_seconds: float = 0.0
 
 
 class PlatformStoreStandIn:
@@ -37,6 +39,8 @@
     def __init__(self):
         self.faults = Faults()
         self.calls = []
+        # What is stored in place of a value, as the soak puts relays in.
+        self.rewrite = lambda key, value: value
         self._changed = threading.Condition()
         self._items = {}
         self._events = []
@@ -51,6 +55,7 @@
         raw = environ['wsgi.input'].read(size) if size else b''
         body = json.loads(raw) if raw else {}
         self.calls.append(path)
+        time.sleep(self.faults.slow_seconds)
         if self.faults.down:
             return answer(start_response, 503, {})
         verb, _, rest = path.partition('/')
@@ -67,6 +72,12 @@
         with self._changed:
             return self._put(key, text, 0)
 
+    def forget_history(self):
+        """Have watches from before now refused."""
+        with self._changed:
+            self.faults.history = self._revision
+            self._events = []
+
     def revoke(self, key):
         """Take a key away without a word."""
         with self._changed:
@@ -141,6 +152,7 @@
         return 200, {'ttl_ms': 5 * _MS}
 
     def _put(self, key, value, lease):
+        value = self.rewrite(key, value)
         self._revision += 1
         made = self._items.get(key, {}).get('made', self._revision)
         item = {'privateKey': key, 'value': value, 'rev': self._revision}
--- a/packages/testing/portwharf/testing/relay.py
+++ b/packages/testing/portwharf/testing/relay.py
@@ -9,6 +9,7 @@
 
 import socket
 import threading
+import time
 
 _READ_BYTES = 65536
 
@@ -16,16 +17,23 @@
 class Relay:
     """Passes connections on to one port; a context manager."""
 
-    def __init__(self, address, port, target):
-        """Listen on a port and pass on to the port ``target``."""
-        self._address = address
+    def __init__(self, address, port, target, target_address=''):
+        """Listen on a port and pass on to the port ``target``.
+
+        :param target_address: where that is; the same address if it is ''
+        """
+        self._address = target_address or address
         self._target = target
         self._listener = socket.create_server((address, port), backlog=64)
         self._socks = set()
         self._lock = threading.Lock()
-        self._open = threading.Event()
-        self._open.set()
+        # Whether bytes pass, towards the target and back.
+        self._onward = threading.Event()
+        self._back = threading.Event()
+        self.silence(False)
         self.refusing = False
+        # Seconds that each piece is held up.
+        self.delay = 0.0
 
     def __enter__(self):
         threading.Thread(target=self._accept, daemon=True).start()
@@ -45,10 +53,15 @@
 
     def silence(self, silent):
         """Pass nothing on, or pass on again what was held up."""
-        if silent:
-            self._open.clear()
-        else:
-            self._open.set()
+        self.silence_ways(silent, silent)
+
+    def silence_ways(self, onward, back):
+        """Pass nothing on, in one direction or the other."""
+        for way, silent in ((self._onward, onward), (self._back, back)):
+            if silent:
+                way.clear()
+            else:
+                way.set()
 
     def _accept(self):
         while True:
@@ -72,16 +85,19 @@
     def _join(self, near, far):
         with self._lock:
             self._socks |= {near, far}
-        for one, other in ((near, far), (far, near)):
+        rows = ((near, far, self._onward), (far, near, self._back))
+        for one, other, way in rows:
             one.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             threading.Thread(
-                target=self._pass_on, args=(one, other), daemon=True
+                target=self._pass_on, args=(one, other, way), daemon=True
             ).start()
 
-    def _pass_on(self, one, other):
+    def _pass_on(self, one, other, way):
         try:
             while raw := one.recv(_READ_BYTES):
-                self._open.wait()
+                way.wait()
+                if self.delay:
+                    time.sleep(self.delay)
                 other.sendall(raw)
         except OSError:
             pass
--- /dev/null
+++ b/packages/testing/portwharf/testing/soak.py
@@ -0,0 +1,354 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""``make soak``: real programs under faults from outside, by seeds.
+
+Processes are killed, paused, stopped and started; relays cut, delay, hold
+back one way or both; the store is down, slow, loses answers, leases, keys
+and its history; runners crash, fall silent and carry orders out late. Faults
+come in series and overlap. At the end all is healed, the work has to come to
+its end, and what clients and runners saw is checked.
+"""
+
+import argparse
+import dataclasses
+import pathlib
+import random
+import sys
+import tempfile
+import threading
+import time
+import tomllib
+
+from portwharf.testing import soak_checks
+from portwharf.testing import soak_clients
+from portwharf.testing import soak_world
+
+SECONDS = 20.0
+CLIENTS = 4
+_BETWEEN_SECONDS = 1.6
+_READY_SECONDS = 40.0
+_SETTLE_SECONDS = 90.0
+_SEEDS = pathlib.Path(__file__).parent / 'soak_seeds.toml'
+
+
+@dataclasses.dataclass(slots=True)
+class Heal:
+    """What undoes a fault, and when."""
+
+    at: float = 0.0
+    action: object = None
+
+
+class Soak:
+    """One seed: a schedule, the work under it, and what came of it."""
+
+    def __init__(self, world, seed):
+        """Take a started ``soak_world.World`` and a seed."""
+        self._world = world
+        self._random = random.Random(seed)
+        self._heals = []
+        self._busy = set()
+        self._lock = threading.Lock()
+        self.faults = 0
+        self.problems = []
+        self.clients = [
+            soak_clients.Client(world, seed * 100 + number)
+            for number in range(CLIENTS)
+        ]
+
+    def run(self, seconds):
+        """Run the schedule, heal all, and check."""
+        began = time.monotonic()
+        if not self._wait_until_served():
+            self.problems.append('not served within the time to get ready')
+            return
+        for client in self.clients:
+            client.start()
+        while time.monotonic() - began < seconds:
+            time.sleep(self._random.uniform(0.2, 1.0) * _BETWEEN_SECONDS)
+            self._heal_due(time.monotonic())
+            self._do_fault()
+        for client in self.clients:
+            client.stop()
+        self._heal_due(float('inf'))
+        for client in self.clients:
+            client.join()
+        self._settle()
+        self._check()
+
+    # Faults.
+
+    def _do_fault(self):
+        fault = self._random.choice(_FAULTS)
+        name = fault.__name__.strip('_')
+        if not fault(self):
+            return
+        self.faults += 1
+        print(f'  {time.monotonic():.1f} {name}', flush=True)
+
+    def _kill(self):
+        program = self._pick(self._world.programs.values())
+        if program is None:
+            return False
+        self._world.kill(program)
+        return self._heal(
+            program, 0.2, 4.0, lambda: self._world.start(program)
+        )
+
+    def _kill_all_sides(self):
+        if self._busy or self._random.random() > 0.4:
+            return False
+        for program in self._world.sides:
+            self._busy.add(program.name)
+            self._world.kill(program)
+        for program in self._world.sides:
+            self._heal(
+                program, 0.5, 2.0, lambda one=program: self._world.start(one)
+            )
+        return True
+
+    def _stop(self):
+        program = self._pick(self._world.programs.values())
+        if program is None:
+            return False
+        if not self._world.stop(program):
+            self.problems.append(f'{program.name} did not stop in its time')
+        return self._heal(
+            program, 0.1, 0.5, lambda: self._world.start(program)
+        )
+
+    def _pause(self):
+        program = self._pick(self._world.programs.values())
+        if program is None:
+            return False
+        self._world.pause(program, True)
+        return self._heal(
+            program, 0.5, 8.0, lambda: self._world.pause(program, False)
+        )
+
+    def _cut_peers(self):
+        return self._harm(lambda one: one.peers, self._world.sides)
+
+    def _cut_store(self):
+        return self._harm(
+            lambda one: one.store, list(self._world.programs.values())
+        )
+
+    def _harm(self, find_relay, programs):
+        """Harm one relay: reset, delay, hold back one way or both."""
+        program = self._random.choice(programs)
+        made = find_relay(program)
+        if id(made) in self._busy:
+            return False
+        self._busy.add(id(made))
+        way = self._random.choice(('reset', 'delay', 'onward', 'back', 'both'))
+        if way == 'reset':
+            made.refusing = True
+            made.cut()
+        elif way == 'delay':
+            made.delay = self._random.uniform(0.05, 0.4)
+        else:
+            made.silence_ways(way != 'back', way != 'onward')
+
+        def mend():
+            made.refusing = False
+            made.delay = 0.0
+            made.silence(False)
+            self._busy.discard(id(made))
+
+        self._heal_later(0.5, 7.0, mend)
+        return True
+
+    def _harm_store(self):
+        faults = self._world.store.faults
+        if faults.down or faults.lost or faults.slow_seconds:
+            return False
+        kind = self._random.choice(('down', 'lost', 'slow', 'lapse', 'forget'))
+        if kind == 'down':
+            faults.down = True
+        elif kind == 'lost':
+            faults.lost = True
+        elif kind == 'slow':
+            faults.slow_seconds = self._random.uniform(0.05, 0.3)
+        elif kind == 'lapse':
+            self._world.store.end_leases()
+        else:
+            self._world.store.forget_history()
+
+        def mend():
+            faults.down = faults.lost = False
+            faults.slow_seconds = 0.0
+
+        self._heal_later(0.5, 6.0, mend)
+        return True
+
+    def _revoke(self):
+        program = self._random.choice(list(self._world.programs.values()))
+        self._world.store.revoke(f'vms/{program.name}')
+        return True
+
+    def _crash_runner(self):
+        self._random.choice(self._world.sides).runner.crash()
+        return True
+
+    def _silence_runner(self):
+        runner = self._random.choice(self._world.sides).runner
+        if runner.silent:
+            return False
+        runner.silent = True
+        self._heal_later(0.5, 9.0, lambda: setattr(runner, 'silent', False))
+        return True
+
+    def _delay_orders(self):
+        self._random.choice(self._world.sides).runner.late_starts = 3
+        return True
+
+    def _pick(self, programs):
+        """Return a process that nothing is wrong with, or None."""
+        free = [one for one in programs if one.name not in self._busy]
+        if not free:
+            return None
+        program = self._random.choice(free)
+        self._busy.add(program.name)
+        return program
+
+    def _heal(self, program, least, most, action):
+        def mend():
+            action()
+            self._busy.discard(program.name)
+
+        self._heal_later(least, most, mend)
+        return True
+
+    def _heal_later(self, least, most, action):
+        at = time.monotonic() + self._random.uniform(least, most)
+        self._heals.append(Heal(at, action))
+
+    def _heal_due(self, now):
+        due = [heal for heal in self._heals if heal.at <= now]
+        self._heals = [heal for heal in self._heals if heal.at > now]
+        for heal in due:
+            heal.action()
+
+    # The end.
+
+    def _wait_until_served(self):
+        client = self.clients[0]
+
+        def is_served():
+            statuses = client.ask_route(soak_world.PREFIX)
+            return all(status == 200 for status in statuses)
+
+        return soak_world.wait_until(is_served, _READY_SECONDS)
+
+    def _settle(self):
+        """Wait until every accepted job is at its end."""
+        for client in self.clients:
+            self._cancel_rest(client)
+        rest = [
+            (client, told)
+            for client in self.clients
+            for told in client.told
+            if told.accepted and not told.cancel_sent
+        ]
+
+        def is_settled():
+            rest[:] = [row for row in rest if not _has_ended(*row)]
+            return not rest
+
+        soak_world.wait_until(is_settled, _SETTLE_SECONDS)
+        time.sleep(soak_checks.CANCEL_SECONDS)
+
+    def _cancel_rest(self, client):
+        """Cancel what lasts, so that there is room for all other work."""
+        for told in client.told:
+            lasts = any(row['longRunning'] for row in told.steps)
+            open_still = told.cancel_sent and told.cancelled is None
+            if open_still or (lasts and told.accepted):
+                client.show(told)
+                client.cancel(told)
+
+    def _check(self):
+        told = [one for client in self.clients for one in client.told]
+        for client in self.clients:
+            self.problems += client.problems
+        spans = [
+            span for side in self._world.sides for span in side.runner.record
+        ]
+        self.problems += soak_checks.check_all(told, spans)
+        accepted = sum(1 for one in told if one.accepted)
+        print(
+            f'  {self.faults} faults, {len(told)} jobs, {accepted} accepted, '
+            f'{len(spans)} runs, {len(soak_checks.list_checks())} checks',
+            flush=True,
+        )
+
+
+_FAULTS = (
+    Soak._kill,
+    Soak._kill,
+    Soak._kill_all_sides,
+    Soak._stop,
+    Soak._pause,
+    Soak._pause,
+    Soak._cut_peers,
+    Soak._cut_peers,
+    Soak._cut_store,
+    Soak._harm_store,
+    Soak._harm_store,
+    Soak._revoke,
+    Soak._crash_runner,
+    Soak._silence_runner,
+    Soak._delay_orders,
+)
+
+
+def _has_ended(client, told):
+    """Ask whether a job is where it has to come to."""
+    return client.show(told)[1] in ('completed', 'failed')
+
+
+def run_seed(seed, seconds, folder, network):
+    """Run one seed; returns the list of what was broken."""
+    print(f'seed {seed}', flush=True)
+    with soak_world.World(folder, network) as world:
+        made = Soak(world, seed)
+        made.run(seconds)
+    for problem in made.problems:
+        print(f'  BROKEN {problem}', flush=True)
+    return made.problems
+
+
+def list_kept_seeds():
+    """Return the seeds that have failed once, from ``soak_seeds.toml``."""
+    with open(_SEEDS, 'rb') as source:
+        return [row['seed'] for row in tomllib.load(source).get('kept', [])]
+
+
+def main():
+    """Run seeds; exit code 0 only if nothing was broken."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--seed', type=int, help='the first one')
+    parser.add_argument('--count', type=int, default=1)
+    parser.add_argument('--seconds', type=float, default=SECONDS)
+    parser.add_argument('--network', type=int, default=77)
+    parser.add_argument('--keep', default='', help='folder for logs')
+    arguments = parser.parse_args()
+    seeds = list_kept_seeds()
+    if arguments.seed is not None:
+        first = arguments.seed
+        seeds = list(range(first, first + arguments.count))
+    failed = []
+    for seed in seeds:
+        with tempfile.TemporaryDirectory(prefix='portwharf-') as folder:
+            kept = arguments.keep and f'{arguments.keep}/{seed}'
+            if run_seed(
+                seed, arguments.seconds, kept or folder, arguments.network
+            ):
+                failed.append(seed)
+    print(f'{len(seeds) - len(failed)} seeds passed, failed: {failed}')
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/packages/vmlist/portwharf/vmlist/__init__.py
+++ b/packages/vmlist/portwharf/vmlist/__init__.py
@@ -4,7 +4,8 @@
 
 from portwharf.vmlist.base import VmList
 from portwharf.vmlist.http import HttpVmList
+from portwharf.vmlist.register import PREFIX
 from portwharf.vmlist.register import Register
 from portwharf.vmlist.register import Registration
 
-__all__ = ('HttpVmList', 'Register', 'Registration', 'VmList')
+__all__ = ('PREFIX', 'HttpVmList', 'Register', 'Registration', 'VmList')
