--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
 STAMP := $(VENV)/.installed
 
-.PHONY: help setup run test lint format generate faults bench bench-requests bench-decisions slopes clean
+.PHONY: help setup run test lint format generate faults soak bench bench-requests bench-decisions slopes clean
 
 help:
 	@echo 'make setup     install everything into $(VENV)'
@@ -20,6 +20,8 @@
 	@echo 'make format    format the code'
 	@echo 'make generate  make packages/schema anew from proto/'
 	@echo 'make faults    run real processes under faults; FAULTS="--seed 2"'
+	@echo 'make soak      run real programs on the platform under faults;'
+	@echo '               SOAK="--seed 1 --count 50 --seconds 20"'
 	@echo 'make bench     measure state and ownership against their bounds'
 	@echo 'make bench-requests   measure routing and limits'
 	@echo 'make bench-decisions  measure decisions against baselines'
@@ -57,6 +59,9 @@
 faults: setup
 	$(BIN)/python -m portwharf.testing.faults $(FAULTS)
 
+soak: setup
+	$(BIN)/python -m portwharf.testing.soak $(SOAK)
+
 bench: setup
 	$(BIN)/python -m portwharf.testing.bench
 
