--- a/packages/entry/portwharf/entry/commands.py
+++ b/packages/entry/portwharf/entry/commands.py
@@ -1,91 +1,23 @@
 # Copyright the portwharf authors.
 # SPDX-License-Identifier: Apache-2.0
-"""The operators' command line: each subcommand a client of the RPC.
-
-Exit codes: 0 done, 1 refused or failed, 2 the command line or a file is
-wrong, 3 no entry could be reached or the outcome is unknown.
-"""
+"""The operators' commands about work: each a client of the RPC."""
 
 import dataclasses
 import json
-import os
-import pathlib
 import sys
 import typing
 
 import cappa
 
 from portwharf.core import ids
+from portwharf.entry import calling
 from portwharf.entry import jobfile
-from portwharf.entry import pictures
 from portwharf.entry import tables
-from portwharf import operators
 from portwharf.operators import convert
 from portwharf.v1 import callers_pb
 from portwharf.v1 import operators_pb as pb
 
-EXIT_REFUSED = 1
-EXIT_USAGE = 2
-EXIT_UNREACHABLE = 3
-
-_SERVICE = 'portwharf.v1.OperatorService'
 _CALLERS = 'portwharf.v1.CallerService'
-_ENTRY_VARIABLE = 'PORTWHARF_ENTRY'
-_UNREACHABLE_CODES = ('unavailable', 'unknown', 'deadline_exceeded')
-
-Entry = typing.Annotated[
-    str,
-    cappa.Arg(
-        long='--entry',
-        default=cappa.Default(cappa.Env(_ENTRY_VARIABLE)),
-        help='IP:PORT of an entry, several with commas between; '
-        f'else the variable {_ENTRY_VARIABLE}.',
-    ),
-]
-Json = typing.Annotated[
-    bool, cappa.Arg(long='--json', help='Print JSON for programs.')
-]
-
-
-def call_entry(entry, method, req, answer_class, service=_SERVICE):
-    """Make one call, or print why it failed and exit."""
-    client = operators.Client(read_addresses(entry))
-    answer = client.call(service, method, req, answer_class)
-    if answer.is_ok():
-        return answer.ok_value
-    error = answer.err_value
-    print(f'{error.code}: {error.text}', file=sys.stderr)
-    if error.code in _UNREACHABLE_CODES:
-        sys.exit(EXIT_UNREACHABLE)
-    sys.exit(EXIT_REFUSED)
-
-
-def read_addresses(entry):
-    """Return (IP number, port) pairs of IP:PORT[,IP:PORT...]."""
-    pairs = []
-    for part in (entry or os.environ.get(_ENTRY_VARIABLE, '')).split(','):
-        address, colon, port = part.strip().rpartition(':')
-        if not colon or not port.isdigit():
-            print(
-                f'--entry: must be IP:PORT, not {part!r}; '
-                f'or set {_ENTRY_VARIABLE}',
-                file=sys.stderr,
-            )
-            sys.exit(EXIT_USAGE)
-        pairs.append((address, int(port)))
-    return pairs
-
-
-def print_json(message):
-    """Print a schema message as JSON."""
-    print(message.to_json())
-
-
-def fail_with_problems(problems):
-    """Print what is wrong with a file, and exit."""
-    for problem in problems:
-        print(problem.describe(), file=sys.stderr)
-    sys.exit(EXIT_USAGE)
 
 
 @cappa.command(name='submit')
@@ -100,13 +32,13 @@
     """
 
     file: str
-    entry: Entry = ''
-    json: Json = False
+    entry: calling.Entry = ''
+    json: calling.Json = False
 
     def __call__(self):
         read = jobfile.read_file(self.file)
         if read.is_err():
-            fail_with_problems(read.err_value)
+            calling.fail_with_problems(read.err_value)
         rows = [self._submit(one) for one in read.ok_value]
         if self.json:
             print(json.dumps(rows))
@@ -119,7 +51,7 @@
         req = pb.CreateWorkloadRequest(
             workload=convert.write_workload(one.workload), key=one.key
         )
-        made = call_entry(
+        made = calling.call_entry(
             self.entry, 'CreateWorkload', req, pb.CreateWorkloadResponse
         )
         return {
@@ -138,8 +70,8 @@
     """
 
     team: typing.Annotated[str, cappa.Arg(long='--team')] = ''
-    entry: Entry = ''
-    json: Json = False
+    entry: calling.Entry = ''
+    json: calling.Json = False
 
     def __call__(self):
         _list(self, (pb.Kind.BATCH, pb.Kind.STANDING))
@@ -154,8 +86,8 @@
     """
 
     team: typing.Annotated[str, cappa.Arg(long='--team')] = ''
-    entry: Entry = ''
-    json: Json = False
+    entry: calling.Entry = ''
+    json: calling.Json = False
 
     def __call__(self):
         _list(self, (pb.Kind.SERVICE,))
@@ -170,14 +102,16 @@
     """
 
     workload: str
-    entry: Entry = ''
-    json: Json = False
+    entry: calling.Entry = ''
+    json: calling.Json = False
 
     def __call__(self):
         req = pb.ListTasksRequest(workload_id=self.workload)
-        listed = call_entry(self.entry, 'ListTasks', req, pb.ListTasksResponse)
+        listed = calling.call_entry(
+            self.entry, 'ListTasks', req, pb.ListTasksResponse
+        )
         if self.json:
-            print_json(listed)
+            calling.print_json(listed)
             return
         tables.print_table(
             ('TASK', 'STATE', 'ATTEMPT', 'VM', 'EVICTED', 'RESULT'),
@@ -204,16 +138,16 @@
     """
 
     workload: str
-    entry: Entry = ''
-    json: Json = False
+    entry: calling.Entry = ''
+    json: calling.Json = False
 
     def __call__(self):
         req = pb.CancelWorkloadRequest(id=self.workload)
-        done = call_entry(
+        done = calling.call_entry(
             self.entry, 'CancelWorkload', req, pb.CancelWorkloadResponse
         )
         if self.json:
-            print_json(done)
+            calling.print_json(done)
             return
         print(f'cancelled: {done.cancelled} tasks had not ended')
 
@@ -229,10 +163,10 @@
     workload: str
     count: typing.Annotated[int, cappa.Arg(long='--count')] = 0
     importance: typing.Annotated[int, cappa.Arg(long='--importance')] = -1
-    entry: Entry = ''
+    entry: calling.Entry = ''
 
     def __call__(self):
-        listed = call_entry(
+        listed = calling.call_entry(
             self.entry,
             'ListWorkloads',
             pb.ListWorkloadsRequest(),
@@ -241,14 +175,14 @@
         known = [s for s in listed.workloads if s.id == self.workload]
         if not known:
             print(f'not_found: id: {self.workload}', file=sys.stderr)
-            sys.exit(EXIT_REFUSED)
+            sys.exit(calling.EXIT_REFUSED)
         workload = known[0].workload
         if self.count > 0:
             workload.count = self.count
         if self.importance >= 0:
             workload.importance = self.importance
         req = pb.UpdateWorkloadRequest(id=self.workload, workload=workload)
-        call_entry(
+        calling.call_entry(
             self.entry, 'UpdateWorkload', req, pb.UpdateWorkloadResponse
         )
         print('changed')
@@ -276,8 +210,8 @@
         bool, cappa.Arg(long='--once', help='It must run at most once.')
     ] = False
     deadline_ms: typing.Annotated[int, cappa.Arg(long='--deadline-ms')] = 5000
-    entry: Entry = ''
-    json: Json = False
+    entry: calling.Entry = ''
+    json: calling.Json = False
 
     def __call__(self):
         req = callers_pb.CallRequest(
@@ -288,11 +222,11 @@
             sent_before=bool(self.id),
             payload=self.payload.encode(),
         )
-        done = call_entry(
+        done = calling.call_entry(
             self.entry, 'Call', req, callers_pb.CallResponse, _CALLERS
         )
         if self.json:
-            print_json(done)
+            calling.print_json(done)
         else:
             print(f'{done.outcome.name.lower()} {done.reason} {done.advice}')
             print(bytes(done.payload).decode(errors='replace'))
@@ -301,9 +235,9 @@
 
 _CALL_EXITS = {
     callers_pb.Outcome.ANSWERED: 0,
-    callers_pb.Outcome.NOT_RUN: EXIT_REFUSED,
-    callers_pb.Outcome.FAILED: EXIT_REFUSED,
-    callers_pb.Outcome.UNKNOWN: EXIT_UNREACHABLE,
+    callers_pb.Outcome.NOT_RUN: calling.EXIT_REFUSED,
+    callers_pb.Outcome.FAILED: calling.EXIT_REFUSED,
+    callers_pb.Outcome.UNKNOWN: calling.EXIT_UNREACHABLE,
 }
 
 
@@ -318,233 +252,30 @@
     """
 
     id: str
-    entry: Entry = ''
-    json: Json = False
+    entry: calling.Entry = ''
+    json: calling.Json = False
 
     def __call__(self):
         req = pb.ExplainRequest(id=self.id)
-        found = call_entry(self.entry, 'Explain', req, pb.ExplainResponse)
+        found = calling.call_entry(
+            self.entry, 'Explain', req, pb.ExplainResponse
+        )
         if self.json:
-            print_json(found)
+            calling.print_json(found)
             return
         print(f'{found.subject}: {found.state}')
         for decision in found.decisions:
             _print_decision(decision)
 
 
-@cappa.command(name='get')
-@dataclasses.dataclass
-class ConfigGet:
-    """Print the accepted configuration; its revision is on line one.
-
-    Example: portwharf config get > current.toml
-    """
-
-    entry: Entry = ''
-    json: Json = False
-
-    def __call__(self):
-        got = call_entry(
-            self.entry,
-            'GetConfig',
-            pb.GetConfigRequest(),
-            pb.GetConfigResponse,
-        )
-        if self.json:
-            print_json(got)
-            return
-        print(f'# revision {got.revision}')
-        print(got.text, end='')
-
-
-@cappa.command(name='set')
-@dataclasses.dataclass
-class ConfigSet:
-    """Make a file the configuration, if nobody changed it meanwhile.
-
-    Example: portwharf config set current.toml --base 17
-    """
-
-    file: str
-    base: typing.Annotated[
-        int, cappa.Arg(long='--base', help='Revision that was changed.')
-    ] = 0
-    entry: Entry = ''
-    json: Json = False
-
-    def __call__(self):
-        try:
-            text = pathlib.Path(self.file).read_text()
-        except (OSError, UnicodeDecodeError) as exc:
-            print(f'{self.file}: cannot be read: {exc}', file=sys.stderr)
-            sys.exit(EXIT_USAGE)
-        req = pb.ProposeConfigRequest(base_revision=self.base, text=text)
-        made = call_entry(
-            self.entry, 'ProposeConfig', req, pb.ProposeConfigResponse
-        )
-        if self.json:
-            print_json(made)
-            return
-        print(f'accepted as revision {made.revision}')
-
-
-@cappa.command(name='status')
-@dataclasses.dataclass
-class ConfigStatus:
-    """Show which revision each process acts by.
-
-    Example: portwharf config status
-    """
-
-    entry: Entry = ''
-    json: Json = False
-
-    def __call__(self):
-        got = call_entry(
-            self.entry,
-            'ConfigStatus',
-            pb.ConfigStatusRequest(),
-            pb.ConfigStatusResponse,
-        )
-        if self.json:
-            print_json(got)
-            return
-        print(f'accepted revision: {got.revision}')
-        tables.print_table(
-            ('PROCESS', 'REVISION', 'IN FORCE'),
-            [
-                (
-                    one.process,
-                    one.revision,
-                    'yes' if one.revision == got.revision else 'not yet',
-                )
-                for one in got.processes
-            ],
-        )
-
-
-@cappa.command(name='config')
-@dataclasses.dataclass
-class Config:
-    """Read, change and follow the configuration."""
-
-    command: cappa.Subcommands[ConfigGet | ConfigSet | ConfigStatus]
-
-
-@cappa.command(name='status')
-@dataclasses.dataclass
-class Status:
-    """Show shards, their owners, and VMs.
-
-    Example: portwharf status
-    """
-
-    entry: Entry = ''
-    json: Json = False
-
-    def __call__(self):
-        got = call_entry(
-            self.entry,
-            'ClusterStatus',
-            pb.ClusterStatusRequest(),
-            pb.ClusterStatusResponse,
-        )
-        if self.json:
-            print_json(got)
-            return
-        tables.print_table(
-            ('SHARD', 'OWNER', 'EPOCH', 'LOG', 'WAITING', 'RUNNING'),
-            [
-                (s.shard, s.owner, s.epoch, s.log_length, s.waiting, s.running)
-                for s in got.shards
-            ],
-        )
-        print()
-        tables.print_table(
-            ('VM', 'ZONE', 'RACK', 'STATE', 'CAPACITY', 'RESERVED', 'TASKS'),
-            [
-                (
-                    vm.name,
-                    vm.availability_zone,
-                    vm.rack,
-                    vm.state,
-                    tables.format_size(vm.capacity),
-                    tables.format_size(vm.reserved),
-                    vm.tasks,
-                )
-                for vm in got.vms
-            ],
-        )
-
-
-@cappa.command(name='burn')
-@dataclasses.dataclass
-class Burn:
-    """Show how fast services use up their error budgets.
-
-    Example: portwharf report burn --picture burn.png
-    """
-
-    picture: typing.Annotated[
-        str, cappa.Arg(long='--picture', help='Draw it into this file.')
-    ] = ''
-    entry: Entry = ''
-    json: Json = False
-
-    def __call__(self):
-        got = call_entry(
-            self.entry,
-            'BurnReport',
-            pb.BurnReportRequest(),
-            pb.BurnReportResponse,
-        )
-        if self.json:
-            print_json(got)
-            return
-        if self.picture:
-            drawn = pictures.draw_burn(got.services, self.picture)
-            if drawn.is_err():
-                fail_with_problems([drawn.err_value])
-            print(f'drawn: {self.picture}')
-            return
-        tables.print_table(
-            ('SERVICE', 'TARGET', 'WINDOW', 'REQUESTS', 'BAD', 'BURN', 'LEFT'),
-            [row for one in got.services for row in _list_burn(one)],
-        )
-
-
-@cappa.command(name='report')
-@dataclasses.dataclass
-class Report:
-    """Reports on services."""
-
-    command: cappa.Subcommands[Burn]
-
-
-def _list_burn(one):
-    target = f'{one.target_ratio:.3%} in {one.target_ms} ms'
-    return [
-        (
-            one.service,
-            target,
-            f'{window.window_seconds} s',
-            window.requests,
-            window.late_or_failed,
-            f'{window.burn_rate:.2f}',
-            f'{one.budget_left:.1%}',
-        )
-        for window in one.windows
-    ]
-
-
 def _list(command, kinds):
     req = pb.ListWorkloadsRequest(team=command.team)
-    listed = call_entry(
+    listed = calling.call_entry(
         command.entry, 'ListWorkloads', req, pb.ListWorkloadsResponse
     )
     chosen = [s for s in listed.workloads if s.workload.kind in kinds]
     if command.json:
-        print_json(pb.ListWorkloadsResponse(workloads=chosen))
+        calling.print_json(pb.ListWorkloadsResponse(workloads=chosen))
         return
     tables.print_table(
         ('ID', 'WORKLOAD', 'KIND', 'WAITING', 'RUNNING', 'DONE', 'FAILED'),
--- a/packages/entry/portwharf/entry/main.py
+++ b/packages/entry/portwharf/entry/main.py
@@ -9,6 +9,8 @@
 import cappa
 
 from portwharf.core import logs
+from portwharf.entry import calling
+from portwharf.entry import cluster_commands
 from portwharf.entry import commands
 from portwharf.entry import jobfile
 from portwharf.entry import settings
@@ -30,7 +32,7 @@
 
         read = settings.read_settings(self.settings)
         if read.is_err():
-            commands.fail_with_problems(read.err_value)
+            calling.fail_with_problems(read.err_value)
         cfg = read.ok_value
         logs.set_up(cfg.log_style, cfg.log_level)
         logs.end_on_crash()
@@ -57,7 +59,7 @@
     def __call__(self):
         read = _read_any(self.file)
         if read.is_err():
-            commands.fail_with_problems(read.err_value)
+            calling.fail_with_problems(read.err_value)
         print(f'{self.file}: good')
 
 
@@ -77,9 +79,9 @@
         | commands.Scale
         | commands.Call
         | commands.Explain
-        | commands.Config
-        | commands.Status
-        | commands.Report
+        | cluster_commands.Config
+        | cluster_commands.Status
+        | cluster_commands.Report
     ]
 
 
--- a/packages/entry/portwharf/entry/main_test.py
+++ b/packages/entry/portwharf/entry/main_test.py
@@ -11,7 +11,7 @@
 
 import cappa
 
-from portwharf.entry import commands
+from portwharf.entry import calling
 from portwharf.entry import main
 from portwharf.entry import pictures
 
@@ -60,7 +60,7 @@
         ('name = "overnight"', 'name = "over night"'),
     )
     code, _, err = run('submit', path, '--entry', '127.0.0.1:1')
-    case.assertEqual(code, commands.EXIT_USAGE)
+    case.assertEqual(code, calling.EXIT_USAGE)
     for field in ('kind', 'count', 'resources.cpus', 'importance', 'name'):
         case.assertIn(f'workload.0.{field}: ', err)
     case.assertIn('did you mean "cpu_milli"?', err)
@@ -74,20 +74,20 @@
         ('threads', 'treads'),
     )
     code, _, err = run('check-settings', path)
-    case.assertEqual(code, commands.EXIT_USAGE)
+    case.assertEqual(code, calling.EXIT_USAGE)
     case.assertIn('entry.address: must be an IP number', err)
     case.assertIn('did you mean "threads"?', err)
 
 
 def test_missing_entry_address_is_told(case):
     code, _, err = run('jobs', '--entry', 'somewhere')
-    case.assertEqual(code, commands.EXIT_USAGE)
+    case.assertEqual(code, calling.EXIT_USAGE)
     case.assertIn('must be IP:PORT', err)
 
 
 def test_unreachable_entry_has_an_exit_code_of_its_own(case):
     code, _, err = run('jobs', '--entry', '127.0.0.1:1')
-    case.assertEqual(code, commands.EXIT_UNREACHABLE)
+    case.assertEqual(code, calling.EXIT_UNREACHABLE)
     case.assertIn('unreachable', err)
 
 
--- a/packages/testing/portwharf/testing/relay.py
+++ b/packages/testing/portwharf/testing/relay.py
@@ -40,7 +40,9 @@
         return self
 
     def __exit__(self, *exc_info):
-        self._listener.close()
+        # Closing alone leaves it open for the thread that accepts.
+        _shut(self._listener)
+        self.silence(False)
         self.cut()
 
     def cut(self):
