--- /dev/null
+++ b/packages/testing/portwharf/testing/gaps_test.py
@@ -0,0 +1,25 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Pauses are found in logs, with what owners did in them."""
+
+from portwharf.testing import gaps
+
+LOG = """\
+built in 0.4 s
+  7.9000 side-1 {"message": "placed"}
+  8.0000 side-1 {"message": "placed"}
+  9.2000 side-2 {"message": "owner begins"}
+  9.3000 side-2 {"message": "placed"}
+  9.4000 side-2 {"message": "plac
+"""
+
+
+def test_pause_is_found_with_its_owner(case):
+    (gap,) = gaps.find_gaps(gaps.read_lines(LOG.splitlines()))
+    case.assertEqual((gap.began, gap.ended), (8.0, 9.3))
+    case.assertEqual([line.process for line in gap.events], ['side-2'])
+
+
+def test_usual_pauses_are_passed_over(case):
+    lines = gaps.read_lines(LOG.splitlines())
+    case.assertEqual(gaps.find_gaps(lines, 2.0), [])
