A registration without an answer is written again

A side restarted while the store lost answers; its key was there at the next look, which counted as success, but the fencing token comes with the answer to the writing alone. The side had no token for good, looked at no runner and reported nothing; its tasks stood still, since it was heard. Ruled out: reading the revision of the key that is there, which may be the former life's (one token, two holders). Tests: two in register_test; the first fails on the code before.

--- a/packages/vmlist/portwharf/vmlist/register.py
+++ b/packages/vmlist/portwharf/vmlist/register.py
@@ -77,7 +77,9 @@
 
         :returns: whether the key is there
         """
-        if self._lease and self._is_kept():
+        # A key whose writing was not answered may be a former life's: it is
+        # written again, so that the token is ours alone.
+        if self._present and self._is_kept():
             return True
         if self._present:
             LOG.warning('registration lost', extra=logs.fields(vm=self._key))
--- a/packages/vmlist/portwharf/vmlist/register_test.py
+++ b/packages/vmlist/portwharf/vmlist/register_test.py
@@ -57,3 +57,24 @@
     standin.faults.down = True
     case.assertTrue(made.look())
     case.assertTrue(made.read().is_err())
+
+
+def test_token_is_found_although_the_first_answer_was_lost(case):
+    made, standin, _ = open_registration(case)
+    standin.faults.lost = True
+    case.assertFalse(made.look())
+    standin.faults.lost = False
+    case.assertTrue(made.look())
+    case.assertGreater(made.token, 0)
+    case.assertTrue(made.registered.is_set())
+
+
+def test_token_is_never_that_of_a_former_life(case):
+    made, standin, vm = open_registration(case)
+    made.look()
+    other = vmlist.Registration(made._kv, vm)
+    standin.faults.lost = True
+    case.assertFalse(other.look())
+    standin.faults.lost = False
+    other.look()
+    case.assertGreater(other.token, made.token)
