--- a/Makefile
+++ b/Makefile
@@ -9,12 +9,13 @@
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
 STAMP := $(VENV)/.installed
 
-.PHONY: help setup run test lint format generate faults soak bench bench-requests bench-decisions slopes clean
+.PHONY: help setup run run-jobs test lint format generate faults soak bench bench-requests bench-decisions slopes clean
 
 help:
 	@echo 'make setup     install everything into $(VENV)'
 	@echo 'make run       run a whole deployment and check every answer;'
 	@echo '               DEPLOYMENT=kinh-sang (default) or floodwatch'
+	@echo 'make run-jobs  run jobs on the platform interfaces, step by step'
 	@echo 'make test      run the tests'
 	@echo 'make lint      run the linter and check the formatting'
 	@echo 'make format    format the code'
@@ -39,6 +40,9 @@
 run: setup
 	$(BIN)/python -m portwharf.testing.demo examples/$(DEPLOYMENT).toml
 
+run-jobs: setup
+	$(BIN)/python -m portwharf.testing.demo_jobs
+
 test: setup
 	$(BIN)/python -m portwharf.testing.suite
 
--- a/packages/testing/portwharf/testing/soak_clients.py
+++ b/packages/testing/portwharf/testing/soak_clients.py
@@ -66,7 +66,7 @@
         while not self._stop_asked.wait(self._random.uniform(0.2, 0.8)):
             told = self._make_job()
             self.told.append(told)
-            self._submit(told)
+            self.submit(told)
             if told.accepted and self._random.randrange(_SPECIAL) == 0:
                 self.cancel(told)
             if self.told and self._random.random() < 0.5:
@@ -97,7 +97,8 @@
             self._ask('GET', prefix, entry)[0] for entry in self._world.entries
         ]
 
-    def _submit(self, told):
+    def submit(self, told):
+        """Hand a job in, again while its outcome is not known."""
         body = {'spec': told.spec, 'steps': told.steps}
         path = soak_world.PREFIX + told.id
         for _ in range(_TRIES):
