--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/steps_test.py
@@ -0,0 +1,140 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Where a step may run and what it pushes out; each rule taken out once."""
+
+from portwharf.core import data
+from portwharf.scheduler import backlog
+from portwharf.scheduler import choosing
+from portwharf.scheduler import configuration
+from portwharf.scheduler import configuration_test
+from portwharf.scheduler import faults_test
+from portwharf.scheduler import gangs_test
+from portwharf.scheduler import jobs_test
+from portwharf.scheduler import placement
+from portwharf.scheduler import pressure
+from portwharf.scheduler import vmview
+from portwharf.side import agent
+from portwharf.side import agent_test
+from portwharf.testing import cluster
+from portwharf.vmlist import register
+from portwharf.vmlist import register_test
+
+check = faults_test.check
+
+
+def place(views, count=4, **fields):
+    """Place a step's tasks; returns the VMs that they went to."""
+    made = jobs_test.accept(jobs_test.make_step(count, **fields))
+    demand = backlog.Demand(made.workloads[jobs_test.FIRST])
+    quotas = backlog.Quotas({}, {})
+    done = placement.place_demands([demand], views, quotas, jobs_test.NOW)
+    return [one.vm for one in done.placements]
+
+
+def test_step_runs_in_its_pool_and_under_its_label_only(case):
+    views = gangs_test.make_views(4, 4, 4)
+    views[0].pool, views[1].pool, views[2].pool = 'desk', 'other', 'desk'
+    views[0].labels = ['a', 'r1']
+    placed = place(views, pool='desk', label='a')
+    case.assertEqual(set(placed), {'vm-0'})
+
+
+def test_vm_holds_only_so_many_tasks_of_a_step(case):
+    placed = place(gangs_test.make_views(8, 8), most_per_vm=1)
+    case.assertEqual(sorted(placed), ['vm-0', 'vm-1'])
+
+
+def test_lasting_work_gives_way_to_nothing(case):
+    made = cluster.Cluster(1)
+    lasting = jobs_test.make_step(2, kind=data.Kind.STANDING)
+    job = jobs_test.make_job(lasting)
+    job.rank = 4
+    made.submit_job(job)
+    made.run(4)
+    made.submit(1, importance=900, resources=data.Resources(2000, 2000))
+    made.run(6)
+    running = [run for run in made.nodes[0].worker.runs if run.running]
+    case.assertEqual(len(running), 2)
+
+
+def test_other_pools_are_caught(case):
+    check(
+        case,
+        test_step_runs_in_its_pool_and_under_its_label_only,
+        vmview.VmView,
+        'suits',
+        lambda self, workload: True,
+    )
+
+
+def test_too_many_on_one_vm_are_caught(case):
+    check(
+        case,
+        test_vm_holds_only_so_many_tasks_of_a_step,
+        choosing,
+        '_refuse_step',
+        lambda demand, view: '',
+    )
+
+
+def test_lasting_work_pushed_out_is_caught(case):
+    original = pressure.Pressure.list_neighbours
+
+    def list_all(self, vm, now):
+        for task in self._state.held[vm].values():
+            record = self._state.find_workload(task.id)
+            record.workload.kind = data.Kind.BATCH
+        return original(self, vm, now)
+
+    check(
+        case,
+        test_lasting_work_gives_way_to_nothing,
+        pressure.Pressure,
+        'list_neighbours',
+        list_all,
+    )
+
+
+def test_more_than_a_vm_holds_is_caught(case):
+    check(
+        case,
+        agent_test.test_vm_is_never_given_more_than_it_holds,
+        agent.Agent,
+        '_sum_running',
+        lambda self: data.Resources(),
+    )
+
+
+def test_configuration_that_goes_back_is_caught(case):
+    original = configuration.ConfigKeeper.offer
+
+    def offer(self, revision, text):
+        self._current = configuration.Configuration()
+        return original(self, revision, text)
+
+    check(
+        case,
+        configuration_test.test_keeper_takes_only_higher_revisions,
+        configuration.ConfigKeeper,
+        'offer',
+        offer,
+    )
+
+
+def test_token_of_a_former_life_is_caught(case):
+    original = register.Registration.look
+
+    def look(self):
+        if self._lease and self._is_kept():
+            found = self._kv.read(self._key).ok_value
+            self.token = self.token or found.revision
+            return True
+        return original(self)
+
+    check(
+        case,
+        register_test.test_token_is_never_that_of_a_former_life,
+        register.Registration,
+        'look',
+        look,
+    )
