--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -7,13 +7,13 @@
 logged and what may be sent before and after that.
 """
 
-import dataclasses
 import logging
 
 from portwharf.core import data
 from portwharf.core import ids
 from portwharf.core import logs
 from portwharf.peers import messages
+from portwharf.scheduler import batches
 from portwharf.scheduler import decisionlog
 from portwharf.scheduler import events
 from portwharf.scheduler import gangs
@@ -33,54 +33,6 @@
 _DROP_SECONDS = 20.0
 
 
-@dataclasses.dataclass(slots=True)
-class Reported:
-    """A side's reports, waiting to be judged."""
-
-    link: object = None
-    message: object = None
-
-
-@dataclasses.dataclass(slots=True)
-class Measured:
-    """What a side measured of its services, waiting to be learnt from."""
-
-    vm: str = ''
-    measures: list = None
-
-
-@dataclasses.dataclass(slots=True)
-class Called:
-    """An operator's changing call, waiting to be carried out."""
-
-    fut: object = None
-    method: str = ''
-    arguments: object = None
-
-
-class Batch:
-    """Events of one pass and what is done once they are logged."""
-
-    def __init__(self):
-        self.events = []
-        self.early = []
-        self.effects = []
-
-    def send_early(self, link, message):
-        """Send a message that earlier entries of the log allow already."""
-        if link is not None:
-            self.early.append(lambda: link.send(message))
-
-    def send(self, link, message):
-        """Send a message after the events are logged."""
-        if link is not None:
-            self.effects.append(lambda: link.send(message))
-
-    def answer(self, fut, value):
-        """Answer an operator after the events are logged."""
-        self.effects.append(lambda: fut.set_result(value))
-
-
 class Decider:
     """The decisions of one owner."""
 
@@ -116,12 +68,12 @@
 
     def decide(self, items):
         """Work out events and what is done after them."""
-        batch = Batch()
+        batch = batches.Batch()
         self._capacities = None
         for item in items:
-            if isinstance(item, Reported):
+            if isinstance(item, batches.Reported):
                 self._judge(item, batch)
-            elif isinstance(item, Measured):
+            elif isinstance(item, batches.Measured):
                 self._learn(item)
             elif item is not None:
                 self._carry_out(item, batch)
@@ -198,10 +150,10 @@
                 command = reconcile.make_stop(self._state, task, False)
                 batch.send(self._members.get_link(task.vm), command)
         ended = self._state.find_job_state(name)
-        if ended in data.ENDED_JOB_STATES and name not in self.unlogged:
-            now_ms = self._env.clock.read_unix_ms()
-            decisionlog.log_job_end(job, ended, now_ms)
         if ended in data.ENDED_JOB_STATES:
+            if name not in self.unlogged:
+                now_ms = self._env.clock.read_unix_ms()
+                decisionlog.log_job_end(job, ended, now_ms)
             self.unlogged.add(name)
             batch.effects.append(lambda: self.unlogged.discard(name))
 
--- a/packages/scheduler/portwharf/scheduler/desk.py
+++ b/packages/scheduler/portwharf/scheduler/desk.py
@@ -14,7 +14,7 @@
 from portwharf.core import codec
 from portwharf.core import data
 from portwharf.peers import messages
-from portwharf.scheduler import decider
+from portwharf.scheduler import batches
 from portwharf.scheduler import job_operations
 from portwharf.scheduler import operations
 from portwharf.scheduler import planning
@@ -118,7 +118,7 @@
         """
         if not self._owner.takes_calls():
             return result.Err(describe_stall())
-        called = decider.Called(concurrent.futures.Future(), method, call)
+        called = batches.Called(concurrent.futures.Future(), method, call)
         self._owner.take_call(called)
         try:
             answer = called.fut.result(OPERATION_SECONDS)
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -18,6 +18,7 @@
 
 from portwharf.core import logs
 from portwharf.peers import messages
+from portwharf.scheduler import batches
 from portwharf.scheduler import configuration
 from portwharf.scheduler import decider
 from portwharf.scheduler import desk
@@ -224,11 +225,11 @@
 
     def take_reports(self, link, message):
         """Queue a side's reports."""
-        self._inbox.put(decider.Reported(link, message))
+        self._inbox.put(batches.Reported(link, message))
 
     def take_measures(self, vm, measures):
         """Queue what a side measured of its services."""
-        self._inbox.put(decider.Measured(vm, measures))
+        self._inbox.put(batches.Measured(vm, measures))
 
     # What entries call, each from its connection's thread.
 
@@ -343,13 +344,13 @@
         """Go on as far as that needs no append, while one is stalled."""
         items = self.take_items()
         for item in items:
-            if isinstance(item, decider.Called):
+            if isinstance(item, batches.Called):
                 desk.refuse_call(item)
             elif item is not None:
                 self._deferred.append(item)
         self._invite()
         for item in items:
-            if isinstance(item, decider.Reported):
+            if isinstance(item, batches.Reported):
                 starts = self._decider.preparation.note_stalled(
                     item.link.name, item.message.reports
                 )
@@ -451,7 +452,7 @@
     def _refuse_inbox(self):
         """Answer the calls that will not be carried out any more."""
         for item in [*self._deferred, *self.take_items()]:
-            if isinstance(item, decider.Called):
+            if isinstance(item, batches.Called):
                 desk.refuse_call(item)
 
     def _extra(self):
--- a/packages/testing/portwharf/testing/cluster.py
+++ b/packages/testing/portwharf/testing/cluster.py
@@ -15,8 +15,8 @@
 from portwharf.core import clock
 from portwharf.core import data
 from portwharf.peers import streams
+from portwharf.scheduler import batches
 from portwharf.scheduler import configuration
-from portwharf.scheduler import decider
 from portwharf.scheduler import environment
 from portwharf.scheduler import guard
 from portwharf.scheduler import job_operations
@@ -321,7 +321,7 @@
         if not owners:
             return None
         node = max(owners, key=lambda one: one.owner.epoch)
-        called = decider.Called(cluster_fakes.FakeFuture(), method, arguments)
+        called = batches.Called(cluster_fakes.FakeFuture(), method, arguments)
         self.calls.append(called)
         node.owner.take_call(called)
         return called.fut
