--- a/packages/scheduler/portwharf/scheduler/batches.py
+++ b/packages/scheduler/portwharf/scheduler/batches.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import enum
 
 
 @dataclasses.dataclass(slots=True)
@@ -55,3 +56,12 @@
     def answer(self, fut, value):
         """Answer an operator after the events are logged."""
         self.effects.append(lambda: fut.set_result(value))
+
+
+class Step(enum.Enum):
+    """What became of one step of the deciding thread."""
+
+    DONE = 1
+    # The store has not confirmed the append; the next step tries again.
+    STALLED = 2
+    DEPOSED = 3
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -10,7 +10,6 @@
 submissions are refused at once.
 """
 
-import enum
 import logging
 import queue
 import random
@@ -47,15 +46,6 @@
 _MS = 1000
 
 
-class Step(enum.Enum):
-    """What became of one step of the deciding thread."""
-
-    DONE = 1
-    # The store has not confirmed the append; the next step tries again.
-    STALLED = 2
-    DEPOSED = 3
-
-
 class Owner:
     """The owner role; a context manager that ends it."""
 
@@ -261,10 +251,10 @@
         try:
             while not self._stop.is_set():
                 step = self.step(self._wait_for_items())
-                if step is Step.DEPOSED:
+                if step is batches.Step.DEPOSED:
                     self._lost = True
                     break
-                if step is Step.DONE:
+                if step is batches.Step.DONE:
                     wait = _RETRY_SECONDS
                     continue
                 self.serve_stalled()
@@ -303,16 +293,16 @@
         decided; ``items`` must be empty then. Called by the deciding
         thread alone, or by a test in its place.
 
-        :returns: a :class:`Step`
+        :returns: a ``batches.Step``
         """
         if self._superseded:
             LOG.warning('deposed, by a higher epoch', extra=self._extra())
             self.deposed.set()
-            return Step.DEPOSED
+            return batches.Step.DEPOSED
         if self._batch is None:
             if not self._confirm():
                 self.deposed.set()
-                return Step.DEPOSED
+                return batches.Step.DEPOSED
             self._members.sync_links(self)
             self._tell_presses()
             items = [*self._deferred, *items]
@@ -322,9 +312,9 @@
             for effect in self._batch.early:
                 effect()
         step = self._commit()
-        if step is Step.DEPOSED:
+        if step is batches.Step.DEPOSED:
             self.deposed.set()
-        if step is Step.DONE:
+        if step is batches.Step.DONE:
             batch, self._batch = self._batch, None
             for effect in batch.effects:
                 effect()
@@ -408,11 +398,11 @@
             self._cut = self._cut or shardlog.cut_batch(rest)
             piece = rest[: self._cut]
             step = self._append(piece)
-            if step is not Step.DONE:
+            if step is not batches.Step.DONE:
                 return step
             del rest[: self._cut]
             self._cut = 0
-        return Step.DONE
+        return batches.Step.DONE
 
     def _append(self, piece):
         sent = self.read_clock()
@@ -424,13 +414,13 @@
             self._decider.preparation.note_confirmed()
             self._grants.record_store(sent)
             self._next_append = sent + self._env.append_interval
-            return Step.DONE
+            return batches.Step.DONE
         error = answer.err_value
         if isinstance(error, shardlog.Deposed):
             LOG.warning('deposed, by an append', extra=self._extra())
-            return Step.DEPOSED
+            return batches.Step.DEPOSED
         LOG.warning('append stalled: %s', error.text, extra=self._extra())
-        return Step.STALLED
+        return batches.Step.STALLED
 
     def _snapshot(self):
         """Write a snapshot now and then."""
--- a/packages/testing/portwharf/testing/cluster.py
+++ b/packages/testing/portwharf/testing/cluster.py
@@ -107,9 +107,9 @@
             waiting = self.owner.stalled
             items = () if waiting else self.owner.take_items()
             done = self.owner.step(items)
-            if done is owner.Step.DEPOSED:
+            if done is batches.Step.DEPOSED:
                 self.end_owner()
-            elif done is owner.Step.STALLED:
+            elif done is batches.Step.STALLED:
                 self.owner.serve_stalled()
 
     def end_owner(self):
