--- a/packages/testing/portwharf/testing/bench_decisions.py
+++ b/packages/testing/portwharf/testing/bench_decisions.py
@@ -19,7 +19,6 @@
 import concurrent.futures
 import dataclasses
 import math
-import random
 import statistics
 import sys
 
@@ -31,125 +30,19 @@
 from portwharf.scheduler import remedies
 from portwharf.scheduler import state
 from portwharf.scheduler import vmview
+from portwharf.testing import decision_world
 from portwharf.testing import fixtures
 
-SECONDS = 2400
 SEEDS = 20
-VMS = 11
 LAG = 8
 SPREAD = 0.5
-BASE_SECONDS = 0.05
 TARGET_SECONDS = 0.24
-KINDS = 6
 _MEASURE_EVERY = 2
 _THROTTLED = remedies.THROTTLE_PERCENT / 100
 _VM_SIZE = data.Resources(16_000, 60_000)
 _REPLICA = data.Resources(4_000, 8_000)
 
 
-@dataclasses.dataclass(slots=True)
-class Task:
-    """A batch task of the fake."""
-
-    name: str = ''
-    kind: str = ''
-    size: data.Resources = None
-    left: float = 0.0
-    whole: float = 0.0
-    saved: float = 0.0
-    importance: int = 0
-    evictions: int = 0
-    vm: str = ''
-    began: int = 0
-    throttled: bool = False
-    checkpointable: bool = True
-    cancelled: bool = False
-
-
-class World:
-    """What is true, and what is measured of it."""
-
-    def __init__(self, seed):
-        rnd = random.Random(seed)
-        self.random = rnd
-        self.services = ['team/a', 'team/b']
-        self.kinds = [f'team/kind-{number}' for number in range(KINDS)]
-        self.pairs = {
-            (service, kind): rnd.choice((0.0, 0.01, 0.03, 0.08, 0.2, 0.35))
-            for service in self.services
-            for kind in self.kinds
-        }
-        self.phases = {name: rnd.uniform(0, 6.3) for name in self.services}
-        names = [f'vm-{number:02d}' for number in range(VMS)]
-        self.replicas = {
-            name: self.services[number % 2]
-            for number, name in enumerate(names[:7])
-        }
-        self.bursts = sorted(rnd.sample(range(100, SECONDS), 6))
-        self.arrivals = self._make_arrivals(rnd)
-        self.failing = {rnd.choice(names): (600, 900)}
-
-    def _make_arrivals(self, rnd):
-        """Return jobs by arrival: waves over a steady flow."""
-        arrivals = collections.defaultdict(list)
-        waves = [(when, rnd.randint(120, 200)) for when in (60, 800, 1500)]
-        waves += [(when, rnd.randint(6, 14)) for when in range(0, SECONDS, 20)]
-        for when, count in waves:
-            kind = rnd.choice(self.kinds)
-            for _ in range(count):
-                whole = rnd.lognormvariate(math.log(90), 0.7)
-                task = Task(
-                    f'0-t{when}-{len(arrivals[when])}.0',
-                    kind,
-                    data.Resources(rnd.choice((1000, 2000, 3000)), 2000),
-                    whole,
-                    whole,
-                    importance=rnd.choice((0, 50, 100)),
-                    checkpointable=rnd.random() < 0.8,
-                    cancelled=rnd.random() < 0.03,
-                )
-                arrivals[when].append(task)
-        return arrivals
-
-    def shift(self):
-        """Half way, two pairs change."""
-        for pair in self.random.sample(sorted(self.pairs), 2):
-            self.pairs[pair] = self.random.choice((0.01, 0.2, 0.3))
-
-    def read_load(self, service, now):
-        """Return a service's load at a time."""
-        wave = 0.5 + 0.3 * math.sin(now / 300 + self.phases[service])
-        burst = any(0 <= now - when < 60 for when in self.bursts)
-        return min(0.98, wave + 0.25 * burst)
-
-    def read_log_time(self, service, load, kinds):
-        """Return the logarithm of a service's true mean time."""
-        total = math.log(BASE_SECONDS) + 0.6 * load
-        for kind, count in kinds.items():
-            pair = self.pairs[(service, kind)]
-            total += pair * count * (0.25 + load)
-        return total
-
-
-class Truth:
-    """The oracle's model: knows everything, and without a lag."""
-
-    def __init__(self, world):
-        self._world = world
-
-    def predict(self, service, load, kinds):
-        """Return the true time."""
-        logs = self._world.read_log_time(service, load, kinds)
-        return interference.Estimate(logs, 0.0)
-
-    def get_weight(self, service, kind, load):
-        """Return the true weight of a pair."""
-        return self._world.pairs[(service, kind)] * (0.25 + load)
-
-    def observe(self, *arguments):
-        """There is nothing to learn."""
-
-
 @dataclasses.dataclass(slots=True)
 class Policy:
     """Which parts of the decisions are on.
@@ -186,10 +79,10 @@
 
     def __init__(self, policy, seed, weights):
         self.policy = policy
-        self.world = World(seed)
+        self.world = decision_world.World(seed)
         model = interference.Model()
         if policy.oracle:
-            model = Truth(self.world)
+            model = decision_world.Truth(self.world)
         self.model = model
         self.remedies = remedies.Remedies(model)
         self.remedies.set_weights(weights)
@@ -206,8 +99,8 @@
 
     def run(self):
         """Run to the end; returns a :class:`Score`."""
-        for now in range(SECONDS):
-            if now == SECONDS // 2:
+        for now in range(decision_world.SECONDS):
+            if now == decision_world.SECONDS // 2:
                 self.world.shift()
             self.waiting += self.world.arrivals.get(now, [])
             self.waiting = [
@@ -295,7 +188,7 @@
 
     def _list_views(self, now):
         views = []
-        for number in range(VMS):
+        for number in range(decision_world.VMS):
             vm = fixtures.make_vm(number)
             view = vmview.VmView(vm, _VM_SIZE)
             service = self.world.replicas.get(vm.name)
