--- a/packages/testing/portwharf/testing/demo_jobs.py
+++ b/packages/testing/portwharf/testing/demo_jobs.py
@@ -16,7 +16,6 @@
 from portwharf.testing import soak_clients
 from portwharf.testing import soak_world
 
-_READY_SECONDS = 40.0
 _END_SECONDS = 60.0
 _NETWORK = 76
 
@@ -36,12 +35,7 @@
 def run(world):
     """Hand the jobs in and follow them; returns what went wrong."""
     client = soak_clients.Client(world, 1)
-
-    def is_served():
-        statuses = client.ask_route(soak_world.PREFIX)
-        return all(status == 200 for status in statuses)
-
-    if not soak_world.wait_until(is_served, _READY_SECONDS):
+    if not client.wait_until_served():
         return ['the entries do not answer']
     jobs = make_jobs()
     for told in jobs:
--- a/packages/testing/portwharf/testing/soak.py
+++ b/packages/testing/portwharf/testing/soak.py
@@ -26,7 +26,6 @@
 SECONDS = 20.0
 CLIENTS = 4
 _BETWEEN_SECONDS = 1.6
-_READY_SECONDS = 40.0
 _SETTLE_SECONDS = 90.0
 _SEEDS = pathlib.Path(__file__).parent / 'soak_seeds.toml'
 
@@ -59,7 +58,7 @@
     def run(self, seconds):
         """Run the schedule, heal all, and check."""
         began = time.monotonic()
-        if not self._wait_until_served():
+        if not self.clients[0].wait_until_served():
             self.problems.append('not served within the time to get ready')
             return
         for client in self.clients:
@@ -232,15 +231,6 @@
 
     # The end.
 
-    def _wait_until_served(self):
-        client = self.clients[0]
-
-        def is_served():
-            statuses = client.ask_route(soak_world.PREFIX)
-            return all(status == 200 for status in statuses)
-
-        return soak_world.wait_until(is_served, _READY_SECONDS)
-
     def _settle(self):
         """Wait until every accepted job is at its end."""
         for client in self.clients:
--- a/packages/testing/portwharf/testing/soak_clients.py
+++ b/packages/testing/portwharf/testing/soak_clients.py
@@ -18,6 +18,7 @@
 
 _CALL_SECONDS = 3.0
 _TRIES = 6
+_READY_SECONDS = 40.0
 _MAX_RETRY_SECONDS = 1.0
 # One job in so many is cancelled, fails for good, lasts, or is a gang.
 _SPECIAL = 12
@@ -111,6 +112,18 @@
                 self.problems.append(f'{told.id}: a refusal says nothing')
             time.sleep(self._random.uniform(0.1, _MAX_RETRY_SECONDS))
 
+    def wait_until_served(self):
+        """Wait until every entry answers; returns whether it came to that.
+
+        All processes have to start and an owner to be found first.
+        """
+
+        def is_served():
+            statuses = self.ask_route(soak_world.PREFIX)
+            return all(status == 200 for status in statuses)
+
+        return soak_world.wait_until(is_served, _READY_SECONDS)
+
     def _ask(self, method, path, entry=None, body=None):
         """Make one call on a connection that stays open.
 
