--- a/packages/testing/portwharf/testing/soak.py
+++ b/packages/testing/portwharf/testing/soak.py
@@ -13,6 +13,7 @@
 import dataclasses
 import pathlib
 import random
+import signal
 import sys
 import tempfile
 import threading
@@ -324,6 +325,8 @@
     parser.add_argument('--network', type=int, default=77)
     parser.add_argument('--keep', default='', help='folder for logs')
     arguments = parser.parse_args()
+    # Leave no programs behind when stopped from outside.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     seeds = list_kept_seeds()
     if arguments.seed is not None:
         first = arguments.seed
