A filling task of a gang is not moved by itself

Cause: found in reading the change again: to move one member stops all the others, and a gang beside a server would have begun again and again. Test: rehoming_test, which fails before.

--- a/packages/scheduler/portwharf/scheduler/rehoming.py
+++ b/packages/scheduler/portwharf/scheduler/rehoming.py
@@ -52,6 +52,9 @@
             if paced.percent > STUCK_PERCENT or spent < LEAST_SECONDS:
                 continue
             workload = state.find_workload(task.id).workload
+            if workload.gang:
+                # To move one is to stop all the others.
+                continue
             found.append(Stuck(task, workload, paced.percent))
     found.sort(key=lambda one: one.percent)
     return found
--- a/packages/scheduler/portwharf/scheduler/rehoming_test.py
+++ b/packages/scheduler/portwharf/scheduler/rehoming_test.py
@@ -32,19 +32,21 @@
     view: View
 
 
-def make_state():
+def make_state(**fields):
     """Return a state with a filling task on vm-1."""
-    step = data.Workload(count=1, resources=SIZE, fills=True, image='plan')
+    values = {'resources': SIZE, 'fills': True, 'image': 'plan', **fields}
+    step = data.Workload(count=1, **values)
     made = state.ShardState()
     made.apply(events.JobAccepted(1, data.Job(ID, steps=[step])))
     made.apply(events.TaskPlaced(TASK, 1, 'vm-1'))
     return made
 
 
-def find_stuck(percent, began=0.0, now=10.0):
+def find_stuck(percent, began=0.0, now=10.0, **fields):
     """Return what is stuck when the task works at a share."""
     link = Link('vm-1', View([messages.PacedTask(TASK, 1, percent)]))
-    return rehoming.find_stuck(make_state(), [link], lambda _: began, now)
+    made = make_state(**fields)
+    return rehoming.find_stuck(made, [link], lambda _: began, now)
 
 
 def make_view(name='vm-2', **fields):
@@ -56,6 +58,10 @@
     return view
 
 
+def test_member_of_a_gang_stays_with_the_others(case):
+    case.assertEqual(find_stuck(3, gang=True), [])
+
+
 def test_task_that_hardly_works_goes_to_a_clear_vm(case):
     moved = rehoming.choose_moves(find_stuck(3), [make_view()])
     case.assertEqual([task.id for task in moved], [TASK])
