--- a/packages/core/portwharf/core/logs.py
+++ b/packages/core/portwharf/core/logs.py
@@ -38,6 +38,10 @@
     'count',
     'revision',
     'took_ms',
+    'percent',
+    'tail_ms',
+    'target_ms',
+    'strangers',
 )
 _TEXT_FORMAT = '%(asctime)s %(levelname)s %(name)s: %(message)s'
 _JSON_FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -407,6 +407,7 @@
             paced = self._worker.throttle(
                 pace.task, pace.attempt, pace.percent
             )
+            self._pacer.log.note_pace(pace, paced, now)
             if paced.is_err():
                 self._pacer.forget_told(pace)
 
--- a/packages/side/portwharf/side/pacing.py
+++ b/packages/side/portwharf/side/pacing.py
@@ -17,6 +17,7 @@
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.scheduler import presses
+from portwharf.side import pacelog
 
 FULL = 100
 # Tails are steered to this share of their targets; what a load swings by
@@ -87,10 +88,16 @@
         self._sample = None
         self._headrooms = []
         self._observed = []
+        # Tasks that this side was told of, whatever they are.
+        self._known = {}
+        self.log = pacelog.PaceLog()
 
     def note_start(self, message):
         """Take the traits of a task from its ``messages.StartTask``."""
         self._traits.pop(message.task, None)
+        self._known[message.task] = True
+        if len(self._known) > MAX_TRAITS:
+            del self._known[next(iter(self._known))]
         if message.fill_milli or message.target_ms:
             self._traits[message.task] = Trait(
                 message.program, message.fill_milli, message.target_ms
@@ -117,6 +124,7 @@
         cores = max(1, listing.capacity.cpu_milli)
         self._observe(serving, filling, cores, now)
         self._pull_brake(serving, bool(filling))
+        self._tell(running, serving, filling, now)
         used = self._sum_used(filling, cores)
         rooms = self._find_rooms(serving, used)
         for one in fresh:
@@ -126,6 +134,18 @@
         wanted = self._share_out(filling, rooms, cores)
         return self._list_changes(filling, wanted)
 
+    def _tell(self, running, serving, filling, now):
+        """Have the log tell of strangers, and of targets missed."""
+        strangers = [a for a in running if a.task not in self._known]
+        self.log.note_strangers(strangers)
+        worst = max(serving, key=self._find_strain, default=None)
+        target_ms = self._find_trait(worst).target_ms if worst else 0
+        self.log.note_worst(worst, target_ms, self._brake, len(filling), now)
+
+    def _find_strain(self, attempt):
+        """Return a serving attempt's tail as a share of its target."""
+        return attempt.tail_ms / self._find_trait(attempt).target_ms
+
     def forget_told(self, pace):
         """Take back that a change was made: the worker did not answer."""
         self._told.pop((pace.task, pace.attempt), None)
@@ -189,10 +209,7 @@
         del self._observed[:-MAX_OBSERVED]
 
     def _pull_brake(self, serving, filled):
-        worst = max(
-            (one.tail_ms / self._find_trait(one).target_ms for one in serving),
-            default=0.0,
-        )
+        worst = max(map(self._find_strain, serving), default=0.0)
         if worst > _OVER and filled:
             self._brake = max(LEAST / FULL, self._brake * _BRAKE_FACTOR)
         else:
