--- a/packages/side/portwharf/side/pacing_test.py
+++ b/packages/side/portwharf/side/pacing_test.py
@@ -114,3 +114,12 @@
     case.assertEqual(paced.task, 'light.0')
     (headroom,) = pacer.list_headrooms()
     case.assertLess(headroom.room, 0)
+
+
+def test_server_is_known_however_many_tasks_began_after_it(case):
+    pacer = make_pacer(light=0.1)
+    case.assertEqual(plan(pacer, make_listing(10, 'light')), {})
+    for number in range(pacing.MAX_TRAITS + 1):
+        start = messages.StartTask(task=f'x.{number}', fill_milli=1)
+        pacer.note_start(start)
+    case.assertIn('light.0', plan(pacer, make_listing(30, 'light')))
--- a/packages/testing/portwharf/testing/suite.py
+++ b/packages/testing/portwharf/testing/suite.py
@@ -5,7 +5,8 @@
 Tests are functions named ``test_...`` that take a ``unittest.TestCase``,
 for its assertions and for fixtures by ``enterContext``. Arguments name the
 modules to run, as in ``shardlog``; without any, all run. The last line
-counts what passed and failed.
+counts what passed and failed; tests whose failure is known are named, and
+counted as skipped.
 """
 
 import importlib
@@ -15,6 +16,8 @@
 import sys
 import unittest
 
+from portwharf.testing import knownred
+
 # packages/<name>/portwharf/<name>/<module>_test.py
 _PACKAGES = pathlib.Path(__file__).parents[3]
 _PATTERN = '*/portwharf/*/*_test.py'
@@ -51,16 +54,30 @@
     return cls(name)
 
 
+def list_names(tests):
+    """Return the names of some test cases, as ``module.test``."""
+    return {f'{type(one).__name__}.{one._testMethodName}' for one in tests}
+
+
 def main():
-    """Run the tests; exit code 0 only if all passed."""
+    """Run the tests; exit code 0 only if all passed or are known."""
     # Faults are brought about on purpose; what is logged of them is noise.
     logging.lastResort = None
     suite = load_tests(sys.argv[1:])
+    ran = list_names(suite)
     outcome = unittest.TextTestRunner(verbosity=1).run(suite)
-    failed = len(outcome.failures) + len(outcome.errors)
-    passed = outcome.testsRun - failed - len(outcome.skipped)
-    print(f'{passed} passed, {failed} failed', flush=True)
-    return 0 if outcome.wasSuccessful() and passed else 1
+    bad = [one for one, _ in outcome.failures + outcome.errors]
+    red, stale = knownred.judge(knownred.read_list(), list_names(bad), ran)
+    for one in red:
+        print(f'known red: {one.test}: {one.cause} ({one.issue})')
+    for one in stale:
+        print(f'FAILED: {one.test} passes; take it off {knownred.PATH.name}')
+    failed = len(bad) - len(red) + len(stale)
+    skipped = len(outcome.skipped) + len(red)
+    passed = outcome.testsRun - failed - skipped
+    more = f', {skipped} skipped' if skipped else ''
+    print(f'{passed} passed, {failed} failed{more}', flush=True)
+    return 0 if passed and not failed else 1
 
 
 if __name__ == '__main__':
