--- a/packages/peers/portwharf/peers/messages.py
+++ b/packages/peers/portwharf/peers/messages.py
@@ -237,6 +237,36 @@
     ticket: str = ''
 
 
+@dataclasses.dataclass(slots=True)
+class HeldTask:
+    """What an attempt is that a side's VM holds by the log.
+
+    Fields as in :class:`StartTask`.
+    """
+
+    task: str = ''
+    attempt: int = 0
+    kind: int = data.Kind.BATCH
+    workload: str = ''
+    resources: data.Resources = dataclasses.field(
+        default_factory=data.Resources
+    )
+    program: str = ''
+    fill_milli: int = 0
+    target_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class HeldTasks:
+    """From an owner, first on each connection: all that the VM holds.
+
+    The side may have begun none of it: it forgets with its process, and
+    the worker's listing does not say what a task is.
+    """
+
+    tasks: list[HeldTask] = dataclasses.field(default_factory=list)
+
+
 @dataclasses.dataclass(slots=True)
 class StopTask:
     """From an owner: end this attempt.
@@ -420,6 +450,7 @@
     'beat': Heartbeat,
     'grant': Grant,
     'presses': PressUpdate,
+    'held': HeldTasks,
     'reports': Reports,
     'forget': ForgetTasks,
     'start': StartTask,
--- a/packages/platform/portwharf/platform/runner.py
+++ b/packages/platform/portwharf/platform/runner.py
@@ -19,6 +19,7 @@
 import result
 
 from portwharf.core import data
+from portwharf.core import recent
 from portwharf.platform import http
 from portwharf import workers
 
@@ -37,7 +38,8 @@
 # Other answers to a start which say that nothing begins.
 _NOT_BEGUN = (400, 421, 429, 503)
 _MS = 1000
-MAX_SIZES = 5000
+# Starts that are remembered beside those that run.
+MAX_SIZES = 1000
 
 _REASONS = {
     'fence': workers.REFUSED_FENCE,
@@ -95,7 +97,7 @@
         self._seen = 0
         self._until_ms = 0
         # Starts of this life, for what the listing does not tell.
-        self._starts = {}
+        self._starts = recent.Recent(MAX_SIZES)
         self._on_change = None
         self._changed = threading.Event()
         self._stop = threading.Event()
@@ -125,6 +127,11 @@
     def follow(self, on_change):
         self._on_change = on_change
 
+    def recall(self, start):
+        name = (start.task, start.attempt)
+        if name not in self._starts:
+            self._starts.put(name, start)
+
     def read_listing(self):
         answer = self._hold()
         if answer.is_ok():
@@ -151,9 +158,7 @@
             body['saved'] = start.checkpoint
         if start.ticket:
             body['ticket'] = start.ticket
-        self._starts[(start.task, start.attempt)] = start
-        if len(self._starts) > MAX_SIZES:
-            del self._starts[next(iter(self._starts))]
+        self._starts.put((start.task, start.attempt), start)
         answer = self._order('/portwharf/run-start', body)
         if answer.is_err():
             return answer.map_err(_get_text)
@@ -258,6 +263,7 @@
         """Return an answer to ``hold`` as a ``workers.Listing``."""
         life = self._life
         now_ms = value['clockMs']
+        self._starts.use((row[0], row[1]) for row in value['running'])
         running = [self._read_running(row, now_ms) for row in value['running']]
         ended = [
             _read_ended(row) for row in value['ended'] if row[0] > self._acked
--- a/packages/platform/portwharf/platform/runner_test.py
+++ b/packages/platform/portwharf/platform/runner_test.py
@@ -171,3 +171,21 @@
     client.take_life(make_life(draining=True, leaves_in_ms=2500))
     case.assertTrue(told.is_set())
     case.assertEqual(client.read_listing().ok_value.leaves_in_ms, 2500)
+
+
+def test_former_sides_attempt_is_listed_with_what_it_holds(case):
+    client, standin = open_runner(case)
+    standin.running[TASK] = 1
+    client.recall(workers.Start(TASK, 1, workload='a/b', resources=SIZE))
+    (attempt,) = client.read_listing().ok_value.attempts
+    case.assertEqual((attempt.workload, attempt.resources), ('a/b', SIZE))
+
+
+def test_what_runs_holds_its_room_however_many_begin_after_it(case):
+    client, _ = open_runner(case)
+    start(client)
+    client.read_listing()
+    for number in range(runner.MAX_SIZES + 1):
+        client.recall(workers.Start(f'x.{number}', 1))
+    (attempt,) = client.read_listing().ok_value.attempts
+    case.assertEqual(attempt.resources, SIZE)
--- a/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
@@ -4,6 +4,8 @@
 
 import result
 
+from portwharf.core import recent
+from portwharf.peers import messages
 from portwharf.platform import clients
 from portwharf.platform import clients_test
 from portwharf.platform import kv
@@ -27,6 +29,7 @@
 from portwharf.side import doubts
 from portwharf.side import pacing
 from portwharf.side import pacing_test
+from portwharf.side import traits_test
 
 check = faults_test.check
 
@@ -252,3 +255,33 @@
         'read_listing',
         read,
     )
+
+
+def test_sides_not_told_what_they_hold(case):
+    check(
+        case,
+        traits_test.test_restarted_side_paces_beside_servers_begun_before,
+        reconcile,
+        'make_held',
+        lambda state, vm: messages.HeldTasks(),
+    )
+
+
+def test_shares_of_a_former_side_taken_for_full(case):
+    check(
+        case,
+        traits_test.test_restarted_side_takes_back_a_pace_set_before,
+        pacing.Pacer,
+        'note_held',
+        pacing.Pacer.note_start,
+    )
+
+
+def test_what_runs_dropped_with_the_oldest(case):
+    check(
+        case,
+        pacing_test.test_server_is_known_however_many_tasks_began_after_it,
+        recent.Recent,
+        'use',
+        lambda self, names: None,
+    )
--- a/packages/scheduler/portwharf/scheduler/members.py
+++ b/packages/scheduler/portwharf/scheduler/members.py
@@ -65,6 +65,9 @@
     def attach(self, conn, peer):
         self._owner.note_epoch(peer.epoch)
         conn.send(self._owner.make_grant(self.name, 0))
+        # Before any order: a side that has restarted does not know what it
+        # is that runs on its VM, and would pace nothing beside it.
+        conn.send(self._owner.make_held(self.name))
         conn.send(self._owner.make_config())
         conn.send(self._owner.make_rosters())
         known = self._owner.make_presses()
--- a/packages/scheduler/portwharf/scheduler/members_test.py
+++ b/packages/scheduler/portwharf/scheduler/members_test.py
@@ -12,6 +12,9 @@
 from portwharf.scheduler import members
 
 
+HELD = messages.HeldTasks([messages.HeldTask('job.0', 1)])
+
+
 class FakeOwner:
     """What a link calls."""
 
@@ -40,6 +43,10 @@
         """Return a configuration."""
         return messages.ConfigUpdate(5, 'text')
 
+    def make_held(self, member):
+        """Return what a member's VM holds."""
+        return HELD
+
     def make_rosters(self):
         """Return rosters."""
         return messages.RosterUpdate()
@@ -102,6 +109,7 @@
     link, owner = make_link(case, port)
     conn = greet(conns)
     case.assertEqual(conn.receive(), messages.Grant(0, 7000, 3, False))
+    case.assertEqual(conn.receive(), HELD)
     case.assertEqual(conn.receive(), messages.ConfigUpdate(5, 'text'))
     case.assertEqual(conn.receive(), messages.RosterUpdate())
     conn.send(messages.Heartbeat(11, 22, 3, data.Resources(1, 2)))
@@ -114,9 +122,8 @@
     port, conns = accept(case)
     make_link(case, port)
     conn = greet(conns)
-    conn.receive()
-    conn.receive()
-    conn.receive()
+    for _ in range(4):
+        conn.receive()
     conn.send(messages.Heartbeat(11, 22, 0))
     case.assertFalse(conn.receive().valid)
 
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -27,6 +27,7 @@
 from portwharf.scheduler import metrics
 from portwharf.scheduler import policy
 from portwharf.scheduler import presses
+from portwharf.scheduler import reconcile
 from portwharf.scheduler import shardlog
 
 LOG = logging.getLogger(__name__)
@@ -178,6 +179,11 @@
         valid = valid and self._grants.grant(member, now)
         return messages.Grant(side_ms, int(now * _MS), self.epoch, valid)
 
+    def make_held(self, member):
+        """Return what a member's VM holds, for its side."""
+        with self._lock:
+            return reconcile.make_held(self._state, member)
+
     def make_rosters(self):
         """Return the rosters, for a side."""
         return self._decider.rosters.make_update()
--- a/packages/scheduler/portwharf/scheduler/reconcile.py
+++ b/packages/scheduler/portwharf/scheduler/reconcile.py
@@ -99,6 +99,26 @@
     )
 
 
+def make_held(state, vm):
+    """Return the ``messages.HeldTasks`` of all that a VM holds."""
+    held = []
+    for task in state.held[vm].values():
+        start = make_start(state, task)
+        held.append(
+            messages.HeldTask(
+                start.task,
+                start.attempt,
+                start.kind,
+                start.workload,
+                start.resources,
+                start.program,
+                start.fill_milli,
+                start.target_ms,
+            )
+        )
+    return messages.HeldTasks(held)
+
+
 def make_catch_up(state, task, ticket=''):
     """Return the command for a placed task that its VM does not list.
 
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -176,6 +176,8 @@
             self._forget(message.tasks)
         elif isinstance(message, messages.PressUpdate):
             self._pacer.presses.take_told(message.presses)
+        elif isinstance(message, messages.HeldTasks):
+            self._take_held(message)
         elif not self._guard.accepts(message.epoch):
             self._refuse(message, REFUSED_EPOCH)
         elif isinstance(message, messages.StartTask):
@@ -194,6 +196,15 @@
         self._next_beat = 0.0
         self._next_poll = 0.0
 
+    def _take_held(self, message):
+        """Learn what runs here, and act on it and tell of it at once."""
+        for held in message.tasks:
+            self._pacer.note_held(held)
+            if self._worker is not None:
+                self._worker.recall(reports.make_recalled(held))
+        self._next_poll = 0.0
+        self._next_beat = 0.0
+
     def _start(self, message):
         """Begin an attempt, if all that must hold does."""
         self._pacer.note_start(message)
--- a/packages/side/portwharf/side/pacing.py
+++ b/packages/side/portwharf/side/pacing.py
@@ -18,6 +18,7 @@
 from portwharf.peers import messages
 from portwharf.scheduler import presses
 from portwharf.side import pacelog
+from portwharf.side import traits
 
 FULL = 100
 # Tails are steered to this share of their targets; what a load swings by
@@ -39,20 +40,6 @@
 _LEAST_OBSERVED = 0.02
 # Kept while there is no owner to tell.
 MAX_OBSERVED = 50
-# Traits that are remembered, for tasks that ended long ago.
-MAX_TRAITS = 5000
-
-
-@dataclasses.dataclass(slots=True)
-class Trait:
-    """What matters here of a task.
-
-    :param fill_milli: processors that it asks for if it fills, else 0
-    """
-
-    image: str = ''
-    fill_milli: int = 0
-    target_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -82,28 +69,28 @@
 
     def __init__(self):
         self.presses = presses.Presses()
-        self._traits = {}
+        self._traits = traits.Traits()
+        # The shares that attempts were told to work at, in percent; None
+        # where a former side, or an order without an answer, may have set
+        # another.
         self._told = {}
         self._brake = 1.0
         self._sample = None
         self._headrooms = []
         self._observed = []
-        # Tasks that this side was told of, whatever they are.
-        self._known = {}
         self.log = pacelog.PaceLog()
 
     def note_start(self, message):
-        """Take the traits of a task from its ``messages.StartTask``."""
-        self._traits.pop(message.task, None)
-        self._known[message.task] = True
-        if len(self._known) > MAX_TRAITS:
-            del self._known[next(iter(self._known))]
-        if message.fill_milli or message.target_ms:
-            self._traits[message.task] = Trait(
-                message.program, message.fill_milli, message.target_ms
-            )
-        if len(self._traits) > MAX_TRAITS:
-            del self._traits[next(iter(self._traits))]
+        """Take a task from the ``messages.StartTask`` that begins it."""
+        self._traits.note(message)
+
+    def note_held(self, held):
+        """Take a ``messages.HeldTask``, which may have begun long ago.
+
+        If it was begun by a former side, its share has to be set anew.
+        """
+        if self._traits.note(held):
+            self._told[(held.task, held.attempt)] = None
 
     def list_headrooms(self):
         """Return the ``messages.Headroom`` of each image that serves."""
@@ -117,8 +104,9 @@
         running = [
             a for a in listing.attempts if a.state == data.RunState.RUNNING
         ]
-        filling = [a for a in running if self._find_trait(a).fill_milli]
-        targeted = [a for a in running if self._find_trait(a).target_ms]
+        self._traits.use(running)
+        filling = [a for a in running if self._traits.find(a).fill_milli]
+        targeted = [a for a in running if self._traits.find(a).target_ms]
         serving = [a for a in targeted if a.tail_ms > 0]
         fresh = [a for a in targeted if not a.tail_ms]
         cores = max(1, listing.capacity.cpu_milli)
@@ -128,7 +116,7 @@
         used = self._sum_used(filling, cores)
         rooms = self._find_rooms(serving, used)
         for one in fresh:
-            image = self._find_trait(one).image
+            image = self._traits.find(one).image
             rooms[image] = min(FRESH_ROOM, rooms.get(image, FRESH_ROOM))
         self._note_headrooms(serving)
         wanted = self._share_out(filling, rooms, cores)
@@ -136,28 +124,24 @@
 
     def _tell(self, running, serving, filling, now):
         """Have the log tell of strangers, and of targets missed."""
-        strangers = [a for a in running if a.task not in self._known]
-        self.log.note_strangers(strangers)
+        self.log.note_strangers(self._traits.list_strangers(running))
         worst = max(serving, key=self._find_strain, default=None)
-        target_ms = self._find_trait(worst).target_ms if worst else 0
+        target_ms = self._traits.find(worst).target_ms if worst else 0
         self.log.note_worst(worst, target_ms, self._brake, len(filling), now)
 
     def _find_strain(self, attempt):
         """Return a serving attempt's tail as a share of its target."""
-        return attempt.tail_ms / self._find_trait(attempt).target_ms
+        return attempt.tail_ms / self._traits.find(attempt).target_ms
 
     def forget_told(self, pace):
-        """Take back that a change was made: the worker did not answer."""
-        self._told.pop((pace.task, pace.attempt), None)
-
-    def _find_trait(self, attempt):
-        return self._traits.get(attempt.task) or Trait()
+        """Note that nobody knows whether a change was made."""
+        self._told[(pace.task, pace.attempt)] = None
 
     def _sum_used(self, filling, cores):
         """Return the share of the processors used by filling image."""
         used = collections.defaultdict(float)
         for one in filling:
-            image = self._find_trait(one).image
+            image = self._traits.find(one).image
             used[image] += one.used_cpu_milli / cores
         return used
 
@@ -171,7 +155,7 @@
         return [
             messages.PacedTask(*name, percent)
             for name, percent in self._told.items()
-            if percent < FULL
+            if percent is not None and percent < FULL
         ]
 
     def _observe(self, serving, filling, cores, now):
@@ -200,7 +184,7 @@
             name = (one.task, one.attempt)
             if name in former.tails:
                 growth = sample.tails[name] - former.tails[name]
-                growths[self._find_trait(one).image].append(growth)
+                growths[self._traits.find(one).image].append(growth)
         for image, rows in growths.items():
             mean = sum(rows) / len(rows)
             self._observed.append(
@@ -223,7 +207,7 @@
         """
         rooms = {}
         for one in serving:
-            trait = self._find_trait(one)
+            trait = self._traits.find(one)
             pressed = sum(
                 self.presses.find(trait.image, image) * share
                 for image, share in used.items()
@@ -236,7 +220,7 @@
     def _note_headrooms(self, serving):
         left = {}
         for one in serving:
-            trait = self._find_trait(one)
+            trait = self._traits.find(one)
             room = math.log(AIM * trait.target_ms / one.tail_ms)
             left[trait.image] = min(room, left.get(trait.image, room))
         self._headrooms = [
@@ -251,7 +235,7 @@
         left = dict(rooms)
         wanted = {}
         for one in sorted(filling, key=lambda a: self._weigh(a, rooms)):
-            trait = self._find_trait(one)
+            trait = self._traits.find(one)
             share = 1.0
             for image, room in left.items():
                 press = self.presses.find_cautious(image, trait.image)
@@ -269,7 +253,7 @@
 
     def _weigh(self, attempt, rooms):
         """Return what a filling task presses at the most, and its name."""
-        trait = self._find_trait(attempt)
+        trait = self._traits.find(attempt)
         press = max(
             (self.presses.find(image, trait.image) for image in rooms),
             default=0.0,
@@ -283,10 +267,16 @@
         for one in filling:
             name = (one.task, one.attempt)
             percent = wanted[name]
-            told = self._told.get(name, FULL)
-            near = abs(told - percent) < _LEAST_CHANGE
-            if told == percent or (near and percent not in (LEAST, FULL)):
+            if not _is_due(self._told.get(name, FULL), percent):
                 continue
             self._told[name] = percent
             changes.append(Pace(one.task, one.attempt, percent))
         return changes
+
+
+def _is_due(told, percent):
+    """Tell whether a share has to be set, given what was told before."""
+    if told is None:
+        return True
+    near = abs(told - percent) < _LEAST_CHANGE
+    return told != percent and (not near or percent in (LEAST, FULL))
--- a/packages/side/portwharf/side/pacing_test.py
+++ b/packages/side/portwharf/side/pacing_test.py
@@ -5,6 +5,7 @@
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.side import pacing
+from portwharf.side import traits
 from portwharf import workers
 
 
@@ -119,7 +120,28 @@
 def test_server_is_known_however_many_tasks_began_after_it(case):
     pacer = make_pacer(light=0.1)
     case.assertEqual(plan(pacer, make_listing(10, 'light')), {})
-    for number in range(pacing.MAX_TRAITS + 1):
+    for number in range(traits.MAX_TRAITS + 1):
         start = messages.StartTask(task=f'x.{number}', fill_milli=1)
         pacer.note_start(start)
     case.assertIn('light.0', plan(pacer, make_listing(30, 'light')))
+
+
+def test_release_that_did_not_arrive_is_made_again(case):
+    pacer = make_pacer(light=0.1)
+    plan(pacer, make_listing(30, 'light'))
+    for step in range(8):
+        changes = pacer.plan(make_listing(5, 'light'), 1.0 + step)
+    case.assertEqual(changes, [])
+    pacer.forget_told(pacing.Pace('light.0', 1, pacing.FULL))
+    changes = plan(pacer, make_listing(5, 'light'), 10.0)
+    case.assertEqual(changes, {'light.0': pacing.FULL})
+
+
+def test_task_that_is_told_of_again_keeps_its_share(case):
+    pacer = make_pacer(light=0.1)
+    plan(pacer, make_listing(30, 'light'))
+    held = messages.HeldTask('light.0', 1, program='light', fill_milli=4000)
+    pacer.note_held(held)
+    (paced,) = pacer.list_paced()
+    case.assertEqual(paced.task, 'light.0')
+    case.assertEqual(plan(pacer, make_listing(30, 'light')), {})
--- a/packages/side/portwharf/side/reports.py
+++ b/packages/side/portwharf/side/reports.py
@@ -26,6 +26,18 @@
     )
 
 
+def make_recalled(held):
+    """Return the start of a ``messages.HeldTask``, for the worker."""
+    return workers.Start(
+        held.task,
+        held.attempt,
+        held.program,
+        kind=held.kind,
+        workload=held.workload,
+        resources=held.resources,
+    )
+
+
 def make_report(attempt):
     """Return what the owner is told of an attempt.
 
--- a/packages/side/portwharf/side/server.py
+++ b/packages/side/portwharf/side/server.py
@@ -32,6 +32,7 @@
     messages.ThrottleTask,
     messages.ForgetTasks,
     messages.PressUpdate,
+    messages.HeldTasks,
 )
 _MS = 1000
 
--- /dev/null
+++ b/packages/side/portwharf/side/traits.py
@@ -0,0 +1,61 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""What the tasks of one VM are, as far as that matters beside each other.
+
+A worker lists what runs, but not what it is. That comes from the owner: with
+the order that begins an attempt, and again, for all that the VM holds, with
+each new connection. So a side that has restarted knows its tasks before it
+is told to begin another, and a task is known for as long as it runs.
+"""
+
+import dataclasses
+
+from portwharf.core import recent
+
+# Tasks that are remembered beside those that run: a start without an answer
+# may show up to 12 s later, and a VM begins fewer than 20 a second.
+MAX_TRAITS = 1000
+
+
+@dataclasses.dataclass(slots=True)
+class Trait:
+    """What matters of a task.
+
+    :param fill_milli: processors that it asks for if it fills, else 0
+    """
+
+    image: str = ''
+    fill_milli: int = 0
+    target_ms: int = 0
+
+
+_NOTHING_KNOWN = Trait()
+
+
+class Traits:
+    """The traits of the tasks that run here, or may."""
+
+    def __init__(self):
+        self._known = recent.Recent(MAX_TRAITS)
+
+    def note(self, message):
+        """Take a task from a ``messages.StartTask`` or ``HeldTask``.
+
+        :returns: whether it was not known before
+        """
+        new = message.task not in self._known
+        trait = Trait(message.program, message.fill_milli, message.target_ms)
+        self._known.put(message.task, trait)
+        return new
+
+    def use(self, running):
+        """Say what runs: a list of ``workers.Attempt``."""
+        self._known.use(one.task for one in running)
+
+    def find(self, attempt):
+        """Return the :class:`Trait` of an attempt; empty if not known."""
+        return self._known.get(attempt.task, _NOTHING_KNOWN)
+
+    def list_strangers(self, running):
+        """Return the attempts that nothing is known of."""
+        return [one for one in running if one.task not in self._known]
--- a/packages/workers/portwharf/workers/base.py
+++ b/packages/workers/portwharf/workers/base.py
@@ -128,6 +128,13 @@
             Err, it may run, now or later
         """
 
+    def recall(self, start):
+        """Take what an attempt was started with, maybe by a former side.
+
+        For a worker whose listing does not tell it.
+        """
+        return None
+
     def follow(self, on_change):
         """Have a function called when an attempt has ended.
 
