--- a/packages/platform/portwharf/platform/beats.py
+++ b/packages/platform/portwharf/platform/beats.py
@@ -55,4 +55,5 @@
         labels[1] if len(labels) > 1 else '',
         value.get('state') == 'draining',
         int(value.get('remainingMs', 0)),
+        int(value.get('seq', 0)),
     )
--- a/packages/platform/portwharf/platform/beats_test.py
+++ b/packages/platform/portwharf/platform/beats_test.py
@@ -15,6 +15,7 @@
     'remainingMs': 2500,
     'capacity': {'cpu': 16000, 'memMb': 32768, 'gpu': 2},
     'labels': ['a', 'r1-3'],
+    'seq': 4,
 }
 
 
@@ -32,6 +33,7 @@
     case.assertEqual((life.instance, life.pool), ('i-7', 'pool-1'))
     case.assertEqual(life.capacity, data.Resources(16000, 32768, 2))
     case.assertEqual((life.draining, life.leaves_in_ms), (True, 2500))
+    case.assertEqual(life.seq, 4)
 
 
 def test_leaving_is_acknowledged(case):
--- a/packages/platform/portwharf/platform/runner.py
+++ b/packages/platform/portwharf/platform/runner.py
@@ -58,6 +58,7 @@
     """What a runner's last heartbeat said of it.
 
     :param instance: differs for each start of the runner
+    :param seq: rises with every heartbeat of one life; 0 if it is not told
     """
 
     instance: str = ''
@@ -70,6 +71,7 @@
     rack: str = ''
     draining: bool = False
     leaves_in_ms: int = 0
+    seq: int = 0
 
 
 class RunnerWorker(workers.Worker):
--- a/packages/platform/portwharf/platform/runner_test.py
+++ b/packages/platform/portwharf/platform/runner_test.py
@@ -16,13 +16,19 @@
 SIZE = data.Resources(8000, 1000)
 
 
-def open_runner(case, token=7):
-    """Return the real adapter on a stand-in, and the stand-in."""
+def serve_runner(case):
+    """Return a stand-in, and where it is served."""
     standin = platform_runner.RunnerStandIn()
     port = fixtures.serve(case, standin, threads=6)
-    place = settings.Endpoint('127.0.0.1', port)
+    return standin, settings.Endpoint('127.0.0.1', port)
+
+
+def open_runner(case, token=7):
+    """Return the real adapter on a stand-in, and the stand-in."""
+    standin, place = serve_runner(case)
     client = runner.RunnerWorker(place, lambda: token, 6000)
     client.take_life(make_life())
+    client.read_listing()
     return client, standin
 
 
@@ -123,6 +129,7 @@
     standin.begin_life('i-2')
     case.assertTrue(client.read_listing().is_err())
     client.take_life(make_life('i-2'))
+    client.read_listing()
     start(client, 2)
     standin.end_run(TASK)
     case.assertEqual(list_states(client), ['succeeded'])
@@ -171,3 +178,36 @@
     client.take_life(make_life(draining=True, leaves_in_ms=2500))
     case.assertTrue(told.is_set())
     case.assertEqual(client.read_listing().ok_value.leaves_in_ms, 2500)
+
+
+def test_late_heartbeat_of_an_earlier_life_changes_nothing(case):
+    client, standin = open_runner(case)
+    standin.begin_life('i-2')
+    client.take_life(make_life('i-2'))
+    client.read_listing()
+    start(client)
+    client.take_life(make_life('i-0'))
+    listing = client.read_listing().ok_value
+    case.assertEqual((listing.life, len(listing.attempts)), ('i-2', 1))
+    case.assertTrue(client.stop(TASK, 1, True).is_ok())
+
+
+def test_late_heartbeat_that_is_the_first_one_hides_nothing(case):
+    _, place = serve_runner(case)
+    former = runner.RunnerWorker(place, lambda: 7, 6000)
+    former.take_life(make_life())
+    former.read_listing()
+    start(former)
+    client = runner.RunnerWorker(place, lambda: 8, 6000)
+    client.take_life(make_life('i-0'))
+    listing = client.read_listing().ok_value
+    case.assertEqual([a.task for a in listing.attempts], [TASK])
+    client.take_life(make_life())
+    case.assertEqual(client.read_listing().ok_value.life, 'i-1')
+
+
+def test_late_heartbeat_of_the_same_life_does_not_undo_draining(case):
+    client, _ = open_runner(case)
+    client.take_life(make_life(draining=True, seq=5))
+    client.take_life(make_life(seq=4))
+    case.assertTrue(client.read_listing().ok_value.draining)
