--- a/packages/platform/portwharf/platform/beats.py
+++ b/packages/platform/portwharf/platform/beats.py
@@ -6,7 +6,7 @@
 
 from portwharf.core import data
 from portwharf.core import web
-from portwharf.platform import runner
+from portwharf import workers
 
 PREFIX = '/portwharf/instances/'
 MAX_BODY_BYTES = 64 * 1024
@@ -16,7 +16,7 @@
     """The WSGI application that the runner calls."""
 
     def __init__(self, take_life):
-        """Take a function of a :class:`runner.Life`."""
+        """Take a function of a :class:`workers.Life`."""
         self._take_life = take_life
 
     def __call__(self, environ, start_response):
@@ -40,11 +40,11 @@
 
 
 def read_life(instance, value):
-    """Return the ``runner.Life`` of a heartbeat's body."""
+    """Return the ``workers.Life`` of a heartbeat's body."""
     size = value.get('capacity', {})
     # A runner's labels are its kind and its rack, in this order.
     labels = list(value.get('labels', []))
-    return runner.Life(
+    return workers.Life(
         instance,
         value['service'],
         value.get('zone', ''),
--- a/packages/platform/portwharf/platform/runner.py
+++ b/packages/platform/portwharf/platform/runner.py
@@ -34,8 +34,10 @@
 _RETRY_SECONDS = 0.3
 _OK = 200
 _CONFLICT = 409
+# The call was meant for another life of the runner.
+_OTHER_LIFE = 421
 # Other answers to a start which say that nothing begins.
-_NOT_BEGUN = (400, 421, 429, 503)
+_NOT_BEGUN = (400, _OTHER_LIFE, 429, 503)
 _MS = 1000
 MAX_SIZES = 5000
 
@@ -54,24 +56,14 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Life:
-    """What a runner's last heartbeat said of it.
+class _Held:
+    """An answer to ``hold``.
 
-    :param instance: differs for each start of the runner
-    :param seq: rises with every heartbeat of one life; 0 if it is not told
+    :param life: the ``workers.Life`` that answered
     """
 
-    instance: str = ''
-    pool: str = ''
-    zone: str = ''
-    capacity: data.Resources = dataclasses.field(
-        default_factory=data.Resources
-    )
-    labels: list = dataclasses.field(default_factory=list)
-    rack: str = ''
-    draining: bool = False
-    leaves_in_ms: int = 0
-    seq: int = 0
+    life: workers.Life = None
+    value: dict = dataclasses.field(default_factory=dict)
 
 
 class RunnerWorker(workers.Worker):
@@ -88,7 +80,7 @@
         self._read_token = read_token
         self._max_hold_ms = max_hold_ms
         self._lock = threading.Lock()
-        self._life = Life()
+        self._lives = workers.Lives()
         # Ended attempts that are still listed, by number, and which of
         # them may go.
         self._ended = {}
@@ -114,21 +106,19 @@
         self._client.__exit__(*exc_info)
 
     def take_life(self, life):
-        """Take what a heartbeat says of the runner."""
+        """Take what a heartbeat says of the runner, a ``workers.Life``."""
         with self._lock:
-            former, self._life = self._life, life
-            if former.instance not in ('', life.instance):
-                LOG.warning('the runner began anew')
-                self._forget_life()
-        news = (former.instance, former.draining, former.pool)
-        if news != (life.instance, life.draining, life.pool):
+            news = self._lives.offer(life)
+        if news:
             self._notify()
 
     def follow(self, on_change):
         self._on_change = on_change
 
     def read_listing(self):
-        answer = self._hold()
+        answer = self._settle_life()
+        if answer.is_ok():
+            answer = self._hold()
         if answer.is_ok():
             return answer.map(self._read_listing)
         if answer.err_value.refused:
@@ -143,6 +133,9 @@
         return answer.map(lambda _: None).map_err(_get_text)
 
     def start(self, start):
+        refused = self._lives.check_start()
+        if refused:
+            return result.Ok(refused)
         body = {
             'task': start.task,
             'run': start.attempt,
@@ -202,17 +195,46 @@
         self._seen = 0
         self._until_ms = 0
 
-    def _order(self, path, body, seconds=CALL_SECONDS):
-        """Send an order to the life of the runner that we know.
+    def _settle_life(self):
+        """Ask the runner whether it is a life that a heartbeat told of.
+
+        Without a clear answer the life in use stays for now, and the next
+        look asks again: a runner that does not answer to the new id does
+        not answer to the former one either, and counts as silent.
+
+        :returns: Ok(None), or Err(http.NoReply)
+        """
+        candidate = self._lives.candidate
+        if candidate is None:
+            return result.Ok(None)
+        answer = self._order(
+            '/portwharf/hold', {'ackedUpto': 0}, life=candidate
+        )
+        if answer.is_err():
+            return answer
+        with self._lock:
+            if answer.ok_value.status == _OK:
+                LOG.info('the runner is %s', candidate.instance)
+                self._lives.confirm(candidate.instance)
+                self._forget_life()
+            elif answer.ok_value.status == _OTHER_LIFE:
+                LOG.warning('late heartbeat of %s', candidate.instance)
+                self._lives.refute(candidate.instance)
+        return result.Ok(None)
 
+    def _order(self, path, body, seconds=CALL_SECONDS, life=None):
+        """Send an order to a life of the runner.
+
+        :param life: which one it is meant for; None for the one in use
         :returns: Ok(http.Reply), or Err(http.NoReply)
         """
+        meant = life or self._lives.current
         token = self._read_token()
         if not token:
             return result.Err(http.NoReply('no fencing token yet'))
         headers = {}
-        if self._life.instance:
-            headers['Portwharf-Target-Instance'] = self._life.instance
+        if meant.instance:
+            headers['Portwharf-Target-Instance'] = meant.instance
         body['fence'] = token
         return self._client.call('POST', path, seconds, body, headers)
 
@@ -227,38 +249,62 @@
     def _hold(self, until_ms=0, wait_ms=0):
         """Look at the runner, renewing leases if a time is given.
 
-        :returns: Ok(value of the answer), or Err(http.NoReply)
+        :returns: Ok(_Held), or Err(http.NoReply)
         """
         with self._lock:
-            life, acked = self._life, self._acked
+            life, acked = self._lives.current, self._acked
         body = {'ackedUpto': acked}
         if until_ms:
             body['untilMs'] = until_ms
         if wait_ms:
             body['waitMs'] = wait_ms
         seconds = CALL_SECONDS + wait_ms / _MS
-        answer = self._order('/portwharf/hold', body, seconds)
+        answer = self._order('/portwharf/hold', body, seconds, life)
         if answer.is_err():
             return answer
         if answer.ok_value.status != _OK:
             status = answer.ok_value.status
             return result.Err(http.NoReply(f'HTTP status {status}'))
-        value = answer.ok_value.value
+        held = _Held(life, answer.ok_value.value)
+        self._note_ended(held)
+        return result.Ok(held)
+
+    def _note_ended(self, held):
+        """Take what an answer lists as ended."""
+        with self._lock:
+            if not self._is_current(held):
+                return
+            for number, task, run, *_ in held.value['ended']:
+                if number > self._acked:
+                    self._ended[number] = (task, run)
+            # A number may have been passed that was logged before it was
+            # seen.
+            self._move_ack()
+
+    def _note_latest(self, held):
+        """Tell whether an answer lists an end that was not seen before."""
+        rows = held.value['ended']
+        latest = max((row[0] for row in rows), default=0)
         with self._lock:
-            if self._life.instance == life.instance:
-                self._note_ended(value['ended'])
-        return result.Ok(value)
-
-    def _note_ended(self, rows):
-        for number, task, run, *_ in rows:
-            if number > self._acked:
-                self._ended[number] = (task, run)
-        # A number may have been passed that was logged before it was seen.
-        self._move_ack()
-
-    def _read_listing(self, value):
+            if not self._is_current(held) or latest <= self._seen:
+                return False
+            self._seen = latest
+            return True
+
+    def _is_current(self, held):
+        """Tell whether an answer's numbers of ends count.
+
+        They do in one life alone, and an answer may be overtaken by the
+        next one's beginning. Before a life is known nobody can tell whose
+        they are.
+        """
+        current = self._lives.current.instance
+        return bool(current) and current == held.life.instance
+
+    def _read_listing(self, held):
         """Return an answer to ``hold`` as a ``workers.Listing``."""
-        life = self._life
+        value = held.value
+        life = self._lives.current
         now_ms = value['clockMs']
         running = [self._read_running(row, now_ms) for row in value['running']]
         ended = [
@@ -308,11 +354,7 @@
             if answer.is_err():
                 self._stop.wait(_RETRY_SECONDS)
                 continue
-            latest = max(
-                (row[0] for row in answer.ok_value['ended']), default=0
-            )
-            if latest > self._seen:
-                self._seen = latest
+            if self._note_latest(answer.ok_value):
                 self._notify()
             if self._ended:
                 self._changed.wait(_PAUSE_SECONDS)
--- a/packages/platform/portwharf/platform/runner_test.py
+++ b/packages/platform/portwharf/platform/runner_test.py
@@ -34,7 +34,7 @@
 
 def make_life(instance='i-1', **fields):
     """Return what a heartbeat says."""
-    return runner.Life(instance, 'pool', 'zone', SIZE, ['a'], **fields)
+    return workers.Life(instance, 'pool', 'zone', SIZE, ['a'], **fields)
 
 
 def start(client, attempt=1, task=TASK):
@@ -63,7 +63,9 @@
 
 def test_nothing_is_ordered_without_a_token(case):
     client, standin = open_runner(case, token=0)
-    case.assertTrue(start(client).is_err())
+    case.assertEqual(start(client).ok_value, workers.REFUSED_UNHEARD)
+    case.assertTrue(client.stop(TASK, 1, True).is_err())
+    case.assertTrue(client.renew(5000).is_err())
     case.assertEqual(standin.orders, [])
 
 
@@ -211,3 +213,56 @@
     client.take_life(make_life(draining=True, seq=5))
     client.take_life(make_life(seq=4))
     case.assertTrue(client.read_listing().ok_value.draining)
+
+
+def test_new_life_whose_confirmation_is_lost_is_asked_again(case):
+    client, standin = open_runner(case)
+    start(client)
+    standin.begin_life('i-2')
+    standin.unhealthy = 1
+    client.take_life(make_life('i-2'))
+    case.assertTrue(client.read_listing().is_err())
+    listing = client.read_listing().ok_value
+    case.assertEqual((listing.life, listing.attempts), ('i-2', []))
+
+
+def test_first_heartbeat_is_asked_about_at_once(case):
+    client, _ = open_runner(case)
+    told = threading.Event()
+    client.follow(told.set)
+    client.take_life(make_life('i-2'))
+    case.assertTrue(told.is_set())
+
+
+def test_ends_that_are_seen_before_a_life_is_known_are_not_acknowledged(case):
+    standin, place = serve_runner(case)
+    former = runner.RunnerWorker(place, lambda: 7, 6000)
+    former.take_life(make_life())
+    former.read_listing()
+    start(former)
+    standin.end_run(TASK)
+    client = runner.RunnerWorker(place, lambda: 8, 6000)
+    client.read_listing()
+    standin.begin_life('i-2')
+    client.take_life(make_life('i-2'))
+    client.read_listing()
+    start(client, 2)
+    standin.end_run(TASK)
+    client.forget(TASK, 1)
+    case.assertEqual(list_states(client), ['succeeded'])
+
+
+def test_nothing_begins_on_a_life_that_is_heard_to_leave(case):
+    client, standin = open_runner(case)
+    client.take_life(make_life(draining=True))
+    case.assertEqual(start(client).ok_value, workers.REFUSED_LEAVING)
+    case.assertEqual(standin.running, {})
+
+
+def test_nothing_begins_before_a_life_is_known(case):
+    standin, place = serve_runner(case)
+    client = runner.RunnerWorker(place, lambda: 7, 6000)
+    client.take_life(make_life('i-0'))
+    client.read_listing()
+    case.assertEqual(start(client).ok_value, workers.REFUSED_UNHEARD)
+    case.assertEqual(standin.running, {})
--- a/packages/testing/portwharf/testing/platform_runner.py
+++ b/packages/testing/portwharf/testing/platform_runner.py
@@ -21,6 +21,8 @@
         self.begin_life(instance)
         # The next starts are carried out, and then answered with 500.
         self.lose_answers = 0
+        # The next calls are refused, as by a runner that is not well.
+        self.unhealthy = 0
         self.orders = []
         # What starts have to bring, '' for nothing.
         self.ticket = ''
@@ -60,6 +62,9 @@
     def _obey(self, verb, body, meant):
         if meant != self.instance:
             return 421, {}
+        if self.unhealthy:
+            self.unhealthy -= 1
+            return 503, {}
         if body['fence'] < self.fence:
             return 409, {'reason': 'fence'}
         self.fence = body['fence']
--- a/packages/workers/portwharf/workers/base.py
+++ b/packages/workers/portwharf/workers/base.py
@@ -18,8 +18,17 @@
 REFUSED_LATE = 'lease-over-at-the-worker'
 REFUSED_FENCE = 'newer-side-at-the-worker'
 REFUSED_TICKET = 'ticket-not-valid-at-the-worker'
+REFUSED_LEAVING = 'the-worker-is-leaving'
+REFUSED_UNHEARD = 'not-heard-of-the-worker-yet'
 SOUND_REFUSALS = frozenset(
-    (REFUSED_ROOM, REFUSED_LATE, REFUSED_FENCE, REFUSED_TICKET)
+    (
+        REFUSED_ROOM,
+        REFUSED_LATE,
+        REFUSED_FENCE,
+        REFUSED_TICKET,
+        REFUSED_LEAVING,
+        REFUSED_UNHEARD,
+    )
 )
 # The attempt, or a later one, ended or was stopped there before.
 REFUSED_OLD = 'attempt-is-over-at-the-worker'
--- /dev/null
+++ b/packages/workers/portwharf/workers/lives.py
@@ -0,0 +1,103 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Which life of a worker stands at its address, by what it says of itself.
+
+What a worker says may be held up on its way, also past its end: then it
+comes after the next life has begun at the same address, or is the first that
+a restarted side hears. Ids tell lives apart and not which is the later one,
+so that only the worker at the address settles it: a life that is heard for
+the first time stays a candidate until the worker has answered to that id.
+Believing a dead life would have its successor's work counted as gone while
+it runs.
+"""
+
+import dataclasses
+
+from portwharf.core import data
+from portwharf.workers import base
+
+
+@dataclasses.dataclass(slots=True)
+class Life:
+    """What a worker has said of itself.
+
+    :param instance: differs for each start of the worker
+    :param seq: rises with everything that one life says; 0 if it is not told
+    """
+
+    instance: str = ''
+    pool: str = ''
+    zone: str = ''
+    capacity: data.Resources = dataclasses.field(
+        default_factory=data.Resources
+    )
+    labels: list = dataclasses.field(default_factory=list)
+    rack: str = ''
+    draining: bool = False
+    leaves_in_ms: int = 0
+    seq: int = 0
+
+
+class Lives:
+    """The life in use and a candidate; the caller's lock guards both.
+
+    :ivar current: the life that the worker has answered to last
+    :ivar candidate: one that was heard of and is not settled, or None
+    """
+
+    __slots__ = ('current', 'candidate')
+
+    def __init__(self):
+        self.current = Life()
+        self.candidate = None
+
+    def offer(self, life):
+        """Take what a life says of itself.
+
+        :returns: whether the worker has to be looked at for it
+        """
+        if life.instance == self.current.instance:
+            return self._update(life)
+        known = self.candidate
+        if known is None or not _is_late(known, life):
+            self.candidate = life
+        return True
+
+    def confirm(self, instance):
+        """Take a candidate, as the worker has answered to its id.
+
+        What the former life ran and listed is gone.
+        """
+        if self.candidate is not None and self.candidate.instance == instance:
+            self.current = self.candidate
+            self.candidate = None
+
+    def refute(self, instance):
+        """Drop a candidate: the worker says that it is another life."""
+        if self.candidate is not None and self.candidate.instance == instance:
+            self.candidate = None
+
+    def check_start(self):
+        """Return why nothing may be started, or ''.
+
+        What the worker said last counts, which a listing may not show yet:
+        one that leaves has been told that this was heard.
+        """
+        if not self.current.instance:
+            return base.REFUSED_UNHEARD
+        if self.current.draining:
+            return base.REFUSED_LEAVING
+        return ''
+
+    def _update(self, life):
+        former = self.current
+        if _is_late(former, life):
+            return False
+        self.current = life
+        return (former.draining, former.pool) != (life.draining, life.pool)
+
+
+def _is_late(known, life):
+    """Tell whether a life said something before what is known of it."""
+    same = known.instance == life.instance
+    return same and 0 < life.seq <= known.seq
