--- a/packages/platform/portwharf/platform/kv_test.py
+++ b/packages/platform/portwharf/platform/kv_test.py
@@ -4,6 +4,7 @@
 
 from portwharf.core import settings
 from portwharf.platform import kv
+from portwharf.scheduler import configuration
 from portwharf.scheduler import events
 from portwharf.scheduler import shardlog
 from portwharf import store
@@ -117,3 +118,10 @@
     case.assertEqual(
         len(shardlog.ShardLog(client, 0).read().ok_value.batches), 3
     )
+
+
+def test_silent_watch_is_made_up_for_before_the_rules_bind_again(case):
+    noticed = kv.WATCH_SECONDS + kv.CALL_SECONDS
+    read_again = noticed + 1.5 * configuration.RETRY_SECONDS
+    # Of the platform's bounds: contactMs.
+    case.assertLess(read_again, 3.0)
--- a/packages/scheduler/portwharf/scheduler/configuration.py
+++ b/packages/scheduler/portwharf/scheduler/configuration.py
@@ -27,7 +27,7 @@
 KEY = 'config/current'
 MAX_TEXT_BYTES = 512 * 1024
 _WATCH_SECONDS = 60
-_RETRY_SECONDS = 0.5
+RETRY_SECONDS = 0.5
 # Only owners and entries watch, so that this many more calls a second are
 # few; an entry that is back has to follow within a second or two.
 _MAX_RETRY_SECONDS = 1.0
@@ -259,10 +259,10 @@
         self._stop.set()
 
     def _run(self):
-        wait = _RETRY_SECONDS
+        wait = RETRY_SECONDS
         while not self._stop.is_set():
             if self._follow():
-                wait = _RETRY_SECONDS
+                wait = RETRY_SECONDS
                 continue
             self._stop.wait(wait * random.uniform(0.5, 1.5))
             wait = min(2 * wait, _MAX_RETRY_SECONDS)
@@ -280,7 +280,7 @@
             revision = entry.revision if entry else 0
             if revision == 0:
                 # Nothing to watch from: look again shortly.
-                self._stop.wait(_RETRY_SECONDS)
+                self._stop.wait(RETRY_SECONDS)
                 return True
             found = self._kv.wait_for_change(
                 self._key, revision, _WATCH_SECONDS
--- a/packages/scheduler/portwharf/scheduler/members_test.py
+++ b/packages/scheduler/portwharf/scheduler/members_test.py
@@ -10,6 +10,7 @@
 from portwharf.peers import messages
 from portwharf.peers import streams
 from portwharf.scheduler import members
+from portwharf.testing import relay
 
 
 class FakeOwner:
@@ -141,3 +142,18 @@
     link.stop()
     link._thread.join(streams.IDLE_SECONDS / 2)
     case.assertFalse(link._thread.is_alive())
+
+
+def test_connection_that_goes_silent_is_replaced_by_a_new_one(case):
+    port, conns = accept(case)
+    between = case.enterContext(relay.Relay('127.0.0.1', 0, port))
+    link, _ = make_link(case, between.port)
+    conn = greet(conns)
+    case.assertEqual(conn.receive(), messages.Grant(0, 7000, 3, False))
+    between.hush()
+    # Long before a silent peer of the streams in general is given up.
+    conn = conns.get(timeout=8)
+    streams.check_greeting(conn.receive())
+    conn.send(messages.Hello(role='side', name='vm-1'))
+    case.assertEqual(conn.receive(), messages.Grant(0, 7000, 3, False))
+    case.assertFalse(link.view.reported)
--- a/packages/testing/portwharf/testing/relay.py
+++ b/packages/testing/portwharf/testing/relay.py
@@ -4,7 +4,8 @@
 
 One for each side: the VM list names the relay's port. A cut relay breaks
 its connections and takes no new ones; a silent one keeps them open and
-passes nothing on, as a network does that loses everything.
+passes nothing on, as a network does that loses everything. Connections may
+also go silent for good while new ones work.
 """
 
 import socket
@@ -31,10 +32,18 @@
         self._onward = threading.Event()
         self._back = threading.Event()
         self.silence(False)
+        # Set once the connections that were made until then are hushed.
+        self._hushed = threading.Event()
+        self._over = threading.Event()
         self.refusing = False
         # Seconds that each piece is held up.
         self.delay = 0.0
 
+    @property
+    def port(self):
+        """The port that it listens on."""
+        return self._listener.getsockname()[1]
+
     def __enter__(self):
         threading.Thread(target=self._accept, daemon=True).start()
         return self
@@ -42,6 +51,7 @@
     def __exit__(self, *exc_info):
         # Closing alone leaves it open for the thread that accepts.
         _shut(self._listener)
+        self._over.set()
         self.silence(False)
         self.cut()
 
@@ -53,6 +63,11 @@
         for sock in socks:
             _shut(sock)
 
+    def hush(self):
+        """Have all open connections go silent for good, without a reset."""
+        self._hushed.set()
+        self._hushed = threading.Event()
+
     def silence(self, silent):
         """Pass nothing on, or pass on again what was held up."""
         self.silence_ways(silent, silent)
@@ -87,22 +102,32 @@
     def _join(self, near, far):
         with self._lock:
             self._socks |= {near, far}
+        hushed = self._hushed
         rows = ((near, far, self._onward), (far, near, self._back))
         for one, other, way in rows:
             one.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             threading.Thread(
-                target=self._pass_on, args=(one, other, way), daemon=True
+                target=self._pass_on,
+                args=(one, other, way, hushed),
+                daemon=True,
             ).start()
 
-    def _pass_on(self, one, other, way):
+    def _pass_on(self, one, other, way, hushed):
         try:
             while raw := one.recv(_READ_BYTES):
                 way.wait()
                 if self.delay:
                     time.sleep(self.delay)
+                if hushed.is_set():
+                    # Nothing is read any more, so that buffers fill up.
+                    self._over.wait()
+                    break
                 other.sendall(raw)
         except OSError:
             pass
+        if hushed.is_set():
+            # The other end does not hear of an end either.
+            self._over.wait()
         _shut(one)
         _shut(other)
         with self._lock:
