--- a/packages/peers/portwharf/peers/links.py
+++ b/packages/peers/portwharf/peers/links.py
@@ -21,6 +21,8 @@
     def __init__(self, name):
         """Take the peer's VM's name."""
         self.name = name
+        # The silence that a connection outlives.
+        self.idle = streams.IDLE_SECONDS
         self._stop = threading.Event()
         # Open from dialling on; ``_conn`` only once greetings are exchanged.
         self._open = None
@@ -74,21 +76,33 @@
 
     def _run(self):
         while not self._stop.is_set():
-            try:
-                with self.dial() as conn:
-                    self._talk(conn)
-            except streams.PeerError as exc:
-                streams.log_end(exc, self.name)
-            self._open = None
-            self._conn = None
-            self.detach()
-            self._stop.wait(REDIAL_SECONDS)
+            self._stop.wait(self._connect())
+
+    def _connect(self):
+        """Dial and talk until it is over.
+
+        :returns: the seconds to wait before the next time
+        """
+        pause = REDIAL_SECONDS
+        try:
+            with self.dial() as conn:
+                self._talk(conn)
+        except streams.SilentError as exc:
+            # It has been waited for already.
+            pause = 0.0
+            streams.log_end(exc, self.name)
+        except streams.PeerError as exc:
+            streams.log_end(exc, self.name)
+        self._open = None
+        self._conn = None
+        self.detach()
+        return pause
 
     def _talk(self, conn):
         self._open = conn
         if self._stop.is_set():
             return
-        peer = streams.greet(conn, self.make_hello())
+        peer = streams.greet(conn, self.make_hello(), idle=self.idle)
         self._conn = conn
         self.attach(conn, peer)
         while not self._stop.is_set():
--- a/packages/peers/portwharf/peers/streams.py
+++ b/packages/peers/portwharf/peers/streams.py
@@ -8,12 +8,20 @@
 longer than the idle limit, or a peer that does not read, end that one
 connection and nothing else. One thread reads; any thread may send, whole
 frames at a time.
+
+A connection may go silent for good without an end: packets are lost both
+ways while new connections work. So the thread that reads sends a sign of
+life when nothing else was sent for a while, and either end closes when it
+has heard nothing for its idle limit. Senders that are blocked by then are
+let go.
 """
 
 import logging
+import select
 import socket
 import ssl
 import threading
+import time
 
 import msgpack
 
@@ -29,15 +37,29 @@
 CHUNK_BYTES = 64 * 1024
 DIAL_SECONDS = 1.0
 GREETING_SECONDS = 3.0
-IDLE_SECONDS = 10.0
+# Silence that ends a connection: with a new one at once and its greetings,
+# well within the 3 s after which the users' rules bind again.
+IDLE_SECONDS = 1.6
+# Signs of life that may be lost or late within an idle limit.
+SIGNS_A_LIMIT = 3
+KEEP_ALIVE = 'keep-alive'
+# For a frame to get into the buffers of a slow path; a silent one is ended
+# by the thread that reads.
+SEND_SECONDS = 10.0
 _READ_BYTES = 64 * 1024
 _BACKLOG = 512
+_MS = 1000
+_SIGN = msgpack.packb([KEEP_ALIVE, {}])
 
 
 class PeerError(Exception):
     """The connection is over; the text says why."""
 
 
+class SilentError(PeerError):
+    """The peer, or the path to it, was silent for too long."""
+
+
 class GarbledError(PeerError):
     """The peer sent what no peer of ours would."""
 
@@ -52,7 +74,14 @@
         self._lock = threading.Lock()
         self._closed = False
         self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if sock.family != socket.AF_UNIX:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(SEND_SECONDS)
+        self._readable = select.poll()
+        self._readable.register(sock, select.POLLIN)
+        self._writable = select.poll()
+        self._writable.register(sock, select.POLLOUT)
+        self._sent_at = time.monotonic()
         self.set_idle(IDLE_SECONDS)
 
     def __enter__(self):
@@ -85,6 +114,7 @@
         try:
             with self._lock:
                 self._sock.sendall(frame)
+                self._sent_at = time.monotonic()
         except (OSError, ValueError) as exc:
             self.close()
             raise PeerError(f'cannot send: {exc}') from exc
@@ -113,20 +143,57 @@
             while True:
                 for frame in self._unpacker:
                     return frame
+                self._wait_for_bytes()
                 raw = self._sock.recv(_READ_BYTES)
                 if not raw:
                     raise PeerError('closed by the peer')
                 self._unpacker.feed(raw)
         except TimeoutError as exc:
-            raise PeerError('silent for too long') from exc
+            raise SilentError('silent for too long') from exc
         except OSError as exc:
             raise PeerError(f'cannot read: {exc}') from exc
         except (ValueError, msgpack.UnpackException) as exc:
             raise GarbledError(f'cannot read: {exc}') from exc
 
+    def _wait_for_bytes(self):
+        """Wait until there is something to read, with signs of life.
+
+        :raises TimeoutError: nothing came within the idle limit
+        """
+        limit = time.monotonic() + self._idle
+        while True:
+            self._keep_alive()
+            left = limit - time.monotonic()
+            if left <= 0:
+                raise TimeoutError
+            wait = min(left, self._idle / SIGNS_A_LIMIT)
+            if self._readable.poll(wait * _MS):
+                return
+
+    def _keep_alive(self):
+        """Send a sign of life if nothing was sent for a while.
+
+        Never waits: while another thread sends, or what was sent before
+        still fills the buffers, none is needed.
+        """
+        if time.monotonic() - self._sent_at < self._idle / SIGNS_A_LIMIT:
+            return
+        if not self._lock.acquire(blocking=False):
+            return
+        try:
+            if self._writable.poll(0):
+                self._sock.sendall(_SIGN)
+                self._sent_at = time.monotonic()
+        finally:
+            self._lock.release()
+
     def set_idle(self, seconds):
-        """Bound the wait for the next message, and for a slow reader."""
-        self._sock.settimeout(seconds)
+        """Bound the silence that the connection outlives.
+
+        The peer's bound has to be like ours, as signs of life are sent by
+        our own.
+        """
+        self._idle = seconds
 
 
 class Listener:
@@ -237,20 +304,21 @@
     return Connection(sock, f'{address}:{port}')
 
 
-def greet(conn, hello, seconds=GREETING_SECONDS):
+def greet(conn, hello, seconds=GREETING_SECONDS, idle=IDLE_SECONDS):
     """Exchange greetings on a new connection, from the dialling end.
 
     A paused process accepts connections and says nothing, so that the wait
     is shorter than that for later messages.
 
     :param seconds: how long to wait for the peer's
+    :param idle: the silence that the connection outlives from then on
     :returns: the peer's :class:`messages.Hello`
     :raises PeerError: no greeting, or another version
     """
     conn.set_idle(seconds)
     conn.send(hello)
     peer = check_greeting(conn.receive())
-    conn.set_idle(IDLE_SECONDS)
+    conn.set_idle(idle)
     return peer
 
 
--- a/packages/peers/portwharf/peers/streams_test.py
+++ b/packages/peers/portwharf/peers/streams_test.py
@@ -4,6 +4,7 @@
 
 import queue
 import socket
+import threading
 
 import msgpack
 
@@ -11,6 +12,7 @@
 from portwharf.peers import streams
 from portwharf.peers import tls
 from portwharf.testing import fixtures
+from portwharf.testing import relay
 
 HELLO = messages.Hello(role='entry', name='entry-0')
 
@@ -152,3 +154,72 @@
     conn.try_send(HELLO)
     with case.assertRaises(streams.PeerError):
         conn.receive()
+
+
+def hush(case, port):
+    """Return a connection through a relay, and the relay."""
+    made = case.enterContext(relay.Relay('127.0.0.1', 0, port))
+    return dial(case, made.port), made
+
+
+def make_pair(case, idle):
+    """Return a connection and the bare socket at its other end."""
+    ours, theirs = socket.socketpair()
+    case.addCleanup(theirs.close)
+    theirs.settimeout(10)
+    conn = case.enterContext(streams.Connection(ours, 'peer'))
+    conn.set_idle(idle)
+    return conn, theirs
+
+
+def test_ends_that_have_nothing_to_say_keep_their_connection(case):
+    conn, theirs = make_pair(case, 0.3)
+    taken = queue.Queue()
+    threading.Thread(target=lambda: taken.put(conn.receive())).start()
+    for _ in range(2 * streams.SIGNS_A_LIMIT):
+        frame = theirs.recv(1000)
+        case.assertEqual(msgpack.unpackb(frame), [streams.KEEP_ALIVE, {}])
+        theirs.sendall(frame)
+    theirs.sendall(msgpack.packb(['hello', {}]))
+    case.assertEqual(taken.get(timeout=10), messages.Hello())
+
+
+def test_end_that_only_sends_says_nothing_besides(case):
+    conn, theirs = make_pair(case, 60.0)
+    conn.send(HELLO)
+    theirs.sendall(msgpack.packb(['hello', {}]))
+    conn.receive()
+    frame = theirs.recv(1000)
+    case.assertEqual(msgpack.unpackb(frame)[0], 'hello')
+
+
+def test_connection_that_goes_silent_is_noticed_at_both_ends(case):
+    port, ended = listen(case)
+    conn, between = hush(case, port)
+    conn.send(HELLO)
+    conn.receive()
+    between.hush()
+    with case.assertRaises(streams.SilentError):
+        conn.receive()
+    case.assertIn('silent', ended.get(timeout=8))
+
+
+def test_sender_that_is_blocked_on_a_silent_connection_is_let_go(case):
+    port, _ = listen(case)
+    conn, between = hush(case, port)
+    conn.send(HELLO)
+    conn.receive()
+    between.hush()
+    chunk = messages.Chunk(1, bytes(streams.MAX_FRAME_BYTES // 2))
+
+    def send_on():
+        while conn.try_send(chunk):
+            pass
+
+    sender = threading.Thread(target=send_on)
+    sender.start()
+    with case.assertRaises(streams.SilentError), conn:
+        while True:
+            conn.receive()
+    sender.join(8)
+    case.assertFalse(sender.is_alive())
--- a/packages/platform/portwharf/platform/http.py
+++ b/packages/platform/portwharf/platform/http.py
@@ -8,6 +8,8 @@
 import result
 import urllib3
 
+from portwharf.core import pools
+
 JSON_HEADERS = {'Content-Type': 'application/json'}
 
 
@@ -74,6 +76,8 @@
             refused = isinstance(exc.__cause__, ConnectionRefusedError)
             return result.Err(NoReply(str(exc), refused=refused))
         except urllib3.exceptions.HTTPError as exc:
+            if isinstance(exc, urllib3.exceptions.TimeoutError):
+                pools.drop_idle(self._pool)
             return result.Err(NoReply(str(exc), sent=True))
         try:
             value = json.loads(response.data) if response.data else {}
--- a/packages/platform/portwharf/platform/kv.py
+++ b/packages/platform/portwharf/platform/kv.py
@@ -18,8 +18,9 @@
 
 # The slowest answers that were seen took 0.4 s; one that is lost costs all.
 CALL_SECONDS = 0.8
-# A watch that was cut silently is noticed within this and CALL_SECONDS.
-WATCH_SECONDS = 2.0
+# A watch that was cut silently is noticed within this and CALL_SECONDS; the
+# configuration has to be read again before the users' 3 s are over.
+WATCH_SECONDS = 1.5
 # Entries that one transaction takes.
 MAX_ENTRIES = 32
 _OK = 200
--- a/packages/scheduler/portwharf/scheduler/configuration.py
+++ b/packages/scheduler/portwharf/scheduler/configuration.py
@@ -27,7 +27,8 @@
 KEY = 'config/current'
 MAX_TEXT_BYTES = 512 * 1024
 _WATCH_SECONDS = 60
-RETRY_SECONDS = 0.5
+# After a failure, with a jitter of half of it.
+RETRY_SECONDS = 0.3
 # Only owners and entries watch, so that this many more calls a second are
 # few; an entry that is back has to follow within a second or two.
 _MAX_RETRY_SECONDS = 1.0
--- a/packages/scheduler/portwharf/scheduler/limits.py
+++ b/packages/scheduler/portwharf/scheduler/limits.py
@@ -12,6 +12,8 @@
 # Two monotonic clocks may differ in speed by this share at the most; a
 # worker's may be 2% slow, and a VM's by less.
 DRIFT = 0.03
+# Of the silence before a takeover; the rest is for dialling.
+OWNER_IDLE_SHARE = 0.75
 
 
 @dataclasses.dataclass(slots=True)
@@ -40,6 +42,15 @@
     unreachable: float = 3.0
     gone: float = 120.0
 
+    @property
+    def owner_idle(self):
+        """Silence that ends an owner's connection to a side.
+
+        Short enough that a living owner is heard on a new one before the
+        first in line asks after it, and before any grant is over.
+        """
+        return self.takeover * OWNER_IDLE_SHARE
+
     @property
     def lapse_after_majority(self):
         """Wait until no former owner's grant can be valid."""
--- a/packages/scheduler/portwharf/scheduler/members.py
+++ b/packages/scheduler/portwharf/scheduler/members.py
@@ -54,6 +54,7 @@
         """Take the member's VM and the ``owner.Owner``."""
         super().__init__(vm.name)
         self._owner = owner
+        self.idle = owner.limits.owner_idle
         self.view = MemberView(vm)
 
     def dial(self):
--- a/packages/scheduler/portwharf/scheduler/members_test.py
+++ b/packages/scheduler/portwharf/scheduler/members_test.py
@@ -9,6 +9,7 @@
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.peers import streams
+from portwharf.scheduler import limits
 from portwharf.scheduler import members
 from portwharf.testing import relay
 
@@ -17,6 +18,7 @@
     """What a link calls."""
 
     epoch = 3
+    limits = limits.Limits()
 
     def __init__(self):
         self.reports = queue.Queue()
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -124,6 +124,11 @@
         """The epoch that this owner owns the shard under."""
         return self._state.epoch
 
+    @property
+    def limits(self):
+        """The deployment's ``Limits``."""
+        return self._env.limits
+
     @property
     def stalled(self):
         """Whether an append is under way that has to be tried again."""
--- a/packages/side/portwharf/side/server.py
+++ b/packages/side/portwharf/side/server.py
@@ -107,6 +107,7 @@
     def _serve_owner(self, conn, hello):
         if hello.shard != self._cfg.vm.shard:
             raise streams.PeerError(f'owner of shard {hello.shard}')
+        conn.set_idle(self._cfg.limits.owner_idle)
         self.greet_owner(conn, hello)
         try:
             while True:
