--- a/packages/testing/portwharf/testing/soak.py
+++ b/packages/testing/portwharf/testing/soak.py
@@ -3,8 +3,9 @@
 """``make soak``: real programs under faults from outside, by seeds.
 
 Processes are killed, paused, stopped and started; relays cut, delay, hold
-back one way or both; the store is down, slow, loses answers, leases, keys
-and its history; runners crash, fall silent and carry orders out late. Faults
+back one way or both; open connections go silent for good; the store is
+down, slow, loses answers, leases, keys and its history; runners crash, fall
+silent, carry orders out late, and are heard of after their end. Faults
 come in series and overlap. At the end all is healed, the work has to come to
 its end, and what clients and runners saw is checked.
 """
@@ -27,6 +28,7 @@
 SECONDS = 20.0
 CLIENTS = 4
 _BETWEEN_SECONDS = 1.6
+_HUSH_SHARE = 0.15
 _SETTLE_SECONDS = 90.0
 _SEEDS = pathlib.Path(__file__).parent / 'soak_seeds.toml'
 
@@ -46,6 +48,8 @@
         """Take a started ``soak_world.World`` and a seed."""
         self._world = world
         self._random = random.Random(seed)
+        # Drawn apart, so that known seeds keep their schedules.
+        self._hushes = random.Random(-1 - seed)
         self._heals = []
         self._busy = set()
         self._lock = threading.Lock()
@@ -68,6 +72,7 @@
             time.sleep(self._random.uniform(0.2, 1.0) * _BETWEEN_SECONDS)
             self._heal_due(time.monotonic())
             self._do_fault()
+            self._hush()
         for client in self.clients:
             client.stop()
         self._heal_due(float('inf'))
@@ -159,6 +164,18 @@
         self._heal_later(0.5, 7.0, mend)
         return True
 
+    def _hush(self):
+        """Now and then have open connections go silent, of one or all."""
+        if self._hushes.random() > _HUSH_SHARE:
+            return
+        programs = list(self._world.programs.values())
+        if self._hushes.random() < 0.5:
+            programs = [self._hushes.choice(programs)]
+        self.faults += 1
+        print(f'  {time.monotonic():.1f} hush {len(programs)}', flush=True)
+        for program in programs:
+            program.hush()
+
     def _harm_store(self):
         faults = self._world.store.faults
         if faults.down or faults.lost or faults.slow_seconds:
--- a/packages/testing/portwharf/testing/soak_runner.py
+++ b/packages/testing/portwharf/testing/soak_runner.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 import json
+import logging
 import threading
 import time
 
@@ -16,10 +17,14 @@
 
 from portwharf.testing import platform_runner
 
+LOG = logging.getLogger(__name__)
+
 CPU_MILLI = 4000
 MEMORY_MB = 8000
 BEAT_SECONDS = 0.5
 _TICK_SECONDS = 0.02
+# A heartbeat of a life that is over comes as late as this.
+_LATE_BEAT_SECONDS = 1.7
 # An order without an answer is held for longer than a side waits.
 _HELD_SECONDS = 0.6
 
@@ -227,26 +232,39 @@
 
     def _beat_on(self):
         seq = 0
+        last = None
+        late = []
         while not self._ending.wait(BEAT_SECONDS):
+            now = time.monotonic()
+            while late and late[0][0] <= now:
+                self._send(*late.pop(0)[1:])
             if self.silent:
                 continue
             seq += 1
-            body = {
-                'service': 'soak-pool',
-                'address': self._address,
-                'zone': 'zone-1',
-                'version': 'v1',
-                'slots': 8,
-                'state': 'draining' if self.draining else 'ready',
-                'coldLeftMs': 0,
-                'capacity': {'cpu': CPU_MILLI, 'memMb': MEMORY_MB, 'gpu': 0},
-                'labels': ['a', 'r1'],
-                'clockMs': self.read_ms(),
-                'seq': seq,
-            }
-            url = f'{self._control}/portwharf/instances/{self.instance}'
-            try:
-                self._http.request('POST', f'{url}/heartbeat', json=body)
-            except urllib3.exceptions.HTTPError:
-                # The side is down or paused; the next beat tells as much.
-                continue
+            former, last = last, (self.instance, self._make_beat(seq))
+            if former is not None and former[0] != last[0]:
+                late.append((now + _LATE_BEAT_SECONDS, *former))
+            self._send(*last)
+
+    def _make_beat(self, seq):
+        return {
+            'service': 'soak-pool',
+            'address': self._address,
+            'zone': 'zone-1',
+            'version': 'v1',
+            'slots': 8,
+            'state': 'draining' if self.draining else 'ready',
+            'coldLeftMs': 0,
+            'capacity': {'cpu': CPU_MILLI, 'memMb': MEMORY_MB, 'gpu': 0},
+            'labels': ['a', 'r1'],
+            'clockMs': self.read_ms(),
+            'seq': seq,
+        }
+
+    def _send(self, instance, body):
+        url = f'{self._control}/portwharf/instances/{instance}/heartbeat'
+        try:
+            self._http.request('POST', url, json=body)
+        except urllib3.exceptions.HTTPError as exc:
+            # The side is down or paused; the next beat tells as much.
+            LOG.debug('no answer to a heartbeat: %s', exc)
--- a/packages/testing/portwharf/testing/soak_world.py
+++ b/packages/testing/portwharf/testing/soak_world.py
@@ -5,8 +5,8 @@
 Entries and sides are processes of their own, started as the platform starts
 them, each on a loopback address of its own. The platform's store and the
 runners are stand-ins in this process, so that checks can read their records.
-Relays stand before each side, and before the store for each process; the
-store names them in the register in place of the sides' own ports.
+Relays stand before each side and runner, and before the store for each
+process; the store names them in the register in place of the sides' ports.
 """
 
 import base64
@@ -41,6 +41,7 @@
 _READY_PORT = 8167
 _CONTROL_PORT = 8166
 _RUNNER_PORT = 8180
+_RUNNER_RELAY_PORT = 8181
 _STORE_PORT = 8169
 _STORE_THREADS = 96
 _RUNNER_THREADS = 12
@@ -59,8 +60,15 @@
     handle: subprocess.Popen = None
     store: relay.Relay = None
     peers: relay.Relay = None
+    orders: relay.Relay = None
     runner: soak_runner.SoakRunner = None
 
+    def hush(self):
+        """Have all open connections go silent for good."""
+        for made in (self.store, self.peers, self.orders):
+            if made is not None:
+                made.hush()
+
 
 class World:
     """All processes and stand-ins; a context manager that ends them."""
@@ -184,6 +192,9 @@
             program.peers = enter(
                 relay.Relay(address, _RELAY_PORT, _PEER_PORT)
             )
+            program.orders = enter(
+                relay.Relay(address, _RUNNER_RELAY_PORT, _RUNNER_PORT)
+            )
             program.runner = self._open_runner(name, address)
         self.programs[name] = program
         path = self._folder / f'{name}.toml'
@@ -240,7 +251,7 @@
         f'ip = "{address}"',
         'zone = "zone-1"',
         f'internalPorts = [{_PEER_PORT}, {_PEER_PORT + 5}]',
-        f'app = "{address}:{_RUNNER_PORT}"' if role == 'side' else '',
+        f'app = "{address}:{_RUNNER_RELAY_PORT}"' if role == 'side' else '',
         '[listen]',
         *listen,
         '[bounds]',
