--- a/packages/peers/portwharf/peers/streams.py
+++ b/packages/peers/portwharf/peers/streams.py
@@ -74,8 +74,7 @@
         self._lock = threading.Lock()
         self._closed = False
         self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
-        if sock.family != socket.AF_UNIX:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(SEND_SECONDS)
         self._readable = select.poll()
         self._readable.register(sock, select.POLLIN)
@@ -161,7 +160,7 @@
         :raises TimeoutError: nothing came within the idle limit
         """
         limit = time.monotonic() + self._idle
-        while True:
+        while not self._closed:
             self._keep_alive()
             left = limit - time.monotonic()
             if left <= 0:
--- a/packages/peers/portwharf/peers/streams_test.py
+++ b/packages/peers/portwharf/peers/streams_test.py
@@ -164,7 +164,10 @@
 
 def make_pair(case, idle):
     """Return a connection and the bare socket at its other end."""
-    ours, theirs = socket.socketpair()
+    server = socket.create_server(('127.0.0.1', 0))
+    case.addCleanup(server.close)
+    ours = socket.create_connection(server.getsockname())
+    theirs, _ = server.accept()
     case.addCleanup(theirs.close)
     theirs.settimeout(10)
     conn = case.enterContext(streams.Connection(ours, 'peer'))
--- a/packages/store/portwharf/store/etcd.py
+++ b/packages/store/portwharf/store/etcd.py
@@ -12,6 +12,7 @@
 import result
 import urllib3
 
+from portwharf.core import pools
 from portwharf.store import base
 
 CALL_SECONDS = 2.0
@@ -98,6 +99,8 @@
         except urllib3.exceptions.NewConnectionError as exc:
             return result.Err(base.StoreError(str(exc)))
         except urllib3.exceptions.HTTPError as exc:
+            if isinstance(exc, urllib3.exceptions.TimeoutError):
+                pools.drop_idle(self._pool)
             return result.Err(base.StoreError(str(exc), unknown=changes))
         return _read_response(response, changes)
 
--- a/packages/testing/portwharf/testing/fixtures.py
+++ b/packages/testing/portwharf/testing/fixtures.py
@@ -28,7 +28,12 @@
 
 
 class WsgiPool:
-    """Calls a WSGI application as if by ``urllib3``, in this thread."""
+    """Calls a WSGI application as if by ``urllib3``, in this thread.
+
+    :cvar pool: no connections are kept
+    """
+
+    pool = None
 
     def __init__(self, app):
         self._app = app
