--- a/packages/platform/portwharf/platform/runner_test.py
+++ b/packages/platform/portwharf/platform/runner_test.py
@@ -16,19 +16,25 @@
 SIZE = data.Resources(8000, 1000)
 
 
-def open_runner(case, token=7):
-    """Return the real adapter on a stand-in, and the stand-in."""
+def serve_runner(case):
+    """Return a stand-in, and where it is served."""
     standin = platform_runner.RunnerStandIn()
     port = fixtures.serve(case, standin, threads=6)
-    place = settings.Endpoint('127.0.0.1', port)
+    return standin, settings.Endpoint('127.0.0.1', port)
+
+
+def open_runner(case, token=7):
+    """Return the real adapter on a stand-in, and the stand-in."""
+    standin, place = serve_runner(case)
     client = runner.RunnerWorker(place, lambda: token, 6000)
     client.take_life(make_life())
+    client.read_listing()
     return client, standin
 
 
 def make_life(instance='i-1', **fields):
     """Return what a heartbeat says."""
-    return runner.Life(instance, 'pool', 'zone', SIZE, ['a'], **fields)
+    return workers.Life(instance, 'pool', 'zone', SIZE, ['a'], **fields)
 
 
 def start(client, attempt=1, task=TASK):
@@ -57,7 +63,9 @@
 
 def test_nothing_is_ordered_without_a_token(case):
     client, standin = open_runner(case, token=0)
-    case.assertTrue(start(client).is_err())
+    case.assertEqual(start(client).ok_value, workers.REFUSED_UNHEARD)
+    case.assertTrue(client.stop(TASK, 1, True).is_err())
+    case.assertTrue(client.renew(5000).is_err())
     case.assertEqual(standin.orders, [])
 
 
@@ -123,6 +131,7 @@
     standin.begin_life('i-2')
     case.assertTrue(client.read_listing().is_err())
     client.take_life(make_life('i-2'))
+    client.read_listing()
     start(client, 2)
     standin.end_run(TASK)
     case.assertEqual(list_states(client), ['succeeded'])
@@ -189,3 +198,100 @@
         client.recall(workers.Start(f'x.{number}', 1))
     (attempt,) = client.read_listing().ok_value.attempts
     case.assertEqual(attempt.resources, SIZE)
+
+
+def test_late_heartbeat_of_an_earlier_life_changes_nothing(case):
+    client, standin = open_runner(case)
+    standin.begin_life('i-2')
+    client.take_life(make_life('i-2'))
+    client.read_listing()
+    start(client)
+    client.take_life(make_life('i-0'))
+    listing = client.read_listing().ok_value
+    case.assertEqual((listing.life, len(listing.attempts)), ('i-2', 1))
+    case.assertTrue(client.stop(TASK, 1, True).is_ok())
+
+
+def test_late_heartbeat_that_is_the_first_one_hides_nothing(case):
+    _, place = serve_runner(case)
+    former = runner.RunnerWorker(place, lambda: 7, 6000)
+    former.take_life(make_life())
+    former.read_listing()
+    start(former)
+    client = runner.RunnerWorker(place, lambda: 8, 6000)
+    client.take_life(make_life('i-0'))
+    listing = client.read_listing().ok_value
+    case.assertEqual([a.task for a in listing.attempts], [TASK])
+    client.take_life(make_life())
+    case.assertEqual(client.read_listing().ok_value.life, 'i-1')
+
+
+def test_late_heartbeat_of_the_same_life_does_not_undo_draining(case):
+    client, _ = open_runner(case)
+    client.take_life(make_life(draining=True, seq=5))
+    client.take_life(make_life(seq=4))
+    case.assertTrue(client.read_listing().ok_value.draining)
+
+
+def test_new_life_whose_confirmation_is_lost_is_asked_again(case):
+    client, standin = open_runner(case)
+    start(client)
+    standin.begin_life('i-2')
+    standin.unhealthy = 1
+    client.take_life(make_life('i-2'))
+    case.assertTrue(client.read_listing().is_err())
+    listing = client.read_listing().ok_value
+    case.assertEqual((listing.life, listing.attempts), ('i-2', []))
+
+
+def test_first_heartbeat_is_asked_about_at_once(case):
+    client, _ = open_runner(case)
+    told = threading.Event()
+    client.follow(told.set)
+    client.take_life(make_life('i-2'))
+    case.assertTrue(told.is_set())
+
+
+def test_ends_that_are_seen_before_a_life_is_known_are_not_acknowledged(case):
+    standin, place = serve_runner(case)
+    former = runner.RunnerWorker(place, lambda: 7, 6000)
+    former.take_life(make_life())
+    former.read_listing()
+    start(former)
+    standin.end_run(TASK)
+    client = runner.RunnerWorker(place, lambda: 8, 6000)
+    client.read_listing()
+    standin.begin_life('i-2')
+    client.take_life(make_life('i-2'))
+    client.read_listing()
+    start(client, 2)
+    standin.end_run(TASK)
+    client.forget(TASK, 1)
+    case.assertEqual(list_states(client), ['succeeded'])
+
+
+def test_nothing_begins_on_a_life_that_is_heard_to_leave(case):
+    client, standin = open_runner(case)
+    client.take_life(make_life(draining=True))
+    case.assertEqual(start(client).ok_value, workers.REFUSED_LEAVING)
+    case.assertEqual(standin.running, {})
+
+
+def test_nothing_begins_before_a_life_is_known(case):
+    standin, place = serve_runner(case)
+    client = runner.RunnerWorker(place, lambda: 7, 6000)
+    client.take_life(make_life('i-0'))
+    client.read_listing()
+    case.assertEqual(start(client).ok_value, workers.REFUSED_UNHEARD)
+    case.assertEqual(standin.running, {})
+
+
+def test_what_is_told_before_a_life_is_known_outlasts_its_confirmation(case):
+    """A restarted side hears its owner before the runner's heartbeat."""
+    standin, place = serve_runner(case)
+    standin.running[TASK] = 1
+    client = runner.RunnerWorker(place, lambda: 7, 6000)
+    client.recall(workers.Start(TASK, 1, workload='a/b', resources=SIZE))
+    client.take_life(make_life())
+    (attempt,) = client.read_listing().ok_value.attempts
+    case.assertEqual((attempt.workload, attempt.resources), ('a/b', SIZE))
--- a/packages/scheduler/portwharf/scheduler/members_test.py
+++ b/packages/scheduler/portwharf/scheduler/members_test.py
@@ -9,7 +9,9 @@
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.peers import streams
+from portwharf.scheduler import limits
 from portwharf.scheduler import members
+from portwharf.testing import relay
 
 
 HELD = messages.HeldTasks([messages.HeldTask('job.0', 1)])
@@ -19,6 +21,7 @@
     """What a link calls."""
 
     epoch = 3
+    limits = limits.Limits()
 
     def __init__(self):
         self.reports = queue.Queue()
@@ -148,3 +151,18 @@
     link.stop()
     link._thread.join(streams.IDLE_SECONDS / 2)
     case.assertFalse(link._thread.is_alive())
+
+
+def test_connection_that_goes_silent_is_replaced_by_a_new_one(case):
+    port, conns = accept(case)
+    between = case.enterContext(relay.Relay('127.0.0.1', 0, port))
+    link, _ = make_link(case, between.port)
+    conn = greet(conns)
+    case.assertEqual(conn.receive(), messages.Grant(0, 7000, 3, False))
+    between.hush()
+    # Long before a silent peer of the streams in general is given up.
+    conn = conns.get(timeout=8)
+    streams.check_greeting(conn.receive())
+    conn.send(messages.Hello(role='side', name='vm-1'))
+    case.assertEqual(conn.receive(), messages.Grant(0, 7000, 3, False))
+    case.assertFalse(link.view.reported)
