--- a/packages/testing/portwharf/testing/cluster.py
+++ b/packages/testing/portwharf/testing/cluster.py
@@ -266,11 +266,13 @@
         """Mend the network, wake everybody, and bring the store back."""
         self.cuts.clear()
         self.standin.faults = standins.Faults()
+        self.listing.set_leaving(set())
         for node in self.nodes:
             node.pool.cut = False
             node.paused = False
             node.down = False
             node.worker.broken = False
+            node.worker.silent = False
 
     def break_pipes(self, node):
         """Break the connections of a node's owner and to its side."""
--- a/packages/testing/portwharf/testing/cluster_fakes.py
+++ b/packages/testing/portwharf/testing/cluster_fakes.py
@@ -23,6 +23,7 @@
 from portwharf import workers
 
 CAPACITY = data.Resources(2000, 2000)
+_SILENT = result.Err('silent')
 
 
 class Violation(AssertionError):
@@ -66,6 +67,8 @@
         self.runs = []
         self.record = []
         self.broken = False
+        # It works on and answers nothing, nor obeys.
+        self.silent = False
         self._numbers = itertools.count(1)
 
     def expire(self):
@@ -91,6 +94,8 @@
         self.runs = []
 
     def read_listing(self):
+        if self.silent:
+            return _SILENT
         self.expire()
         listing = workers.Listing(self._read_ms(), CAPACITY)
         listing.attempts = [
@@ -99,6 +104,8 @@
         return result.Ok(listing)
 
     def start(self, start):
+        if self.silent:
+            return _SILENT
         if self.broken:
             return result.Ok('worker-is-broken')
         if start.lease_until_ms and self._read_ms() >= start.lease_until_ms:
@@ -117,6 +124,8 @@
         return result.Ok('')
 
     def stop(self, task, attempt, checkpoint):
+        if self.silent:
+            return _SILENT
         for run in self.runs:
             known = run.attempt
             if run.running and (known.task, known.attempt) == (task, attempt):
@@ -131,6 +140,8 @@
         return result.Ok(None)
 
     def renew(self, until_ms):
+        if self.silent:
+            return _SILENT
         self.expire()
         for run in self.runs:
             until = run.attempt.lease_until_ms
@@ -161,6 +172,14 @@
     def __init__(self, vms):
         self.vms = vms
 
+    def set_leaving(self, names):
+        """Have the list say which VMs will be taken away."""
+        states = {True: data.VmState.LEAVING, False: data.VmState.LIVE}
+        self.vms = [
+            dataclasses.replace(vm, state=states[vm.name in names])
+            for vm in self.vms
+        ]
+
     def read(self):
         return result.Ok(list(self.vms))
 
--- a/packages/testing/portwharf/testing/walk.py
+++ b/packages/testing/portwharf/testing/walk.py
@@ -110,6 +110,23 @@
         """Have a worker refuse everything."""
         self.pick().worker.broken = True
 
+    def silence_worker(self):
+        """Have a worker answer nothing any more."""
+        self.pick().worker.silent = True
+
+    def wake_workers(self):
+        """Have all workers answer again."""
+        for node in self.cluster.nodes:
+            node.worker.silent = False
+
+    def announce_leaving(self):
+        """Have the list of VMs say that one will be taken away."""
+        self.cluster.listing.set_leaving({self.pick().vm.name})
+
+    def keep_all(self):
+        """Have the list say that no VM will be taken away after all."""
+        self.cluster.listing.set_leaving(set())
+
     def claim(self):
         """Have a node take the shard."""
         node = self.pick()
@@ -155,13 +172,20 @@
     Walk.fail_vm,
     Walk.repair,
     Walk.break_worker,
+    Walk.silence_worker,
+    Walk.wake_workers,
+    Walk.announce_leaving,
+    Walk.keep_all,
     Walk.claim,
     Walk.break_pipes,
     Walk.deliver_stale,
     Walk.trouble_store,
     Walk.mend_store,
 )
-WEIGHTS = (30, 6, 2, 4, 4, 4, 3, 5, 4, 5, 4, 2, 4, 1, 8, 3, 4, 4, 5)
+WEIGHTS = (
+    *(30, 6, 2, 4, 4, 4, 3, 5, 4, 5, 4, 2, 4, 1),
+    *(3, 4, 2, 4, 8, 3, 4, 4, 5),
+)
 
 
 def main():
