--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -238,12 +238,12 @@
             self._grants.set_members(self._state.members)
 
     def _requeue_lost(self, batch):
-        """Queue the tasks of silent VMs again, once that is safe."""
+        """Queue the tasks of VMs that are lost again, once that is safe."""
         now = self._env.clock.read_monotonic()
         now_ms = self._env.clock.read_unix_ms()
         for name in list(self._state.held):
             held = list(self._state.held[name].values())
-            if not held or not self._members.is_silent(name, now):
+            if not held or not self._is_lost(name, now):
                 continue
             safe = self._grants.may_replace(name, now)
             for task in held:
@@ -257,6 +257,18 @@
                 self._add(batch, events.DecisionMade(decision))
                 self._break_gang(event, batch)
 
+    def _is_lost(self, name, now):
+        """Tell whether a VM is silent, or as good as that.
+
+        A side that has just started is heard long before it tells what its
+        worker runs. One that never does, and gets no grant, keeps nothing
+        alive: its tasks must not wait for it.
+        """
+        if self._members.is_silent(name, now):
+            return True
+        untold = not self._members.has_reported(name)
+        return untold and self._grants.may_replace(name, now)
+
     def _empty_leaving(self, batch):
         """Move tasks away from VMs that the platform will take away."""
         now_ms = self._env.clock.read_unix_ms()
@@ -389,7 +401,7 @@
         """
         resolved = self.preparation.resolve(
             views,
-            lambda vm: self._members.is_silent(vm, now),
+            lambda vm: self._is_lost(vm, now),
             lambda vm: self._grants.may_replace(vm, now),
         )
         for event in resolved:
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/faults_untold_test.py
@@ -0,0 +1,65 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Deliberate faults: VMs whose sides cannot look at their workers.
+
+As in ``faults_test``: without the rule, the test named here fails.
+"""
+
+from portwharf.scheduler import decider
+from portwharf.scheduler import faults_test
+from portwharf.scheduler import untold_test
+from portwharf.side import doubts
+from portwharf.side import leases
+from portwharf.side import sight
+from portwharf.side import sight_test
+
+
+def test_commands_answered_before_the_first_look(case):
+    """A task that runs on is called gone, and runs on two workers."""
+    faults_test.check(
+        case,
+        untold_test.test_task_is_not_moved_while_it_may_run_on,
+        sight.Sight,
+        'knows_all',
+        True,
+    )
+
+
+def test_leases_of_a_former_life_not_waited_for(case):
+    faults_test.check(
+        case,
+        untold_test.test_side_that_starts_again_beside_a_silent_worker,
+        leases.LeaseKeeper,
+        'have_lapsed',
+        lambda self, now: True,
+    )
+
+
+def test_silent_worker_never_given_up(case):
+    faults_test.check(
+        case,
+        untold_test.test_owner_that_changes_while_a_worker_is_silent,
+        leases.LeaseKeeper,
+        'have_lapsed',
+        lambda self, now: False,
+    )
+
+
+def test_only_silent_vms_given_up(case):
+    faults_test.check(
+        case,
+        untold_test.test_side_that_starts_again_cut_off_from_the_store,
+        decider.Decider,
+        '_is_lost',
+        lambda self, name, now: self._members.is_silent(name, now),
+    )
+
+
+def test_unanswered_starts_doubted_for_ever(case):
+    faults_test.check(
+        case,
+        sight_test.test_start_that_was_never_answered_is_gone_with_its_lease,
+        doubts.Doubts,
+        'give_up_starts',
+        lambda self: [],
+    )
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -107,6 +107,11 @@
             return now - self._began >= limit
         return now - link.view.heard >= limit
 
+    def has_reported(self, name):
+        """Tell whether a member has told what its worker runs."""
+        link = self._links.get(name)
+        return link is not None and link.view.reported
+
     def is_leaving(self, name):
         """Tell whether the platform is about to take a VM away."""
         listed = self._listed.get(name)
--- a/packages/scheduler/portwharf/scheduler/preparing.py
+++ b/packages/scheduler/portwharf/scheduler/preparing.py
@@ -78,11 +78,11 @@
                 chosen.append(events.TaskPrepared(task, attempt, vm))
         return chosen
 
-    def resolve(self, views, is_silent, may_replace):
+    def resolve(self, views, is_lost, may_replace):
         """Place prepared tasks where there is room, or take them back.
 
         :param views: list of ``vmview.VmView``; their room is used up
-        :param is_silent: function of a VM's name
+        :param is_lost: function of a VM's name
         :param may_replace: function of a VM's name
         :returns: list of events
         """
@@ -91,7 +91,7 @@
         for vm, tasks in self._state.prepared.items():
             for task in list(tasks.values()):
                 event = self._resolve_task(
-                    task, rows.get(vm), rows.values(), is_silent, may_replace
+                    task, rows.get(vm), rows.values(), is_lost, may_replace
                 )
                 if event is not None:
                     resolved.append(event)
@@ -133,9 +133,9 @@
         size = self._state.find_workload(task.id).workload.resources
         freed.room = freed.room.add(size)
 
-    def _resolve_task(self, task, view, views, is_silent, may_replace):
+    def _resolve_task(self, task, view, views, is_lost, may_replace):
         """Return the event that ends a task's being prepared, or None."""
-        if is_silent(task.vm):
+        if is_lost(task.vm):
             workload = self._state.find_workload(task.id).workload
             if workload.exclusive and not may_replace(task.vm):
                 return None
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -21,13 +21,12 @@
 from portwharf.side import leases
 from portwharf.side import pacing
 from portwharf.side import reports
+from portwharf.side import sight
 from portwharf import workers
 
 LOG = logging.getLogger(__name__)
 
 _POLL_SECONDS = 0.4
-# A worker that does not answer for so long gets nothing new.
-SILENT_SECONDS = 0.9
 _MS = 1000
 
 # Refused attempts that are remembered. A copy of a command arrives within
@@ -38,6 +37,7 @@
 REFUSED_GRANT = messages.REFUSED_GRANT
 REFUSED_ATTEMPT = 'older-than-a-known-attempt'
 REFUSED_LEAVING = 'the-worker-is-leaving'
+REFUSED_SILENT = 'the-worker-does-not-answer'
 
 
 @dataclasses.dataclass(slots=True)
@@ -71,11 +71,12 @@
         self._burnt = {}
         self._whole = False
         self._listing = workers.Listing()
-        self._leases = leases.LeaseKeeper(worker, guard, limits)
+        began = clock.read_monotonic()
+        self._leases = leases.LeaseKeeper(worker, guard, limits, began)
+        self._sight = sight.Sight(worker)
         self._doubts = doubts.Doubts()
         self._pacer = pacing.Pacer()
         self._owner_ms = 0
-        self._silent_since = None
         self._listed_at = 0.0
         self._next_beat = 0.0
         self._next_poll = 0.0
@@ -176,6 +177,10 @@
             self._forget(message.tasks)
         elif isinstance(message, messages.PressUpdate):
             self._pacer.presses.take_told(message.presses)
+        elif not self._sight.knows_all:
+            # It may be about what our former life began. The whole report
+            # that is still to come has the owner send it again.
+            return
         elif not self._guard.accepts(message.epoch):
             self._refuse(message, REFUSED_EPOCH)
         elif isinstance(message, messages.StartTask):
@@ -197,7 +202,7 @@
     def _start(self, message):
         """Begin an attempt, if all that must hold does."""
         self._pacer.note_start(message)
-        known = self._find_known(message.task)
+        known = reports.find_latest(self._listing.attempts, message.task)
         if known is not None and known.attempt == message.attempt:
             return
         if self._doubts.is_doubtful(message.task, message.attempt):
@@ -247,6 +252,8 @@
             return REFUSED_CAPACITY
         if self._listing.draining:
             return REFUSED_LEAVING
+        if self._sight.is_silent(self._clock.read_monotonic()):
+            return REFUSED_SILENT
         if message.attempt <= self._burnt.get(message.task, 0):
             return REFUSED_ATTEMPT
         if known is not None and known.attempt > message.attempt:
@@ -267,11 +274,6 @@
                 used = used.add(attempt.resources)
         return used
 
-    def _find_known(self, task):
-        """Return the latest attempt of a task that the worker knows."""
-        known = [a for a in self._listing.attempts if a.task == task]
-        return max(known, key=lambda a: a.attempt, default=None)
-
     def _refuse(self, message, reason, at_worker=False):
         """Report that an attempt was not begun, and why.
 
@@ -345,9 +347,7 @@
         if asked.is_err():
             self._note_silent(asked.err_value)
             return
-        if self._silent_since is not None:
-            LOG.info('worker answers again')
-            self._silent_since = None
+        self._sight.note_answer()
         former = self._listing
         self._listing = asked.ok_value
         self._listed_at = self._clock.read_monotonic()
@@ -364,31 +364,27 @@
     def _note_silent(self, text):
         """Count the worker as silent, and as lapsed once that is sure."""
         now = self._clock.read_monotonic()
-        if self._silent_since is None:
-            self._silent_since = now
-            LOG.warning('worker does not answer: %s', text)
-        if now - self._silent_since < SILENT_SECONDS:
+        self._sight.note_silence(text, now)
+        if not self._sight.is_silent(now):
             return
-        # Nothing is to be placed here until it answers.
         former = self._listing
-        attempts = former.attempts
-        if self._leases.have_lapsed(now):
-            attempts = [
-                a for a in attempts if a.state != data.RunState.RUNNING
-            ]
-        self._listing = dataclasses.replace(
-            former, capacity=data.Resources(), attempts=attempts
-        )
+        lapsed = self._leases.have_lapsed(now)
+        self._listing = sight.make_silent(former, lapsed)
         self._note_vanished(former)
+        if lapsed:
+            self._tell_lapsed()
+
+    def _tell_lapsed(self):
+        """Tell what is left: nobody waits for a worker that is silent."""
+        self._sight.note_lapse()
+        for name in self._doubts.give_up_starts():
+            self._report_gone(*name)
+        self._report(self._whole)
 
     def _note_vanished(self, former):
         """Report what ran and is not listed: the worker began anew."""
-        listed = {(a.task, a.attempt) for a in self._listing.attempts}
-        for attempt in former.attempts:
+        for attempt in sight.list_vanished(former, self._listing):
             name = (attempt.task, attempt.attempt)
-            running = attempt.state == data.RunState.RUNNING
-            if not running or name in listed:
-                continue
             LOG.warning('attempt is gone', extra=_name(attempt))
             self._sent.pop(name, None)
             self._report_gone(*name, attempt.checkpoint)
--- a/packages/side/portwharf/side/doubts.py
+++ b/packages/side/portwharf/side/doubts.py
@@ -5,8 +5,10 @@
 A start without an answer may have been carried out, or may be seconds
 later. It is followed by a stop of the same attempt: once a worker has
 answered that, the attempt runs no more, and a start that arrives later is
-refused. Only then is the owner told that the attempt is gone. A stop is
-sent again until the listing shows the attempt ended, or no more.
+refused. Only then is the owner told that the attempt is gone; or when no
+lease that it was sent with can run, or nothing is there to run it: a worker
+that never answers a stop must not be waited for. A stop is sent again until
+the listing shows the attempt ended, or no more.
 """
 
 import logging
@@ -63,6 +65,8 @@
         :returns: names of attempts that will never run, as a list of
             (task, attempt)
         """
+        if listing.absent:
+            return self.give_up_starts()
         listed = {(a.task, a.attempt) for a in listing.attempts}
         self._starts -= listed
         stopped = [
@@ -80,6 +84,12 @@
         self._starts -= set(stopped)
         return [name for name in stopped if name not in listed]
 
+    def give_up_starts(self):
+        """Return the doubtful starts, none of which can run any more."""
+        names = sorted(self._starts)
+        self._starts.clear()
+        return names
+
     def repeat_stops(self, worker, listing, now):
         """Send stops that have shown no effect yet, again."""
         running = {
--- a/packages/side/portwharf/side/leases.py
+++ b/packages/side/portwharf/side/leases.py
@@ -22,8 +22,12 @@
 class LeaseKeeper:
     """The leases of one worker, for the agent's thread."""
 
-    def __init__(self, worker, guard, cfg):
-        """Take the worker, the side's ``Guard`` and its ``Limits``."""
+    def __init__(self, worker, guard, cfg, began):
+        """Take the worker, the side's ``Guard`` and its ``Limits``.
+
+        :param began: our clock when this life of the side began
+        """
+        self._began = began
         self._worker = worker
         self._guard = guard
         self._limits = cfg
@@ -50,6 +54,9 @@
         What was sent without an answer counts; the worker's clock may be
         slow by ``limits.DRIFT``.
         """
+        if now - self._began <= self._limits.replace_after_grant:
+            # A former life of the side may have given one at its end.
+            return False
         left = (self._sent_ms - self._listing.now_ms) / _MS
         return now - self._listed_at > left * (1 + limits.DRIFT)
 
--- a/packages/side/portwharf/side/reports.py
+++ b/packages/side/portwharf/side/reports.py
@@ -26,6 +26,12 @@
     )
 
 
+def find_latest(attempts, task):
+    """Return the latest listed attempt of a task, or None."""
+    known = [a for a in attempts if a.task == task]
+    return max(known, key=lambda a: a.attempt, default=None)
+
+
 def make_report(attempt):
     """Return what the owner is told of an attempt.
 
