--- a/packages/scheduler/portwharf/scheduler/health_test.py
+++ b/packages/scheduler/portwharf/scheduler/health_test.py
@@ -81,3 +81,26 @@
     case.assertEqual(made.list_avoided('a', health.AVOID_SECONDS), set())
     made.note_refusal(VM, 'a', 10.0)
     case.assertEqual(made.list_avoided('a', 13.9), {VM})
+
+
+def test_tasks_that_end_together_keep_a_workload_away_once(case):
+    """Six tasks that were refused at once made it more than a minute.
+
+    That is longer than what lasts may wait while there is room for it.
+    """
+    made = health.Health()
+    for _ in range(6):
+        made.note_refusal(VM, 'a', 0.0)
+    case.assertEqual(made.list_avoided('a', health.AVOID_SECONDS), set())
+
+
+def test_old_failures_of_a_lasting_workload_are_forgotten(case):
+    """It may fail now and then for as long as it lasts."""
+    made = health.Health()
+    now = 0.0
+    for _ in range(9):
+        made.note_failure(VM, 'a', now)
+        now += 2 * health.LONGEST_AVOID_SECONDS
+    made.note_failure(VM, 'a', now)
+    later = now + health.AVOID_SECONDS
+    case.assertEqual(made.list_avoided('a', later), set())
--- a/packages/scheduler/portwharf/scheduler/untold_test.py
+++ b/packages/scheduler/portwharf/scheduler/untold_test.py
@@ -89,3 +89,22 @@
     ]
     case.assertEqual(len(running), 3)
     case.assertEqual(len(set(running)), 3)
+
+
+def test_report_of_an_ended_connection_does_not_speak_for_the_next(case):
+    """It waits in the owner's inbox while the side starts again.
+
+    Taken for the new side's own, it hid that this one tells nothing.
+    """
+    made, node, task = start_lasting()
+    owner = made.nodes[0].owner
+    link = next(one for one in owner.list_links() if one.name == node.vm.name)
+    made.break_pipes(node)
+    made.connect_all()
+    made.deliver(made.nodes[0], link, node)
+    node.step()
+    made.deliver(made.nodes[0], link, node)
+    node.pool.cut = True
+    made.restart_side(node)
+    made.run(LONG)
+    case.assertTrue(runs_elsewhere(made, node, task))
