--- a/packages/scheduler/portwharf/scheduler/batches.py
+++ b/packages/scheduler/portwharf/scheduler/batches.py
@@ -12,10 +12,14 @@
 
 @dataclasses.dataclass(slots=True)
 class Reported:
-    """A side's reports, waiting to be judged."""
+    """A side's reports, waiting to be judged.
+
+    :param connection: the number of the link's connection that they came on
+    """
 
     link: object = None
     message: object = None
+    connection: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -91,7 +91,10 @@
         """Take in a side's reports."""
         verdict = reconcile.Verdict()
         name = item.link.name
-        if item.message.whole:
+        # One that waited here while its connection ended does not speak for
+        # the side on the next, which may have started again.
+        present = item.connection == item.link.view.connection
+        if item.message.whole and present:
             missing = reconcile.find_missing(
                 self._state, name, item.message.reports
             )
--- a/packages/scheduler/portwharf/scheduler/faults_untold_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_untold_test.py
@@ -7,6 +7,7 @@
 
 from portwharf.scheduler import decider
 from portwharf.scheduler import faults_test
+from portwharf.scheduler import members
 from portwharf.scheduler import untold_test
 from portwharf.side import doubts
 from portwharf.side import leases
@@ -63,3 +64,18 @@
         'give_up_starts',
         lambda self: [],
     )
+
+
+def test_reports_count_for_whatever_connection_there_is(case):
+    def detach(self):
+        self.view.reported = False
+        self.view.granted = False
+
+    name = 'test_report_of_an_ended_connection_does_not_speak_for_the_next'
+    faults_test.check(
+        case,
+        getattr(untold_test, name),
+        members.MemberLink,
+        'detach',
+        detach,
+    )
--- a/packages/scheduler/portwharf/scheduler/health.py
+++ b/packages/scheduler/portwharf/scheduler/health.py
@@ -25,7 +25,8 @@
 # besides may last for ever.
 PROBE_SECONDS = 4.0
 # How long a workload stays away from a worker that it failed on, doubled
-# with each failure there.
+# each time that it fails there again after that. What lasts must not be kept
+# from most workers by failures of one moment, or of long ago.
 AVOID_SECONDS = 2.0
 LONGEST_AVOID_SECONDS = 120.0
 
@@ -120,6 +121,10 @@
     def _avoid(self, vm, workload, now):
         avoided = self._avoided.setdefault(workload, {})
         one = avoided.setdefault(vm, _Avoided())
+        if now < one.until:
+            return
+        if now - one.until >= LONGEST_AVOID_SECONDS:
+            one.seconds = 0.0
         one.seconds = min(
             LONGEST_AVOID_SECONDS, max(AVOID_SECONDS, 2 * one.seconds)
         )
--- a/packages/scheduler/portwharf/scheduler/members.py
+++ b/packages/scheduler/portwharf/scheduler/members.py
@@ -20,12 +20,14 @@
 class MemberView:
     """What the owner knows of a side at one time.
 
+    :param connection: how many connections have ended before this one
     :param heard: the owner's clock at the last heartbeat, or None
     :param granted: the last grant on this connection was valid
     :param reported: the side has told all that it runs on this connection
     """
 
     vm: data.Vm = dataclasses.field(default_factory=data.Vm)
+    connection: int = 0
     heard: float = None
     reported: bool = False
     granted: bool = False
@@ -72,6 +74,7 @@
             conn.send(known)
 
     def detach(self):
+        self.view.connection += 1
         self.view.reported = False
         self.view.granted = False
 
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -215,7 +215,8 @@
 
     def take_reports(self, link, message):
         """Queue a side's reports."""
-        self._inbox.put(batches.Reported(link, message))
+        connection = link.view.connection
+        self._inbox.put(batches.Reported(link, message, connection))
 
     def take_measures(self, vm, measures):
         """Queue what a side measured of its services."""
