--- a/packages/testing/portwharf/testing/cluster_fakes.py
+++ b/packages/testing/portwharf/testing/cluster_fakes.py
@@ -23,6 +23,7 @@
 from portwharf import workers
 
 CAPACITY = data.Resources(2000, 2000)
+_SILENT = result.Err('silent')
 
 
 class Violation(AssertionError):
@@ -70,6 +71,8 @@
         # that attempts work at, by (task, attempt).
         self.tails = {}
         self.paces = {}
+        # It works on and answers nothing, nor obeys.
+        self.silent = False
         self._numbers = itertools.count(1)
 
     def expire(self):
@@ -95,6 +98,8 @@
         self.runs = []
 
     def read_listing(self):
+        if self.silent:
+            return _SILENT
         self.expire()
         listing = workers.Listing(self._read_ms(), CAPACITY)
         listing.attempts = [
@@ -106,6 +111,8 @@
         return result.Ok(listing)
 
     def start(self, start):
+        if self.silent:
+            return _SILENT
         if self.broken:
             return result.Ok('worker-is-broken')
         if start.lease_until_ms and self._read_ms() >= start.lease_until_ms:
@@ -124,6 +131,8 @@
         return result.Ok('')
 
     def stop(self, task, attempt, checkpoint):
+        if self.silent:
+            return _SILENT
         for run in self.runs:
             known = run.attempt
             if run.running and (known.task, known.attempt) == (task, attempt):
@@ -139,6 +148,8 @@
         return result.Ok(None)
 
     def renew(self, until_ms):
+        if self.silent:
+            return _SILENT
         self.expire()
         for run in self.runs:
             until = run.attempt.lease_until_ms
@@ -169,6 +180,14 @@
     def __init__(self, vms):
         self.vms = vms
 
+    def set_leaving(self, names):
+        """Have the list say which VMs will be taken away."""
+        states = {True: data.VmState.LEAVING, False: data.VmState.LIVE}
+        self.vms = [
+            dataclasses.replace(vm, state=states[vm.name in names])
+            for vm in self.vms
+        ]
+
     def read(self):
         return result.Ok(list(self.vms))
 
