--- a/packages/scheduler/portwharf/scheduler/configuration.py
+++ b/packages/scheduler/portwharf/scheduler/configuration.py
@@ -26,7 +26,8 @@
 
 KEY = 'config/current'
 MAX_TEXT_BYTES = 512 * 1024
-_WATCH_SECONDS = 60
+# A watch that has gone silent is noticed after this.
+_WATCH_SECONDS = 5.0
 # After a failure, with a jitter of half of it.
 RETRY_SECONDS = 0.3
 # Only owners and entries watch, so that this many more calls a second are
