--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -235,7 +235,7 @@
 
     def _change_members(self, batch):
         """Change the member list by one VM, if the VM list says so."""
-        event = self._members.follow_vm_list(self._env.clock.read_monotonic())
+        event = self._members.take_change(self._env.clock.read_monotonic())
         if event is not None:
             self._add(batch, event)
             self._grants.set_members(self._state.members)
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -45,6 +45,8 @@
         self._listed = {}
         self._listed_at = {}
         self._next_listing = 0.0
+        # What was read of the VM list and not looked at yet, or None.
+        self._ours = None
         self._began = env.clock.read_monotonic()
 
     def close(self):
@@ -156,18 +158,29 @@
             and not self._find_closed(name, link, now)
         ]
 
-    def follow_vm_list(self, now):
+    def read_vm_list(self, now):
         """Read the VM list if it is time.
 
-        :returns: an event that changes the member list by one, or None
+        It may take as long as the store does, so that it is called without
+        the owner's lock: links answer heartbeats under it.
         """
         if now < self._next_listing:
-            return None
+            return
         self._next_listing = now + VMLIST_SECONDS
         answer = self._env.vmlist.read()
-        if answer.is_err():
+        if answer.is_ok():
+            self._ours = planning.pick_members(
+                answer.ok_value, self._env.shard
+            )
+
+    def take_change(self, now):
+        """Take what was read of the VM list.
+
+        :returns: an event that changes the member list by one, or None
+        """
+        ours, self._ours = self._ours, None
+        if ours is None:
             return None
-        ours = planning.pick_members(answer.ok_value, self._env.shard)
         self._listed = {vm.name: vm for vm in ours}
         self._listed_at.update((vm.name, now) for vm in ours)
         if not self._grants.has_majority(now):
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -317,6 +317,7 @@
                 return batches.Step.DEPOSED
             self._members.sync_links(self)
             self._tell_presses()
+            self._members.read_vm_list(self.read_clock())
             items = [*self._deferred, *items]
             self._deferred = []
             with self._lock:
