--- a/packages/platform/portwharf/platform/runner_test.py
+++ b/packages/platform/portwharf/platform/runner_test.py
@@ -189,3 +189,17 @@
         client.recall(workers.Start(f'x.{number}', 1))
     (attempt,) = client.read_listing().ok_value.attempts
     case.assertEqual(attempt.resources, SIZE)
+
+
+def test_late_heartbeat_of_a_former_life_costs_no_sizes(case):
+    """A heartbeat that a cut held up may come after those of the next life.
+
+    Whatever it says, what runs holds its room, and nobody tells its size
+    again on this connection.
+    """
+    client, _ = open_runner(case)
+    start(client)
+    client.take_life(make_life('i-0'))
+    client.take_life(make_life('i-1'))
+    (attempt,) = client.read_listing().ok_value.attempts
+    case.assertEqual(attempt.resources, SIZE)
--- a/packages/scheduler/portwharf/scheduler/interference_test.py
+++ b/packages/scheduler/portwharf/scheduler/interference_test.py
@@ -88,3 +88,26 @@
         timeline.note('vm-1', {'a': second}, float(second))
     most = interference.RECORD_SECONDS + 2
     case.assertLessEqual(len(timeline._rows['vm-1']), most)
+
+
+def test_kind_beyond_those_told_apart_has_a_weight(case):
+    """A service may meet more kinds than are told apart.
+
+    Asking for the weight of one more must not fail: the deciding thread of
+    an owner asks it for each VM with a service.
+    """
+    model = interference.Model()
+    for number in range(2 * interference.MAX_KINDS):
+        weight = model.get_weight(SERVICE, f'kind-{number}', 0.5)
+        case.assertGreater(weight, 0.0)
+
+
+def test_what_is_learnt_of_a_kind_outlasts_further_kinds(case):
+    """A full table takes no new kinds, and keeps those that it has."""
+    model = interference.Model()
+    measure(model, random.Random(3), 300, {'bad': 0.25})
+    before = model.predict(SERVICE, 0.75, {'bad': 3}).bound(0)
+    for number in range(2 * interference.MAX_KINDS):
+        model.predict(SERVICE, 0.75, {f'kind-{number}': 1})
+    after = model.predict(SERVICE, 0.75, {'bad': 3}).bound(0)
+    case.assertAlmostEqual(before, after, delta=before / 10)
--- a/packages/scheduler/portwharf/scheduler/ownership_test.py
+++ b/packages/scheduler/portwharf/scheduler/ownership_test.py
@@ -202,6 +202,36 @@
     finish(made)
 
 
+def test_prepared_start_that_was_lost_is_made_up_for(case):
+    """A start sent while the store was down counts as made, wherever it went.
+
+    Order of events: an append is stalled, tasks of a VM end, and the owner
+    begins a prepared one there; the connection ends with that order. The
+    next report does not list the attempt, but nobody looks for it there.
+    """
+    made = make_cluster(10)
+    made.standin.faults.down = True
+    owner = made.nodes[0].owner
+    link = owner._members.get_link('vm-01')
+    lost = []
+    send = link.send
+
+    def lose(message):
+        if isinstance(message, messages.StartTask) and owner.stalled:
+            lost.append(message)
+            link.pipe.closed = True
+        return send(message)
+
+    link.send = lose
+    made.submit(1)
+    made.run(2)
+    made.finish_running()
+    made.run(5)
+    case.assertTrue(lost)
+    made.submit(1)
+    finish(made)
+
+
 def test_restarted_side_goes_on_with_what_its_worker_runs(case):
     made = make_cluster()
     made.restart_side(made.nodes[1])
--- a/packages/scheduler/portwharf/scheduler/presses_test.py
+++ b/packages/scheduler/portwharf/scheduler/presses_test.py
@@ -4,6 +4,7 @@
 
 from portwharf.peers import messages
 from portwharf.scheduler import presses
+from portwharf.testing import cluster
 
 
 def observe(growth, **shares):
@@ -58,3 +59,28 @@
     owner.learn(observe(1.0, plan=0.1))
     side.take_told(owner.list_all())
     case.assertEqual(side.find('desk', 'plan'), owner.find('desk', 'plan'))
+
+
+def test_new_owner_does_not_make_its_sides_forget(case):
+    """What sides were told by a former owner outlasts it.
+
+    Order of events: an owner has learnt that a pair is heavy, and told all
+    sides; its process ends and another VM takes over, which knows nothing;
+    with its first observation it tells the sides that the pair is light.
+    """
+    made = cluster.Cluster(3)
+    first, _, third = made.nodes
+    made.run(2)
+    heavy = [observe(1.5, plan=0.1)] * 12
+    first.owner.take_observed(heavy)
+    made.run(2)
+    known = third.server.agent._pacer.presses
+    before = known.find_cautious('desk', 'plan')
+    case.assertGreater(before, 15)
+    made.restart_side(first)
+    made.run(1)
+    made.nodes[1].claim()
+    made.run(2)
+    made.nodes[1].owner.take_observed([observe(0.3, plan=0.02)])
+    made.run(2)
+    case.assertGreater(known.find_cautious('desk', 'plan'), before / 2)
--- a/packages/scheduler/portwharf/scheduler/pressure_test.py
+++ b/packages/scheduler/portwharf/scheduler/pressure_test.py
@@ -107,3 +107,81 @@
     case.assertEqual({percent for _, percent in throttled}, {50})
     held = node.owner._state.held['vm-01']
     case.assertEqual({task for task, _ in throttled} - set(held), set())
+
+
+def throttle_one(made):
+    """Have a late service's neighbour be throttled; returns its name."""
+    text = '[services."lens/fit"]\ntarget_ms = 100\ntarget_ratio = 0.99\n'
+    for node in made.nodes:
+        node.keeper.offer(5, text)
+    fill(made)
+    measure(made, made.nodes[0], 90_000, 8)
+    (name,) = find_throttled(made)
+    return name
+
+
+def measure(made, node, mean_us, times):
+    """Have the owner on a node hear of a service on vm-01, some times."""
+    one = messages.ServiceMeasure('lens/fit', 50, mean_us, 0.5, 500)
+    for _ in range(times):
+        node.owner.take_measures('vm-01', [one])
+        made.run(1)
+
+
+def find_throttled(made):
+    """Return the attempts that do not work at full share."""
+    return [
+        name
+        for node in made.nodes
+        for name, percent in node.worker.paces.items()
+        if percent < 100
+    ]
+
+
+def test_throttled_task_is_released_once_all_is_well(case):
+    made = cluster.Cluster(3)
+    throttle_one(made)
+    measure(made, made.nodes[0], 5_000, 60)
+    case.assertEqual(find_throttled(made), [])
+
+
+def test_task_throttled_by_a_former_owner_is_released(case):
+    """What one owner has throttled is known to nobody after it.
+
+    Order of events: a service is late, its neighbour is throttled; the
+    owner's process ends, another VM takes over; the service is well for a
+    minute. The neighbour goes on at half its share until it ends.
+    """
+    made = cluster.Cluster(3)
+    throttle_one(made)
+    made.restart_side(made.nodes[0])
+    made.run(1)
+    made.nodes[2].claim()
+    made.run(3)
+    measure(made, made.nodes[2], 5_000, 60)
+    case.assertEqual(find_throttled(made), [])
+
+
+def test_release_that_was_lost_with_its_connection_is_made_again(case):
+    """A release counts as made once it was sent, wherever it went.
+
+    Order of events: the neighbour is throttled, the service is well again;
+    the owner's connection to that VM ends just before the release goes out.
+    """
+    made = cluster.Cluster(3)
+    throttle_one(made)
+    owner = made.nodes[0].owner
+    link = owner._members.get_link('vm-01')
+    lost = []
+    send = link.send
+
+    def lose(message):
+        if isinstance(message, messages.ThrottleTask) and not lost:
+            lost.append(message)
+            link.pipe.closed = True
+        return send(message)
+
+    link.send = lose
+    measure(made, made.nodes[0], 5_000, 60)
+    case.assertEqual([one.percent for one in lost], [100])
+    case.assertEqual(find_throttled(made), [])
--- a/packages/scheduler/portwharf/scheduler/rehoming_test.py
+++ b/packages/scheduler/portwharf/scheduler/rehoming_test.py
@@ -88,3 +88,13 @@
         make_view(capacity=data.Resources(16000, 500)),
     ]
     case.assertEqual(rehoming.choose_moves(find_stuck(3), views), [])
+
+
+def test_nothing_moves_beside_a_server_whose_room_is_unknown(case):
+    """By the log something serves there, and its side has not told of room.
+
+    So it is while a server is new, and between the first heartbeat of a
+    side that has restarted and its next.
+    """
+    view = make_view(serving_milli=4000)
+    case.assertEqual(rehoming.choose_moves(find_stuck(3), [view]), [])
--- a/packages/side/portwharf/side/traits_test.py
+++ b/packages/side/portwharf/side/traits_test.py
@@ -94,3 +94,28 @@
     made.run(8)
     case.assertEqual(find_pace(made.nodes[1]), pacing.FULL)
     case.assertEqual(find_pace(node), pacing.FULL)
+
+
+def test_restarted_side_knows_what_was_begun_in_an_outage(case):
+    """What was committed ahead and begun while the store was down is told.
+
+    Order of events: the store is down, an append is stalled, and the owner
+    begins a prepared task; its VM's side restarts; the store comes back and
+    the attempt is logged as placed.
+    """
+    made = cluster.Cluster(3)
+    made.submit(10)
+    made.run(4)
+    made.standin.faults.down = True
+    made.submit(1)
+    made.run(2)
+    made.finish_running()
+    made.run(5)
+    node = made.nodes[1]
+    running = [run.attempt for run in node.worker.runs if run.running]
+    case.assertTrue(running)
+    made.restart_side(node)
+    made.standin.faults.down = False
+    made.run(4)
+    known = node.server.agent._pacer._traits
+    case.assertEqual(known.list_strangers(running), [])
