--- a/packages/peers/portwharf/peers/messages.py
+++ b/packages/peers/portwharf/peers/messages.py
@@ -149,6 +149,7 @@
     :param observed: what was observed of pairs since the last beat
     :param rack: the rack that the worker stands in, or ''
     :param life: differs for each start of the worker, or ''
+    :param known: first on a connection, what owners have told of pairs
     """
 
     side_ms: int = 0
@@ -169,6 +170,7 @@
     paced: list[PacedTask] = dataclasses.field(default_factory=list)
     rack: str = ''
     life: str = ''
+    known: list[Press] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -96,10 +96,14 @@
         present = item.connection == item.link.view.connection
         if item.message.whole and present:
             missing = reconcile.find_missing(
-                self._state, name, item.message.reports
+                self._state,
+                name,
+                item.message.reports,
+                self.preparation.list_begun(name),
             )
             self._owed[name] = [(task.id, task.attempt) for task in missing]
             item.link.view.reported = True
+            self.pressure.note_lost(name)
         for report in item.message.reports:
             self._note_health(name, report)
             if report.task in self._state.tasks:
@@ -127,7 +131,7 @@
                 continue
             del self._owed[name]
             for task_id, attempt in rows:
-                task = self._state.held[name].get(task_id)
+                task = self._find_due(name, task_id)
                 if task is not None and task.attempt == attempt:
                     ticket = self._find_ticket(task.id, link.view.life)
                     command = reconcile.make_catch_up(
@@ -135,6 +139,11 @@
                     )
                     batch.send(link, command)
 
+    def _find_due(self, vm, task_id):
+        """Return a task that a VM holds, or has prepared, or None."""
+        held = self._state.held[vm].get(task_id)
+        return held or self._state.prepared[vm].get(task_id)
+
     def _find_ticket(self, task_id, life):
         """Return the policy's ticket for a task and a worker, or ''."""
         if self._advisor is None:
--- a/packages/scheduler/portwharf/scheduler/interference.py
+++ b/packages/scheduler/portwharf/scheduler/interference.py
@@ -130,7 +130,8 @@
     def get_weight(self, service, kind, load):
         """Return what one task of a kind adds to a service's log time."""
         self._list_weights(service, load, {kind: 1.0})
-        part = self._parts[service][('kind', kind)]
+        parts = self._parts[service]
+        part = parts[_find_part(parts, kind)]
         return part.mean * (_IDLE_WEIGHT + load)
 
     def _list_weights(self, service, load, kinds):
@@ -141,8 +142,16 @@
             parts[_LOAD] = _Part(_PRIOR_LOAD, _PRIOR_LOAD_VARIANCE)
         rows = [(_BASE, 1.0), (_LOAD, load)]
         for kind, count in kinds.items():
-            name = ('kind', kind if len(parts) < MAX_KINDS else '')
+            name = _find_part(parts, kind)
             if name not in parts:
                 parts[name] = _Part(PRIOR_PAIR, PRIOR_PAIR_VARIANCE)
             rows.append((name, count * (_IDLE_WEIGHT + load)))
         return rows
+
+
+def _find_part(parts, kind):
+    """Return the name of a kind's part; kinds beyond the most share one."""
+    name = ('kind', kind)
+    if name in parts or len(parts) < MAX_KINDS:
+        return name
+    return ('kind', '')
--- a/packages/scheduler/portwharf/scheduler/members.py
+++ b/packages/scheduler/portwharf/scheduler/members.py
@@ -109,6 +109,8 @@
         view.paced = beat.paced
         view.rack = beat.rack
         view.life = beat.life
+        if beat.known:
+            self._owner.take_known(beat.known)
         if beat.observed:
             self._owner.take_observed(beat.observed)
         view.config_revision = beat.config_revision
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -198,6 +198,12 @@
         with self._presses_lock:
             return messages.PressUpdate(self._presses.list_all())
 
+    def take_known(self, known):
+        """Begin with what a former owner has told a side of pairs."""
+        with self._presses_lock:
+            self._presses.adopt(known)
+            self._presses_news = True
+
     def take_observed(self, observed):
         """Learn from what a side has observed of pairs of images."""
         with self._presses_lock:
--- a/packages/scheduler/portwharf/scheduler/preparing.py
+++ b/packages/scheduler/portwharf/scheduler/preparing.py
@@ -118,6 +118,14 @@
             starts.append(reconcile.make_start(self._state, task))
         return starts
 
+    def list_begun(self, vm):
+        """Return the prepared tasks of a VM that were told to begin."""
+        return [
+            task
+            for task in self._state.prepared[vm].values()
+            if (task.id, task.attempt) in self._begun
+        ]
+
     def note_confirmed(self):
         """Forget what was freed: the store answers again."""
         self._freed.clear()
--- a/packages/scheduler/portwharf/scheduler/presses.py
+++ b/packages/scheduler/portwharf/scheduler/presses.py
@@ -23,6 +23,9 @@
 PRIOR_PRESS = 2.5
 PRIOR_DEVIATION = 4.0
 MAX_PRESS = 40.0
+# What a server is taken to bear until its tail has been measured: growth of
+# the logarithm of its tail.
+FRESH_ROOM = 0.4
 # Noise of a difference: half a second of swinging load, and tails that are
 # told in whole milliseconds.
 _NOISE_DEVIATION = 0.15
@@ -44,16 +47,16 @@
         self.presses = []
         self._covariance = []
 
-    def add(self, image):
+    def add(self, image, press=PRIOR_PRESS, deviation=PRIOR_DEVIATION):
         """Begin to reckon with a filling image."""
         if image in self.images:
             return
         for row in self._covariance:
             row.append(0.0)
         self.images.append(image)
-        self.presses.append(PRIOR_PRESS)
+        self.presses.append(press)
         self._covariance.append([0.0] * len(self.images))
-        self._covariance[-1][-1] = PRIOR_DEVIATION**2
+        self._covariance[-1][-1] = deviation**2
 
     def measure(self, number):
         """Return how far off the press of an image may be."""
@@ -134,6 +137,19 @@
                 name, image, known.presses[number], known.measure(number)
             )
 
+    def adopt(self, told):
+        """Begin with what a former owner has learnt, as a side was told.
+
+        What has been learnt here already goes first.
+        """
+        for one in told:
+            name = (one.serving, one.filling)
+            if name in self._told:
+                continue
+            known = self._filters.setdefault(one.serving, _Filter())
+            known.add(one.filling, one.press, one.deviation)
+            self._told[name] = one
+
     def take_told(self, told):
         """Take what somebody else has learnt."""
         for one in told:
--- a/packages/scheduler/portwharf/scheduler/pressure.py
+++ b/packages/scheduler/portwharf/scheduler/pressure.py
@@ -40,11 +40,23 @@
         self._views = collections.defaultdict(dict)
         self._measured = {}
         self._begun = {}
+        # Attempts that were told to work at less, and those that surely
+        # work in full: what is in neither may be at less, by the order of
+        # a former owner, or for want of a release that was lost.
         self._throttled = set()
+        self._full = set()
 
     def note_begun(self, task, now):
         """Note that an attempt has been placed."""
         self._begun[task] = now
+        self._full.add(task)
+
+    def note_lost(self, vm):
+        """Note that orders to a VM may have been lost."""
+        held = self._state.held[vm].values()
+        names = {(task.id, task.attempt) for task in held}
+        self._throttled -= names
+        self._full -= names
 
     def read_begun(self, name):
         """Return when an attempt was placed, as far as this owner knows."""
@@ -97,7 +109,8 @@
                 continue
             if task.state != data.TaskState.PLACED or workload.gang:
                 continue
-            began = self._begun.get((task.id, task.attempt), self._began)
+            name = (task.id, task.attempt)
+            began = self._begun.get(name, self._began)
             found.append(
                 remedies.Neighbour(
                     task.id,
@@ -106,12 +119,21 @@
                     workload.importance,
                     task.evictions,
                     workload.checkpointable,
-                    (task.id, task.attempt) in self._throttled,
+                    name in self._throttled,
+                    self._is_unsure(name, workload),
                     workload.resources,
                 )
             )
         return found
 
+    def _is_unsure(self, name, workload):
+        """Tell whether an attempt may have been told to work at less.
+
+        What fills is paced by its side, which nobody else may undo.
+        """
+        known = name in self._throttled or name in self._full
+        return not known and not workload.fills
+
     def find_actions(self, now):
         """Return the remedies that are due."""
         actions = []
@@ -166,6 +188,7 @@
             for task in held.values()
         }
         self._throttled &= live
+        self._full &= live
         self._begun = {
             name: began for name, began in self._begun.items() if name in live
         }
@@ -228,8 +251,10 @@
         name = (task.id, task.attempt)
         if 0 < action.percent < 100:
             self._throttled.add(name)
+            self._full.discard(name)
         else:
             self._throttled.discard(name)
+            self._full.add(name)
 
 
 def _find_limit(workload):
--- a/packages/scheduler/portwharf/scheduler/reconcile.py
+++ b/packages/scheduler/portwharf/scheduler/reconcile.py
@@ -64,12 +64,16 @@
         )
 
 
-def find_missing(state, vm, reports):
-    """Return the tasks that a VM holds by the log but did not report."""
+def find_missing(state, vm, reports, begun=()):
+    """Return the tasks that a VM should run but did not report.
+
+    :param begun: its prepared tasks that were told to begin; that order may
+        be lost like any
+    """
     known = {(report.task, report.attempt) for report in reports}
     return [
         task
-        for task in state.held[vm].values()
+        for task in (*state.held[vm].values(), *begun)
         if (task.id, task.attempt) not in known
     ]
 
@@ -100,9 +104,13 @@
 
 
 def make_held(state, vm):
-    """Return the ``messages.HeldTasks`` of all that a VM holds."""
+    """Return the ``messages.HeldTasks`` of all that a VM holds.
+
+    What is prepared there may have begun while the store did not answer.
+    """
     held = []
-    for task in state.held[vm].values():
+    tasks = [*state.held[vm].values(), *state.prepared[vm].values()]
+    for task in tasks:
         start = make_start(state, task)
         held.append(
             messages.HeldTask(
--- a/packages/scheduler/portwharf/scheduler/remedies.py
+++ b/packages/scheduler/portwharf/scheduler/remedies.py
@@ -48,6 +48,9 @@
 
     :param kind: what its interference is learnt by
     :param seconds: how long this attempt has run
+    :param throttled: it was told to work at less
+    :param unsure: it may be at less, by an order that this owner does not
+        know of or that was lost
     """
 
     task: str = ''
@@ -57,6 +60,7 @@
     evictions: int = 0
     checkpointable: bool = False
     throttled: bool = False
+    unsure: bool = False
     resources: data.Resources = dataclasses.field(
         default_factory=data.Resources
     )
@@ -205,12 +209,18 @@
         """Return a throttled task that may run in full again, or None."""
         if now < self._next[vm]:
             return None
-        throttled = [one for one in neighbours if one.throttled]
-        if not throttled:
+        slowed = [
+            one
+            for one in neighbours
+            if one.throttled or (one.unsure and services)
+        ]
+        if not slowed:
             return None
         kinds = count_kinds(neighbours)
-        for one in throttled:
-            kinds[one.kind] += 1 - THROTTLE_PERCENT / 100
+        for one in slowed:
+            # What may be at less counts in full already.
+            more = 1 - THROTTLE_PERCENT / 100 if one.throttled else 0.0
+            kinds[one.kind] += more
             holds = all(
                 not view.target
                 or self.model.predict(view.service, view.load, kinds).bound(
@@ -223,7 +233,7 @@
             if holds:
                 self._next[vm] = now + STEP_SECONDS
                 return Action(one.task, vm, 'released', 100)
-            kinds[one.kind] -= 1 - THROTTLE_PERCENT / 100
+            kinds[one.kind] -= more
         return None
 
     def _pick_victim(self, services, neighbours):
--- a/packages/scheduler/portwharf/scheduler/vmview.py
+++ b/packages/scheduler/portwharf/scheduler/vmview.py
@@ -6,6 +6,7 @@
 import dataclasses
 
 from portwharf.core import data
+from portwharf.scheduler import presses
 
 # The share of its reservation that a task with a target uses at its peak;
 # what is left is for tasks that fill.
@@ -81,6 +82,9 @@
             self.filling_milli += size
         elif workload.target_ms:
             self.serving_milli += size
+            # A server that its side has not told of yet, as it is new or
+            # the side has just restarted, must not pass for no server.
+            self.headrooms.setdefault(workload.image, presses.FRESH_ROOM)
 
     def take_pairs(self, pairs, headrooms):
         """Take what is known of pairs, and a list of ``Headroom``."""
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -16,10 +16,11 @@
 
 from portwharf.core import data
 from portwharf.core import logs
+from portwharf.core import recent
 from portwharf.peers import messages
 from portwharf.side import doubts
 from portwharf.side import leases
-from portwharf.side import pacing
+from portwharf.side import paces
 from portwharf.side import reports
 from portwharf.side import sight
 from portwharf import workers
@@ -68,14 +69,15 @@
         self._conn = None
         self._sent = {}
         # Tasks with the highest attempt that was refused, latest last.
-        self._burnt = {}
+        self._burnt = recent.Recent(MAX_BURNT)
         self._whole = False
         self._listing = workers.Listing()
         began = clock.read_monotonic()
         self._leases = leases.LeaseKeeper(worker, guard, limits, began)
         self._sight = sight.Sight(worker)
         self._doubts = doubts.Doubts()
-        self._pacer = pacing.Pacer()
+        self._paces = paces.PaceKeeper(worker)
+        self._pacer = self._paces.pacer
         self._owner_ms = 0
         self._listed_at = 0.0
         self._next_beat = 0.0
@@ -190,23 +192,19 @@
         elif isinstance(message, messages.StopTask):
             self._end(message)
         elif isinstance(message, messages.ThrottleTask):
-            self._worker.throttle(
-                message.task, message.attempt, message.percent
-            )
+            self._paces.throttle(message)
 
     def _greet_owner(self):
         """Begin with a new owner connection: everything is told again."""
         self._sent = {}
         self._whole = True
+        self._pacer.note_owner()
         self._next_beat = 0.0
         self._next_poll = 0.0
 
     def _take_held(self, message):
         """Learn what runs here, and act on it and tell of it at once."""
-        for held in message.tasks:
-            self._pacer.note_held(held)
-            if self._worker is not None:
-                self._worker.recall(reports.make_recalled(held))
+        self._paces.take_held(message)
         self._next_poll = 0.0
         self._next_beat = 0.0
 
@@ -274,7 +272,8 @@
         if message.exclusive and not self._guard.is_granted():
             return REFUSED_GRANT
         room = self._listing.capacity.subtract(self._sum_running())
-        if not message.resources.fits(room):
+        # A stranger's size is not known until it is stopped.
+        if self._pacer.runs_strangers or not message.resources.fits(room):
             return REFUSED_CAPACITY
         return ''
 
@@ -307,10 +306,8 @@
 
     def _burn(self, message):
         """Remember that an attempt must not begin any more."""
-        attempt = max(message.attempt, self._burnt.pop(message.task, 0))
-        self._burnt[message.task] = attempt
-        if len(self._burnt) > MAX_BURNT:
-            del self._burnt[next(iter(self._burnt))]
+        attempt = max(message.attempt, self._burnt.get(message.task, 0))
+        self._burnt.put(message.task, attempt)
 
     def _end(self, message):
         """End an attempt; one that is not known is reported as gone."""
@@ -368,7 +365,7 @@
         self._leases.take_listing(self._listing, self._listed_at)
         self._leases.keep()
         self._settle_orders()
-        self._pace()
+        self._paces.keep(self._listing, self._clock.read_monotonic())
         self._note_services()
         self._report(self._whole)
 
@@ -407,17 +404,6 @@
         for name in self._doubts.settle_starts(self._worker, self._listing):
             self._report_gone(*name)
 
-    def _pace(self):
-        """Have what fills give way to what serves, and take it back."""
-        now = self._clock.read_monotonic()
-        for pace in self._pacer.plan(self._listing, now):
-            paced = self._worker.throttle(
-                pace.task, pace.attempt, pace.percent
-            )
-            self._pacer.log.note_pace(pace, paced, now)
-            if paced.is_err():
-                self._pacer.forget_told(pace)
-
     def _note_services(self):
         running = frozenset(
             attempt.workload
@@ -468,6 +454,7 @@
                 self._pacer.list_paced(),
                 self._listing.rack,
                 self._listing.life,
+                self._pacer.take_known(),
             )
         )
 
--- a/packages/side/portwharf/side/doubts.py
+++ b/packages/side/portwharf/side/doubts.py
@@ -15,6 +15,7 @@
 
 from portwharf.core import data
 from portwharf.core import logs
+from portwharf.core import recent
 
 LOG = logging.getLogger(__name__)
 
@@ -32,13 +33,11 @@
         # Attempts to be stopped: whether to save them, and when last asked.
         self._stops = {}
         # Tasks with the highest attempt that was begun here.
-        self._begun = {}
+        self._begun = recent.Recent(MAX_BEGUN)
 
     def note_begun(self, task, attempt):
         """Remember that an attempt may have begun here."""
-        self._begun[task] = max(attempt, self._begun.pop(task, 0))
-        if len(self._begun) > MAX_BEGUN:
-            del self._begun[next(iter(self._begun))]
+        self._begun.put(task, max(attempt, self._begun.get(task, 0)))
 
     def has_begun(self, task, attempt):
         """Tell whether an attempt, or a later one, began here before."""
--- a/packages/side/portwharf/side/pacing.py
+++ b/packages/side/portwharf/side/pacing.py
@@ -24,8 +24,6 @@
 # Tails are steered to this share of their targets; what a load swings by
 # between two polls has to fit above it.
 AIM = 0.85
-# What a server is taken to bear until its tail has been measured.
-FRESH_ROOM = 0.4
 # A tail above this share of its target pulls the brake.
 _OVER = 1.0
 _BRAKE_FACTOR = 0.5
@@ -78,6 +76,7 @@
         self._sample = None
         self._headrooms = []
         self._observed = []
+        self._owner_knows = True
         self.log = pacelog.PaceLog()
 
     def note_start(self, message):
@@ -92,6 +91,28 @@
         if self._traits.note(held):
             self._told[(held.task, held.attempt)] = None
 
+    def note_all_held(self, tasks):
+        """Take all that the VM holds, a list of ``messages.HeldTask``."""
+        for held in tasks:
+            self.note_held(held)
+        self._traits.note_all()
+
+    @property
+    def runs_strangers(self):
+        """Whether something runs here whose size nobody has told."""
+        return bool(self._traits.strangers)
+
+    def note_owner(self):
+        """Note a new connection to an owner, maybe one that knows nothing."""
+        self._owner_knows = False
+
+    def take_known(self):
+        """Return what is known of pairs if the owner has not been told."""
+        if self._owner_knows:
+            return []
+        self._owner_knows = True
+        return self.presses.list_all()
+
     def list_headrooms(self):
         """Return the ``messages.Headroom`` of each image that serves."""
         return self._headrooms
@@ -112,19 +133,20 @@
         cores = max(1, listing.capacity.cpu_milli)
         self._observe(serving, filling, cores, now)
         self._pull_brake(serving, bool(filling))
-        self._tell(running, serving, filling, now)
+        self._tell(serving, filling, now)
         used = self._sum_used(filling, cores)
         rooms = self._find_rooms(serving, used)
         for one in fresh:
             image = self._traits.find(one).image
-            rooms[image] = min(FRESH_ROOM, rooms.get(image, FRESH_ROOM))
+            room = rooms.get(image, presses.FRESH_ROOM)
+            rooms[image] = min(presses.FRESH_ROOM, room)
         self._note_headrooms(serving)
         wanted = self._share_out(filling, rooms, cores)
         return self._list_changes(filling, wanted)
 
-    def _tell(self, running, serving, filling, now):
+    def _tell(self, serving, filling, now):
         """Have the log tell of strangers, and of targets missed."""
-        self.log.note_strangers(self._traits.list_strangers(running))
+        self.log.note_strangers(self._traits.strangers)
         worst = max(serving, key=self._find_strain, default=None)
         target_ms = self._traits.find(worst).target_ms if worst else 0
         self.log.note_worst(worst, target_ms, self._brake, len(filling), now)
--- a/packages/side/portwharf/side/traits.py
+++ b/packages/side/portwharf/side/traits.py
@@ -22,11 +22,13 @@
     """What matters of a task.
 
     :param fill_milli: processors that it asks for if it fills, else 0
+    :param attempt: the latest that was told of
     """
 
     image: str = ''
     fill_milli: int = 0
     target_ms: int = 0
+    attempt: int = 0
 
 
 _NOTHING_KNOWN = Trait()
@@ -37,6 +39,8 @@
 
     def __init__(self):
         self._known = recent.Recent(MAX_TRAITS)
+        self._told = False
+        self.strangers = []
 
     def note(self, message):
         """Take a task from a ``messages.StartTask`` or ``HeldTask``.
@@ -44,18 +48,34 @@
         :returns: whether it was not known before
         """
         new = message.task not in self._known
-        trait = Trait(message.program, message.fill_milli, message.target_ms)
+        trait = Trait(
+            message.program,
+            message.fill_milli,
+            message.target_ms,
+            message.attempt,
+        )
         self._known.put(message.task, trait)
         return new
 
+    def note_all(self):
+        """Note that an owner has told of all that the log has here."""
+        self._told = True
+
     def use(self, running):
-        """Say what runs: a list of ``workers.Attempt``."""
+        """Say what runs: a list of ``workers.Attempt``.
+
+        An attempt that an owner has left out, or told of a later one in its
+        place, is a stranger: it was given up, and will be stopped.
+        """
         self._known.use(one.task for one in running)
+        self.strangers = []
+        if self._told:
+            self.strangers = [a for a in running if self._is_stranger(a)]
+
+    def _is_stranger(self, attempt):
+        known = self._known.get(attempt.task)
+        return known is None or attempt.attempt < known.attempt
 
     def find(self, attempt):
         """Return the :class:`Trait` of an attempt; empty if not known."""
         return self._known.get(attempt.task, _NOTHING_KNOWN)
-
-    def list_strangers(self, running):
-        """Return the attempts that nothing is known of."""
-        return [one for one in running if one.task not in self._known]
