--- a/packages/testing/portwharf/testing/platform_runner.py
+++ b/packages/testing/portwharf/testing/platform_runner.py
@@ -73,7 +73,7 @@
             'run-start': self._start,
             'run-stop': self._stop,
             'hold': self._hold,
-            'pace': lambda _: (200, {}),
+            'pace': self._pace,
         }
         return calls[verb](body)
 
@@ -109,6 +109,9 @@
         rows = [[task, run, '', 5, 7] for task, run in self.running.items()]
         return 200, {'running': rows, 'ended': list(self.ended)}
 
+    def _pace(self, body):
+        return 200, {}
+
     def _note_end(self, task, run, how, saved):
         self._numbers += 1
         self._over[task] = max(run, self._over.get(task, 0))
--- a/packages/testing/portwharf/testing/soak.py
+++ b/packages/testing/portwharf/testing/soak.py
@@ -23,6 +23,7 @@
 
 from portwharf.testing import soak_checks
 from portwharf.testing import soak_clients
+from portwharf.testing import soak_targets
 from portwharf.testing import soak_world
 
 SECONDS = 20.0
@@ -47,6 +48,7 @@
     def __init__(self, world, seed):
         """Take a started ``soak_world.World`` and a seed."""
         self._world = world
+        self._seed = seed
         self._random = random.Random(seed)
         # Drawn apart, so that known seeds keep their schedules.
         self._hushes = random.Random(-1 - seed)
@@ -66,6 +68,9 @@
         if not self.clients[0].wait_until_served():
             self.problems.append('not served within the time to get ready')
             return
+        first = self.clients[0]
+        number = self._seed * soak_targets.NUMBERS_A_SEED
+        served = soak_targets.make_job(first, number, False).accepted
         for client in self.clients:
             client.start()
         while time.monotonic() - began < seconds:
@@ -78,6 +83,10 @@
         self._heal_due(float('inf'))
         for client in self.clients:
             client.join()
+        if served:
+            self.problems += soak_targets.check_targets(
+                self._world, first, number + self._seed % 4 + 1
+            )
         self._settle()
         self._check()
 
--- a/packages/testing/portwharf/testing/soak_runner.py
+++ b/packages/testing/portwharf/testing/soak_runner.py
@@ -16,6 +16,7 @@
 import urllib3
 
 from portwharf.testing import platform_runner
+from portwharf.testing import soak_pressure
 
 LOG = logging.getLogger(__name__)
 
@@ -58,6 +59,8 @@
     fails: int = 0
     lasts: bool = False
     saves: bool = False
+    serves: bool = False
+    fills: bool = False
 
 
 def read_work(spec, task):
@@ -66,6 +69,11 @@
     return Work(**json.loads(spec)['steps'][step])
 
 
+def _find(span):
+    """Return the :class:`Work` of a run."""
+    return read_work(span.spec, span.task)
+
+
 class SoakRunner(platform_runner.RunnerStandIn):
     """One runner; a context manager that sends heartbeats."""
 
@@ -83,6 +91,8 @@
         self.numbered = {}
         self.silent = False
         self.draining = False
+        # The shares that running tasks were told to work at, by name.
+        self._paces = {}
         # Share of starts that get no answer and are carried out late.
         self.late_starts = 0
         self._late = []
@@ -146,8 +156,28 @@
                     time.monotonic(),
                 )
             )
+            self._paces[task] = soak_pressure.FULL
         return status, value
 
+    def list_fills(self):
+        """Return the shares, in percent, that filling tasks work at."""
+        with self._lock:
+            return self._list_fills()
+
+    def list_servers(self):
+        """Return the names of the tasks that serve."""
+        with self._lock:
+            return [s.task for s in self._list_open() if _find(s).serves]
+
+    def _list_fills(self):
+        fills = [s.task for s in self._list_open() if _find(s).fills]
+        return [self._paces[task] for task in fills]
+
+    def _pace(self, body):
+        if self.running.get(body['task']) == body['run']:
+            self._paces[body['task']] = body['percent']
+        return 200, {}
+
     def _hold(self, body):
         now = time.monotonic()
         for number, span in self.numbered.items():
@@ -156,10 +186,24 @@
             # what it acknowledges may have been run again since.
             if reached and span.acked is None and span.ended > self._lapsed:
                 span.acked = now
-        return super()._hold(body)
+        status, value = super()._hold(body)
+        if status == 200:
+            self._write_figures(value['running'])
+        return status, value
+
+    def _write_figures(self, rows):
+        """Put tails and processors into a listing's rows, as they are."""
+        tail = soak_pressure.find_tail(self._list_fills())
+        for row in rows:
+            span = self._find_open(row[0], row[1])
+            work = _find(span) if span is not None else Work()
+            if work.serves:
+                row[4] = tail
+            elif work.fills:
+                row[4] = soak_pressure.find_use(self._paces[span.task])
 
     def _has_room(self, work):
-        used = [read_work(s.spec, s.task) for s in self._list_open()]
+        used = [_find(span) for span in self._list_open()]
         cpu = sum(one.cpu for one in used) + work.cpu
         memory = sum(one.memory for one in used) + work.memory
         return cpu <= CPU_MILLI and memory <= MEMORY_MB
