--- a/packages/vmlist/portwharf/vmlist/register_test.py
+++ b/packages/vmlist/portwharf/vmlist/register_test.py
@@ -2,8 +2,13 @@
 # SPDX-License-Identifier: Apache-2.0
 """VMs are registered for as long as they live, whatever the store does."""
 
+from unittest import mock
+
+import result
+
 from portwharf.core import settings
 from portwharf.platform import kv
+from portwharf import store
 from portwharf.testing import fixtures
 from portwharf.testing import platform_store
 from portwharf import vmlist
@@ -69,6 +74,38 @@
     case.assertTrue(made.registered.is_set())
 
 
+def test_token_is_found_although_no_writing_is_ever_answered(case):
+    """What users saw: a VM that was heard ran nothing, for long.
+
+    Its side had started again while most writings to the store were done
+    and not answered. It wrote its registration again and again, and without
+    the revision of one it has no token and may not look at its worker. The
+    log said ``no fencing token yet`` all the while; reads were answered.
+    """
+    made, standin, vm = open_registration(case)
+    standin.faults.lost = True
+    case.assertTrue(made.look())
+    case.assertTrue(made.registered.is_set())
+    token = made.token
+    case.assertGreater(token, 0)
+    other = vmlist.Registration(made._kv, vm)
+    case.assertTrue(other.look())
+    case.assertGreater(other.token, token)
+
+
+def test_writing_that_did_not_arrive_gives_no_token(case):
+    """The key that is there is a former life's then."""
+    made, _, vm = open_registration(case)
+    made.look()
+    other = vmlist.Registration(made._kv, vm)
+    lost = result.Err(store.StoreError('lost', True))
+    with mock.patch.object(kv.PlatformStore, 'put', lambda *_: lost):
+        case.assertFalse(other.look())
+    case.assertEqual(other.token, 0)
+    case.assertTrue(other.look())
+    case.assertGreater(other.token, made.token)
+
+
 def test_token_is_never_that_of_a_former_life(case):
     made, standin, vm = open_registration(case)
     made.look()
