--- a/packages/core/portwharf/core/data.py
+++ b/packages/core/portwharf/core/data.py
@@ -234,7 +234,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Vm:
-    """One VM as the platform's list or the settings describe it."""
+    """One VM as the platform's list or the settings describe it.
+
+    :param instance: in the register, differs for each start of the process
+    """
 
     name: str = ''
     address: str = ''
@@ -244,6 +247,7 @@
     role: str = Role.ENDPOINT
     state: str = VmState.LIVE
     shard: int = 0
+    instance: str = ''
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/vmlist/portwharf/vmlist/register.py
+++ b/packages/vmlist/portwharf/vmlist/register.py
@@ -6,9 +6,11 @@
 each other and for noticing who is gone, and never for safety: a key can go
 while its process lives, and comes back as soon as the process sees that.
 The revision of a process's first registration is its fencing token: it
-rises with each start and belongs to one process alone.
+rises with each start and belongs to one process alone. The key names the
+process's start, so that the token is found although no answer came.
 """
 
+import dataclasses
 import logging
 import threading
 
@@ -16,6 +18,7 @@
 
 from portwharf.core import codec
 from portwharf.core import data
+from portwharf.core import ids
 from portwharf.core import logs
 from portwharf import store
 from portwharf.vmlist import base
@@ -54,7 +57,7 @@
     def __init__(self, kv, vm):
         """Take a ``store.LeaseStore`` and this process's VM."""
         super().__init__(kv)
-        self._vm = vm
+        self._vm = dataclasses.replace(vm, instance=ids.make_nonce())
         self._key = PREFIX + vm.name
         self._lease = 0
         self._present = False
@@ -77,8 +80,6 @@
 
         :returns: whether the key is there
         """
-        # A key whose writing was not answered may be a former life's: it is
-        # written again, so that the token is ours alone.
         if self._present and self._is_kept():
             return True
         if self._present:
@@ -88,15 +89,31 @@
         if opened.is_err():
             return False
         self._lease = opened.ok_value
-        written = self._kv.put(self._key, codec.pack(self._vm), self._lease)
-        if written.is_err():
+        revision = self._write()
+        if not revision:
             return False
         self._present = True
-        self.token = self.token or written.ok_value.revision
+        self.token = self.token or revision
         self.registered.set()
         LOG.info('registered', extra=logs.fields(vm=self._vm.name))
         return True
 
+    def _write(self):
+        """Write the key; returns the revision, or 0 if it may not be there.
+
+        Without an answer the key is looked at. It counts only if this start
+        of the process wrote it: a former one's token is never used twice.
+        """
+        written = self._kv.put(self._key, codec.pack(self._vm), self._lease)
+        if written.is_ok():
+            return written.ok_value.revision
+        found = self._kv.read(self._key)
+        if found.is_err() or found.ok_value is None:
+            return 0
+        there = codec.unpack(data.Vm, found.ok_value.value)
+        ours = there.instance == self._vm.instance
+        return found.ok_value.revision if ours else 0
+
     def _is_kept(self):
         """Renew; tells whether lease and key are still there.
 
@@ -118,4 +135,5 @@
 
 
 def _read_vm(entry):
-    return codec.unpack(data.Vm, entry.value)
+    vm = codec.unpack(data.Vm, entry.value)
+    return dataclasses.replace(vm, instance='')
--- a/packages/vmlist/portwharf/vmlist/register_test.py
+++ b/packages/vmlist/portwharf/vmlist/register_test.py
@@ -67,7 +67,10 @@
 def test_token_is_found_although_the_first_answer_was_lost(case):
     made, standin, _ = open_registration(case)
     standin.faults.lost = True
-    case.assertFalse(made.look())
+    unread = result.Err(store.StoreError('lost'))
+    with mock.patch.object(kv.PlatformStore, 'read', lambda *_: unread):
+        case.assertFalse(made.look())
+        case.assertEqual(made.token, 0)
     standin.faults.lost = False
     case.assertTrue(made.look())
     case.assertGreater(made.token, 0)
@@ -114,3 +117,11 @@
     other._lease = other._kv.open_lease(5).ok_value
     case.assertTrue(other.look())
     case.assertGreater(other.token, made.token)
+
+
+def test_start_of_the_process_is_not_part_of_the_list(case):
+    """It would count as a change of the member list with each restart."""
+    made, _, vm = open_registration(case)
+    made.look()
+    vmlist.Registration(made._kv, vm).look()
+    case.assertEqual(made.read().ok_value, [vm])
