--- a/packages/side/portwharf/side/doubts.py
+++ b/packages/side/portwharf/side/doubts.py
@@ -28,7 +28,8 @@
     """What the side still has to find out from its worker."""
 
     def __init__(self):
-        self._starts = set()
+        # Starts, by (task, attempt); the one asked about last comes last.
+        self._starts = {}
         # Attempts to be stopped: whether to save them, and when last asked.
         self._stops = {}
         # Tasks with the highest attempt that was begun here.
@@ -46,7 +47,7 @@
 
     def doubt_start(self, task, attempt):
         """Note that nobody knows whether a start was carried out."""
-        self._starts.add((task, attempt))
+        self._starts[(task, attempt)] = None
         extra = logs.fields(task=task, attempt=attempt)
         LOG.warning('start without a clear answer', extra=extra)
 
@@ -67,22 +68,37 @@
         """
         if listing.absent:
             return self.give_up_starts()
-        listed = {(a.task, a.attempt) for a in listing.attempts}
-        self._starts -= listed
-        stopped = [
-            name
-            for name in sorted(self._starts)
-            if worker.stop(name[0], name[1], False).is_ok()
-        ]
+        self._drop_listed(listing)
+        stopped = self._stop_starts(worker)
         if not stopped:
             return []
         # An attempt that ran when the stop came is listed from now on.
         again = worker.read_listing()
         if again.is_err():
             return []
-        listed = {(a.task, a.attempt) for a in again.ok_value.attempts}
-        self._starts -= set(stopped)
-        return [name for name in stopped if name not in listed]
+        self._drop_listed(again.ok_value)
+        gone = [name for name in stopped if name in self._starts]
+        for name in gone:
+            del self._starts[name]
+        return gone
+
+    def _drop_listed(self, listing):
+        for attempt in listing.attempts:
+            self._starts.pop((attempt.task, attempt.attempt), None)
+
+    def _stop_starts(self, worker):
+        """Stop what may have begun; returns what was answered.
+
+        One unanswered stop ends it until the next look: each costs the time
+        that an answer is waited for, and heartbeats wait as long.
+        """
+        stopped = []
+        for name in list(self._starts):
+            if worker.stop(name[0], name[1], False).is_err():
+                self._starts[name] = self._starts.pop(name)
+                break
+            stopped.append(name)
+        return stopped
 
     def give_up_starts(self):
         """Return the doubtful starts, none of which can run any more."""
@@ -91,7 +107,10 @@
         return names
 
     def repeat_stops(self, worker, listing, now):
-        """Send stops that have shown no effect yet, again."""
+        """Send stops that have shown no effect yet, again.
+
+        One that is not answered ends it until the next look, as above.
+        """
         running = {
             (a.task, a.attempt)
             for a in listing.attempts
@@ -101,5 +120,7 @@
             if name not in running:
                 del self._stops[name]
             elif asked is None or now - asked >= STOP_AGAIN_SECONDS:
-                worker.stop(name[0], name[1], checkpoint)
+                del self._stops[name]
                 self._stops[name] = (checkpoint, now)
+                if worker.stop(name[0], name[1], checkpoint).is_err():
+                    break
