--- a/packages/entry/portwharf/entry/process.py
+++ b/packages/entry/portwharf/entry/process.py
@@ -10,6 +10,7 @@
 from portwharf.core import clock
 from portwharf.core import codec
 from portwharf.core import ids
+from portwharf.core import stops
 from portwharf.core import web
 from portwharf.entry import fellows
 from portwharf.entry import metrics
@@ -66,7 +67,7 @@
 
     def wait(self):
         """Wait until a planned stop is asked for."""
-        self._stopping.wait()
+        stops.wait_until_asked(self._stopping)
 
     def _start_parts(self):
         cfg = self._cfg
--- a/packages/platform/portwharf/platform/programs.py
+++ b/packages/platform/portwharf/platform/programs.py
@@ -12,6 +12,7 @@
 from portwharf.core import clock
 from portwharf.core import ids
 from portwharf.core import logs
+from portwharf.core import stops
 from portwharf.core import web
 from portwharf.platform import boot
 from portwharf.platform import kv
@@ -73,7 +74,7 @@
 
     def wait(self):
         """Wait until a planned stop is asked for."""
-        self._stopping.wait()
+        stops.wait_until_asked(self._stopping)
 
     def _start_parts(self):
         # A side never needs what an entry imports.
--- a/packages/side/portwharf/side/process.py
+++ b/packages/side/portwharf/side/process.py
@@ -8,6 +8,7 @@
 
 from portwharf.core import clock
 from portwharf.core import ids
+from portwharf.core import stops
 from portwharf.core import web
 from portwharf import endpoints
 from portwharf.peers import streams
@@ -66,7 +67,7 @@
 
     def wait(self):
         """Wait until a planned stop is asked for."""
-        self._stopping.wait()
+        stops.wait_until_asked(self._stopping)
 
     def _start_parts(self):
         cfg = self._cfg
