--- a/packages/core/portwharf/core/stops.py
+++ b/packages/core/portwharf/core/stops.py
@@ -1,8 +1,17 @@
 # Copyright the portwharf authors.
 # SPDX-License-Identifier: Apache-2.0
-"""Waiting for a planned stop, which a signal asks for."""
+"""Waiting for a planned stop, which a signal asks for.
+
+The kernel may give a signal to any thread, as it does right after a pause.
+Handlers run in the main thread, which is not woken by it, so that it must
+not wait without a limit.
+"""
+
+# How late a stop may be heard; what a platform gives for it is seconds.
+LOOK_SECONDS = 0.5
 
 
 def wait_until_asked(asked):
     """Wait in the main thread until a signal's handler has set an event."""
-    asked.wait()
+    while not asked.wait(LOOK_SECONDS):
+        continue
