--- a/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
@@ -16,9 +16,9 @@
 from portwharf.scheduler import decider
 from portwharf.scheduler import faults_test
 from portwharf.scheduler import jobs_test
-from portwharf.scheduler import ownership_test
 from portwharf.scheduler import planning
 from portwharf.scheduler import preparing
+from portwharf.scheduler import preparing_test
 from portwharf.scheduler import reconcile
 from portwharf.scheduler import rehoming
 from portwharf.scheduler import rehoming_test
@@ -111,7 +111,7 @@
 
     check(
         case,
-        ownership_test.test_prepared_work_is_kept_until_its_side_has_told,
+        preparing_test.test_prepared_work_is_kept_until_its_side_has_told,
         preparing.Preparation,
         '_resolve_task',
         resolve,
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -25,8 +25,8 @@
 from portwharf.scheduler import health
 from portwharf.scheduler import membership
 from portwharf.scheduler import metrics
+from portwharf.scheduler import pairing
 from portwharf.scheduler import policy
-from portwharf.scheduler import presses
 from portwharf.scheduler import reconcile
 from portwharf.scheduler import shardlog
 
@@ -41,7 +41,6 @@
 # After so long another VM is asked whether the store answers it.
 INVITE_SECONDS = 0.8
 _TICK_SECONDS = 0.5
-_PRESSES_SECONDS = 0.5
 _RETRY_SECONDS = 0.2
 _MAX_RETRY_SECONDS = 0.4
 _MS = 1000
@@ -67,7 +66,6 @@
         self._pending_since = None
         self._next_append = 0.0
         self._next_check = 0.0
-        self._next_presses = 0.0
         self._snapshot_seq = log.next_seq
         ailing = health.Health()
         self._grants = grants.GrantTable(state.members, env.limits)
@@ -77,16 +75,14 @@
         self._decider = decider.Decider(
             env, state, self._grants, ailing, self._advisor
         )
-        self._presses = presses.Presses()
-        self._presses_lock = threading.Lock()
-        self._presses_news = False
+        self._pairing = pairing.Pairing()
         self._members = membership.Membership(
             env,
             state,
             self._grants,
             ailing,
             self._decider.pressure,
-            self._presses,
+            self._pairing.presses,
         )
         self._decider.set_members(self._members)
         self._desk = desk.Desk(
@@ -195,21 +191,15 @@
 
     def make_presses(self):
         """Return what is known of pairs of images, for a side."""
-        with self._presses_lock:
-            return messages.PressUpdate(self._presses.list_all())
+        return self._pairing.make_update()
 
     def take_known(self, known):
         """Begin with what a former owner has told a side of pairs."""
-        with self._presses_lock:
-            self._presses.adopt(known)
-            self._presses_news = True
+        self._pairing.adopt(known)
 
     def take_observed(self, observed):
         """Learn from what a side has observed of pairs of images."""
-        with self._presses_lock:
-            for one in observed:
-                self._presses.learn(one)
-            self._presses_news = True
+        self._pairing.learn(observed)
 
     def record_ack(self, member, beat):
         """Count a heartbeat that acknowledges our epoch."""
@@ -342,12 +332,9 @@
 
     def _tell_presses(self):
         """Pass on what sides have learnt, now and then."""
-        now = self.read_clock()
-        if now < self._next_presses or not self._presses_news:
-            return
-        self._next_presses = now + _PRESSES_SECONDS
-        self._presses_news = False
-        self._members.announce(self.make_presses())
+        update = self._pairing.take_news(self.read_clock())
+        if update is not None:
+            self._members.announce(update)
 
     def serve_stalled(self):
         """Go on as far as that needs no append, while one is stalled."""
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/preparing_test.py
@@ -0,0 +1,97 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""What is committed ahead begins in an outage, once, and is not lost."""
+
+from portwharf.peers import messages
+from portwharf.scheduler import ownership_test
+
+
+def test_prepared_work_goes_on_through_an_outage(case):
+    made = ownership_test.make_cluster(10)
+    case.assertEqual(ownership_test.count_runs(made), 6)
+    made.standin.faults.down = True
+    made.run(3)
+    made.finish_running()
+    made.run(5)
+    case.assertEqual(ownership_test.count_runs(made), 10)
+    ownership_test.finish(made)
+    case.assertEqual(ownership_test.count_runs(made), 10)
+
+
+def test_prepared_work_begun_in_an_outage_survives_its_owner(case):
+    made = ownership_test.make_cluster(10)
+    made.standin.faults.down = True
+    made.run(3)
+    made.finish_running()
+    made.run(5)
+    made.restart_side(made.nodes[0])
+    made.standin.faults.down = False
+    made.run(3)
+    made.nodes[1].claim()
+    ownership_test.finish(made)
+    case.assertEqual(ownership_test.count_runs(made), 10)
+
+
+def test_prepared_work_is_kept_until_its_side_has_told(case):
+    made = ownership_test.make_cluster(10)
+    made.standin.faults.down = True
+    made.run(3)
+    made.finish_running()
+    made.run(5)
+    made.restart_side(made.nodes[0])
+    made.standin.faults.down = False
+    made.run(3)
+    made.nodes[1].claim()
+    # The first pass of the new owner comes before any side has told.
+    made.time.advance(1.5)
+    made.nodes[1].owner.step()
+    prepared = made.read_state().prepared
+    case.assertTrue(prepared['vm-00'])
+    ownership_test.finish(made)
+    case.assertEqual(ownership_test.count_runs(made), 10)
+
+
+def test_prepared_work_of_a_silent_vm_waits_like_the_rest(case):
+    made = ownership_test.make_cluster(10)
+    silent = made.nodes[2]
+    prepared = set(made.read_state().prepared[silent.vm.name])
+    case.assertTrue(prepared)
+    made.isolate(silent)
+    made.run(6)
+    made.finish_running()
+    made.run(3)
+    begun = {
+        run.attempt.task for node in made.nodes for run in node.worker.record
+    }
+    case.assertFalse(prepared & begun)
+    ownership_test.finish(made)
+
+
+def test_prepared_start_that_was_lost_is_made_up_for(case):
+    """A start sent while the store was down counts as made, wherever it went.
+
+    Order of events: an append is stalled, tasks of a VM end, and the owner
+    begins a prepared one there; the connection ends with that order. The
+    next report does not list the attempt, but nobody looks for it there.
+    """
+    made = ownership_test.make_cluster(10)
+    made.standin.faults.down = True
+    owner = made.nodes[0].owner
+    link = owner._members.get_link('vm-01')
+    lost = []
+    send = link.send
+
+    def lose(message):
+        if isinstance(message, messages.StartTask) and owner.stalled:
+            lost.append(message)
+            link.pipe.closed = True
+        return send(message)
+
+    link.send = lose
+    made.submit(1)
+    made.run(2)
+    made.finish_running()
+    made.run(5)
+    case.assertTrue(lost)
+    made.submit(1)
+    ownership_test.finish(made)
