--- a/packages/peers/portwharf/peers/streams_test.py
+++ b/packages/peers/portwharf/peers/streams_test.py
@@ -5,6 +5,7 @@
 import queue
 import socket
 import threading
+import time
 
 import msgpack
 
@@ -226,3 +227,28 @@
             conn.receive()
     sender.join(8)
     case.assertFalse(sender.is_alive())
+
+
+def test_silence_is_noticed_as_soon_with_tls(case):
+    """A record that is not a message is no reason to wait without a limit.
+
+    A server's session tickets are such, and the part of a record that came
+    before the path went silent.
+    """
+    issue = fixtures.make_authority(case)
+    done = threading.Event()
+    case.addCleanup(done.set)
+    listener = streams.Listener(
+        '127.0.0.1',
+        0,
+        lambda conn: done.wait(30),
+        tls.make_server_context(issue('side')),
+    )
+    case.enterContext(listener)
+    context = tls.make_client_context(issue('entry'))
+    conn = dial(case, listener.port, context)
+    conn.set_idle(0.3)
+    began = time.monotonic()
+    with case.assertRaises(streams.SilentError):
+        conn.receive()
+    case.assertLess(time.monotonic() - began, 2.0)
--- a/packages/side/portwharf/side/agent_test.py
+++ b/packages/side/portwharf/side/agent_test.py
@@ -453,3 +453,39 @@
         bench.step(0.5)
     stops = [call for call in bench.worker.calls if call[0] == 'stop']
     case.assertGreater(len(stops), 1)
+
+
+def test_start_that_waited_past_its_grant_does_not_begin_under_the_next(case):
+    """Grants overtake commands, which wait for the agent's thread.
+
+    While that waits for its worker the VM is silent, although signs of life
+    keep the connection open. The owner runs the task again elsewhere, and
+    answers the next heartbeat with a grant: it must not have the command
+    from before obeyed.
+    """
+    bench = Bench()
+    bench.grant()
+    bench.start('w.8')
+    bench.start('w.9')
+    bench.worker.calls = []
+    answer = bench.worker.stop
+    waits = [LIMITS.replace_after_grant + 1.0]
+
+    def stop(task, attempt, checkpoint):
+        if waits:
+            bench.clock.advance(waits.pop())
+        return answer(task, attempt, checkpoint)
+
+    bench.worker.stop = stop
+    for task in ('w.8', 'w.9'):
+        bench.agent.command(bench.conn, messages.StopTask(3, task, 1, False))
+    late = messages.StartTask(3, 'w.5', 1, resources=SIZE, exclusive=True)
+    bench.agent.command(bench.conn, late)
+    bench.conn.take(messages.Heartbeat)
+    bench.agent.step()
+    case.assertEqual(len(bench.conn.take(messages.Heartbeat)), 1)
+    # Its answer comes while the agent is at the command after.
+    bench.grant()
+    bench.step()
+    begun = [call for call in bench.worker.calls if call[0] == 'start']
+    case.assertEqual(begun, [])
