--- a/packages/side/portwharf/side/agent_test.py
+++ b/packages/side/portwharf/side/agent_test.py
@@ -489,3 +489,24 @@
     bench.step()
     begun = [call for call in bench.worker.calls if call[0] == 'start']
     case.assertEqual(begun, [])
+
+
+def test_unanswered_stops_for_want_of_a_grant_cost_one_call_a_look(case):
+    """Each costs the time that an answer is waited for.
+
+    The heartbeat that would bring the next grant waits as long.
+    """
+    bench = Bench()
+    bench.grant()
+    for number in range(4):
+        bench.start(f'w.{number}')
+    calls = []
+
+    def stop(task, attempt, checkpoint):
+        calls.append(task)
+        return result.Err('lost')
+
+    bench.worker.stop = stop
+    bench.clock.advance(LIMITS.guard + 1.0)
+    bench.agent.step()
+    case.assertEqual(len(calls), 1)
