--- a/packages/core/portwharf/core/recent.py
+++ b/packages/core/portwharf/core/recent.py
@@ -9,7 +9,7 @@
     """The latest entries, and all that are in use, by name."""
 
     def __init__(self, most):
-        """Take how many entries are kept beside those in use."""
+        """Take how many entries are kept, unless more are in use."""
         self._most = most
         self._values = {}
         self._used = frozenset()
--- a/packages/peers/portwharf/peers/streams.py
+++ b/packages/peers/portwharf/peers/streams.py
@@ -46,9 +46,12 @@
 # For a frame to get into the buffers of a slow path; a silent one is ended
 # by the thread that reads.
 SEND_SECONDS = 10.0
+# A blocked sender looks so often whether its connection was closed.
+_BLOCKED_SECONDS = 0.1
 _READ_BYTES = 64 * 1024
 _BACKLOG = 512
 _MS = 1000
+_NOT_NOW = (BlockingIOError, ssl.SSLWantReadError, ssl.SSLWantWriteError)
 _SIGN = msgpack.packb([KEEP_ALIVE, {}])
 
 
@@ -75,7 +78,10 @@
         self._closed = False
         self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.settimeout(SEND_SECONDS)
+        sock.setblocking(False)
+        # Held for one read or write that does not wait: a TLS object may be
+        # used by one thread at a time, and corrupts memory otherwise.
+        self._io = threading.Lock()
         self._readable = select.poll()
         self._readable.register(sock, select.POLLIN)
         self._writable = select.poll()
@@ -112,7 +118,7 @@
         frame = msgpack.packb([kind, codec.to_map(message)])
         try:
             with self._lock:
-                self._sock.sendall(frame)
+                self._send_all(frame)
                 self._sent_at = time.monotonic()
         except (OSError, ValueError) as exc:
             self.close()
@@ -143,7 +149,9 @@
                 for frame in self._unpacker:
                     return frame
                 self._wait_for_bytes()
-                raw = self._sock.recv(_READ_BYTES)
+                raw = self._recv()
+                if raw is None:
+                    continue
                 if not raw:
                     raise PeerError('closed by the peer')
                 self._unpacker.feed(raw)
@@ -154,6 +162,40 @@
         except (ValueError, msgpack.UnpackException) as exc:
             raise GarbledError(f'cannot read: {exc}') from exc
 
+    def _recv(self):
+        """Read what is there; None if that is no message's bytes.
+
+        A TLS record may carry nothing for us, or have come in part.
+        """
+        try:
+            with self._io:
+                return self._sock.recv(_READ_BYTES)
+        except _NOT_NOW:
+            return None
+
+    def _send_all(self, frame):
+        """Send a frame, whatever it has to wait for.
+
+        :raises TimeoutError: the peer does not read
+        """
+        limit = time.monotonic() + SEND_SECONDS
+        rest = memoryview(frame)
+        while rest:
+            try:
+                with self._io:
+                    sent = self._sock.send(rest[:CHUNK_BYTES])
+                rest = rest[sent:]
+            except _NOT_NOW as exc:
+                if self._closed or time.monotonic() > limit:
+                    raise TimeoutError('the peer does not read') from exc
+                self._wait_to_send(exc)
+
+    def _wait_to_send(self, exc):
+        """Wait until a write that could not go on may, or for a while."""
+        reads = isinstance(exc, ssl.SSLWantReadError)
+        waits = self._readable if reads else self._writable
+        waits.poll(_BLOCKED_SECONDS * _MS)
+
     def _wait_for_bytes(self):
         """Wait until there is something to read, with signs of life.
 
@@ -181,7 +223,7 @@
             return
         try:
             if self._writable.poll(0):
-                self._sock.sendall(_SIGN)
+                self._send_all(_SIGN)
                 self._sent_at = time.monotonic()
         finally:
             self._lock.release()
--- a/packages/platform/portwharf/platform/runner.py
+++ b/packages/platform/portwharf/platform/runner.py
@@ -40,7 +40,7 @@
 # Other answers to a start which say that nothing begins.
 _NOT_BEGUN = (400, _OTHER_LIFE, 429, 503)
 _MS = 1000
-# Starts that are remembered beside those that run.
+# Starts that are remembered, unless more run.
 MAX_SIZES = 1000
 
 _REASONS = {
--- a/packages/scheduler/portwharf/scheduler/members.py
+++ b/packages/scheduler/portwharf/scheduler/members.py
@@ -58,11 +58,15 @@
         self._owner = owner
         self.idle = owner.limits.owner_idle
         self.view = MemberView(vm)
+        self._held = messages.HeldTasks()
 
     def dial(self):
         return self._owner.dial(self.view.vm)
 
     def make_hello(self):
+        # Before the side counts our silence: the owner's lock may be held
+        # for as long as a pass takes.
+        self._held = self._owner.make_held(self.name)
         return self._owner.make_hello()
 
     def attach(self, conn, peer):
@@ -70,7 +74,7 @@
         conn.send(self._owner.make_grant(self.name, 0))
         # Before any order: a side that has restarted does not know what it
         # is that runs on its VM, and would pace nothing beside it.
-        conn.send(self._owner.make_held(self.name))
+        conn.send(self._held)
         conn.send(self._owner.make_config())
         conn.send(self._owner.make_rosters())
         known = self._owner.make_presses()
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -43,10 +43,15 @@
 
 @dataclasses.dataclass(slots=True)
 class _Command:
-    """An owner's command and the connection that it came on."""
+    """An owner's command and the connection that it came on.
+
+    :param granted_until: when the grant that it came under ends, on our
+        clock
+    """
 
     conn: object = None
     message: object = None
+    granted_until: float = 0.0
 
 
 class Agent:
@@ -66,6 +71,7 @@
         self._clock = clock
         self._on_change = on_change
         self._commands = queue.SimpleQueue()
+        self._command_until = 0.0
         self._conn = None
         self._sent = {}
         # Tasks with the highest attempt that was refused, latest last.
@@ -125,7 +131,7 @@
 
     def command(self, conn, message):
         """Queue a command that came on a connection."""
-        self._commands.put(_Command(conn, message))
+        self._commands.put(_Command(conn, message, self._guard.granted_until))
 
     def take_grant(self, grant):
         """Take the owner's time from a grant, for the next heartbeat.
@@ -173,6 +179,7 @@
         if command is None or command.conn is not self._conn:
             return
         message = command.message
+        self._command_until = command.granted_until
         if message is None:
             self._greet_owner()
         elif isinstance(message, messages.ForgetTasks):
@@ -269,7 +276,7 @@
             return REFUSED_ATTEMPT
         if known is not None and known.state == data.RunState.RUNNING:
             return REFUSED_ATTEMPT
-        if message.exclusive and not self._guard.is_granted():
+        if message.exclusive and not self._is_granted():
             return REFUSED_GRANT
         room = self._listing.capacity.subtract(self._sum_running())
         # A stranger's size is not known until it is stopped.
@@ -277,6 +284,15 @@
             return REFUSED_CAPACITY
         return ''
 
+    def _is_granted(self):
+        """Tell whether the command may be obeyed under a grant.
+
+        Grants overtake commands, which wait for this thread: once the one
+        that a command came under is over, its task may run elsewhere.
+        """
+        now = self._clock.read_monotonic()
+        return self._guard.is_granted() and now < self._command_until
+
     def _sum_running(self):
         used = data.Resources()
         for attempt in self._listing.attempts:
--- a/packages/side/portwharf/side/leases.py
+++ b/packages/side/portwharf/side/leases.py
@@ -89,12 +89,23 @@
             self._stopped.clear()
             self._worker.renew(self.compute_end())
             return
+        self._stop_all(held)
+
+    def _stop_all(self, held):
+        """Save and stop what has little of its lease left.
+
+        A stop that is not answered ends it until the next look: each costs
+        the time that an answer is waited for, and the beat that would bring
+        a grant waits as long.
+        """
         for attempt in held:
             name = (attempt.task, attempt.attempt)
             left = attempt.lease_until_ms - self._listing.now_ms
             if name in self._stopped or left > self._limits.lease * _MS:
                 continue
-            self._stopped.add(name)
             extra = logs.fields(task=attempt.task, attempt=attempt.attempt)
             LOG.warning('no grant: stopping', extra=extra)
-            self._worker.stop(attempt.task, attempt.attempt, True)
+            answer = self._worker.stop(attempt.task, attempt.attempt, True)
+            if answer.is_err():
+                return
+            self._stopped.add(name)
--- a/packages/side/portwharf/side/traits.py
+++ b/packages/side/portwharf/side/traits.py
@@ -12,7 +12,7 @@
 
 from portwharf.core import recent
 
-# Tasks that are remembered beside those that run: a start without an answer
+# Tasks that are remembered, unless more run: a start without an answer
 # may show up to 12 s later, and a VM begins fewer than 20 a second.
 MAX_TRAITS = 1000
 
--- a/packages/testing/portwharf/testing/cluster.py
+++ b/packages/testing/portwharf/testing/cluster.py
@@ -229,7 +229,7 @@
         if self.is_cut(node, side) or side.paused or side.down:
             return
         pipe = cluster_fakes.Pipe()
-        pipe.hello = node.owner.make_hello()
+        pipe.hello = link.make_hello()
         try:
             side.server.greet_owner(pipe.side, pipe.hello)
         except streams.PeerError:
