Turns by what ends a job soonest, moves that are worth it, saves that outlive a VM

(2) Tasks that hardly worked were stopped and put back on the VM they came from; what saves nothing lost all that it had done. (3) What a VM's loss cost began again from nothing: the name of the last save was known to the lost worker alone.

Now: (1) scheduler/precedence: by press times what is left of the job, late work after that; the owner reckons with who yields, the side paces so. (3) Saves come with heartbeats and are logged with the next pass (TaskSaved). A side tells when it has read the log, how long that took, and why not.

--- a/packages/core/portwharf/core/logs.py
+++ b/packages/core/portwharf/core/logs.py
@@ -42,6 +42,7 @@
     'tail_ms',
     'target_ms',
     'strangers',
+    'bytes',
 )
 _TEXT_FORMAT = '%(asctime)s %(levelname)s %(name)s: %(message)s'
 _JSON_FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
--- a/packages/peers/portwharf/peers/messages.py
+++ b/packages/peers/portwharf/peers/messages.py
@@ -110,11 +110,24 @@
 
 @dataclasses.dataclass(slots=True)
 class PacedTask:
-    """An attempt that works at less than its full pace, in percent."""
+    """An attempt that works at less than its full pace, in percent.
+
+    :param done: how much of its work is done, in percent
+    """
 
     task: str = ''
     attempt: int = 0
     percent: int = 0
+    done: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class SavedTask:
+    """What a running attempt has saved last."""
+
+    task: str = ''
+    attempt: int = 0
+    checkpoint: str = ''
 
 
 @dataclasses.dataclass(slots=True)
@@ -150,6 +163,7 @@
     :param rack: the rack that the worker stands in, or ''
     :param life: differs for each start of the worker, or ''
     :param known: first on a connection, what owners have told of pairs
+    :param saved: what running tasks have saved since they were told of
     """
 
     side_ms: int = 0
@@ -171,6 +185,7 @@
     rack: str = ''
     life: str = ''
     known: list[Press] = dataclasses.field(default_factory=list)
+    saved: list[SavedTask] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
@@ -237,6 +252,11 @@
     target_ms: int = 0
     # What the policy gave for this VM's worker, or ''.
     ticket: str = ''
+    # Of one that fills, what is left of its job in processor seconds, and
+    # the wall times by which it should end and is worth nothing.
+    left: float = 0.0
+    due_ms: int = 0
+    late_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -256,6 +276,9 @@
     program: str = ''
     fill_milli: int = 0
     target_ms: int = 0
+    left: float = 0.0
+    due_ms: int = 0
+    late_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/scheduler/portwharf/scheduler/backlog.py
+++ b/packages/scheduler/portwharf/scheduler/backlog.py
@@ -39,16 +39,21 @@
         'left',
         'rack',
         'record',
+        'shunned',
         'tickets',
+        'weight',
     )
 
-    def __init__(self, record, avoided=frozenset(), left=0):
+    def __init__(self, record, avoided=frozenset(), left=0, weight=0.0):
         """Take a ``state.WorkloadRecord``.
 
         :param avoided: VM names that its tasks keep away from
         :param left: what is left to do of its job, in thousandths of a
             processor times ms
+        :param weight: of one that fills, what its job counts, as
+            ``precedence.Claim.weigh`` gives
         """
+        self.weight = weight
         self.record = record
         self.avoided = avoided
         self.left = left
@@ -56,6 +61,8 @@
         self.choosy = True
         # The rack that its tasks should share, or ''.
         self.rack = ''
+        # The VM that each of its tasks was moved away from, by task id.
+        self.shunned = {}
         # Tickets of the policy that governs it, by VM name.
         self.tickets = {}
         self._tasks = None
@@ -85,10 +92,18 @@
             )
         return self._placed
 
+    @property
+    def shuns(self):
+        """The VM that the next of its tasks was moved away from, or ''."""
+        if not self.shunned or not self.tasks:
+            return ''
+        return self.shunned.get(self.tasks[0], '')
+
     def take_any(self):
         """Go wherever there is room: it has waited for long enough."""
         self.choosy = False
         self.avoided = frozenset()
+        self.shunned = {}
 
     @property
     def starves(self):
--- a/packages/scheduler/portwharf/scheduler/choosing.py
+++ b/packages/scheduler/portwharf/scheduler/choosing.py
@@ -27,13 +27,17 @@
 
 @dataclasses.dataclass(slots=True)
 class Choice:
-    """The best VM for one task, and why not the others."""
+    """The best VM for one task, and why not the others.
+
+    :param weight: what the task's job counts, if it fills
+    """
 
     view: object = None
     parts: list = dataclasses.field(default_factory=list)
     refusals: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
+    weight: float = 0.0
 
     @property
     def reason(self):
@@ -48,12 +52,13 @@
 
 
 def choose_vm(demand, views, judge):
-    choice = Choice()
+    choice = Choice(weight=demand.weight)
     batch = demand.record.workload.kind == data.Kind.BATCH
     kind = backlog.find_kind(demand.record.workload)
     best = float('inf')
     spread = scoring.count_spread(demand, views)
     size = demand.record.workload.reserved
+    shuns = demand.shuns
     lonely = demand.record.workload.kind == data.Kind.SERVICE
     for view in views:
         reason = _refuse(size, view) or _refuse_step(demand, view)
@@ -62,6 +67,8 @@
             reason = 'replica-there-already'
         elif not reason and view.vm.name in demand.avoided:
             reason = 'failed-there-lately'
+        elif not reason and view.vm.name == shuns:
+            reason = 'was-moved-away-from-there'
         if reason:
             choice.refusals[reason] += 1
             continue
@@ -85,7 +92,7 @@
     workload = demand.record.workload
     if workload.kind == data.Kind.BATCH:
         view.kinds[backlog.find_kind(workload)] += 1
-    view.add_task(workload)
+    view.add_task(workload, demand.weight)
     if view.probe:
         view.closed = REFUSED_PROBED
     demand.placed[view.vm.name] += 1
@@ -119,6 +126,9 @@
         room = view.capacity.cpu_milli - view.busy_milli
         if workload.resources.cpu_milli > room:
             return 'processors'
-        if demand.choosy and view.predict_pace(workload) < _LEAST_PACE:
+        if (
+            demand.choosy
+            and view.predict_pace(workload, demand.weight) < _LEAST_PACE
+        ):
             return REFUSED_SLOWS
     return ''
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -22,6 +22,7 @@
 from portwharf.scheduler import operations
 from portwharf.scheduler import planning
 from portwharf.scheduler import policy
+from portwharf.scheduler import precedence
 from portwharf.scheduler import preparing
 from portwharf.scheduler import pressure
 from portwharf.scheduler import reconcile
@@ -57,6 +58,7 @@
         # Why workloads wait, as of the last pass, by their ids.
         self.waiting = {}
         self._patience = planning.Patience()
+        self._shunned = rehoming.Shunned()
         # Attempts that a side did not list and that it has to be told of.
         self._owed = {}
         # Jobs whose end is not in the log yet, and so must not be shown.
@@ -77,6 +79,7 @@
                 self._learn(item)
             elif item is not None:
                 self._carry_out(item, batch)
+        self._note_saved(batch)
         self._catch_up(batch)
         self._change_members(batch)
         self._requeue_lost(batch)
@@ -139,6 +142,21 @@
                     )
                     batch.send(link, command)
 
+    def _note_saved(self, batch):
+        """Log what running tasks have saved, for when their VM is lost."""
+        for link in self._members.list_links():
+            saved = link.view.saved
+            while saved:
+                one = saved.popleft()
+                task = self._state.held[link.name].get(one.task)
+                if task is None or task.attempt != one.attempt:
+                    continue
+                if task.checkpoint != one.checkpoint:
+                    event = events.TaskSaved(
+                        one.task, one.attempt, one.checkpoint
+                    )
+                    self._add(batch, event)
+
     def _find_due(self, vm, task_id):
         """Return a task that a VM holds, or has prepared, or None."""
         held = self._state.held[vm].get(task_id)
@@ -366,14 +384,14 @@
 
     def _rehome(self, views, now, batch):
         """Move filling tasks that hardly work to where they would."""
+        now_ms = self._env.clock.read_unix_ms()
+        weigher = precedence.Weigher(self._state, now_ms)
+        links = self._members.list_links()
         stuck = rehoming.find_stuck(
-            self._state,
-            self._members.list_links(),
-            self.pressure.read_begun,
-            now,
+            self._state, links, self.pressure.read_begun, now, weigher
         )
-        now_ms = self._env.clock.read_unix_ms()
         for task in rehoming.choose_moves(stuck, views):
+            self._shunned.note(task.id, task.vm, now)
             self._evict(task, rehoming.REASON_STUCK, now_ms, batch)
 
     def _list_demands(self, now):
@@ -382,6 +400,9 @@
             lambda workload: self._health.list_avoided(workload, now),
             self._env.clock.read_unix_ms(),
         )
+        shunned = self._shunned.find(now)
+        for demand in demands:
+            demand.shunned = shunned
         self._patience.apply(demands, now)
         return demands
 
--- a/packages/scheduler/portwharf/scheduler/events.py
+++ b/packages/scheduler/portwharf/scheduler/events.py
@@ -154,6 +154,19 @@
     vm: str = ''
 
 
+@dataclasses.dataclass(slots=True)
+class TaskSaved:
+    """A running attempt has saved its work.
+
+    :param checkpoint: where the next attempt starts, should this one be
+        lost with its VM
+    """
+
+    task: str = ''
+    attempt: int = 0
+    checkpoint: str = ''
+
+
 @dataclasses.dataclass(slots=True)
 class TaskEvicting:
     """An attempt is to be stopped and its task to be queued again."""
@@ -219,6 +232,7 @@
     'job-drop': JobDropped,
     'place': TaskPlaced,
     'prepare': TaskPrepared,
+    'saved': TaskSaved,
     'evicting': TaskEvicting,
     'requeue': TaskRequeued,
     'end': TaskEnded,
--- a/packages/scheduler/portwharf/scheduler/members.py
+++ b/packages/scheduler/portwharf/scheduler/members.py
@@ -8,6 +8,7 @@
 and the next connection starts with a report of everything.
 """
 
+import collections
 import dataclasses
 
 from portwharf.core import data
@@ -22,6 +23,7 @@
 
     :param connection: how many connections have ended before this one
     :param heard: the owner's clock at the last heartbeat, or None
+    :param saved: ``messages.SavedTask`` that no pass has taken yet
     :param granted: the last grant on this connection was valid
     :param reported: the side has told all that it runs on this connection
     """
@@ -43,6 +45,9 @@
     paced: list = dataclasses.field(default_factory=list)
     rack: str = ''
     life: str = ''
+    saved: collections.deque = dataclasses.field(
+        default_factory=collections.deque
+    )
 
 
 class MemberLink(links.PeerLink):
@@ -113,6 +118,7 @@
         view.paced = beat.paced
         view.rack = beat.rack
         view.life = beat.life
+        view.saved.extend(beat.saved)
         if beat.known:
             self._owner.take_known(beat.known)
         if beat.observed:
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -10,6 +10,7 @@
 from portwharf.peers import messages
 from portwharf.scheduler import events
 from portwharf.scheduler import planning
+from portwharf.scheduler import precedence
 from portwharf.scheduler import vmview
 
 # What a new owner gives its members at the most to report.
@@ -122,6 +123,9 @@
     def view_vms(self):
         """Return all members as placement sees them."""
         now = self._env.clock.read_monotonic()
+        weigher = precedence.Weigher(
+            self._state, self._env.clock.read_unix_ms()
+        )
         views = []
         for name, link in self._links.items():
             view = vmview.VmView(link.view.vm, link.view.capacity)
@@ -132,18 +136,25 @@
             view.rack = link.view.rack or view.rack
             view.life = link.view.life
             view.take_pairs(self._pairs, link.view.headrooms)
-            self._count_fill(name, view)
+            self._count_fill(link, view, weigher)
             view.closed = self._find_closed(name, link, now)
             view.probe = self._health.is_probed(name, now)
             views.append(view)
         self._pressure.fill_views(views, now)
         return views
 
-    def _count_fill(self, name, view):
+    def _count_fill(self, link, view, weigher):
         """Add what fills a VM beside what it has reserved."""
-        for task_id in self._state.held[name]:
-            workload = self._state.find_workload(task_id).workload
-            view.count_fill(workload)
+        paces = {
+            (one.task, one.attempt): one.percent for one in link.view.paced
+        }
+        for task in self._state.held[link.name].values():
+            record = self._state.find_workload(task.id)
+            view.count_fill(record.workload)
+            if record.workload.fills:
+                percent = paces.get((task.id, task.attempt), 100)
+                weight = weigher.weigh(record)
+                view.note_filling(record.workload, weight, percent / 100)
 
     def pick_successor(self, now):
         """Return the name of a member that can take over, or ''."""
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -435,7 +435,8 @@
         self._snapshot_seq = self._log.next_seq
         with self._lock:
             raw = self._state.pack()
-        written = self._log.write_snapshot(raw)
+            aside = self._state.pack_history()
+        written = self._log.write_snapshot(raw, aside)
         if written.is_err():
             LOG.warning('no snapshot: %s', written.err_value)
 
--- a/packages/scheduler/portwharf/scheduler/placement.py
+++ b/packages/scheduler/portwharf/scheduler/placement.py
@@ -84,7 +84,7 @@
     done.ordered = backlog.order_demands(demands, now_ms)
     for demand in done.ordered:
         known = done.hopeless.get(_find_shape(demand))
-        if known is not None:
+        if known is not None and demand.weight >= known.weight:
             waiting = Waiting(demand.record, known.reason, known)
             done.waiting.append(waiting)
         elif not _place_demand(demand, views, quotas, now_ms, done):
@@ -201,7 +201,7 @@
 def _find_shape(demand):
     """Return what decides where a batch task fits, or None."""
     workload = demand.record.workload
-    if workload.kind != data.Kind.BATCH or demand.avoided:
+    if workload.kind != data.Kind.BATCH or demand.avoided or demand.shuns:
         return None
     if workload.most_per_vm or workload.gang or workload.ticket_ms:
         return None
--- a/packages/scheduler/portwharf/scheduler/planning.py
+++ b/packages/scheduler/portwharf/scheduler/planning.py
@@ -12,6 +12,7 @@
 from portwharf.scheduler import backlog
 from portwharf.scheduler import events
 from portwharf.scheduler import placement
+from portwharf.scheduler import precedence
 
 # Ended workloads are listed for this long.
 KEEP_ENDED_SECONDS = 24 * 3600
@@ -79,35 +80,18 @@
         and record.not_before_ms <= now_ms
         and state.is_ready(record)
     ]
-    left = {
-        name: measure_left(state, name)
-        for name in {record.workload.job for record in ready}
-    }
+    weigher = precedence.Weigher(state, now_ms)
     return [
         backlog.Demand(
-            record, list_avoided(record.id), left[record.workload.job]
+            record,
+            list_avoided(record.id),
+            weigher.measure(record.workload.job),
+            weigher.weigh(record) if record.workload.fills else 0.0,
         )
         for record in ready
     ]
 
 
-def measure_left(state, job_id):
-    """Return what is left to do of a job, by its estimates.
-
-    :returns: thousandths of a processor times ms; 0 if there is no job
-    """
-    record = state.jobs.get(job_id)
-    if record is None:
-        return 0
-    steps = [state.workloads[name] for name in record.steps]
-    return sum(
-        (step.workload.count - step.succeeded)
-        * step.workload.resources.cpu_milli
-        * step.workload.run_ms
-        for step in steps
-    )
-
-
 def sum_by_team(state):
     """Return what each team has reserved, by team."""
     used = collections.defaultdict(data.Resources)
--- a/packages/scheduler/portwharf/scheduler/reconcile.py
+++ b/packages/scheduler/portwharf/scheduler/reconcile.py
@@ -13,6 +13,7 @@
 from portwharf.peers import messages
 from portwharf.scheduler import events
 from portwharf.scheduler import gangs
+from portwharf.scheduler import precedence
 
 # Attempts of a batch task that may fail before the task has failed.
 MAX_FAILURES = 3
@@ -86,6 +87,10 @@
     record = state.find_workload(task.id)
     workload = record.workload
     job = state.jobs.get(workload.job)
+    claim = precedence.Claim()
+    if workload.fills:
+        left = state.measure_left(workload.job)
+        claim = precedence.make_claim(record, left)
     return messages.StartTask(
         state.epoch,
         task.id,
@@ -100,6 +105,9 @@
         workload.resources.cpu_milli if workload.fills else 0,
         workload.target_ms,
         ticket,
+        claim.left,
+        claim.due_ms,
+        claim.late_ms,
     )
 
 
@@ -122,6 +130,9 @@
                 start.program,
                 start.fill_milli,
                 start.target_ms,
+                start.left,
+                start.due_ms,
+                start.late_ms,
             )
         )
     return messages.HeldTasks(held)
--- a/packages/scheduler/portwharf/scheduler/rehoming_test.py
+++ b/packages/scheduler/portwharf/scheduler/rehoming_test.py
@@ -7,6 +7,7 @@
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.scheduler import events
+from portwharf.scheduler import planning
 from portwharf.scheduler import presses
 from portwharf.scheduler import rehoming
 from portwharf.scheduler import state
@@ -42,9 +43,9 @@
     return made
 
 
-def find_stuck(percent, began=0.0, now=10.0, **fields):
+def find_stuck(percent, began=0.0, now=10.0, done=0, **fields):
     """Return what is stuck when the task works at a share."""
-    link = Link('vm-1', View([messages.PacedTask(TASK, 1, percent)]))
+    link = Link('vm-1', View([messages.PacedTask(TASK, 1, percent, done)]))
     made = make_state(**fields)
     return rehoming.find_stuck(made, [link], lambda _: began, now)
 
@@ -99,3 +100,77 @@
     view = make_view()
     view.count_fill(data.Workload(resources=SIZE, image='desk', target_ms=20))
     case.assertEqual(rehoming.choose_moves(find_stuck(3), [view]), [])
+
+
+def test_task_that_saves_nothing_stays_where_it_ends_sooner(case):
+    """Nine tenths done, at 30 percent, it needs a third of a run here."""
+    views = [make_view()]
+    kept = find_stuck(30, done=90, run_ms=5000, checkpointable=True)
+    case.assertEqual(rehoming.choose_moves(kept, views), [])
+    lost = find_stuck(15, done=90, run_ms=5000)
+    case.assertEqual(rehoming.choose_moves(lost, views), [])
+    saved = find_stuck(3, done=50, run_ms=5000, checkpointable=True)
+    case.assertEqual(len(rehoming.choose_moves(saved, views)), 1)
+
+
+def test_task_that_was_moved_does_not_go_back_at_once(case):
+    """Its own place looks best, as its share there is free now."""
+    shunned = rehoming.Shunned()
+    shunned.note(TASK, 'vm-1', 0.0)
+    made = make_state(job=ID)
+    made.apply(events.TaskRequeued(TASK, 1))
+    views = [make_view('vm-1'), make_view('vm-2', filling_milli=8000)]
+    places = []
+    for now in (1.0, 1.0 + rehoming.SHUN_SECONDS):
+        (demand,) = planning.list_demands(made, lambda _: frozenset(), 1)
+        demand.shunned = shunned.find(now)
+        done = planning.plan(made, [demand], views, {}, 1)
+        places += [placed.vm for placed in done.placements]
+        views = [make_view('vm-1'), make_view('vm-2', filling_milli=8000)]
+    case.assertEqual(places, ['vm-2', 'vm-1'])
+
+
+def test_task_that_was_moved_goes_back_rather_than_nowhere(case):
+    made = make_state()
+    made.apply(events.TaskRequeued(TASK, 1))
+    (demand,) = planning.list_demands(made, lambda _: frozenset(), 1)
+    demand.shunned = {TASK: 'vm-1'}
+    done = planning.plan(made, [demand], [make_view('vm-1')], {}, 1)
+    case.assertEqual(done.placements, [])
+    demand.take_any()
+    done = planning.plan(made, [demand], [make_view('vm-1')], {}, 1)
+    case.assertEqual(len(done.placements), 1)
+
+
+def test_one_task_that_keeps_away_does_not_speak_for_the_others(case):
+    step = data.Workload(count=2, resources=SIZE, fills=True, image='plan')
+    made = make_state()
+    made.apply(events.TaskRequeued(TASK, 1))
+    job = data.Job(ID[::-1], steps=[step])
+    made.apply(events.JobAccepted(1, job))
+    demands = planning.list_demands(made, lambda _: frozenset(), 1)
+    for demand in demands:
+        demand.shunned = {TASK: 'vm-1'}
+    done = planning.plan(made, demands, [make_view('vm-1')], {}, 1)
+    case.assertEqual(len(done.placements), 2)
+
+
+def make_pressed_view(weight):
+    """Return a view full with a filling task whose job counts so much."""
+    view = make_view(headrooms={'desk': 0.0})
+    view.note_filling(data.Workload(resources=SIZE, image='plan'), weight, 1.0)
+    return view
+
+
+def test_place_is_good_where_others_yield(case):
+    size = data.Workload(resources=SIZE, image='plan', fills=True)
+    case.assertEqual(make_pressed_view(90.0).predict_pace(size, 10.0), 1.0)
+    case.assertEqual(make_pressed_view(10.0).predict_pace(size, 90.0), 0.0)
+
+
+def test_room_that_was_given_away_is_given_once(case):
+    size = data.Workload(resources=SIZE, image='plan', fills=True)
+    view = make_pressed_view(90.0)
+    view.add_task(size, 10.0)
+    case.assertEqual(view.predict_pace(size, 20.0), 0.0)
+    case.assertEqual(view.predict_pace(size, 5.0), 1.0)
--- a/packages/scheduler/portwharf/scheduler/scoring.py
+++ b/packages/scheduler/portwharf/scheduler/scoring.py
@@ -65,7 +65,7 @@
         busy = view.busy_milli / max(1, view.capacity.cpu_milli)
         parts.append(events.Part('busy', _BUSY * busy))
         if workload.fills:
-            slow = 1.0 - view.predict_pace(workload)
+            slow = 1.0 - view.predict_pace(workload, demand.weight)
             parts.append(events.Part('paced', _PACE * slow))
         elif not workload.target_ms and not view.serving_milli:
             parts.append(events.Part('clear', _CLEAR))
--- a/packages/scheduler/portwharf/scheduler/shardlog.py
+++ b/packages/scheduler/portwharf/scheduler/shardlog.py
@@ -51,10 +51,14 @@
 
 @dataclasses.dataclass(slots=True)
 class SnapshotHead:
-    """Which snapshot counts: the state after entry ``seq``."""
+    """Which snapshot counts: the state after entry ``seq``.
+
+    :param aside: chunks of what only an owner needs
+    """
 
     seq: int = 0
     chunks: int = 0
+    aside: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -62,11 +66,13 @@
     """What a log holds.
 
     :param snapshot: packed state after entry ``seq``, or b''
+    :param aside: what only an owner needs of it, or b''
     :param batches: the events of each entry after it
     :param empty: nothing has ever been written
     """
 
     snapshot: bytes = b''
+    aside: bytes = b''
     seq: int = 0
     batches: list = dataclasses.field(default_factory=list)
     empty: bool = False
@@ -101,14 +107,15 @@
         """The number of the entry that comes next."""
         return self._next
 
-    def read(self):
+    def read(self, whole=True):
         """Read snapshot and tail, and stand at the log's end.
 
+        :param whole: with what only an owner needs
         :returns: Ok(Contents), or Err(StoreError)
         """
         self._pending = None
         for _ in range(_READ_TRIES):
-            contents = self._read_once()
+            contents = self._read_once(whole)
             if contents.is_err() or contents.ok_value is not None:
                 return contents
         return result.Err(store.StoreError('the log changes too fast'))
@@ -137,21 +144,25 @@
         answer = self._kv.read_range(first, last, keys_only=True)
         return answer.map(self._is_alone)
 
-    def write_snapshot(self, raw):
+    def write_snapshot(self, raw, aside=b''):
         """Write the state after the last entry, then trim.
 
         A failure leaves the old snapshot in place and no harm done.
 
+        :param aside: what only an owner needs: after a loss of all power
+            every side reads the rest at the same moment
         :returns: Ok(None), or Err(StoreError or Deposed)
         """
         seq = self._next - 1
         chunks = _cut(raw, SNAPSHOT_CHUNK_BYTES)
-        for number, chunk in enumerate(chunks):
-            key = self._name_chunk(seq, number)
+        extra = _cut(aside, SNAPSHOT_CHUNK_BYTES) if aside else []
+        rows = [(self._name_chunk(seq, n), c) for n, c in enumerate(chunks)]
+        rows += [(self._name_aside(seq, n), c) for n, c in enumerate(extra)]
+        for key, chunk in rows:
             written = self._kv.swap(key, chunk, 0)
             if written.is_err():
                 return written
-        head = codec.pack(SnapshotHead(seq, len(chunks)))
+        head = codec.pack(SnapshotHead(seq, len(chunks), len(extra)))
         revision = self._head.revision if self._head else 0
         swapped = self._kv.swap(self._head_key, head, revision)
         if swapped.is_err():
@@ -173,6 +184,10 @@
     def _name_chunk(self, seq, number):
         return f'{self._prefix}snapshot/{seq:012d}/{number:04d}'
 
+    def _name_aside(self, seq, number):
+        # Behind the chunks of its own snapshot, so that it goes with them.
+        return f'{self._prefix}snapshot/{seq:012d}/aside/{number:04d}'
+
     def _advance(self, key, revision):
         self._last = store.Entry(key, b'', revision)
         self._next += 1
@@ -206,7 +221,7 @@
         keys = [entry.key for entry in entries]
         return keys == [self._name_entry(self._next - 1)]
 
-    def _read_once(self):
+    def _read_once(self, whole):
         """Read all; Ok(None) if it was trimmed under our hands."""
         head = self._kv.read(self._head_key)
         if head.is_err():
@@ -214,21 +229,37 @@
         self._head = head.ok_value
         contents = Contents()
         if self._head is not None:
-            snapshot = self._read_snapshot()
+            snapshot = self._read_snapshot(whole)
             if snapshot.is_err() or snapshot.ok_value is None:
                 return snapshot
             contents = snapshot.ok_value
         return self._read_tail(contents)
 
-    def _read_snapshot(self):
+    def _read_snapshot(self, whole):
+        """Read the chunks of a snapshot; Ok(None) if one is gone."""
         head = codec.unpack(SnapshotHead, self._head.value)
+        names = [self._name_chunk(head.seq, n) for n in range(head.chunks)]
+        raw = self._read_chunks(names)
+        if raw.is_err() or raw.ok_value is None:
+            return raw
+        contents = Contents(raw.ok_value, b'', head.seq)
+        if whole and head.aside:
+            names = [self._name_aside(head.seq, n) for n in range(head.aside)]
+            aside = self._read_chunks(names)
+            if aside.is_err() or aside.ok_value is None:
+                return aside
+            contents.aside = aside.ok_value
+        return result.Ok(contents)
+
+    def _read_chunks(self, names):
+        """Return the values of some keys, put together."""
         raw = b''
-        for number in range(head.chunks):
-            chunk = self._kv.read(self._name_chunk(head.seq, number))
+        for name in names:
+            chunk = self._kv.read(name)
             if chunk.is_err() or chunk.ok_value is None:
                 return chunk
             raw += chunk.ok_value.value
-        return result.Ok(Contents(raw, head.seq))
+        return result.Ok(raw)
 
     def _read_tail(self, contents):
         has_snapshot = self._head is not None
--- a/packages/scheduler/portwharf/scheduler/shardlog_test.py
+++ b/packages/scheduler/portwharf/scheduler/shardlog_test.py
@@ -184,3 +184,20 @@
     """Make the store go down just before a read."""
     standin.faults.down = True
     return read(key)
+
+
+def test_what_only_an_owner_needs_is_read_by_owners_alone(case):
+    kv, standin = fixtures.make_store()
+    log = open_log(kv)
+    append_all(log, 2)
+    log.write_snapshot(b'one', b'history of one')
+    append_all(log, 1)
+    log.write_snapshot(b'two', b'h' * (shardlog.SNAPSHOT_CHUNK_BYTES + 1))
+    owner = shardlog.ShardLog(kv, 0).read().ok_value
+    case.assertEqual(owner.snapshot, b'two')
+    case.assertEqual(len(owner.aside), shardlog.SNAPSHOT_CHUNK_BYTES + 1)
+    side = shardlog.ShardLog(kv, 0).read(whole=False).ok_value
+    case.assertEqual((side.snapshot, side.aside), (b'two', b''))
+    # That of the first snapshot is gone with it.
+    chunks = [key for key in standin.list_keys() if '/snapshot/' in key]
+    case.assertEqual(len(chunks), 3)
--- a/packages/scheduler/portwharf/scheduler/state.py
+++ b/packages/scheduler/portwharf/scheduler/state.py
@@ -190,6 +190,22 @@
             return data.JobState.RUNNING
         return data.JobState.QUEUED
 
+    def measure_left(self, job_id):
+        """Return what is left to do of a job, by its estimates.
+
+        :returns: thousandths of a processor times ms; 0 if there is no job
+        """
+        record = self.jobs.get(job_id)
+        if record is None:
+            return 0
+        steps = [self.workloads[name] for name in record.steps]
+        return sum(
+            (step.workload.count - step.succeeded)
+            * step.workload.resources.cpu_milli
+            * step.workload.run_ms
+            for step in steps
+        )
+
     def has_ended(self, record):
         """Tell whether nothing of a workload runs or will run again."""
         if not record.cancelled:
@@ -200,18 +216,44 @@
         return all(task.state in data.ENDED_STATES for task in record.tasks)
 
     def pack(self):
-        """Return the whole state as bytes."""
+        """Return the state as bytes, without the history of decisions.
+
+        Nor with the tasks of jobs that are over: whether they have ended,
+        and how, is in the records of their steps.
+        """
+        over = {name for name in self.jobs if self._is_over(name)}
+        workloads = [
+            dataclasses.replace(record, tasks=[])
+            if record.workload.job in over
+            else record
+            for record in self.workloads.values()
+        ]
         snapshot = Snapshot(
             self.epoch,
             self.owner,
             list(self.members.values()),
-            list(self.workloads.values()),
-            self.history.pack(),
+            workloads,
+            [],
             self.rosters,
             list(self.jobs.values()),
         )
         return codec.pack(snapshot)
 
+    def pack_history(self):
+        """Return the history of decisions as bytes."""
+        return codec.pack(Snapshot(history=self.history.pack()))
+
+    def load_history(self, raw):
+        """Take back what :meth:`pack_history` gave."""
+        self.history.load(codec.unpack(Snapshot, raw).history)
+
+    def _is_over(self, job_id):
+        """Tell whether a job has ended, and nothing of it runs."""
+        if self.find_job_state(job_id) not in data.ENDED_JOB_STATES:
+            return False
+        steps = self.jobs[job_id].steps
+        return all(self.has_ended(self.workloads[name]) for name in steps)
+
     @classmethod
     def unpack(cls, raw):
         """Return the state that :meth:`pack` gave as bytes.
@@ -353,6 +395,13 @@
         self.tasks[task_id] = task
         return task
 
+    def _save(self, event):
+        task = self.tasks[event.task]
+        record = self.find_workload(event.task)
+        task.checkpoint = event.checkpoint
+        if record.workload.gang:
+            record.checkpoint = event.checkpoint
+
     def _evict(self, event):
         task = self.tasks[event.task]
         task.state = data.TaskState.EVICTING
@@ -412,6 +461,7 @@
     events.JobDropped: ShardState._drop_job,
     events.TaskPlaced: ShardState._place,
     events.TaskPrepared: ShardState._prepare,
+    events.TaskSaved: ShardState._save,
     events.TaskEvicting: ShardState._evict,
     events.TaskRequeued: ShardState._requeue,
     events.TaskEnded: ShardState._end,
@@ -429,6 +479,8 @@
         state = ShardState()
         if contents.snapshot:
             state = ShardState.unpack(contents.snapshot)
+        if contents.aside:
+            state.load_history(contents.aside)
         for batch in contents.batches:
             for event in batch:
                 state.apply(event)
--- a/packages/scheduler/portwharf/scheduler/takeover.py
+++ b/packages/scheduler/portwharf/scheduler/takeover.py
@@ -42,7 +42,11 @@
 _ASK_THREADS = 16
 # What a member that is asked is given to answer.
 ASK_SECONDS = 0.5
+# The first wait after a failure is this long at the most, in seconds, and
+# each next one twice as long.
+_BACK_OFF = 0.25
 _MAX_BACK_OFF_SECONDS = 8.0
+_MS = 1000
 
 
 @dataclasses.dataclass(slots=True)
@@ -63,7 +67,7 @@
 
 def read_epoch(kv, shard):
     """Return the epoch of a shard's log: Ok(number), or Err(StoreError)."""
-    contents = shardlog.ShardLog(kv, shard).read()
+    contents = shardlog.ShardLog(kv, shard).read(whole=False)
     return contents.map(lambda found: state.restore_state(found).epoch)
 
 
@@ -177,7 +181,7 @@
         that the time is drawn at random.
         """
         self._failures += 1
-        most = min(_MAX_BACK_OFF_SECONDS, 2.0**self._failures)
+        most = min(_MAX_BACK_OFF_SECONDS, _BACK_OFF * 2.0**self._failures)
         wait = random.uniform(0.5, 1.0) * most
         self._next_try = self._env.clock.read_monotonic() + wait
 
@@ -194,8 +198,10 @@
 
     def _learn(self):
         """Learn epoch and members from the log; a new shard has none."""
+        began = self._env.clock.read_monotonic()
         log = shardlog.ShardLog(self._kv, self._env.shard)
-        contents = log.read()
+        contents = log.read(whole=False)
+        self._note_read(contents, began)
         if contents.is_err():
             self._back_off()
             return
@@ -207,6 +213,20 @@
         self._members = dict(restored.members)
         self._guard.learn_epoch(restored.epoch)
 
+    def _note_read(self, contents, began):
+        """Log that the shard's log was read, or why not."""
+        took = self._env.clock.read_monotonic() - began
+        extra = logs.fields(shard=self._env.shard, took_ms=int(took * _MS))
+        if contents.is_err():
+            text = contents.err_value.text
+            LOG.warning('log not read: %s', text, extra=extra)
+            return
+        found = contents.ok_value
+        extra |= logs.fields(
+            bytes=len(found.snapshot), count=len(found.batches)
+        )
+        LOG.info('log read', extra=extra)
+
     def _found_shard(self):
         """Begin the log of a new shard, if it is our turn.
 
--- a/packages/scheduler/portwharf/scheduler/vmview.py
+++ b/packages/scheduler/portwharf/scheduler/vmview.py
@@ -6,6 +6,7 @@
 import dataclasses
 
 from portwharf.core import data
+from portwharf.scheduler import precedence
 from portwharf.scheduler import presses
 
 # The share of its reservation that a task with a target uses at its peak;
@@ -13,6 +14,19 @@
 SERVING_USE = 0.65
 
 
+@dataclasses.dataclass(slots=True)
+class Filling:
+    """A task that fills a VM, as far as others may take its turn.
+
+    :param weight: what its job counts, as ``precedence.Claim.weigh`` gives
+    :param share: of the VM's processors, at the pace that it works at
+    """
+
+    weight: float = 0.0
+    image: str = ''
+    share: float = 0.0
+
+
 @dataclasses.dataclass(slots=True)
 class VmView:
     """One VM as the owner sees it at the time of a pass.
@@ -26,6 +40,7 @@
     :param reported: its side has told all that it runs to this owner
     :param pairs: a ``presses.Presses``, or None
     :param headrooms: what each serving image can bear, by image
+    :param fillings: list of :class:`Filling`, what presses there already
     :param rack: the rack that it stands in, or ''
     :param life: differs for each start of its worker, or ''
     """
@@ -50,6 +65,7 @@
     reported: bool = True
     pairs: object = None
     headrooms: dict = dataclasses.field(default_factory=dict)
+    fillings: list = dataclasses.field(default_factory=list)
     rack: str = ''
     life: str = ''
 
@@ -62,6 +78,7 @@
             self,
             kinds=collections.Counter(self.kinds),
             headrooms=dict(self.headrooms),
+            fillings=list(self.fillings),
         )
 
     @property
@@ -97,26 +114,49 @@
             return False
         return not workload.label or workload.label in self.labels
 
-    def predict_pace(self, workload):
-        """Return the share, 0 to 1, that a filling task would work at."""
+    def predict_pace(self, workload, weight=precedence.LAST):
+        """Return the share, 0 to 1, that a filling task would work at.
+
+        :param weight: what its job counts; what goes after it there will
+            be paced for its sake
+        """
         pace = 1.0
+        share = self._find_share(workload)
         for serving, room in self.headrooms.items():
-            cost = self._find_cost(serving, workload)
-            if cost > 0:
-                pace = min(pace, max(0.0, room) / cost)
+            press = self.pairs.find_upper(serving, workload.image)
+            if press <= 0:
+                continue
+            rank = precedence.rank(weight, press)
+            room += self._sum_yielding(serving, rank)
+            pace = min(pace, max(0.0, room) / (press * share))
         return pace
 
-    def _find_cost(self, serving, workload):
-        """Return what a task at work takes of a server's headroom."""
-        share = workload.resources.cpu_milli / max(1, self.capacity.cpu_milli)
-        return self.pairs.find_upper(serving, workload.image) * share
-
-    def add_task(self, workload):
+    def _sum_yielding(self, serving, rank):
+        """Return what tasks that go after a rank take of a headroom."""
+        total = 0.0
+        for one in self.fillings:
+            press = self.pairs.find_upper(serving, one.image)
+            if precedence.rank(one.weight, press) > rank:
+                total += press * one.share
+        return total
+
+    def _find_share(self, workload):
+        """Return the share of the processors that a task asks for."""
+        return workload.resources.cpu_milli / max(1, self.capacity.cpu_milli)
+
+    def note_filling(self, workload, weight, pace):
+        """Count a task that fills the VM at a pace, 0 to 1."""
+        share = self._find_share(workload) * pace
+        self.fillings.append(Filling(weight, workload.image, share))
+
+    def add_task(self, workload, weight=precedence.LAST):
         """Count one more task that is placed on the VM."""
         if workload.fills:
-            pace = self.predict_pace(workload)
+            pace = self.predict_pace(workload, weight)
+            share = self._find_share(workload)
             for serving in self.headrooms:
-                cost = self._find_cost(serving, workload)
-                self.headrooms[serving] -= cost * pace
+                press = self.pairs.find_upper(serving, workload.image)
+                self.headrooms[serving] -= press * share * pace
+            self.note_filling(workload, weight, pace)
         self.reserved = self.reserved.add(workload.reserved)
         self.count_fill(workload)
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -22,6 +22,7 @@
 from portwharf.side import leases
 from portwharf.side import paces
 from portwharf.side import reports
+from portwharf.side import saves
 from portwharf.side import sight
 from portwharf import workers
 
@@ -84,6 +85,7 @@
         self._doubts = doubts.Doubts()
         self._paces = paces.PaceKeeper(worker)
         self._pacer = self._paces.pacer
+        self._saves = saves.SaveTeller()
         self._owner_ms = 0
         self._listed_at = 0.0
         self._next_beat = 0.0
@@ -206,6 +208,7 @@
         self._sent = {}
         self._whole = True
         self._pacer.note_owner()
+        self._saves.forget_told()
         self._next_beat = 0.0
         self._next_poll = 0.0
 
@@ -381,7 +384,9 @@
         self._leases.take_listing(self._listing, self._listed_at)
         self._leases.keep()
         self._settle_orders()
-        self._paces.keep(self._listing, self._clock.read_monotonic())
+        now = self._clock.read_monotonic()
+        now_ms = self._clock.read_unix_ms()
+        self._paces.keep(self._listing, now, now_ms)
         self._note_services()
         self._report(self._whole)
 
@@ -471,6 +476,7 @@
                 self._listing.rack,
                 self._listing.life,
                 self._pacer.take_known(),
+                self._saves.list_due(self._listing.attempts, now),
             )
         )
 
--- a/packages/side/portwharf/side/paces.py
+++ b/packages/side/portwharf/side/paces.py
@@ -35,12 +35,13 @@
         self._worker.throttle(message.task, message.attempt, message.percent)
         self.pacer.forget_told(message)
 
-    def keep(self, listing, now):
+    def keep(self, listing, now, now_ms=0):
         """Have what fills give way to what serves, and take it back.
 
         :param listing: a ``workers.Listing``, just read
+        :param now_ms: wall time, for which jobs are late
         """
-        due = self.pacer.plan(listing, now)
+        due = self.pacer.plan(listing, now, now_ms)
         while due:
             pace = due.pop(0)
             paced = self._worker.throttle(
--- a/packages/side/portwharf/side/pacing.py
+++ b/packages/side/portwharf/side/pacing.py
@@ -5,9 +5,9 @@
 A reflex of the side, within a poll of the measurement: what the owner
 would hear a heartbeat later comes too late for a load that swings within
 seconds. By what is known of each pair (``scheduler.presses``) the room that
-each server has under its target is given to filling tasks, the lightest
-first, so that a heavy one gives way before a light one does. A brake on all
-of them makes up for what is not known yet.
+each server has under its target is given to filling tasks, those first that
+end a job for the least of it (``scheduler.precedence``). A brake on all of
+them makes up for what is not known yet.
 """
 
 import collections
@@ -16,6 +16,7 @@
 
 from portwharf.core import data
 from portwharf.peers import messages
+from portwharf.scheduler import precedence
 from portwharf.scheduler import presses
 from portwharf.side import pacelog
 from portwharf.side import traits
@@ -76,6 +77,8 @@
         # where a former side, or an order without an answer, may have set
         # another.
         self._told = {}
+        # How much of each attempt is done, in percent.
+        self._done = {}
         self._brake = 1.0
         # Since when a server has been over its target on end, or None.
         self._over_since = None
@@ -123,10 +126,11 @@
         """Return the ``messages.Headroom`` of each image that serves."""
         return self._headrooms
 
-    def plan(self, listing, now):
+    def plan(self, listing, now, now_ms=0):
         """Return the :class:`Pace` changes that are due.
 
         :param listing: a ``workers.Listing``, just read
+        :param now_ms: wall time, for which jobs are late
         """
         running = [
             a for a in listing.attempts if a.state == data.RunState.RUNNING
@@ -136,6 +140,7 @@
         targeted = [a for a in running if self._traits.find(a).target_ms]
         serving = [a for a in targeted if a.tail_ms > 0]
         fresh = [a for a in targeted if not a.tail_ms]
+        self._done = {(a.task, a.attempt): a.percent for a in filling}
         cores = max(1, listing.capacity.cpu_milli)
         self._observe(serving, filling, cores, now)
         self._pull_brake(serving, bool(filling), now)
@@ -147,7 +152,7 @@
             room = rooms.get(image, presses.FRESH_ROOM)
             rooms[image] = min(presses.FRESH_ROOM, room)
         self._note_headrooms(serving)
-        wanted = self._share_out(filling, rooms, cores)
+        wanted = self._share_out(filling, rooms, cores, now_ms)
         if self._stands_still(now):
             wanted = dict.fromkeys(wanted, 0)
         return self._list_changes(filling, wanted)
@@ -183,7 +188,7 @@
     def list_paced(self):
         """Return the ``messages.PacedTask`` of what works at less."""
         return [
-            messages.PacedTask(*name, percent)
+            messages.PacedTask(*name, percent, self._done.get(name, 0))
             for name, percent in self._told.items()
             if percent is not None and percent < FULL
         ]
@@ -265,14 +270,14 @@
             messages.Headroom(image, room) for image, room in left.items()
         ]
 
-    def _share_out(self, filling, rooms, cores):
-        """Give each filling task its share, the lightest first.
+    def _share_out(self, filling, rooms, cores, now_ms):
+        """Give each filling task its share, by precedence.
 
         :returns: map of (task, attempt) to percent
         """
         left = dict(rooms)
         wanted = {}
-        for one in sorted(filling, key=lambda a: self._weigh(a, rooms)):
+        for one in sorted(filling, key=lambda a: self._rank(a, rooms, now_ms)):
             trait = self._traits.find(one)
             share = 1.0
             for image, room in left.items():
@@ -289,14 +294,15 @@
             wanted[(one.task, one.attempt)] = max(LEAST, percent)
         return wanted
 
-    def _weigh(self, attempt, rooms):
-        """Return what a filling task presses at the most, and its name."""
+    def _rank(self, attempt, rooms, now_ms):
+        """Return a filling task's precedence, and its name."""
         trait = self._traits.find(attempt)
         press = max(
             (self.presses.find(image, trait.image) for image in rooms),
             default=0.0,
         )
-        return (press, attempt.task)
+        weight = trait.claim.weigh(now_ms)
+        return (precedence.rank(weight, press), attempt.task)
 
     def _list_changes(self, filling, wanted):
         live = set(wanted)
--- a/packages/side/portwharf/side/traits.py
+++ b/packages/side/portwharf/side/traits.py
@@ -11,6 +11,7 @@
 import dataclasses
 
 from portwharf.core import recent
+from portwharf.scheduler import precedence
 
 # Tasks that are remembered, unless more run: a start without an answer
 # may show up to 12 s later, and a VM begins fewer than 20 a second.
@@ -23,12 +24,16 @@
 
     :param fill_milli: processors that it asks for if it fills, else 0
     :param attempt: the latest that was told of
+    :param claim: what its job has to go for it
     """
 
     image: str = ''
     fill_milli: int = 0
     target_ms: int = 0
     attempt: int = 0
+    claim: precedence.Claim = dataclasses.field(
+        default_factory=precedence.Claim
+    )
 
 
 _NOTHING_KNOWN = Trait()
@@ -53,6 +58,7 @@
             message.fill_milli,
             message.target_ms,
             message.attempt,
+            precedence.Claim(message.left, message.due_ms, message.late_ms),
         )
         self._known.put(message.task, trait)
         return new
