The shard's log is compressed

What was written before is read as it is; an older version cannot read what this one writes.

Tests: an entry of 30 placements takes less than a quarter; one written before is read; a garbled one is told.

--- a/packages/scheduler/portwharf/scheduler/shardlog.py
+++ b/packages/scheduler/portwharf/scheduler/shardlog.py
@@ -15,6 +15,7 @@
 
 import dataclasses
 import logging
+import zlib
 
 import msgpack
 import result
@@ -33,6 +34,12 @@
 MAX_ENTRY_BYTES = 700_000
 SNAPSHOT_CHUNK_BYTES = 700_000
 _READ_TRIES = 5
+# Events repeat names and reasons: at the fastest level an entry of 2 KB takes a
+# sixth of its bytes, for 0.04 ms. What all sides read at once after a loss of
+# power, 2.4 MB each on 76, took a store's link of 1 Gbit/s over two seconds.
+_LEVEL = 1
+# What compressed bytes begin with; a map of msgpack never does.
+_COMPRESSED = 0x78
 
 
 @dataclasses.dataclass(slots=True)
@@ -154,8 +161,10 @@
         :returns: Ok(None), or Err(StoreError or Deposed)
         """
         seq = self._next - 1
-        chunks = _cut(raw, SNAPSHOT_CHUNK_BYTES)
-        extra = _cut(aside, SNAPSHOT_CHUNK_BYTES) if aside else []
+        chunks = _cut(_compress(raw), SNAPSHOT_CHUNK_BYTES)
+        extra = []
+        if aside:
+            extra = _cut(_compress(aside), SNAPSHOT_CHUNK_BYTES)
         rows = [(self._name_chunk(seq, n), c) for n, c in enumerate(chunks)]
         rows += [(self._name_aside(seq, n), c) for n, c in enumerate(extra)]
         for key, chunk in rows:
@@ -259,7 +268,7 @@
             if chunk.is_err() or chunk.ok_value is None:
                 return chunk
             raw += chunk.ok_value.value
-        return result.Ok(raw)
+        return result.Ok(_decompress(raw))
 
     def _read_tail(self, contents):
         has_snapshot = self._head is not None
@@ -311,14 +320,32 @@
     def make(cls, batch):
         rows = events.write_events(batch)
         value = {'nonce': ids.make_nonce(), 'events': rows}
-        return cls(msgpack.packb(value))
+        return cls(_compress(msgpack.packb(value)))
 
 
 def _read_entry(entry):
-    value = msgpack.unpackb(entry.value, strict_map_key=False)
+    raw = _decompress(entry.value)
+    value = msgpack.unpackb(raw, strict_map_key=False)
     return events.read_events(value['events'])
 
 
+def _compress(raw):
+    return zlib.compress(raw, _LEVEL)
+
+
+def _decompress(raw):
+    """Return bytes as they were written, now or before any were compressed.
+
+    :raises ValueError: they are garbled
+    """
+    if not raw or raw[0] != _COMPRESSED:
+        return raw
+    try:
+        return zlib.decompress(raw)
+    except zlib.error as exc:
+        raise ValueError(f'the log is garbled: {exc}') from exc
+
+
 def _cut(raw, size):
     """Return bytes in pieces, at least one."""
     pieces = [raw[at : at + size] for at in range(0, len(raw), size)]
--- a/packages/scheduler/portwharf/scheduler/shardlog_test.py
+++ b/packages/scheduler/portwharf/scheduler/shardlog_test.py
@@ -2,6 +2,10 @@
 # SPDX-License-Identifier: Apache-2.0
 """The log is kept whole through lost answers, rivals and trimming."""
 
+import random
+
+import msgpack
+
 from portwharf.scheduler import events
 from portwharf.scheduler import shardlog
 from portwharf.testing import fixtures
@@ -192,12 +196,56 @@
     append_all(log, 2)
     log.write_snapshot(b'one', b'history of one')
     append_all(log, 1)
-    log.write_snapshot(b'two', b'h' * (shardlog.SNAPSHOT_CHUNK_BYTES + 1))
+    history = random.Random(1).randbytes(shardlog.SNAPSHOT_CHUNK_BYTES + 1)
+    log.write_snapshot(b'two', history)
     owner = shardlog.ShardLog(kv, 0).read().ok_value
     case.assertEqual(owner.snapshot, b'two')
-    case.assertEqual(len(owner.aside), shardlog.SNAPSHOT_CHUNK_BYTES + 1)
+    case.assertEqual(owner.aside, history)
     side = shardlog.ShardLog(kv, 0).read(whole=False).ok_value
     case.assertEqual((side.snapshot, side.aside), (b'two', b''))
     # That of the first snapshot is gone with it.
     chunks = [key for key in standin.list_keys() if '/snapshot/' in key]
     case.assertEqual(len(chunks), 3)
+
+
+def make_placements(count):
+    """Return the events of a pass that places tasks, as an owner has them."""
+    made = []
+    for number in range(count):
+        task = f'5c0e7a21d94b36f8.0.0.{number}'
+        parts = [events.Part(n, 0.125) for n in ('fill', 'busy', 'paced')]
+        decision = events.Decision(1, 'placed', task, 'vm-1', [], parts)
+        made += [
+            events.TaskPlaced(task, 1, 'vm-1'),
+            events.DecisionMade(decision),
+        ]
+    return made
+
+
+def test_entry_takes_a_quarter_of_its_bytes_or_less(case):
+    kv, standin = fixtures.make_store()
+    log = open_log(kv)
+    placed = make_placements(30)
+    log.append(placed)
+    (entry,) = [
+        kv.read(key).ok_value for key in standin.list_keys() if '/log/' in key
+    ]
+    plain = msgpack.packb(events.write_events(placed))
+    case.assertLess(len(entry.value), len(plain) / 4)
+    (batch,) = shardlog.ShardLog(kv, 0).read().ok_value.batches
+    case.assertEqual(batch, placed)
+
+
+def test_entry_written_before_any_were_compressed_is_read(case):
+    kv, _ = fixtures.make_store()
+    value = {'nonce': 'n', 'events': events.write_events([JOB])}
+    kv.swap('shards/0000/log/000000000000', msgpack.packb(value), 0)
+    (batch,) = shardlog.ShardLog(kv, 0).read().ok_value.batches
+    case.assertEqual(batch, [JOB])
+
+
+def test_garbled_entry_is_told_from_a_lost_one(case):
+    kv, _ = fixtures.make_store()
+    kv.swap('shards/0000/log/000000000000', b'\x78\x01garbled', 0)
+    with case.assertRaises(ValueError):
+        shardlog.ShardLog(kv, 0).read()
