A filling step that asks for no processor does not end its owner

Found in the last read: the pace of a task that fills was divided by what it asks for, and a step may ask for nothing. The deciding thread would have ended, and with it each next owner. Saves that wait for a pass are bounded as well, for long outages of the store.

--- a/packages/scheduler/portwharf/scheduler/members.py
+++ b/packages/scheduler/portwharf/scheduler/members.py
@@ -16,6 +16,10 @@
 from portwharf.peers import messages
 from portwharf.peers import streams
 
+# Saves that wait for a pass, of one VM: in a long outage of the store the
+# oldest go first, which later ones stand in for.
+MAX_SAVED = 1000
+
 
 @dataclasses.dataclass(slots=True)
 class MemberView:
@@ -46,7 +50,7 @@
     rack: str = ''
     life: str = ''
     saved: collections.deque = dataclasses.field(
-        default_factory=collections.deque
+        default_factory=lambda: collections.deque(maxlen=MAX_SAVED)
     )
 
 
--- a/packages/scheduler/portwharf/scheduler/rehoming_test.py
+++ b/packages/scheduler/portwharf/scheduler/rehoming_test.py
@@ -174,3 +174,11 @@
     view.add_task(size, 10.0)
     case.assertEqual(view.predict_pace(size, 20.0), 0.0)
     case.assertEqual(view.predict_pace(size, 5.0), 1.0)
+
+
+def test_task_that_asks_for_no_processor_is_not_paced(case):
+    size = data.Resources(0, 1000)
+    step = data.Workload(resources=size, image='plan', fills=True)
+    view = make_view(headrooms={'desk': 0.0})
+    view.add_task(step, 1.0)
+    case.assertEqual(view.predict_pace(step, 1.0), 1.0)
--- a/packages/scheduler/portwharf/scheduler/vmview.py
+++ b/packages/scheduler/portwharf/scheduler/vmview.py
@@ -124,11 +124,12 @@
         share = self._find_share(workload)
         for serving, room in self.headrooms.items():
             press = self.pairs.find_upper(serving, workload.image)
-            if press <= 0:
+            cost = press * share
+            if cost <= 0:
                 continue
             rank = precedence.rank(weight, press)
             room += self._sum_yielding(serving, rank)
-            pace = min(pace, max(0.0, room) / (press * share))
+            pace = min(pace, max(0.0, room) / cost)
         return pace
 
     def _sum_yielding(self, serving, rank):
