precedence says by what the owner and a side reckon

It claimed that both agree. The owner weighs by what is left now, a side by what was left when the task began. A comment alone; no behaviour changes.

--- a/packages/scheduler/portwharf/scheduler/precedence.py
+++ b/packages/scheduler/portwharf/scheduler/precedence.py
@@ -9,8 +9,9 @@
 goes where the least of it ends a job soonest: by the press of a task times
 what is left to do of its job. What is late yields to what is in time.
 
-Used by the owner, for where a task would work at which pace, and by the
-side, for who is paced; both have to agree.
+Used by the owner, for where a task would work at which pace, by what is left
+now, and by the side, for who is paced, by what was left when the task began:
+of a job that is nearly done a side may pace what the owner would not.
 """
 
 import dataclasses
