An attempt that is gone says why; a side tells a crash of its worker

A crash of the worker, a lapse, a start that nobody knew of and a stop that found nothing looked alike in logs, reports and counters, so that neither an operator nor the owner could count crashes under a task.

Not ruled out by the old logs, which is why this comes first: that crashes were seen and counted, and the count lost.

No decision goes by it.

--- a/packages/core/portwharf/core/logs.py
+++ b/packages/core/portwharf/core/logs.py
@@ -43,6 +43,8 @@
     'target_ms',
     'strangers',
     'bytes',
+    'life',
+    'ran_ms',
 )
 _TEXT_FORMAT = '%(asctime)s %(levelname)s %(name)s: %(message)s'
 _JSON_FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
--- a/packages/peers/portwharf/peers/messages.py
+++ b/packages/peers/portwharf/peers/messages.py
@@ -52,6 +52,10 @@
     memory_mb: int = 0
     # The worker itself would not start it, as told from the side.
     at_worker: bool = False
+    # Of one that its worker crashed under: which crash of that VM's worker,
+    # and how long after its start, in ms; -1 if that is not known.
+    crash: str = ''
+    ran_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/scheduler/portwharf/scheduler/decisionlog.py
+++ b/packages/scheduler/portwharf/scheduler/decisionlog.py
@@ -64,6 +64,8 @@
         vm=vm,
         state=report.state,
         reason=report.reason,
+        life=report.crash or None,
+        ran_ms=report.ran_ms if report.crash else None,
     )
     LOG.info('attempt ended', extra=extra)
 
--- a/packages/side/portwharf/side/doubts.py
+++ b/packages/side/portwharf/side/doubts.py
@@ -58,6 +58,10 @@
         """Have an attempt stopped, as often as it takes."""
         self._stops[(task, attempt)] = (checkpoint, None)
 
+    def list_starts(self):
+        """Return the doubtful starts, as a list of (task, attempt)."""
+        return list(self._starts)
+
     def settle_starts(self, worker, listing):
         """Find out about doubtful starts.
 
--- a/packages/side/portwharf/side/metrics.py
+++ b/packages/side/portwharf/side/metrics.py
@@ -17,3 +17,7 @@
     'portwharf_side_over_target_polls',
     'Polls at which a serving task was over its target.',
 )
+CRASHES = prometheus_client.Counter(
+    'portwharf_side_worker_crashes',
+    'Crashes of the worker that this side has seen.',
+)
--- a/packages/side/portwharf/side/reports.py
+++ b/packages/side/portwharf/side/reports.py
@@ -11,6 +11,7 @@
 # A task's result is in the log: a reference to anything larger.
 MAX_RESULT_BYTES = 64 * 1024
 REASON_RESULT = 'result-is-over-64-KiB'
+REASON_CRASHED = 'the-worker-crashed'
 
 
 def make_attempt(start):
@@ -67,3 +68,22 @@
         cpu_milli=attempt.used_cpu_milli,
         memory_mb=attempt.used_memory_mb,
     )
+
+
+def make_gone(name, reason, checkpoint, crash):
+    """Return what the owner is told of an attempt that is gone.
+
+    :param name: (task, attempt)
+    :param reason: why, unless its worker crashed
+    :param crash: the ``crashes.Crash`` that ended it, or None
+    """
+    task, attempt = name
+    gone = data.RunState.GONE
+    report = messages.TaskReport(
+        task, attempt, gone, checkpoint, reason=reason
+    )
+    if crash is not None:
+        report.reason = REASON_CRASHED
+        report.crash = crash.name
+        report.ran_ms = crash.ran_ms
+    return report
