--- a/packages/testing/portwharf/testing/cluster_fakes.py
+++ b/packages/testing/portwharf/testing/cluster_fakes.py
@@ -23,6 +23,8 @@
 from portwharf import workers
 
 CAPACITY = data.Resources(2000, 2000)
+# How long a worker that has crashed is away, as the platforms' were seen to.
+BACK_SECONDS = 3.3
 _SILENT = result.Err('silent')
 
 
@@ -73,7 +75,14 @@
         self.paces = {}
         # It works on and answers nothing, nor obeys.
         self.silent = False
+        # Tasks that crash it as they begin, and whether their start is
+        # answered before that.
+        self.crashers = set()
+        self.answers_crashers = True
         self._numbers = itertools.count(1)
+        self._lives = itertools.count(1)
+        self._life = f'life-{next(self._lives)}'
+        self._back_at = 0.0
 
     def expire(self):
         """End the attempts whose lease is past."""
@@ -97,11 +106,26 @@
                 self._end(run, data.RunState.GONE)
         self.runs = []
 
+    def crash(self, seconds=BACK_SECONDS):
+        """The worker's process ends, and another begins some time later."""
+        self.lose_all()
+        self._life = f'life-{next(self._lives)}'
+        self._back_at = self.clock.read_monotonic() + seconds
+
+    @property
+    def is_away(self):
+        """Whether it has crashed and has not begun anew."""
+        return self.clock.read_monotonic() < self._back_at
+
     def read_listing(self):
         if self.silent:
             return _SILENT
+        if self.is_away:
+            return result.Ok(workers.Listing(absent=True))
         self.expire()
-        listing = workers.Listing(self._read_ms(), CAPACITY)
+        listing = workers.Listing(
+            self._read_ms(), CAPACITY, life=self._life
+        )
         listing.attempts = [
             dataclasses.replace(
                 run.attempt, tail_ms=self.tails.get(run.attempt.task, 0)
@@ -111,7 +135,7 @@
         return result.Ok(listing)
 
     def start(self, start):
-        if self.silent:
+        if self.silent or self.is_away:
             return _SILENT
         if self.broken:
             return result.Ok('worker-is-broken')
@@ -128,10 +152,13 @@
         )
         self.runs.append(run)
         self.record.append(run)
+        if start.task in self.crashers:
+            self.crash()
+            return result.Ok('') if self.answers_crashers else _SILENT
         return result.Ok('')
 
     def stop(self, task, attempt, checkpoint):
-        if self.silent:
+        if self.silent or self.is_away:
             return _SILENT
         for run in self.runs:
             known = run.attempt
@@ -148,7 +175,7 @@
         return result.Ok(None)
 
     def renew(self, until_ms):
-        if self.silent:
+        if self.silent or self.is_away:
             return _SILENT
         self.expire()
         for run in self.runs:
