--- a/packages/testing/portwharf/testing/cluster_fakes.py
+++ b/packages/testing/portwharf/testing/cluster_fakes.py
@@ -123,9 +123,7 @@
         if self.is_away:
             return result.Ok(workers.Listing(absent=True))
         self.expire()
-        listing = workers.Listing(
-            self._read_ms(), CAPACITY, life=self._life
-        )
+        listing = workers.Listing(self._read_ms(), CAPACITY, life=self._life)
         listing.attempts = [
             dataclasses.replace(
                 run.attempt, tail_ms=self.tails.get(run.attempt.task, 0)
