A task that crashes the workers that start it is given up

Ruled out: that crashes were counted and the count lost with an owner (one owner for the first five starts); that the worker refused or failed it (its attempts ended as gone, not failed).

Change: crashes are counted under tasks, in the log. All that had just begun when a worker crashed is under suspicion, kept apart, and cleared once it has been at work for 3 s. What the crashes have in common is given up: after two if each came right after its start and no other crash lies between, after three beside other crashes, after four in any case. The crashes of one that is given up are taken off the others.

--- a/packages/scheduler/portwharf/scheduler/backlog.py
+++ b/packages/scheduler/portwharf/scheduler/backlog.py
@@ -32,6 +32,7 @@
 
     __slots__ = (
         '_attempts',
+        '_crashes',
         '_placed',
         '_tasks',
         'avoided',
@@ -67,6 +68,7 @@
         self.tickets = {}
         self._tasks = None
         self._attempts = None
+        self._crashes = None
         self._placed = None
 
     @property
@@ -92,6 +94,26 @@
             )
         return self._placed
 
+    @property
+    def unit(self):
+        """What is given up together: the job, or the workload alone."""
+        return self.record.workload.job or self.record.id
+
+    @property
+    def suspected(self):
+        """How many workers have crashed under the next of its tasks."""
+        crashes = self._count_crashes()
+        if not crashes or not self.tasks:
+            return 0
+        if self.record.workload.gang:
+            return max(crashes.values())
+        return crashes.get(self.tasks[0], 0)
+
+    @property
+    def has_suspects(self):
+        """Whether a worker has crashed under any of its tasks."""
+        return bool(self._count_crashes())
+
     @property
     def shuns(self):
         """The VM that the next of its tasks was moved away from, or ''."""
@@ -114,6 +136,16 @@
         """
         return not self.choosy and not self.placed
 
+    def _count_crashes(self):
+        """Return under which waiting tasks how many workers have crashed."""
+        if self._crashes is None:
+            self._crashes = {
+                task.id: len(task.crashes)
+                for task in self.record.tasks
+                if task.crashes and not task.vm
+            }
+        return self._crashes
+
     def _list_tasks(self):
         record = self.record
         limit = record.workload.count
@@ -126,11 +158,14 @@
             if task.state == data.TaskState.WAITING and task.number < limit
         ]
         most = min(limit, record.begun + MAX_PLACEMENTS)
-        unbegun = range(record.begun, most)
-        self._tasks = [task.id for task in waiting]
-        self._tasks += [ids.make_task_id(record.id, n) for n in unbegun]
-        self._attempts = [task.attempt + 1 for task in waiting]
-        self._attempts += [1 for _ in unbegun]
+        rows = [(t.id, t.attempt + 1) for t in waiting if not t.crashes]
+        for number in range(record.begun, most):
+            rows.append((ids.make_task_id(record.id, number), 1))
+        # Suspects may have to wait for a VM to themselves; the others need
+        # not wait for them.
+        rows += [(t.id, t.attempt + 1) for t in waiting if t.crashes]
+        self._tasks = [name for name, _ in rows]
+        self._attempts = [attempt for _, attempt in rows]
 
     def _list_gang(self):
         """List all tasks of a gang, under one number of an attempt.
--- a/packages/scheduler/portwharf/scheduler/choosing.py
+++ b/packages/scheduler/portwharf/scheduler/choosing.py
@@ -17,6 +17,7 @@
 REFUSED_SLOWS = 'would-slow-a-service'
 REFUSED_PROBED = 'quarantined'
 REFUSED_POLICY = 'not-allowed-by-policy-yet'
+REFUSED_SUSPECT = 'beside-a-suspect'
 REASON_NO_ROOM = 'no-worker-has-room-now'
 REASON_NO_WORKERS = 'no-worker-is-known'
 # Below this a filling task rather waits for another VM.
@@ -59,6 +60,7 @@
     spread = scoring.count_spread(demand, views)
     size = demand.record.workload.reserved
     shuns = demand.shuns
+    suspected = demand.suspected
     lonely = demand.record.workload.kind == data.Kind.SERVICE
     for view in views:
         reason = _refuse(size, view) or _refuse_step(demand, view)
@@ -69,10 +71,13 @@
             reason = 'failed-there-lately'
         elif not reason and view.vm.name == shuns:
             reason = 'was-moved-away-from-there'
+        elif not reason and _endangers(demand, suspected, view):
+            reason = REFUSED_SUSPECT
         if reason:
             choice.refusals[reason] += 1
             continue
         parts = scoring.score_vm(demand, view, spread)
+        parts += scoring.score_danger(demand, suspected, view)
         if batch and judge is not None and view.services:
             holds, cost = judge(view.services, view.kinds, kind)
             if not holds:
@@ -92,12 +97,32 @@
     workload = demand.record.workload
     if workload.kind == data.Kind.BATCH:
         view.kinds[backlog.find_kind(workload)] += 1
+    if demand.suspected:
+        view.note_suspect(demand.unit, demand.suspected)
     view.add_task(workload, demand.weight)
     if view.probe:
         view.closed = REFUSED_PROBED
     demand.placed[view.vm.name] += 1
 
 
+def _endangers(demand, suspected, view):
+    """Tell whether a crash there could not be blamed, or would cost much.
+
+    Suspects are kept apart: what two of them have in common says nothing.
+    That holds for the first crash as long as there are other VMs; nothing
+    joins a task under which two workers have crashed, nor it a suspect.
+
+    :param suspected: how many workers crashed under the task
+    """
+    others = [n for unit, n in view.suspects.items() if unit != demand.unit]
+    if not others:
+        return False
+    if suspected > 1 or max(others) > 1:
+        return True
+    serves = demand.record.workload.target_ms > 0
+    return demand.choosy and (suspected > 0 or serves)
+
+
 def _refuse(size, view):
     """Return why a VM cannot take a task of this size, or ''."""
     if view.closed:
--- a/packages/scheduler/portwharf/scheduler/crashloop_test.py
+++ b/packages/scheduler/portwharf/scheduler/crashloop_test.py
@@ -64,3 +64,63 @@
     made.run(30)
     case.assertLessEqual(count_starts(made), MOST_STARTS)
     case.assertEqual(find_state(made), data.JobState.FAILED)
+
+
+def test_start_that_is_never_answered_counts_as_well(case):
+    """The worker is gone before it has answered: four crashes, not two."""
+    made = make_cluster()
+    for node in made.nodes:
+        node.worker.answers_crashers = False
+    submit(made)
+    made.run(30)
+    case.assertLessEqual(count_starts(made), MOST_STARTS)
+    case.assertEqual(find_state(made), data.JobState.FAILED)
+
+
+def test_crashes_are_remembered_over_a_loss_of_all_power(case):
+    made = make_cluster()
+    for node in made.nodes:
+        node.worker.answers_crashers = False
+    submit(made)
+    while count_starts(made) < 2:
+        made.tick(0.1)
+    before = len(made.read_state().tasks[CRASHER].crashes)
+    for node in made.nodes:
+        node.worker.lose_all()
+        made.restart_side(node)
+    made.run(2)
+    made.nodes[1].claim()
+    case.assertGreater(before, 0)
+    made.run(30)
+    case.assertLessEqual(count_starts(made), MOST_STARTS)
+    case.assertEqual(find_state(made), data.JobState.FAILED)
+
+
+def test_lasting_task_that_crashes_its_workers_is_given_up(case):
+    made = make_cluster()
+    submit(made, jobs_test.make_step(2, kind=data.Kind.STANDING))
+    made.run(30)
+    case.assertLessEqual(count_starts(made), MOST_STARTS)
+    case.assertEqual(find_state(made), data.JobState.FAILED)
+
+
+def test_gang_with_a_task_that_crashes_workers_is_given_up(case):
+    made = make_cluster()
+    submit(made, jobs_test.make_step(4, gang=True))
+    made.run(60)
+    case.assertLessEqual(count_starts(made), MOST_STARTS)
+    case.assertEqual(find_state(made), data.JobState.FAILED)
+
+
+def test_task_of_an_operators_own_workload_is_given_up(case):
+    made = cluster.Cluster(5)
+    made.run(3)
+    accepted = made.submit(2, kind=data.Kind.STANDING)
+    made.run(0.5)
+    task = f'{accepted.value.id}.0'
+    for node in made.nodes:
+        node.worker.crashers.add(task)
+        if any(run.attempt.task == task for run in node.worker.runs):
+            node.worker.crash()
+    made.run(30)
+    case.assertEqual(made.read_state().tasks[task].state, 'failed')
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -14,6 +14,7 @@
 from portwharf.core import logs
 from portwharf.peers import messages
 from portwharf.scheduler import batches
+from portwharf.scheduler import crashloop
 from portwharf.scheduler import decisionlog
 from portwharf.scheduler import events
 from portwharf.scheduler import gangs
@@ -48,6 +49,7 @@
         self._grants = grant_table
         self._health = health
         self._members = None
+        self._crashloops = None
         self._next_drop = 0.0
         # What submissions of one pass are checked against, made once.
         self._capacities = None
@@ -67,6 +69,9 @@
     def set_members(self, members):
         """Take the ``membership.Membership``, which is made after this."""
         self._members = members
+        self._crashloops = crashloop.CrashLoops(
+            self._env.clock, self._state, members
+        )
 
     def decide(self, items):
         """Work out events and what is done after them."""
@@ -79,6 +84,7 @@
                 self._learn(item)
             elif item is not None:
                 self._carry_out(item, batch)
+        self._crashloops.judge(batch, self._add, self._note_ended)
         self._note_saved(batch)
         self._catch_up(batch)
         self._change_members(batch)
@@ -112,6 +118,7 @@
             if report.task in self._state.tasks:
                 decisionlog.log_end(name, report)
             reconcile.judge_report(self._state, name, report, verdict)
+            self._crashloops.take_report(report)
         batch.events.extend(verdict.events)
         for event in verdict.events:
             if isinstance(event, events.TaskEnded):
--- a/packages/scheduler/portwharf/scheduler/decisionlog.py
+++ b/packages/scheduler/portwharf/scheduler/decisionlog.py
@@ -82,3 +82,25 @@
     """Log that an attempt is given up with its VM."""
     extra = logs.fields(task=task.id, attempt=task.attempt, vm=vm)
     LOG.warning('lost with its VM', extra=extra)
+
+
+def log_suspect(task):
+    """Log that a worker crashed under a task, for the second time or more."""
+    extra = logs.fields(
+        task=task.id, attempt=task.attempt, count=len(task.crashes)
+    )
+    LOG.warning('under suspicion of crashing its workers', extra=extra)
+
+
+def log_cleared(task):
+    """Log that a suspect has kept at work."""
+    extra = logs.fields(task=task.id, attempt=task.attempt, vm=task.vm)
+    LOG.info('cleared of crashing its workers', extra=extra)
+
+
+def log_given_up(task):
+    """Log that a task is given up, as it crashes its workers."""
+    extra = logs.fields(
+        task=task.id, attempt=task.attempt, count=len(task.crashes)
+    )
+    LOG.warning('given up: crashes its workers', extra=extra)
--- a/packages/scheduler/portwharf/scheduler/events.py
+++ b/packages/scheduler/portwharf/scheduler/events.py
@@ -183,6 +183,9 @@
     :param checkpoint: where the next attempt starts; '' for the last one
         that was known
     :param failed: it ended by a failure, which counts against the task
+    :param crash: which crash of a worker ended it, or ''
+    :param ran_ms: how long after its start that was, in ms; -1 if it is not
+        known
     """
 
     task: str = ''
@@ -190,6 +193,15 @@
     evicted: bool = False
     checkpoint: str = ''
     failed: bool = False
+    crash: str = ''
+    ran_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class TaskCleared:
+    """A task under suspicion has kept at work: it crashes no worker."""
+
+    task: str = ''
 
 
 @dataclasses.dataclass(slots=True)
@@ -197,12 +209,14 @@
     """A task is over.
 
     :param state: one of ``data.ENDED_STATES``
+    :param crasher: it is given up, as it crashes the workers that start it
     """
 
     task: str = ''
     attempt: int = 0
     state: str = ''
     result: bytes = b''
+    crasher: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -235,6 +249,7 @@
     'saved': TaskSaved,
     'evicting': TaskEvicting,
     'requeue': TaskRequeued,
+    'cleared': TaskCleared,
     'end': TaskEnded,
     'roster': RosterChanged,
     'decision': DecisionMade,
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -11,6 +11,7 @@
 from portwharf.scheduler import events
 from portwharf.scheduler import planning
 from portwharf.scheduler import precedence
+from portwharf.scheduler import suspects
 from portwharf.scheduler import vmview
 
 # What a new owner gives its members at the most to report.
@@ -137,6 +138,7 @@
             view.life = link.view.life
             view.take_pairs(self._pairs, link.view.headrooms)
             self._count_fill(link, view, weigher)
+            self._note_suspects(view)
             view.closed = self._find_closed(name, link, now)
             view.probe = self._health.is_probed(name, now)
             views.append(view)
@@ -156,6 +158,15 @@
                 weight = weigher.weigh(record)
                 view.note_filling(record.workload, weight, percent / 100)
 
+    def _note_suspects(self, view):
+        """Add what may crash the worker of a VM."""
+        if not self._state.suspects:
+            return
+        for task in self._state.held[view.vm.name].values():
+            if task.crashes:
+                unit = suspects.find_unit(self._state, task)
+                view.note_suspect(unit, len(task.crashes))
+
     def pick_successor(self, now):
         """Return the name of a member that can take over, or ''."""
         return next(iter(self.list_usable(now)), '')
--- a/packages/scheduler/portwharf/scheduler/metrics.py
+++ b/packages/scheduler/portwharf/scheduler/metrics.py
@@ -11,3 +11,11 @@
 PLACEMENTS = prometheus_client.Counter(
     'portwharf_owner_placements', 'Tasks that were given a VM.'
 )
+GIVEN_UP = prometheus_client.Counter(
+    'portwharf_owner_given_up',
+    'Tasks that were given up, as they crash the workers that start them.',
+)
+SUSPECTS = prometheus_client.Gauge(
+    'portwharf_owner_suspects',
+    'Tasks that workers crashed under, and that are not cleared.',
+)
--- a/packages/scheduler/portwharf/scheduler/placement.py
+++ b/packages/scheduler/portwharf/scheduler/placement.py
@@ -205,6 +205,8 @@
         return None
     if workload.most_per_vm or workload.gang or workload.ticket_ms:
         return None
+    if demand.has_suspects:
+        return None
     size = workload.resources
     return (
         size.cpu_milli,
--- a/packages/scheduler/portwharf/scheduler/planning.py
+++ b/packages/scheduler/portwharf/scheduler/planning.py
@@ -30,6 +30,7 @@
 REASON_LOST = 'vm-lost'
 REASON_LEAVING = 'vm-is-leaving'
 REASON_BROKEN = 'gang-is-broken'
+REASON_CRASHES = 'given-up-as-it-crashes-workers'
 
 
 class Patience:
@@ -114,6 +115,18 @@
     )
 
 
+def explain_crasher(task, now_ms):
+    """Return the decision to give up a task that crashes its workers."""
+    names = ', '.join(one.name for one in task.crashes)
+    return events.Decision(
+        now_ms,
+        REASON_CRASHES,
+        task.id,
+        detail=f'workers crashed as it began: {names}',
+        advice='mend what it runs, then submit it again',
+    )
+
+
 def explain_eviction(task, reason, now_ms):
     """Return the decision to stop an attempt and run the task elsewhere."""
     return events.Decision(
--- a/packages/scheduler/portwharf/scheduler/reconcile.py
+++ b/packages/scheduler/portwharf/scheduler/reconcile.py
@@ -14,6 +14,7 @@
 from portwharf.scheduler import events
 from portwharf.scheduler import gangs
 from portwharf.scheduler import precedence
+from portwharf.scheduler import suspects
 
 # Attempts of a batch task that may fail before the task has failed.
 MAX_FAILURES = 3
@@ -218,8 +219,17 @@
     if failed and batch and _is_last_try(task, record):
         return _end(report, data.TaskState.FAILED)
     evicted = report.state == data.RunState.CHECKPOINTED
+    crash = ''
+    if report.crash:
+        crash = suspects.name_crash(task.vm, report.crash)
     return events.TaskRequeued(
-        report.task, report.attempt, evicted, report.checkpoint, failed
+        report.task,
+        report.attempt,
+        evicted,
+        report.checkpoint,
+        failed,
+        crash,
+        report.ran_ms,
     )
 
 
--- a/packages/scheduler/portwharf/scheduler/rehoming.py
+++ b/packages/scheduler/portwharf/scheduler/rehoming.py
@@ -146,7 +146,7 @@
     best, most = None, 0.0
     for view in views:
         room = view.capacity.cpu_milli - view.busy_milli
-        if view.closed or view.vm.name == one.task.vm:
+        if view.closed or view.suspects or view.vm.name == one.task.vm:
             continue
         if not workload.reserved.fits(view.room):
             continue
--- a/packages/scheduler/portwharf/scheduler/scoring.py
+++ b/packages/scheduler/portwharf/scheduler/scoring.py
@@ -29,6 +29,9 @@
 _SAME_RACK = 0.5
 _SAME_ZONE = 0.25
 _SAME_VM = 4.0
+# What may crash its worker is kept from what serves, and others from it: more
+# than an even fill, less than what it takes to be placed at all.
+_SUSPECT = 2.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -85,6 +88,18 @@
     return parts
 
 
+def score_danger(demand, suspected, view):
+    """Return the addends for what a crash of the worker would cost.
+
+    :param suspected: how many workers crashed under the task
+    """
+    if suspected and view.serving_milli:
+        return [events.Part('suspect', _SUSPECT)]
+    if any(unit != demand.unit for unit in view.suspects):
+        return [events.Part('beside-suspect', _SUSPECT)]
+    return []
+
+
 def _score_server(view, after):
     """Return the addends for what serves: packed on as few VMs as it goes.
 
--- a/packages/scheduler/portwharf/scheduler/state.py
+++ b/packages/scheduler/portwharf/scheduler/state.py
@@ -19,14 +19,22 @@
 from portwharf.scheduler import events
 from portwharf.scheduler import history
 from portwharf.scheduler import jobs
+from portwharf.scheduler import suspects
 
 # Rosters that are kept; an id older than the first of them is not run.
 MAX_ROSTERS = 16
+# Crashes of workers that are remembered, to tell whether a task was under all
+# of them: more than one task can be under before it is given up.
+MAX_CRASHES = 64
 
 
 @dataclasses.dataclass(slots=True)
 class TaskRecord:
-    """One task that has been placed at least once."""
+    """One task that has been placed at least once.
+
+    :param crashes: the workers' crashes under it since it was last at work
+        for long
+    """
 
     id: str = ''
     number: int = 0
@@ -37,6 +45,7 @@
     result: bytes = b''
     evictions: int = 0
     failures: int = 0
+    crashes: list[suspects.CrashSeen] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
@@ -96,6 +105,7 @@
     history: list[bytes] = dataclasses.field(default_factory=list)
     rosters: list[data.Roster] = dataclasses.field(default_factory=list)
     jobs: list[JobRecord] = dataclasses.field(default_factory=list)
+    crashes: list[str] = dataclasses.field(default_factory=list)
 
 
 class ShardState:
@@ -115,6 +125,10 @@
         self.prepared = collections.defaultdict(dict)
         self.history = history.History()
         self.rosters = []
+        # The latest crashes of workers that ended something, in order.
+        self.crashes = []
+        # Tasks that workers crashed under, by id.
+        self.suspects = {}
         self._by_key = {}
 
     def apply(self, event):
@@ -236,6 +250,7 @@
             [],
             self.rosters,
             list(self.jobs.values()),
+            self.crashes,
         )
         return codec.pack(snapshot)
 
@@ -272,12 +287,15 @@
             state._by_key[record.key] = record.id
             for task in record.tasks:
                 state.tasks[task.id] = task
+                if task.crashes:
+                    state.suspects[task.id] = task
                 if task.state in data.HELD_STATES:
                     state._hold(record, task)
                 elif task.state == data.TaskState.PREPARED:
                     state.prepared[task.vm][task.id] = task
         state.history.load(snapshot.history)
         state.rosters = snapshot.rosters
+        state.crashes = snapshot.crashes
         return state
 
     def _hold(self, record, task):
@@ -357,6 +375,7 @@
             del self._by_key[record.key]
         for task in record.tasks:
             del self.tasks[task.id]
+            self.suspects.pop(task.id, None)
 
     def _place(self, event):
         record = self.find_workload(event.task)
@@ -415,6 +434,8 @@
         task.failures += event.failed
         if record.workload.gang:
             self._note_gang(record, event)
+        if event.crash:
+            self._note_crash(task, event)
         over = record.cancelled or task.number >= record.workload.count
         task.state = (
             data.TaskState.CANCELLED if over else data.TaskState.WAITING
@@ -427,11 +448,41 @@
             record.failures += 1
             record.failed_attempt = event.attempt
 
+    def _note_crash(self, task, event):
+        """Count a worker's crash, and whether the task is its suspect."""
+        if event.crash not in self.crashes:
+            self.crashes.append(event.crash)
+            del self.crashes[:-MAX_CRASHES]
+        if not suspects.is_young(event.ran_ms):
+            self._clear(event)
+            return
+        close = suspects.is_close(event.ran_ms)
+        task.crashes.append(suspects.CrashSeen(event.crash, close))
+        self.suspects[task.id] = task
+
+    def _clear(self, event):
+        self.tasks[event.task].crashes = []
+        self.suspects.pop(event.task, None)
+
+    def _acquit_others(self, crasher):
+        """Take the crashes of a task that is given up off all others."""
+        names = {one.name for one in crasher.crashes}
+        self.crashes = [name for name in self.crashes if name not in names]
+        for task in list(self.suspects.values()):
+            if task is crasher:
+                continue
+            task.crashes = [c for c in task.crashes if c.name not in names]
+            if not task.crashes:
+                del self.suspects[task.id]
+
     def _end(self, event):
         task = self.tasks[event.task]
         record = self.find_workload(event.task)
         if task.vm:
             self._release(record, task)
+        if event.crasher:
+            self._acquit_others(task)
+        self.suspects.pop(task.id, None)
         task.state = event.state
         task.result = event.result
         if event.state == data.TaskState.SUCCEEDED:
@@ -464,6 +515,7 @@
     events.TaskSaved: ShardState._save,
     events.TaskEvicting: ShardState._evict,
     events.TaskRequeued: ShardState._requeue,
+    events.TaskCleared: ShardState._clear,
     events.TaskEnded: ShardState._end,
     events.RosterChanged: ShardState._change_roster,
     events.DecisionMade: ShardState._note,
--- a/packages/scheduler/portwharf/scheduler/vmview.py
+++ b/packages/scheduler/portwharf/scheduler/vmview.py
@@ -43,6 +43,8 @@
     :param fillings: list of :class:`Filling`, what presses there already
     :param rack: the rack that it stands in, or ''
     :param life: differs for each start of its worker, or ''
+    :param suspects: under how many crashes tasks were that are not cleared,
+        by job or workload
     """
 
     vm: data.Vm = dataclasses.field(default_factory=data.Vm)
@@ -68,6 +70,7 @@
     fillings: list = dataclasses.field(default_factory=list)
     rack: str = ''
     life: str = ''
+    suspects: dict = dataclasses.field(default_factory=dict)
 
     def __post_init__(self):
         self.rack = self.rack or self.vm.rack
@@ -79,6 +82,7 @@
             kinds=collections.Counter(self.kinds),
             headrooms=dict(self.headrooms),
             fillings=list(self.fillings),
+            suspects=dict(self.suspects),
         )
 
     @property
@@ -108,6 +112,13 @@
         self.pairs = pairs
         self.headrooms = {one.serving: one.room for one in headrooms}
 
+    def note_suspect(self, unit, crashes):
+        """Count a task there that workers have crashed under.
+
+        :param unit: its job, or its workload
+        """
+        self.suspects[unit] = max(crashes, self.suspects.get(unit, 0))
+
     def suits(self, workload):
         """Tell whether pool and label are those that a step asks for."""
         if workload.pool and workload.pool != self.pool:
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -42,6 +42,7 @@
 REFUSED_ATTEMPT = 'older-than-a-known-attempt'
 REFUSED_LEAVING = 'the-worker-is-leaving'
 REFUSED_SILENT = 'the-worker-does-not-answer'
+REFUSED_ABSENT = 'the-worker-is-not-there'
 # Why an attempt is gone, that is, runs no more and has come to nothing.
 GONE_UNLISTED = 'not-listed-any-more'
 GONE_LAPSED = 'the-lease-is-over'
@@ -284,6 +285,8 @@
             return REFUSED_LEAVING
         if self._sight.is_silent(self._clock.read_monotonic()):
             return REFUSED_SILENT
+        if self._listing.absent:
+            return REFUSED_ABSENT
         if message.attempt <= self._burnt.get(message.task, 0):
             return REFUSED_ATTEMPT
         if known is not None and known.attempt > message.attempt:
@@ -403,6 +406,7 @@
         self._listed_at = self._clock.read_monotonic()
         if self._listing.absent or self._listing.life != former.life:
             self._leases.begin_anew()
+        self._tell_room(former)
         self._note_crash(former)
         self._note_vanished(former, GONE_UNLISTED)
         self._leases.take_listing(self._listing, self._listed_at)
@@ -433,6 +437,17 @@
         self._report_gone(self._doubts.give_up_starts(), GONE_LAPSED)
         self._report(self._whole)
 
+    def _tell_room(self, former):
+        """Tell at once what the worker can hold, if that has changed.
+
+        Before the end of what ran there is told: an owner that places that
+        again would take the VM for one with room. 153 starts were refused in
+        4 s for want of this.
+        """
+        if self._listing.capacity != former.capacity:
+            self._next_beat = 0.0
+            self._beat()
+
     def _note_crash(self, former):
         """Note what ran, or may have begun, when the worker crashed."""
         if not self._crashes.look(self._listing):
