Sound jobs are not given up for ordinary crashes; suspects are held and tried

Change: after its second crash a task is held back until it is calm, by the gaps between the last crashes; two crashes are enough only if no other came near them, otherwise it is tried once more away from other suspects, and not on a worker that crashed lately. Four are enough in any case, five where another job was under as many.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
 STAMP := $(VENV)/.installed
 
-.PHONY: help setup run run-jobs test lint format generate faults soak bench bench-requests bench-decisions slopes clean
+.PHONY: help setup run run-jobs test lint format generate faults soak bench bench-requests bench-decisions bench-crashes slopes clean
 
 help:
 	@echo 'make setup     install everything into $(VENV)'
@@ -26,6 +26,7 @@
 	@echo 'make bench     measure state and ownership against their bounds'
 	@echo 'make bench-requests   measure routing and limits'
 	@echo 'make bench-decisions  measure decisions against baselines'
+	@echo 'make bench-crashes  measure how tasks that crash workers are told'
 	@echo 'make slopes    measure what docs/CAPACITY.md is worked out from'
 	@echo 'make clean     remove $(VENV)'
 
@@ -72,6 +73,9 @@
 bench-decisions: setup
 	$(BIN)/python -m portwharf.testing.bench_decisions $(SEEDS)
 
+bench-crashes: setup
+	$(BIN)/python -m portwharf.testing.crash_play $(CRASHES)
+
 bench-requests: setup
 	$(BIN)/python -m portwharf.testing.bench_requests
 
--- a/packages/scheduler/portwharf/scheduler/backlog.py
+++ b/packages/scheduler/portwharf/scheduler/backlog.py
@@ -37,6 +37,7 @@
         '_tasks',
         'avoided',
         'choosy',
+        'held',
         'left',
         'rack',
         'record',
@@ -64,6 +65,8 @@
         self.rack = ''
         # The VM that each of its tasks was moved away from, by task id.
         self.shunned = {}
+        # Tasks that are not to be placed now, by id.
+        self.held = frozenset()
         # Tickets of the policy that governs it, by VM name.
         self.tickets = {}
         self._tasks = None
@@ -155,7 +158,9 @@
         waiting = [
             task
             for task in record.tasks
-            if task.state == data.TaskState.WAITING and task.number < limit
+            if task.state == data.TaskState.WAITING
+            and task.number < limit
+            and task.id not in self.held
         ]
         most = min(limit, record.begun + MAX_PLACEMENTS)
         rows = [(t.id, t.attempt + 1) for t in waiting if not t.crashes]
@@ -170,12 +175,13 @@
     def _list_gang(self):
         """List all tasks of a gang, under one number of an attempt.
 
-        Nothing is listed while a member of the last attempt is somewhere.
+        Nothing is listed while a member of the last attempt is somewhere, or
+        is held back.
         """
         record = self.record
         self._tasks = []
         self._attempts = []
-        if any(task.vm for task in record.tasks):
+        if any(task.vm or task.id in self.held for task in record.tasks):
             return
         count = record.workload.count
         self._tasks = [ids.make_task_id(record.id, n) for n in range(count)]
--- a/packages/scheduler/portwharf/scheduler/choosing.py
+++ b/packages/scheduler/portwharf/scheduler/choosing.py
@@ -13,6 +13,7 @@
 from portwharf.scheduler import backlog
 from portwharf.scheduler import events
 from portwharf.scheduler import scoring
+from portwharf.scheduler import suspects
 
 REFUSED_SLOWS = 'would-slow-a-service'
 REFUSED_PROBED = 'quarantined'
@@ -109,15 +110,16 @@
     """Tell whether a crash there could not be blamed, or would cost much.
 
     Suspects are kept apart: what two of them have in common says nothing.
-    That holds for the first crash as long as there are other VMs; nothing
-    joins a task under which two workers have crashed, nor it a suspect.
+    That holds for the first crash as long as there are other VMs, and so
+    does keeping from a suspect what serves.
 
     :param suspected: how many workers crashed under the task
     """
     others = [n for unit, n in view.suspects.items() if unit != demand.unit]
+    tried = suspected >= suspects.SUSPICIOUS
     if not others:
-        return False
-    if suspected > 1 or max(others) > 1:
+        return tried and view.unsteady and demand.choosy
+    if suspected and max(suspected, *others) >= suspects.SUSPICIOUS:
         return True
     serves = demand.record.workload.target_ms > 0
     return demand.choosy and (suspected > 0 or serves)
--- a/packages/scheduler/portwharf/scheduler/crashloop.py
+++ b/packages/scheduler/portwharf/scheduler/crashloop.py
@@ -5,7 +5,7 @@
 An attempt that goes with its worker is no failure of its task: VMs are lost
 every day. But a task that crashes each worker is begun for ever if nobody
 counts, and takes down all that runs beside it each time. What is counted, and
-how many crashes it takes, is in :mod:`portwharf.scheduler.suspects`.
+how much is enough, is in :mod:`portwharf.scheduler.suspects`.
 """
 
 from portwharf.core import data
@@ -26,19 +26,24 @@
         self._clock = clock
         self._state = state
         self._members = members
+        self._times = suspects.CrashTimes(clock.read_monotonic())
         # When each attempt of a suspect was told to run, by (task, attempt).
         self._since = {}
+        # Attempts that were begun in calm, to see whether they crash again.
+        self._tried = set()
         # Tasks that a worker crashed under, as told in this pass.
         self._crashed = []
 
-    def take_report(self, report):
+    def take_report(self, vm, report):
         """Take a ``messages.TaskReport`` that the state has taken."""
+        now = self._clock.read_monotonic()
+        if report.crash:
+            self._times.note(suspects.name_crash(vm, report.crash), now)
         if report.task not in self._state.suspects:
             return
         if report.crash:
             self._crashed.append(self._state.tasks[report.task])
         elif report.state == data.RunState.RUNNING:
-            now = self._clock.read_monotonic()
             name = (report.task, report.attempt)
             self._since.setdefault(name, now)
 
@@ -54,20 +59,50 @@
         """
         crashed, self._crashed = self._crashed, []
         for task in crashed:
-            if suspects.is_culprit(self._state, task):
+            if len(task.crashes) >= suspects.SUSPICIOUS:
+                decisionlog.log_suspect(task)
+        for task in list(self._state.suspects.values()):
+            if self._judge_task(task) is suspects.Verdict.GIVE_UP:
                 ended = self._give_up(task, batch, add)
                 note_ended(ended, batch)
-            elif len(task.crashes) > 1:
-                decisionlog.log_suspect(task)
         for task in self._find_cleared():
             decisionlog.log_cleared(task)
             add(batch, events.TaskCleared(task.id))
         metrics.SUSPECTS.set(len(self._state.suspects))
 
+    def list_held(self):
+        """Return the ids of tasks that are not to be placed now."""
+        return {
+            task.id
+            for task in self._state.suspects.values()
+            if self._judge_task(task) is suspects.Verdict.WAIT
+        }
+
+    def mark_unsteady(self, views):
+        """Mark the VMs whose workers have crashed lately.
+
+        :param views: list of ``vmview.VmView``
+        """
+        now = self._clock.read_monotonic()
+        unsteady = self._times.list_unsteady(now)
+        for view in views:
+            view.unsteady = view.vm.name in unsteady
+
+    def note_placed(self, task):
+        """Note that a task is begun; as a trial, if it was held back."""
+        if len(task.crashes) >= suspects.SUSPICIOUS:
+            self._tried.add((task.id, task.attempt))
+
+    def _judge_task(self, task):
+        now = self._clock.read_monotonic()
+        tried = (task.id, task.attempt) in self._tried
+        return suspects.judge(self._state, task, self._times, tried, now)
+
     def _give_up(self, task, batch, add):
         """End a task; returns its ``events.TaskEnded``."""
         decisionlog.log_given_up(task)
         metrics.GIVEN_UP.inc()
+        self._times.forget(one.name for one in task.crashes)
         now_ms = self._clock.read_unix_ms()
         decision = planning.explain_crasher(task, now_ms)
         add(batch, events.DecisionMade(decision))
@@ -82,17 +117,19 @@
         What a silent VM runs may have ended long ago.
         """
         now = self._clock.read_monotonic()
-        held = {
+        known = {
             (task.id, task.attempt): task
             for task in self._state.suspects.values()
-            if task.vm
         }
+        self._tried.intersection_update(known)
         self._since = {
-            name: since for name, since in self._since.items() if name in held
+            name: since
+            for name, since in self._since.items()
+            if name in known and known[name].vm
         }
         return [
-            held[name]
+            known[name]
             for name, since in self._since.items()
             if (now - since) * _MS > suspects.YOUNG_MS
-            and not self._members.is_silent(held[name].vm, now)
+            and not self._members.is_silent(known[name].vm, now)
         ]
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -118,7 +118,7 @@
             if report.task in self._state.tasks:
                 decisionlog.log_end(name, report)
             reconcile.judge_report(self._state, name, report, verdict)
-            self._crashloops.take_report(report)
+            self._crashloops.take_report(name, report)
         batch.events.extend(verdict.events)
         for event in verdict.events:
             if isinstance(event, events.TaskEnded):
@@ -358,6 +358,7 @@
         if not self._may_place(now):
             return
         views = self._members.view_vms()
+        self._crashloops.mark_unsteady(views)
         self._resolve_prepared(batch, views, now)
         quotas = self._env.keeper.read().quotas
         demands = self._list_demands(now)
@@ -381,6 +382,7 @@
             self._add(batch, events.DecisionMade(placed.decision))
             self._health.note_placed(placed.vm, now)
             task = self._state.tasks[placed.task]
+            self._crashloops.note_placed(task)
             self.pressure.note_begun((task.id, task.attempt), now)
             command = reconcile.make_start(self._state, task, placed.ticket)
             batch.send(self._members.get_link(placed.vm), command)
@@ -408,8 +410,10 @@
             self._env.clock.read_unix_ms(),
         )
         shunned = self._shunned.find(now)
+        held = self._crashloops.list_held()
         for demand in demands:
             demand.shunned = shunned
+            demand.held = held
         self._patience.apply(demands, now)
         return demands
 
--- a/packages/scheduler/portwharf/scheduler/state.py
+++ b/packages/scheduler/portwharf/scheduler/state.py
@@ -23,9 +23,6 @@
 
 # Rosters that are kept; an id older than the first of them is not run.
 MAX_ROSTERS = 16
-# Crashes of workers that are remembered, to tell whether a task was under all
-# of them: more than one task can be under before it is given up.
-MAX_CRASHES = 64
 
 
 @dataclasses.dataclass(slots=True)
@@ -105,7 +102,6 @@
     history: list[bytes] = dataclasses.field(default_factory=list)
     rosters: list[data.Roster] = dataclasses.field(default_factory=list)
     jobs: list[JobRecord] = dataclasses.field(default_factory=list)
-    crashes: list[str] = dataclasses.field(default_factory=list)
 
 
 class ShardState:
@@ -125,8 +121,6 @@
         self.prepared = collections.defaultdict(dict)
         self.history = history.History()
         self.rosters = []
-        # The latest crashes of workers that ended something, in order.
-        self.crashes = []
         # Tasks that workers crashed under, by id.
         self.suspects = {}
         self._by_key = {}
@@ -250,7 +244,6 @@
             [],
             self.rosters,
             list(self.jobs.values()),
-            self.crashes,
         )
         return codec.pack(snapshot)
 
@@ -295,7 +288,6 @@
                     state.prepared[task.vm][task.id] = task
         state.history.load(snapshot.history)
         state.rosters = snapshot.rosters
-        state.crashes = snapshot.crashes
         return state
 
     def _hold(self, record, task):
@@ -449,10 +441,7 @@
             record.failed_attempt = event.attempt
 
     def _note_crash(self, task, event):
-        """Count a worker's crash, and whether the task is its suspect."""
-        if event.crash not in self.crashes:
-            self.crashes.append(event.crash)
-            del self.crashes[:-MAX_CRASHES]
+        """Count a worker's crash, unless the task was long at work then."""
         if not suspects.is_young(event.ran_ms):
             self._clear(event)
             return
@@ -467,7 +456,6 @@
     def _acquit_others(self, crasher):
         """Take the crashes of a task that is given up off all others."""
         names = {one.name for one in crasher.crashes}
-        self.crashes = [name for name in self.crashes if name not in names]
         for task in list(self.suspects.values()):
             if task is crasher:
                 continue
--- a/packages/scheduler/portwharf/scheduler/vmview.py
+++ b/packages/scheduler/portwharf/scheduler/vmview.py
@@ -45,6 +45,7 @@
     :param life: differs for each start of its worker, or ''
     :param suspects: under how many crashes tasks were that are not cleared,
         by job or workload
+    :param unsteady: its worker has crashed lately
     """
 
     vm: data.Vm = dataclasses.field(default_factory=data.Vm)
@@ -71,6 +72,7 @@
     rack: str = ''
     life: str = ''
     suspects: dict = dataclasses.field(default_factory=dict)
+    unsteady: bool = False
 
     def __post_init__(self):
         self.rack = self.rack or self.vm.rack
