Deadlines count suspensions; rooms that shrink and grow; reads need a confirmed owner

Cause: all deadlines that safety rests on were read on the steady clock, which stands still while a machine is suspended. The clock counts suspensions now; clock_test failed first. An owner that nobody has confirmed lately answers no reads either (failed first: 'ok' where another may own the shard); entries ask again.

A start without an answer takes its room at the side (failed first). A room that has changed is looked at and told at once. 'Can never run' goes by the largest room that a VM has shown.

Operators see both: 'the machine was suspended', 'room ..., was ...'.

--- a/packages/core/portwharf/core/clock.py
+++ b/packages/core/portwharf/core/clock.py
@@ -23,15 +23,38 @@
 
 
 class SystemClock(Clock):
-    """The clock of the machine."""
+    """The clock of the machine.
+
+    What was agreed with others runs out while this machine is suspended, so
+    that its time counts: the steady clock stands still meanwhile, and a
+    process that went by it would wake with grants that it takes for fresh.
+    """
 
     def read_monotonic(self):
-        return time.monotonic()
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def read_unix_ms(self):
         return time.time_ns() // 1_000_000
 
 
+class SuspensionWatch:
+    """Tells for how long the machine was suspended, for the logs."""
+
+    def __init__(self):
+        self._behind = _measure_behind()
+
+    def take_seconds(self):
+        """Return for how long it was suspended since the last call."""
+        before, self._behind = self._behind, _measure_behind()
+        return self._behind - before
+
+
+def _measure_behind():
+    """Return by how many seconds the steady clock is behind."""
+    steady = time.clock_gettime(time.CLOCK_MONOTONIC)
+    return time.clock_gettime(time.CLOCK_BOOTTIME) - steady
+
+
 class ManualClock(Clock):
     """A clock that stands still until it is moved; for tests."""
 
--- /dev/null
+++ b/packages/core/portwharf/core/clock_test.py
@@ -0,0 +1,37 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""What clocks count."""
+
+import time
+from unittest import mock
+
+from portwharf.core import clock
+
+
+def read_after_suspension():
+    """Return by how much our clock moves while only boot time does."""
+    times = {time.CLOCK_MONOTONIC: 50.0, time.CLOCK_BOOTTIME: 60.0}
+    with (
+        mock.patch.object(time, 'monotonic', lambda: 50.0),
+        mock.patch.object(time, 'clock_gettime', times.get),
+    ):
+        before = clock.SystemClock().read_monotonic()
+        times[time.CLOCK_BOOTTIME] = 72.0
+        return clock.SystemClock().read_monotonic() - before
+
+
+def test_time_goes_on_while_the_machine_is_suspended(case):
+    case.assertEqual(read_after_suspension(), 12.0)
+
+
+def test_suspensions_are_measured_once(case):
+    times = {time.CLOCK_MONOTONIC: 50.0, time.CLOCK_BOOTTIME: 60.0}
+    with mock.patch.object(time, 'clock_gettime', times.get):
+        watch = clock.SuspensionWatch()
+        case.assertEqual(watch.take_seconds(), 0.0)
+        times[time.CLOCK_BOOTTIME] = 72.0
+        case.assertEqual(watch.take_seconds(), 12.0)
+        case.assertEqual(watch.take_seconds(), 0.0)
+        times[time.CLOCK_MONOTONIC] = 55.0
+        times[time.CLOCK_BOOTTIME] = 77.0
+        case.assertEqual(watch.take_seconds(), 0.0)
--- a/packages/core/portwharf/core/data.py
+++ b/packages/core/portwharf/core/data.py
@@ -103,6 +103,14 @@
             self.accelerators - other.accelerators,
         )
 
+    def cover(self, other):
+        """Return the larger of this amount and another, on each axis."""
+        return Resources(
+            max(self.cpu_milli, other.cpu_milli),
+            max(self.memory_mb, other.memory_mb),
+            max(self.accelerators, other.accelerators),
+        )
+
     def fits(self, room):
         """Tell whether this amount fits into ``room`` on every axis."""
         return (
--- a/packages/scheduler/portwharf/scheduler/desk.py
+++ b/packages/scheduler/portwharf/scheduler/desk.py
@@ -55,6 +55,9 @@
         :returns: a ``messages.OperationResult``
         """
         method = operation.method
+        if not self._owner.is_confirmed():
+            # Another may own the shard, and know what this one does not.
+            return messages.OperationResult(operation.id, 'not-owner')
         if method in READS:
             arguments = operations.read_arguments(
                 READS[method], operation.body
--- a/packages/scheduler/portwharf/scheduler/members.py
+++ b/packages/scheduler/portwharf/scheduler/members.py
@@ -27,6 +27,7 @@
 
     :param connection: how many connections have ended before this one
     :param heard: the owner's clock at the last heartbeat, or None
+    :param largest: the largest capacity that its worker has shown
     :param saved: ``messages.SavedTask`` that no pass has taken yet
     :param granted: the last grant on this connection was valid
     :param reported: the side has told all that it runs on this connection
@@ -41,6 +42,7 @@
     capacity: data.Resources = dataclasses.field(
         default_factory=data.Resources
     )
+    largest: data.Resources = dataclasses.field(default_factory=data.Resources)
     config_revision: int = 0
     pool: str = ''
     labels: list[str] = dataclasses.field(default_factory=list)
@@ -114,6 +116,7 @@
         view = self.view
         view.heard = self._owner.read_clock()
         view.capacity = beat.capacity
+        view.largest = view.largest.cover(beat.capacity)
         view.draining = beat.draining
         view.pool = beat.pool
         view.labels = beat.labels
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -130,6 +130,7 @@
         views = []
         for name, link in self._links.items():
             view = vmview.VmView(link.view.vm, link.view.capacity)
+            view.largest = link.view.largest
             view.reserved = self._state.reserved[name]
             view.reported = link.view.reported
             view.pool = link.view.pool
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -243,6 +243,13 @@
         """How many entries the log has had."""
         return self._log.next_seq
 
+    def is_confirmed(self):
+        """Tell whether nobody can have followed this owner by now.
+
+        As far as that was asked lately: after a pause it is not known.
+        """
+        return self._grants.may_grant(self.read_clock())
+
     def takes_calls(self):
         """Tell whether changing calls have a chance to be logged now."""
         return not self.deposed.is_set() and not self._is_stalled()
--- a/packages/scheduler/portwharf/scheduler/placement.py
+++ b/packages/scheduler/portwharf/scheduler/placement.py
@@ -99,14 +99,16 @@
 def check_placeable(workload, views):
     """Tell whether any known VM could hold a task of a workload.
 
+    A worker's room may shrink and grow again: what it has shown once counts.
+
     :returns: None, or the data.Problem that the operator should hear
     """
     size = workload.resources
     if not views:
         return None
-    if any(size.fits(view.capacity) for view in views):
+    if any(size.fits(view.largest) for view in views):
         return None
-    if any(view.capacity.cpu_milli == 0 for view in views):
+    if any(view.largest.cpu_milli == 0 for view in views):
         # Not all have told their capacity yet: too early to say never.
         return None
     near = _find_nearest(size, views)
--- a/packages/scheduler/portwharf/scheduler/vmview.py
+++ b/packages/scheduler/portwharf/scheduler/vmview.py
@@ -46,6 +46,7 @@
     :param suspects: under how many crashes tasks were that are not cleared,
         by job or workload
     :param unsteady: its worker has crashed lately
+    :param largest: the largest capacity that its worker has shown
     """
 
     vm: data.Vm = dataclasses.field(default_factory=data.Vm)
@@ -73,9 +74,11 @@
     life: str = ''
     suspects: dict = dataclasses.field(default_factory=dict)
     unsteady: bool = False
+    largest: data.Resources = dataclasses.field(default_factory=data.Resources)
 
     def __post_init__(self):
         self.rack = self.rack or self.vm.rack
+        self.largest = self.largest.cover(self.capacity)
 
     def copy(self):
         """Return a view to try placements on, without a trace here."""
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -272,7 +272,9 @@
             return
         unclear = first.is_err() or answer.ok_value == workers.REFUSED_OLD
         if unclear:
-            self._doubts.doubt_start(start.task, start.attempt)
+            self._doubts.doubt_start(
+                start.task, start.attempt, start.resources
+            )
             return
         sound = answer.ok_value in workers.SOUND_REFUSALS
         self._refuse(message, answer.ok_value, at_worker=not sound)
@@ -311,7 +313,8 @@
         return self._guard.is_granted() and now < self._command_until
 
     def _sum_running(self):
-        used = data.Resources()
+        """Return what runs, or may run, takes of the worker's room."""
+        used = self._doubts.sum_sizes()
         for attempt in self._listing.attempts:
             if attempt.state == data.RunState.RUNNING:
                 used = used.add(attempt.resources)
@@ -444,9 +447,13 @@
         again would take the VM for one with room. 153 starts were refused in
         4 s for want of this.
         """
-        if self._listing.capacity != former.capacity:
-            self._next_beat = 0.0
-            self._beat()
+        room, before = self._listing.capacity, former.capacity
+        if room == before:
+            return
+        if room.cpu_milli and before.cpu_milli:
+            LOG.info('room %s, was %s', _describe(room), _describe(before))
+        self._next_beat = 0.0
+        self._beat()
 
     def _note_crash(self, former):
         """Note what ran, or may have begun, when the worker crashed."""
@@ -539,5 +546,9 @@
             conn.try_send(message)
 
 
+def _describe(room):
+    return f'{room.cpu_milli} milliprocessors, {room.memory_mb} MB'
+
+
 def _name(item):
     return logs.fields(task=item.task, attempt=item.attempt)
--- a/packages/side/portwharf/side/agent_test.py
+++ b/packages/side/portwharf/side/agent_test.py
@@ -510,3 +510,30 @@
     bench.clock.advance(LIMITS.guard + 1.0)
     bench.agent.step()
     case.assertEqual(len(calls), 1)
+
+
+def test_start_without_an_answer_takes_its_room(case):
+    """It may run, or later: what comes next must not go over the room."""
+    bench = Bench()
+    bench.grant()
+    lost = bench.worker.start
+    bench.worker.listing.capacity = SIZE
+    bench.worker.stop = lambda *order: result.Err('silent')
+    bench.worker.start = lambda start: result.Err('silent')
+    bench.step(1)
+    bench.grant()
+    bench.start('w.0')
+    bench.worker.start = lost
+    bench.start('w.1')
+    case.assertEqual(bench.list_refused(), [agent.REFUSED_CAPACITY])
+
+
+def test_changed_room_is_told_at_once(case):
+    bench = Bench()
+    bench.grant()
+    bench.step(1)
+    bench.conn.take(messages.Heartbeat)
+    bench.worker.listing.capacity = SIZE
+    bench.step(0.5)
+    beats = bench.conn.take(messages.Heartbeat)
+    case.assertEqual([beat.capacity for beat in beats], [SIZE])
--- a/packages/side/portwharf/side/doubts.py
+++ b/packages/side/portwharf/side/doubts.py
@@ -29,7 +29,8 @@
     """What the side still has to find out from its worker."""
 
     def __init__(self):
-        # Starts, by (task, attempt); the one asked about last comes last.
+        # What each start takes, by (task, attempt); the one asked about
+        # last comes last.
         self._starts = {}
         # Attempts to be stopped: whether to save them, and when last asked.
         self._stops = {}
@@ -44,9 +45,12 @@
         """Tell whether an attempt, or a later one, began here before."""
         return attempt <= self._begun.get(task, 0)
 
-    def doubt_start(self, task, attempt):
-        """Note that nobody knows whether a start was carried out."""
-        self._starts[(task, attempt)] = None
+    def doubt_start(self, task, attempt, size):
+        """Note that nobody knows whether a start was carried out.
+
+        :param size: the ``data.Resources`` that it takes if it was
+        """
+        self._starts[(task, attempt)] = size
         extra = logs.fields(task=task, attempt=attempt)
         LOG.warning('start without a clear answer', extra=extra)
 
@@ -62,6 +66,13 @@
         """Return the doubtful starts, as a list of (task, attempt)."""
         return list(self._starts)
 
+    def sum_sizes(self):
+        """Return what the doubtful starts take if they were carried out."""
+        used = data.Resources()
+        for size in self._starts.values():
+            used = used.add(size)
+        return used
+
     def settle_starts(self, worker, listing):
         """Find out about doubtful starts.
 
--- a/packages/side/portwharf/side/doubts_test.py
+++ b/packages/side/portwharf/side/doubts_test.py
@@ -36,7 +36,7 @@
 def test_unanswered_stops_of_doubtful_starts_are_few_at_a_time(case):
     made, worker = doubts.Doubts(), DeafWorker()
     for task in TASKS:
-        made.doubt_start(task, 1)
+        made.doubt_start(task, 1, agent_test.SIZE)
     seen = set()
     for _ in TASKS:
         made.settle_starts(worker, workers.Listing())
--- a/packages/testing/portwharf/testing/cluster_fakes.py
+++ b/packages/testing/portwharf/testing/cluster_fakes.py
@@ -25,6 +25,8 @@
 CAPACITY = data.Resources(2000, 2000)
 # How long a worker that has crashed is away, as the platforms' were seen to.
 BACK_SECONDS = 3.3
+# How long a room that has shrunk may still be taken for the larger one.
+ROOM_SECONDS = 3.0
 _SILENT = result.Err('silent')
 
 
@@ -38,9 +40,23 @@
     def __init__(self, true, speed):
         self._true = true
         self._speed = speed
+        self._lost = 0.0
+        self._stopped_at = None
 
     def read_monotonic(self):
-        return self._true.read_monotonic() * self._speed
+        now = self._stopped_at
+        if now is None:
+            now = self._true.read_monotonic()
+        return (now - self._lost) * self._speed
+
+    def stop(self):
+        """Stand still, as a steady clock does while its VM is suspended."""
+        self._stopped_at = self._true.read_monotonic()
+
+    def go_on(self):
+        """Go on from where it stopped."""
+        self._lost += self._true.read_monotonic() - self._stopped_at
+        self._stopped_at = None
 
     def read_unix_ms(self):
         return self._true.read_unix_ms()
@@ -83,6 +99,9 @@
         self._lives = itertools.count(1)
         self._life = f'life-{next(self._lives)}'
         self._back_at = 0.0
+        # What it can hold, which it does not guard, and since when.
+        self.capacity = CAPACITY
+        self._resized_at = 0.0
 
     def expire(self):
         """End the attempts whose lease is past."""
@@ -106,6 +125,21 @@
                 self._end(run, data.RunState.GONE)
         self.runs = []
 
+    def resize(self, cpu_milli):
+        """Have more or fewer processors from now on, and memory alike."""
+        self.capacity = data.Resources(cpu_milli, cpu_milli)
+        self._resized_at = self.clock.read_monotonic()
+
+    def _check_room(self, start):
+        """A start brings no worker over a room that has long been known."""
+        used = start.resources
+        for run in self.runs:
+            if run.running:
+                used = used.add(run.attempt.resources)
+        known = self.clock.read_monotonic() - self._resized_at
+        if known > ROOM_SECONDS and not used.fits(self.capacity):
+            raise Violation(f'{start.task} brings a worker to {used}')
+
     def crash(self, seconds=BACK_SECONDS):
         """The worker's process ends, and another begins some time later."""
         self.lose_all()
@@ -123,7 +157,9 @@
         if self.is_away:
             return result.Ok(workers.Listing(absent=True))
         self.expire()
-        listing = workers.Listing(self._read_ms(), CAPACITY, life=self._life)
+        listing = workers.Listing(
+            self._read_ms(), self.capacity, life=self._life
+        )
         listing.attempts = [
             dataclasses.replace(
                 run.attempt, tail_ms=self.tails.get(run.attempt.task, 0)
@@ -143,6 +179,7 @@
             known = run.attempt
             if (known.task, known.attempt) == (start.task, start.attempt):
                 return result.Ok('')
+        self._check_room(start)
         run = Run(
             reports.make_attempt(start),
             self.clock.read_monotonic(),
--- a/packages/vmlist/portwharf/vmlist/register.py
+++ b/packages/vmlist/portwharf/vmlist/register.py
@@ -16,6 +16,7 @@
 
 import result
 
+from portwharf.core import clock
 from portwharf.core import codec
 from portwharf.core import data
 from portwharf.core import ids
@@ -31,6 +32,8 @@
 # Between two looks; a key that has gone is back within this and a call.
 LOOK_SECONDS = 1.5
 _FIRST_SECONDS = 0.1
+# Suspensions that are logged; clocks are read one after the other.
+NOTABLE_SECONDS = 0.1
 
 
 class Register(base.VmList):
@@ -129,7 +132,12 @@
 
     def _run(self):
         wait = _FIRST_SECONDS
+        suspensions = clock.SuspensionWatch()
         while not self._stop.is_set():
+            seconds = suspensions.take_seconds()
+            if seconds >= NOTABLE_SECONDS:
+                extra = logs.fields(took_ms=int(seconds * 1000))
+                LOG.warning('the machine was suspended', extra=extra)
             wait = LOOK_SECONDS if self.look() else _FIRST_SECONDS
             self._stop.wait(wait)
 
--- a/packages/workers/portwharf/workers/lives.py
+++ b/packages/workers/portwharf/workers/lives.py
@@ -94,7 +94,12 @@
         if _is_late(former, life):
             return False
         self.current = life
-        return (former.draining, former.pool) != (life.draining, life.pool)
+        return _pick_urgent(former) != _pick_urgent(life)
+
+
+def _pick_urgent(life):
+    """Return what a side has to act on at once: where and what may run."""
+    return life.draining, life.pool, life.capacity
 
 
 def _is_late(known, life):
