--- a/packages/testing/portwharf/testing/soak.py
+++ b/packages/testing/portwharf/testing/soak.py
@@ -4,10 +4,11 @@
 
 Processes are killed, paused, stopped and started; relays cut, delay, hold
 back one way or both; open connections go silent for good; the store is
-down, slow, loses answers, leases, keys and its history; runners crash, fall
-silent, carry orders out late, and are heard of after their end. Faults
-come in series and overlap. At the end all is healed, the work has to come to
-its end, and what clients and runners saw is checked.
+down, slow, loses answers, leases, keys and its history; runners crash, by
+themselves and under tasks that crash them, fall silent, shrink and grow,
+carry orders out late, and are heard of after their end. Faults come in series
+and overlap. At the end all is healed, the work has to come to its end, and
+what clients and runners saw is checked.
 """
 
 import argparse
@@ -23,6 +24,7 @@
 
 from portwharf.testing import soak_checks
 from portwharf.testing import soak_clients
+from portwharf.testing import soak_runner
 from portwharf.testing import soak_targets
 from portwharf.testing import soak_world
 
@@ -30,6 +32,7 @@
 CLIENTS = 4
 _BETWEEN_SECONDS = 1.6
 _HUSH_SHARE = 0.15
+_RESIZE_SHARE = 0.25
 _SETTLE_SECONDS = 90.0
 _SEEDS = pathlib.Path(__file__).parent / 'soak_seeds.toml'
 
@@ -45,20 +48,25 @@
 class Soak:
     """One seed: a schedule, the work under it, and what came of it."""
 
-    def __init__(self, world, seed):
-        """Take a started ``soak_world.World`` and a seed."""
+    def __init__(self, world, seed, crashers=True):
+        """Take a started ``soak_world.World`` and a seed.
+
+        :param crashers: tasks crash runners, and rooms shrink, as well;
+            not in seeds that failed before there were any
+        """
         self._world = world
         self._seed = seed
         self._random = random.Random(seed)
         # Drawn apart, so that known seeds keep their schedules.
         self._hushes = random.Random(-1 - seed)
+        self._rooms = random.Random(-2 - seed) if crashers else None
         self._heals = []
         self._busy = set()
         self._lock = threading.Lock()
         self.faults = 0
         self.problems = []
         self.clients = [
-            soak_clients.Client(world, seed * 100 + number)
+            soak_clients.Client(world, seed * 100 + number, crashers)
             for number in range(CLIENTS)
         ]
 
@@ -78,6 +86,7 @@
             self._heal_due(time.monotonic())
             self._do_fault()
             self._hush()
+            self._resize()
         for client in self.clients:
             client.stop()
         self._heal_due(float('inf'))
@@ -185,6 +194,17 @@
         for program in programs:
             program.hush()
 
+    def _resize(self):
+        """Now and then have a runner's room shrink for a while."""
+        if self._rooms is None or self._rooms.random() > _RESIZE_SHARE:
+            return
+        runner = self._rooms.choice(self._world.sides).runner
+        whole = soak_runner.CPU_MILLI
+        runner.cpu_milli = int(whole * self._rooms.uniform(0.1, 0.7))
+        self.faults += 1
+        print(f'  {time.monotonic():.1f} shrink', flush=True)
+        self._heal_later(1.0, 8.0, lambda: setattr(runner, 'cpu_milli', whole))
+
     def _harm_store(self):
         faults = self._world.store.faults
         if faults.down or faults.lost or faults.slow_seconds:
@@ -325,11 +345,11 @@
     return client.show(told)[1] in ('completed', 'failed')
 
 
-def run_seed(seed, seconds, folder, network):
+def run_seed(seed, seconds, folder, network, crashers=True):
     """Run one seed; returns the list of what was broken."""
     print(f'seed {seed}', flush=True)
     with soak_world.World(folder, network) as world:
-        made = Soak(world, seed)
+        made = Soak(world, seed, crashers)
         made.run(seconds)
     for problem in made.problems:
         print(f'  BROKEN {problem}', flush=True)
@@ -354,6 +374,7 @@
     # Leave no programs behind when stopped from outside.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     seeds = list_kept_seeds()
+    crashers = arguments.seed is not None
     if arguments.seed is not None:
         first = arguments.seed
         seeds = list(range(first, first + arguments.count))
@@ -361,9 +382,14 @@
     for seed in seeds:
         with tempfile.TemporaryDirectory(prefix='portwharf-') as folder:
             kept = arguments.keep and f'{arguments.keep}/{seed}'
-            if run_seed(
-                seed, arguments.seconds, kept or folder, arguments.network
-            ):
+            problems = run_seed(
+                seed,
+                arguments.seconds,
+                kept or folder,
+                arguments.network,
+                crashers,
+            )
+            if problems:
                 failed.append(seed)
     print(f'{len(seeds) - len(failed)} seeds passed, failed: {failed}')
     return 1 if failed else 0
--- a/packages/testing/portwharf/testing/soak_checks.py
+++ b/packages/testing/portwharf/testing/soak_checks.py
@@ -14,6 +14,10 @@
 ACK_SECONDS = 1.0
 # How long a cancelled task may run on, in calm, after its acknowledgement.
 CANCEL_SECONDS = 3.0
+# Starts of a task that crashes its runners that users allow; and those whose
+# crash nobody told, as their side was down, cut off or had just begun, too.
+CRASHER_STARTS = 5
+UNTOLD_STARTS = 3
 
 
 def list_checks():
@@ -28,6 +32,7 @@
         check_gangs,
         check_ends,
         check_cancelled,
+        check_crashers,
     )
 
 
@@ -157,7 +162,8 @@
         if not one.accepted or one.cancel_sent:
             continue
         last = one.states[-1] if one.states else 'never shown'
-        wanted = 'failed' if one.hopeless else 'completed'
+        fails = one.hopeless or one.crashes
+        wanted = 'failed' if fails else 'completed'
         if last != wanted:
             found.append(f'{one.id}: {last}, not {wanted}')
     return found
@@ -172,6 +178,20 @@
     ]
 
 
+def check_crashers(told, spans):
+    """A task that crashes its runners is given up in time."""
+    found = []
+    for task, runs in _sort_by_task(spans).items():
+        job, step, number = _split(task)
+        crasher = job in told and told[job].crashes
+        if not crasher or (step, number) != (0, 0):
+            continue
+        if len(runs) > CRASHER_STARTS + UNTOLD_STARTS:
+            rows = describe_runs(runs)
+            found.append(f'{task}: crashes on and on: {rows}')
+    return found
+
+
 def describe_runs(runs):
     """Return a task's runs as text for people."""
     rows = []
--- a/packages/testing/portwharf/testing/soak_checks_test.py
+++ b/packages/testing/portwharf/testing/soak_checks_test.py
@@ -103,3 +103,19 @@
     told = make_told(cancelled=2.0, cancel_sent=True)
     (problem,) = find(told, make_span(ended=None, how=''))
     case.assertIn('runs on', problem)
+
+
+def test_crashes_without_end_are_found(case):
+    told = make_told(crashes=True, states=['failed'])
+    runs = [
+        make_span(f'{JOB}.0.0.0', turn, turn + 0.5, how='crashed', run=turn)
+        for turn in range(1, 10)
+    ]
+    case.assertEqual(find(told, *runs[:5]), [])
+    (problem,) = find(told, *runs)
+    case.assertIn('crashes on and on', problem)
+
+
+def test_crasher_that_is_not_given_up_is_found(case):
+    (problem,) = find(make_told(crashes=True, states=['running']))
+    case.assertIn('not failed', problem)
--- a/packages/testing/portwharf/testing/soak_clients.py
+++ b/packages/testing/portwharf/testing/soak_clients.py
@@ -22,6 +22,9 @@
 _MAX_RETRY_SECONDS = 1.0
 # One job in so many is cancelled, fails for good, lasts, or is a gang.
 _SPECIAL = 12
+# Below this it is one of these; of the others one in so many crashes runners.
+_OTHERWISE_SPECIAL = 4
+_CRASHERS = 10
 _REFUSED = (429, 503)
 
 
@@ -33,6 +36,7 @@
     :param accepted: when its acceptance was heard, or None
     :param cancelled: when its cancelling was heard, or None
     :param cancel_sent: its cancelling was asked for
+    :param crashes: one of its tasks crashes the runners that start it
     :param states: the states that were shown, in order
     """
 
@@ -40,6 +44,7 @@
     spec: str = ''
     steps: list = dataclasses.field(default_factory=list)
     hopeless: bool = False
+    crashes: bool = False
     statuses: list = dataclasses.field(default_factory=list)
     accepted: float = None
     cancelled: float = None
@@ -50,10 +55,16 @@
 class Client(threading.Thread):
     """One client, with a connection to each entry."""
 
-    def __init__(self, world, seed):
+    def __init__(self, world, seed, crashers=False):
+        """Take a ``soak_world.World`` and a seed.
+
+        :param crashers: some of its jobs crash the runners that start them
+        """
         super().__init__(name=f'client-{seed}', daemon=True)
         self._world = world
         self._random = random.Random(seed)
+        # Drawn apart, so that known seeds keep their jobs.
+        self._crashers = random.Random(-1 - seed) if crashers else None
         self._conns = {}
         self._stop_asked = threading.Event()
         self.told = []
@@ -183,6 +194,14 @@
             work['lasts'] = row['longRunning']
             rows.append(row)
             works.append(work)
+        crashes = self._draw_crasher(special)
+        works[0]['crashes'] = crashes
         job_id = f'{rnd.getrandbits(64):016x}'
         spec = json.dumps({'id': job_id, 'steps': works})
-        return Told(job_id, spec, rows, special == 3)
+        return Told(job_id, spec, rows, special == 3, crashes)
+
+    def _draw_crasher(self, special):
+        """Tell whether a job, if nothing else is special, is a crasher."""
+        if self._crashers is None or special < _OTHERWISE_SPECIAL:
+            return False
+        return self._crashers.randrange(_CRASHERS) == 0
--- a/packages/testing/portwharf/testing/soak_runner.py
+++ b/packages/testing/portwharf/testing/soak_runner.py
@@ -28,6 +28,8 @@
 _LATE_BEAT_SECONDS = 1.7
 # An order without an answer is held for longer than a side waits.
 _HELD_SECONDS = 0.6
+# A task that crashes its runner does so this soon after its start.
+_CRASH_SECONDS = 0.02
 
 
 @dataclasses.dataclass(slots=True)
@@ -51,7 +53,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Work:
-    """What a task does, by its job's text."""
+    """What a task does, by its job's text.
+
+    :param crashes: the first task of the step crashes its runner
+    """
 
     ms: int = 0
     cpu: int = 0
@@ -61,6 +66,7 @@
     saves: bool = False
     serves: bool = False
     fills: bool = False
+    crashes: bool = False
 
 
 def read_work(spec, task):
@@ -97,6 +103,8 @@
         self.late_starts = 0
         self._late = []
         self._lapsed = 0.0
+        # What it can hold now.
+        self.cpu_milli = CPU_MILLI
         self._ending = threading.Event()
         self._http = urllib3.PoolManager(retries=False, timeout=1.0)
         super().__init__(f'{name}-0')
@@ -157,8 +165,23 @@
                 )
             )
             self._paces[task] = soak_pressure.FULL
+            if work.crashes and task.endswith('.0'):
+                self._crash_soon(task, run)
         return status, value
 
+    def _crash_soon(self, task, run):
+        """Crash under a run, unless it has ended by then."""
+
+        def crash():
+            with self._lock:
+                runs = self._find_open(task, run) is not None
+            if runs:
+                self.crash()
+
+        timer = threading.Timer(_CRASH_SECONDS, crash)
+        timer.daemon = True
+        timer.start()
+
     def list_fills(self):
         """Return the shares, in percent, that filling tasks work at."""
         with self._lock:
@@ -206,7 +229,7 @@
         used = [_find(span) for span in self._list_open()]
         cpu = sum(one.cpu for one in used) + work.cpu
         memory = sum(one.memory for one in used) + work.memory
-        return cpu <= CPU_MILLI and memory <= MEMORY_MB
+        return cpu <= self.cpu_milli and memory <= MEMORY_MB
 
     def _list_open(self):
         return [span for span in self.record if span.ended is None]
@@ -299,7 +322,11 @@
             'slots': 8,
             'state': 'draining' if self.draining else 'ready',
             'coldLeftMs': 0,
-            'capacity': {'cpu': CPU_MILLI, 'memMb': MEMORY_MB, 'gpu': 0},
+            'capacity': {
+                'cpu': self.cpu_milli,
+                'memMb': MEMORY_MB,
+                'gpu': 0,
+            },
             'labels': ['a', 'r1'],
             'clockMs': self.read_ms(),
             'seq': seq,
