--- a/packages/scheduler/portwharf/scheduler/preparing.py
+++ b/packages/scheduler/portwharf/scheduler/preparing.py
@@ -69,6 +69,9 @@
             workload = demand.record.workload
             if workload.kind != data.Kind.BATCH or workload.job:
                 continue
+            if demand.has_suspects:
+                # It is not to begin while nobody can count its crashes.
+                continue
             rows = zip(demand.tasks, demand.attempts, strict=True)
             for task, attempt in rows:
                 vm = _pick_vm(demand, views, space)
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -18,10 +18,9 @@
 from portwharf.core import logs
 from portwharf.core import recent
 from portwharf.peers import messages
-from portwharf.side import crashes
 from portwharf.side import doubts
 from portwharf.side import leases
-from portwharf.side import metrics
+from portwharf.side import losses
 from portwharf.side import paces
 from portwharf.side import reports
 from portwharf.side import saves
@@ -43,11 +42,6 @@
 REFUSED_LEAVING = 'the-worker-is-leaving'
 REFUSED_SILENT = 'the-worker-does-not-answer'
 REFUSED_ABSENT = 'the-worker-is-not-there'
-# Why an attempt is gone, that is, runs no more and has come to nothing.
-GONE_UNLISTED = 'not-listed-any-more'
-GONE_LAPSED = 'the-lease-is-over'
-GONE_STOPPED = 'stopped-before-it-was-known'
-GONE_UNKNOWN = 'not-known-here'
 
 
 @dataclasses.dataclass(slots=True)
@@ -91,7 +85,7 @@
         self._leases = leases.LeaseKeeper(worker, guard, limits, began)
         self._sight = sight.Sight(worker)
         self._doubts = doubts.Doubts()
-        self._crashes = crashes.CrashWatch()
+        self._losses = losses.LossTeller(clock, self._send)
         self._paces = paces.PaceKeeper(worker)
         self._pacer = self._paces.pacer
         self._saves = saves.SaveTeller()
@@ -239,7 +233,7 @@
         if begun and known is None:
             # It ran in a former life of the worker.
             name = (message.task, message.attempt)
-            self._report_gone([name], GONE_UNLISTED)
+            self._losses.tell_gone([name], losses.GONE_UNLISTED)
             return
         reason = self._check_start(message, known)
         if reason:
@@ -267,8 +261,7 @@
         self._next_poll = 0.0
         if answer.is_ok() and not answer.ok_value:
             self._listing.attempts.append(reports.make_attempt(start))
-            now = self._clock.read_monotonic()
-            self._crashes.note_start((start.task, start.attempt), now)
+            self._losses.note_start(start.task, start.attempt)
             return
         unclear = first.is_err() or answer.ok_value == workers.REFUSED_OLD
         if unclear:
@@ -357,7 +350,7 @@
         if not known:
             self._burn(message)
             name = (message.task, message.attempt)
-            self._report_gone([name], GONE_UNKNOWN)
+            self._losses.tell_gone([name], losses.GONE_UNKNOWN)
             return
         self._doubts.want_stop(
             message.task, message.attempt, message.checkpoint
@@ -366,23 +359,6 @@
         self._doubts.repeat_stops(self._worker, self._listing, now)
         self._next_poll = 0.0
 
-    def _report_gone(self, names, reason, checkpoints=None):
-        """Tell the owner that attempts do not run and never will.
-
-        :param names: list of (task, attempt)
-        :param checkpoints: what each had saved, by name
-        """
-        if not names:
-            return
-        saved = checkpoints or {}
-        gone = [
-            reports.make_gone(
-                name, reason, saved.get(name, ''), self._crashes.find(name)
-            )
-            for name in names
-        ]
-        self._send(messages.Reports(reports=gone))
-
     def _forget(self, refs):
         for ref in refs:
             self._worker.forget(ref.task, ref.attempt)
@@ -410,8 +386,10 @@
         if self._listing.absent or self._listing.life != former.life:
             self._leases.begin_anew()
         self._tell_room(former)
-        self._note_crash(former)
-        self._note_vanished(former, GONE_UNLISTED)
+        self._losses.note_listing(
+            former, self._listing, self._doubts.list_starts()
+        )
+        self._tell_vanished(former, losses.GONE_UNLISTED)
         self._leases.take_listing(self._listing, self._listed_at)
         self._leases.keep()
         self._settle_orders()
@@ -430,14 +408,15 @@
         former = self._listing
         lapsed = self._leases.have_lapsed(now)
         self._listing = sight.make_silent(former, lapsed)
-        self._note_vanished(former, GONE_LAPSED)
+        self._tell_vanished(former, losses.GONE_LAPSED)
         if lapsed:
             self._tell_lapsed()
 
     def _tell_lapsed(self):
         """Tell what is left: nobody waits for a worker that is silent."""
         self._sight.note_lapse()
-        self._report_gone(self._doubts.give_up_starts(), GONE_LAPSED)
+        gone = self._doubts.give_up_starts()
+        self._losses.tell_gone(gone, losses.GONE_LAPSED)
         self._report(self._whole)
 
     def _tell_room(self, former):
@@ -455,35 +434,17 @@
         self._next_beat = 0.0
         self._beat()
 
-    def _note_crash(self, former):
-        """Note what ran, or may have begun, when the worker crashed."""
-        if not self._crashes.look(self._listing):
-            return
-        vanished = sight.list_vanished(former, self._listing)
-        names = [(one.task, one.attempt) for one in vanished]
-        names += self._doubts.list_starts()
-        now = self._clock.read_monotonic()
-        crash = self._crashes.note_crash(former.life, names, now)
-        metrics.CRASHES.inc()
-        extra = logs.fields(life=crash, count=len(names))
-        LOG.warning('the worker crashed', extra=extra)
-
-    def _note_vanished(self, former, reason):
-        """Report what ran and is not listed: the worker began anew."""
-        vanished = sight.list_vanished(former, self._listing)
-        saved = {(one.task, one.attempt): one.checkpoint for one in vanished}
-        for name in saved:
-            extra = logs.fields(task=name[0], attempt=name[1], reason=reason)
-            LOG.warning('attempt is gone', extra=extra)
+    def _tell_vanished(self, former, reason):
+        """Tell of what ran and is not listed, and forget what was sent."""
+        for name in self._losses.tell_vanished(former, self._listing, reason):
             self._sent.pop(name, None)
-        self._report_gone(list(saved), reason, saved)
 
     def _settle_orders(self):
         """Follow up starts and stops that got no clear answer."""
         now = self._clock.read_monotonic()
         self._doubts.repeat_stops(self._worker, self._listing, now)
         gone = self._doubts.settle_starts(self._worker, self._listing)
-        self._report_gone(gone, GONE_STOPPED)
+        self._losses.tell_gone(gone, losses.GONE_STOPPED)
 
     def _note_services(self):
         running = frozenset(
--- a/packages/side/portwharf/side/crashes_test.py
+++ b/packages/side/portwharf/side/crashes_test.py
@@ -10,6 +10,7 @@
 from portwharf.side import agent
 from portwharf.side import agent_test
 from portwharf.side import crashes
+from portwharf.side import losses
 from portwharf.side import reports
 from portwharf import workers
 
@@ -127,7 +128,7 @@
     bench.step(0.5)
     bench.worker.crash()
     bench.step(0.5)
-    told = [('w.0', agent.GONE_UNLISTED, '', 0)]
+    told = [('w.0', losses.GONE_UNLISTED, '', 0)]
     case.assertEqual(list_gone(bench), told)
 
 
@@ -136,7 +137,7 @@
     bench.start()
     bench.worker.listing.attempts = []
     bench.step(0.5)
-    told = [('w.0', agent.GONE_UNLISTED, '', 0)]
+    told = [('w.0', losses.GONE_UNLISTED, '', 0)]
     case.assertEqual(list_gone(bench), told)
 
 
