--- a/packages/testing/portwharf/testing/cluster.py
+++ b/packages/testing/portwharf/testing/cluster.py
@@ -134,6 +134,8 @@
         ]
         self.cuts = set()
         self.calls = []
+        # Tasks that have crashed workers: these may be given up.
+        self.crashers = set()
         # Ended pipes whose last messages may still reach the side.
         self.stale = []
         self._found()
@@ -434,6 +436,8 @@
         allowed = {data.TaskState.SUCCEEDED}
         if cancelled:
             allowed.add(data.TaskState.CANCELLED)
+        if task.id in self.crashers:
+            allowed.add(data.TaskState.FAILED)
         if task.state not in allowed:
             raise cluster_fakes.Violation(f'{task.id} ended as {task.state}')
         right = f'result of {task.id}'.encode()
--- a/packages/testing/portwharf/testing/walk.py
+++ b/packages/testing/portwharf/testing/walk.py
@@ -14,14 +14,22 @@
 from portwharf.testing import cluster_fakes
 
 STEPS = 40
+# In how many of the steps a worker crashes or its room changes besides.
+_MORE_SHARE = 0.25
 _LONG_SECONDS = (0.3, 1.0, 3.0, 8.0, 16.0)
 
 
 class Walk:
     """One walk."""
 
-    def __init__(self, seed, size=0):
+    def __init__(self, seed, size=0, more=False):
+        """Begin a walk.
+
+        :param more: workers crash, also under tasks, shrink and grow; drawn
+            apart, so that known seeds stay as they were
+        """
         self.random = random.Random(seed)
+        self.more = random.Random(-1 - seed) if more else None
         size = size or self.random.choice((3, 4, 5))
         self.cluster = cluster.Cluster(size)
 
@@ -31,6 +39,8 @@
         self.cluster.run(4)
         for _ in range(steps):
             self.act()
+            self.act_more()
+        self.heal_workers()
         self.cluster.settle()
         self.cluster.check_end()
 
@@ -40,6 +50,41 @@
         action(self)
         self.cluster.check()
 
+    def act_more(self):
+        """Now and then do something to a worker."""
+        if self.more is None or self.more.random() > _MORE_SHARE:
+            return
+        node = self.more.choice(self.cluster.nodes)
+        what = self.more.choice(('crash', 'crasher', 'shrink', 'grow'))
+        if what == 'crash':
+            node.worker.crash()
+        elif what == 'crasher':
+            self.crash_by_task()
+        else:
+            least, most = (200, 1500) if what == 'shrink' else (2000, 2000)
+            node.worker.resize(self.more.randint(least, most))
+        self.cluster.check()
+
+    def crash_by_task(self):
+        """Have one of the tasks that run crash its workers from now on."""
+        running = [
+            run.attempt.task
+            for node in self.cluster.nodes
+            for run in node.worker.runs
+            if run.running
+        ]
+        if running:
+            task = self.more.choice(running)
+            self.cluster.crashers.add(task)
+            for node in self.cluster.nodes:
+                node.worker.crashers.add(task)
+
+    def heal_workers(self):
+        """Have all workers hold what they did, and no task crash them."""
+        for node in self.cluster.nodes:
+            node.worker.crashers.clear()
+            node.worker.resize(cluster_fakes.CAPACITY.cpu_milli)
+
     def pick(self):
         """Return a random node."""
         return self.random.choice(self.cluster.nodes)
@@ -189,13 +234,17 @@
 
 
 def main():
-    """Walk for each seed from the first to the second argument."""
+    """Walk for each seed from the first to the second argument.
+
+    A third, ``more``, has workers crash, shrink and grow as well.
+    """
     first, last = int(sys.argv[1]), int(sys.argv[2])
     began = time.monotonic()
     failed = 0
+    more = 'more' in sys.argv[3:]
     for seed in range(first, last):
         try:
-            Walk(seed).run()
+            Walk(seed, more=more).run()
         except cluster_fakes.Violation as exc:
             failed += 1
             print(f'seed {seed}: {exc}', flush=True)
--- /dev/null
+++ b/packages/testing/portwharf/testing/walk_test.py
@@ -0,0 +1,12 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Walks on which workers crash, also under tasks, and shrink and grow."""
+
+from portwharf.testing import walk
+
+
+def test_walks_with_workers_that_crash_and_shrink(case):
+    """No sound task is given up, and no room is overrun."""
+    for seed in (6, 35, 100):
+        with case.subTest(seed=seed):
+            walk.Walk(seed, more=True).run()
