--- a/packages/testing/portwharf/testing/cluster.py
+++ b/packages/testing/portwharf/testing/cluster.py
@@ -9,9 +9,6 @@
 hold. Clocks of the VMs run at slightly different speeds.
 """
 
-import collections
-
-
 from portwharf.core import clock
 from portwharf.core import data
 from portwharf.peers import streams
@@ -27,6 +24,7 @@
 from portwharf.side import agent
 from portwharf.side import server
 from portwharf.side import settings
+from portwharf.testing import cluster_checks
 from portwharf.testing import cluster_fakes
 from portwharf.testing import fixtures
 from portwharf.testing import kv as standins
@@ -361,52 +359,9 @@
 
     def check(self):
         """Check the workers' own record."""
-        self.check_capacity()
-        self.check_places()
-        self.check_checkpoints()
-
-    def check_capacity(self):
-        """No VM holds more than it can."""
-        for node in self.nodes:
-            used = data.Resources()
-            for run in node.worker.runs:
-                if run.running:
-                    used = used.add(run.attempt.resources)
-            if not used.fits(cluster_fakes.CAPACITY):
-                raise cluster_fakes.Violation(f'{node.vm.name} holds {used}')
-
-    def check_places(self):
-        """No exclusive task runs in two places, nor after its end."""
-        seen = {}
-        for node in self.nodes:
-            for run in node.worker.runs:
-                leased = run.running and run.attempt.lease_until_ms
-                if not leased:
-                    continue
-                task = run.attempt.task
-                if task in seen:
-                    where = f'{seen[task]} and {node.vm.name}'
-                    raise cluster_fakes.Violation(f'{task} runs on {where}')
-                seen[task] = node.vm.name
-
-    def check_checkpoints(self):
-        """Each checkpoint is resumed from at most once at a time."""
-        attempts = collections.Counter(
-            (run.attempt.task, run.attempt.attempt)
-            for node in self.nodes
-            for run in node.worker.record
-        )
-        for (task, attempt), count in attempts.items():
-            places = {
-                node.vm.name
-                for node in self.nodes
-                for run in node.worker.record
-                if (run.attempt.task, run.attempt.attempt) == (task, attempt)
-            }
-            if count > 1 and len(places) > 1:
-                raise cluster_fakes.Violation(
-                    f'attempt {attempt} of {task} on {places}'
-                )
+        cluster_checks.check_capacity(self.nodes)
+        cluster_checks.check_places(self.nodes)
+        cluster_checks.check_checkpoints(self.nodes)
 
     def settle(self, seconds=150.0):
         """Heal everything and let all work come to its end."""
@@ -424,27 +379,7 @@
 
     def check_end(self):
         """After settling: nothing lost, nothing invented."""
-        state = self.read_state()
-        cancelled = self.list_cancelled()
-        for job in self.list_accepted():
-            if job not in state.workloads:
-                raise cluster_fakes.Violation(f'accepted job {job} is lost')
-            for task in state.list_tasks(state.workloads[job]):
-                self._check_ending(task, job in cancelled)
-
-    def _check_ending(self, task, cancelled):
-        allowed = {data.TaskState.SUCCEEDED}
-        if cancelled:
-            allowed.add(data.TaskState.CANCELLED)
-        if task.id in self.crashers:
-            allowed.add(data.TaskState.FAILED)
-        if task.state not in allowed:
-            raise cluster_fakes.Violation(f'{task.id} ended as {task.state}')
-        right = f'result of {task.id}'.encode()
-        if task.state == data.TaskState.SUCCEEDED and task.result != right:
-            raise cluster_fakes.Violation(
-                f'{task.id} has the result {task.result}'
-            )
+        cluster_checks.check_end(self)
 
     def _is_done(self):
         return not self._list_unended()
