--- a/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
@@ -25,8 +25,8 @@
 from portwharf.scheduler import state
 from portwharf.scheduler import vmview
 from portwharf.side import agent
-from portwharf.side import agent_test
 from portwharf.side import doubts
+from portwharf.side import losses_test
 from portwharf.side import pacing
 from portwharf.side import pacing_test
 from portwharf.side import traits_test
@@ -121,7 +121,7 @@
 def test_doubtful_starts_called_gone_at_once(case):
     check(
         case,
-        agent_test.test_start_is_not_called_gone_while_its_stop_is_unanswered,
+        losses_test.test_start_is_not_called_gone_while_its_stop_is_unanswered,
         doubts.Doubts,
         'settle_starts',
         lambda self, worker, listing: sorted(self._starts),
@@ -131,7 +131,7 @@
 def test_former_lives_forgotten(case):
     check(
         case,
-        agent_test.test_attempt_of_a_former_life_of_the_worker_is_gone,
+        losses_test.test_attempt_of_a_former_life_of_the_worker_is_gone,
         doubts.Doubts,
         'has_begun',
         lambda self, task, attempt: False,
@@ -141,10 +141,10 @@
 def test_vanished_attempts_kept_quiet(case):
     check(
         case,
-        agent_test.test_absent_worker_runs_nothing,
+        losses_test.test_absent_worker_runs_nothing,
         agent.Agent,
-        '_note_vanished',
-        lambda self, former: None,
+        '_tell_vanished',
+        lambda self, former, reason: None,
     )
 
 
@@ -157,7 +157,7 @@
 
     check(
         case,
-        agent_test.test_leaving_worker_takes_no_starts,
+        losses_test.test_leaving_worker_takes_no_starts,
         agent.Agent,
         '_check_start',
         check_start,
--- a/packages/side/portwharf/side/crashes_test.py
+++ b/packages/side/portwharf/side/crashes_test.py
@@ -8,14 +8,14 @@
 
 from portwharf.peers import messages
 from portwharf.side import agent
-from portwharf.side import agent_test
 from portwharf.side import crashes
 from portwharf.side import losses
 from portwharf.side import reports
+from portwharf.testing import agent_bench
 from portwharf import workers
 
 
-class MortalWorker(agent_test.FakeWorker):
+class MortalWorker(agent_bench.FakeWorker):
     """A worker that can crash and come back as another life."""
 
     def __init__(self, now):
@@ -48,10 +48,10 @@
 
 def make_bench():
     """Return an agent under a grant, with a worker that can crash."""
-    bench = agent_test.Bench()
+    bench = agent_bench.Bench()
     bench.worker = MortalWorker(bench.clock)
     bench.agent = agent.Agent(
-        bench.worker, bench.guard, agent_test.LIMITS, bench.clock, bench._note
+        bench.worker, bench.guard, agent_bench.LIMITS, bench.clock, bench._note
     )
     bench.conn = bench.connect()
     bench.grant()
--- a/packages/side/portwharf/side/doubts_test.py
+++ b/packages/side/portwharf/side/doubts_test.py
@@ -9,8 +9,8 @@
 
 import result
 
-from portwharf.side import agent_test
 from portwharf.side import doubts
+from portwharf.testing import agent_bench
 from portwharf import workers
 
 TASKS = [f'w.{number}' for number in range(8)]
@@ -36,7 +36,7 @@
 def test_unanswered_stops_of_doubtful_starts_are_few_at_a_time(case):
     made, worker = doubts.Doubts(), DeafWorker()
     for task in TASKS:
-        made.doubt_start(task, 1, agent_test.SIZE)
+        made.doubt_start(task, 1, agent_bench.SIZE)
     seen = set()
     for _ in TASKS:
         made.settle_starts(worker, workers.Listing())
@@ -48,11 +48,11 @@
 
 def test_unanswered_stops_are_few_at_a_time_and_none_is_left_out(case):
     made, worker = doubts.Doubts(), DeafWorker()
-    bench = agent_test.Bench()
+    bench = agent_bench.Bench()
     bench.grant()
     listing = bench.worker.listing
     for task in TASKS:
-        start = workers.Start(task, 1, resources=agent_test.SIZE)
+        start = workers.Start(task, 1, resources=agent_bench.SIZE)
         bench.worker.start(start)
         made.want_stop(task, 1, True)
     seen = set()
--- a/packages/side/portwharf/side/paces_test.py
+++ b/packages/side/portwharf/side/paces_test.py
@@ -6,8 +6,8 @@
 
 from portwharf.core import data
 from portwharf.peers import messages
-from portwharf.side import agent_test
 from portwharf.side import paces
+from portwharf.testing import agent_bench
 from portwharf import workers
 
 SIZE = data.Resources(500, 400)
@@ -91,7 +91,7 @@
 
 
 def test_side_beats_at_once_when_it_is_told_what_runs(case):
-    bench = agent_test.Bench()
+    bench = agent_bench.Bench()
     bench.conn.take(messages.Heartbeat)
     held = messages.HeldTask('s.0', 1, program='desk', target_ms=20)
     bench.worker.listing.attempts = [
@@ -104,7 +104,7 @@
 
 
 def test_new_owner_is_told_what_is_known_of_pairs_once(case):
-    bench = agent_test.Bench()
+    bench = agent_bench.Bench()
     press = messages.Press('desk', 'plan', 8.0, 0.5)
     bench.agent.command(bench.conn, messages.PressUpdate([press]))
     bench.step()
--- a/packages/side/portwharf/side/sight_test.py
+++ b/packages/side/portwharf/side/sight_test.py
@@ -15,10 +15,10 @@
 
 from portwharf.core import data
 from portwharf.peers import messages
-from portwharf.side import agent_test
+from portwharf.testing import agent_bench
 from portwharf import workers
 
-LIMITS = agent_test.LIMITS
+LIMITS = agent_bench.LIMITS
 # Every lease that a former life of the side gave has run out after it.
 LAPSED = LIMITS.replace_after_grant + 1.0
 
@@ -37,7 +37,7 @@
         bench.step(0.5)
 
 
-class Restarted(agent_test.Bench):
+class Restarted(agent_bench.Bench):
     """A side that has just started beside a silent worker."""
 
     def connect(self):
@@ -73,7 +73,7 @@
 
 def test_next_owner_hears_what_the_former_one_was_told(case):
     """The news that an attempt is gone may be lost with a connection."""
-    bench = agent_test.Bench()
+    bench = agent_bench.Bench()
     bench.grant()
     bench.start()
     bench.step(0.5)
@@ -94,7 +94,7 @@
     stop = messages.StopTask(3, 'w.0', 1, True)
     bench.agent.command(bench.conn, stop)
     bench.step()
-    case.assertEqual(agent_test.list_gone(bench), [])
+    case.assertEqual(agent_bench.list_gone(bench), [])
 
 
 def test_start_before_the_first_look_is_not_refused(case):
@@ -107,26 +107,26 @@
 
 
 def test_start_that_was_never_answered_is_gone_with_its_lease(case):
-    bench = agent_test.Bench()
+    bench = agent_bench.Bench()
     bench.grant()
     lost = result.Err('lost')
-    agent_test.lose_answers(bench, lost, lost)
+    agent_bench.lose_answers(bench, lost, lost)
     silence(bench)
     bench.start()
     wait(bench, LIMITS.guard + LIMITS.lease - 1.0)
-    case.assertEqual(agent_test.list_gone(bench), [])
+    case.assertEqual(agent_bench.list_gone(bench), [])
     wait(bench, 2.5)
-    case.assertEqual(agent_test.list_gone(bench), [('w.0', 1)])
+    case.assertEqual(agent_bench.list_gone(bench), [('w.0', 1)])
 
 
 def test_start_that_was_never_answered_is_gone_with_its_worker(case):
-    bench = agent_test.Bench()
+    bench = agent_bench.Bench()
     bench.grant()
     lost = result.Err('lost')
-    agent_test.lose_answers(bench, lost, lost)
+    agent_bench.lose_answers(bench, lost, lost)
     silence(bench)
     absent = workers.Listing(absent=True)
     bench.worker.read_listing = lambda: result.Ok(absent)
     bench.start()
     bench.step(0.5)
-    case.assertEqual(agent_test.list_gone(bench), [('w.0', 1)])
+    case.assertEqual(agent_bench.list_gone(bench), [('w.0', 1)])
--- /dev/null
+++ b/packages/testing/portwharf/testing/agent_bench.py
@@ -0,0 +1,155 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""An agent that is stepped by hand, with a worker and an owner."""
+
+import result
+
+from portwharf.core import clock
+from portwharf.core import data
+from portwharf.peers import messages
+from portwharf.scheduler import guard
+from portwharf.scheduler import limits
+from portwharf.side import agent
+from portwharf.side import reports
+from portwharf import workers
+
+LIMITS = limits.Limits(heartbeat=1, guard=6, lease=4)
+SIZE = data.Resources(1000, 1000)
+RUNNING = data.RunState.RUNNING
+
+
+class FakeWorker(workers.Worker):
+    """Notes what it is told; tasks run until they are stopped."""
+
+    def __init__(self, now):
+        self._clock = now
+        self.listing = workers.Listing(0, data.Resources(4000, 4000))
+        self.calls = []
+        self.renewed = 0
+
+    def read_listing(self):
+        now_ms = int(self._clock.read_monotonic() * 1000)
+        listing = workers.Listing(now_ms, self.listing.capacity)
+        listing.attempts = list(self.listing.attempts)
+        return result.Ok(listing)
+
+    def start(self, start):
+        self.calls.append(('start', start.task, start.attempt))
+        self.listing.attempts.append(reports.make_attempt(start))
+        return result.Ok('')
+
+    def stop(self, task, attempt, checkpoint):
+        self.calls.append(('stop', task, attempt))
+        return result.Ok(None)
+
+    def throttle(self, task, attempt, percent):
+        self.calls.append(('throttle', task, percent))
+        return result.Ok(None)
+
+    def renew(self, until_ms):
+        self.renewed = until_ms
+        return result.Ok(None)
+
+    def forget(self, task, attempt):
+        self.calls.append(('forget', task, attempt))
+        self.listing.attempts = [
+            a for a in self.listing.attempts if a.task != task
+        ]
+        return result.Ok(None)
+
+
+class FakeConn:
+    """The owner's end of a connection: keeps what it is sent."""
+
+    def __init__(self):
+        self.sent = []
+
+    def try_send(self, message):
+        """Keep a message."""
+        self.sent.append(message)
+        return True
+
+    def close(self):
+        """There is nothing to close."""
+
+    def take(self, cls):
+        """Return the messages of a class sent since the last time."""
+        found = [m for m in self.sent if isinstance(m, cls)]
+        self.sent = [m for m in self.sent if not isinstance(m, cls)]
+        return found
+
+
+class Bench:
+    """An agent that is stepped by hand, under an owner of epoch 3."""
+
+    def __init__(self):
+        self.clock = clock.ManualClock()
+        self.guard = guard.Guard(self.clock, LIMITS)
+        self.guard.learn_epoch(3)
+        self.worker = FakeWorker(self.clock)
+        self.services = []
+        self.agent = agent.Agent(
+            self.worker, self.guard, LIMITS, self.clock, self._note
+        )
+        self.conn = self.connect()
+
+    def connect(self):
+        """Give the agent a new connection to an owner."""
+        self.guard.accept_owner(3, 'vm-9')
+        conn = FakeConn()
+        self.agent.take_owner(conn)
+        self.step()
+        return conn
+
+    def grant(self):
+        """Give the side a valid grant, as of now."""
+        self.guard.accept_grant(3, self.clock.read_monotonic(), True)
+
+    def step(self, seconds=0.0):
+        """Let time go by, then let the agent do all that is due."""
+        self.clock.advance(seconds)
+        for _ in range(5):
+            self.agent.step()
+
+    def start(self, task='w.0', attempt=1, conn=None, **fields):
+        """Send a start and let the agent carry it out."""
+        message = messages.StartTask(3, task, attempt, resources=SIZE)
+        message.exclusive = True
+        for name, value in fields.items():
+            setattr(message, name, value)
+        self.agent.command(conn or self.conn, message)
+        self.step()
+
+    def list_refused(self):
+        """Return the reasons of the refusals reported since last time."""
+        return [
+            report.reason
+            for message in self.conn.take(messages.Reports)
+            for report in message.reports
+            if report.state == data.RunState.REFUSED
+        ]
+
+    def _note(self):
+        self.services.append(self.agent.services)
+
+
+def lose_answers(bench, *answers):
+    """Have the worker's next starts give these instead of starting."""
+    given = list(answers)
+    really = bench.worker.start
+
+    def start(message):
+        bench.worker.calls.append(('start', message.task, message.attempt))
+        return given.pop(0) if given else really(message)
+
+    bench.worker.start = start
+
+
+def list_gone(bench):
+    """Return the attempts reported as gone since last time."""
+    return [
+        (report.task, report.attempt)
+        for message in bench.conn.take(messages.Reports)
+        for report in message.reports
+        if report.state == data.RunState.GONE
+    ]
