--- a/packages/testing/portwharf/testing/crash_play.py
+++ b/packages/testing/portwharf/testing/crash_play.py
@@ -64,6 +64,7 @@
     :param lost: processor seconds of theirs that were lost
     :param seconds: from a crasher's first start to its being given up
     :param done: sound jobs that were completed
+    :param away: the longest that a sound lasting task was away, in seconds
     """
 
     false: int = 0
@@ -76,13 +77,15 @@
     lost: float = 0.0
     seconds: float = 0.0
     done: int = 0
+    away: float = 0.0
 
     def add(self, other):
         """Add another day's."""
         for field in dataclasses.fields(self):
             name = field.name
             one, two = getattr(self, name), getattr(other, name)
-            setattr(self, name, max(one, two) if name == 'most' else one + two)
+            most = name in ('most', 'away')
+            setattr(self, name, max(one, two) if most else one + two)
 
 
 @dataclasses.dataclass(slots=True)
@@ -123,6 +126,8 @@
         self._answered = kind != 'unanswered'
         self._counts = collections.Counter()
         self._given_up = {}
+        # Since when tasks that a crash has ended are away.
+        self._gone_at = {}
         self._first = {}
         self.tally = Tally()
 
@@ -264,6 +269,7 @@
     def _notice(self, name, life, runs):
         self._known_away[name] = self._back[name]
         for run in runs:
+            self._gone_at.setdefault(run.task, self._now)
             self._report_crash(name, life, run)
         self._judge()
 
@@ -353,6 +359,9 @@
             return
         run.began = self._now
         self._runs[name][run.task] = run
+        gone_at = self._gone_at.pop(run.task, self._now)
+        if record.workload.target_ms and run.task not in self._crashers:
+            self.tally.away = max(self.tally.away, self._now - gone_at)
         running = data.RunState.RUNNING
         self._report(name, messages.TaskReport(run.task, run.attempt, running))
         if run.task in self._crashers:
@@ -410,14 +419,15 @@
         f'{tally.false:5} {tally.caught:4}/{tally.crashers:<4} '
         f'{tally.crashes / max(1, tally.crashers):7.1f} {tally.most:4} '
         f'{tally.killed / days:7.1f} {tally.serving / days:7.2f} '
-        f'{tally.lost / days:7.1f} {seconds:7.2f} {tally.done / days:7.1f}'
+        f'{tally.lost / days:7.1f} {seconds:7.2f} {tally.done / days:7.1f} '
+        f'{tally.away:5.1f}'
     )
 
 
 HEADING = (
     f'{"day":18} {"policy":7} {"days":>5} {"false":>5} {"caught":>9} '
     f'{"crashes":>7} {"most":>4} {"killed":>7} {"serving":>7} '
-    f'{"core-s":>7} {"seconds":>7} {"done":>7}'
+    f'{"core-s":>7} {"seconds":>7} {"done":>7} {"away":>5}'
 )
 
 
