--- a/packages/testing/portwharf/testing/crash_play_test.py
+++ b/packages/testing/portwharf/testing/crash_day_test.py
@@ -10,7 +10,7 @@
 
 from portwharf.scheduler import faults_test
 from portwharf.scheduler import suspects
-from portwharf.testing import crash_play
+from portwharf.testing import crash_day
 
 ONCE_FALSE = (
     ('rack', 20),
@@ -29,20 +29,20 @@
 def test_no_sound_job_is_given_up_for_ordinary_crashes(case):
     for kind, seed in ONCE_FALSE:
         with case.subTest(kind=kind, seed=seed):
-            case.assertEqual(crash_play.Day(seed, kind).play().false, 0)
+            case.assertEqual(crash_day.Day(seed, kind).play().false, 0)
 
 
 def test_crashers_are_given_up_within_what_users_allow(case):
     for kind in ('crasher', 'two-crashers', 'unanswered'):
         with case.subTest(kind=kind):
-            tally = crash_play.Day(1, kind).play()
+            tally = crash_day.Day(1, kind).play()
             case.assertEqual(tally.caught, tally.crashers)
             case.assertLessEqual(tally.most, suspects.MOST)
 
 
 def test_far_less_goes_with_a_crashers_workers_than_without(case):
-    judged = crash_play.Day(1, 'crasher').play()
-    before = crash_play.Day(1, 'crasher', judged=False).play()
+    judged = crash_day.Day(1, 'crasher').play()
+    before = crash_day.Day(1, 'crasher', judged=False).play()
     case.assertLess(judged.killed, before.killed / 2)
 
 
