--- a/packages/scheduler/portwharf/scheduler/crashloop_test.py
+++ b/packages/scheduler/portwharf/scheduler/crashloop_test.py
@@ -2,8 +2,8 @@
 # SPDX-License-Identifier: Apache-2.0
 """A task that crashes each worker that starts it is given up in time.
 
-What users saw: one task was started 189 times in two minutes, and took a
-worker down with each start that reached one. 217 crashes; lasting tasks were
+What users saw: one task had 189 attempts in two minutes, refused ones among
+them, and took a worker down with each that began. 217 crashes of workers; lasting tasks were
 away for most of that time, short jobs came late or never.
 
 Order of events: seven tasks of a step were placed on one VM. The worker
