--- a/packages/scheduler/portwharf/scheduler/crashloop_test.py
+++ b/packages/scheduler/portwharf/scheduler/crashloop_test.py
@@ -3,8 +3,8 @@
 """A task that crashes each worker that starts it is given up in time.
 
 What users saw: one task had 189 attempts in two minutes, refused ones among
-them, and took a worker down with each that began. 217 crashes of workers; lasting tasks were
-away for most of that time, short jobs came late or never.
+them, and took a worker down with each that began. Workers were lost 217 times;
+lasting tasks were away for most of that time, short jobs late or never done.
 
 Order of events: seven tasks of a step were placed on one VM. The worker
 crashed within 10 ms of the first one's start. The side told the owner that
