Sides log when the runner that answers began

Cause: a worker that begins again under the id that it had showed in no line: "the runner is" comes for a new id alone, so that numbers of a former life, answers out of order and a late word of the owner looked alike where an attempt was missing from a listing.

Change: one line for each birth that answers, with the id, the time of birth and the number up to which ends were acknowledged then. No change of logic.

--- a/packages/core/portwharf/core/logs.py
+++ b/packages/core/portwharf/core/logs.py
@@ -45,6 +45,8 @@
     'bytes',
     'life',
     'ran_ms',
+    'born_ms',
+    'acked',
 )
 _TEXT_FORMAT = '%(asctime)s %(levelname)s %(name)s: %(message)s'
 _JSON_FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
--- a/packages/platform/portwharf/platform/runner.py
+++ b/packages/platform/portwharf/platform/runner.py
@@ -19,6 +19,7 @@
 import result
 
 from portwharf.core import data
+from portwharf.core import logs
 from portwharf.core import recent
 from portwharf.platform import http
 from portwharf import workers
@@ -89,6 +90,7 @@
         self._logged = set()
         self._acked = 0
         self._seen = 0
+        self._born_ms = None
         self._until_ms = 0
         # Starts, for what the listing does not tell.
         self._starts = recent.Recent(MAX_SIZES)
@@ -275,9 +277,21 @@
             status = answer.ok_value.status
             return result.Err(http.NoReply(f'HTTP status {status}'))
         held = _Held(life, answer.ok_value.value)
+        self._note_birth(held)
         self._note_ended(held)
         return result.Ok(held)
 
+    def _note_birth(self, held):
+        """Tell when the runner began that answers, if that is news."""
+        born_ms = held.value.get('born')
+        if born_ms == self._born_ms:
+            return
+        extra = logs.fields(
+            life=held.life.instance, born_ms=born_ms, acked=self._acked
+        )
+        LOG.info('an answer of another birth', extra=extra)
+        self._born_ms = born_ms
+
     def _note_ended(self, held):
         """Take what an answer lists as ended."""
         with self._lock:
