--- /dev/null
+++ b/packages/platform/portwharf/platform/lost_ends_test.py
@@ -0,0 +1,66 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""A step whose tasks are done is not begun again and again.
+
+What users saw: a job of two steps stood still until the end of the day, with
+most of the room free. All tasks of its first step had ended as done, as far
+as their workers had been told, and the second step never began.
+
+The order of events: in a wave some thirty of 76 workers crashed and began
+again under their ids, and more waves followed. Each of these had acknowledged
+dozens of ends in its former life. Of the first step's tasks thirty were told
+to be gone just as they ended, up to seven times each; every attempt took
+seconds, and most of what was placed went to such workers again, until their
+numbers had passed those of the former life.
+
+The evidence: "attempt is gone, not listed any more" 90 times for the one
+step, on workers that had not crashed since its start, each as the attempt came
+to its end; attempt 4 of the last task went so at 101.5 s and attempt 5 at
+108.8 s. The cause is that of ``rebirth_test``; what it costs a job is here.
+"""
+
+from portwharf.core import data
+from portwharf.peers import messages
+from portwharf.platform import rebirth_test
+from portwharf.testing import agent_bench
+
+TASK = '5c0e7a21d94b36f8.0.0.9'
+
+
+def open_side(case, ends):
+    """Return a side that has acknowledged so many ends, and its runner."""
+    one = rebirth_test.Runner(case)
+    bench = agent_bench.Bench(one.client)
+    bench.grant()
+    bench.step(1)
+    for number in range(ends):
+        task = f'5c0e7a21d94b36f8.0.0.{number}'
+        run(bench, one, task, 1)
+        ref = messages.TaskRef(task, 1)
+        bench.agent.command(bench.conn, messages.ForgetTasks([ref]))
+        bench.step(1)
+    return bench, one
+
+
+def run(bench, one, task, attempt):
+    """Run an attempt to its end; returns the ends that the owner is told."""
+    bench.grant()
+    bench.start(task, attempt)
+    one.standin.end_run(task)
+    bench.conn.take(messages.Reports)
+    bench.step(1)
+    return [
+        report.state
+        for message in bench.conn.take(messages.Reports)
+        for report in message.reports
+        if report.task == task and report.state != data.RunState.RUNNING
+    ]
+
+
+def test_task_on_a_reborn_runner_is_done_when_it_is_done(case):
+    bench, one = open_side(case, ends=4)
+    one.begin_anew()
+    one.hear()
+    bench.step(1)
+    told = run(bench, one, TASK, 1)
+    case.assertEqual(told, [data.RunState.SUCCEEDED])
--- a/packages/testing/portwharf/testing/agent_bench.py
+++ b/packages/testing/portwharf/testing/agent_bench.py
@@ -82,11 +82,12 @@
 class Bench:
     """An agent that is stepped by hand, under an owner of epoch 3."""
 
-    def __init__(self):
+    def __init__(self, worker=None):
+        """Take the worker; None for a :class:`FakeWorker`."""
         self.clock = clock.ManualClock()
         self.guard = guard.Guard(self.clock, LIMITS)
         self.guard.learn_epoch(3)
-        self.worker = FakeWorker(self.clock)
+        self.worker = worker or FakeWorker(self.clock)
         self.services = []
         self.agent = agent.Agent(
             self.worker, self.guard, LIMITS, self.clock, self._note
