--- a/packages/core/portwharf/core/data.py
+++ b/packages/core/portwharf/core/data.py
@@ -76,6 +76,28 @@
     ENDPOINT = 'endpoint'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LifeId:
+    """Which life of a worker: one start of its process.
+
+    A worker may begin again under the id that it had, holding and knowing
+    nothing of before. Whatever one life counts or knows is its own, so that
+    nothing is kept by ``instance`` alone. Which of two lives is the later
+    one cannot be told from their births: the time of day may jump.
+
+    :param instance: the id that it is addressed by; '' if it is not known
+    :param born_ms: when it began, in Unix ms; 0 if it does not say
+    """
+
+    instance: str = ''
+    born_ms: int = 0
+
+    @property
+    def name(self):
+        """The life in one word, for logs; '' if it is not known."""
+        return f'{self.instance}@{self.born_ms}' if self.instance else ''
+
+
 @dataclasses.dataclass(slots=True)
 class Resources:
     """An amount of what a VM can hold.
--- a/packages/peers/portwharf/peers/messages.py
+++ b/packages/peers/portwharf/peers/messages.py
@@ -165,9 +165,10 @@
     :param leaves_in_ms: of a draining worker, how long it stays at least
     :param observed: what was observed of pairs since the last beat
     :param rack: the rack that the worker stands in, or ''
-    :param life: differs for each start of the worker, or ''
+    :param life: the id of the worker's life, or ''
     :param known: first on a connection, what owners have told of pairs
     :param saved: what running tasks have saved since they were told of
+    :param born_ms: when that life began; an id may come again
     """
 
     side_ms: int = 0
@@ -190,6 +191,7 @@
     life: str = ''
     known: list[Press] = dataclasses.field(default_factory=list)
     saved: list[SavedTask] = dataclasses.field(default_factory=list)
+    born_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/platform/portwharf/platform/advice.py
+++ b/packages/platform/portwharf/platform/advice.py
@@ -27,7 +27,10 @@
         self._client.__exit__(*exc_info)
 
     def ask(self, step, lives):
-        body = {'step': step, 'workers': lives}
+        # A ticket is one life's, and the service knows workers by their
+        # ids alone: no two of one question have the same.
+        by_instance = {life.instance: life for life in lives}
+        body = {'step': step, 'workers': list(by_instance)}
         reply = self._client.call(
             'POST', '/portwharf/advise', CALL_SECONDS, body
         )
@@ -36,4 +39,10 @@
         if reply.ok_value.status != _OK:
             return result.Err(f'HTTP status {reply.ok_value.status}')
         rows = reply.ok_value.value.get('good', [])
-        return result.Ok([policy.Permit(*row) for row in rows])
+        return result.Ok(
+            [
+                policy.Permit(by_instance[instance], ticket)
+                for instance, ticket in rows
+                if instance in by_instance
+            ]
+        )
--- a/packages/platform/portwharf/platform/advice_test.py
+++ b/packages/platform/portwharf/platform/advice_test.py
@@ -4,6 +4,7 @@
 
 import json
 
+from portwharf.core import data
 from portwharf.core import settings
 from portwharf.platform import advice
 from portwharf.scheduler import policy
@@ -31,11 +32,12 @@
 
 def test_allowed_workers_come_with_their_tickets(case):
     service, bodies = open_service(case)
-    permits = service.ask(STEP, ['i-1', 'i-2']).ok_value
-    case.assertEqual(permits, [policy.Permit('i-1', 'ticket-1')])
+    first, second = data.LifeId('i-1', 9), data.LifeId('i-2', 8)
+    permits = service.ask(STEP, [first, second]).ok_value
+    case.assertEqual(permits, [policy.Permit(first, 'ticket-1')])
     case.assertEqual(bodies, [{'step': STEP, 'workers': ['i-1', 'i-2']}])
 
 
 def test_full_service_is_no_answer(case):
     service, _ = open_service(case, status=429)
-    case.assertTrue(service.ask(STEP, ['i-1']).is_err())
+    case.assertTrue(service.ask(STEP, [data.LifeId('i-1')]).is_err())
--- a/packages/platform/portwharf/platform/beats.py
+++ b/packages/platform/portwharf/platform/beats.py
@@ -39,13 +39,24 @@
         return web.answer_json(start_response, 200, {})
 
 
+def read_birth(value):
+    """Return when a runner says that it began; 0 if it does not.
+
+    Everything that it says of itself, and of what it runs, has ``born``.
+    """
+    born_ms = value.get('born', 0)
+    if not isinstance(born_ms, int) or isinstance(born_ms, bool):
+        raise ValueError(f'"born" is {born_ms!r} and not a whole number')
+    return born_ms
+
+
 def read_life(instance, value):
     """Return the ``workers.Life`` of a heartbeat's body."""
     size = value.get('capacity', {})
     # A runner's labels are its kind and its rack, in this order.
     labels = list(value.get('labels', []))
     return workers.Life(
-        instance,
+        data.LifeId(instance, read_birth(value)),
         value['service'],
         value.get('zone', ''),
         data.Resources(
--- a/packages/platform/portwharf/platform/beats_test.py
+++ b/packages/platform/portwharf/platform/beats_test.py
@@ -16,6 +16,7 @@
     'capacity': {'cpu': 16000, 'memMb': 32768, 'gpu': 2},
     'labels': ['a', 'r1-3'],
     'seq': 4,
+    'born': 1790,
 }
 
 
@@ -30,7 +31,8 @@
     path = '/portwharf/instances/i-7/heartbeat'
     case.assertEqual(send(taken, path, BEAT).status, 200)
     (life,) = taken
-    case.assertEqual((life.instance, life.pool), ('i-7', 'pool-1'))
+    case.assertEqual(life.id, data.LifeId('i-7', 1790))
+    case.assertEqual(life.pool, 'pool-1')
     case.assertEqual(life.capacity, data.Resources(16000, 32768, 2))
     case.assertEqual((life.draining, life.leaves_in_ms), (True, 2500))
     case.assertEqual(life.seq, 4)
@@ -44,7 +46,8 @@
 def test_what_is_no_heartbeat_is_refused_with_a_reason(case):
     taken = []
     path = '/portwharf/instances/i-7/heartbeat'
-    for body in ([], {}, {'service': 'x', 'capacity': 3}):
+    odd = {**BEAT, 'born': '1790'}
+    for body in ([], {}, {'service': 'x', 'capacity': 3}, odd):
         answer = send(taken, path, body)
         case.assertEqual(answer.status, 400)
         case.assertIn(b'not a heartbeat', answer.data)
--- a/packages/platform/portwharf/platform/http.py
+++ b/packages/platform/portwharf/platform/http.py
@@ -3,10 +3,12 @@
 """One client for everything of the platform that speaks HTTP and JSON."""
 
 import dataclasses
+import http.client
 import json
 
 import result
 import urllib3
+import urllib3.connection
 
 from portwharf.core import pools
 
@@ -79,10 +81,75 @@
             if isinstance(exc, urllib3.exceptions.TimeoutError):
                 pools.drop_idle(self._pool)
             return result.Err(NoReply(str(exc), sent=True))
+        return _read_reply(response)
+
+
+class Connection:
+    """One connection to an address, which is never renewed by itself.
+
+    Whoever uses it knows that all calls go to one process, for as long as
+    it is open. For one thread.
+    """
+
+    def __init__(self, endpoint):
+        """Take a ``settings.Endpoint``; nothing is opened yet."""
+        self._conn = urllib3.connection.HTTPConnection(
+            endpoint.address, endpoint.port
+        )
+
+    @property
+    def is_open(self):
+        """Whether it was opened, and the other end has not ended it."""
+        return self._conn.is_connected
+
+    def open(self, seconds):
+        """Open it anew.
+
+        :param seconds: how long to wait for that
+        :returns: Ok(None), or Err(NoReply)
+        """
+        self.close()
+        self._conn.timeout = seconds
         try:
-            value = json.loads(response.data) if response.data else {}
-        except ValueError as exc:
-            if response.status == 200:
-                return result.Err(NoReply(f'not JSON: {exc}', sent=True))
-            value = {}
-        return result.Ok(Reply(response.status, value))
+            self._conn.connect()
+        except urllib3.exceptions.NewConnectionError as exc:
+            refused = isinstance(exc.__cause__, ConnectionRefusedError)
+            return result.Err(NoReply(str(exc), refused=refused))
+        except (urllib3.exceptions.HTTPError, OSError) as exc:
+            return result.Err(NoReply(str(exc)))
+        return result.Ok(None)
+
+    def close(self):
+        """Close it; a call that was not answered may still be carried out."""
+        self._conn.close()
+
+    def call(self, method, path, seconds, body, headers):
+        """Make one call; without an answer the connection is closed.
+
+        :returns: Ok(Reply), or Err(NoReply)
+        """
+        raw = json.dumps(body)
+        self._conn.timeout = seconds
+        try:
+            self._conn.sock.settimeout(seconds)
+            self._conn.request(method, path, raw, {**JSON_HEADERS, **headers})
+            response = self._conn.getresponse()
+        except (
+            urllib3.exceptions.HTTPError,
+            http.client.HTTPException,
+            OSError,
+        ) as exc:
+            self.close()
+            return result.Err(NoReply(str(exc), sent=True))
+        return _read_reply(response)
+
+
+def _read_reply(response):
+    """Return an answer of the library's as Ok(Reply), or Err(NoReply)."""
+    try:
+        value = json.loads(response.data) if response.data else {}
+    except ValueError as exc:
+        if response.status == 200:
+            return result.Err(NoReply(f'not JSON: {exc}', sent=True))
+        value = {}
+    return result.Ok(Reply(response.status, value))
--- a/packages/platform/portwharf/platform/lost_ends_test.py
+++ b/packages/platform/portwharf/platform/lost_ends_test.py
@@ -6,17 +6,17 @@
 most of the room free. All tasks of its first step had ended as done, as far
 as their workers had been told, and the second step never began.
 
-The order of events: in a wave some thirty of 76 workers crashed and began
-again under their ids, and more waves followed. Each of these had acknowledged
-dozens of ends in its former life. Of the first step's tasks thirty were told
-to be gone just as they ended, up to seven times each; every attempt took
-seconds, and most of what was placed went to such workers again, until their
-numbers had passed those of the former life.
+The order of events: in a wave 28 of 81 workers crashed and began again within
+half a second, under their ids, some for the third time. Each had acknowledged
+dozens of ends before. The job came at that moment. Thirty tasks of its first
+step were told to be gone just as they ended, up to seven times each, and most
+of what was begun again went to such workers as well, until their numbers had
+passed those of the former life.
 
-The evidence: "attempt is gone, not listed any more" 90 times for the one
-step, on workers that had not crashed since its start, each as the attempt came
-to its end; attempt 4 of the last task went so at 101.5 s and attempt 5 at
-108.8 s. The cause is that of ``rebirth_test``; what it costs a job is here.
+The evidence: "attempt is gone, not listed any more" 90 times for the one step,
+from 3 to 37 s after the last worker had begun; each as the attempt came to its
+end, attempt 4 of the last task at 101.5 s and attempt 5 at 108.8 s. The cause
+is that of ``rebirth_test``; what it costs a job is here.
 """
 
 from portwharf.core import data
--- a/packages/platform/portwharf/platform/rebirth_test.py
+++ b/packages/platform/portwharf/platform/rebirth_test.py
@@ -22,13 +22,12 @@
 by the id of a life alone, which is not its own.
 """
 
+import threading
+
 from portwharf.core import data
-from portwharf.core import settings
 from portwharf.platform import beats
 from portwharf.platform import runner
-from portwharf.testing import fixtures
 from portwharf.testing import platform_runner
-from portwharf.testing import relay
 from portwharf import workers
 
 FIRST = '5c0e7a21d94b36f8.0.0.1'
@@ -41,19 +40,11 @@
     """A runner whose connections break as it crashes, and its side."""
 
     def __init__(self, case):
-        self.standin = platform_runner.RunnerStandIn()
-        port = fixtures.serve(case, self.standin, threads=6)
-        self._relay = relay.Relay('127.0.0.1', 0, port)
-        case.enterContext(self._relay)
-        self.place = settings.Endpoint('127.0.0.1', self._relay.port)
-        self.client = self.open()
+        self.standin, place = platform_runner.serve_runner(case)
+        self.client = runner.RunnerWorker(place, lambda: 7, MAX_HOLD_MS)
         self.hear()
         self.look()
 
-    def open(self):
-        """Return a side's client of the runner."""
-        return runner.RunnerWorker(self.place, lambda: 7, MAX_HOLD_MS)
-
     def hear(self, **fields):
         """Have the side hear the runner's next heartbeat."""
         self.hear_late(self.standin.make_beat(**fields))
@@ -87,10 +78,9 @@
         self.client.forget(task, 1)
         self.look()
 
-    def begin_anew(self, instance='i-1'):
-        """Crash, and begin again at the same address."""
-        self.standin.begin_life(instance)
-        self._relay.cut()
+    def begin_anew(self):
+        """Crash, and begin again under the same id."""
+        self.standin.begin_life('i-1')
 
 
 def test_end_is_kept_though_its_number_was_acknowledged_in_a_former_life(case):
@@ -106,6 +96,32 @@
     case.assertEqual(len(one.standin.ended), 1)
 
 
+def test_no_number_of_a_former_life_reaches_the_next_one(case):
+    """Not even in the first order that it gets, before it was heard."""
+    one = Runner(case)
+    one.run_to_its_end(FIRST)
+    one.begin_anew()
+    one.standin.orders.clear()
+    one.look()
+    numbers = {order['ackedUpto'] for _, order in one.standin.orders}
+    case.assertEqual(numbers, {0})
+
+
+def test_end_in_a_life_under_a_former_id_is_told_at_once(case):
+    one = Runner(case)
+    one.run_to_its_end(FIRST)
+    one.begin_anew()
+    one.hear()
+    one.look()
+    told = threading.Event()
+    one.client.follow(told.set)
+    case.enterContext(one.client)
+    one.start(SECOND)
+    told.clear()
+    one.standin.end_run(SECOND)
+    case.assertTrue(told.wait(10))
+
+
 def test_what_a_reborn_runner_says_of_itself_is_heard(case):
     """Its heartbeats are numbered anew, and it may be another kind."""
     one = Runner(case)
@@ -116,3 +132,73 @@
     listing = one.look()
     case.assertFalse(listing.draining)
     case.assertEqual(listing.capacity, data.Resources(500, 100))
+
+
+def test_late_heartbeat_of_a_former_life_with_the_same_id_is_dropped(case):
+    one = Runner(case)
+    late = one.standin.make_beat(state='draining', seq=99)
+    one.begin_anew()
+    one.hear()
+    one.look()
+    one.hear_late(late)
+    listing = one.look()
+    case.assertFalse(listing.draining)
+    case.assertEqual(one.start(SECOND), '')
+
+
+def test_lives_under_one_id_are_told_apart(case):
+    one = Runner(case)
+    former = one.look().life
+    one.begin_anew()
+    one.hear()
+    case.assertNotEqual(one.look().life, former)
+    case.assertEqual(one.look().life, one.look().life)
+
+
+def test_nothing_begins_on_a_reborn_runner_before_it_was_heard(case):
+    one = Runner(case)
+    one.begin_anew()
+    one.look()
+    case.assertEqual(one.start(FIRST), workers.REFUSED_UNHEARD)
+    one.hear()
+    one.look()
+    case.assertEqual(one.start(FIRST), '')
+
+
+def test_orders_for_a_former_life_do_not_reach_the_next(case):
+    """A time on the former life's clock is far ahead on the next one's.
+
+    The lease would run for as long as a runner gives any, longer than an
+    owner waits before it places the task elsewhere.
+    """
+    one = Runner(case)
+    one.begin_anew()
+    one.standin.orders.clear()
+    case.assertNotEqual(one.start(FIRST), '')
+    case.assertTrue(one.client.renew(10**9).is_err())
+    case.assertEqual(one.standin.running, {})
+    told = [order for _, order in one.standin.orders if 'untilMs' in order]
+    case.assertEqual(told, [])
+
+
+def test_late_order_of_a_former_life_is_refused_by_the_next(case):
+    """Both have the id that it names, and the next one has seen no token."""
+    one = Runner(case)
+    one.start(FIRST)
+    late = one.standin.orders[-1]
+    one.begin_anew()
+    one.look()
+    case.assertEqual(one.standin.carry_out(*late), 409)
+    case.assertEqual(one.standin.running, {})
+
+
+def test_lease_of_a_former_life_is_not_shown_in_the_next(case):
+    one = Runner(case)
+    one.client.renew(one.standin.read_ms() + 10**6)
+    one.begin_anew()
+    one.hear()
+    one.look()
+    one.start(FIRST)
+    (attempt,) = one.look().attempts
+    longest = one.standin.read_ms() + MAX_HOLD_MS
+    case.assertLessEqual(attempt.lease_until_ms, longest)
--- a/packages/platform/portwharf/platform/runner.py
+++ b/packages/platform/portwharf/platform/runner.py
@@ -4,15 +4,19 @@
 
 A runner lists what runs, and what has ended under rising numbers until it
 is told up to which number the ends may go. Both come with every answer to
-a ``hold``, which also renews leases. What a runner can hold and which life
-of it this is come with its heartbeats.
+a ``hold``, which also renews leases. What a runner can hold comes with its
+heartbeats.
+
+Which life of the runner is in use is settled by the looks of the agent's
+thread alone: they come one after the other, so that an answer to one is not
+of an earlier life than the answer before. Heartbeats, and answers that the
+other thread waits for, may be overtaken.
 
 On the wire an attempt is called a run; a listed run is a row of task, run,
 checkpoint, percent and a figure: of a task with a target the tail of its
 answers in ms, of any other the processors that it uses.
 """
 
-import dataclasses
 import logging
 import threading
 
@@ -21,14 +25,13 @@
 from portwharf.core import data
 from portwharf.core import logs
 from portwharf.core import recent
+from portwharf.platform import ends
 from portwharf.platform import http
+from portwharf.platform import line
 from portwharf import workers
 
 LOG = logging.getLogger(__name__)
 
-# A runner answers within a millisecond; one that leaves an order
-# unanswered must not hold up the others for long.
-CALL_SECONDS = 0.4
 # How long a runner holds an answer back until something ends.
 WAIT_SECONDS = 1.0
 # Between two looks while ends are listed that may not go yet.
@@ -58,17 +61,6 @@
 }
 
 
-@dataclasses.dataclass(slots=True)
-class _Held:
-    """An answer to ``hold``.
-
-    :param life: the ``workers.Life`` that answered
-    """
-
-    life: workers.Life = None
-    value: dict = dataclasses.field(default_factory=dict)
-
-
 class RunnerWorker(workers.Worker):
     """A client of the runner; a context manager that closes it."""
 
@@ -79,18 +71,15 @@
             has none yet
         :param max_hold_ms: the longest lease that the runner gives
         """
-        self._client = http.Client(endpoint)
-        self._read_token = read_token
+        self._fence = line.Fence(read_token)
+        self._orders = line.Line(endpoint, self._fence.read)
+        self._waits = line.Line(endpoint, self._fence.read)
         self._max_hold_ms = max_hold_ms
         self._lock = threading.Lock()
         self._lives = workers.Lives()
-        # Ended attempts that are still listed, by number, and which of
-        # them may go.
-        self._ended = {}
-        self._logged = set()
-        self._acked = 0
-        self._seen = 0
-        self._born_ms = None
+        # Of the life in use: its ends, and the latest lease that it was
+        # given, on its clock.
+        self._ends = ends.Ends()
         self._until_ms = 0
         # Starts, for what the listing does not tell.
         self._starts = recent.Recent(MAX_SIZES)
@@ -107,7 +96,7 @@
 
     def __exit__(self, *exc_info):
         self._stop.set()
-        self._client.__exit__(*exc_info)
+        self._orders.close()
 
     def take_life(self, life):
         """Take what a heartbeat says of the runner, a ``workers.Life``."""
@@ -125,24 +114,26 @@
             self._starts.put(name, start)
 
     def read_listing(self):
-        answer = self._settle_life()
-        if answer.is_ok():
-            answer = self._hold()
-        if answer.is_ok():
-            return answer.map(self._read_listing)
-        if answer.err_value.refused:
+        heard = self._lives.candidate
+        answer = self._reach(self._orders).and_then(self._settle)
+        if answer.is_err() and answer.err_value.refused:
             # The runner's process is gone, and what it ran with it.
             return result.Ok(workers.Listing(absent=True))
-        return result.Err(answer.err_value.text)
+        if answer.is_ok():
+            answer = self._hold(self._orders)
+        if answer.is_err():
+            return answer.map_err(_get_text)
+        self._refute(heard)
+        return answer.map(self._read_listing)
 
     def renew(self, until_ms):
-        answer = self._hold(until_ms=until_ms)
+        answer = self._hold(self._orders, until_ms=until_ms)
         if answer.is_ok():
             self._until_ms = max(self._until_ms, until_ms)
         return answer.map(lambda _: None).map_err(_get_text)
 
     def start(self, start):
-        refused = self._lives.check_start()
+        refused = self._check_start()
         if refused:
             return result.Ok(refused)
         body = {
@@ -156,7 +147,7 @@
         if start.ticket:
             body['ticket'] = start.ticket
         self._starts.put((start.task, start.attempt), start)
-        answer = self._order('/portwharf/run-start', body)
+        answer = self._orders.order('/portwharf/run-start', body)
         if answer.is_err():
             return answer.map_err(_get_text)
         reply = answer.ok_value
@@ -181,158 +172,121 @@
 
     def forget(self, task, attempt):
         with self._lock:
-            self._logged.add((task, attempt))
-            self._move_ack()
+            self._ends.forget(task, attempt)
         self._changed.set()
         return result.Ok(None)
 
-    def _move_ack(self):
-        """Raise the number up to which all listed ends may go."""
-        for number in sorted(self._ended):
-            if self._ended[number] not in self._logged:
-                return
-            self._logged.discard(self._ended.pop(number))
-            self._acked = number
+    def _reach(self, way):
+        """Have a line be to a known life; Ok(data.LifeId), or Err(NoReply).
 
-    def _forget_life(self):
-        """Forget numbers and leases, which belong to one life.
-
-        What attempts were started with stays: the owner has told it once,
-        maybe before the runner was first heard.
+        :param way: the ``line.Line``
         """
-        self._ended.clear()
-        self._logged.clear()
-        self._acked = 0
-        self._seen = 0
-        self._until_ms = 0
+        return way.reach(self._lives.list_instances())
 
-    def _settle_life(self):
-        """Ask the runner whether it is a life that a heartbeat told of.
+    def _settle(self, life):
+        """Take a life that has answered for the one in use.
 
-        Without a clear answer the life in use stays for now, and the next
-        look asks again: a runner that does not answer to the new id does
-        not answer to the former one either, and counts as silent.
+        What attempts were started with stays: the owner has told it once,
+        maybe before the runner was first heard.
 
-        :returns: Ok(None), or Err(http.NoReply)
+        :returns: Ok(None)
         """
-        candidate = self._lives.candidate
-        if candidate is None:
-            return result.Ok(None)
-        answer = self._order(
-            '/portwharf/hold', {'ackedUpto': 0}, life=candidate
-        )
-        if answer.is_err():
-            return answer
         with self._lock:
-            if answer.ok_value.status == _OK:
-                LOG.info('the runner is %s', candidate.instance)
-                self._lives.confirm(candidate.instance)
-                self._forget_life()
-            elif answer.ok_value.status == _OTHER_LIFE:
-                LOG.warning('late heartbeat of %s', candidate.instance)
-                self._lives.refute(candidate.instance)
+            if not self._lives.settle(life):
+                return result.Ok(None)
+            acked, self._ends = self._ends.acked, ends.Ends()
+            self._until_ms = 0
+        self._fence.rise()
+        extra = logs.fields(
+            life=life.instance, born_ms=life.born_ms, acked=acked
+        )
+        LOG.info('the runner is another life', extra=extra)
         return result.Ok(None)
 
-    def _order(self, path, body, seconds=CALL_SECONDS, life=None):
-        """Send an order to a life of the runner.
+    def _refute(self, heard):
+        """Drop a life that was heard before the one in use has answered."""
+        if heard is None or heard.id == self._lives.current.id:
+            return
+        with self._lock:
+            self._lives.refute(heard)
+        extra = logs.fields(life=heard.id.instance, born_ms=heard.id.born_ms)
+        LOG.warning('late heartbeat of a former life', extra=extra)
 
-        :param life: which one it is meant for; None for the one in use
-        :returns: Ok(http.Reply), or Err(http.NoReply)
+    def _check_start(self):
+        """Return why nothing may be started, or ''.
+
+        The times and the room that a start goes by are those of the life
+        in use: nothing is sent to another one.
         """
-        meant = life or self._lives.current
-        token = self._read_token()
-        if not token:
-            return result.Err(http.NoReply('no fencing token yet'))
-        headers = {}
-        if meant.instance:
-            headers['Portwharf-Target-Instance'] = meant.instance
-        body['fence'] = token
-        return self._client.call('POST', path, seconds, body, headers)
+        refused = self._lives.check_start()
+        if refused:
+            return refused
+        reached = self._reach(self._orders)
+        if reached.is_err():
+            return workers.REFUSED_UNREACHED
+        if reached.ok_value != self._lives.current.id:
+            return workers.REFUSED_UNHEARD
+        return ''
 
     def _demand(self, path, body):
         """Send an order that is either carried out or fails."""
-        answer = self._order(path, body)
+        life = self._lives.current.id
+        answer = self._order(self._orders, life, path, body)
         if answer.is_ok() and answer.ok_value.status != _OK:
             status = answer.ok_value.status
             return result.Err(f'runner: HTTP status {status}')
         return answer.map(lambda _: None).map_err(_get_text)
 
-    def _hold(self, until_ms=0, wait_ms=0):
+    def _order(self, way, life, path, body, seconds=line.CALL_SECONDS):
+        """Send an order to one life, and to no other.
+
+        :param life: the ``data.LifeId`` that it means something to
+        :returns: Ok(http.Reply), or Err(http.NoReply)
+        """
+        reached = self._reach(way)
+        if reached.is_err():
+            return reached
+        if reached.ok_value != life:
+            self._notify()
+            return result.Err(http.NoReply('another life is there'))
+        return way.order(path, body, seconds)
+
+    def _hold(self, way, until_ms=0, wait_ms=0):
         """Look at the runner, renewing leases if a time is given.
 
-        :returns: Ok(_Held), or Err(http.NoReply)
+        :returns: Ok(value of the answer), or Err(http.NoReply)
         """
         with self._lock:
-            life, acked = self._lives.current, self._acked
-        body = {'ackedUpto': acked}
+            life, known = self._lives.current.id, self._ends
+        body = {'ackedUpto': known.acked}
         if until_ms:
             body['untilMs'] = until_ms
         if wait_ms:
             body['waitMs'] = wait_ms
-        seconds = CALL_SECONDS + wait_ms / _MS
-        answer = self._order('/portwharf/hold', body, seconds, life)
+        seconds = line.CALL_SECONDS + wait_ms / _MS
+        answer = self._order(way, life, line.HOLD, body, seconds)
         if answer.is_err():
             return answer
         if answer.ok_value.status != _OK:
             status = answer.ok_value.status
             return result.Err(http.NoReply(f'HTTP status {status}'))
-        held = _Held(life, answer.ok_value.value)
-        self._note_birth(held)
-        self._note_ended(held)
-        return result.Ok(held)
-
-    def _note_birth(self, held):
-        """Tell when the runner began that answers, if that is news."""
-        born_ms = held.value.get('born')
-        if born_ms == self._born_ms:
-            return
-        extra = logs.fields(
-            life=held.life.instance, born_ms=born_ms, acked=self._acked
-        )
-        LOG.info('an answer of another birth', extra=extra)
-        self._born_ms = born_ms
-
-    def _note_ended(self, held):
-        """Take what an answer lists as ended."""
-        with self._lock:
-            if not self._is_current(held):
-                return
-            for number, task, run, *_ in held.value['ended']:
-                if number > self._acked:
-                    self._ended[number] = (task, run)
-            # A number may have been passed that was logged before it was
-            # seen.
-            self._move_ack()
-
-    def _note_latest(self, held):
-        """Tell whether an answer lists an end that was not seen before."""
-        rows = held.value['ended']
-        latest = max((row[0] for row in rows), default=0)
-        with self._lock:
-            if not self._is_current(held) or latest <= self._seen:
-                return False
-            self._seen = latest
-            return True
-
-    def _is_current(self, held):
-        """Tell whether an answer's numbers of ends count.
-
-        They do in one life alone, and an answer may be overtaken by the
-        next one's beginning. Before a life is known nobody can tell whose
-        they are.
-        """
-        current = self._lives.current.instance
-        return bool(current) and current == held.life.instance
-
-    def _read_listing(self, held):
+        value = answer.ok_value.value
+        if life.instance:
+            # Before a life is known nobody can tell whose the numbers are.
+            with self._lock:
+                known.take_rows(value['ended'])
+        return result.Ok(value)
+
+    def _read_listing(self, value):
         """Return an answer to ``hold`` as a ``workers.Listing``."""
-        value = held.value
         life = self._lives.current
         now_ms = value['clockMs']
         self._starts.use((row[0], row[1]) for row in value['running'])
         running = [self._read_running(row, now_ms) for row in value['running']]
         ended = [
-            _read_ended(row) for row in value['ended'] if row[0] > self._acked
+            _read_ended(row)
+            for row in value['ended']
+            if row[0] > self._ends.acked
         ]
         return workers.Listing(
             now_ms,
@@ -342,7 +296,7 @@
             life.labels,
             life.draining,
             life.leaves_in_ms,
-            life=life.instance,
+            life=life.id,
             rack=life.rack,
         )
 
@@ -374,14 +328,16 @@
         """Have the runner tell when something ends."""
         while not self._stop.is_set():
             self._changed.clear()
-            answer = self._hold(wait_ms=int(WAIT_SECONDS * _MS))
+            known = self._ends
+            answer = self._hold(self._waits, wait_ms=int(WAIT_SECONDS * _MS))
             if answer.is_err():
                 self._stop.wait(_RETRY_SECONDS)
                 continue
-            if self._note_latest(answer.ok_value):
+            if known.note_latest(answer.ok_value['ended']):
                 self._notify()
-            if self._ended:
+            if known.some_listed:
                 self._changed.wait(_PAUSE_SECONDS)
+        self._waits.close()
 
 
 def _get_text(lost):
--- a/packages/platform/portwharf/platform/runner_test.py
+++ b/packages/platform/portwharf/platform/runner_test.py
@@ -7,8 +7,8 @@
 
 from portwharf.core import data
 from portwharf.core import settings
+from portwharf.platform import line
 from portwharf.platform import runner
-from portwharf.testing import fixtures
 from portwharf.testing import platform_runner
 from portwharf import workers
 
@@ -16,16 +16,9 @@
 SIZE = data.Resources(8000, 1000)
 
 
-def serve_runner(case):
-    """Return a stand-in, and where it is served."""
-    standin = platform_runner.RunnerStandIn()
-    port = fixtures.serve(case, standin, threads=6)
-    return standin, settings.Endpoint('127.0.0.1', port)
-
-
 def open_runner(case, token=7):
     """Return the real adapter on a stand-in, and the stand-in."""
-    standin, place = serve_runner(case)
+    standin, place = platform_runner.serve_runner(case)
     client = runner.RunnerWorker(place, lambda: token, 6000)
     client.take_life(make_life())
     client.read_listing()
@@ -33,8 +26,10 @@
 
 
 def make_life(instance='i-1', **fields):
-    """Return what a heartbeat says."""
-    return workers.Life(instance, 'pool', 'zone', SIZE, ['a'], **fields)
+    """Return what a heartbeat says of the life of a number."""
+    born_ms = platform_runner.FIRST_BORN_MS + int(instance[2:]) - 1
+    life = data.LifeId(instance, born_ms)
+    return workers.Life(life, 'pool', 'zone', SIZE, ['a'], **fields)
 
 
 def start(client, attempt=1, task=TASK):
@@ -105,7 +100,7 @@
 
 def test_former_side_is_refused(case):
     client, standin = open_runner(case)
-    standin.fence = 9
+    standin.fence = 8 * line.LIVES_A_TOKEN
     case.assertEqual(start(client).ok_value, workers.REFUSED_FENCE)
 
 
@@ -208,12 +203,13 @@
     start(client)
     client.take_life(make_life('i-0'))
     listing = client.read_listing().ok_value
-    case.assertEqual((listing.life, len(listing.attempts)), ('i-2', 1))
+    case.assertEqual(listing.life.instance, 'i-2')
+    case.assertEqual(len(listing.attempts), 1)
     case.assertTrue(client.stop(TASK, 1, True).is_ok())
 
 
 def test_late_heartbeat_that_is_the_first_one_hides_nothing(case):
-    _, place = serve_runner(case)
+    _, place = platform_runner.serve_runner(case)
     former = runner.RunnerWorker(place, lambda: 7, 6000)
     former.take_life(make_life())
     former.read_listing()
@@ -223,7 +219,7 @@
     listing = client.read_listing().ok_value
     case.assertEqual([a.task for a in listing.attempts], [TASK])
     client.take_life(make_life())
-    case.assertEqual(client.read_listing().ok_value.life, 'i-1')
+    case.assertEqual(client.read_listing().ok_value.life.instance, 'i-1')
 
 
 def test_late_heartbeat_of_the_same_life_does_not_undo_draining(case):
@@ -241,7 +237,8 @@
     client.take_life(make_life('i-2'))
     case.assertTrue(client.read_listing().is_err())
     listing = client.read_listing().ok_value
-    case.assertEqual((listing.life, listing.attempts), ('i-2', []))
+    case.assertEqual(listing.life.instance, 'i-2')
+    case.assertEqual(listing.attempts, [])
 
 
 def test_first_heartbeat_is_asked_about_at_once(case):
@@ -253,7 +250,7 @@
 
 
 def test_ends_that_are_seen_before_a_life_is_known_are_not_acknowledged(case):
-    standin, place = serve_runner(case)
+    standin, place = platform_runner.serve_runner(case)
     former = runner.RunnerWorker(place, lambda: 7, 6000)
     former.take_life(make_life())
     former.read_listing()
@@ -278,7 +275,7 @@
 
 
 def test_nothing_begins_before_a_life_is_known(case):
-    standin, place = serve_runner(case)
+    standin, place = platform_runner.serve_runner(case)
     client = runner.RunnerWorker(place, lambda: 7, 6000)
     client.take_life(make_life('i-0'))
     client.read_listing()
@@ -288,7 +285,7 @@
 
 def test_what_is_told_before_a_life_is_known_outlasts_its_confirmation(case):
     """A restarted side hears its owner before the runner's heartbeat."""
-    standin, place = serve_runner(case)
+    standin, place = platform_runner.serve_runner(case)
     standin.running[TASK] = 1
     client = runner.RunnerWorker(place, lambda: 7, 6000)
     client.recall(workers.Start(TASK, 1, workload='a/b', resources=SIZE))
--- a/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
@@ -6,10 +6,14 @@
 
 from portwharf.core import recent
 from portwharf.peers import messages
+from portwharf.platform import beats
 from portwharf.platform import clients
 from portwharf.platform import clients_test
+from portwharf.platform import ends
 from portwharf.platform import kv
 from portwharf.platform import kv_test
+from portwharf.platform import line
+from portwharf.platform import rebirth_test
 from portwharf.platform import runner
 from portwharf.platform import runner_test
 from portwharf.scheduler import backlog
@@ -206,25 +210,58 @@
 
 def test_unlogged_ends_acknowledged(case):
     def move(self):
-        for number in sorted(self._ended):
-            self._ended.pop(number)
-            self._acked = number
+        for number in sorted(self._listed):
+            self._listed.pop(number)
+            self.acked = number
 
     check(
         case,
         runner_test.test_ends_stay_until_they_are_logged_in_order,
-        runner.RunnerWorker,
+        ends.Ends,
         '_move_ack',
         move,
     )
 
 
 def test_numbers_of_a_former_life_acknowledged(case):
+    for test in (
+        runner_test.test_new_life_is_never_told_of_the_old_ones_numbers,
+        rebirth_test.test_end_in_a_life_under_a_former_id_is_told_at_once,
+    ):
+        kept = ends.Ends()
+        check(case, test, ends, 'Ends', lambda kept=kept: kept)
+
+
+def test_births_not_told_apart(case):
     check(
         case,
-        runner_test.test_new_life_is_never_told_of_the_old_ones_numbers,
+        rebirth_test.test_lives_under_one_id_are_told_apart,
+        beats,
+        'read_birth',
+        lambda value: 0,
+    )
+
+
+def test_orders_sent_to_whichever_life_is_there(case):
+    def order(self, way, life, path, body, seconds=line.CALL_SECONDS):
+        self._reach(way)
+        return way.order(path, body, seconds)
+
+    check(
+        case,
+        rebirth_test.test_orders_for_a_former_life_do_not_reach_the_next,
         runner.RunnerWorker,
-        '_forget_life',
+        '_order',
+        order,
+    )
+
+
+def test_lives_of_a_worker_sharing_a_token(case):
+    check(
+        case,
+        rebirth_test.test_late_order_of_a_former_life_is_refused_by_the_next,
+        line.Fence,
+        'rise',
         lambda self: None,
     )
 
--- a/packages/scheduler/portwharf/scheduler/members.py
+++ b/packages/scheduler/portwharf/scheduler/members.py
@@ -50,7 +50,7 @@
     headrooms: list = dataclasses.field(default_factory=list)
     paced: list = dataclasses.field(default_factory=list)
     rack: str = ''
-    life: str = ''
+    life: data.LifeId = data.LifeId()
     saved: collections.deque = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=MAX_SAVED)
     )
@@ -124,7 +124,7 @@
         view.headrooms = beat.headrooms
         view.paced = beat.paced
         view.rack = beat.rack
-        view.life = beat.life
+        view.life = data.LifeId(beat.life, beat.born_ms)
         view.saved.extend(beat.saved)
         if beat.known:
             self._owner.take_known(beat.known)
--- a/packages/scheduler/portwharf/scheduler/policy.py
+++ b/packages/scheduler/portwharf/scheduler/policy.py
@@ -15,6 +15,7 @@
 import logging
 import threading
 
+from portwharf.core import data
 from portwharf.core import logs
 
 LOG = logging.getLogger(__name__)
@@ -35,10 +36,10 @@
 class Permit:
     """A worker that may run a step.
 
-    :param life: the life of the worker that was asked about
+    :param life: the ``data.LifeId`` that was asked about
     """
 
-    life: str = ''
+    life: data.LifeId = data.LifeId()
     ticket: str = ''
 
 
@@ -49,6 +50,7 @@
     def ask(self, step, lives):
         """Ask which of some workers may run a step.
 
+        :param lives: a ``data.LifeId`` for each worker
         :returns: Ok(list of Permit), or Err(text)
         """
 
@@ -185,7 +187,7 @@
         usable = [
             view
             for view in views
-            if view.life and not view.closed and view.suits(workload)
+            if view.life.instance and not view.closed and view.suits(workload)
         ]
         usable.sort(key=lambda view: -view.room.cpu_milli)
         lives = [view.life for view in usable]
--- a/packages/scheduler/portwharf/scheduler/policy_test.py
+++ b/packages/scheduler/portwharf/scheduler/policy_test.py
@@ -16,6 +16,8 @@
 
 STEP = jobs_test.FIRST
 VALID_MS = 1000
+FIRST = data.LifeId('i-0', 1)
+SECOND = data.LifeId('i-1', 1)
 
 
 class FakePolicy(policy.Policy):
@@ -32,7 +34,7 @@
             return result.Err('no answer')
         return result.Ok(
             [
-                policy.Permit(one, f't-{one}')
+                policy.Permit(one, f't-{one.instance}')
                 for one in lives
                 if one in self.allowed
             ]
@@ -56,7 +58,7 @@
     """Return two views with room, of workers that are known by life."""
     views = gangs_test.make_views(4, 4)
     for number, view in enumerate(views):
-        view.life = f'i-{number}'
+        view.life = data.LifeId(f'i-{number}', 1)
     return views
 
 
@@ -67,7 +69,7 @@
 
 
 def test_step_waits_for_the_policy_and_brings_its_ticket(case):
-    advisor, _, _ = open_advisor('i-1')
+    advisor, _, _ = open_advisor(SECOND)
     demand, views = make_demand(), make_views()
     policy.find_tickets(advisor, [demand], views)
     (waiting,) = place(demand, views).waiting
@@ -81,45 +83,47 @@
 
 
 def test_refused_workers_are_asked_about_once(case):
-    advisor, asked, _ = open_advisor('i-1')
+    advisor, asked, _ = open_advisor(SECOND)
     for _ in range(3):
-        advisor.want(STEP, ['i-0', 'i-1'], VALID_MS)
+        advisor.want(STEP, [FIRST, SECOND], VALID_MS)
         advisor.ask_next()
-    case.assertEqual(asked.asked, [['i-0', 'i-1']])
+    case.assertEqual(asked.asked, [[FIRST, SECOND]])
 
 
 def test_ticket_ends_before_its_time_and_is_asked_for_again(case):
-    advisor, asked, now = open_advisor('i-1')
-    advisor.want(STEP, ['i-0', 'i-1'], VALID_MS)
+    advisor, asked, now = open_advisor(SECOND)
+    advisor.want(STEP, [FIRST, SECOND], VALID_MS)
     advisor.ask_next()
     now.advance(0.95)
-    case.assertEqual(advisor.find_ticket(STEP, 'i-1'), '')
-    advisor.want(STEP, ['i-0', 'i-1'], VALID_MS)
+    case.assertEqual(advisor.find_ticket(STEP, SECOND), '')
+    advisor.want(STEP, [FIRST, SECOND], VALID_MS)
     advisor.ask_next()
-    case.assertEqual(asked.asked[-1], ['i-1'])
-    case.assertEqual(advisor.find_ticket(STEP, 'i-1'), 't-i-1')
+    case.assertEqual(asked.asked[-1], [SECOND])
+    case.assertEqual(advisor.find_ticket(STEP, SECOND), 't-i-1')
 
 
 def test_new_life_of_a_worker_needs_a_ticket_of_its_own(case):
-    advisor, _, _ = open_advisor('i-1')
-    advisor.want(STEP, ['i-1'], VALID_MS)
+    advisor, _, _ = open_advisor(SECOND)
+    advisor.want(STEP, [SECOND], VALID_MS)
     advisor.ask_next()
-    case.assertEqual(advisor.find_ticket(STEP, 'i-2'), '')
+    reborn = data.LifeId(SECOND.instance, 2)
+    for life in (data.LifeId('i-2', 1), reborn):
+        case.assertEqual(advisor.find_ticket(STEP, life), '')
 
 
 def test_question_without_an_answer_is_asked_again(case):
-    advisor, asked, _ = open_advisor('i-1')
+    advisor, asked, _ = open_advisor(SECOND)
     asked.down = True
-    advisor.want(STEP, ['i-1'], VALID_MS)
+    advisor.want(STEP, [SECOND], VALID_MS)
     case.assertFalse(advisor.ask_next())
     asked.down = False
     case.assertTrue(advisor.ask_next())
-    case.assertEqual(advisor.find_ticket(STEP, 'i-1'), 't-i-1')
+    case.assertEqual(advisor.find_ticket(STEP, SECOND), 't-i-1')
 
 
 def test_more_workers_than_one_question_takes_come_in_turn(case):
     advisor, asked, _ = open_advisor()
-    lives = [f'i-{number}' for number in range(40)]
+    lives = [data.LifeId(f'i-{number}') for number in range(40)]
     for _ in range(2):
         advisor.want(STEP, lives, VALID_MS)
         advisor.ask_next()
--- a/packages/scheduler/portwharf/scheduler/vmview.py
+++ b/packages/scheduler/portwharf/scheduler/vmview.py
@@ -42,7 +42,7 @@
     :param headrooms: what each serving image can bear, by image
     :param fillings: list of :class:`Filling`, what presses there already
     :param rack: the rack that it stands in, or ''
-    :param life: differs for each start of its worker, or ''
+    :param life: the ``data.LifeId`` of its worker
     :param suspects: under how many crashes tasks were that are not cleared,
         by job or workload
     :param unsteady: its worker has crashed lately
@@ -71,7 +71,7 @@
     headrooms: dict = dataclasses.field(default_factory=dict)
     fillings: list = dataclasses.field(default_factory=list)
     rack: str = ''
-    life: str = ''
+    life: data.LifeId = data.LifeId()
     suspects: dict = dataclasses.field(default_factory=dict)
     unsteady: bool = False
     largest: data.Resources = dataclasses.field(default_factory=data.Resources)
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -495,9 +495,10 @@
                 self._pacer.list_headrooms(),
                 self._pacer.list_paced(),
                 self._listing.rack,
-                self._listing.life,
+                self._listing.life.instance,
                 self._pacer.take_known(),
                 self._saves.list_due(self._listing.attempts, now),
+                self._listing.life.born_ms,
             )
         )
 
--- a/packages/side/portwharf/side/crashes.py
+++ b/packages/side/portwharf/side/crashes.py
@@ -38,8 +38,8 @@
     def __init__(self):
         self._starts = recent.Recent(MAX_ATTEMPTS)
         self._crashes = recent.Recent(MAX_ATTEMPTS)
-        # The life that was there at the last look, or None; and whether it
-        # had said that it would leave.
+        # The ``data.LifeId`` that was there at the last look, or None; and
+        # whether it had said that it would leave.
         self._life = None
         self._leaving = False
 
@@ -56,17 +56,19 @@
         :returns: whether the life that was there before has crashed
         """
         former, leaving = self._life, self._leaving
-        self._life = None if listing.absent else listing.life
+        known = bool(listing.life.instance) and not listing.absent
+        self._life = listing.life if known else None
         self._leaving = listing.draining
         return former is not None and former != self._life and not leaving
 
     def note_crash(self, life, names, now):
         """Note what may have run in a life that has crashed.
 
+        :param life: its ``data.LifeId``
         :param names: attempts as (task, attempt)
         :returns: the crash's name
         """
-        crash = life or str(int(now * _MS))
+        crash = life.name or str(int(now * _MS))
         for name in names:
             began = self._starts.get(name)
             ran_ms = UNKNOWN if began is None else int((now - began) * _MS)
--- a/packages/side/portwharf/side/crashes_test.py
+++ b/packages/side/portwharf/side/crashes_test.py
@@ -6,6 +6,7 @@
 
 import result
 
+from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.side import agent
 from portwharf.side import crashes
@@ -14,13 +15,17 @@
 from portwharf.testing import agent_bench
 from portwharf import workers
 
+# Lives of a worker under one id.
+FIRST = data.LifeId('worker', 2)
+SECOND = data.LifeId('worker', 1)
+
 
 class MortalWorker(agent_bench.FakeWorker):
     """A worker that can crash and come back as another life."""
 
     def __init__(self, now):
         super().__init__(now)
-        self.life = 'life-1'
+        self.life = FIRST
         self.absent = False
         self.draining = False
         # The next start ends it before it has answered.
@@ -28,7 +33,7 @@
 
     def read_listing(self):
         listing = super().read_listing().ok_value
-        listing.life = '' if self.absent else self.life
+        listing.life = data.LifeId() if self.absent else self.life
         listing.absent = self.absent
         listing.draining = self.draining
         return result.Ok(listing)
@@ -39,10 +44,10 @@
         self.crash()
         return result.Err('closed')
 
-    def crash(self, life=''):
+    def crash(self, life=None):
         """End, or be another life at once."""
         self.listing = dataclasses.replace(self.listing, attempts=[])
-        self.absent = not life
+        self.absent = life is None
         self.life = life
 
 
@@ -74,16 +79,16 @@
     bench.start()
     bench.worker.crash()
     bench.step(0.5)
-    told = [('w.0', reports.REASON_CRASHED, 'life-1', 500)]
+    told = [('w.0', reports.REASON_CRASHED, FIRST.name, 500)]
     case.assertEqual(list_gone(bench), told)
 
 
 def test_crash_is_seen_when_the_next_life_is_there_already(case):
     bench = make_bench()
     bench.start()
-    bench.worker.crash(life='life-2')
+    bench.worker.crash(life=SECOND)
     bench.step(0.5)
-    told = [('w.0', reports.REASON_CRASHED, 'life-1', 500)]
+    told = [('w.0', reports.REASON_CRASHED, FIRST.name, 500)]
     case.assertEqual(list_gone(bench), told)
 
 
@@ -91,7 +96,7 @@
     bench = make_bench()
     bench.worker.doomed = True
     bench.start()
-    told = [('w.0', reports.REASON_CRASHED, 'life-1', crashes.UNKNOWN)]
+    told = [('w.0', reports.REASON_CRASHED, FIRST.name, crashes.UNKNOWN)]
     case.assertEqual(list_gone(bench), told)
 
 
@@ -111,14 +116,14 @@
     bench.start()
     bench.worker.crash()
     bench.step(0.5)
-    bench.worker.crash(life='life-2')
+    bench.worker.crash(life=SECOND)
     bench.conn = bench.connect()
     bench.grant()
     bench.step(1)
     list_gone(bench)
     bench.start()
     (told,) = list_gone(bench)
-    case.assertEqual(told[1:3], (reports.REASON_CRASHED, 'life-1'))
+    case.assertEqual(told[1:3], (reports.REASON_CRASHED, FIRST.name))
 
 
 def test_worker_that_leaves_as_it_said_has_not_crashed(case):
@@ -143,10 +148,10 @@
 
 def test_first_look_at_a_worker_shows_no_crash(case):
     watch = crashes.CrashWatch()
-    listing = workers.Listing(life='life-1')
+    listing = workers.Listing(life=FIRST)
     case.assertFalse(watch.look(listing))
     case.assertFalse(watch.look(listing))
     case.assertTrue(watch.look(workers.Listing(absent=True)))
     case.assertFalse(watch.look(workers.Listing(absent=True)))
-    listing.life = 'life-2'
+    listing.life = SECOND
     case.assertFalse(watch.look(listing))
--- a/packages/testing/portwharf/testing/cluster_fakes.py
+++ b/packages/testing/portwharf/testing/cluster_fakes.py
@@ -96,8 +96,9 @@
         self.crashers = set()
         self.answers_crashers = True
         self._numbers = itertools.count(1)
-        self._lives = itertools.count(1)
-        self._life = f'life-{next(self._lives)}'
+        # Each life has the id of the one before it.
+        self._births = itertools.count(1)
+        self._life = data.LifeId('worker', next(self._births))
         self._back_at = 0.0
         # What it can hold, which it does not guard, and since when.
         self.capacity = CAPACITY
@@ -143,7 +144,7 @@
     def crash(self, seconds=BACK_SECONDS):
         """The worker's process ends, and another begins some time later."""
         self.lose_all()
-        self._life = f'life-{next(self._lives)}'
+        self._life = data.LifeId('worker', next(self._births))
         self._back_at = self.clock.read_monotonic() + seconds
 
     @property
--- a/packages/testing/portwharf/testing/platform_runner.py
+++ b/packages/testing/portwharf/testing/platform_runner.py
@@ -12,7 +12,25 @@
 import threading
 import time
 
+from portwharf.core import settings
+from portwharf.testing import fixtures
 from portwharf.testing import platform_store
+from portwharf.testing import relay
+
+# When its first life began; each later one 1 ms after the one before.
+FIRST_BORN_MS = 1_790_000_000_000
+
+
+def serve_runner(case):
+    """Return a stand-in whose connections break with its lives.
+
+    :returns: the :class:`RunnerStandIn`, and the Endpoint that it is at
+    """
+    standin = RunnerStandIn()
+    port = fixtures.serve(case, standin, threads=6)
+    way = case.enterContext(relay.Relay('127.0.0.1', 0, port))
+    standin.break_connections = way.cut
+    return standin, settings.Endpoint('127.0.0.1', way.port)
 
 
 class RunnerStandIn:
@@ -20,7 +38,9 @@
 
     def __init__(self, instance='i-1'):
         self._lock = threading.Condition()
-        self._births = itertools.count(1_790_000_000_000)
+        self._births = itertools.count(FIRST_BORN_MS)
+        # What ends the connections to a life that is over.
+        self.break_connections = lambda: None
         self.begin_life(instance)
         # The next starts are carried out, and then answered with 500.
         self.lose_answers = 0
@@ -42,6 +62,7 @@
             self._over = {}
             self._numbers = 0
             self._until_ms = 0
+        self.break_connections()
 
     def end_run(self, task, how='done', saved=''):
         """Have a run come to its end."""
@@ -78,6 +99,12 @@
         value['clockMs'] = self.read_ms()
         return platform_store.answer(start_response, status, value)
 
+    def carry_out(self, verb, body):
+        """Carry out an order late; returns the status of its answer."""
+        with self._lock:
+            status, _ = self._obey(verb, body, self.instance)
+        return status
+
     def _obey(self, verb, body, meant):
         if meant != self.instance:
             return 421, {}
--- a/packages/testing/portwharf/testing/soak_runner.py
+++ b/packages/testing/portwharf/testing/soak_runner.py
@@ -118,14 +118,17 @@
         self._ending.set()
 
     def crash(self):
-        """Lose all that runs, and begin a new life."""
+        """Lose all that runs, and begin a new life.
+
+        Every second one has the id of the life before it.
+        """
         with self._lock:
             for span in self._list_open():
                 self._close(span, 'crashed')
             self._lives += 1
             self._late = []
             self.numbered = {}
-        self.begin_life(f'{self._name}-{self._lives}')
+        self.begin_life(f'{self._name}-{self._lives // 2}')
 
     def read_ms(self):
         """Return the runner's own clock."""
@@ -160,7 +163,7 @@
                     run,
                     body['spec'],
                     body.get('saved', ''),
-                    self.instance,
+                    f'{self.instance}@{self.born_ms}',
                     time.monotonic(),
                 )
             )
@@ -298,7 +301,6 @@
             self._note_end(task, run, how, '')
 
     def _beat_on(self):
-        seq = 0
         last = None
         late = []
         while not self._ending.wait(BEAT_SECONDS):
@@ -307,30 +309,26 @@
                 self._send(*late.pop(0)[1:])
             if self.silent:
                 continue
-            seq += 1
-            former, last = last, (self.instance, self._make_beat(seq))
-            if former is not None and former[0] != last[0]:
+            former, last = last, (self.instance, self._make_beat())
+            if former is not None and former[1]['born'] != last[1]['born']:
                 late.append((now + _LATE_BEAT_SECONDS, *former))
             self._send(*last)
 
-    def _make_beat(self, seq):
-        return {
-            'service': 'soak-pool',
-            'address': self._address,
-            'zone': 'zone-1',
-            'version': 'v1',
-            'slots': 8,
-            'state': 'draining' if self.draining else 'ready',
-            'coldLeftMs': 0,
-            'capacity': {
-                'cpu': self.cpu_milli,
-                'memMb': MEMORY_MB,
-                'gpu': 0,
-            },
-            'labels': ['a', 'r1'],
-            'clockMs': self.read_ms(),
-            'seq': seq,
-        }
+    def _make_beat(self):
+        room = {'cpu': self.cpu_milli, 'memMb': MEMORY_MB, 'gpu': 0}
+        with self._lock:
+            return self.make_beat(
+                service='soak-pool',
+                address=self._address,
+                zone='zone-1',
+                version='v1',
+                slots=8,
+                state='draining' if self.draining else 'ready',
+                coldLeftMs=0,
+                capacity=room,
+                labels=['a', 'r1'],
+                clockMs=self.read_ms(),
+            )
 
     def _send(self, instance, body):
         url = f'{self._control}/portwharf/instances/{instance}/heartbeat'
--- a/packages/testing/portwharf/testing/soak_world.py
+++ b/packages/testing/portwharf/testing/soak_world.py
@@ -196,6 +196,7 @@
                 relay.Relay(address, _RUNNER_RELAY_PORT, _RUNNER_PORT)
             )
             program.runner = self._open_runner(name, address)
+            program.runner.break_connections = program.orders.cut
         self.programs[name] = program
         path = self._folder / f'{name}.toml'
         path.write_text(_write_settings(name, role, address))
--- a/packages/workers/portwharf/workers/__init__.py
+++ b/packages/workers/portwharf/workers/__init__.py
@@ -11,6 +11,7 @@
 from portwharf.workers.base import REFUSED_ROOM
 from portwharf.workers.base import REFUSED_TICKET
 from portwharf.workers.base import REFUSED_UNHEARD
+from portwharf.workers.base import REFUSED_UNREACHED
 from portwharf.workers.base import SOUND_REFUSALS
 from portwharf.workers.base import Start
 from portwharf.workers.base import Worker
@@ -26,6 +27,7 @@
     'REFUSED_ROOM',
     'REFUSED_TICKET',
     'REFUSED_UNHEARD',
+    'REFUSED_UNREACHED',
     'SOUND_REFUSALS',
     'Attempt',
     'HttpWorker',
--- a/packages/workers/portwharf/workers/base.py
+++ b/packages/workers/portwharf/workers/base.py
@@ -20,6 +20,7 @@
 REFUSED_TICKET = 'ticket-not-valid-at-the-worker'
 REFUSED_LEAVING = 'the-worker-is-leaving'
 REFUSED_UNHEARD = 'not-heard-of-the-worker-yet'
+REFUSED_UNREACHED = 'the-worker-is-not-reached'
 SOUND_REFUSALS = frozenset(
     (
         REFUSED_ROOM,
@@ -28,6 +29,7 @@
         REFUSED_TICKET,
         REFUSED_LEAVING,
         REFUSED_UNHEARD,
+        REFUSED_UNREACHED,
     )
 )
 # The attempt, or a later one, ended or was stopped there before.
@@ -100,7 +102,7 @@
     :param draining: the worker takes no more starts and will leave
     :param leaves_in_ms: of a draining worker, how long it stays at least
     :param absent: no worker is there, so that nothing runs
-    :param life: differs for each start of the worker, if it is known
+    :param life: which life of the worker answered
     :param rack: the rack that it stands in, or ''
     """
 
@@ -114,7 +116,7 @@
     draining: bool = False
     leaves_in_ms: int = 0
     absent: bool = False
-    life: str = ''
+    life: data.LifeId = data.LifeId()
     rack: str = ''
 
 
--- a/packages/workers/portwharf/workers/lives.py
+++ b/packages/workers/portwharf/workers/lives.py
@@ -4,9 +4,9 @@
 
 What a worker says may be held up on its way, also past its end: then it
 comes after the next life has begun at the same address, or is the first that
-a restarted side hears. Ids tell lives apart and not which is the later one,
-so that only the worker at the address settles it: a life that is heard for
-the first time stays a candidate until the worker has answered to that id.
+a restarted side hears. Ids and births tell lives apart and not which is the
+later one, so that only the worker at the address settles it: a life that is
+heard of for the first time stays a candidate until it has answered itself.
 Believing a dead life would have its successor's work counted as gone while
 it runs.
 """
@@ -21,11 +21,13 @@
 class Life:
     """What a worker has said of itself.
 
-    :param instance: differs for each start of the worker
+    :param id: the ``data.LifeId``
     :param seq: rises with everything that one life says; 0 if it is not told
+    :param described: it has said the rest; before that nothing may begin
+        there, as a new life may be of another kind and size
     """
 
-    instance: str = ''
+    id: data.LifeId = data.LifeId()
     pool: str = ''
     zone: str = ''
     capacity: data.Resources = dataclasses.field(
@@ -36,6 +38,7 @@
     draining: bool = False
     leaves_in_ms: int = 0
     seq: int = 0
+    described: bool = True
 
 
 class Lives:
@@ -48,7 +51,7 @@
     __slots__ = ('current', 'candidate')
 
     def __init__(self):
-        self.current = Life()
+        self.current = Life(described=False)
         self.candidate = None
 
     def offer(self, life):
@@ -56,25 +59,38 @@
 
         :returns: whether the worker has to be looked at for it
         """
-        if life.instance == self.current.instance:
+        if life.id == self.current.id:
             return self._update(life)
         known = self.candidate
         if known is None or not _is_late(known, life):
             self.candidate = life
         return True
 
-    def confirm(self, instance):
-        """Take a candidate, as the worker has answered to its id.
+    def list_instances(self):
+        """Return the ids that the worker may answer to, likeliest first."""
+        known = [self.candidate] if self.candidate is not None else []
+        known.append(self.current)
+        return list(dict.fromkeys(one.id.instance for one in known))
 
-        What the former life ran and listed is gone.
+    def settle(self, life_id):
+        """Take it that a life is there, as it has answered.
+
+        What the former life ran, listed and counted is gone.
+
+        :returns: whether it is another one than before
         """
-        if self.candidate is not None and self.candidate.instance == instance:
+        if life_id == self.current.id:
+            return False
+        if self.candidate is not None and self.candidate.id == life_id:
             self.current = self.candidate
             self.candidate = None
+        else:
+            self.current = Life(life_id, described=False)
+        return True
 
-    def refute(self, instance):
-        """Drop a candidate: the worker says that it is another life."""
-        if self.candidate is not None and self.candidate.instance == instance:
+    def refute(self, life):
+        """Drop a candidate: another life has answered since it was heard."""
+        if self.candidate is life:
             self.candidate = None
 
     def check_start(self):
@@ -83,7 +99,7 @@
         What the worker said last counts, which a listing may not show yet:
         one that leaves has been told that this was heard.
         """
-        if not self.current.instance:
+        if not (self.current.id.instance and self.current.described):
             return base.REFUSED_UNHEARD
         if self.current.draining:
             return base.REFUSED_LEAVING
@@ -99,10 +115,10 @@
 
 def _pick_urgent(life):
     """Return what a side has to act on at once: where and what may run."""
-    return life.draining, life.pool, life.capacity
+    return life.described, life.draining, life.pool, life.capacity
 
 
 def _is_late(known, life):
     """Tell whether a life said something before what is known of it."""
-    same = known.instance == life.instance
+    same = known.id == life.id
     return same and 0 < life.seq <= known.seq
