What others write is read typed or refused

Cause: fields of jobs, heartbeats and entries of the register were taken as they came. A job whose label is a number was accepted and logged, and after that no process could read the shard's log; a number out of range ended the call without an answer; a garbled registration ended whoever read the list.

Change: one module of typed fields at the boundary, a check of lists of runs (one that cannot be read is no answer, and not an empty one), registrations that cannot be dialled are skipped, and our own is written anew.

--- a/packages/platform/portwharf/platform/clients.py
+++ b/packages/platform/portwharf/platform/clients.py
@@ -103,7 +103,7 @@
             return _refuse(respond, 400, 'the body is too large')
         try:
             value = json.loads(environ['wsgi.input'].read(size))
-        except ValueError as exc:
+        except (ValueError, RecursionError) as exc:
             return _refuse(respond, 400, f'the body is not JSON: {exc}')
         read = routes.read_job(job_id, queue, value)
         if read.is_err():
--- /dev/null
+++ b/packages/platform/portwharf/platform/metrics.py
@@ -0,0 +1,11 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""The metrics of what the platform's other programs say to us."""
+
+import prometheus_client
+
+UNREADABLE = prometheus_client.Counter(
+    'portwharf_unreadable',
+    'What could not be read and was passed over, by what it was.',
+    ['kind'],
+)
--- a/packages/platform/portwharf/platform/routes.py
+++ b/packages/platform/portwharf/platform/routes.py
@@ -10,6 +10,7 @@
 import result
 
 from portwharf.core import data
+from portwharf.platform import fields
 from portwharf.scheduler import configuration
 from portwharf.scheduler import jobs
 
@@ -26,8 +27,9 @@
     """
     try:
         value = json.loads(text) if text else {}
-        queues = [_read_queue(route) for route in value.get('routes', [])]
-    except (AttributeError, KeyError, TypeError, ValueError) as exc:
+        routes = fields.read_list(value, 'routes', dict)
+        queues = [_read_queue(route) for route in routes]
+    except (AttributeError, ValueError, RecursionError) as exc:
         problem = data.Problem(
             'bad-configuration',
             CONFIG_KEY,
@@ -59,8 +61,8 @@
     """
     try:
         job = _read_job(job_id, queue, value)
-    except (AttributeError, KeyError, TypeError, ValueError) as exc:
-        return result.Err(_describe(job_id, '', f'cannot be read: {exc!r}'))
+    except (AttributeError, ValueError) as exc:
+        return result.Err(_describe(job_id, '', f'cannot be read: {exc}'))
     if len(job.argument) > MAX_SPEC_BYTES:
         text = f'must be at most {MAX_SPEC_BYTES} bytes'
         return result.Err(_describe(job_id, 'spec', text))
@@ -74,65 +76,80 @@
 
 def _read_queue(route):
     return configuration.Queue(
-        route['name'],
-        route['host'],
-        route['pathPrefix'],
-        route['service'],
-        int(route.get('priority', 0)),
-        int(route.get('maxAttempts', 0)),
-        float(route.get('stretch', 1.0)),
-        int(route.get('targetLatencyMs', 0)),
-        int((route.get('advice') or {}).get('valid_ms', 0)),
+        fields.read_text(route, 'name', None),
+        fields.read_text(route, 'host', None),
+        fields.read_text(route, 'pathPrefix', None),
+        fields.read_text(route, 'service', None),
+        fields.read_whole(route, 'priority'),
+        fields.read_whole(route, 'maxAttempts'),
+        fields.read_share(route, 'stretch', 1.0),
+        fields.read_whole(route, 'targetLatencyMs'),
+        fields.read_whole(fields.read_map(route, 'advice'), 'valid_ms'),
     )
 
 
 def _read_job(job_id, queue, value):
-    steps = [_read_step(queue, step) for step in value['steps']]
+    rows = fields.read_list(value, 'steps', dict, None)
+    steps = [
+        _read_step(queue, step, number) for number, step in enumerate(rows)
+    ]
     chains = jobs.measure_chains(steps)
-    times = int(value.get('maxRuns', 0))
+    times = fields.read_whole(value, 'maxRuns')
     return data.Job(
         job_id,
         queue.name,
         queue.rank,
-        value.get('spec', '').encode(),
+        fields.read_text(value, 'spec').encode(),
         steps,
         int(queue.stretch * max(chains, default=0)) + queue.allowance_ms,
         times,
-        int(value.get('initialMs', 0)),
-        int(value.get('intervalMs', 0)),
+        fields.read_whole(value, 'initialMs'),
+        fields.read_whole(value, 'intervalMs'),
     )
 
 
-def _read_step(queue, step):
-    lasts = bool(step.get('longRunning'))
+def _read_step(queue, step, number):
+    """Return the workload of a step.
+
+    :param number: how many steps come before it
+    """
+    lasts = fields.read_flag(step, 'longRunning')
+    image = fields.read_text(step, 'image')
     return data.Workload(
         kind=data.Kind.STANDING if lasts else data.Kind.BATCH,
         resources=data.Resources(
-            int(step.get('cpu', 0)),
-            int(step.get('memMb', 0)),
-            int(step.get('gpu', 0)),
+            fields.read_whole(step, 'cpu'),
+            fields.read_whole(step, 'memMb'),
+            fields.read_whole(step, 'gpu'),
         ),
-        count=int(step['count']),
-        checkpointable=bool(step.get('checkpoints')),
-        program=step.get('image', ''),
-        # On the wire these are the numbers of earlier steps.
-        after=[str(int(number)) for number in step.get('watchRev', [])],
+        count=fields.read_whole(step, 'count', 1, None),
+        checkpointable=fields.read_flag(step, 'checkpoints'),
+        program=image,
+        after=_read_after(step, number),
         pool=queue.pool,
-        label=step.get('requires', ''),
-        data_rack=step.get('affinity', ''),
-        most_per_vm=int(step.get('antiAffinity', 0)),
-        gang=bool(step.get('gang')),
-        same_rack=bool(step.get('sameRack')),
-        image=step.get('image', ''),
-        target_ms=int(step.get('target_ms', 0)),
-        fills=bool(step.get('fills')),
-        most_away=int(step.get('may_miss', 0)),
-        run_ms=int(step.get('estimateMs', 0)),
+        label=fields.read_text(step, 'requires'),
+        data_rack=fields.read_text(step, 'affinity'),
+        most_per_vm=fields.read_whole(step, 'antiAffinity'),
+        gang=fields.read_flag(step, 'gang'),
+        same_rack=fields.read_flag(step, 'sameRack'),
+        image=image,
+        target_ms=fields.read_whole(step, 'target_ms'),
+        fills=fields.read_flag(step, 'fills'),
+        most_away=fields.read_whole(step, 'may_miss'),
+        run_ms=fields.read_whole(step, 'estimateMs'),
         max_failures=queue.max_failures,
         ticket_ms=queue.ticket_ms,
     )
 
 
+def _read_after(step, number):
+    """Return the names of the steps before; on the wire their numbers."""
+    after = fields.read_list(step, 'watchRev', int)
+    if not all(0 <= one < number for one in after):
+        raise ValueError(f'"watchRev" of step {number} names no earlier step')
+    return [str(one) for one in after]
+
+
 def _describe(job_id, field, text):
     return data.Problem(
         'bad-job', field, '', text, f'mend it and send {job_id} again'
--- a/packages/platform/portwharf/platform/runner.py
+++ b/packages/platform/portwharf/platform/runner.py
@@ -28,6 +28,8 @@
 from portwharf.platform import ends
 from portwharf.platform import http
 from portwharf.platform import line
+from portwharf.platform import lists
+from portwharf.platform import metrics
 from portwharf import workers
 
 LOG = logging.getLogger(__name__)
@@ -271,6 +273,11 @@
             status = answer.ok_value.status
             return result.Err(http.NoReply(f'HTTP status {status}'))
         value = answer.ok_value.value
+        try:
+            lists.check_lists(value)
+        except (ValueError, AttributeError) as exc:
+            metrics.UNREADABLE.labels('list').inc()
+            return result.Err(http.NoReply(f'no list of runs: {exc}'))
         if life.instance:
             # Before a life is known nobody can tell whose the numbers are.
             with self._lock:
--- a/packages/vmlist/portwharf/vmlist/register.py
+++ b/packages/vmlist/portwharf/vmlist/register.py
@@ -11,6 +11,7 @@
 """
 
 import dataclasses
+import ipaddress
 import logging
 import threading
 
@@ -21,8 +22,10 @@
 from portwharf.core import data
 from portwharf.core import ids
 from portwharf.core import logs
+from portwharf.core import recent
 from portwharf import store
 from portwharf.vmlist import base
+from portwharf.vmlist import metrics
 
 LOG = logging.getLogger(__name__)
 
@@ -34,6 +37,11 @@
 _FIRST_SECONDS = 0.1
 # Suspensions that are logged; clocks are read one after the other.
 NOTABLE_SECONDS = 0.1
+MOST_PORT = 65536
+# Entries that cannot be read whose revisions are remembered.
+MAX_SKIPPED = 1000
+# Of a reason that is logged, in characters.
+MAX_REASON = 200
 
 
 class Register(base.VmList):
@@ -42,13 +50,34 @@
     def __init__(self, kv):
         """Take the store."""
         self._kv = kv
+        # The revisions of entries that could not be read, by key.
+        self._skipped = recent.Recent(MAX_SKIPPED)
 
     def read(self):
         last = store.find_prefix_end(PREFIX)
         listed = self._kv.read_range(PREFIX, last)
         if listed.is_err():
             return result.Err(listed.err_value.text)
-        return result.Ok([_read_vm(entry) for entry in listed.ok_value])
+        found = [self._read_vm(entry) for entry in listed.ok_value]
+        return result.Ok([vm for vm in found if vm is not None])
+
+    def _read_vm(self, entry):
+        """Return the VM of an entry, or None if it cannot be read.
+
+        Others can write there as well, and who is on the list is dialled.
+        """
+        try:
+            vm = codec.unpack(data.Vm, entry.value)
+            check_vm(entry.key, vm)
+        except ValueError as exc:
+            metrics.SKIPPED.inc()
+            if self._skipped.get(entry.key) != entry.revision:
+                self._skipped.put(entry.key, entry.revision)
+                reason = f'{exc}'[:MAX_REASON]
+                extra = logs.fields(vm=entry.key, reason=reason)
+                LOG.warning('registration skipped', extra=extra)
+            return None
+        return dataclasses.replace(vm, instance='')
 
 
 class Registration(Register):
@@ -113,7 +142,11 @@
         found = self._kv.read(self._key)
         if found.is_err() or found.ok_value is None:
             return 0
-        there = codec.unpack(data.Vm, found.ok_value.value)
+        try:
+            there = codec.unpack(data.Vm, found.ok_value.value)
+        except ValueError:
+            # Another wrote it over ours.
+            return 0
         ours = there.instance == self._vm.instance
         return found.ok_value.revision if ours else 0
 
@@ -128,7 +161,11 @@
         if not kept.ok_value:
             return False
         found = self._kv.read(self._key)
-        return found.is_err() or found.ok_value is not None
+        if found.is_err():
+            return True
+        # What another has garbled is written anew.
+        entry = found.ok_value
+        return entry is not None and self._read_vm(entry) is not None
 
     def _run(self):
         wait = _FIRST_SECONDS
@@ -142,6 +179,14 @@
             self._stop.wait(wait)
 
 
-def _read_vm(entry):
-    vm = codec.unpack(data.Vm, entry.value)
-    return dataclasses.replace(vm, instance='')
+def check_vm(key, vm):
+    """Check an entry of the register.
+
+    :raises ValueError: it is of another VM, or cannot be dialled
+    """
+    if key != PREFIX + vm.name:
+        raise ValueError(f'names {vm.name!r:.60}')
+    ipaddress.ip_address(vm.address)
+    if not 0 < vm.port < MOST_PORT:
+        raise ValueError(f'port {vm.port}')
+    data.Role(vm.role)
--- a/packages/vmlist/portwharf/vmlist/register_test.py
+++ b/packages/vmlist/portwharf/vmlist/register_test.py
@@ -2,10 +2,13 @@
 # SPDX-License-Identifier: Apache-2.0
 """VMs are registered for as long as they live, whatever the store does."""
 
+import dataclasses
 from unittest import mock
 
+import msgpack
 import result
 
+from portwharf.core import codec
 from portwharf.core import settings
 from portwharf.platform import kv
 from portwharf import store
@@ -125,3 +128,46 @@
     made.look()
     vmlist.Registration(made._kv, vm).look()
     case.assertEqual(made.read().ok_value, [vm])
+
+
+def test_entry_that_another_has_garbled_is_skipped_and_written_anew(case):
+    made, standin, vm = open_registration(case)
+    made.look()
+    other = fixtures.make_vm(4)
+    client = made._kv
+    client.put(f'vms/{other.name}', codec.pack(other), 0)
+    strange = {
+        'vms/not-msgpack': b'\xc1\xff',
+        'vms/a-list': msgpack.packb([1]),
+        'vms/typed': msgpack.packb({'name': 'typed', 'port': 'x'}),
+        'vms/other-name': codec.pack(other),
+        f'vms/{vm.name}': b'',
+    }
+    for key, raw in strange.items():
+        client.put(key, raw, 0)
+    case.assertEqual(made.read().ok_value, [other])
+    case.assertTrue(made.look())
+    case.assertEqual(made.read().ok_value, [vm, other])
+
+
+def test_entry_that_cannot_be_dialled_is_skipped(case):
+    made, _, _ = open_registration(case)
+    odd = (
+        {'port': 0},
+        {'port': 70_000},
+        {'address': 'a.example'},
+        {'role': 'pilot'},
+    )
+    for fields in odd:
+        vm = dataclasses.replace(fixtures.make_vm(5), **fields)
+        made._kv.put(f'vms/{vm.name}', codec.pack(vm), 0)
+        case.assertEqual(made.read().ok_value, [])
+
+
+def test_skipped_entry_is_logged_once(case):
+    made, _, _ = open_registration(case)
+    made._kv.put('vms/garbled', b'\xc1', 0)
+    with case.assertLogs('portwharf.vmlist.register') as logged:
+        made.read()
+        made.read()
+    case.assertEqual(len(logged.output), 1)
