A task that is over is no suspect any more

Also: one function says what is given up together, and tests that bring about faults say no more that no handler was found for their logs.

--- a/packages/scheduler/portwharf/scheduler/backlog.py
+++ b/packages/scheduler/portwharf/scheduler/backlog.py
@@ -10,6 +10,7 @@
 
 from portwharf.core import data
 from portwharf.core import ids
+from portwharf.scheduler import suspects
 
 # Tasks placed in one pass; the rest waits for the next.
 MAX_PLACEMENTS = 200
@@ -99,8 +100,8 @@
 
     @property
     def unit(self):
-        """What is given up together: the job, or the workload alone."""
-        return self.record.workload.job or self.record.id
+        """What is given up together, as ``suspects.name_unit`` gives."""
+        return suspects.name_unit(self.record)
 
     @property
     def suspected(self):
--- a/packages/scheduler/portwharf/scheduler/state.py
+++ b/packages/scheduler/portwharf/scheduler/state.py
@@ -359,6 +359,7 @@
         for task in record.tasks:
             if task.state == data.TaskState.WAITING:
                 task.state = data.TaskState.CANCELLED
+                self._clear_task(task)
 
     def _drop(self, event):
         record = self.workloads.pop(event.id)
@@ -432,6 +433,8 @@
         task.state = (
             data.TaskState.CANCELLED if over else data.TaskState.WAITING
         )
+        if over:
+            self._clear_task(task)
 
     def _note_gang(self, record, event):
         """Keep what a gang's member saved, and whether it failed."""
@@ -450,8 +453,12 @@
         self.suspects[task.id] = task
 
     def _clear(self, event):
-        self.tasks[event.task].crashes = []
-        self.suspects.pop(event.task, None)
+        self._clear_task(self.tasks[event.task])
+
+    def _clear_task(self, task):
+        """Take its crashes off a task: nothing is to be judged by them."""
+        task.crashes = []
+        self.suspects.pop(task.id, None)
 
     def _acquit_others(self, crasher):
         """Take the crashes of a task that is given up off all others."""
@@ -470,7 +477,7 @@
             self._release(record, task)
         if event.crasher:
             self._acquit_others(task)
-        self.suspects.pop(task.id, None)
+        self._clear_task(task)
         task.state = event.state
         task.result = event.result
         if event.state == data.TaskState.SUCCEEDED:
--- a/packages/scheduler/portwharf/scheduler/state_test.py
+++ b/packages/scheduler/portwharf/scheduler/state_test.py
@@ -145,3 +145,23 @@
         past.add(events.Decision(1, 'placed', subject))
     found = [decision.subject for decision in past.find(JOB)]
     case.assertEqual(found, [JOB, f'{JOB}.1'])
+
+
+def test_no_task_that_is_over_is_a_suspect(case):
+    """Nor is it one in a state that is read back from a snapshot."""
+    made = make_state(4)
+    for number in range(4):
+        task = place(made, number)
+        lost = events.TaskRequeued(task, 1, crash='vm-1/a@1', ran_ms=10)
+        made.apply(lost)
+    case.assertEqual(len(made.suspects), 4)
+    ended = place(made, 0, 2)
+    made.apply(events.TaskEnded(ended, 2, data.TaskState.SUCCEEDED))
+    running = place(made, 1, 2)
+    case.assertEqual(len(made.suspects), 3)
+    made.apply(events.WorkloadCancelled(JOB))
+    case.assertEqual(list(made.suspects), [running])
+    again = events.TaskRequeued(running, 2, crash='vm-1/a@2', ran_ms=10)
+    made.apply(again)
+    read = state.ShardState.unpack(made.pack())
+    case.assertEqual((made.suspects, read.suspects), ({}, {}))
--- a/packages/scheduler/portwharf/scheduler/suspects.py
+++ b/packages/scheduler/portwharf/scheduler/suspects.py
@@ -225,8 +225,15 @@
 
 
 def find_unit(state, task):
-    """Return what is given up with a task: its job, or its workload."""
-    record = state.find_workload(task.id)
+    """Return what is given up with a task, as :func:`name_unit` gives."""
+    return name_unit(state.find_workload(task.id))
+
+
+def name_unit(record):
+    """Return what is given up together: a job, or a workload alone.
+
+    :param record: a ``state.WorkloadRecord``
+    """
     return record.workload.job or record.id
 
 
--- a/packages/testing/portwharf/testing/suite.py
+++ b/packages/testing/portwharf/testing/suite.py
@@ -62,7 +62,7 @@
 def main():
     """Run the tests; exit code 0 only if all passed or are known."""
     # Faults are brought about on purpose; what is logged of them is noise.
-    logging.lastResort = None
+    logging.getLogger().addHandler(logging.NullHandler())
     suite = load_tests(sys.argv[1:])
     ran = list_names(suite)
     outcome = unittest.TextTestRunner(verbosity=1).run(suite)
