--- a/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
@@ -4,6 +4,7 @@
 
 import result
 
+from portwharf.core import data
 from portwharf.core import recent
 from portwharf.peers import messages
 from portwharf.platform import beats
@@ -17,6 +18,7 @@
 from portwharf.platform import runner
 from portwharf.platform import runner_test
 from portwharf.scheduler import backlog
+from portwharf.scheduler import births_test
 from portwharf.scheduler import decider
 from portwharf.scheduler import faults_test
 from portwharf.scheduler import jobs_test
@@ -232,6 +234,16 @@
         check(case, test, ends, 'Ends', lambda kept=kept: kept)
 
 
+def test_lives_told_apart_by_their_ids_alone(case):
+    check(
+        case,
+        births_test.test_births_under_one_id_are_crashes_of_their_own,
+        data.LifeId,
+        '__eq__',
+        lambda one, other: one.instance == other.instance,
+    )
+
+
 def test_births_not_told_apart(case):
     check(
         case,
