--- a/packages/platform/portwharf/platform/rebirth_test.py
+++ b/packages/platform/portwharf/platform/rebirth_test.py
@@ -202,3 +202,28 @@
     (attempt,) = one.look().attempts
     longest = one.standin.read_ms() + MAX_HOLD_MS
     case.assertLessEqual(attempt.lease_until_ms, longest)
+
+
+def test_runner_that_keeps_its_connections_over_a_birth_is_not_misread(case):
+    """No list of the next life is taken for one of the former."""
+    one = Runner(case)
+    one.run_to_its_end(FIRST)
+    former = one.look().life
+    one.standin.break_connections = lambda: None
+    one.begin_anew()
+    case.assertTrue(one.client.read_listing().is_err())
+    one.hear()
+    case.assertNotEqual(one.look().life, former)
+    case.assertEqual(one.start(SECOND), '')
+
+
+def test_several_births_between_two_looks_are_one_life_that_is_there(case):
+    one = Runner(case)
+    one.run_to_its_end(FIRST)
+    for _ in range(3):
+        one.begin_anew()
+        one.hear()
+    case.assertEqual(one.look().life.born_ms, one.standin.born_ms)
+    one.start(SECOND)
+    one.standin.end_run(SECOND)
+    case.assertEqual(one.list_states(), {SECOND: 'succeeded'})
