What the agent orders goes by the life of its last list

Change: orders are meant for the life of the list that the agent has. Found as well: the fault test of lives told by ids failed for an error of its own, not for the rule; mended.

--- a/packages/platform/portwharf/platform/rebirth_test.py
+++ b/packages/platform/portwharf/platform/rebirth_test.py
@@ -23,9 +23,13 @@
 """
 
 import threading
+from unittest import mock
+
+import result
 
 from portwharf.core import data
 from portwharf.platform import beats
+from portwharf.platform import http
 from portwharf.platform import runner
 from portwharf.testing import platform_runner
 from portwharf import workers
@@ -227,3 +231,17 @@
     one.start(SECOND)
     one.standin.end_run(SECOND)
     case.assertEqual(one.list_states(), {SECOND: 'succeeded'})
+
+
+def test_nothing_is_ordered_by_the_list_of_a_former_life(case):
+    """The next life is known, and its first list was lost."""
+    one = Runner(case)
+    one.begin_anew()
+    one.hear()
+    lost = result.Err(http.NoReply('lost'))
+    with mock.patch.object(one.client, '_hold', lambda *_, **__: lost):
+        case.assertTrue(one.client.read_listing().is_err())
+    case.assertEqual(one.start(FIRST), workers.REFUSED_UNHEARD)
+    case.assertTrue(one.client.renew(10**9).is_err())
+    one.look()
+    case.assertEqual(one.start(FIRST), '')
--- a/packages/platform/portwharf/platform/runner.py
+++ b/packages/platform/portwharf/platform/runner.py
@@ -83,6 +83,10 @@
         # given, on its clock.
         self._ends = ends.Ends()
         self._until_ms = 0
+        # Of which life the last list was that the agent has. What it orders
+        # goes by that one, with times on its clock; the life in use may be a
+        # later one whose list was lost.
+        self._listed = data.LifeId()
         # Starts, for what the listing does not tell.
         self._starts = recent.Recent(MAX_SIZES)
         self._on_change = None
@@ -120,16 +124,17 @@
         answer = self._reach(self._orders).and_then(self._settle)
         if answer.is_err() and answer.err_value.refused:
             # The runner's process is gone, and what it ran with it.
+            self._listed = data.LifeId()
             return result.Ok(workers.Listing(absent=True))
         if answer.is_ok():
-            answer = self._hold(self._orders)
+            answer = self._hold(self._orders, self._lives.current.id)
         if answer.is_err():
             return answer.map_err(_get_text)
         self._refute(heard)
         return answer.map(self._read_listing)
 
     def renew(self, until_ms):
-        answer = self._hold(self._orders, until_ms=until_ms)
+        answer = self._hold(self._orders, self._listed, until_ms=until_ms)
         if answer.is_ok():
             self._until_ms = max(self._until_ms, until_ms)
         return answer.map(lambda _: None).map_err(_get_text)
@@ -218,7 +223,7 @@
         """Return why nothing may be started, or ''.
 
         The times and the room that a start goes by are those of the life
-        in use: nothing is sent to another one.
+        that was listed last: nothing is sent to another one.
         """
         refused = self._lives.check_start()
         if refused:
@@ -226,14 +231,13 @@
         reached = self._reach(self._orders)
         if reached.is_err():
             return workers.REFUSED_UNREACHED
-        if reached.ok_value != self._lives.current.id:
+        if reached.ok_value != self._listed:
             return workers.REFUSED_UNHEARD
         return ''
 
     def _demand(self, path, body):
         """Send an order that is either carried out or fails."""
-        life = self._lives.current.id
-        answer = self._order(self._orders, life, path, body)
+        answer = self._order(self._orders, self._listed, path, body)
         if answer.is_ok() and answer.ok_value.status != _OK:
             status = answer.ok_value.status
             return result.Err(f'runner: HTTP status {status}')
@@ -253,13 +257,15 @@
             return result.Err(http.NoReply('another life is there'))
         return way.order(path, body, seconds)
 
-    def _hold(self, way, until_ms=0, wait_ms=0):
-        """Look at the runner, renewing leases if a time is given.
+    def _hold(self, way, life, until_ms=0, wait_ms=0):
+        """Look at a life of the runner, renewing leases if a time is given.
 
         :returns: Ok(value of the answer), or Err(http.NoReply)
         """
         with self._lock:
-            life, known = self._lives.current.id, self._ends
+            known = self._ends
+            if life != self._lives.current.id:
+                return result.Err(http.NoReply('another life is there'))
         body = {'ackedUpto': known.acked}
         if until_ms:
             body['untilMs'] = until_ms
@@ -287,6 +293,7 @@
     def _read_listing(self, value):
         """Return an answer to ``hold`` as a ``workers.Listing``."""
         life = self._lives.current
+        self._listed = life.id
         now_ms = value['clockMs']
         self._starts.use((row[0], row[1]) for row in value['running'])
         running = [self._read_running(row, now_ms) for row in value['running']]
@@ -336,7 +343,11 @@
         while not self._stop.is_set():
             self._changed.clear()
             known = self._ends
-            answer = self._hold(self._waits, wait_ms=int(WAIT_SECONDS * _MS))
+            answer = self._hold(
+                self._waits,
+                self._lives.current.id,
+                wait_ms=int(WAIT_SECONDS * _MS),
+            )
             if answer.is_err():
                 self._stop.wait(_RETRY_SECONDS)
                 continue
--- a/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
@@ -235,12 +235,15 @@
 
 
 def test_lives_told_apart_by_their_ids_alone(case):
+    def is_same(one, other):
+        return other is not None and one.instance == other.instance
+
     check(
         case,
         births_test.test_births_under_one_id_are_crashes_of_their_own,
         data.LifeId,
         '__eq__',
-        lambda one, other: one.instance == other.instance,
+        is_same,
     )
 
 
