--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
 STAMP := $(VENV)/.installed
 
-.PHONY: help setup run run-jobs test lint format generate faults soak bench bench-requests bench-decisions bench-crashes slopes clean
+.PHONY: help setup run run-jobs test lint format generate faults soak bench bench-requests bench-decisions bench-crashes mutants slopes clean
 
 help:
 	@echo 'make setup     install everything into $(VENV)'
@@ -27,6 +27,7 @@
 	@echo 'make bench-requests   measure routing and limits'
 	@echo 'make bench-decisions  measure decisions against baselines'
 	@echo 'make bench-crashes  measure how tasks that crash workers are told'
+	@echo 'make mutants   which walks find a rule that is taken out'
 	@echo 'make slopes    measure what docs/CAPACITY.md is worked out from'
 	@echo 'make clean     remove $(VENV)'
 
@@ -76,6 +77,9 @@
 bench-crashes: setup
 	$(BIN)/python -m portwharf.testing.crash_play $(CRASHES)
 
+mutants: setup
+	$(BIN)/python -m portwharf.testing.mutants $(MUTANTS)
+
 bench-requests: setup
 	$(BIN)/python -m portwharf.testing.bench_requests
 
