A start names the life by whose list its lease was reckoned

Cause: the look that follows up a start without an answer may find the next life, while the agent still goes by the list before; a start in that moment went to the next life with a time on the former clock.

Change: starts carry the life of the agent's list; no other one begins them.

--- a/packages/platform/portwharf/platform/lost_ends_test.py
+++ b/packages/platform/portwharf/platform/lost_ends_test.py
@@ -19,12 +19,18 @@
 is that of ``rebirth_test``; what it costs a job is here.
 """
 
+from unittest import mock
+
+import result
+
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.platform import rebirth_test
 from portwharf.testing import agent_bench
+from portwharf import workers
 
 TASK = '5c0e7a21d94b36f8.0.0.9'
+OTHER = '5c0e7a21d94b36f8.0.0.8'
 
 
 def open_side(case, ends):
@@ -64,3 +70,36 @@
     bench.step(1)
     told = run(bench, one, TASK, 1)
     case.assertEqual(told, [data.RunState.SUCCEEDED])
+
+
+def test_nothing_begins_by_a_list_that_was_looked_past(case):
+    """A start without an answer is followed up by a look of its own.
+
+    It may find the next life, while the agent still goes by the list before:
+    a start then has a time on the former life's clock.
+    """
+    bench, one = open_side(case, ends=0)
+    stop = one.client.stop
+
+    def stop_and_be_born(*args):
+        answer = stop(*args)
+        one.begin_anew()
+        one.hear()
+        return answer
+
+    lost = mock.patch.object(one.client, 'start', lambda _: result.Err('lost'))
+    birth = mock.patch.object(one.client, 'stop', stop_and_be_born)
+    with lost, birth:
+        bench.agent.command(bench.conn, make_start(TASK))
+        bench.agent.step()
+    bench.agent.command(bench.conn, make_start(OTHER))
+    bench.agent.step()
+    case.assertEqual(one.standin.running, {})
+    case.assertIn(workers.REFUSED_UNHEARD, bench.list_refused())
+
+
+def make_start(task):
+    """Return an owner's order to begin a task."""
+    return messages.StartTask(
+        3, task, 1, exclusive=True, resources=agent_bench.SIZE
+    )
--- a/packages/platform/portwharf/platform/rebirth_test.py
+++ b/packages/platform/portwharf/platform/rebirth_test.py
@@ -47,6 +47,8 @@
         self.standin, place = platform_runner.serve_runner(case)
         self.client = runner.RunnerWorker(place, lambda: 7, MAX_HOLD_MS)
         self.hear()
+        # Of which life the side has the last list.
+        self.life = None
         self.look()
 
     def hear(self, **fields):
@@ -59,7 +61,9 @@
 
     def look(self):
         """Return what the side takes the runner to show."""
-        return self.client.read_listing().ok_value
+        listing = self.client.read_listing().ok_value
+        self.life = listing.life
+        return listing
 
     def list_states(self):
         """Return the states that the side sees, by task."""
@@ -72,6 +76,7 @@
             task, attempt, argument=b'spec', resources=SIZE
         )
         message.lease_until_ms = until
+        message.life = self.life
         return self.client.start(message).ok_value
 
     def run_to_its_end(self, task):
--- a/packages/platform/portwharf/platform/runner.py
+++ b/packages/platform/portwharf/platform/runner.py
@@ -83,9 +83,8 @@
         # given, on its clock.
         self._ends = ends.Ends()
         self._until_ms = 0
-        # Of which life the last list was that the agent has. What it orders
-        # goes by that one, with times on its clock; the life in use may be a
-        # later one whose list was lost.
+        # Of which life the last list was that was read. Renewals go by that
+        # one; the life in use may be a later one whose list was lost.
         self._listed = data.LifeId()
         # Starts, for what the listing does not tell.
         self._starts = recent.Recent(MAX_SIZES)
@@ -140,7 +139,7 @@
         return answer.map(lambda _: None).map_err(_get_text)
 
     def start(self, start):
-        refused = self._check_start()
+        refused = self._check_start(start.life)
         if refused:
             return result.Ok(refused)
         body = {
@@ -219,11 +218,12 @@
         extra = logs.fields(life=heard.id.instance, born_ms=heard.id.born_ms)
         LOG.warning('late heartbeat of a former life', extra=extra)
 
-    def _check_start(self):
+    def _check_start(self, life):
         """Return why nothing may be started, or ''.
 
-        The times and the room that a start goes by are those of the life
-        that was listed last: nothing is sent to another one.
+        The time and the room that a start goes by are those of one life,
+        which need not be the one in use: the agent may still go by the list
+        before the last.
         """
         refused = self._lives.check_start()
         if refused:
@@ -231,7 +231,7 @@
         reached = self._reach(self._orders)
         if reached.is_err():
             return workers.REFUSED_UNREACHED
-        if reached.ok_value != self._listed:
+        if reached.ok_value != life:
             return workers.REFUSED_UNHEARD
         return ''
 
--- a/packages/platform/portwharf/platform/runner_test.py
+++ b/packages/platform/portwharf/platform/runner_test.py
@@ -14,6 +14,7 @@
 
 TASK = '5c0e7a21d94b36f8.0.0.1'
 SIZE = data.Resources(8000, 1000)
+LIFE = data.LifeId('i-1', platform_runner.FIRST_BORN_MS)
 
 
 def open_runner(case, token=7):
@@ -37,6 +38,8 @@
     until = int(time.monotonic() * 1000) + 5000
     message = workers.Start(task, attempt, argument=b'spec', resources=SIZE)
     message.lease_until_ms = until
+    asked = client.read_listing()
+    message.life = asked.map(lambda listing: listing.life).unwrap_or(LIFE)
     return client.start(message)
 
 
@@ -76,6 +79,7 @@
     standin.ticket = 'right'
     until = int(time.monotonic() * 1000) + 5000
     message = workers.Start(TASK, 1, argument=b'spec', lease_until_ms=until)
+    message.life = LIFE
     message.ticket = 'wrong'
     refused = client.start(message).ok_value
     case.assertIn(refused, workers.SOUND_REFUSALS)
--- a/packages/platform/portwharf/platform/runner_walk_test.py
+++ b/packages/platform/portwharf/platform/runner_walk_test.py
@@ -139,10 +139,13 @@
         self.client.take_life(beats.read_life('i-1', body))
 
     def look(self):
-        """Read the list, and log what it shows to have ended."""
+        """Read the list, and log what it shows to have ended.
+
+        :returns: whether there was one
+        """
         asked = self.client.read_listing()
         if asked.is_err():
-            return
+            return False
         self.listing = asked.ok_value
         seen = {
             (one.task, one.attempt)
@@ -153,18 +156,24 @@
         if there - seen - self.logged:
             raise Broken(f'passed over: {there - seen - self.logged}')
         self.logged |= seen
+        return True
 
     def start(self):
         """Begin an attempt, by what the last list says."""
         self.tasks += 1
         start = workers.Start(f'5c0e7a21d94b36f8.0.0.{self.tasks}', 1)
         start.lease_until_ms = self.listing.now_ms + LEASE_MS
+        start.life = self.listing.life
         self.client.start(start)
 
+    def look_past(self):
+        """Look for another reason; starts go by the list before."""
+        self.client.read_listing()
+
     def renew(self):
         """Look, and renew the leases by it."""
-        self.look()
-        self.client.renew(self.listing.now_ms + LEASE_MS)
+        if self.look():
+            self.client.renew(self.listing.now_ms + LEASE_MS)
 
     def finish(self):
         """A run comes to its end."""
@@ -190,7 +199,7 @@
 ACTIONS = (
     *(Walk.start, Walk.start, Walk.start, Walk.finish, Walk.finish),
     *(Walk.look, Walk.look, Walk.renew, Walk.forget, Walk.forget),
-    *(Walk.hear, Walk.hear_late, Walk.bear, Walk.lose),
+    *(Walk.hear, Walk.hear_late, Walk.bear, Walk.lose, Walk.look_past),
 )
 
 
@@ -217,10 +226,9 @@
     case.assertEqual(seed, 0, reason)
 
 
-def test_orders_sent_to_whichever_life_is_there_are_found(case):
-    def order(self, way, life, path, body, seconds=line.CALL_SECONDS):
-        reached = self._reach(way)
-        return way.order(path, body, seconds) if reached.is_ok() else reached
+def test_starts_by_the_list_of_another_life_are_found(case):
+    def check(self, life):
+        return self._lives.check_start() or self._reach(self._orders).err()
 
-    with mock.patch.object(runner.RunnerWorker, '_order', order):
+    with mock.patch.object(runner.RunnerWorker, '_check_start', check):
         case.assertIsNotNone(walk_all())
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -250,6 +250,7 @@
             self._leases.compute_end() if message.exclusive else 0,
             message.resources,
             message.ticket,
+            self._listing.life,
         )
         self._try_start(message, start)
 
--- a/packages/testing/portwharf/testing/cluster_fakes.py
+++ b/packages/testing/portwharf/testing/cluster_fakes.py
@@ -182,7 +182,7 @@
     def start(self, start):
         if self.silent or self.is_away:
             return _SILENT
-        if self.is_deaf:
+        if start.life != self._life:
             return result.Ok(workers.REFUSED_UNHEARD)
         if self.broken:
             return result.Ok('worker-is-broken')
--- a/packages/workers/portwharf/workers/base.py
+++ b/packages/workers/portwharf/workers/base.py
@@ -45,6 +45,8 @@
     :param lease_until_ms: when it ends without a renewal, on the worker's
         clock; 0: no lease. If that time is past it is not begun.
     :param ticket: what the policy gave for this worker, or ''
+    :param life: of which life the listing was that the lease was reckoned
+        by; no other one begins the attempt
     """
 
     task: str = ''
@@ -59,6 +61,7 @@
         default_factory=data.Resources
     )
     ticket: str = ''
+    life: data.LifeId = data.LifeId()
 
 
 @dataclasses.dataclass(slots=True)
