Walks: births and jobs are switches of their own

Cause: read again, the walks with crashes that are kept as tests (seeds 6, 35, 100) had births and jobs put into them, and seed 4, kept for a sound task that was given up beside one of its own job, had jobs put in after it had shown it. They no longer played what they were kept for.

Change: each seed plays what it did; a test of its own plays all together. One function tells a job's task, in place of three ways to.

--- a/packages/testing/portwharf/testing/cluster_checks.py
+++ b/packages/testing/portwharf/testing/cluster_checks.py
@@ -77,7 +77,7 @@
     by_task = _sort_by_task(nodes)
     for task, runs in by_task.items():
         parts = task.split('.')
-        if len(parts) != 4 or parts[2] == '0':
+        if not is_of_job(task) or parts[2] == '0':
             continue
         before = f'{parts[0]}.{parts[1]}.{int(parts[2]) - 1}.'
         first = min(run.order for run in runs)
@@ -94,12 +94,17 @@
             for run in runs
             if run.noted and run.attempt.state == data.RunState.FAILED
         )
-        if len(failed) < MOST_FAILURES or '.' not in task[:-2]:
+        if len(failed) < MOST_FAILURES or not is_of_job(task):
             continue
         if any(run.order > failed[MOST_FAILURES - 1] for run in runs):
             raise cluster_fakes.Violation(f'{task} begun after its last try')
 
 
+def is_of_job(task):
+    """Tell a job's task, ID.TIME.STEP.NUMBER, from a workload's own."""
+    return task.count('.') == 3
+
+
 def _sort_by_task(nodes):
     """Return the record of all workers, by task."""
     found = collections.defaultdict(list)
--- a/packages/testing/portwharf/testing/mutants.py
+++ b/packages/testing/portwharf/testing/mutants.py
@@ -79,14 +79,19 @@
     return 'check(' in source and 'mock.patch' not in source
 
 
-def find_seed(seeds, make_walk):
+def make_walk(seed):
+    """Return a walk of the cluster with all that there is."""
+    return walk.Walk(seed, more=True, births=True, jobs=True)
+
+
+def find_seed(seeds, make):
     """Return the first seed whose walk fails, or None.
 
     What a fault breaks first may be an invariant of the code itself.
     """
     for seed in range(seeds):
         try:
-            make_walk(seed).run()
+            make(seed).run()
         except Exception:
             return seed
     return None
@@ -95,7 +100,7 @@
 def find_by_cluster(mutant, seeds):
     """Return the seed by which the walk of the cluster finds a mutant."""
     with mutant.apply():
-        return find_seed(seeds, lambda seed: walk.Walk(seed, more=True))
+        return find_seed(seeds, make_walk)
 
 
 def find_by_runner(mutant):
--- a/packages/testing/portwharf/testing/walk.py
+++ b/packages/testing/portwharf/testing/walk.py
@@ -30,17 +30,20 @@
 class Walk:
     """One walk."""
 
-    def __init__(self, seed, size=0, more=False):
+    def __init__(self, seed, size=0, more=False, births=False, jobs=False):
         """Begin a walk.
 
-        :param more: workers crash, also under tasks, shrink and grow, and
-            begin again at once; drawn apart, so that known seeds stay as
-            they were
+        What comes besides is drawn apart, so that known seeds stay as they
+        were without it.
+
+        :param more: workers crash, also under tasks, shrink and grow
+        :param births: workers begin again at once
+        :param jobs: jobs of several steps, failures, starts without answers
         """
         self.random = random.Random(seed)
         self.more = random.Random(-1 - seed) if more else None
-        self.births = random.Random(f'births {seed}') if more else None
-        self.jobs = random.Random(f'jobs {seed}') if more else None
+        self.births = random.Random(f'births {seed}') if births else None
+        self.jobs = random.Random(f'jobs {seed}') if jobs else None
         self.numbers = itertools.count(1)
         size = size or self.random.choice((3, 4, 5))
         self.cluster = cluster.Cluster(size)
@@ -128,7 +131,7 @@
         """Have the tasks of jobs fail that run on a worker."""
         for run in list(worker.runs):
             task = run.attempt.task
-            if run.running and task.count('.') == 3:
+            if run.running and cluster_checks.is_of_job(task):
                 worker.finish(task, data.RunState.FAILED)
                 self.note_failed(task)
 
@@ -315,15 +318,15 @@
 def main():
     """Walk for each seed from the first to the second argument.
 
-    A third, ``more``, has workers crash, shrink and grow as well.
+    Further ones, of ``more``, ``births`` and ``jobs``, say what comes besides.
     """
     first, last = int(sys.argv[1]), int(sys.argv[2])
     began = time.monotonic()
     failed = 0
-    more = 'more' in sys.argv[3:]
+    besides = dict.fromkeys(sys.argv[3:], True)
     for seed in range(first, last):
         try:
-            Walk(seed, more=more).run()
+            Walk(seed, **besides).run()
         except cluster_fakes.Violation as exc:
             failed += 1
             print(f'seed {seed}: {exc}', flush=True)
--- a/packages/testing/portwharf/testing/walk_test.py
+++ b/packages/testing/portwharf/testing/walk_test.py
@@ -11,7 +11,14 @@
     Both had begun together on the same workers three times, so that nothing
     tells them apart, and the job is lost with either.
     """
-    walk.Walk(4, more=True).run()
+    walk.Walk(4, more=True, births=True).run()
+
+
+def test_walks_with_births_and_jobs(case):
+    """Nothing begins out of turn, after its end, or after its last try."""
+    for seed in (1, 2, 3):
+        with case.subTest(seed=seed):
+            walk.Walk(seed, more=True, births=True, jobs=True).run()
 
 
 def test_walks_with_workers_that_crash_and_shrink(case):
