--- a/packages/core/portwharf/core/logs.py
+++ b/packages/core/portwharf/core/logs.py
@@ -47,6 +47,7 @@
     'ran_ms',
     'born_ms',
     'acked',
+    'zones',
 )
 _TEXT_FORMAT = '%(asctime)s %(levelname)s %(name)s: %(message)s'
 _JSON_FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
--- a/packages/peers/portwharf/peers/messages.py
+++ b/packages/peers/portwharf/peers/messages.py
@@ -17,6 +17,8 @@
 PROTOCOL_VERSION = 1
 # The reason of a refusal by a side that holds no valid grant.
 REFUSED_GRANT = 'no-valid-grant'
+# And by one whose availability zone an operator has closed.
+REFUSED_ZONE = 'availability-zone-is-closed'
 
 
 @dataclasses.dataclass(slots=True)
@@ -355,6 +357,18 @@
     text: str = ''
 
 
+@dataclasses.dataclass(slots=True)
+class ClosedZones:
+    """From an owner to its sides: where nothing may begin now.
+
+    :param revision: of the store, at which this was read; of two the later
+        one holds, whoever sent it
+    """
+
+    revision: int = 0
+    zones: list[str] = dataclasses.field(default_factory=list)
+
+
 @dataclasses.dataclass(slots=True)
 class SideState:
     """From a side to an entry: what it serves and whom it follows.
@@ -490,6 +504,7 @@
     'resign': Resignation,
     'roster': RosterUpdate,
     'config': ConfigUpdate,
+    'zones': ClosedZones,
     'state': SideState,
     'request': Request,
     'chunk': Chunk,
--- a/packages/platform/portwharf/platform/beside.py
+++ b/packages/platform/portwharf/platform/beside.py
@@ -18,6 +18,7 @@
     """Opens the platform's store, register and runner."""
 
     config_key = routes.CONFIG_KEY
+    zones_prefix = routes.ZONES_PREFIX
 
     def __init__(self, settings):
         """Take a ``boot.Boot``."""
--- a/packages/platform/portwharf/platform/kv.py
+++ b/packages/platform/portwharf/platform/kv.py
@@ -21,6 +21,8 @@
 # A watch that was cut silently is noticed within this and CALL_SECONDS; the
 # configuration has to be read again before the users' 3 s are over.
 WATCH_SECONDS = 1.5
+# The longest that a watch may wait, by the platform's protocol.
+MAX_WATCH_SECONDS = 30.0
 # Entries that one transaction takes.
 MAX_ENTRIES = 32
 _OK = 200
@@ -126,6 +128,43 @@
         ]
         return result.Ok(entries[-1] if entries else None)
 
+    def list_names(self, prefix):
+        query = _quote(pathPrefix=prefix)
+        names = store.Names()
+        while True:
+            reply = self._call('GET', f'/portwharf/kv-range?{query}', _OK)
+            if reply.is_err():
+                return reply
+            value = reply.ok_value.value
+            # Pages are no snapshot: what changed since the first is seen
+            # by a watch after that.
+            names.revision = names.revision or value['at']
+            found = [item['privateKey'] for item in value['items']]
+            names.keys += [key for key in found if key not in names.keys]
+            if not (value.get('more') and found):
+                return result.Ok(names)
+            query = _quote(pathPrefix=prefix, watchRev=found[-1])
+
+    def wait_for_names(self, prefix, revision, timeout):
+        wait = min(timeout, MAX_WATCH_SECONDS)
+        query = _quote(
+            pathPrefix=prefix, watchRev=revision, waitMs=int(wait * _MS)
+        )
+        reply = self._call(
+            'GET',
+            f'/portwharf/kv-watch?{query}',
+            _OK,
+            _HISTORY_GONE,
+            seconds=wait + CALL_SECONDS,
+        )
+        if reply.is_err():
+            return reply
+        if reply.ok_value.status == _HISTORY_GONE:
+            return result.Ok(store.Names())
+        value = reply.ok_value.value
+        unchanged = 0 if value['events'] else value.get('at', 0)
+        return result.Ok(store.Names(revision=unchanged))
+
     def open_lease(self, seconds):
         body = {'ttl_ms': int(seconds * _MS)}
         reply = self._call('POST', '/portwharf/kv-lease', _OK, body=body)
--- a/packages/platform/portwharf/platform/kv_test.py
+++ b/packages/platform/portwharf/platform/kv_test.py
@@ -125,3 +125,40 @@
     read_again = noticed + 1.5 * configuration.RETRY_SECONDS
     # Of the platform's bounds: contactMs.
     case.assertLess(read_again, 3.0)
+
+
+def test_names_are_listed_over_all_pages(case):
+    client, standin = open_store(case)
+    for number in range(8):
+        standin.set_item(f'zones/{number}', '')
+    standin.set_item('zonesque', '')
+    names = client.list_names('zones/').ok_value
+    case.assertEqual([key[-1] for key in names.keys], list('01234567'))
+
+
+def test_watch_of_names_sees_what_is_written_and_what_goes(case):
+    client, standin = open_store(case)
+    empty = client.list_names('zones/').ok_value
+    standin.set_item('zones/a', '')
+    changed = client.wait_for_names('zones/', empty.revision, 1)
+    case.assertEqual(changed.ok_value.revision, 0)
+    listed = client.list_names('zones/').ok_value
+    case.assertEqual(listed.keys, ['zones/a'])
+    standin.revoke('zones/a')
+    changed = client.wait_for_names('zones/', listed.revision, 1)
+    case.assertEqual(changed.ok_value.revision, 0)
+
+
+def test_watch_of_names_without_a_change_says_up_to_when(case):
+    client, standin = open_store(case)
+    empty = client.list_names('zones/').ok_value
+    standin.set_item('other', '')
+    found = client.wait_for_names('zones/', empty.revision, 0.05).ok_value
+    case.assertGreater(found.revision, empty.revision)
+
+
+def test_names_are_read_anew_after_history_is_forgotten(case):
+    client, standin = open_store(case)
+    standin.faults.history = 10**6
+    found = client.wait_for_names('zones/', 3, 0.05)
+    case.assertEqual(found.ok_value.revision, 0)
--- a/packages/platform/portwharf/platform/routes.py
+++ b/packages/platform/portwharf/platform/routes.py
@@ -15,6 +15,8 @@
 from portwharf.scheduler import jobs
 
 CONFIG_KEY = 'op/config'
+# A key for each availability zone that nothing may begin in, after this.
+ZONES_PREFIX = 'op/evacuate/'
 MAX_SPEC_BYTES = 4000
 MAX_STEPS = 64
 MAX_TASKS = 100_000
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -33,6 +33,7 @@
 LOG = logging.getLogger(__name__)
 
 _DROP_SECONDS = 20.0
+_SOUND_REFUSALS = (messages.REFUSED_GRANT, messages.REFUSED_ZONE)
 
 
 class Decider:
@@ -226,8 +227,8 @@
             job = record.workload.job
             if self._health.note_failure(vm, workload, now, job):
                 LOG.warning('quarantined', extra=logs.fields(vm=vm))
-        elif report.reason == messages.REFUSED_GRANT:
-            # That side has no grant yet: nothing against its VM.
+        elif report.reason in _SOUND_REFUSALS:
+            # Nothing against its VM: no grant yet, or a closed zone.
             return
         elif report.state == data.RunState.REFUSED:
             self._health.note_refusal(vm, workload, now)
@@ -435,7 +436,11 @@
         )
 
     def _may_place(self, now):
-        return self._grants.may_grant(now) and self._members.has_settled(now)
+        return (
+            self._grants.may_grant(now)
+            and self._members.has_settled(now)
+            and self._members.knows_zones(now)
+        )
 
     def _resolve_prepared(self, batch, views, now):
         """Place prepared tasks that there is room for now.
--- a/packages/scheduler/portwharf/scheduler/environment.py
+++ b/packages/scheduler/portwharf/scheduler/environment.py
@@ -20,6 +20,7 @@
     :param kv: the store, for the configuration
     :param config_key: the key that the configuration is under
     :param policy: a ``policy.Policy`` that governs queues, or None
+    :param zones: the ``zones.ZoneKeeper`` of this process
     """
 
     name: str = ''
@@ -35,3 +36,4 @@
     kv: object = None
     config_key: str = configuration.KEY
     policy: object = None
+    zones: object = None
--- a/packages/scheduler/portwharf/scheduler/members.py
+++ b/packages/scheduler/portwharf/scheduler/members.py
@@ -86,6 +86,7 @@
         # Before any order: a side that has restarted does not know what it
         # is that runs on its VM, and would pace nothing beside it.
         conn.send(self._held)
+        conn.send(self._owner.make_zones())
         conn.send(self._owner.make_config())
         conn.send(self._owner.make_rosters())
         known = self._owner.make_presses()
--- a/packages/scheduler/portwharf/scheduler/members_test.py
+++ b/packages/scheduler/portwharf/scheduler/members_test.py
@@ -14,6 +14,7 @@
 from portwharf.testing import relay
 
 
+ZONES = messages.ClosedZones(9, ['zone-1'])
 HELD = messages.HeldTasks([messages.HeldTask('job.0', 1)])
 
 
@@ -50,6 +51,10 @@
         """Return what a member's VM holds."""
         return HELD
 
+    def make_zones(self):
+        """Return which zones are closed."""
+        return ZONES
+
     def make_rosters(self):
         """Return rosters."""
         return messages.RosterUpdate()
@@ -113,6 +118,7 @@
     conn = greet(conns)
     case.assertEqual(conn.receive(), messages.Grant(0, 7000, 3, False))
     case.assertEqual(conn.receive(), HELD)
+    case.assertEqual(conn.receive(), ZONES)
     case.assertEqual(conn.receive(), messages.ConfigUpdate(5, 'text'))
     case.assertEqual(conn.receive(), messages.RosterUpdate())
     conn.send(messages.Heartbeat(11, 22, 3, data.Resources(1, 2)))
@@ -125,7 +131,7 @@
     port, conns = accept(case)
     make_link(case, port)
     conn = greet(conns)
-    for _ in range(4):
+    for _ in range(5):
         conn.receive()
     conn.send(messages.Heartbeat(11, 22, 0))
     case.assertFalse(conn.receive().valid)
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -13,6 +13,7 @@
 from portwharf.scheduler import precedence
 from portwharf.scheduler import suspects
 from portwharf.scheduler import vmview
+from portwharf.scheduler import zones
 
 # What a new owner gives its members at the most to report.
 SETTLE_SECONDS = 1.0
@@ -25,6 +26,7 @@
 CLOSED_NOT_READY = 'not-ready-yet'
 CLOSED_LEAVING = 'leaving'
 CLOSED_QUARANTINED = 'quarantined'
+CLOSED_ZONE = messages.REFUSED_ZONE
 
 
 class Membership:
@@ -140,7 +142,9 @@
             view.take_pairs(self._pairs, link.view.headrooms)
             self._count_fill(link, view, weigher)
             self._note_suspects(view)
-            view.closed = self._find_closed(name, link, now)
+            view.closed = self._find_closed(
+                name, link, now
+            ) or self._find_zone_closed(link)
             view.probe = self._health.is_probed(name, now)
             views.append(view)
         self._pressure.fill_views(views, now)
@@ -245,6 +249,23 @@
             return CLOSED_QUARANTINED
         return ''
 
+    def _find_zone_closed(self, link):
+        """Return why nothing may begin in a VM's zone, or ''.
+
+        Its side may own the shard all the same.
+        """
+        zone = link.view.vm.availability_zone
+        return CLOSED_ZONE if self._env.zones.is_closed(zone) else ''
+
+    def knows_zones(self, now):
+        """Tell whether it is known well enough which zones are closed.
+
+        A new owner reads it itself first: what its side was told may be as
+        old as the owner before it.
+        """
+        oldest = max(self._began, now - zones.MAX_AGE_SECONDS)
+        return self._env.zones.is_known_since(oldest)
+
     def announce(self, message):
         """Send a message to all members."""
         for link in self.list_links():
--- a/packages/scheduler/portwharf/scheduler/metrics.py
+++ b/packages/scheduler/portwharf/scheduler/metrics.py
@@ -15,6 +15,10 @@
     'portwharf_owner_given_up',
     'Tasks that were given up, as they crash the workers that start them.',
 )
+CLOSED_ZONES = prometheus_client.Gauge(
+    'portwharf_closed_zones',
+    'Availability zones that an operator has closed to new starts.',
+)
 SUSPECTS = prometheus_client.Gauge(
     'portwharf_owner_suspects',
     'Tasks that workers crashed under, and that are not cleared.',
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -180,6 +180,10 @@
         valid = valid and self._grants.grant(member, now)
         return messages.Grant(side_ms, int(now * _MS), self.epoch, valid)
 
+    def make_zones(self):
+        """Return which availability zones are closed, for a side."""
+        return self._env.zones.make_update()
+
     def make_held(self, member):
         """Return what a member's VM holds, for its side."""
         with self._lock:
@@ -213,6 +217,11 @@
         """Pass the configuration in force down to the sides."""
         self._members.announce(self.make_config())
 
+    def tell_zones(self):
+        """Tell the sides of closed zones, and go over what waits."""
+        self._members.announce(self.make_zones())
+        self._inbox.put(None)
+
     def note_epoch(self, epoch):
         """Look at the log if a member knows a higher epoch than ours."""
         if epoch > self.epoch:
@@ -321,6 +330,7 @@
             self._members.sync_links(self)
             self._tell_presses()
             self._members.read_vm_list(self.read_clock())
+            self._read_zones()
             items = [*self._deferred, *items]
             self._deferred = []
             with self._lock:
@@ -331,6 +341,9 @@
         if step is batches.Step.DEPOSED:
             self.deposed.set()
         if step is batches.Step.DONE:
+            # The append may have waited for long. What is told of zones comes
+            # before the starts on each connection, and sides go by it.
+            self._read_zones()
             batch, self._batch = self._batch, None
             for effect in batch.effects:
                 effect()
@@ -343,6 +356,14 @@
         if update is not None:
             self._members.announce(update)
 
+    def _read_zones(self):
+        """Read which zones are closed, if what is known is old.
+
+        It may take as long as the store does, so without the lock.
+        """
+        if not self._members.knows_zones(self.read_clock()):
+            self._env.zones.look(self._env.kv)
+
     def serve_stalled(self):
         """Go on as far as that needs no append, while one is stalled."""
         items = self.take_items()
--- a/packages/scheduler/portwharf/scheduler/takeover_test.py
+++ b/packages/scheduler/portwharf/scheduler/takeover_test.py
@@ -11,6 +11,7 @@
 from portwharf.scheduler import guard
 from portwharf.scheduler import limits
 from portwharf.scheduler import takeover
+from portwharf.scheduler import zones
 from portwharf.testing import fixtures
 
 LIMITS = limits.Limits()
@@ -69,6 +70,7 @@
             dial=self.dial,
             keeper=configuration.ConfigKeeper(),
             kv=self.kv,
+            zones=zones.ZoneKeeper(self.clock),
         )
         self.watcher = takeover.Watcher(env, self.guard, self.kv)
         self.claims = []
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/zones_test.py
@@ -0,0 +1,408 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Nothing begins in a closed availability zone, by whichever way it would.
+
+Zones have one VM each on the stepped cluster, which checks after every step
+that nothing began where a zone had been closed for long.
+"""
+
+from portwharf.core import clock
+from portwharf.core import data
+from portwharf.peers import messages
+from portwharf.scheduler import faults_test
+from portwharf.scheduler import jobs_test
+from portwharf.scheduler import membership
+from portwharf.scheduler import zones
+from portwharf.side import agent
+from portwharf.store import etcd_test
+from portwharf.testing import cluster
+from portwharf.testing import fixtures
+
+CLOSED = 'zone-1'
+LONG = 8.0
+
+
+def make_cluster(size=3):
+    """Return a cluster whose owner is not in the zone that is closed."""
+    made = cluster.Cluster(size)
+    made.run(4)
+    return made
+
+
+def list_running(made, number):
+    """Return the tasks that run on a VM, by its number."""
+    runs = made.nodes[number].worker.runs
+    return sorted(run.attempt.task for run in runs if run.running)
+
+
+def count_running(made):
+    """Return how many tasks run on each VM."""
+    return [len(list_running(made, n)) for n in range(len(made.nodes))]
+
+
+def explain(made, workload_id):
+    """Return the reasons for which VMs were refused to a workload."""
+    owner = made.list_owners()[0].owner
+    waiting = owner._decider.waiting[workload_id]
+    return {one.name: one.number for one in waiting.choice.list_refusals()}
+
+
+def test_work_goes_to_other_zones(case):
+    made = make_cluster()
+    made.close_zone(CLOSED)
+    made.run(LONG)
+    made.submit(6)
+    made.run(LONG)
+    case.assertEqual(count_running(made), [2, 0, 2])
+
+
+def test_what_runs_goes_on(case):
+    made = make_cluster()
+    made.submit(6)
+    made.run(4)
+    before = list_running(made, 1)
+    made.close_zone(CLOSED)
+    made.run(LONG)
+    case.assertEqual(list_running(made, 1), before)
+    case.assertEqual(len(before), 2)
+
+
+def test_lasting_task_that_ends_there_begins_elsewhere(case):
+    made = make_cluster()
+    lasting = jobs_test.make_step(3, kind=data.Kind.STANDING, most_per_vm=1)
+    made.submit_job(jobs_test.make_job(lasting))
+    made.run(4)
+    made.close_zone(CLOSED)
+    made.run(LONG)
+    case.assertEqual(count_running(made), [1, 1, 1])
+    (task,) = list_running(made, 1)
+    made.nodes[1].worker.finish(task, data.RunState.FAILED)
+    made.run(LONG)
+    case.assertEqual(count_running(made), [1, 0, 1])
+    made.open_zone(CLOSED)
+    made.run(LONG)
+    case.assertEqual(count_running(made), [1, 1, 1])
+
+
+def test_zone_that_is_taken_back_is_used_at_once(case):
+    made = make_cluster()
+    made.close_zone(CLOSED)
+    made.submit(6)
+    made.run(LONG)
+    made.open_zone(CLOSED)
+    made.run(3)
+    case.assertEqual(count_running(made), [2, 2, 2])
+
+
+def test_zone_closed_again_within_a_second_is_closed(case):
+    made = make_cluster()
+    made.close_zone(CLOSED)
+    made.run(LONG)
+    made.open_zone(CLOSED)
+    made.tick(0.2)
+    made.close_zone(CLOSED)
+    made.run(LONG)
+    made.submit(6)
+    made.run(LONG)
+    case.assertEqual(count_running(made), [2, 0, 2])
+
+
+def test_key_that_is_written_again_closes_nothing_else(case):
+    made = make_cluster()
+    made.close_zone(CLOSED)
+    made.run(LONG)
+    made.standin.put(zones.PREFIX + CLOSED, b'\xff not to be read')
+    made.submit(6)
+    made.run(LONG)
+    case.assertEqual(count_running(made), [2, 0, 2])
+
+
+def test_unknown_zone_changes_nothing(case):
+    made = make_cluster()
+    made.close_zone('zone-of-nobody')
+    made.close_zone('')
+    made.run(LONG)
+    made.submit(6)
+    made.run(4)
+    case.assertEqual(count_running(made), [2, 2, 2])
+
+
+def test_all_zones_may_be_closed(case):
+    made = make_cluster()
+    for number in range(3):
+        made.close_zone(f'zone-{number}')
+    made.run(LONG)
+    accepted = made.submit(3)
+    made.run(LONG)
+    case.assertEqual(count_running(made), [0, 0, 0])
+    reasons = explain(made, accepted.value.id)
+    case.assertEqual(reasons, {messages.REFUSED_ZONE: 3})
+    made.open_zone('zone-2')
+    made.run(3)
+    case.assertEqual(count_running(made), [0, 0, 2])
+
+
+def test_step_whose_only_label_lies_there_waits_and_says_so(case):
+    made = make_cluster()
+    for number, node in enumerate(made.nodes):
+        node.worker.labels = ['lens'] if number == 1 else []
+    made.run(2)
+    made.close_zone(CLOSED)
+    made.run(LONG)
+    job = jobs_test.make_job(jobs_test.make_step(1, label='lens'))
+    made.submit_job(job)
+    made.run(4)
+    case.assertEqual(count_running(made), [0, 0, 0])
+    reasons = explain(made, jobs_test.FIRST)
+    case.assertEqual(reasons[messages.REFUSED_ZONE], 1)
+    made.open_zone(CLOSED)
+    made.run(3)
+    case.assertEqual(count_running(made), [0, 1, 0])
+
+
+def test_gang_is_not_begun_in_part(case):
+    made = make_cluster()
+    made.close_zone(CLOSED)
+    made.run(LONG)
+    gang = jobs_test.make_step(6, gang=True)
+    made.submit_job(jobs_test.make_job(gang))
+    made.run(LONG)
+    case.assertEqual(count_running(made), [0, 0, 0])
+    made.open_zone(CLOSED)
+    made.run(4)
+    case.assertEqual(count_running(made), [2, 2, 2])
+
+
+def test_start_that_was_under_way_is_refused_by_the_side(case):
+    """Decided and logged before, delivered after.
+
+    Order of events: an owner places a task, and its message is held up until
+    the zone is closed; the owner has not heard of that yet, the side has.
+    """
+    made = make_cluster()
+    for node in (made.nodes[0], made.nodes[2]):
+        node.worker.resize(0)
+    made.run(2)
+    made.submit(1)
+    owner = made.nodes[0].owner
+    owner.step(owner.take_items())
+    link = owner._members.get_link('vm-01')
+    case.assertTrue(
+        any(isinstance(m, messages.StartTask) for m in link.pipe.to_side)
+    )
+    made.close_zone(CLOSED)
+    made.nodes[1].zones.look(made.nodes[1].kv)
+    made.run(LONG)
+    case.assertEqual(count_running(made), [0, 0, 0])
+    made.nodes[2].worker.resize(2000)
+    made.run(LONG)
+    case.assertEqual(count_running(made), [0, 0, 1])
+
+
+def test_start_that_is_made_up_for_is_refused(case):
+    made = make_cluster()
+    made.nodes[0].worker.resize(0)
+    made.nodes[2].worker.resize(0)
+    made.run(2)
+    made.submit(1)
+    owner = made.nodes[0].owner
+    owner.step(owner.take_items())
+    owner._members.get_link('vm-01').pipe.to_side.clear()
+    made.break_pipes(made.nodes[1])
+    made.close_zone(CLOSED)
+    made.run(LONG)
+    case.assertEqual(count_running(made), [0, 0, 0])
+
+
+def test_new_owner_places_nothing_there(case):
+    """Its own side was told of nothing before it took over."""
+    made = make_cluster()
+    made.isolate(made.nodes[0])
+    made.close_zone(CLOSED)
+    made.submit(3)
+    made.nodes[2].claim()
+    case.assertFalse(made.nodes[2].zones.is_closed(CLOSED))
+    made.submit(6)
+    made.run(LONG)
+    case.assertEqual(list_running(made, 1), [])
+    case.assertEqual(len(list_running(made, 2)), 2)
+
+
+def test_new_owner_does_not_go_by_what_its_side_knew(case):
+    made = make_cluster()
+    node = made.nodes[2]
+    node.zones.look(node.kv)
+    made.close_zone(CLOSED)
+    made.nodes[0].end_owner()
+    made.time.advance(0.1)
+    node.claim()
+    case.assertFalse(node.owner._members.knows_zones(node.owner.read_clock()))
+
+
+def test_new_side_refuses_by_its_own_sight(case):
+    made = make_cluster()
+    made.close_zone(CLOSED)
+    made.run(LONG)
+    made.restart_side(made.nodes[1])
+    made.submit(6)
+    made.run(LONG)
+    case.assertEqual(count_running(made), [2, 0, 2])
+    case.assertTrue(made.nodes[1].zones.is_closed(CLOSED))
+
+
+def test_append_that_waited_out_an_outage_starts_nothing_there(case):
+    """A zone is closed in the moment in which the store is back."""
+    made = make_cluster()
+    made.nodes[0].worker.resize(0)
+    made.nodes[2].worker.resize(0)
+    made.run(2)
+    made.standin.faults.down = True
+    made.submit(1)
+    made.run(4)
+    made.standin.faults.down = False
+    made.standin.put(zones.PREFIX + CLOSED, b'')
+    made.run(LONG)
+    case.assertEqual(count_running(made), [0, 0, 0])
+
+
+def test_prepared_work_does_not_begin_there_in_an_outage(case):
+    made = make_cluster()
+    made.submit(10)
+    made.run(4)
+    case.assertTrue(made.read_state().prepared['vm-01'])
+    made.close_zone(CLOSED)
+    made.tick(0.1)
+    for node in made.nodes:
+        node.zones.look(node.kv)
+    made.standin.faults.down = True
+    made.run(6)
+    made.finish_running()
+    made.run(6)
+    case.assertEqual(list_running(made, 1), [])
+    case.assertTrue(list_running(made, 2))
+
+
+def test_side_that_is_cut_from_the_store_is_told_by_its_owner(case):
+    made = make_cluster()
+    made.nodes[1].pool.cut = True
+    made.close_zone(CLOSED)
+    made.run(4)
+    case.assertTrue(made.nodes[1].zones.is_closed(CLOSED))
+
+
+def test_owner_that_cannot_read_the_keys_places_nothing(case):
+    made = make_cluster()
+    node = made.nodes[0]
+    node.zones.look = lambda kv: False
+    made.run(4)
+    made.submit(1)
+    made.run(LONG)
+    case.assertEqual(count_running(made), [0, 0, 0])
+
+
+def test_refusal_counts_against_no_vm(case):
+    made = make_cluster()
+    made.nodes[0].worker.resize(0)
+    made.nodes[2].worker.resize(0)
+    made.run(2)
+    made.submit(2)
+    owner = made.nodes[0].owner
+    owner.step(owner.take_items())
+    made.close_zone(CLOSED)
+    made.nodes[1].zones.look(made.nodes[1].kv)
+    made.run(2)
+    made.open_zone(CLOSED)
+    made.run(4)
+    case.assertEqual(count_running(made), [0, 2, 0])
+
+
+def test_later_reading_holds_whoever_made_it(case):
+    keeper = zones.ZoneKeeper(clock.ManualClock())
+    keeper.offer(7, [CLOSED])
+    keeper.offer(5, [])
+    case.assertTrue(keeper.is_closed(CLOSED))
+    keeper.offer(8, [])
+    case.assertFalse(keeper.is_closed(CLOSED))
+
+
+def test_followers_hear_of_changes_alone(case):
+    keeper = zones.ZoneKeeper(clock.ManualClock())
+    heard = []
+    keeper.follow(lambda: heard.append(keeper.read().names))
+    keeper.offer(5, [])
+    keeper.offer(6, [CLOSED])
+    keeper.offer(9, [CLOSED])
+    case.assertEqual(heard, [frozenset((CLOSED,))])
+
+
+def test_watch_sees_what_is_written_and_what_goes(case):
+    kv, standin = etcd_test.open_served(case)
+    keeper = zones.ZoneKeeper(clock.ManualClock())
+    case.assertTrue(keeper.look(kv))
+    standin.put(zones.PREFIX + CLOSED, b'')
+    case.assertTrue(keeper.wait(kv))
+    case.assertTrue(keeper.is_closed(CLOSED))
+    standin.remove(zones.PREFIX + CLOSED)
+    case.assertTrue(keeper.wait(kv))
+    case.assertFalse(keeper.is_closed(CLOSED))
+
+
+def test_store_that_does_not_answer_changes_nothing(case):
+    kv, standin = fixtures.make_store()
+    now = clock.ManualClock()
+    keeper = zones.ZoneKeeper(now)
+    standin.put(zones.PREFIX + CLOSED, b'')
+    keeper.look(kv)
+    now.advance(3.0)
+    standin.faults.down = True
+    case.assertFalse(keeper.look(kv))
+    case.assertTrue(keeper.is_closed(CLOSED))
+    case.assertFalse(keeper.is_known_since(now.read_monotonic() - 1.0))
+
+
+def test_what_somebody_writes_there_is_bounded(case):
+    keeper = zones.ZoneKeeper(clock.ManualClock())
+    keeper.offer(1, ['x' * 1000] + [str(n) for n in range(1000)])
+    names = keeper.read().names
+    case.assertEqual(len(names), zones.MAX_ZONES)
+    case.assertEqual(max(len(name) for name in names), zones.MAX_NAME)
+
+
+def test_side_that_does_not_look_is_caught(case):
+    faults_test.check(
+        case,
+        test_start_that_was_under_way_is_refused_by_the_side,
+        agent.Agent,
+        '_check_start',
+        _forget_zone(agent.Agent._check_start),
+    )
+
+
+def test_owner_that_does_not_look_is_caught(case):
+    faults_test.check(
+        case,
+        test_all_zones_may_be_closed,
+        membership.Membership,
+        '_find_zone_closed',
+        lambda self, link: '',
+    )
+
+
+def test_owner_that_goes_by_its_side_is_caught(case):
+    faults_test.check(
+        case,
+        test_new_owner_does_not_go_by_what_its_side_knew,
+        membership.Membership,
+        'knows_zones',
+        lambda self, now: True,
+    )
+
+
+def _forget_zone(original):
+    """Return the check of a start without that of its zone."""
+
+    def check_start(self, message, known):
+        self.is_zone_closed = lambda: False
+        return original(self, message, known)
+
+    return check_start
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -38,6 +38,7 @@
 REFUSED_CAPACITY = 'no-room-on-the-vm'
 REFUSED_EPOCH = 'command-of-a-former-owner'
 REFUSED_GRANT = messages.REFUSED_GRANT
+REFUSED_ZONE = messages.REFUSED_ZONE
 REFUSED_ATTEMPT = 'older-than-a-known-attempt'
 REFUSED_LEAVING = 'the-worker-is-leaving'
 REFUSED_SILENT = 'the-worker-does-not-answer'
@@ -98,6 +99,8 @@
         self.draining = False
         self.config_revision = 0
         self.read_roster_seq = lambda: 0
+        # Whether an operator has closed this VM's availability zone.
+        self.is_zone_closed = lambda: False
         self.take_measures = list
         self._thread = threading.Thread(
             target=self._run, name='agent', daemon=True
@@ -279,6 +282,8 @@
             return REFUSED_CAPACITY
         if self._listing.draining:
             return REFUSED_LEAVING
+        if self.is_zone_closed():
+            return REFUSED_ZONE
         if self._sight.is_silent(self._clock.read_monotonic()):
             return REFUSED_SILENT
         if self._listing.absent:
--- a/packages/side/portwharf/side/outside.py
+++ b/packages/side/portwharf/side/outside.py
@@ -9,6 +9,7 @@
 import abc
 
 from portwharf.scheduler import configuration
+from portwharf.scheduler import zones
 from portwharf import store
 from portwharf import vmlist
 from portwharf import workers
@@ -17,8 +18,10 @@
 class Outside(abc.ABC):
     """Opens what a side works with, each as a context manager."""
 
-    # The key that the operators' configuration is under.
+    # The key that the operators' configuration is under, and what the keys
+    # of closed availability zones begin with.
     config_key = configuration.KEY
+    zones_prefix = zones.PREFIX
 
     @abc.abstractmethod
     def open_store(self, clock):
--- a/packages/side/portwharf/side/process.py
+++ b/packages/side/portwharf/side/process.py
@@ -17,6 +17,7 @@
 from portwharf.scheduler import environment
 from portwharf.scheduler import guard
 from portwharf.scheduler import takeover
+from portwharf.scheduler import zones
 from portwharf.side import admission
 from portwharf.side import agent
 from portwharf.side import outside
@@ -46,9 +47,15 @@
         self._clock = clock.SystemClock()
         self._guard = guard.Guard(self._clock, cfg.limits)
         self._keeper = configuration.ConfigKeeper(self._outside.parse_config)
+        self._zones = zones.ZoneKeeper(self._clock, self._outside.zones_prefix)
         self._instance = ids.make_nonce()
         self._server = server.SideServer(
-            cfg, self._instance, self._clock, self._guard, self._keeper
+            cfg,
+            self._instance,
+            self._clock,
+            self._guard,
+            self._keeper,
+            self._zones,
         )
 
     def __enter__(self):
@@ -85,12 +92,15 @@
             self._server.note_change,
         )
         self._server.agent.read_roster_seq = self._read_roster_seq
+        self._server.agent.is_zone_closed = self._is_zone_closed
         if cfg.runner is not None:
             self._start_runner(cfg.runner)
         watcher = self._make_watcher(kv, listing)
         self._server.find_owner = lambda: watcher.owner
         self._keeper.follow(self._server.note_change)
         self._keeper.follow(lambda: _pass_on(watcher.owner))
+        self._zones.follow(lambda: _pass_zones_on(watcher.owner))
+        enter(zones.ZoneWatcher(kv, self._zones))
         context = tls.make_server_context(cfg.tls)
         enter(self._server.agent)
         enter(self._server)
@@ -107,6 +117,9 @@
     def _read_roster_seq(self):
         return self._server.home.seq
 
+    def _is_zone_closed(self):
+        return self._zones.is_closed(self._cfg.vm.availability_zone)
+
     def _start_runner(self, runner):
         client = self._stack.enter_context(
             endpoints.HttpRunner(
@@ -136,6 +149,7 @@
             kv=kv,
             config_key=self._outside.config_key,
             policy=self._open_policy(),
+            zones=self._zones,
         )
         return takeover.Watcher(env, self._guard, kv)
 
@@ -159,3 +173,9 @@
     """Pass a new configuration down, if this process is an owner."""
     if role is not None:
         role.tell_config()
+
+
+def _pass_zones_on(role):
+    """Pass on which zones are closed, if this process is an owner."""
+    if role is not None:
+        role.tell_zones()
--- a/packages/side/portwharf/side/server.py
+++ b/packages/side/portwharf/side/server.py
@@ -40,8 +40,12 @@
 class SideServer:
     """Everything that a side does for callers of its port."""
 
-    def __init__(self, cfg, instance, clock, guard, keeper):
-        """Take settings, identity and what the side knows."""
+    def __init__(self, cfg, instance, clock, guard, keeper, zones):
+        """Take settings, identity and what the side knows.
+
+        :param zones: the ``zones.ZoneKeeper`` of this process
+        """
+        self._zones = zones
         self._cfg = cfg
         self._instance = instance
         self._clock = clock
@@ -150,6 +154,8 @@
                 self._tell_all(message)
         elif isinstance(message, messages.ConfigUpdate):
             self._keeper.offer(message.revision, message.text)
+        elif isinstance(message, messages.ClosedZones):
+            self._zones.offer(message.revision, message.zones)
         elif isinstance(message, _COMMANDS):
             self.agent.command(conn, message)
         else:
--- a/packages/store/portwharf/store/__init__.py
+++ b/packages/store/portwharf/store/__init__.py
@@ -6,6 +6,7 @@
 from portwharf.store.base import find_prefix_end
 from portwharf.store.base import LeaseStore
 from portwharf.store.base import MAX_VALUE_BYTES
+from portwharf.store.base import Names
 from portwharf.store.base import Store
 from portwharf.store.base import StoreError
 from portwharf.store.base import Swap
@@ -19,6 +20,7 @@
     'EtcdStore',
     'LeaseStore',
     'MAX_VALUE_BYTES',
+    'Names',
     'Store',
     'StoreError',
     'Swap',
--- a/packages/store/portwharf/store/base.py
+++ b/packages/store/portwharf/store/base.py
@@ -49,6 +49,17 @@
     revision: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class Names:
+    """The keys that begin with some prefix, as of a revision of the store.
+
+    What has changed since is seen by a watch after that revision.
+    """
+
+    keys: list[str] = dataclasses.field(default_factory=list)
+    revision: int = 0
+
+
 class Store(abc.ABC):
     """The platform's key-value service."""
 
@@ -92,6 +103,23 @@
             dropped, or Err(StoreError)
         """
 
+    @abc.abstractmethod
+    def list_names(self, prefix):
+        """Read which keys begin with a prefix, as they are now.
+
+        :returns: Ok(Names), or Err(StoreError)
+        """
+
+    @abc.abstractmethod
+    def wait_for_names(self, prefix, revision, timeout):
+        """Wait until a key that begins with a prefix is written, or goes.
+
+        :param revision: as ``Names`` gives it
+        :param timeout: seconds; a watch costs a call however long
+        :returns: Ok(Names) without keys, with the revision up to which
+            nothing changed, 0 if something may have; or Err(StoreError)
+        """
+
 
 class LeaseStore(Store):
     """A store that has leases: keys that go when nobody renews them."""
--- a/packages/store/portwharf/store/budget.py
+++ b/packages/store/portwharf/store/budget.py
@@ -60,6 +60,14 @@
             key, revision, timeout
         )
 
+    def list_names(self, prefix):
+        return self._take() or self._inner.list_names(prefix)
+
+    def wait_for_names(self, prefix, revision, timeout):
+        return self._take() or self._inner.wait_for_names(
+            prefix, revision, timeout
+        )
+
     def put(self, key, value, lease):
         return self._take() or self._inner.put(key, value, lease)
 
--- a/packages/store/portwharf/store/etcd.py
+++ b/packages/store/portwharf/store/etcd.py
@@ -73,6 +73,25 @@
             'key': _encode(key.encode()),
             'start_revision': str(revision + 1),
         }
+        return self._watch(create, timeout)
+
+    def list_names(self, prefix):
+        body = {**_make_range(prefix), 'keys_only': True}
+        answer = self._call('/v3/kv/range', body)
+        return answer.map(_read_names)
+
+    def wait_for_names(self, prefix, revision, timeout):
+        create = {
+            **_make_range(prefix),
+            'start_revision': str(revision + 1),
+        }
+        changed = self._watch(create, timeout)
+        return changed.map(
+            lambda entry: base.Names(revision=0 if entry else revision)
+        )
+
+    def _watch(self, create, timeout):
+        """Return the first change that a watch shows, as Ok(Entry or None)."""
         try:
             response = self._pool.request(
                 'POST',
@@ -157,6 +176,20 @@
     return _read_entry(events[-1]['kv'])
 
 
+def _make_range(prefix):
+    """Return the fields that name all keys that begin with a prefix."""
+    last = base.find_prefix_end(prefix)
+    return {
+        'key': _encode(prefix.encode()),
+        'range_end': _encode(last.encode()),
+    }
+
+
+def _read_names(value):
+    keys = [entry.key for entry in _read_entries(value)]
+    return base.Names(keys, int(value['header']['revision']))
+
+
 def _read_first(kvs):
     return _read_entry(kvs[0]) if kvs else None
 
--- a/packages/store/portwharf/store/etcd_test.py
+++ b/packages/store/portwharf/store/etcd_test.py
@@ -124,3 +124,17 @@
     kv, standin = open_served(case)
     standin.faults.slow_seconds = 0.6
     case.assertTrue(kv.swap('a', b'', 0).is_ok())
+
+
+def test_names_are_listed_and_their_changes_seen(case):
+    kv, standin = open_served(case)
+    kv.swap('z/a', b'one', 0)
+    kv.swap('zz', b'other', 0)
+    names = kv.list_names('z/').ok_value
+    case.assertEqual(names.keys, ['z/a'])
+    kv.swap('other', b'', 0)
+    quiet = kv.wait_for_names('z/', names.revision, 0.2)
+    case.assertEqual(quiet.ok_value.revision, names.revision)
+    standin.remove('z/a')
+    changed = kv.wait_for_names('z/', names.revision, 2.0)
+    case.assertEqual(changed.ok_value.revision, 0)
--- a/packages/testing/portwharf/testing/cluster.py
+++ b/packages/testing/portwharf/testing/cluster.py
@@ -21,6 +21,7 @@
 from portwharf.scheduler import operations
 from portwharf.scheduler import owner
 from portwharf.scheduler import takeover
+from portwharf.scheduler import zones
 from portwharf.side import agent
 from portwharf.side import server
 from portwharf.side import settings
@@ -32,6 +33,8 @@
 LIMITS = limits.Limits()
 SPEEDS = (1.0, 1.004, 0.996, 1.002, 0.998)
 _ROUNDS = 6
+# How often a node without an owner looks at the keys of closed zones.
+ZONES_SECONDS = 4.0
 
 
 class Node:
@@ -52,15 +55,25 @@
     def boot(self):
         """Start the side anew; it has forgotten everything."""
         self.keeper = configuration.ConfigKeeper()
+        self.zones = zones.ZoneKeeper(self.clock)
+        self.zones.follow(self._pass_zones_on)
         self.guard = guard.Guard(self.clock, LIMITS)
         cfg = settings.SideSettings(vm=self.vm)
         self.server = server.SideServer(
-            cfg, 'instance', self.clock, self.guard, self.keeper
+            cfg,
+            'instance',
+            self.clock,
+            self.guard,
+            self.keeper,
+            self.zones,
         )
         self.server.agent = agent.Agent(
             self.worker, self.guard, LIMITS, self.clock, lambda: None
         )
         self.server.agent.read_roster_seq = lambda: self.server.home.seq
+        self.server.agent.is_zone_closed = lambda: self.zones.is_closed(
+            self.vm.availability_zone
+        )
         self.owner = None
         self.learnt = False
 
@@ -81,6 +94,11 @@
             claim = claimed.ok_value
             self.owner = owner.Owner(self.make_env(), claim.log, claim.state)
 
+    def _pass_zones_on(self):
+        """Tell the sides, if this node owns the shard."""
+        if self.owner is not None:
+            self.owner.tell_zones()
+
     def make_env(self):
         """Return what an owner on this VM works with."""
         return environment.Environment(
@@ -92,6 +110,7 @@
             append_interval=0.0,
             make_link=cluster_fakes.StillLink,
             kv=self.kv,
+            zones=self.zones,
         )
 
     def step(self):
@@ -99,6 +118,7 @@
         if self.paused or self.down:
             return
         self.learn()
+        self._watch_zones()
         for _ in range(4):
             self.server.agent.step()
         if self.owner is not None:
@@ -110,6 +130,12 @@
             elif done is batches.Step.STALLED:
                 self.owner.serve_stalled()
 
+    def _watch_zones(self):
+        """Look at closed zones now and then, as a watch that is slow."""
+        since = self.clock.read_monotonic() - ZONES_SECONDS
+        if not self.zones.is_known_since(since):
+            self.zones.look(self.kv)
+
     def end_owner(self):
         """End the owner without a word, as a crash would."""
         if self.owner is not None:
@@ -132,6 +158,8 @@
         ]
         self.cuts = set()
         self.calls = []
+        # When the zones that are closed were closed, by their names.
+        self.closed = {}
         # Tasks that have crashed workers: these may be given up.
         self.crashers = set()
         # Jobs of which a task has failed as often as it may.
@@ -301,6 +329,16 @@
 
     # Operators.
 
+    def close_zone(self, zone):
+        """Close an availability zone to new starts, as an operator does."""
+        self.standin.put(zones.PREFIX + zone, b'')
+        self.closed[zone] = self.time.read_monotonic()
+
+    def open_zone(self, zone):
+        """Take a closed zone back."""
+        self.standin.remove(zones.PREFIX + zone)
+        self.closed.pop(zone, None)
+
     def list_owners(self):
         """Return the nodes that believe to be owners."""
         return [node for node in self.nodes if node.owner is not None]
@@ -365,6 +403,7 @@
         cluster_checks.check_capacity(self.nodes)
         cluster_checks.check_places(self.nodes)
         cluster_checks.check_checkpoints(self.nodes)
+        cluster_checks.check_zones(self)
 
     def settle(self, seconds=150.0):
         """Heal everything and let all work come to its end."""
--- a/packages/testing/portwharf/testing/cluster_checks.py
+++ b/packages/testing/portwharf/testing/cluster_checks.py
@@ -12,6 +12,9 @@
 
 # How often a task of the walk's jobs may fail.
 MOST_FAILURES = 3
+# How long after it was closed something may still begin in a zone: what the
+# operators of the platform's smallest deployment are promised.
+ZONE_SECONDS = 5.0
 
 
 def check_capacity(nodes):
@@ -57,6 +60,19 @@
             )
 
 
+def check_zones(cluster):
+    """Nothing begins in an availability zone that has long been closed."""
+    for zone, since in cluster.closed.items():
+        for node in cluster.nodes:
+            if node.vm.availability_zone != zone:
+                continue
+            for run in node.worker.record:
+                if run.true_began - since > ZONE_SECONDS:
+                    raise cluster_fakes.Violation(
+                        f'{run.attempt.task} begun in closed {zone}'
+                    )
+
+
 def check_record(nodes):
     """Check what the workers have done all along."""
     check_repeats(nodes)
--- a/packages/testing/portwharf/testing/cluster_fakes.py
+++ b/packages/testing/portwharf/testing/cluster_fakes.py
@@ -50,6 +50,10 @@
             now = self._true.read_monotonic()
         return (now - self._lost) * self._speed
 
+    def read_true(self):
+        """Return the time that all VMs share, in seconds."""
+        return self._true.read_monotonic()
+
     def stop(self):
         """Stand still, as a steady clock does while its VM is suspended."""
         self._stopped_at = self._true.read_monotonic()
@@ -70,10 +74,12 @@
     :param order: counts all beginnings and ends on all workers
     :param end_order: 0 while it runs
     :param noted: its end was taken note of
+    :param true_began: when it began, by the time that all VMs share
     """
 
     attempt: workers.Attempt = None
     began: float = 0.0
+    true_began: float = 0.0
     ended: float = 0.0
     from_checkpoint: str = ''
     order: int = dataclasses.field(default_factory=lambda: next(_ORDER))
@@ -98,6 +104,7 @@
         # that attempts work at, by (task, attempt).
         self.tails = {}
         self.paces = {}
+        self.labels = []
         # It works on and answers nothing, nor obeys.
         self.silent = False
         # Tasks that crash it as they begin, and whether their start is
@@ -183,6 +190,7 @@
         listing = workers.Listing(
             self._read_ms(), self.capacity, life=self._life
         )
+        listing.labels = list(self.labels)
         listing.attempts = [
             dataclasses.replace(
                 run.attempt, tail_ms=self.tails.get(run.attempt.task, 0)
@@ -208,6 +216,7 @@
         run = Run(
             reports.make_attempt(start),
             self.clock.read_monotonic(),
+            self.clock.read_true(),
             from_checkpoint=start.checkpoint,
         )
         self.runs.append(run)
--- a/packages/testing/portwharf/testing/kv.py
+++ b/packages/testing/portwharf/testing/kv.py
@@ -53,6 +53,8 @@
         self.writes = 0
         self.watches = 0
         self._values = {}
+        # When keys were deleted, by their names: the store's revision.
+        self._gone = {}
         self._revision = 1
         self._changed = threading.Condition()
         self._second = 0
@@ -84,6 +86,12 @@
         with self._changed:
             self._put(_encode(key), base64.b64encode(value).decode())
 
+    def remove(self, key):
+        """Delete a key from outside."""
+        with self._changed:
+            self._delete({'key': _encode(key)})
+            self._changed.notify_all()
+
     def list_keys(self):
         """Return all keys, as text, in order."""
         with self._changed:
@@ -154,6 +162,8 @@
             self._revision += 1
         for key in keys:
             del self._values[key]
+            name = base64.b64decode(key).decode()
+            self._gone[name] = self._revision
         return {'header': self._header(), 'deleted': str(len(keys))}
 
     def _range(self, body):
@@ -190,19 +200,39 @@
         return self._stream_changes(create)
 
     def _stream_changes(self, create):
-        key = create['key']
         start = int(create['start_revision'])
         yield _line({'result': {'created': True}})
         while not self.faults.down and not self.faults.drop_watches:
             with self._changed:
-                known = self._values.get(key)
-                if known is None or known.revision < start:
+                event = self._find_event(create, start)
+                if event is None:
                     self._changed.wait(_WATCH_POLL_SECONDS)
                     continue
-                start = known.revision + 1
-                event = {'kv': self._show(key)}
+                start = int(event['kv']['mod_revision']) + 1
             yield _line({'result': {'events': [event]}})
 
+    def _find_event(self, create, start):
+        """Return the first change to what a watch asks for, or None."""
+        shown = [self._show(key) for key in self._select(create)]
+        shown += [
+            {'key': _encode(name), 'mod_revision': str(revision)}
+            for name, revision in self._gone.items()
+            if self._is_watched(create, name)
+        ]
+        fresh = [one for one in shown if int(one['mod_revision']) >= start]
+        if not fresh:
+            return None
+        first = min(fresh, key=lambda one: int(one['mod_revision']))
+        return {'kv': first}
+
+    def _is_watched(self, create, name):
+        """Tell whether a watch asks for a key that has gone."""
+        last = create.get('range_end')
+        low = base64.b64decode(create['key'])
+        if not last:
+            return False
+        return low <= name.encode() < base64.b64decode(last)
+
 
 def _line(value):
     return json.dumps(value).encode() + b'\n'
--- a/packages/testing/portwharf/testing/soak.py
+++ b/packages/testing/portwharf/testing/soak.py
@@ -33,6 +33,7 @@
 _BETWEEN_SECONDS = 1.6
 _HUSH_SHARE = 0.15
 _RESIZE_SHARE = 0.25
+_ZONE_SHARE = 0.2
 _SETTLE_SECONDS = 90.0
 _SEEDS = pathlib.Path(__file__).parent / 'soak_seeds.toml'
 
@@ -60,6 +61,8 @@
         # Drawn apart, so that known seeds keep their schedules.
         self._hushes = random.Random(-1 - seed)
         self._rooms = random.Random(-2 - seed) if crashers else None
+        self._zones = random.Random(-3 - seed) if crashers else None
+        self._closures = []
         self._heals = []
         self._busy = set()
         self._lock = threading.Lock()
@@ -87,6 +90,7 @@
             self._do_fault()
             self._hush()
             self._resize()
+            self._close_zone()
         for client in self.clients:
             client.stop()
         self._heal_due(float('inf'))
@@ -205,6 +209,25 @@
         print(f'  {time.monotonic():.1f} shrink', flush=True)
         self._heal_later(1.0, 8.0, lambda: setattr(runner, 'cpu_milli', whole))
 
+    def _close_zone(self):
+        """Now and then close an availability zone to new starts."""
+        if self._zones is None or self._zones.random() > _ZONE_SHARE:
+            return
+        zone = f'zone-{self._zones.randrange(soak_world.ZONES)}'
+        if any(one.zone == zone for one in self._closures):
+            return
+        closure = soak_checks.Closure(zone, time.monotonic())
+        self._world.close_zone(zone, True)
+        self._closures.append(closure)
+        self.faults += 1
+        print(f'  {time.monotonic():.1f} close {zone}', flush=True)
+
+        def take_back():
+            closure.ended = time.monotonic()
+            self._world.close_zone(zone, False)
+
+        self._heal_later(3.0, 12.0, take_back)
+
     def _harm_store(self):
         faults = self._world.store.faults
         if faults.down or faults.lost or faults.slow_seconds:
@@ -313,6 +336,12 @@
             span for side in self._world.sides for span in side.runner.record
         ]
         self.problems += soak_checks.check_all(told, spans)
+        zones = [
+            (side.zone, span)
+            for side in self._world.sides
+            for span in side.runner.record
+        ]
+        self.problems += soak_checks.check_zones(self._closures, zones)
         accepted = sum(1 for one in told if one.accepted)
         print(
             f'  {self.faults} faults, {len(told)} jobs, {accepted} accepted, '
--- a/packages/testing/portwharf/testing/soak_checks.py
+++ b/packages/testing/portwharf/testing/soak_checks.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import dataclasses
 
 from portwharf.testing import soak_world
 
@@ -20,6 +21,36 @@
 UNTOLD_STARTS = 3
 
 
+# How long after it was closed something may begin in a zone; and how much
+# later runners carry orders out that they have left unanswered.
+ZONE_SECONDS = 5.0
+LATE_SECONDS = 2.5
+
+
+@dataclasses.dataclass(slots=True)
+class Closure:
+    """A time for which an availability zone was closed to new starts."""
+
+    zone: str = ''
+    began: float = 0.0
+    ended: float = float('inf')
+
+
+def check_zones(closures, zones):
+    """Nothing begins in an availability zone that has long been closed.
+
+    :param closures: list of :class:`Closure`
+    :param zones: pairs of a zone and a span of a runner there
+    """
+    limit = ZONE_SECONDS + LATE_SECONDS
+    return [
+        f'{span.task} began {span.began - one.began:.1f} s after {zone} closed'
+        for zone, span in zones
+        for one in closures
+        if one.zone == zone and one.began + limit < span.began < one.ended
+    ]
+
+
 def list_checks():
     """Return all checks, in the order in which they are reported."""
     return (
--- a/packages/testing/portwharf/testing/soak_checks_test.py
+++ b/packages/testing/portwharf/testing/soak_checks_test.py
@@ -119,3 +119,12 @@
 def test_crasher_that_is_not_given_up_is_found(case):
     (problem,) = find(make_told(crashes=True, states=['running']))
     case.assertIn('not failed', problem)
+
+
+def test_start_in_a_zone_that_has_long_been_closed_is_found(case):
+    closure = soak_checks.Closure('zone-1', 10.0, 30.0)
+    limit = soak_checks.ZONE_SECONDS + soak_checks.LATE_SECONDS
+    for began, count in ((9.0, 0), (10.1 + limit, 1), (31.0, 0)):
+        zones = [('zone-1', make_span(began=began)), ('zone-2', make_span())]
+        found = soak_checks.check_zones([closure], zones)
+        case.assertEqual(len(found), count)
--- a/packages/testing/portwharf/testing/soak_world.py
+++ b/packages/testing/portwharf/testing/soak_world.py
@@ -32,6 +32,8 @@
 ENTRIES = 2
 HOST = 'desk.example'
 PREFIX = '/soak/'
+# Availability zones; sides are in each in turn.
+ZONES = 3
 POOL = 'soak-pool'
 MAX_FAILURES = 3
 _ROOT = pathlib.Path(__file__).parents[4]
@@ -57,6 +59,7 @@
     name: str = ''
     role: str = ''
     address: str = ''
+    zone: str = ''
     handle: subprocess.Popen = None
     store: relay.Relay = None
     peers: relay.Relay = None
@@ -126,6 +129,14 @@
         text = base64.b64encode(json.dumps(value).encode()).decode()
         self.store.set_item('op/config', text)
 
+    def close_zone(self, zone, closed):
+        """Close an availability zone to new starts, or take it back."""
+        key = f'op/evacuate/{zone}'
+        if closed:
+            self.store.set_item(key, '')
+        else:
+            self.store.revoke(key)
+
     def start(self, program):
         """Start a process that is not there."""
         log = open(self._folder / f'{program.name}.log', 'ab')
@@ -182,7 +193,8 @@
         """Write a process's settings, and start what stands around it."""
         address = self._find_address(number)
         enter = self._stack.enter_context
-        program = Program(name, role, address)
+        zone = f'zone-{number % ZONES}'
+        program = Program(name, role, address, zone)
         program.store = enter(
             relay.Relay(
                 address, _STORE_PORT, _STORE_PORT, self._find_address(1)
@@ -199,7 +211,7 @@
             program.runner.break_connections = program.orders.cut
         self.programs[name] = program
         path = self._folder / f'{name}.toml'
-        path.write_text(_write_settings(name, role, address))
+        path.write_text(_write_settings(program))
 
     def _open_runner(self, name, address):
         place = f'{address}:{_RUNNER_PORT}'
@@ -237,7 +249,8 @@
     return True
 
 
-def _write_settings(name, role, address):
+def _write_settings(program):
+    name, role, address = program.name, program.role, program.address
     listen = [f'control = "{address}:{_CONTROL_PORT}"']
     if role == 'entry':
         listen = [
@@ -250,7 +263,7 @@
         f'role = "{role}"',
         f'serves = ["{serves}"]',
         f'ip = "{address}"',
-        'zone = "zone-1"',
+        f'zone = "{program.zone}"',
         f'internalPorts = [{_PEER_PORT}, {_PEER_PORT + 5}]',
         f'app = "{address}:{_RUNNER_RELAY_PORT}"' if role == 'side' else '',
         '[listen]',
--- a/packages/testing/portwharf/testing/walk.py
+++ b/packages/testing/portwharf/testing/walk.py
@@ -24,13 +24,23 @@
 _BIRTH_SECONDS = (0.0, 0.2, 0.6)
 # In how many a job comes, or a task fails, or answers are lost.
 _JOB_SHARE = 0.35
+# In how many an availability zone is closed to new starts, or taken back.
+_ZONE_SHARE = 0.15
 _LONG_SECONDS = (0.3, 1.0, 3.0, 8.0, 16.0)
 
 
 class Walk:
     """One walk."""
 
-    def __init__(self, seed, size=0, more=False, births=False, jobs=False):
+    def __init__(
+        self,
+        seed,
+        size=0,
+        more=False,
+        births=False,
+        jobs=False,
+        zones=False,
+    ):
         """Begin a walk.
 
         What comes besides is drawn apart, so that known seeds stay as they
@@ -39,11 +49,13 @@
         :param more: workers crash, also under tasks, shrink and grow
         :param births: workers begin again at once
         :param jobs: jobs of several steps, failures, starts without answers
+        :param zones: availability zones are closed and taken back
         """
         self.random = random.Random(seed)
         self.more = random.Random(-1 - seed) if more else None
         self.births = random.Random(f'births {seed}') if births else None
         self.jobs = random.Random(f'jobs {seed}') if jobs else None
+        self.zones = random.Random(f'zones {seed}') if zones else None
         self.numbers = itertools.count(1)
         size = size or self.random.choice((3, 4, 5))
         self.cluster = cluster.Cluster(size)
@@ -57,7 +69,9 @@
             self.act_more()
             self.bear()
             self.act_on_jobs()
+            self.act_on_zones()
         self.heal_workers()
+        self.open_zones()
         self.cluster.settle()
         cluster_checks.check_record(self.cluster.nodes)
         self.cluster.check_end()
@@ -109,6 +123,22 @@
                 self.cluster.cancel(self.jobs.choice(accepted))
         self.cluster.check()
 
+    def act_on_zones(self):
+        """Now and then close a zone to new starts, or take all back."""
+        if self.zones is None or self.zones.random() > _ZONE_SHARE:
+            return
+        if self.zones.random() < 0.5:
+            self.open_zones()
+            return
+        node = self.zones.choice(self.cluster.nodes)
+        self.cluster.close_zone(node.vm.availability_zone)
+        self.cluster.check()
+
+    def open_zones(self):
+        """Take all closed zones back."""
+        for zone in list(self.cluster.closed):
+            self.cluster.open_zone(zone)
+
     def submit_job(self):
         """Hand in a job of two or three steps, one after the other."""
         steps = [
@@ -318,7 +348,8 @@
 def main():
     """Walk for each seed from the first to the second argument.
 
-    Further ones, of ``more``, ``births`` and ``jobs``, say what comes besides.
+    Further ones, of ``more``, ``births``, ``jobs`` and ``zones``, say what
+    comes besides.
     """
     first, last = int(sys.argv[1]), int(sys.argv[2])
     began = time.monotonic()
--- a/packages/testing/portwharf/testing/walk_test.py
+++ b/packages/testing/portwharf/testing/walk_test.py
@@ -26,3 +26,10 @@
     for seed in (6, 35, 100):
         with case.subTest(seed=seed):
             walk.Walk(seed, more=True).run()
+
+
+def test_walks_with_zones_that_are_closed(case):
+    """Nothing begins in a zone that has long been closed."""
+    for seed in (1, 2, 3, 4):
+        with case.subTest(seed=seed):
+            walk.Walk(seed, jobs=True, zones=True).run()
