Run times are learnt, and weighed against clients' estimates

Cause: estimates of two queues are off by nine tenths, and what is due, late and left of a job was reckoned from them.

A side tells its owner how long a task runs, from its progress and the share it works at, once a third of it is done. The owner learns a queue's run times and the errors of its estimates, and goes by both, each by how far off it has been; a step goes by its own tasks once some are measured. What is due, late and left, and the claims that sides pace by, follow.

The circle of imports between beside and programs is gone.

--- a/packages/core/portwharf/core/data.py
+++ b/packages/core/portwharf/core/data.py
@@ -234,6 +234,9 @@
     :param times: how often the steps are run; 0 for once, at once
     :param first_ms: wall time at which the first time is due
     :param interval_ms: between two times
+    :param stretch: the objective is this many times its longest chain of
+        work; 0 if only ``objective_ms``, by its estimates, is known
+    :param allowance_ms: and so much more
     """
 
     id: str = ''
@@ -245,6 +248,8 @@
     times: int = 0
     first_ms: int = 0
     interval_ms: int = 0
+    stretch: float = 0.0
+    allowance_ms: int = 0
 
 
 class JobState(enum.StrEnum):
--- a/packages/peers/portwharf/peers/messages.py
+++ b/packages/peers/portwharf/peers/messages.py
@@ -136,6 +136,14 @@
     checkpoint: str = ''
 
 
+@dataclasses.dataclass(slots=True)
+class RunMeasure:
+    """How long a task runs in all, working in full, as its side measured."""
+
+    task: str = ''
+    run_ms: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class Headroom:
     """What a serving image on a VM could bear beside what is there now.
@@ -171,6 +179,7 @@
     :param known: first on a connection, what owners have told of pairs
     :param saved: what running tasks have saved since they were told of
     :param born_ms: when that life began; an id may come again
+    :param measured: of running tasks, how long they run; each once
     """
 
     side_ms: int = 0
@@ -194,6 +203,7 @@
     known: list[Press] = dataclasses.field(default_factory=list)
     saved: list[SavedTask] = dataclasses.field(default_factory=list)
     born_ms: int = 0
+    measured: list[RunMeasure] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/platform/portwharf/platform/beside.py
+++ b/packages/platform/portwharf/platform/beside.py
@@ -5,7 +5,7 @@
 from portwharf.core import web
 from portwharf.platform import advice
 from portwharf.platform import beats
-from portwharf.platform import programs
+from portwharf.platform import kv
 from portwharf.platform import routes
 from portwharf.platform import runner
 from portwharf.side import outside
@@ -26,7 +26,7 @@
         self._registration = None
 
     def open_store(self, clock):
-        return programs.open_store(self._boot, clock)
+        return kv.open_shared(self._boot, clock)
 
     def open_vm_list(self, kv):
         self._registration = vmlist.Registration(kv, self._boot.vm)
--- a/packages/platform/portwharf/platform/kv.py
+++ b/packages/platform/portwharf/platform/kv.py
@@ -238,3 +238,14 @@
         base64.b64decode(item.get('value', '')),
         item['rev'],
     )
+
+
+def open_shared(settings, now):
+    """Return the platform's store within this process's share of calls.
+
+    :param settings: a ``boot.Boot``
+    :param now: a clock
+    """
+    inner = PlatformStore(settings.store)
+    rate = settings.store_calls
+    return store.BudgetedStore(inner, now, rate, 2 * rate)
--- a/packages/platform/portwharf/platform/programs.py
+++ b/packages/platform/portwharf/platform/programs.py
@@ -18,7 +18,6 @@
 from portwharf.platform import kv
 from portwharf.platform import routes
 from portwharf.scheduler import configuration
-from portwharf import store
 from portwharf import vmlist
 
 LOG = logging.getLogger(__name__)
@@ -33,13 +32,6 @@
 LAST_LINES_SECONDS = 0.2
 
 
-def open_store(settings, now):
-    """Return the platform's store within this process's share of calls."""
-    inner = kv.PlatformStore(settings.store)
-    rate = settings.store_calls
-    return store.BudgetedStore(inner, now, rate, 2 * rate)
-
-
 class EntryProgram:
     """An entry for the platform's clients, while in its block."""
 
@@ -84,7 +76,7 @@
         from portwharf.platform import clients
 
         enter = self._stack.enter_context
-        shared = enter(open_store(self._boot, self._clock))
+        shared = enter(kv.open_shared(self._boot, self._clock))
         listing = enter(vmlist.Registration(shared, self._boot.vm))
         enter(
             configuration.ConfigWatcher(
--- a/packages/platform/portwharf/platform/routes.py
+++ b/packages/platform/portwharf/platform/routes.py
@@ -107,6 +107,8 @@
         times,
         fields.read_whole(value, 'initialMs'),
         fields.read_whole(value, 'intervalMs'),
+        queue.stretch,
+        queue.allowance_ms,
     )
 
 
--- a/packages/scheduler/portwharf/scheduler/backlog.py
+++ b/packages/scheduler/portwharf/scheduler/backlog.py
@@ -10,6 +10,7 @@
 
 from portwharf.core import data
 from portwharf.core import ids
+from portwharf.scheduler import forecast
 from portwharf.scheduler import suspects
 
 # Tasks placed in one pass; the rest waits for the next.
@@ -39,7 +40,7 @@
         'avoided',
         'choosy',
         'held',
-        'left',
+        'prospect',
         'rack',
         'record',
         'shunned',
@@ -47,19 +48,18 @@
         'weight',
     )
 
-    def __init__(self, record, avoided=frozenset(), left=0, weight=0.0):
+    def __init__(self, record, avoided=frozenset(), prospect=None, weight=0.0):
         """Take a ``state.WorkloadRecord``.
 
         :param avoided: VM names that its tasks keep away from
-        :param left: what is left to do of its job, in thousandths of a
-            processor times ms
+        :param prospect: its ``forecast.Prospect``, or None
         :param weight: of one that fills, what its job counts, as
             ``precedence.Claim.weigh`` gives
         """
         self.weight = weight
         self.record = record
         self.avoided = avoided
-        self.left = left
+        self.prospect = prospect or forecast.Prospect()
         # It rather waits than goes where it would hardly work.
         self.choosy = True
         # The rack that its tasks should share, or ''.
@@ -238,20 +238,20 @@
         True,
         -workload.importance,
         not lasts,
-        0 if lasts else _rank_lateness(record, now_ms),
-        demand.left,
-        record.due_ms,
+        0 if lasts else _rank_lateness(demand.prospect, now_ms),
+        demand.prospect.left,
+        demand.prospect.begin_ms,
         record.id,
     )
 
 
-def _rank_lateness(record, now_ms):
+def _rank_lateness(prospect, now_ms):
     """Return 0 for a step in time, 1 for a late one, 2 for too late."""
-    spent = now_ms - record.late_ms
+    spent = now_ms - prospect.late_ms
     if 0 < spent < _PATIENCE_MS:
         return 2
-    tolerance = _ESTIMATE_TOLERANCE * record.workload.run_ms
-    return int(now_ms > record.due_ms + tolerance)
+    tolerance = _ESTIMATE_TOLERANCE * prospect.run_ms
+    return int(now_ms > prospect.begin_ms + tolerance)
 
 
 def _rank(demand, now_ms):
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -17,6 +17,7 @@
 from portwharf.scheduler import crashloop
 from portwharf.scheduler import decisionlog
 from portwharf.scheduler import events
+from portwharf.scheduler import forecast
 from portwharf.scheduler import gangs
 from portwharf.scheduler import job_operations
 from portwharf.scheduler import metrics
@@ -56,6 +57,7 @@
         self._capacities = None
         began = env.clock.read_monotonic()
         self.pressure = pressure.Pressure(state, began)
+        self.runtimes = forecast.RunTimes()
         self.preparation = preparing.Preparation(state)
         self.rosters = rosters.RosterKeeper(state)
         # Why workloads wait, as of the last pass, by their ids.
@@ -87,6 +89,7 @@
                 self._carry_out(item, batch)
         self._crashloops.judge(batch, self._add, self._note_ended)
         self._note_saved(batch)
+        self._note_measured()
         self._catch_up(batch)
         self._change_members(batch)
         self._requeue_lost(batch)
@@ -146,7 +149,7 @@
                 if task is not None and task.attempt == attempt:
                     ticket = self._find_ticket(task.id, link.view.life)
                     command = reconcile.make_catch_up(
-                        self._state, task, ticket
+                        self._state, task, ticket, self.runtimes
                     )
                     batch.send(link, command)
 
@@ -165,6 +168,18 @@
                     )
                     self._add(batch, event)
 
+    def _note_measured(self):
+        """Learn how long tasks run from what sides have measured."""
+        for link in self._members.list_links():
+            measured = link.view.measured
+            while measured:
+                one = measured.popleft()
+                record = self._state.find_workload(one.task)
+                if record is None or not record.workload.job:
+                    continue
+                queue = self._state.jobs[record.workload.job].job.queue
+                self.runtimes.note(queue, record, one.run_ms)
+
     def _find_due(self, vm, task_id):
         """Return a task that a VM holds, or has prepared, or None."""
         held = self._state.held[vm].get(task_id)
@@ -385,7 +400,9 @@
             task = self._state.tasks[placed.task]
             self._crashloops.note_placed(task)
             self.pressure.note_begun((task.id, task.attempt), now)
-            command = reconcile.make_start(self._state, task, placed.ticket)
+            command = reconcile.make_start(
+                self._state, task, placed.ticket, self.runtimes
+            )
             batch.send(self._members.get_link(placed.vm), command)
         self._rehome(views, now, batch)
         self._make_room(done, views, quotas, batch)
@@ -395,7 +412,7 @@
     def _rehome(self, views, now, batch):
         """Move filling tasks that hardly work to where they would."""
         now_ms = self._env.clock.read_unix_ms()
-        weigher = precedence.Weigher(self._state, now_ms)
+        weigher = precedence.Weigher(self._state, now_ms, self.runtimes)
         links = self._members.list_links()
         stuck = rehoming.find_stuck(
             self._state, links, self.pressure.read_begun, now, weigher
@@ -409,6 +426,7 @@
             self._state,
             lambda workload: self._health.list_avoided(workload, now),
             self._env.clock.read_unix_ms(),
+            self.runtimes,
         )
         shunned = self._shunned.find(now)
         held = self._crashloops.list_held()
@@ -498,6 +516,7 @@
             self._health.drop_workload(workload_id)
         for job_id in planning.find_old_jobs(self._state, now_ms):
             self._add(batch, events.JobDropped(job_id))
+        self.runtimes.forget(self._state.unended)
 
     def _add(self, batch, event):
         self._state.apply(event)
--- a/packages/scheduler/portwharf/scheduler/jobs.py
+++ b/packages/scheduler/portwharf/scheduler/jobs.py
@@ -1,6 +1,6 @@
 # Copyright the portwharf authors.
 # SPDX-License-Identifier: Apache-2.0
-"""How a job's steps become workloads, and until when each has to begin.
+"""How a job's steps become workloads, and how long their chains take.
 
 A job is a graph: a step begins when all tasks of the steps before it have
 succeeded. Each step is a workload of its own, so that placement, limits,
@@ -28,8 +28,6 @@
     unix_ms: int = 0
     workload: data.Workload = None
     not_before_ms: int = 0
-    due_ms: int = 0
-    late_ms: int = 0
 
 
 def list_fields(step):
@@ -45,6 +43,12 @@
     return f'{job_id}.{time}.{number}'
 
 
+def split_step_id(name):
+    """Return job, time and number of a step's workload, by its id."""
+    job_id, time, number = name.rsplit('.', 2)
+    return job_id, int(time), int(number)
+
+
 def make_steps(job, time, unix_ms):
     """Return the :class:`Step` values of one of a job's times.
 
@@ -53,7 +57,6 @@
     begins = unix_ms
     if job.times:
         begins = job.first_ms + time * job.interval_ms
-    chains = measure_chains(job.steps)
     made = []
     for number, step in enumerate(job.steps):
         name = make_step_id(job.id, time, number)
@@ -69,26 +72,36 @@
                 unix_ms,
                 workload,
                 begins if job.times else 0,
-                begins + job.objective_ms - chains[number],
-                begins + LATE_FACTOR * job.objective_ms,
             )
         )
     return made
 
 
-def measure_chains(steps):
+def measure_chains(steps, run_ms=None):
     """Return for each step how long it and what comes after it takes.
 
-    :returns: list of milliseconds, by the estimates
+    :param run_ms: how long a task of each step runs; by default as estimated
+    :returns: list of milliseconds
     """
-    chains = [step.run_ms for step in steps]
+    run_ms = run_ms or [step.run_ms for step in steps]
+    chains = list(run_ms)
     for number in reversed(range(len(steps))):
         for before in steps[number].after:
-            longest = steps[int(before)].run_ms + chains[number]
+            longest = run_ms[int(before)] + chains[number]
             chains[int(before)] = max(chains[int(before)], longest)
     return chains
 
 
+def find_objective(job, chain_ms):
+    """Return within how many ms a job should end.
+
+    :param chain_ms: how long its longest chain of work takes
+    """
+    if not job.stretch:
+        return job.objective_ms
+    return job.stretch * chain_ms + job.allowance_ms
+
+
 def find_problem(job):
     """Return the ``data.Problem`` of a job that cannot be accepted."""
     if not job.id or not job.steps:
--- a/packages/scheduler/portwharf/scheduler/jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/jobs_test.py
@@ -5,6 +5,7 @@
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.scheduler import events
+from portwharf.scheduler import forecast
 from portwharf.scheduler import job_operations
 from portwharf.scheduler import jobs
 from portwharf.scheduler import planning
@@ -127,8 +128,11 @@
 
 def test_steps_are_due_by_what_comes_after_them(case):
     made = accept()
-    case.assertEqual(made.workloads[FIRST].due_ms, NOW + 2000 - 1000)
-    case.assertEqual(made.workloads[SECOND].due_ms, NOW + 2000 - 500)
+    looked = forecast.Forecast(made)
+    first = looked.look_at(made.workloads[FIRST])
+    second = looked.look_at(made.workloads[SECOND])
+    case.assertEqual(first.begin_ms, NOW + 2000 - 1000)
+    case.assertEqual(second.begin_ms, NOW + 2000 - 500)
 
 
 def test_state_survives_a_snapshot(case):
--- a/packages/scheduler/portwharf/scheduler/members.py
+++ b/packages/scheduler/portwharf/scheduler/members.py
@@ -19,6 +19,8 @@
 # Saves that wait for a pass, of one VM: in a long outage of the store the
 # oldest go first, which later ones stand in for.
 MAX_SAVED = 1000
+# And measurements of run times, of which a few a step are enough.
+MAX_MEASURED = 200
 
 
 @dataclasses.dataclass(slots=True)
@@ -29,6 +31,7 @@
     :param heard: the owner's clock at the last heartbeat, or None
     :param largest: the largest capacity that its worker has shown
     :param saved: ``messages.SavedTask`` that no pass has taken yet
+    :param measured: ``messages.RunMeasure`` that no pass has taken yet
     :param granted: the last grant on this connection was valid
     :param reported: the side has told all that it runs on this connection
     """
@@ -54,6 +57,9 @@
     saved: collections.deque = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=MAX_SAVED)
     )
+    measured: collections.deque = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=MAX_MEASURED)
+    )
 
 
 class MemberLink(links.PeerLink):
@@ -127,6 +133,7 @@
         view.rack = beat.rack
         view.life = data.LifeId(beat.life, beat.born_ms)
         view.saved.extend(beat.saved)
+        view.measured.extend(beat.measured)
         if beat.known:
             self._owner.take_known(beat.known)
         if beat.observed:
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -32,14 +32,26 @@
 class Membership:
     """The members of one shard, as its owner sees them."""
 
-    def __init__(self, env, state, grant_table, health, pressure, pairs=None):
+    def __init__(
+        self,
+        env,
+        state,
+        grant_table,
+        health,
+        pressure,
+        pairs=None,
+        runtimes=None,
+    ):
         """Take an ``environment.Environment`` and what the owner knows.
 
+        :param runtimes: a ``forecast.RunTimes``, or None
+
         :param health: a ``health.Health`` of the shard's workers
         :param pressure: a ``pressure.Pressure`` of the same
         :param pairs: a ``presses.Presses``, or None
         """
         self._pairs = pairs
+        self._runtimes = runtimes
         self._pressure = pressure
         self._env = env
         self._state = state
@@ -127,7 +139,7 @@
         """Return all members as placement sees them."""
         now = self._env.clock.read_monotonic()
         weigher = precedence.Weigher(
-            self._state, self._env.clock.read_unix_ms()
+            self._state, self._env.clock.read_unix_ms(), self._runtimes
         )
         views = []
         for name, link in self._links.items():
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -83,6 +83,7 @@
             ailing,
             self._decider.pressure,
             self._pairing.presses,
+            self._decider.runtimes,
         )
         self._decider.set_members(self._members)
         self._desk = desk.Desk(
@@ -187,7 +188,8 @@
     def make_held(self, member):
         """Return what a member's VM holds, for its side."""
         with self._lock:
-            return reconcile.make_held(self._state, member)
+            runtimes = self._decider.runtimes
+            return reconcile.make_held(self._state, member, runtimes)
 
     def make_rosters(self):
         """Return the rosters, for a side."""
--- a/packages/scheduler/portwharf/scheduler/planning.py
+++ b/packages/scheduler/portwharf/scheduler/planning.py
@@ -68,11 +68,12 @@
     return placement.place_demands(demands, views, used, now_ms, judge)
 
 
-def list_demands(state, list_avoided, now_ms):
+def list_demands(state, list_avoided, now_ms, runtimes=None):
     """Return what waits to be placed, as ``backlog.Demand`` values.
 
     :param list_avoided: function from a workload's id to the names of VMs
         that it keeps away from
+    :param runtimes: a ``forecast.RunTimes``; clients' estimates, if None
     """
     ready = [
         record
@@ -81,12 +82,12 @@
         and record.not_before_ms <= now_ms
         and state.is_ready(record)
     ]
-    weigher = precedence.Weigher(state, now_ms)
+    weigher = precedence.Weigher(state, now_ms, runtimes)
     return [
         backlog.Demand(
             record,
             list_avoided(record.id),
-            weigher.measure(record.workload.job),
+            weigher.look_at(record),
             weigher.weigh(record) if record.workload.fills else 0.0,
         )
         for record in ready
--- a/packages/scheduler/portwharf/scheduler/precedence.py
+++ b/packages/scheduler/portwharf/scheduler/precedence.py
@@ -16,6 +16,8 @@
 
 import dataclasses
 
+from portwharf.scheduler import forecast
+
 # A late job earns about a seventh of one in time on all queues seen, one
 # that is three times over its objective nothing.
 LATE_WEIGHT = 7.0
@@ -55,36 +57,32 @@
         )
 
 
-def make_claim(record, left):
-    """Return the :class:`Claim` of a step's tasks.
-
-    :param record: a ``state.WorkloadRecord``
-    :param left: what is left to do of its job, in thousandths of a
-        processor times ms
-    """
-    due_ms = record.due_ms + record.workload.run_ms if record.due_ms else 0
-    return Claim(left / _UNITS, due_ms, record.late_ms)
-
-
 class Weigher:
     """Weighs the steps of jobs at one time, each job once."""
 
-    def __init__(self, state, now_ms):
-        """Take the shard's state and the wall time."""
-        self._state = state
+    def __init__(self, state, now_ms, runtimes=None):
+        """Take the shard's state and the wall time.
+
+        :param runtimes: a ``forecast.RunTimes``; clients' estimates, if None
+        """
         self._now_ms = now_ms
-        self._left = {}
+        self._forecast = forecast.Forecast(state, runtimes)
+
+    def look_at(self, record):
+        """Return a step's ``forecast.Prospect``, empty without a job."""
+        if not record.workload.job:
+            return forecast.Prospect()
+        return self._forecast.look_at(record)
 
-    def measure(self, job_id):
-        """Return what is left of a job, as ``state.measure_left`` does."""
-        if job_id not in self._left:
-            self._left[job_id] = self._state.measure_left(job_id)
-        return self._left[job_id]
+    def make_claim(self, record):
+        """Return the :class:`Claim` of a step's tasks."""
+        known = self.look_at(record)
+        end_ms = int(known.begin_ms + known.run_ms)
+        return Claim(known.left / _UNITS, end_ms, int(known.late_ms))
 
     def weigh(self, record):
         """Return what a step's job counts now; the lowest goes first."""
-        left = self.measure(record.workload.job)
-        return make_claim(record, left).weigh(self._now_ms)
+        return self.make_claim(record).weigh(self._now_ms)
 
 
 def rank(weight, press):
--- a/packages/scheduler/portwharf/scheduler/reconcile.py
+++ b/packages/scheduler/portwharf/scheduler/reconcile.py
@@ -80,18 +80,18 @@
     ]
 
 
-def make_start(state, task, ticket=''):
+def make_start(state, task, ticket='', runtimes=None):
     """Return the command that begins a placed task's attempt.
 
     :param ticket: what the policy gave for its VM, or ''
+    :param runtimes: a ``forecast.RunTimes``; clients' estimates, if None
     """
     record = state.find_workload(task.id)
     workload = record.workload
     job = state.jobs.get(workload.job)
     claim = precedence.Claim()
     if workload.fills:
-        left = state.measure_left(workload.job)
-        claim = precedence.make_claim(record, left)
+        claim = precedence.Weigher(state, 0, runtimes).make_claim(record)
     return messages.StartTask(
         state.epoch,
         task.id,
@@ -112,7 +112,7 @@
     )
 
 
-def make_held(state, vm):
+def make_held(state, vm, runtimes=None):
     """Return the ``messages.HeldTasks`` of all that a VM holds.
 
     What is prepared there may have begun while the store did not answer.
@@ -120,7 +120,7 @@
     held = []
     tasks = [*state.held[vm].values(), *state.prepared[vm].values()]
     for task in tasks:
-        start = make_start(state, task)
+        start = make_start(state, task, runtimes=runtimes)
         held.append(
             messages.HeldTask(
                 start.task,
@@ -139,7 +139,7 @@
     return messages.HeldTasks(held)
 
 
-def make_catch_up(state, task, ticket=''):
+def make_catch_up(state, task, ticket='', runtimes=None):
     """Return the command for a placed task that its VM does not list.
 
     What nobody wants any more is not begun: its stop has the side answer
@@ -147,7 +147,7 @@
     """
     if is_unwanted(state, task) or task.state == data.TaskState.EVICTING:
         return make_stop(state, task, False)
-    return make_start(state, task, ticket)
+    return make_start(state, task, ticket, runtimes)
 
 
 def make_stop(state, task, checkpoint):
--- a/packages/scheduler/portwharf/scheduler/snapshots_test.py
+++ b/packages/scheduler/portwharf/scheduler/snapshots_test.py
@@ -8,6 +8,7 @@
 
 from portwharf.core import data
 from portwharf.scheduler import events
+from portwharf.scheduler import forecast
 from portwharf.scheduler import state
 
 # A snapshot's share of a job that is over, its text of 300 bytes included.
@@ -62,7 +63,9 @@
     case.assertEqual(again.find_job_state(done), data.JobState.COMPLETED)
     case.assertEqual(again.find_job_state(failed), data.JobState.FAILED)
     case.assertEqual(again.list_unended(), [])
-    case.assertEqual(again.measure_left(done), 0)
+    looked = forecast.Forecast(again)
+    for name in again.jobs[done].steps:
+        case.assertEqual(looked.look_at(again.workloads[name]).left, 0)
     for name in (done, failed):
         made.apply(events.JobDropped(name))
         again.apply(events.JobDropped(name))
--- a/packages/scheduler/portwharf/scheduler/state.py
+++ b/packages/scheduler/portwharf/scheduler/state.py
@@ -52,9 +52,6 @@
     :param begun: tasks numbered from here on were never placed
     :param succeeded: how many of its tasks have succeeded
     :param not_before_ms: wall time before which nothing of it begins
-    :param due_ms: wall time by which a step has to begin, for its job to
-        end in time
-    :param late_ms: wall time after which its job is too late to matter
     :param checkpoint: of a gang, what any of its members saved last
     :param failures: of a gang, how many of its attempts have failed
     :param failed_attempt: of a gang, the last attempt that failed
@@ -69,8 +66,6 @@
     tasks: list[TaskRecord] = dataclasses.field(default_factory=list)
     succeeded: int = 0
     not_before_ms: int = 0
-    due_ms: int = 0
-    late_ms: int = 0
     checkpoint: str = ''
     failures: int = 0
     failed_attempt: int = 0
@@ -198,22 +193,6 @@
             return data.JobState.RUNNING
         return data.JobState.QUEUED
 
-    def measure_left(self, job_id):
-        """Return what is left to do of a job, by its estimates.
-
-        :returns: thousandths of a processor times ms; 0 if there is no job
-        """
-        record = self.jobs.get(job_id)
-        if record is None:
-            return 0
-        steps = [self.workloads[name] for name in record.steps]
-        return sum(
-            (step.workload.count - step.succeeded)
-            * step.workload.resources.cpu_milli
-            * step.workload.run_ms
-            for step in steps
-        )
-
     def has_ended(self, record):
         """Tell whether nothing of a workload runs or will run again."""
         if not record.cancelled:
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -25,6 +25,7 @@
 from portwharf.side import reports
 from portwharf.side import saves
 from portwharf.side import sight
+from portwharf.side import worktimes
 from portwharf import workers
 
 LOG = logging.getLogger(__name__)
@@ -90,6 +91,7 @@
         self._paces = paces.PaceKeeper(worker)
         self._pacer = self._paces.pacer
         self._saves = saves.SaveTeller()
+        self._meter = worktimes.WorkMeter()
         self._owner_ms = 0
         self._listed_at = 0.0
         self._next_beat = 0.0
@@ -265,6 +267,7 @@
         self._next_poll = 0.0
         if answer.is_ok() and not answer.ok_value:
             self._listing.attempts.append(reports.make_attempt(start))
+            self._meter.note_start(start, self._clock.read_monotonic())
             self._losses.note_start(start.task, start.attempt)
             return
         unclear = first.is_err() or answer.ok_value == workers.REFUSED_OLD
@@ -401,6 +404,8 @@
         self._settle_orders()
         now = self._clock.read_monotonic()
         now_ms = self._clock.read_unix_ms()
+        paced = self._pacer.list_paced()
+        self._meter.note_listing(self._listing.attempts, paced, now)
         self._paces.keep(self._listing, now, now_ms)
         self._note_services()
         self._report(self._whole)
@@ -505,6 +510,7 @@
                 self._pacer.take_known(),
                 self._saves.list_due(self._listing.attempts, now),
                 self._listing.life.born_ms,
+                self._meter.take(),
             )
         )
 
--- a/packages/testing/portwharf/testing/soak.py
+++ b/packages/testing/portwharf/testing/soak.py
@@ -15,6 +15,7 @@
 import dataclasses
 import pathlib
 import random
+import shutil
 import signal
 import sys
 import tempfile
@@ -391,6 +392,18 @@
         return [row['seed'] for row in tomllib.load(source).get('kept', [])]
 
 
+def make_folder(keep, seed):
+    """Return a folder for a seed's logs; those of one that fails stay.
+
+    :param keep: where those of all seeds stay, or ''
+    """
+    if not keep:
+        return tempfile.mkdtemp(prefix=f'portwharf-{seed}-')
+    folder = pathlib.Path(keep) / str(seed)
+    folder.mkdir(parents=True, exist_ok=True)
+    return str(folder)
+
+
 def main():
     """Run seeds; exit code 0 only if nothing was broken."""
     parser = argparse.ArgumentParser()
@@ -409,17 +422,15 @@
         seeds = list(range(first, first + arguments.count))
     failed = []
     for seed in seeds:
-        with tempfile.TemporaryDirectory(prefix='portwharf-') as folder:
-            kept = arguments.keep and f'{arguments.keep}/{seed}'
-            problems = run_seed(
-                seed,
-                arguments.seconds,
-                kept or folder,
-                arguments.network,
-                crashers,
-            )
-            if problems:
-                failed.append(seed)
+        folder = make_folder(arguments.keep, seed)
+        problems = run_seed(
+            seed, arguments.seconds, folder, arguments.network, crashers
+        )
+        if problems:
+            failed.append(seed)
+            print(f'  logs of seed {seed} are in {folder}', flush=True)
+        elif not arguments.keep:
+            shutil.rmtree(folder)
     print(f'{len(seeds) - len(failed)} seeds passed, failed: {failed}')
     return 1 if failed else 0
 
