--- a/packages/scheduler/portwharf/scheduler/crashloop.py
+++ b/packages/scheduler/portwharf/scheduler/crashloop.py
@@ -10,9 +10,9 @@
 
 from portwharf.core import data
 from portwharf.scheduler import decisionlog
+from portwharf.scheduler.decisions import planning
 from portwharf.scheduler import events
 from portwharf.scheduler import metrics
-from portwharf.scheduler import planning
 from portwharf.scheduler import suspects
 
 _MS = 1000
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -16,19 +16,19 @@
 from portwharf.scheduler import batches
 from portwharf.scheduler import crashloop
 from portwharf.scheduler import decisionlog
+from portwharf.scheduler.decisions import forecast
+from portwharf.scheduler.decisions import gangs
+from portwharf.scheduler.decisions import planning
+from portwharf.scheduler.decisions import precedence
+from portwharf.scheduler.decisions import pressure
+from portwharf.scheduler.decisions import rehoming
 from portwharf.scheduler import events
-from portwharf.scheduler import forecast
-from portwharf.scheduler import gangs
 from portwharf.scheduler import job_operations
 from portwharf.scheduler import metrics
 from portwharf.scheduler import operations
-from portwharf.scheduler import planning
 from portwharf.scheduler import policy
-from portwharf.scheduler import precedence
 from portwharf.scheduler import preparing
-from portwharf.scheduler import pressure
 from portwharf.scheduler import reconcile
-from portwharf.scheduler import rehoming
 from portwharf.scheduler import rosters
 
 LOG = logging.getLogger(__name__)
--- a/packages/scheduler/portwharf/scheduler/backlog.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/backlog.py
@@ -10,7 +10,7 @@
 
 from portwharf.core import data
 from portwharf.core import ids
-from portwharf.scheduler import forecast
+from portwharf.scheduler.decisions import forecast
 from portwharf.scheduler import suspects
 
 # Tasks placed in one pass; the rest waits for the next.
--- a/packages/scheduler/portwharf/scheduler/choosing.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/choosing.py
@@ -10,9 +10,9 @@
 import dataclasses
 
 from portwharf.core import data
-from portwharf.scheduler import backlog
+from portwharf.scheduler.decisions import backlog
+from portwharf.scheduler.decisions import scoring
 from portwharf.scheduler import events
-from portwharf.scheduler import scoring
 from portwharf.scheduler import suspects
 
 REFUSED_SLOWS = 'would-slow-a-service'
--- a/packages/scheduler/portwharf/scheduler/forecast_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/forecast_test.py
@@ -5,10 +5,10 @@
 import random
 
 from portwharf.core import data
+from portwharf.scheduler.decisions import forecast
+from portwharf.scheduler.decisions import precedence
 from portwharf.scheduler import events
-from portwharf.scheduler import forecast
 from portwharf.scheduler import jobs_test
-from portwharf.scheduler import precedence
 from portwharf.scheduler import state
 
 NOW = jobs_test.NOW
--- a/packages/scheduler/portwharf/scheduler/gangs.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/gangs.py
@@ -11,7 +11,7 @@
 import collections
 
 from portwharf.core import data
-from portwharf.scheduler import choosing
+from portwharf.scheduler.decisions import choosing
 from portwharf.scheduler import events
 
 
--- a/packages/scheduler/portwharf/scheduler/gangs_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/gangs_test.py
@@ -4,15 +4,15 @@
 
 from portwharf.core import data
 from portwharf.peers import messages
-from portwharf.scheduler import backlog
+from portwharf.scheduler.decisions import backlog
+from portwharf.scheduler.decisions import placement
+from portwharf.scheduler.decisions import planning
+from portwharf.scheduler.decisions import vmview
 from portwharf.scheduler import events
 from portwharf.scheduler import faults_test
 from portwharf.scheduler import jobs_test
-from portwharf.scheduler import placement
-from portwharf.scheduler import planning
 from portwharf.scheduler import reconcile
 from portwharf.scheduler import state
-from portwharf.scheduler import vmview
 from portwharf.testing import cluster
 
 STEP = jobs_test.FIRST
--- a/packages/scheduler/portwharf/scheduler/health_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/health_test.py
@@ -2,7 +2,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """Bad workers and bad jobs are told apart."""
 
-from portwharf.scheduler import health
+from portwharf.scheduler.decisions import health
 
 VM = 'vm-1'
 
--- a/packages/scheduler/portwharf/scheduler/interference_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/interference_test.py
@@ -5,7 +5,7 @@
 import math
 import random
 
-from portwharf.scheduler import interference
+from portwharf.scheduler.decisions import interference
 
 SERVICE = 'lens/fit'
 
--- a/packages/scheduler/portwharf/scheduler/placement.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/placement.py
@@ -15,10 +15,10 @@
 import dataclasses
 
 from portwharf.core import data
-from portwharf.scheduler import backlog
-from portwharf.scheduler import choosing
+from portwharf.scheduler.decisions import backlog
+from portwharf.scheduler.decisions import choosing
+from portwharf.scheduler.decisions import gangs
 from portwharf.scheduler import events
-from portwharf.scheduler import gangs
 
 REASON_PLACED = 'placed'
 REASON_NEVER = 'no-worker-can-ever-hold-it'
--- a/packages/scheduler/portwharf/scheduler/placement_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/placement_test.py
@@ -6,11 +6,11 @@
 from hypothesis import strategies
 
 from portwharf.core import data
-from portwharf.scheduler import backlog
-from portwharf.scheduler import choosing
-from portwharf.scheduler import placement
+from portwharf.scheduler.decisions import backlog
+from portwharf.scheduler.decisions import choosing
+from portwharf.scheduler.decisions import placement
+from portwharf.scheduler.decisions import vmview
 from portwharf.scheduler import state
-from portwharf.scheduler import vmview
 from portwharf.testing import fixtures
 
 NOW_MS = 1_000_000
--- a/packages/scheduler/portwharf/scheduler/planning.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/planning.py
@@ -2,17 +2,17 @@
 # SPDX-License-Identifier: Apache-2.0
 """What an owner works out from its state at each pass, without acting.
 
-Between the shard's state and :mod:`portwharf.scheduler.placement`, which
-knows neither the log nor members.
+Between the shard's state and ``decisions.placement``, which knows neither the
+log nor members.
 """
 
 import collections
 
 from portwharf.core import data
-from portwharf.scheduler import backlog
+from portwharf.scheduler.decisions import backlog
+from portwharf.scheduler.decisions import placement
+from portwharf.scheduler.decisions import precedence
 from portwharf.scheduler import events
-from portwharf.scheduler import placement
-from portwharf.scheduler import precedence
 
 # Ended workloads are listed for this long.
 KEEP_ENDED_SECONDS = 24 * 3600
--- a/packages/scheduler/portwharf/scheduler/precedence.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/precedence.py
@@ -16,7 +16,7 @@
 
 import dataclasses
 
-from portwharf.scheduler import forecast
+from portwharf.scheduler.decisions import forecast
 
 # A late job earns about a seventh of one in time on all queues seen, one
 # that is three times over its objective nothing.
--- a/packages/scheduler/portwharf/scheduler/precedence_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/precedence_test.py
@@ -3,8 +3,8 @@
 """What goes first is what ends a job for the least of a server's room."""
 
 from portwharf.core import data
+from portwharf.scheduler.decisions import precedence
 from portwharf.scheduler import events
-from portwharf.scheduler import precedence
 from portwharf.scheduler import state
 
 NOW = 100_000
--- a/packages/scheduler/portwharf/scheduler/presses_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/presses_test.py
@@ -3,7 +3,7 @@
 """Heavy and light images are told apart from what is observed."""
 
 from portwharf.peers import messages
-from portwharf.scheduler import presses
+from portwharf.scheduler.decisions import presses
 from portwharf.testing import cluster
 
 
--- a/packages/scheduler/portwharf/scheduler/pressure.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/pressure.py
@@ -11,9 +11,9 @@
 import collections
 
 from portwharf.core import data
-from portwharf.scheduler import backlog
-from portwharf.scheduler import interference
-from portwharf.scheduler import remedies
+from portwharf.scheduler.decisions import backlog
+from portwharf.scheduler.decisions import interference
+from portwharf.scheduler.decisions import remedies
 
 # Less important work makes room only for work that matters more by this.
 IMPORTANCE_MARGIN = 200
--- a/packages/scheduler/portwharf/scheduler/rehoming.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/rehoming.py
@@ -12,7 +12,7 @@
 import dataclasses
 
 from portwharf.core import data
-from portwharf.scheduler import precedence
+from portwharf.scheduler.decisions import precedence
 
 REASON_STUCK = 'hardly-works-there'
 # A task paced to this percent or less is worth moving.
--- a/packages/scheduler/portwharf/scheduler/rehoming_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/rehoming_test.py
@@ -6,12 +6,12 @@
 
 from portwharf.core import data
 from portwharf.peers import messages
+from portwharf.scheduler.decisions import planning
+from portwharf.scheduler.decisions import presses
+from portwharf.scheduler.decisions import rehoming
+from portwharf.scheduler.decisions import vmview
 from portwharf.scheduler import events
-from portwharf.scheduler import planning
-from portwharf.scheduler import presses
-from portwharf.scheduler import rehoming
 from portwharf.scheduler import state
-from portwharf.scheduler import vmview
 
 ID = '5c0e7a21d94b36f8'
 TASK = f'{ID}.0.0.0'
--- a/packages/scheduler/portwharf/scheduler/remedies_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/remedies_test.py
@@ -4,8 +4,8 @@
 
 from portwharf.core import data
 from portwharf.scheduler import configuration
-from portwharf.scheduler import interference
-from portwharf.scheduler import remedies
+from portwharf.scheduler.decisions import interference
+from portwharf.scheduler.decisions import remedies
 
 VM = 'vm-1'
 SERVICE = remedies.ServiceView('lens/fit', 0.5, 0.5, 0.2)
--- a/packages/scheduler/portwharf/scheduler/vmview.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vmview.py
@@ -6,8 +6,8 @@
 import dataclasses
 
 from portwharf.core import data
-from portwharf.scheduler import precedence
-from portwharf.scheduler import presses
+from portwharf.scheduler.decisions import precedence
+from portwharf.scheduler.decisions import presses
 
 # The share of its reservation that a task with a target uses at its peak;
 # what is left is for tasks that fill.
--- a/packages/scheduler/portwharf/scheduler/desk.py
+++ b/packages/scheduler/portwharf/scheduler/desk.py
@@ -15,9 +15,9 @@
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.scheduler import batches
+from portwharf.scheduler.decisions import planning
 from portwharf.scheduler import job_operations
 from portwharf.scheduler import operations
-from portwharf.scheduler import planning
 
 OPERATION_SECONDS = 8.0
 READS = {
--- a/packages/scheduler/portwharf/scheduler/faults_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_test.py
@@ -13,12 +13,12 @@
 
 from portwharf.core import data
 from portwharf.scheduler import decider
+from portwharf.scheduler.decisions import planning
 from portwharf.scheduler import grants
 from portwharf.scheduler import grants_test
 from portwharf.scheduler import guard
 from portwharf.scheduler import limits
 from portwharf.scheduler import ownership_test
-from portwharf.scheduler import planning
 from portwharf.scheduler import reconcile
 from portwharf.scheduler import reconcile_test
 from portwharf.scheduler import shardlog
--- a/packages/scheduler/portwharf/scheduler/jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/jobs_test.py
@@ -4,15 +4,15 @@
 
 from portwharf.core import data
 from portwharf.peers import messages
+from portwharf.scheduler.decisions import forecast
+from portwharf.scheduler.decisions import planning
+from portwharf.scheduler.decisions import presses
+from portwharf.scheduler.decisions import vmview
 from portwharf.scheduler import events
-from portwharf.scheduler import forecast
 from portwharf.scheduler import job_operations
 from portwharf.scheduler import jobs
-from portwharf.scheduler import planning
-from portwharf.scheduler import presses
 from portwharf.scheduler import reconcile
 from portwharf.scheduler import state
-from portwharf.scheduler import vmview
 from portwharf.testing import cluster
 
 ID = '5c0e7a21d94b36f8'
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -8,11 +8,11 @@
 
 from portwharf.core import data
 from portwharf.peers import messages
+from portwharf.scheduler.decisions import planning
+from portwharf.scheduler.decisions import precedence
+from portwharf.scheduler.decisions import vmview
 from portwharf.scheduler import events
-from portwharf.scheduler import planning
-from portwharf.scheduler import precedence
 from portwharf.scheduler import suspects
-from portwharf.scheduler import vmview
 from portwharf.scheduler import zones
 
 # What a new owner gives its members at the most to report.
--- a/packages/scheduler/portwharf/scheduler/operations.py
+++ b/packages/scheduler/portwharf/scheduler/operations.py
@@ -14,8 +14,8 @@
 from portwharf.core import codec
 from portwharf.core import data
 from portwharf.core import ids
+from portwharf.scheduler.decisions import placement
 from portwharf.scheduler import events
-from portwharf.scheduler import placement
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/scheduler/portwharf/scheduler/operations_test.py
+++ b/packages/scheduler/portwharf/scheduler/operations_test.py
@@ -3,11 +3,11 @@
 """Operators' calls change what they say and nothing else."""
 
 from portwharf.core import data
+from portwharf.scheduler.decisions import placement
+from portwharf.scheduler.decisions import vmview
 from portwharf.scheduler import events
 from portwharf.scheduler import operations
-from portwharf.scheduler import placement
 from portwharf.scheduler import state
-from portwharf.scheduler import vmview
 from portwharf.testing import fixtures
 
 VIEWS = [vmview.VmView(fixtures.make_vm(0), data.Resources(4000, 8000))]
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -20,9 +20,9 @@
 from portwharf.scheduler import batches
 from portwharf.scheduler import configuration
 from portwharf.scheduler import decider
+from portwharf.scheduler.decisions import health
 from portwharf.scheduler import desk
 from portwharf.scheduler import grants
-from portwharf.scheduler import health
 from portwharf.scheduler import membership
 from portwharf.scheduler import metrics
 from portwharf.scheduler import pairing
--- a/packages/scheduler/portwharf/scheduler/pairing.py
+++ b/packages/scheduler/portwharf/scheduler/pairing.py
@@ -9,7 +9,7 @@
 import threading
 
 from portwharf.peers import messages
-from portwharf.scheduler import presses
+from portwharf.scheduler.decisions import presses
 
 # Between two updates to all sides, in seconds: one carries all pairs.
 TELL_SECONDS = 0.5
--- a/packages/scheduler/portwharf/scheduler/policy_test.py
+++ b/packages/scheduler/portwharf/scheduler/policy_test.py
@@ -6,12 +6,12 @@
 
 from portwharf.core import clock
 from portwharf.core import data
-from portwharf.scheduler import backlog
-from portwharf.scheduler import choosing
+from portwharf.scheduler.decisions import backlog
+from portwharf.scheduler.decisions import choosing
+from portwharf.scheduler.decisions import gangs_test
+from portwharf.scheduler.decisions import placement
 from portwharf.scheduler import faults_test
-from portwharf.scheduler import gangs_test
 from portwharf.scheduler import jobs_test
-from portwharf.scheduler import placement
 from portwharf.scheduler import policy
 
 STEP = jobs_test.FIRST
--- a/packages/scheduler/portwharf/scheduler/reconcile.py
+++ b/packages/scheduler/portwharf/scheduler/reconcile.py
@@ -11,9 +11,9 @@
 
 from portwharf.core import data
 from portwharf.peers import messages
+from portwharf.scheduler.decisions import gangs
+from portwharf.scheduler.decisions import precedence
 from portwharf.scheduler import events
-from portwharf.scheduler import gangs
-from portwharf.scheduler import precedence
 from portwharf.scheduler import suspects
 
 # Attempts of a batch task that may fail before the task has failed.
--- a/packages/scheduler/portwharf/scheduler/rooms_test.py
+++ b/packages/scheduler/portwharf/scheduler/rooms_test.py
@@ -9,9 +9,9 @@
 import result
 
 from portwharf.core import data
+from portwharf.scheduler.decisions import placement
+from portwharf.scheduler.decisions import vmview
 from portwharf.scheduler import ownership_test
-from portwharf.scheduler import placement
-from portwharf.scheduler import vmview
 from portwharf.testing import cluster
 from portwharf.testing import fixtures
 
--- a/packages/scheduler/portwharf/scheduler/snapshots_test.py
+++ b/packages/scheduler/portwharf/scheduler/snapshots_test.py
@@ -7,8 +7,8 @@
 """
 
 from portwharf.core import data
+from portwharf.scheduler.decisions import forecast
 from portwharf.scheduler import events
-from portwharf.scheduler import forecast
 from portwharf.scheduler import state
 
 # A snapshot's share of a job that is over, its text of 300 bytes included.
--- a/packages/scheduler/portwharf/scheduler/steps_test.py
+++ b/packages/scheduler/portwharf/scheduler/steps_test.py
@@ -3,16 +3,16 @@
 """Where a step may run and what it pushes out; each rule taken out once."""
 
 from portwharf.core import data
-from portwharf.scheduler import backlog
-from portwharf.scheduler import choosing
 from portwharf.scheduler import configuration
 from portwharf.scheduler import configuration_test
+from portwharf.scheduler.decisions import backlog
+from portwharf.scheduler.decisions import choosing
+from portwharf.scheduler.decisions import gangs_test
+from portwharf.scheduler.decisions import placement
+from portwharf.scheduler.decisions import pressure
+from portwharf.scheduler.decisions import vmview
 from portwharf.scheduler import faults_test
-from portwharf.scheduler import gangs_test
 from portwharf.scheduler import jobs_test
-from portwharf.scheduler import placement
-from portwharf.scheduler import pressure
-from portwharf.scheduler import vmview
 from portwharf.side import agent
 from portwharf.side import agent_test
 from portwharf.testing import cluster
--- a/packages/scheduler/portwharf/scheduler/suspects_test.py
+++ b/packages/scheduler/portwharf/scheduler/suspects_test.py
@@ -3,11 +3,11 @@
 """What is enough to give up a task under which workers crashed."""
 
 from portwharf.core import data
-from portwharf.scheduler import backlog
-from portwharf.scheduler import choosing
+from portwharf.scheduler.decisions import backlog
+from portwharf.scheduler.decisions import choosing
+from portwharf.scheduler.decisions import gangs_test
 from portwharf.scheduler import events
 from portwharf.scheduler import faults_test
-from portwharf.scheduler import gangs_test
 from portwharf.scheduler import jobs_test
 from portwharf.scheduler import state
 from portwharf.scheduler import suspects
--- a/packages/scheduler/portwharf/scheduler/takeover.py
+++ b/packages/scheduler/portwharf/scheduler/takeover.py
@@ -22,9 +22,9 @@
 from portwharf.core import logs
 from portwharf.peers import messages
 from portwharf.peers import streams
+from portwharf.scheduler.decisions import planning
 from portwharf.scheduler import events
 from portwharf.scheduler import owner
-from portwharf.scheduler import planning
 from portwharf.scheduler import shardlog
 from portwharf.scheduler import state
 from portwharf import store
--- a/packages/side/portwharf/side/home_machine_test.py
+++ b/packages/side/portwharf/side/home_machine_test.py
@@ -17,10 +17,10 @@
 
 from portwharf.core import clock
 from portwharf.core import data
+from portwharf.scheduler.decisions import vmview
 from portwharf.scheduler import events
 from portwharf.scheduler import rosters
 from portwharf.scheduler import state
-from portwharf.scheduler import vmview
 from portwharf.side import admission
 from portwharf.side import home
 from portwharf.side import home_test
--- a/packages/side/portwharf/side/pacing.py
+++ b/packages/side/portwharf/side/pacing.py
@@ -4,9 +4,9 @@
 
 A reflex of the side, within a poll of the measurement: what the owner
 would hear a heartbeat later comes too late for a load that swings within
-seconds. By what is known of each pair (``scheduler.presses``) the room that
+seconds. By what is known of each pair (``decisions.presses``) the room that
 each server has under its target is given to filling tasks, those first that
-end a job for the least of it (``scheduler.precedence``). A brake on all of
+end a job for the least of it (``decisions.precedence``). A brake on all of
 them makes up for what is not known yet.
 """
 
@@ -16,8 +16,8 @@
 
 from portwharf.core import data
 from portwharf.peers import messages
-from portwharf.scheduler import precedence
-from portwharf.scheduler import presses
+from portwharf.scheduler.decisions import precedence
+from portwharf.scheduler.decisions import presses
 from portwharf.side import pacelog
 from portwharf.side import traits
 
--- a/packages/side/portwharf/side/traits.py
+++ b/packages/side/portwharf/side/traits.py
@@ -11,7 +11,7 @@
 import dataclasses
 
 from portwharf.core import recent
-from portwharf.scheduler import precedence
+from portwharf.scheduler.decisions import precedence
 
 # Tasks that are remembered, unless more run: a start without an answer
 # may show up to 12 s later, and a VM begins fewer than 20 a second.
--- a/packages/testing/portwharf/testing/bench.py
+++ b/packages/testing/portwharf/testing/bench.py
@@ -16,16 +16,16 @@
 
 from portwharf.core import data
 from portwharf.peers import messages
+from portwharf.scheduler.decisions import interference
+from portwharf.scheduler.decisions import planning
+from portwharf.scheduler.decisions import pressure
+from portwharf.scheduler.decisions import remedies
+from portwharf.scheduler.decisions import vmview
 from portwharf.scheduler import events
-from portwharf.scheduler import interference
 from portwharf.scheduler import owner
-from portwharf.scheduler import planning
 from portwharf.scheduler import preparing
-from portwharf.scheduler import pressure
-from portwharf.scheduler import remedies
 from portwharf.scheduler import shardlog
 from portwharf.scheduler import state
-from portwharf.scheduler import vmview
 from portwharf.side import settings
 from portwharf.testing import cluster
 from portwharf.testing import fixtures
--- a/packages/testing/portwharf/testing/bench_decisions.py
+++ b/packages/testing/portwharf/testing/bench_decisions.py
@@ -23,13 +23,13 @@
 import sys
 
 from portwharf.core import data
-from portwharf.scheduler import backlog
 from portwharf.scheduler import configuration
-from portwharf.scheduler import interference
-from portwharf.scheduler import placement
-from portwharf.scheduler import remedies
+from portwharf.scheduler.decisions import backlog
+from portwharf.scheduler.decisions import interference
+from portwharf.scheduler.decisions import placement
+from portwharf.scheduler.decisions import remedies
+from portwharf.scheduler.decisions import vmview
 from portwharf.scheduler import state
-from portwharf.scheduler import vmview
 from portwharf.testing import decision_world
 from portwharf.testing import fixtures
 
--- a/packages/testing/portwharf/testing/crash_day.py
+++ b/packages/testing/portwharf/testing/crash_day.py
@@ -19,13 +19,13 @@
 from portwharf.peers import messages
 from portwharf.scheduler import batches
 from portwharf.scheduler import crashloop
+from portwharf.scheduler.decisions import planning
+from portwharf.scheduler.decisions import presses
+from portwharf.scheduler.decisions import vmview
 from portwharf.scheduler import events
-from portwharf.scheduler import planning
-from portwharf.scheduler import presses
 from portwharf.scheduler import reconcile
 from portwharf.scheduler import state
 from portwharf.scheduler import suspects
-from portwharf.scheduler import vmview
 
 VMS = 11
 A_RACK = 3
--- a/packages/testing/portwharf/testing/decision_world.py
+++ b/packages/testing/portwharf/testing/decision_world.py
@@ -13,7 +13,7 @@
 import random
 
 from portwharf.core import data
-from portwharf.scheduler import interference
+from portwharf.scheduler.decisions import interference
 
 SECONDS = 2400
 VMS = 11
--- a/packages/testing/portwharf/testing/mutants.py
+++ b/packages/testing/portwharf/testing/mutants.py
@@ -10,20 +10,17 @@
 
 import argparse
 import dataclasses
-import importlib
 import inspect
 import logging
-import pathlib
 import sys
 import unittest
 from unittest import mock
 
 from portwharf.platform import runner_walk_test
 from portwharf.scheduler import faults_test
+from portwharf.testing import suite
 from portwharf.testing import walk
 
-_PACKAGES = pathlib.Path(__file__).parents[3]
-
 
 @dataclasses.dataclass(slots=True)
 class Mutant:
@@ -46,12 +43,11 @@
 def collect_mutants():
     """Return the mutants of all tests that bring about faults."""
     found = []
-    for path in sorted(_PACKAGES.glob('*/portwharf/*/*_test.py')):
+    for path in suite.find_modules():
         text = path.name + path.read_text()
         if 'faults_test' not in text:
             continue
-        name = '.'.join(path.with_suffix('').parts[-3:])
-        found += _collect_module(importlib.import_module(name))
+        found += _collect_module(suite.import_module(path))
     return found
 
 
--- a/packages/testing/portwharf/testing/overload_day.py
+++ b/packages/testing/portwharf/testing/overload_day.py
@@ -20,16 +20,16 @@
 from portwharf.core import clock
 from portwharf.core import data
 from portwharf.peers import messages
+from portwharf.scheduler.decisions import forecast
+from portwharf.scheduler.decisions import planning
+from portwharf.scheduler.decisions import precedence
+from portwharf.scheduler.decisions import presses
+from portwharf.scheduler.decisions import rehoming
+from portwharf.scheduler.decisions import vmview
 from portwharf.scheduler import events
-from portwharf.scheduler import forecast
 from portwharf.scheduler import jobs
-from portwharf.scheduler import planning
-from portwharf.scheduler import precedence
-from portwharf.scheduler import presses
 from portwharf.scheduler import reconcile
-from portwharf.scheduler import rehoming
 from portwharf.scheduler import state
-from portwharf.scheduler import vmview
 from portwharf.testing import overload_load
 
 VMS = 20
--- a/packages/testing/portwharf/testing/suite.py
+++ b/packages/testing/portwharf/testing/suite.py
@@ -18,22 +18,32 @@
 
 from portwharf.testing import knownred
 
-# packages/<name>/portwharf/<name>/<module>_test.py
+# packages/<name>/portwharf/<name>/<room>/.../<module>_test.py
 _PACKAGES = pathlib.Path(__file__).parents[3]
-_PATTERN = '*/portwharf/*/*_test.py'
+_PATTERN = '*/portwharf/*/**/*_test.py'
 
 
 def load_tests(names=()):
     """Return a suite of the tests in the named modules, or in all."""
     suite = unittest.TestSuite()
-    for path in sorted(_PACKAGES.glob(_PATTERN)):
+    for path in find_modules():
         if names and path.stem.removesuffix('_test') not in names:
             continue
-        parts = path.with_suffix('').parts[-3:]
-        suite.addTests(collect_tests(importlib.import_module('.'.join(parts))))
+        suite.addTests(collect_tests(import_module(path)))
     return suite
 
 
+def find_modules():
+    """Return the paths of all test modules, in order."""
+    return sorted(_PACKAGES.glob(_PATTERN))
+
+
+def import_module(path):
+    """Import the module at a path below the packages."""
+    parts = path.relative_to(_PACKAGES).with_suffix('').parts[1:]
+    return importlib.import_module('.'.join(parts))
+
+
 def collect_tests(module):
     """Return a test case for each test function of a module."""
     return [
