Closed zones: a watch that answers late makes no reading older

A watch that had waited for 10 s set the time of the last reading back to when it was asked, and the owner read the keys once more. Names are bound by what the store's keys can hold, so that none of a flood is passed over before a thousand.

--- a/packages/scheduler/portwharf/scheduler/zones.py
+++ b/packages/scheduler/portwharf/scheduler/zones.py
@@ -32,9 +32,10 @@
 WATCH_SECONDS = 10.0
 RETRY_SECONDS = 0.3
 _MAX_RETRY_SECONDS = 1.0
-# Names that are kept of what somebody writes there, and their length.
-MAX_ZONES = 100
-MAX_NAME = 64
+# Names that are kept of what somebody writes there, and their length: a key of
+# the store has 200 bytes at the most.
+MAX_ZONES = 1000
+MAX_NAME = 200
 
 
 @dataclasses.dataclass(slots=True)
@@ -108,7 +109,7 @@
             return False
         names = [key[len(self._prefix) :] for key in found.ok_value.keys]
         self.offer(found.ok_value.revision, names)
-        self._looked_at = asked
+        self._note_looked(asked)
         return True
 
     def wait(self, kv):
@@ -131,7 +132,12 @@
         with self._lock:
             if self._current is known and revision > known.revision:
                 self._current = Reading(revision, known.names)
-        self._looked_at = asked
+        self._note_looked(asked)
+
+    def _note_looked(self, asked):
+        """Note when a reading was asked for; a watch may answer long after."""
+        with self._lock:
+            self._looked_at = max(asked, self._looked_at or asked)
 
 
 class ZoneWatcher:
--- a/packages/scheduler/portwharf/scheduler/zones_test.py
+++ b/packages/scheduler/portwharf/scheduler/zones_test.py
@@ -6,6 +6,8 @@
 that nothing began where a zone had been closed for long.
 """
 
+from unittest import mock
+
 from portwharf.core import clock
 from portwharf.core import data
 from portwharf.peers import messages
@@ -360,9 +362,25 @@
     case.assertFalse(keeper.is_known_since(now.read_monotonic() - 1.0))
 
 
+def test_watch_that_waited_makes_no_reading_older(case):
+    kv, standin = fixtures.make_store()
+    now = clock.ManualClock()
+    keeper = zones.ZoneKeeper(now)
+    keeper.look(kv)
+
+    def wait(prefix, revision, timeout):
+        now.advance(5.0)
+        keeper.look(kv)
+        return kv.list_names(prefix)
+
+    slow = mock.Mock(wait_for_names=wait)
+    case.assertTrue(keeper.wait(slow))
+    case.assertTrue(keeper.is_known_since(now.read_monotonic()))
+
+
 def test_what_somebody_writes_there_is_bounded(case):
     keeper = zones.ZoneKeeper(clock.ManualClock())
-    keeper.offer(1, ['x' * 1000] + [str(n) for n in range(1000)])
+    keeper.offer(1, ['x' * 1000] + [str(n) for n in range(5000)])
     names = keeper.read().names
     case.assertEqual(len(names), zones.MAX_ZONES)
     case.assertEqual(max(len(name) for name in names), zones.MAX_NAME)
