--- a/packages/testing/portwharf/testing/walk_test.py
+++ b/packages/testing/portwharf/testing/walk_test.py
@@ -2,6 +2,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """Walks on which workers crash, also under tasks, and shrink and grow."""
 
+from portwharf.testing import cluster
 from portwharf.testing import walk
 
 
@@ -33,3 +34,23 @@
     for seed in (1, 2, 3, 4):
         with case.subTest(seed=seed):
             walk.Walk(seed, jobs=True, zones=True).run()
+
+
+def test_end_that_is_acknowledged_after_the_lease_counts_as_not_noted(case):
+    """A task is begun again after a success that came too late.
+
+    Its worker was silent for longer than its lease, so that the attempt was
+    given up and the next one placed; the success is dropped then.
+    """
+    walk.Walk(1020, jobs=True).run()
+
+
+def test_end_that_is_acknowledged_in_time_is_noted(case):
+    made = cluster.Cluster(1)
+    made.submit(1)
+    made.run(4)
+    worker = made.nodes[0].worker
+    (run,) = worker.record
+    worker.finish(run.attempt.task)
+    made.run(1)
+    case.assertTrue(run.noted)
