A lasting step adds nothing to what is left of its job

A queue with lasting steps beside others would have had them taken for what its tasks usually run. Test; no deployment known has such a queue.

--- a/packages/scheduler/portwharf/scheduler/decisions/forecast.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/forecast.py
@@ -18,6 +18,7 @@
 import math
 import statistics
 
+from portwharf.core import data
 from portwharf.scheduler import jobs
 
 # Measurements of a queue before its estimates are weighed against them.
@@ -109,7 +110,12 @@
             known.errors.add(math.log(factor))
 
     def predict(self, queue, record):
-        """Return how long a task of a step is taken to run, in ms."""
+        """Return how long a task of a step is taken to run, in ms.
+
+        What lasts is never done: it adds nothing to what is left.
+        """
+        if record.workload.kind != data.Kind.BATCH:
+            return record.workload.run_ms
         samples = self._steps.get(record.id)
         if samples:
             return statistics.median(samples)
--- a/packages/scheduler/portwharf/scheduler/decisions/forecast_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/forecast_test.py
@@ -97,6 +97,14 @@
     case.assertEqual(known.predict('checks', make_record('x', 70)), 70)
 
 
+def test_lasting_step_is_not_taken_for_what_is_usual(case):
+    known = forecast.RunTimes()
+    teach(known, 20, 0.1)
+    lasting = make_record('x', 0)
+    lasting.workload.kind = data.Kind.STANDING
+    case.assertEqual(known.predict(QUEUE, lasting), 0)
+
+
 def test_steps_that_are_over_are_forgotten(case):
     known = forecast.RunTimes()
     record = make_record('own', 400)
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -44,11 +44,10 @@
     ):
         """Take an ``environment.Environment`` and what the owner knows.
 
-        :param runtimes: a ``forecast.RunTimes``, or None
-
         :param health: a ``health.Health`` of the shard's workers
         :param pressure: a ``pressure.Pressure`` of the same
         :param pairs: a ``presses.Presses``, or None
+        :param runtimes: a ``forecast.RunTimes``, or None
         """
         self._pairs = pairs
         self._runtimes = runtimes
