An entry that is asked to stop answers what still comes

Cause, from the code: at the end of its wait the entry ended as it stood. A call that waits for an owner does so for up to 2 s, so that whatever came in the last 2 s of an entry without an owner link was cut. On the code before, the new test of a real process fails with 'Remote end closed connection without response'.

Ruled out: the server's own stop (it was never called), the balancer (connections that are kept open stay with their entry by its terms).

Mended: connections that are idle are closed from the asking on, calls get less time as the end draws near and a true answer (503 nothing was changed, 504 not known) with 'Connection: close', and the door waits for answers that are being given. An entry that nobody calls any more ends 2.5 s after the asking in place of 4.5 s, so that it is back sooner. Both programs end half a second before their grace is over whatever hangs.

--- a/packages/core/portwharf/core/web.py
+++ b/packages/core/portwharf/core/web.py
@@ -78,6 +78,24 @@
         self._server.stop()
         self._thread.join()
 
+    def drain(self, seconds):
+        """Close each connection that has been idle for so long, from now on.
+
+        Callers that keep a connection open would find an end on it.
+        """
+        self._server.timeout = seconds
+
+    def finish(self, seconds):
+        """Take nothing more, and wait for the answers to what was taken.
+
+        :param seconds: how long to wait at the most
+        :returns: whether all were given
+        """
+        stopper = threading.Thread(target=self._server.stop, daemon=True)
+        stopper.start()
+        stopper.join(seconds)
+        return not stopper.is_alive()
+
 
 def answer_text(start_response, status, text):
     """Answer a WSGI request with plain text."""
--- a/packages/platform/portwharf/platform/clients.py
+++ b/packages/platform/portwharf/platform/clients.py
@@ -55,26 +55,30 @@
 class JobCalls:
     """The WSGI application that clients call."""
 
-    def __init__(self, calls, keeper, clock, is_stopping):
+    def __init__(self, calls, keeper, clock, leaving):
         """Take ``owners.OwnerCalls``, configuration and clock.
 
-        :param is_stopping: tells whether clients should go elsewhere
+        :param leaving: a ``leaving.Leaving``; once a stop is asked for,
+            each answer tells its client to go elsewhere
         """
         self._calls = calls
         self._keeper = keeper
         self._clock = clock
-        self._is_stopping = is_stopping
+        self._leaving = leaving
         self._lock = threading.Lock()
         self._pending = {}
 
     def __call__(self, environ, start_response):
-        headers = []
-        if self._is_stopping():
-            headers.append(('Connection', 'close'))
-
         def respond(status, answer_headers):
-            return start_response(status, answer_headers + headers)
+            # A stop may be asked for while a call is carried out.
+            if self._leaving.is_asked:
+                answer_headers = [*answer_headers, ('Connection', 'close')]
+            return start_response(status, answer_headers)
+
+        with self._leaving.carry_out():
+            return self._answer(environ, respond)
 
+    def _answer(self, environ, respond):
         cfg = self._keeper.read()
         if not cfg.revision:
             return _refuse(respond, 503, 'no configuration yet')
@@ -173,6 +177,7 @@
         return web.answer_json(respond, 200, {'pending': known.count})
 
     def _call(self, method, arguments, cls, seconds):
+        seconds = self._leaving.limit(seconds)
         return self._calls.call(
             _SHARD, method, arguments, cls, seconds, FIND_SECONDS
         )
--- a/packages/platform/portwharf/platform/clients_test.py
+++ b/packages/platform/portwharf/platform/clients_test.py
@@ -8,6 +8,7 @@
 
 from portwharf.core import clock
 from portwharf.core import data
+from portwharf.entry import leaving
 from portwharf.entry import owners
 from portwharf.platform import clients
 from portwharf.platform import routes
@@ -77,7 +78,10 @@
     keeper = configuration.ConfigKeeper(routes.parse_config)
     calls = FakeCalls()
     now = clock.ManualClock()
-    app = clients.JobCalls(calls, keeper, now, lambda: stopping)
+    stop = leaving.Leaving(now, 2.5, 4.5)
+    if stopping:
+        stop.ask()
+    app = clients.JobCalls(calls, keeper, now, stop)
     keeper.offer(5, json.dumps(CONFIG))
     return fixtures.WsgiPool(app), calls, now, keeper
 
@@ -180,7 +184,8 @@
 
 def test_entry_without_a_configuration_says_come_back(case):
     keeper = configuration.ConfigKeeper(routes.parse_config)
-    app = clients.JobCalls(None, keeper, None, lambda: False)
+    stop = leaving.Leaving(clock.ManualClock(), 2.5, 4.5)
+    app = clients.JobCalls(None, keeper, None, stop)
     answer = send(fixtures.WsgiPool(app), 'GET', f'/a/{ID}')
     case.assertEqual(answer.status, 503)
     case.assertIn('Retry-After', answer.headers)
@@ -210,6 +215,14 @@
     case.assertEqual(answer.headers['Connection'], 'close')
 
 
+def test_late_call_at_a_stopping_entry_is_answered_before_its_end(case):
+    pool, calls, now, _ = open_calls(stopping=True)
+    calls.answers['read-job'] = fail(owners.OUTCOME_UNKNOWN)
+    now.advance(4.0)
+    answer = send(pool, 'GET', f'/a/{ID}')
+    case.assertEqual((answer.status, calls.seconds), (504, [0.5]))
+
+
 def test_garbled_configuration_changes_nothing(case):
     pool, calls, _, keeper = open_calls()
     case.assertFalse(keeper.offer(9, '{"routes": [{}]}'))
--- a/packages/platform/portwharf/platform/programs.py
+++ b/packages/platform/portwharf/platform/programs.py
@@ -14,6 +14,7 @@
 from portwharf.core import logs
 from portwharf.core import stops
 from portwharf.core import web
+from portwharf.entry import leaving
 from portwharf.platform import boot
 from portwharf.platform import kv
 from portwharf.platform import routes
@@ -26,8 +27,13 @@
 CLIENT_THREADS = 24
 # Appends are this far apart: four times what the store takes for one.
 APPEND_SECONDS = 0.03
-# Before the platform kills us, answers that are under way are given.
-LEAVE_MARGIN_SECONDS = 1.5
+# The balancer asks each second, and passes over what missed twice.
+AWAY_SECONDS = 2.5
+# Before the platform kills us: all calls are answered, and our end.
+ANSWER_MARGIN_SECONDS = 1.5
+END_MARGIN_SECONDS = 0.5
+# Connections on which no call came for so long are closed at a stop.
+IDLE_SECONDS = 1.0
 # For the last lines of the log to be printed.
 LAST_LINES_SECONDS = 0.2
 
@@ -41,8 +47,12 @@
         self._stack = contextlib.ExitStack()
         self._stopping = threading.Event()
         self._clock = clock.SystemClock()
-        # When a planned stop was asked for.
-        self._asked = 0.0
+        answer_seconds = max(
+            0.0, settings.grace_seconds - ANSWER_MARGIN_SECONDS
+        )
+        self._leaving = leaving.Leaving(
+            self._clock, AWAY_SECONDS, answer_seconds
+        )
         self._keeper = configuration.ConfigKeeper(routes.parse_config)
         self._instance = ids.make_nonce()
 
@@ -53,15 +63,17 @@
         return self
 
     def __exit__(self, *exc_info):
-        # The balancer sees that we are not ready; open connections go on.
-        now = self._clock.read_monotonic()
-        left = compute_leave(self._asked, now, self._boot.grace_seconds)
-        threading.Event().wait(left)
-        LOG.info('entry ends')
+        LOG.info('entry is asked to stop')
+        self._door.drain(IDLE_SECONDS)
+        self._leaving.wait_until_over()
+        # Nothing else is closed: the process ends.
+        whole = self._door.finish(ANSWER_MARGIN_SECONDS - END_MARGIN_SECONDS)
+        if not whole:
+            LOG.warning('entry ends with calls that were not answered')
 
     def stop(self):
         """Ask for a planned stop; safe in a signal handler."""
-        self._asked = self._clock.read_monotonic()
+        self._leaving.ask()
         self._stopping.set()
 
     def wait(self):
@@ -94,19 +106,19 @@
         )
         calls = owners.OwnerCalls(self._links, self._clock)
         jobs = clients.JobCalls(
-            calls, self._keeper, self._clock, self._stopping.is_set
+            calls, self._keeper, self._clock, self._leaving
         )
         ready = clients.Readiness(self._is_ready)
         pages = web.Pages(self._is_ready)
         vm = self._boot.vm
-        self._serve(self._boot.clients, jobs, CLIENT_THREADS)
+        self._door = self._serve(self._boot.clients, jobs, CLIENT_THREADS)
         self._serve(self._boot.readiness, ready, 2)
         enter(web.Server(vm.address, self._boot.pages_port, pages, 1))
         LOG.info('entry begins', extra=logs.fields(vm=vm.name))
 
     def _serve(self, place, app, threads):
         server = web.Server(place.address, place.port, app, threads)
-        self._stack.enter_context(server)
+        return self._stack.enter_context(server)
 
     def _is_ready(self):
         has_config = self._keeper.read().revision > 0
@@ -121,18 +133,6 @@
         )
 
 
-def compute_leave(asked, now, grace):
-    """Return for how long an entry that was asked to stop goes on.
-
-    The platform's time runs from its asking, which a process that is still
-    starting, or was paused, hears of late.
-
-    :param asked: when the stop was asked for, in seconds, as ``now``
-    :param grace: the seconds that the platform gives
-    """
-    return max(0.0, asked + grace - LEAVE_MARGIN_SECONDS - now)
-
-
 def make_side(settings):
     """Return the side's process, put together for the platform."""
     from portwharf.platform import beside
@@ -168,8 +168,14 @@
     logs.end_on_crash()
     make = EntryProgram if role == 'entry' else make_side
     program = make(read.ok_value)
+    bound = max(0.0, read.ok_value.grace_seconds - END_MARGIN_SECONDS)
+
+    def ask(*_):
+        program.stop()
+        stops.end_within(bound)
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: program.stop())
+        signal.signal(number, ask)
     signal.signal(signal.SIGHUP, _note_change)
     with program:
         program.wait()
--- a/packages/platform/portwharf/platform/programs_test.py
+++ b/packages/platform/portwharf/platform/programs_test.py
@@ -1,11 +1,124 @@
 # Copyright the portwharf authors.
 # SPDX-License-Identifier: Apache-2.0
-"""An entry leaves within the platform's time."""
+"""An entry that is asked to stop answers all that comes, in its time."""
 
-from portwharf.platform import programs
+import base64
+import contextlib
+import http.client
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
 
+from portwharf.testing import fixtures
+from portwharf.testing import platform_store
 
-def test_leaving_counts_from_the_asking_and_not_from_the_hearing(case):
-    case.assertEqual(programs.compute_leave(100.0, 100.0, 6.0), 4.5)
-    case.assertEqual(programs.compute_leave(100.0, 103.0, 6.0), 1.5)
-    case.assertEqual(programs.compute_leave(100.0, 109.0, 6.0), 0.0)
+ROOT = pathlib.Path(__file__).parents[4]
+PATH = '/a/5c0e7a21d94b36f8'
+HEADERS = {'Host': 'desk.example'}
+CONFIG = {
+    'version': 1,
+    'routes': [
+        {
+            'name': 'plans',
+            'host': 'desk.example',
+            'pathPrefix': '/a/',
+            'service': 'pool',
+            'priority': 0,
+            'maxAttempts': 3,
+            'stretch': 2.0,
+            'targetLatencyMs': 1000,
+        }
+    ],
+}
+# Answers are due half a second after a stop was asked for.
+GRACE_SECONDS = 2
+LIMIT_SECONDS = 20
+BEGUN = (b'in force', b'entry begins')
+
+
+def find_port():
+    """Return a port of this machine that is free."""
+    with socket.create_server(('127.0.0.1', 0)) as one:
+        return one.getsockname()[1]
+
+
+@contextlib.contextmanager
+def start_entry(case):
+    """Start an entry whose owner is gone; yields process and its port."""
+    store = platform_store.PlatformStoreStandIn()
+    raw = base64.b64encode(json.dumps(CONFIG).encode())
+    store.set_item('op/config', raw.decode())
+    store_port = fixtures.serve(case, store, threads=16)
+    port, ready, inner = find_port(), find_port(), find_port()
+    text = f"""
+node = "entry-0"
+role = "entry"
+serves = ["front"]
+ip = "127.0.0.1"
+zone = "zone-0"
+internalPorts = [{inner}, {inner + 5}]
+[listen]
+front = "127.0.0.1:{port}"
+ready = "127.0.0.1:{ready}"
+[bounds]
+graceS = {GRACE_SECONDS}
+[platform]
+address = "127.0.0.1:{store_port}"
+writes_per_s = 400.0
+reads_per_s = 2000.0
+"""
+    folder = pathlib.Path(case.enterContext(tempfile.TemporaryDirectory()))
+    (folder / 'entry.toml').write_text(text)
+    argv = [sys.executable, str(ROOT / 'deploy/start.py'), 'entry']
+    env = {**os.environ, 'PORTWHARF_BOOT': str(folder / 'entry.toml')}
+    with subprocess.Popen(argv, env=env, stdout=subprocess.PIPE) as program:
+        try:
+            wait_for_lines(program, BEGUN)
+            yield program, port
+        finally:
+            program.kill()
+
+
+def wait_for_lines(program, texts):
+    """Read what a program prints until each text was in a line."""
+    missing = set(texts)
+    for line in program.stdout:
+        missing = {text for text in missing if text not in line}
+        if not missing:
+            return
+
+
+def open_connection(port):
+    """Return a client's connection to the entry."""
+    return http.client.HTTPConnection('127.0.0.1', port, LIMIT_SECONDS)
+
+
+def test_call_that_waits_when_an_entry_ends_gets_its_answer(case):
+    with start_entry(case) as (program, port):
+        conn = open_connection(port)
+        conn.request('GET', PATH, headers=HEADERS)
+        case.assertEqual(conn.getresponse().read()[:8], b'{"error"')
+        program.send_signal(signal.SIGTERM)
+        # Kept open, with a call that nobody can carry out in time.
+        conn.request('GET', PATH, headers=HEADERS)
+        answer = conn.getresponse()
+        case.assertEqual(answer.status, 503)
+        case.assertEqual(answer.headers['Connection'], 'close')
+        case.assertEqual(answer.headers['Retry-After'], '1')
+        answer.read()
+        case.assertEqual(program.wait(LIMIT_SECONDS), 0)
+
+
+def test_idle_connection_is_closed_and_the_entry_ends_by_itself(case):
+    with start_entry(case) as (program, port):
+        conn = open_connection(port)
+        conn.request('GET', PATH, headers=HEADERS)
+        conn.getresponse().read()
+        program.send_signal(signal.SIGTERM)
+        case.assertEqual(conn.sock.recv(1), b'')
+        case.assertEqual(program.wait(LIMIT_SECONDS), 0)
