report delays: where the time of late jobs went, from the logs

Owners log which attempts were placed and ended well, what waits for long and when a job is due; sides log what attempts lost by working at a share.

--- a/packages/core/portwharf/core/logs.py
+++ b/packages/core/portwharf/core/logs.py
@@ -48,6 +48,10 @@
     'born_ms',
     'acked',
     'zones',
+    'tasks',
+    'due_ms',
+    'run_ms',
+    'paced_ms',
 )
 _TEXT_FORMAT = '%(asctime)s %(levelname)s %(name)s: %(message)s'
 _JSON_FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
--- a/packages/entry/portwharf/entry/cluster_commands.py
+++ b/packages/entry/portwharf/entry/cluster_commands.py
@@ -13,6 +13,7 @@
 import cappa
 
 from portwharf.entry import calling
+from portwharf.entry import delay_commands
 from portwharf.entry import pictures
 from portwharf.entry import tables
 from portwharf.v1 import operators_pb as pb
@@ -202,9 +203,9 @@
 @cappa.command(name='report')
 @dataclasses.dataclass
 class Report:
-    """Reports on services."""
+    """Reports on services and jobs."""
 
-    command: cappa.Subcommands[Burn]
+    command: cappa.Subcommands[Burn | delay_commands.Delays]
 
 
 def _list_burn(one):
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -63,6 +63,7 @@
         # Why workloads wait, as of the last pass, by their ids.
         self.waiting = {}
         self._patience = planning.Patience()
+        self._waits = decisionlog.WaitLog()
         self._shunned = rehoming.Shunned()
         # Attempts that a side did not list and that it has to be told of.
         self._owed = {}
@@ -124,6 +125,9 @@
             reconcile.judge_report(self._state, name, report, verdict)
             self._crashloops.take_report(name, report)
         batch.events.extend(verdict.events)
+        decisionlog.log_successes(
+            name, verdict.events, self.runtimes.find_measured
+        )
         for event in verdict.events:
             if isinstance(event, events.TaskEnded):
                 self._note_ended(event, batch)
@@ -395,6 +399,7 @@
         )
         self.waiting = {one.record.id: one for one in done.waiting}
         self._patience.note(self.waiting, now)
+        self._waits.note(self.waiting, now)
         decisionlog.log_placements(done.placements)
         for placed in done.placements:
             event = events.TaskPlaced(placed.task, placed.attempt, placed.vm)
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/decisionlog_test.py
@@ -0,0 +1,50 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""The owner's lines, which ``report delays`` reads."""
+
+from portwharf.core import data
+from portwharf.scheduler import decisionlog
+from portwharf.scheduler.decisions import choosing
+from portwharf.scheduler.decisions import placement
+from portwharf.scheduler import events
+
+LOGGER = 'portwharf.scheduler.decisionlog'
+
+
+def test_placements_name_tasks_and_attempts(case):
+    rows = [
+        placement.Placement('a.0.0.3', 1, 'vm-1'),
+        placement.Placement('a.0.0.12', 4, 'vm-1'),
+        placement.Placement('a.0.0.5', 1, 'vm-2'),
+    ]
+    with case.assertLogs(LOGGER) as watched:
+        decisionlog.log_placements(rows)
+    told = [(one.vm, one.count, one.tasks) for one in watched.records]
+    case.assertEqual(told, [('vm-1', 2, '3.1,12.4'), ('vm-2', 1, '5.1')])
+
+
+def test_successes_of_a_workload_have_one_line(case):
+    taken = [
+        events.TaskEnded('a.0.0.3', 1, data.TaskState.SUCCEEDED),
+        events.TaskEnded('a.0.0.4', 1, data.TaskState.FAILED),
+        events.TaskEnded('a.0.0.5', 2, data.TaskState.SUCCEEDED),
+    ]
+    with case.assertLogs(LOGGER) as watched:
+        decisionlog.log_successes('vm-1', taken, {'a.0.0': 900}.get)
+    told = [(one.workload, one.tasks, one.run_ms) for one in watched.records]
+    case.assertEqual(told, [('a.0.0', '3.1,5.2', 900)])
+
+
+def test_long_wait_has_one_line_an_episode(case):
+    log = decisionlog.WaitLog()
+    choice = choosing.Choice()
+    choice.refusals['processors'] = 3
+    waits = {'a.0.0': placement.Waiting(None, 'no-room', choice)}
+    with case.assertLogs(LOGGER) as watched:
+        for now in (0.0, 0.5, 1.0, 1.5):
+            log.note(waits, now)
+        log.note({}, 2.0)
+        for now in (3.0, 4.0):
+            log.note(waits, now)
+    told = [(one.workload, one.reason) for one in watched.records]
+    case.assertEqual(told, [('a.0.0', 'no-room, processors 3')] * 2)
--- a/packages/scheduler/portwharf/scheduler/decisions/forecast.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/forecast.py
@@ -123,6 +123,14 @@
         estimate_ms = record.workload.run_ms
         return known.predict(estimate_ms) if known else estimate_ms
 
+    def find_measured(self, workload):
+        """Return how long a step's tasks run in ms, or None if not measured.
+
+        :param workload: the step's id
+        """
+        samples = self._steps.get(workload)
+        return int(statistics.median(samples)) if samples else None
+
     def forget(self, live):
         """Forget the steps that are not among those that may still run.
 
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -25,6 +25,7 @@
 from portwharf.side import reports
 from portwharf.side import saves
 from portwharf.side import sight
+from portwharf.side import slowed
 from portwharf.side import worktimes
 from portwharf import workers
 
@@ -92,6 +93,7 @@
         self._pacer = self._paces.pacer
         self._saves = saves.SaveTeller()
         self._meter = worktimes.WorkMeter()
+        self._slowed = slowed.SlowedLog()
         self._owner_ms = 0
         self._listed_at = 0.0
         self._next_beat = 0.0
@@ -406,6 +408,7 @@
         now_ms = self._clock.read_unix_ms()
         paced = self._pacer.list_paced()
         self._meter.note_listing(self._listing.attempts, paced, now)
+        self._slowed.note_listing(self._listing.attempts, paced, now)
         self._paces.keep(self._listing, now, now_ms)
         self._note_services()
         self._report(self._whole)
