Entries of a large fleet keep links to a few sides and the owner

Entries that route no requests now choose 12 sides by rendezvous, and the owner as soon as a side tells of it; what is down is made up for. With up to 12 sides nothing changes.

Ruled out: links on demand for each call, as an owner would then be found only after the first call had failed.

--- a/packages/entry/portwharf/entry/sides.py
+++ b/packages/entry/portwharf/entry/sides.py
@@ -14,6 +14,7 @@
 import xxhash
 
 from portwharf.core import data
+from portwharf.core import ids
 from portwharf.peers import links
 from portwharf.peers import messages
 from portwharf.peers import streams
@@ -21,6 +22,11 @@
 
 _BEAT_SECONDS = 1.0
 _BEATS_A_LISTING = 2
+# Links that an entry of a large fleet keeps besides that to the owner: a
+# rack may fail, and the others still tell.
+LEAST_SIDES = 12
+# With many of these down it tries this many times as many.
+_MOST_FACTOR = 3
 # What an entry says that wants no configuration from this side.
 ANY_REVISION = 2**62
 
@@ -95,13 +101,22 @@
     """The connection to one side."""
 
     def __init__(
-        self, vm, dial, make_hello, clock, note_roster=None, keeper=None
+        self,
+        vm,
+        dial,
+        make_hello,
+        clock,
+        note_roster=None,
+        keeper=None,
+        note_owner=None,
     ):
         """Take the VM, a function that dials it and one that greets.
 
         :param note_roster: called with a shard and a ``RosterUpdate``
         :param keeper: the entry's ``ConfigKeeper``, or None
+        :param note_owner: called when the side tells of another owner
         """
+        self._note_owner = note_owner
         self._keeper = keeper
         super().__init__(vm.name)
         self._clock = clock
@@ -199,7 +214,9 @@
 
     def _take(self, message):
         if isinstance(message, messages.SideState):
-            self.view.state = message
+            former, self.view.state = self.view.state, message
+            if former.owner != message.owner and self._note_owner:
+                self._note_owner()
             self.view.services = frozenset(message.services)
             return
         if isinstance(message, messages.ConfigUpdate):
@@ -228,11 +245,18 @@
 
 
 class LinkTable:
-    """Links to all sides on the VM list; a context manager."""
+    """Links to sides on the VM list; a context manager."""
 
-    def __init__(self, vmlist, dial, make_hello, clock, keeper=None):
-        """Take the VM list and what each :class:`SideLink` needs."""
+    def __init__(
+        self, vmlist, dial, make_hello, clock, keeper=None, choose=None
+    ):
+        """Take the VM list and what each :class:`SideLink` needs.
+
+        :param choose: gives, for the names of all sides and the links by
+            name, the names to be linked to; all, if it is None
+        """
         self._keeper = keeper
+        self._choose = choose or _choose_all
         self._clock = clock
         self._vmlist = vmlist
         self._dial = dial
@@ -242,7 +266,10 @@
         # How often a side was asked for a later configuration.
         self._asked = 0
         self._leaving = frozenset()
+        self._wanted = {}
         self._stop = threading.Event()
+        # Set when there may be others to be linked to.
+        self._changed = threading.Event()
         self.listed = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name='links', daemon=True
@@ -254,6 +281,7 @@
 
     def __exit__(self, *exc_info):
         self._stop.set()
+        self._changed.set()
         self._thread.join()
         for link in self._links.values():
             link.stop()
@@ -302,7 +330,17 @@
                 self._read_list()
             beats += 1
             self.beat()
-            self._stop.wait(_BEAT_SECONDS)
+            self._wait_for_beat()
+
+    def _wait_for_beat(self):
+        """Wait for the next beat, and link to others as soon as need be."""
+        if self._changed.wait(_BEAT_SECONDS):
+            self._changed.clear()
+            self._link()
+
+    def _note_change(self):
+        """Note that a side has told of another owner."""
+        self._changed.set()
 
     def beat(self):
         """Send a sign of life to all sides, and ask one for what is newer.
@@ -332,37 +370,98 @@
             self.listed.set()
 
     def _follow(self, vms):
-        """Link to each endpoint VM on the list.
+        """Take what the list names, and link to what is chosen of it."""
+        self._wanted = {
+            vm.name: vm for vm in vms if vm.role == data.Role.ENDPOINT
+        }
+        self._leaving = frozenset(
+            vm.name
+            for vm in self._wanted.values()
+            if vm.state != data.VmState.LIVE
+        )
+        self._link()
+
+    def _link(self):
+        """Link to each chosen VM, and end the links to others.
 
         A VM that the list no longer names keeps its link while that is up:
         the list may lag or be wrong, and the connection tells the truth.
         """
-        wanted = {vm.name: vm for vm in vms if vm.role == data.Role.ENDPOINT}
-        self._leaving = frozenset(
-            vm.name for vm in wanted.values() if vm.state != data.VmState.LIVE
-        )
+        chosen = self._choose(list(self._wanted), self._links)
         links = dict(self._links)
         for name, link in self._links.items():
-            vm = wanted.get(name)
+            vm = self._wanted.get(name)
             if vm is None and link.view.up:
                 continue
             if vm is None or _has_moved(link.view.vm, vm):
                 del links[name]
                 link.__exit__(None, None, None)
-        for name, vm in wanted.items():
+            elif name not in chosen and not link.view.sent:
+                del links[name]
+                link.__exit__(None, None, None)
+        for name in chosen:
             if name not in links:
-                link = SideLink(
-                    vm,
-                    self._dial,
-                    self._make_hello,
-                    self._clock,
-                    self._note_roster,
-                    self._keeper,
-                )
-                links[name] = link
-                link.__enter__()
+                links[name] = self._open_link(self._wanted[name])
         self._links = links
 
+    def _open_link(self, vm):
+        link = SideLink(
+            vm,
+            self._dial,
+            self._make_hello,
+            self._clock,
+            self._note_roster,
+            self._keeper,
+            self._note_change,
+        )
+        return link.__enter__()
+
+
+class FewSides:
+    """Chooses a few sides, and the owner, for an entry of a large fleet.
+
+    An entry that routes no requests needs the owner, and some others that
+    tell who that is. With links to all, connections and threads would grow
+    with entries times sides. Entries choose different ones, so that each side
+    has about as many.
+    """
+
+    def __init__(self, name, least=LEAST_SIDES):
+        """Take the entry's name.
+
+        :param least: how many links are kept that are up, or may come up
+        """
+        self._name = name
+        self._least = least
+
+    def __call__(self, names, links):
+        """Return the names of the sides to be linked to."""
+        chosen, well = [], 0
+        for name in ids.rank_by_rendezvous(self._name, names):
+            if (
+                well >= self._least
+                or len(chosen) >= _MOST_FACTOR * self._least
+            ):
+                break
+            chosen.append(name)
+            known = links.get(name)
+            well += known is None or known.view.up
+        owner = find_owner_name(links.values())
+        if owner in names and owner not in chosen:
+            chosen.append(owner)
+        return chosen
+
+
+def find_owner_name(links):
+    """Return the name of the latest owner that sides tell of, or ''."""
+    views = [link.view for link in links if link.view.up]
+    latest = max(views, key=lambda view: view.state.epoch, default=None)
+    return latest.state.owner if latest is not None else ''
+
+
+def _choose_all(names, links):
+    return names
+
 
 def _has_moved(known, vm):
     return (known.address, known.port) != (vm.address, vm.port)
--- a/packages/platform/portwharf/platform/programs.py
+++ b/packages/platform/portwharf/platform/programs.py
@@ -102,6 +102,7 @@
                 self._make_hello,
                 self._clock,
                 self._keeper,
+                sides.FewSides(self._boot.vm.name),
             )
         )
         calls = owners.OwnerCalls(self._links, self._clock)
