After power was lost everywhere, nobody is waited for

Change: a first in line that has heard no owner since its start asks the former owner's VM, then all, and takes over at once if none has heard one; a grant that is not valid is asked for again after 0.04 s, later each time; a side waits 0.1 s for its registration in place of a whole poll.

Safety rests on the log as before; tests of who may ask.

--- a/packages/peers/portwharf/peers/messages.py
+++ b/packages/peers/portwharf/peers/messages.py
@@ -493,11 +493,13 @@
     :param epoch: the highest epoch that the side knows
     :param hears: it has heard that epoch's owner lately
     :param restarted: it has forgotten, so its epoch proves nothing
+    :param unheard: it has heard no owner since its start
     """
 
     epoch: int = 0
     hears: bool = False
     restarted: bool = False
+    unheard: bool = False
 
 
 KINDS = {
--- a/packages/platform/portwharf/platform/beside.py
+++ b/packages/platform/portwharf/platform/beside.py
@@ -11,6 +11,8 @@
 from portwharf.side import outside
 from portwharf import vmlist
 
+# How long a start waits for the registration, which gives the token.
+_TOKEN_SECONDS = 0.1
 _BEAT_THREADS = 2
 
 
@@ -36,11 +38,16 @@
         place = self._boot.runner
         return _RunnerWithBeats(
             place,
-            lambda: self._registration.token,
+            self._read_token,
             self._boot.max_hold_ms,
             self._boot.beats,
         )
 
+    def _read_token(self):
+        """Return the fencing token, or 0; at a start it is soon there."""
+        self._registration.registered.wait(_TOKEN_SECONDS)
+        return self._registration.token
+
     def open_policy(self):
         place = self._boot.advice
         return advice.AdviceService(place) if place is not None else None
--- a/packages/scheduler/portwharf/scheduler/takeover.py
+++ b/packages/scheduler/portwharf/scheduler/takeover.py
@@ -137,6 +137,8 @@
         self._kv = kv
         self._owner = None
         self._members = {}
+        # The owner that the log showed when it was read.
+        self._former = ''
         self._failures = 0
         self._next_try = 0.0
         self._stop = threading.Event()
@@ -172,6 +174,8 @@
                 self._claim()
             elif self._is_our_turn():
                 self._take_over()
+            elif self._is_first_after_restart():
+                self._take_over_all_restarted()
         self._end()
 
     def _back_off(self):
@@ -211,6 +215,7 @@
             return
         restored = state.restore_state(contents.ok_value)
         self._members = dict(restored.members)
+        self._former = restored.owner
         self._guard.learn_epoch(restored.epoch)
 
     def _note_read(self, contents, began):
@@ -264,6 +269,35 @@
             wait *= RESTARTED_SHARE
         return self._guard.measure_silence() >= wait
 
+    def _is_first_after_restart(self):
+        """Tell whether to ask at once whether everybody has restarted.
+
+        Only the first in line does, so that not all ask at the same time.
+        """
+        if self._guard.has_heard:
+            return False
+        names = [*self._members, self._env.name]
+        order = ids.rank_by_rendezvous(str(self._env.shard), set(names))
+        return order[0] == self._env.name
+
+    def _take_over_all_restarted(self):
+        """Take over if no member is left that could hear an owner.
+
+        After power was lost everywhere nobody is there to wait for: all
+        members answer, and none has heard an owner since its start. The
+        former owner's VM is asked first, alone: one that lives says so.
+        """
+        epoch = self._guard.epoch
+        former = self._members.get(self._former)
+        if former is not None and former.name != self._env.name:
+            if not _is_unheard(self._ask(former)):
+                return
+        votes = self._ask_members()
+        if votes.unheard + 1 < len(self._members):
+            return
+        if self._guard.epoch == epoch and not self._guard.has_heard:
+            self._claim()
+
     def _take_over(self):
         epoch = self._guard.epoch
         silence = self._guard.measure_silence()
@@ -336,12 +370,19 @@
         )
 
 
+def _is_unheard(answer):
+    """Tell whether a member says that it has heard no owner."""
+    return isinstance(answer, messages.OwnerAnswer) and answer.unheard
+
+
 class _Votes:
     """Answers of the other members."""
 
     def __init__(self):
         self.hears = 0
         self.silent = 0
+        # Of the silent, those that have heard no owner since their start.
+        self.unheard = 0
 
     def count(self, answer):
         """Count an answer; a dead member says nothing.
@@ -354,3 +395,4 @@
             self.hears += 1
         else:
             self.silent += 1
+            self.unheard += answer.unheard
--- a/packages/scheduler/portwharf/scheduler/takeover_test.py
+++ b/packages/scheduler/portwharf/scheduler/takeover_test.py
@@ -166,3 +166,72 @@
 
     bench.answers[next(iter(bench.answers))] = be_taken
     case.assertFalse(bench.look(LIMITS.takeover + 0.1))
+
+
+class RestartedBench(Bench):
+    """A watcher on the first of all in line, whose process has restarted."""
+
+    def __init__(self, answers):
+        """Take a map of member to answer."""
+        super().__init__(answers)
+        first = ids.rank_by_rendezvous('0', [vm.name for vm in VMS])[0]
+        self.guard = guard.Guard(self.clock, LIMITS)
+        self.watcher._guard = self.guard
+        self.watcher._env.name = first
+        self.watcher._learn()
+
+    def look_at_once(self):
+        """Look before any silence could be too long."""
+        if self.watcher._is_first_after_restart():
+            self.watcher._take_over_all_restarted()
+        return bool(self.claims)
+
+
+def unheard(*, but=()):
+    """Return the answers of all others, that no owner was heard."""
+    return {
+        vm.name: messages.OwnerAnswer(1, False, False, vm.name not in but)
+        for vm in VMS
+    }
+
+
+def test_after_power_loss_everywhere_nobody_is_waited_for(case):
+    bench = RestartedBench(unheard())
+    case.assertTrue(bench.look_at_once())
+    case.assertTrue(bench.claims[0].is_ok())
+
+
+def test_one_that_heard_an_owner_since_is_enough_to_wait(case):
+    for one in VMS:
+        bench = RestartedBench(unheard(but=[one.name]))
+        mine = one.name == bench.watcher._env.name
+        case.assertEqual(bench.look_at_once(), mine)
+
+
+def test_member_that_does_not_answer_may_hear_an_owner(case):
+    bench = RestartedBench(unheard())
+    others = [vm.name for vm in VMS if vm.name != bench.watcher._env.name]
+    for missing in others:
+        answers = unheard()
+        del answers[missing]
+        case.assertFalse(RestartedBench(answers).look_at_once())
+
+
+def test_living_owner_is_the_only_one_that_is_asked(case):
+    answers = unheard(but=['vm-00'])
+    bench = RestartedBench(answers)
+    case.assertFalse(bench.look_at_once())
+    case.assertEqual(len(bench.conns), 1)
+
+
+def test_only_the_first_in_line_asks_at_once(case):
+    bench = RestartedBench(unheard())
+    last = ids.rank_by_rendezvous('0', [vm.name for vm in VMS])[-1]
+    bench.watcher._env.name = last
+    case.assertFalse(bench.look_at_once())
+
+
+def test_side_that_has_heard_an_owner_waits_as_long_as_ever(case):
+    bench = RestartedBench(unheard())
+    bench.guard.accept_owner(1, 'vm-00')
+    case.assertFalse(bench.look_at_once())
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -32,6 +32,10 @@
 LOG = logging.getLogger(__name__)
 
 _POLL_SECONDS = 0.4
+# So that the thread never runs on without a pause.
+_LEAST_WAIT_SECONDS = 0.01
+# Half of the wait before a grant that was not valid is asked for again.
+_AGAIN_SECONDS = 0.02
 _MS = 1000
 
 # Refused attempts that are remembered. A copy of a command arrives within
@@ -95,6 +99,9 @@
         self._meter = worktimes.WorkMeter()
         self._slowed = slowed.SlowedLog()
         self._owner_ms = 0
+        self._again = _AGAIN_SECONDS
+        # The last grant was not valid, and another is asked for soon.
+        self._asks_again = False
         self._listed_at = 0.0
         self._next_beat = 0.0
         self._next_poll = 0.0
@@ -154,11 +161,22 @@
         first = self._owner_ms == 0
         self._owner_ms = grant.owner_ms
         if first:
+            self._again = _AGAIN_SECONDS
             self._next_beat = 0.0
             self._commands.put(None)
-        elif not grant.valid:
-            soon = self._clock.read_monotonic() + _POLL_SECONDS
-            self._next_beat = min(self._next_beat, soon)
+        self._asks_again = not grant.valid
+        if not first and not grant.valid:
+            self._ask_again()
+
+    def _ask_again(self):
+        """Send the next heartbeat soon: the owner has no majority yet.
+
+        Later each time, as it may not have one for long.
+        """
+        self._again = min(_POLL_SECONDS, 2 * self._again)
+        soon = self._clock.read_monotonic() + self._again
+        self._next_beat = min(self._next_beat, soon)
+        self._commands.put(None)
 
     def _look_soon(self):
         """Have the listing read now instead of at the next poll."""
@@ -167,7 +185,14 @@
 
     def _run(self):
         while not self._stop.is_set():
-            self.step(_POLL_SECONDS)
+            self.step(self._find_wait())
+
+    def _find_wait(self):
+        """Return for how many seconds to wait for a command at the most."""
+        if not self._asks_again or self._conn is None:
+            return _POLL_SECONDS
+        left = self._next_beat - self._clock.read_monotonic()
+        return min(_POLL_SECONDS, max(_LEAST_WAIT_SECONDS, left))
 
     def step(self, timeout=0.0):
         """Carry out one command, then poll and beat if it is time.
--- a/packages/side/portwharf/side/agent_test.py
+++ b/packages/side/portwharf/side/agent_test.py
@@ -196,3 +196,29 @@
     (beat,) = bench.conn.take(messages.Heartbeat)
     case.assertEqual((beat.owner_ms, beat.epoch), (777, 3))
     case.assertEqual(beat.capacity, data.Resources(4000, 4000))
+
+
+def test_grant_that_is_not_valid_yet_is_asked_for_again_soon(case):
+    bench = agent_bench.Bench()
+    bench.agent.take_grant(messages.Grant(1, 777, 3, False))
+    bench.step()
+    bench.conn.take(messages.Heartbeat)
+    counts = []
+    for _ in range(20):
+        bench.agent.take_grant(messages.Grant(1, 778, 3, False))
+        bench.step(0.05)
+        counts.append(len(bench.conn.take(messages.Heartbeat)))
+    # Later each time: after 0.04, 0.08, 0.16, 0.32 and 0.4 s.
+    case.assertEqual(sum(counts), 4)
+    case.assertEqual(counts[0], 1)
+
+
+def test_valid_grant_is_not_asked_for_before_the_next_beat(case):
+    bench = agent_bench.Bench()
+    bench.agent.take_grant(messages.Grant(1, 777, 3, True))
+    bench.step()
+    bench.conn.take(messages.Heartbeat)
+    for _ in range(9):
+        bench.agent.take_grant(messages.Grant(1, 778, 3, True))
+        bench.step(0.1)
+    case.assertEqual(bench.conn.take(messages.Heartbeat), [])
--- a/packages/side/portwharf/side/server.py
+++ b/packages/side/portwharf/side/server.py
@@ -172,6 +172,7 @@
                 self._guard.epoch,
                 self._guard.hears_owner(query.epoch),
                 self._guard.forgetful,
+                not self._guard.has_heard,
             )
         )
 
