--- a/packages/entry/portwharf/entry/sides.py
+++ b/packages/entry/portwharf/entry/sides.py
@@ -14,7 +14,6 @@
 import xxhash
 
 from portwharf.core import data
-from portwharf.core import ids
 from portwharf.peers import links
 from portwharf.peers import messages
 from portwharf.peers import streams
@@ -22,11 +21,6 @@
 
 _BEAT_SECONDS = 1.0
 _BEATS_A_LISTING = 2
-# Links that an entry of a large fleet keeps besides that to the owner: a
-# rack may fail, and the others still tell.
-LEAST_SIDES = 12
-# With many of these down it tries this many times as many.
-_MOST_FACTOR = 3
 # What an entry says that wants no configuration from this side.
 ANY_REVISION = 2**62
 
@@ -417,48 +411,6 @@
         return link.__enter__()
 
 
-class FewSides:
-    """Chooses a few sides, and the owner, for an entry of a large fleet.
-
-    An entry that routes no requests needs the owner, and some others that
-    tell who that is. With links to all, connections and threads would grow
-    with entries times sides. Entries choose different ones, so that each side
-    has about as many.
-    """
-
-    def __init__(self, name, least=LEAST_SIDES):
-        """Take the entry's name.
-
-        :param least: how many links are kept that are up, or may come up
-        """
-        self._name = name
-        self._least = least
-
-    def __call__(self, names, links):
-        """Return the names of the sides to be linked to."""
-        chosen, well = [], 0
-        for name in ids.rank_by_rendezvous(self._name, names):
-            if (
-                well >= self._least
-                or len(chosen) >= _MOST_FACTOR * self._least
-            ):
-                break
-            chosen.append(name)
-            known = links.get(name)
-            well += known is None or known.view.up
-        owner = find_owner_name(links.values())
-        if owner in names and owner not in chosen:
-            chosen.append(owner)
-        return chosen
-
-
-def find_owner_name(links):
-    """Return the name of the latest owner that sides tell of, or ''."""
-    views = [link.view for link in links if link.view.up]
-    latest = max(views, key=lambda view: view.state.epoch, default=None)
-    return latest.state.owner if latest is not None else ''
-
-
 def _choose_all(names, links):
     return names
 
--- a/packages/platform/portwharf/platform/programs.py
+++ b/packages/platform/portwharf/platform/programs.py
@@ -82,6 +82,7 @@
 
     def _start_parts(self):
         # A side never needs what an entry imports.
+        from portwharf.entry import fewsides
         from portwharf.entry import owners
         from portwharf.entry import sides
         from portwharf.peers import streams
@@ -102,7 +103,7 @@
                 self._make_hello,
                 self._clock,
                 self._keeper,
-                sides.FewSides(self._boot.vm.name),
+                fewsides.FewSides(self._boot.vm.name),
             )
         )
         calls = owners.OwnerCalls(self._links, self._clock)
