--- a/packages/core/portwharf/core/stops_test.py
+++ b/packages/core/portwharf/core/stops_test.py
@@ -38,3 +38,19 @@
                 program.kill()
                 case.fail('not heard')
         case.assertEqual(out, b'asked\n')
+
+
+HANGING = """
+import threading
+from portwharf.core import stops
+
+stops.end_within(0.1)
+threading.Event().wait()
+"""
+
+
+def test_process_whose_end_waits_for_something_silent_ends_all_the_same(case):
+    argv = [sys.executable, '-c', HANGING]
+    with subprocess.Popen(argv) as program:
+        case.addCleanup(program.kill)
+        case.assertEqual(program.wait(20), 0)
