--- a/packages/entry/portwharf/entry/delays.py
+++ b/packages/entry/portwharf/entry/delays.py
@@ -84,7 +84,9 @@
     return [
         measure(job, known)
         for job in known.jobs.values()
-        if job.accepted is not None and job.due and job.state != 'cancelled'
+        if job.accepted is not None
+        and job.due
+        and job.state != histories.CANCELLED
     ]
 
 
--- a/packages/entry/portwharf/entry/delays_test.py
+++ b/packages/entry/portwharf/entry/delays_test.py
@@ -192,13 +192,25 @@
     case.assertTrue(delay.is_late)
 
 
+def cancel(second, status):
+    """Return the line of what a client was told of its cancelling."""
+    return make_line(second, 'cancel answered', request=JOB, status=status)
+
+
 def test_cancelled_and_lasting_jobs_are_left_out(case):
     lines = [accept(0), end(1, 'cancelled')]
     case.assertEqual(delays.measure_all(histories.read_lines(lines)), [])
+    lines = [accept(0), cancel(1, 200), end(3, 'failed')]
+    case.assertEqual(delays.measure_all(histories.read_lines(lines)), [])
     lines = [accept(0, None), end(1)]
     case.assertEqual(delays.measure_all(histories.read_lines(lines)), [])
 
 
+def test_cancelling_that_was_not_carried_out_cancels_nothing(case):
+    delay = measure(case, accept(0), cancel(1, 504), end(4))
+    case.assertEqual(delay.took, 4)
+
+
 def test_lines_that_are_no_log_are_passed_over(case):
     lines = ['no json', '{"asctime": 3}', '{broken', '["a"]', accept(0)]
     case.assertEqual(len(histories.read_lines(lines).jobs), 1)
--- a/packages/entry/portwharf/entry/histories.py
+++ b/packages/entry/portwharf/entry/histories.py
@@ -16,6 +16,10 @@
 # Why an attempt came to nothing, besides the states that sides tell.
 MOVED = 'moved'
 LOST = 'lost'
+# How a job ended that its client gave up.
+CANCELLED = 'cancelled'
+# The status of a call that was carried out.
+_DONE = 200
 
 
 @dataclasses.dataclass(slots=True)
@@ -114,6 +118,7 @@
         self._owners = []
         self._takers = {
             'submit answered': self._take_answer,
+            'cancel answered': self._take_cancel,
             'job accepted': self._take_acceptance,
             'job ended': self._take_end,
             'placed': self._take_placements,
@@ -145,6 +150,13 @@
         sent = moment - fields.get('took_ms', 0) / _MS
         job.sent = sent if job.sent is None else min(job.sent, sent)
 
+    def _take_cancel(self, moment, fields):
+        """Take that a client was told that its job is cancelled."""
+        job = self._find_job(fields['request'])
+        if fields.get('status') == _DONE and job.ended is None:
+            job.ended = moment
+            job.state = CANCELLED
+
     def _take_acceptance(self, moment, fields):
         job = self._find_job(fields['request'])
         job.accepted = job.accepted or moment
@@ -153,6 +165,8 @@
 
     def _take_end(self, moment, fields):
         job = self._find_job(fields['request'])
+        if job.state == CANCELLED:
+            return
         job.ended = moment
         job.state = fields.get('state', '')
 
