Owner: time the parts of a pass, and log a slow one

The logs did not say what a pass spends that time on: deciding, the append, or sending to members that do not read. They do now, in parts_ms of 'slow pass', and the histogram portwharf_owner_pass_seconds. No decision changes.

--- a/packages/core/portwharf/core/logs.py
+++ b/packages/core/portwharf/core/logs.py
@@ -52,6 +52,9 @@
     'due_ms',
     'run_ms',
     'paced_ms',
+    'items',
+    'events',
+    'parts_ms',
 )
 _TEXT_FORMAT = '%(asctime)s %(levelname)s %(name)s: %(message)s'
 _JSON_FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -26,6 +26,7 @@
 from portwharf.scheduler import job_operations
 from portwharf.scheduler import metrics
 from portwharf.scheduler import operations
+from portwharf.scheduler import pass_timing
 from portwharf.scheduler import policy
 from portwharf.scheduler import prepared_starts
 from portwharf.scheduler import reconcile
@@ -40,7 +41,9 @@
 class Decider:
     """Makes the decisions of one owner."""
 
-    def __init__(self, env, state, grant_table, health, advisor=None):
+    def __init__(
+        self, env, state, grant_table, health, advisor=None, timer=None
+    ):
         """Take the owner's environment and state.
 
         :param env: an ``environment.Environment``
@@ -48,7 +51,9 @@
         :param grant_table: a ``grants.GrantTable``
         :param health: a ``health.WorkerHealthTracker``
         :param advisor: a ``policy.TicketCache``, or None
+        :param timer: a ``pass_timing.PassTimer``, or None
         """
+        self._timer = timer or pass_timing.PassTimer(env.clock)
         self._advisor = advisor
         self._env = env
         self._state = state
@@ -99,6 +104,7 @@
                 self._record_measures(item)
             elif item is not None:
                 self._execute_call(item, batch)
+        self._timer.mark('items')
         self._crashloops.resolve_suspects(
             batch, self._apply_event, self._handle_task_end
         )
@@ -108,10 +114,13 @@
         self._update_members(batch)
         self._requeue_lost_tasks(batch)
         self._drain_leaving_vms(batch)
+        self._timer.mark('members')
         self._relieve_services(batch)
+        self._timer.mark('relieve')
         self._place_tasks(batch)
         self._drop_expired(batch)
         self._update_roster(batch)
+        self._timer.mark('finish')
         return batch
 
     def _process_reports(self, item, batch):
@@ -413,6 +422,7 @@
             return
         views = self._members.view_vms()
         self._crashloops.mark_unstable(views)
+        self._timer.mark('views')
         self._resolve_prepared_tasks(batch, views, now)
         if not self._members.has_recent_zones(now):
             # While the closed zones are unknown, only prepared tasks start;
@@ -423,6 +433,7 @@
         if self._advisor is not None:
             policy.assign_tickets(self._advisor, demands, views)
         now_ms = self._env.clock.read_unix_ms()
+        self._timer.mark('demands')
         done = pass_inputs.plan(
             self._state,
             demands,
@@ -431,6 +442,7 @@
             now_ms,
             self.service_protection.remedies.predict_effect,
         )
+        self._timer.mark('place')
         self.waiting = {one.record.id: one for one in done.waiting}
         self._patience.record_waits(self.waiting, now)
         self._wait_log.update(self.waiting, now)
@@ -449,9 +461,13 @@
                 self._state, task, placed.ticket, self.runtimes
             )
             batch.send(self._members.get_link(placed.vm), command)
+        self._timer.mark('starts')
         self._move_stuck_tasks(views, now, batch)
+        self._timer.mark('move')
         self._evict_for_waiting(done, views, quotas, batch)
+        self._timer.mark('evict')
         self._prepare_tasks(done, batch)
+        self._timer.mark('prepare')
         metrics.PLACEMENTS.inc(len(done.placements))
 
     def _move_stuck_tasks(self, views, now, batch):
--- a/packages/scheduler/portwharf/scheduler/metrics.py
+++ b/packages/scheduler/portwharf/scheduler/metrics.py
@@ -23,3 +23,9 @@
     'portwharf_owner_suspects',
     'Tasks that workers crashed under, and that are not cleared.',
 )
+PASS_SECONDS = prometheus_client.Histogram(
+    'portwharf_owner_pass_seconds',
+    'Time that passes of the deciding thread spend on each part.',
+    ['part'],
+    buckets=(0.001, 0.004, 0.016, 0.064, 0.25, 1.0, 4.0),
+)
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -26,6 +26,7 @@
 from portwharf.scheduler import membership
 from portwharf.scheduler import metrics
 from portwharf.scheduler import operator_api
+from portwharf.scheduler import pass_timing
 from portwharf.scheduler import policy
 from portwharf.scheduler import reconcile
 from portwharf.scheduler import shardlog
@@ -66,6 +67,8 @@
         self._superseded = False
         self._takeover_requests = 0
         self._batch = None
+        self._item_count = 0
+        self._event_count = 0
         self._entry_size = 0
         self._pending_since = None
         self._next_append = 0.0
@@ -76,8 +79,14 @@
         self._advisor = policy.TicketCache(
             env.policy, env.clock, lambda: self._inbox.put(None)
         )
+        self._timer = pass_timing.PassTimer(env.clock)
         self._decider = decider.Decider(
-            env, state, self._grants, worker_health, self._advisor
+            env,
+            state,
+            self._grants,
+            worker_health,
+            self._advisor,
+            self._timer,
         )
         self._interference = interference_updates.InterferenceTracker()
         self._members = membership.Membership(
@@ -336,20 +345,30 @@
             self.deposed.set()
             return batches.StepResult.DEPOSED
         if self._batch is None:
+            self._timer.start()
             if not self._confirm_ownership():
                 self.deposed.set()
                 return batches.StepResult.DEPOSED
+            self._timer.mark('confirm')
             self._members.sync_links(self)
+            self._timer.mark('links')
             self._announce_presses()
+            self._timer.mark('presses')
             self._members.read_vm_list(self.read_clock())
             self._refresh_zones()
+            self._timer.mark('lists')
             items = [*self._deferred, *items]
             self._deferred = []
+            self._item_count = len(items)
             with self._lock:
+                self._timer.mark('lock')
                 self._batch = self._decider.decide(items)
+            self._event_count = len(self._batch.events)
             for action in self._batch.before_commit:
                 action()
+            self._timer.mark('send-early')
         step = self._commit()
+        self._timer.mark('append')
         if step is batches.StepResult.DEPOSED:
             self.deposed.set()
         if step is batches.StepResult.DONE:
@@ -357,10 +376,14 @@
             # closed zones they were told, so these go out first on each
             # connection.
             self._refresh_zones()
+            self._timer.mark('lists')
             batch, self._batch = self._batch, None
             for action in batch.after_commit:
                 action()
+            self._timer.mark('send')
             self._write_snapshot_if_due()
+            self._timer.mark('snapshot')
+            self._timer.finish(self._item_count, self._event_count)
         return step
 
     def _announce_presses(self):
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/pass_timing.py
@@ -0,0 +1,64 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Times the parts of an owner's passes.
+
+A pass reads what it needs, decides, appends to the log, and sends its
+messages; everyone who waits for the owner waits for a whole pass. The metrics
+show where passes spend their time, and a line is logged for a slow one.
+"""
+
+import logging
+
+from portwharf.core import logs
+from portwharf.scheduler import metrics
+
+LOG = logging.getLogger(__name__)
+
+# Passes that take longer are logged.
+SLOW_PASS_SECONDS = 0.5
+_MS_PER_SECOND = 1000
+
+
+class PassTimer:
+    """Times one pass after another; used by the deciding thread alone."""
+
+    def __init__(self, clock):
+        """Take a ``clock.Clock``."""
+        self._clock = clock
+        self._began = self._marked = clock.read_monotonic()
+        self._parts = {}
+
+    def start(self):
+        """Start a pass."""
+        self._began = self._marked = self._clock.read_monotonic()
+        self._parts = {}
+
+    def mark(self, part):
+        """Add the time since the last mark to a part of the pass."""
+        now = self._clock.read_monotonic()
+        spent = now - self._marked
+        self._parts[part] = self._parts.get(part, 0.0) + spent
+        self._marked = now
+
+    def finish(self, items, events):
+        """Record the pass, and log it if it was slow.
+
+        :param items: the number of items that it processed
+        :param events: the number of events that it logged
+        """
+        took = self._clock.read_monotonic() - self._began
+        for part, spent in self._parts.items():
+            metrics.PASS_SECONDS.labels(part).observe(spent)
+        if took < SLOW_PASS_SECONDS:
+            return
+        parts = {
+            part: int(spent * _MS_PER_SECOND)
+            for part, spent in self._parts.items()
+        }
+        extra = logs.fields(
+            took_ms=int(took * _MS_PER_SECOND),
+            items=items,
+            events=events,
+            parts_ms=parts,
+        )
+        LOG.info('slow pass', extra=extra)
