Calls that their callers have given up are not carried out

What callers saw: on a large site with twice its load, every submission from 8.5 s on got 504, and its job was accepted up to 10 s later and more, for nobody; the backlog stayed when its cause was gone. Callers sent each job again, up to four times, and every sending was carried out in turn.

Cause: an Operation carries no deadline, so the owner can't tell a call that somebody waits for from one that was given up, and works off both in the order of their arrival.

Operation gets left_ms, the time that the entry waits from sending it. The owner reckons it from when the call's frame was read, and drops a call whose time is over: before it is queued, before it reads under the lock and again once it has the lock, and when a pass comes to it. Nothing is changed by a dropped call, and it is never carried out later. It is answered as not accepted; the entry has given up the exchange by then, and as it had no answer it says 504 to its client, or, if it has sent the call again, turns "not accepted" into "unknown" (_resolve_refusal, unchanged). A call without left_ms, of an older entry, has no deadline; an older side ignores the field.

Cancellations are carried out in any case: a cancelled job can't be wanted again under its id, cancelling twice changes nothing, it takes little and frees room. Dropping one would only leave its tasks running until it is sent again.

A pass logs the count of the calls that it dropped in one line; the counter portwharf_owner_dropped_calls has all of them.

Ruled out: withdrawing a call by a message when the entry gives it up. It would come after the calls that it queues behind, and not at all from an entry whose connection is lost; the time that is left is known when the call is sent.

--- a/packages/entry/portwharf/entry/owner_client.py
+++ b/packages/entry/portwharf/entry/owner_client.py
@@ -20,6 +20,7 @@
 _RETRY_DELAY_SECONDS = 0.1
 # Interval of checks that a called owner is still the owner.
 _OWNER_CHECK_SECONDS = 0.2
+_MS_PER_SECOND = 1000
 
 NOT_ACCEPTED = 'not-accepted'
 OUTCOME_UNKNOWN = 'outcome-unknown'
@@ -99,13 +100,14 @@
         link = self.find_owner(shard)
         if link is None:
             return None
-        operation = messages.Operation(0, method, body)
+        wait_seconds = min(left, _ATTEMPT_TIMEOUT_SECONDS)
+        deadline = self._clock.read_monotonic() + wait_seconds
+        # 0 would mean that the time is unknown.
+        left_ms = max(1, int(wait_seconds * _MS_PER_SECOND))
+        operation = messages.Operation(0, method, body, left_ms)
         exchange = link.send_request(operation)
         if exchange is None:
             return None
-        deadline = self._clock.read_monotonic() + min(
-            left, _ATTEMPT_TIMEOUT_SECONDS
-        )
         while True:
             now = self._clock.read_monotonic()
             wait = max(0.0, min(_OWNER_CHECK_SECONDS, deadline - now))
--- /dev/null
+++ b/packages/entry/portwharf/entry/owner_client_test.py
@@ -0,0 +1,74 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Calls of an entry to the owner of a shard."""
+
+from portwharf.core import clock
+from portwharf.core import codec
+from portwharf.core import data
+from portwharf.entry import owner_client
+from portwharf.entry import side_links
+from portwharf.peers import messages
+from portwharf.scheduler import operations
+
+
+class OwnerConnection:
+    """A connection to an owner that answers as the test says."""
+
+    def __init__(self, link, answer):
+        self._link = link
+        self._answer = answer
+        self.sent = []
+
+    def send(self, message):
+        """Keep a call, and handle its answer if there is one."""
+        self.sent.append(message)
+        answer = self._answer(message)
+        if answer is not None:
+            self._link.handle(self, answer)
+
+
+class Links:
+    """A table of one link."""
+
+    def __init__(self, link):
+        self.link = link
+
+    def list_links(self):
+        """Return the link."""
+        return [self.link]
+
+
+def open_client(answer):
+    """Return a client, its link to the owner and the link's connection.
+
+    :param answer: returns the answer to an operation, or None for none
+    """
+    vm = data.Vm('vm-1')
+    link = side_links.SideLink(vm, None, None, clock.SystemClock())
+    link.view.state = messages.SideState(owner='vm-1', epoch=1)
+    conn = OwnerConnection(link, answer)
+    link._conn = conn
+    link.attach(conn, None)
+    client = owner_client.OwnerClient(Links(link), clock.SystemClock())
+    return client, link, conn
+
+
+def accept(operation):
+    """Return the answer of an owner that accepts a call."""
+    body = codec.pack(operations.Accepted('job', True))
+    return messages.OperationResult(operation.id, 'ok', body)
+
+
+def call(client, seconds=None):
+    """Make a writing call."""
+    query = operations.Query('job')
+    return client.call(0, 'cancel', query, operations.Accepted, seconds)
+
+
+def test_owner_is_told_how_long_the_caller_waits(case):
+    client, _, conn = open_client(accept)
+    case.assertTrue(call(client, 1.35).is_ok())
+    case.assertTrue(call(client).is_ok())
+    within, default = (sent.left_ms for sent in conn.sent)
+    case.assertTrue(0 < within <= 1350)
+    case.assertTrue(1350 < default < 10_000)
--- a/packages/peers/portwharf/peers/messages.py
+++ b/packages/peers/portwharf/peers/messages.py
@@ -469,11 +469,15 @@
     """From an entry: an operator's call for a shard's owner.
 
     :param body: the call's arguments, encoded by the ``codec`` module
+    :param left_ms: time for which the caller waits from when this is sent;
+        0 if it is unknown, as from an entry of an older version. An older
+        side ignores it.
     """
 
     id: int = 0
     method: str = ''
     body: bytes = b''
+    left_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/scheduler/portwharf/scheduler/batches.py
+++ b/packages/scheduler/portwharf/scheduler/batches.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import enum
+import math
 
 
 @dataclasses.dataclass(slots=True)
@@ -37,11 +38,14 @@
     """An operator's call that changes state, for the next pass.
 
     :param fut: the future that gets the answer
+    :param deadline: until when the caller waits, by the owner's monotonic
+        clock in seconds; the call is not begun later
     """
 
     fut: object = None
     method: str = ''
     arguments: object = None
+    deadline: float = math.inf
 
 
 class Batch:
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -26,6 +26,7 @@
 from portwharf.scheduler import job_operations
 from portwharf.scheduler import metrics
 from portwharf.scheduler import operations
+from portwharf.scheduler import operator_api
 from portwharf.scheduler import policy
 from portwharf.scheduler import prepared_starts
 from portwharf.scheduler import reconcile
@@ -92,13 +93,17 @@
         """
         batch = batches.Batch()
         self._views = None
+        dropped = 0
         for item in items:
             if isinstance(item, batches.ReportsItem):
                 self._process_reports(item, batch)
             elif isinstance(item, batches.MeasurementsItem):
                 self._record_measures(item)
-            elif item is not None:
-                self._execute_call(item, batch)
+            elif item is not None and not self._execute_call(item, batch):
+                dropped += 1
+        if dropped:
+            metrics.DROPPED_CALLS.inc(dropped)
+            decisionlog.log_dropped_calls(dropped)
         self._crashloops.resolve_suspects(
             batch, self._apply_event, self._handle_task_end
         )
@@ -282,9 +287,13 @@
         """Execute an operator's call unless its caller has given up.
 
         :param item: a ``batches.OperatorCall``
+        :returns: whether it was executed
         """
         if not item.fut.set_running_or_notify_cancel():
-            return
+            return False
+        if self._env.clock.read_monotonic() > item.deadline:
+            item.fut.set_result(operator_api.make_expired_problem())
+            return False
         now_ms = self._env.clock.read_unix_ms()
         if item.method == 'submit':
             if self._views is None:
@@ -309,12 +318,13 @@
             outcome = operations.cancel(self._state, item.arguments)
         if outcome.is_err():
             batch.answer(item.fut, outcome.err_value)
-            return
+            return True
         batch.events.extend(outcome.ok_value.events)
         for task in outcome.ok_value.stop:
             command = reconcile.make_stop(self._state, task, False)
             batch.send(self._members.get_link(task.vm), command)
         batch.answer(item.fut, outcome.ok_value.answer)
+        return True
 
     def _update_members(self, batch):
         """Add or remove one member if the VM list has changed."""
--- a/packages/scheduler/portwharf/scheduler/decisionlog.py
+++ b/packages/scheduler/portwharf/scheduler/decisionlog.py
@@ -44,6 +44,11 @@
         LOG.info('job accepted', extra=extra)
 
 
+def log_dropped_calls(count):
+    """Log how many calls one pass dropped, as their callers had left."""
+    LOG.info('calls dropped', extra=logs.fields(count=count))
+
+
 def log_job_end(record, ended, now_ms):
     """Log that a job has ended, and how long it took.
 
--- a/packages/scheduler/portwharf/scheduler/metrics.py
+++ b/packages/scheduler/portwharf/scheduler/metrics.py
@@ -15,6 +15,10 @@
     'portwharf_owner_given_up',
     'Tasks that were given up, as they crash the workers that start them.',
 )
+DROPPED_CALLS = prometheus_client.Counter(
+    'portwharf_owner_dropped_calls',
+    'Calls that were not begun, as their callers had stopped waiting.',
+)
 CLOSED_ZONES = prometheus_client.Gauge(
     'portwharf_closed_zones',
     'Availability zones that an operator has closed to new starts.',
--- a/packages/scheduler/portwharf/scheduler/operator_api.py
+++ b/packages/scheduler/portwharf/scheduler/operator_api.py
@@ -4,10 +4,13 @@
 
 Read calls are answered from the state, under the owner's lock. Write calls
 are queued for the deciding thread and answered once their events are logged;
-while the store is down they are refused.
+while the store is down they are refused. A call whose caller has stopped
+waiting is not carried out, since its caller has sent it again or given up; a
+cancellation is, since it takes little and frees room.
 """
 
 import concurrent.futures
+import math
 
 import result
 
@@ -17,6 +20,7 @@
 from portwharf.scheduler import batches
 from portwharf.scheduler.decisions import pass_inputs
 from portwharf.scheduler import job_operations
+from portwharf.scheduler import metrics
 from portwharf.scheduler import operations
 
 OPERATION_TIMEOUT_SECONDS = 8.0
@@ -36,6 +40,8 @@
     'change': operations.Change,
     'cancel': operations.Query,
 }
+CANCELS = ('cancel-job', 'cancel')
+_MS_PER_SECOND = 1000
 
 
 class OperatorApi:
@@ -56,13 +62,21 @@
         self._members = members
         self._decider = decider
 
-    def execute_operation(self, operation):
+    def execute_operation(self, operation, received_at=None):
         """Execute an operator's call.
 
         :param operation: a ``messages.Operation``
+        :param received_at: when it came, by the owner's monotonic clock; None
+            for now
         :returns: a ``messages.OperationResult``
         """
         method = operation.method
+        if received_at is None:
+            received_at = self._env.clock.read_monotonic()
+        deadline = _find_deadline(operation, received_at)
+        if self._is_past(deadline):
+            metrics.DROPPED_CALLS.inc()
+            return _make_refusal(operation, make_expired_problem())
         if not self._owner.is_confirmed():
             # Another owner may have taken over and changed the state.
             return messages.OperationResult(operation.id, 'not-owner')
@@ -71,13 +85,15 @@
                 READS[method], operation.body
             )
             answer = arguments.and_then(
-                lambda query: self._read(method, query)
+                lambda query: self._read(method, query, deadline)
             )
         elif method in WRITES:
             arguments = operations.read_arguments(
                 WRITES[method], operation.body
             )
-            answer = arguments.and_then(lambda call: self._write(method, call))
+            answer = arguments.and_then(
+                lambda call: self._write(method, call, deadline)
+            )
         else:
             problem = data.Problem('unknown-method', 'method', method)
             return _make_refusal(operation, problem)
@@ -85,12 +101,19 @@
             return _make_refusal(operation, answer.err_value)
         return _make_result(operation, answer.ok_value)
 
-    def _read(self, method, query):
+    def _is_past(self, deadline):
+        return self._env.clock.read_monotonic() > deadline
+
+    def _read(self, method, query, deadline):
         """Answer a read call from the state.
 
         :returns: Ok(a data class of ``operations``), or Err(Problem)
         """
         with self._lock:
+            if self._is_past(deadline):
+                # The lock was held by a pass for long.
+                metrics.DROPPED_CALLS.inc()
+                return result.Err(make_expired_problem())
             if method == 'list-workloads':
                 views = self._members.view_vms()
                 listed = operations.list_workloads(self._state, query, views)
@@ -123,7 +146,7 @@
             found = data.JobState.RUNNING
         return job_operations.JobView(job_id, str(found or ''))
 
-    def _write(self, method, call):
+    def _write(self, method, call, deadline):
         """Queue a write call and wait until it is logged.
 
         :returns: Ok(a data class of ``operations``), or Err(Problem)
@@ -131,7 +154,7 @@
         if not self._owner.accepts_calls():
             return result.Err(make_stalled_problem())
         called = batches.OperatorCall(
-            concurrent.futures.Future(), method, call
+            concurrent.futures.Future(), method, call, deadline
         )
         self._owner.take_call(called)
         try:
@@ -195,6 +218,21 @@
         called.fut.set_result(make_stalled_problem())
 
 
+def _find_deadline(operation, received_at):
+    """Return until when a call may be begun, by the owner's clock."""
+    if operation.method in CANCELS or operation.left_ms <= 0:
+        return math.inf
+    return received_at + operation.left_ms / _MS_PER_SECOND
+
+
+def make_expired_problem():
+    return data.Problem(
+        'not-accepted',
+        text='the owner did not get to the call in time; nothing was changed',
+        remedy='send the same call again in some seconds',
+    )
+
+
 def make_stalled_problem():
     return data.Problem(
         'not-accepted',
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -250,12 +250,14 @@
 
     # Called by entries, each from the thread of its connection.
 
-    def execute_operation(self, operation):
+    def execute_operation(self, operation, received_at=None):
         """Carry out a call of an operator.
 
+        :param received_at: when it came, by the owner's monotonic clock; None
+            for now
         :returns: a ``messages.OperationResult``
         """
-        return self._operator_api.execute_operation(operation)
+        return self._operator_api.execute_operation(operation, received_at)
 
     @property
     def log_length(self):
--- a/packages/side/portwharf/side/server.py
+++ b/packages/side/portwharf/side/server.py
@@ -217,7 +217,8 @@
         elif isinstance(message, messages.Withdraw):
             incoming.withdraw(message.id)
         elif isinstance(message, messages.Operation):
-            self._pool.submit(self._run_operation, conn, message)
+            now = self._clock.read_monotonic()
+            self._pool.submit(self._run_operation, conn, message, now)
         elif isinstance(message, messages.SideState):
             # An entry's heartbeat keeps an idle connection open and contains
             # its configuration revision. An entry without access to the store
@@ -230,12 +231,12 @@
                 f'unexpected message {type(message).__name__}'
             )
 
-    def _run_operation(self, conn, operation):
+    def _run_operation(self, conn, operation, received_at):
         owner = self.find_owner()
         if owner is None:
             conn.try_send(messages.OperationResult(operation.id, 'not-owner'))
             return
-        conn.try_send(owner.execute_operation(operation))
+        conn.try_send(owner.execute_operation(operation, received_at))
 
     def submit(self, conn, message, payload, jobs):
         """Admit one complete request.
--- /dev/null
+++ b/packages/side/portwharf/side/server_test.py
@@ -0,0 +1,171 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Entries' calls to the owner that runs in a side's process."""
+
+import dataclasses
+import queue
+import threading
+
+from portwharf.core import codec
+from portwharf.peers import messages
+from portwharf.peers import streams
+from portwharf.scheduler import batches
+from portwharf.scheduler import job_operations
+from portwharf.scheduler import jobs_test
+from portwharf.scheduler import operations
+from portwharf.testing import cluster
+
+WAIT_SECONDS = 10
+
+
+class EntryConnection:
+    """An entry's end of a connection to a side, without a socket."""
+
+    def __init__(self):
+        self.to_side = queue.Queue()
+        self.results = queue.Queue()
+        self.peer = 'entry'
+
+    def receive(self):
+        """Return the next message to the side; None closes."""
+        message = self.to_side.get()
+        if message is None:
+            raise streams.PeerError('closed')
+        return message
+
+    def send(self, message):
+        """Keep a result of an operation."""
+        if isinstance(message, messages.OperationResult):
+            self.results.put(message)
+
+    def try_send(self, message):
+        """Keep a result of an operation."""
+        self.send(message)
+        return True
+
+
+def connect(case, node):
+    """Connect an entry to a node's side, whose owner is the node's."""
+    node.server.find_owner = lambda: node.owner
+    conn = EntryConnection()
+    conn.to_side.put(messages.Hello(role='entry', name='entry-1'))
+
+    def serve():
+        try:
+            node.server.handle(conn)
+        except streams.PeerError:
+            pass
+
+    thread = threading.Thread(target=serve, daemon=True)
+    thread.start()
+
+    def close():
+        conn.to_side.put(None)
+        thread.join()
+
+    case.addCleanup(close)
+    return conn
+
+
+def make_owner(case):
+    """Return a cluster, its owner's node and an entry's connection to it."""
+    made = cluster.Cluster()
+    made.run(2)
+    node = made.nodes[0]
+    return made, node, connect(case, node)
+
+
+def make_submission(number, left_ms=0):
+    """Return the call that submits a job of one task."""
+    step = jobs_test.make_step()
+    job = dataclasses.replace(jobs_test.make_job(step), id=make_job_id(number))
+    body = codec.pack(job_operations.JobSubmission(job))
+    return messages.Operation(number, 'submit-job', body, left_ms)
+
+
+def make_job_id(number):
+    """Return the id of the job of this number."""
+    return f'{number:016x}'
+
+
+def make_cancellation(number, left_ms=0):
+    """Return the call that cancels the job of this number."""
+    body = codec.pack(operations.Query(make_job_id(number)))
+    return messages.Operation(1000 + number, 'cancel-job', body, left_ms)
+
+
+def wait_for_calls(owner, count):
+    """Return the owner's queued items once there are ``count`` calls."""
+    items = []
+    while count:
+        items.append(owner._inbox.get(timeout=WAIT_SECONDS))
+        count -= isinstance(items[-1], batches.OperatorCall)
+    return items
+
+
+def accept_job(node, conn, number):
+    """Have the owner accept the job of this number."""
+    conn.to_side.put(make_submission(number))
+    node.owner.step(wait_for_calls(node.owner, 1))
+    return conn.results.get(timeout=WAIT_SECONDS)
+
+
+def test_call_given_up_by_its_caller_is_not_carried_out(case):
+    made, node, conn = make_owner(case)
+    conn.to_side.put(make_submission(1, left_ms=500))
+    items = wait_for_calls(node.owner, 1)
+    made.time.advance(1)
+    with case.assertLogs('portwharf.scheduler.decisionlog') as logged:
+        node.owner.step(items)
+    answer = conn.results.get(timeout=WAIT_SECONDS)
+    case.assertEqual(answer.status, 'refused')
+    case.assertEqual(answer.problems[0].code, 'not-accepted')
+    case.assertEqual(made.read_state().jobs, {})
+    case.assertEqual(len(logged.records), 1)
+    case.assertEqual(logged.records[0].count, 1)
+
+
+def test_call_of_a_waiting_caller_is_carried_out(case):
+    made, node, conn = make_owner(case)
+    conn.to_side.put(make_submission(1, left_ms=1500))
+    items = wait_for_calls(node.owner, 1)
+    made.time.advance(1)
+    node.owner.step(items)
+    answer = conn.results.get(timeout=WAIT_SECONDS)
+    case.assertEqual(answer.status, 'ok')
+    case.assertIn(make_job_id(1), made.read_state().jobs)
+
+
+def test_call_of_an_older_entry_has_no_deadline(case):
+    made, node, conn = make_owner(case)
+    conn.to_side.put(make_submission(1))
+    items = wait_for_calls(node.owner, 1)
+    made.time.advance(1.5)
+    node.owner.step(items)
+    answer = conn.results.get(timeout=WAIT_SECONDS)
+    case.assertEqual(answer.status, 'ok')
+
+
+def test_call_that_waited_for_a_thread_too_long_is_not_queued(case):
+    _, node, _ = make_owner(case)
+    now = node.clock.read_monotonic()
+    for operation in (
+        make_submission(1, left_ms=500),
+        messages.Operation(2, 'list-workloads', b'\x80', 500),
+    ):
+        answer = node.owner.execute_operation(operation, now - 1)
+        case.assertEqual(answer.status, 'refused')
+        case.assertEqual(answer.problems[0].code, 'not-accepted')
+    case.assertEqual(node.owner.take_items(), [])
+
+
+def test_cancellation_is_carried_out_for_a_caller_that_gave_up(case):
+    made, node, conn = make_owner(case)
+    case.assertEqual(accept_job(node, conn, 1).status, 'ok')
+    conn.to_side.put(make_cancellation(1, left_ms=500))
+    items = wait_for_calls(node.owner, 1)
+    made.time.advance(1)
+    node.owner.step(items)
+    answer = conn.results.get(timeout=WAIT_SECONDS)
+    case.assertEqual(answer.status, 'ok')
+    case.assertTrue(made.read_state().jobs[make_job_id(1)].cancelled)
