A pass takes in all calls that wait, as none holds a thread

What callers saw: 504 for nearly every submission once a pass took 0.6 s or more. The owner's log shows exactly 8 jobs accepted in each pass, at 10.43, 12.96, 14.80, ... s, whatever the count of calls that waited.

Cause: the side ran every operation in a pool of 8 threads, and a writing call kept its thread until its events were logged. So a pass found 8 writing calls at most, and the others, reads among them, waited in the pool's queue, which is bounded by nothing.

A writing call now goes into the owner's inbox from the thread of its entry's connection, and its answer is sent by whoever completes it: the deciding thread after the append, or when it refuses the call. MAX_ITEMS alone bounds what a pass takes in. PendingCalls keeps the time limit of 8 s with one thread for all calls: a call that was not begun by then is refused and never carried out, the outcome of one under way is unknown. When an owner ends, calls that were not begun are refused, those under way get no answer, so that an entry asks the next owner instead of saying 504 at once. Reads keep the pool, as they wait for the owner's lock.

An answer is put into a queue of the connection's own thread: try_send blocks for up to 10 s when an entry does not read, and would hold up the deciding thread, or, in a pool, the answers to other entries.

execute_operation takes a function for the answer instead of returning it; two tests that read by it do so by cluster.Node.ask, with the same asserts.

Evidence: on the commit before, test_all_waiting_calls_are_answered_after_one_pass failed: the owner never had more than 8 of 30 calls; the next ones came when these had timed out ('refused' after 8 s, where all are 'ok' now). test_entry_that_does_not_read_holds_up_nobody_else failed (no answer to the other entry within 10 s), and test_waiting_calls_are_refused_while_an_append_is_stalled ('unknown' and 'refused' after 8 s for calls that the deciding thread never saw).

Ruled out: a larger pool, which moves the bound and adds threads that fight the deciding thread for the interpreter. Cancellations before submissions within a pass: all of a pass is logged together and tasks are placed after all of it, so the order frees nothing, and a cancellation that overtakes the submission of its own job would find no job and leave it running.

--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -26,7 +26,7 @@
 from portwharf.scheduler import job_operations
 from portwharf.scheduler import metrics
 from portwharf.scheduler import operations
-from portwharf.scheduler import operator_api
+from portwharf.scheduler import pending_calls
 from portwharf.scheduler import policy
 from portwharf.scheduler import prepared_starts
 from portwharf.scheduler import reconcile
@@ -292,7 +292,7 @@
         if not item.fut.set_running_or_notify_cancel():
             return False
         if self._env.clock.read_monotonic() > item.deadline:
-            item.fut.set_result(operator_api.make_expired_problem())
+            item.fut.set_result(pending_calls.make_expired_problem())
             return False
         now_ms = self._env.clock.read_unix_ms()
         if item.method == 'submit':
--- a/packages/scheduler/portwharf/scheduler/jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/jobs_test.py
@@ -210,11 +210,11 @@
     made.finish_running()
     made.run(1)
     query = messages.Operation(1, 'read-job', b'\x81\xa2id\xb0' + ID.encode())
-    shown = node.owner.execute_operation(query)
+    shown = node.ask(query)
     case.assertIn(b'running', shown.body)
     made.fake.faults.down = False
     made.run(2)
-    case.assertIn(b'completed', node.owner.execute_operation(query).body)
+    case.assertIn(b'completed', node.ask(query).body)
 
 
 def test_step_that_waited_long_is_placed_on_any_vm(case):
--- a/packages/scheduler/portwharf/scheduler/operator_api.py
+++ b/packages/scheduler/portwharf/scheduler/operator_api.py
@@ -1,6 +1,6 @@
 # Copyright the portwharf authors.
 # SPDX-License-Identifier: Apache-2.0
-"""Handles operators' calls to an owner, each in its caller's thread.
+"""Handles operators' calls to an owner.
 
 Read calls are answered from the state, under the owner's lock. Write calls
 are queued for the deciding thread and answered once their events are logged;
@@ -22,8 +22,8 @@
 from portwharf.scheduler import job_operations
 from portwharf.scheduler import metrics
 from portwharf.scheduler import operations
+from portwharf.scheduler import pending_calls
 
-OPERATION_TIMEOUT_SECONDS = 8.0
 # The classes of the arguments of read and of write calls, by method.
 READS = {
     'list-workloads': operations.Query,
@@ -45,7 +45,7 @@
 
 
 class OperatorApi:
-    """Handles the operators' calls to one owner."""
+    """Handles the operators' calls to one owner; a context manager."""
 
     def __init__(self, env, owner, lock, state, members, decider):
         """Take the owner's parts.
@@ -61,45 +61,62 @@
         self._state = state
         self._members = members
         self._decider = decider
+        self._pending = pending_calls.PendingCalls(env.clock)
 
-    def execute_operation(self, operation, received_at=None):
+    def __enter__(self):
+        self._pending.__enter__()
+        return self
+
+    def __exit__(self, *exc_info):
+        self._pending.__exit__()
+
+    def execute_operation(self, operation, respond, received_at=None):
         """Execute an operator's call.
 
+        A read call waits for the owner's lock and is answered before this
+        returns. A write call does not block.
+
         :param operation: a ``messages.Operation``
+        :param respond: called once at most, with a
+            ``messages.OperationResult``, from any thread; must not block
         :param received_at: when it came, by the owner's monotonic clock; None
             for now
-        :returns: a ``messages.OperationResult``
         """
-        method = operation.method
         if received_at is None:
             received_at = self._env.clock.read_monotonic()
+        method = operation.method
         deadline = _find_deadline(operation, received_at)
+        number = operation.id
+
+        def answer(outcome):
+            respond(_make_result(number, outcome))
+
         if self._is_past(deadline):
             metrics.DROPPED_CALLS.inc()
-            return _make_refusal(operation, make_expired_problem())
-        if not self._owner.is_confirmed():
+            answer(result.Err(pending_calls.make_expired_problem()))
+        elif not self._owner.is_confirmed():
             # Another owner may have taken over and changed the state.
-            return messages.OperationResult(operation.id, 'not-owner')
-        if method in READS:
+            respond(messages.OperationResult(number, 'not-owner'))
+        elif method in READS:
             arguments = operations.read_arguments(
                 READS[method], operation.body
             )
-            answer = arguments.and_then(
-                lambda query: self._read(method, query, deadline)
+            answer(
+                arguments.and_then(
+                    lambda query: self._read(method, query, deadline)
+                )
             )
         elif method in WRITES:
             arguments = operations.read_arguments(
                 WRITES[method], operation.body
             )
-            answer = arguments.and_then(
-                lambda call: self._write(method, call, deadline)
-            )
+            if arguments.is_err():
+                answer(arguments)
+            else:
+                self._write(method, arguments.ok_value, deadline, answer)
         else:
             problem = data.Problem('unknown-method', 'method', method)
-            return _make_refusal(operation, problem)
-        if answer.is_err():
-            return _make_refusal(operation, answer.err_value)
-        return _make_result(operation, answer.ok_value)
+            answer(result.Err(problem))
 
     def _is_past(self, deadline):
         return self._env.clock.read_monotonic() > deadline
@@ -113,7 +130,7 @@
             if self._is_past(deadline):
                 # The lock was held by a pass for long.
                 metrics.DROPPED_CALLS.inc()
-                return result.Err(make_expired_problem())
+                return result.Err(pending_calls.make_expired_problem())
             if method == 'list-workloads':
                 views = self._members.view_vms()
                 listed = operations.list_workloads(self._state, query, views)
@@ -146,26 +163,20 @@
             found = data.JobState.RUNNING
         return job_operations.JobView(job_id, str(found or ''))
 
-    def _write(self, method, call, deadline):
-        """Queue a write call and wait until it is logged.
+    def _write(self, method, arguments, deadline, answer):
+        """Queue a write call, to be answered once it is logged.
 
-        :returns: Ok(a data class of ``operations``), or Err(Problem)
+        :param answer: called with Ok(a data class of ``operations``), or
+            Err(Problem)
         """
         if not self._owner.accepts_calls():
-            return result.Err(make_stalled_problem())
+            answer(result.Err(pending_calls.make_stalled_problem()))
+            return
         called = batches.OperatorCall(
-            concurrent.futures.Future(), method, call, deadline
+            concurrent.futures.Future(), method, arguments, deadline
         )
+        self._pending.add(called.fut, answer)
         self._owner.take_call(called)
-        try:
-            answer = called.fut.result(OPERATION_TIMEOUT_SECONDS)
-        except concurrent.futures.TimeoutError:
-            if called.fut.cancel():
-                return result.Err(make_stalled_problem())
-            return result.Err(_make_unknown_outcome())
-        if isinstance(answer, data.Problem):
-            return result.Err(answer)
-        return result.Ok(answer)
 
     def _report_shard(self, views):
         """Return the shard's ``operations.ShardReport``.
@@ -200,22 +211,23 @@
         return report
 
 
-def _make_result(operation, value):
-    return messages.OperationResult(operation.id, 'ok', codec.pack(value))
-
-
-def _make_refusal(operation, problem):
+def _make_result(number, outcome):
+    """Return the ``messages.OperationResult`` for a call's outcome."""
+    if outcome.is_ok():
+        body = codec.pack(outcome.ok_value)
+        return messages.OperationResult(number, 'ok', body)
+    problem = outcome.err_value
     status = 'unknown' if problem.code == 'outcome-unknown' else 'refused'
-    return messages.OperationResult(operation.id, status, problems=[problem])
+    return messages.OperationResult(number, status, problems=[problem])
 
 
 def refuse_call(called):
-    """Refuse a queued call unless its caller has given up.
+    """Refuse a queued call unless it has been answered.
 
     :param called: a ``batches.OperatorCall``
     """
     if called.fut.set_running_or_notify_cancel():
-        called.fut.set_result(make_stalled_problem())
+        called.fut.set_result(pending_calls.make_stalled_problem())
 
 
 def _find_deadline(operation, received_at):
@@ -223,27 +235,3 @@
     if operation.method in CANCELS or operation.left_ms <= 0:
         return math.inf
     return received_at + operation.left_ms / _MS_PER_SECOND
-
-
-def make_expired_problem():
-    return data.Problem(
-        'not-accepted',
-        text='the owner did not get to the call in time; nothing was changed',
-        remedy='send the same call again in some seconds',
-    )
-
-
-def make_stalled_problem():
-    return data.Problem(
-        'not-accepted',
-        text="the platform's store does not answer; nothing was changed",
-        remedy='send the same call again in some seconds',
-    )
-
-
-def _make_unknown_outcome():
-    return data.Problem(
-        'outcome-unknown',
-        text='the store has not confirmed the change; it may be in force',
-        remedy='send the same call with the same key again',
-    )
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -106,6 +106,7 @@
     def __enter__(self):
         self._members.sync_links(self)
         self._advisor.__enter__()
+        self._operator_api.__enter__()
         self._thread.start()
         self._config.__enter__()
         return self
@@ -117,6 +118,7 @@
         self._advisor.__exit__()
         self._inbox.put(None)
         self._thread.join()
+        self._operator_api.__exit__()
         if not self._lost_ownership and self._batch is None:
             self.resign()
         self._members.close()
@@ -250,14 +252,14 @@
 
     # Called by entries, each from the thread of its connection.
 
-    def execute_operation(self, operation, received_at=None):
+    def execute_operation(self, operation, respond, received_at=None):
         """Carry out a call of an operator.
 
-        :param received_at: when it came, by the owner's monotonic clock; None
-            for now
-        :returns: a ``messages.OperationResult``
+        The parameters are those of
+        :meth:`operator_api.OperatorApi.execute_operation`. Only read calls
+        block.
         """
-        return self._operator_api.execute_operation(operation, received_at)
+        self._operator_api.execute_operation(operation, respond, received_at)
 
     @property
     def log_length(self):
--- a/packages/scheduler/portwharf/scheduler/suspension_test.py
+++ b/packages/scheduler/portwharf/scheduler/suspension_test.py
@@ -81,15 +81,13 @@
     made = ownership_test.make_cluster()
     node = made.nodes[0]
     operation = messages.Operation(1, 'list-workloads', b'\x80')
-    case.assertEqual(node.owner.execute_operation(operation).status, 'ok')
+    case.assertEqual(node.ask(operation).status, 'ok')
     suspend(node, clock_runs=True)
     made.run(LIMITS.confirm + 1)
-    case.assertEqual(
-        node.owner.execute_operation(operation).status, 'not-owner'
-    )
+    case.assertEqual(node.ask(operation).status, 'not-owner')
     wake(node, clock_runs=True)
     made.run(3)
-    case.assertEqual(node.owner.execute_operation(operation).status, 'ok')
+    case.assertEqual(node.ask(operation).status, 'ok')
 
 
 def test_woken_side_starts_no_old_commands(case):
--- a/packages/side/portwharf/side/server.py
+++ b/packages/side/portwharf/side/server.py
@@ -9,6 +9,7 @@
 import concurrent.futures
 import dataclasses
 import logging
+import queue
 import threading
 
 import xxhash
@@ -17,13 +18,15 @@
 from portwharf.core import logs
 from portwharf.peers import messages
 from portwharf.peers import streams
+from portwharf.scheduler import operator_api
 from portwharf.side import admission
 from portwharf.side import at_most_once
 
 LOG = logging.getLogger(__name__)
 
 _STATE_INTERVAL_SECONDS = 1.0
-_OPERATION_THREADS = 8
+# Threads for read calls, each of which waits for the owner's lock.
+_READ_THREADS = 8
 # Larger payloads are refused before they are received.
 MAX_PAYLOAD_BYTES = 16 * 1024 * 1024
 _COMMANDS = (
@@ -60,7 +63,7 @@
         self._changed = threading.Event()
         self._stop = threading.Event()
         self._pool = concurrent.futures.ThreadPoolExecutor(
-            _OPERATION_THREADS, 'operation'
+            _READ_THREADS, 'operation'
         )
         self.at_most_once = at_most_once.AtMostOncePolicy(
             cfg.vm.name, guard, clock
@@ -202,14 +205,16 @@
             self._entries.add(conn)
         incoming = _Incoming(self, conn)
         try:
-            while True:
-                self._take_entry_message(conn, incoming, conn.receive())
+            with _ResultSender(conn) as results:
+                while True:
+                    message = conn.receive()
+                    self._take_entry_message(conn, incoming, results, message)
         finally:
             incoming.withdraw_all()
             with self._lock:
                 self._entries.discard(conn)
 
-    def _take_entry_message(self, conn, incoming, message):
+    def _take_entry_message(self, conn, incoming, results, message):
         if isinstance(message, messages.Request):
             incoming.begin(message)
         elif isinstance(message, messages.Chunk):
@@ -217,8 +222,7 @@
         elif isinstance(message, messages.Withdraw):
             incoming.withdraw(message.id)
         elif isinstance(message, messages.Operation):
-            now = self._clock.read_monotonic()
-            self._pool.submit(self._run_operation, conn, message, now)
+            self._take_operation(message, results)
         elif isinstance(message, messages.SideState):
             # An entry's heartbeat keeps an idle connection open and contains
             # its configuration revision. An entry without access to the store
@@ -231,12 +235,24 @@
                 f'unexpected message {type(message).__name__}'
             )
 
-    def _run_operation(self, conn, operation, received_at):
+    def _take_operation(self, operation, results):
+        """Have the owner carry out a call.
+
+        A write call only queues here, so that calls wait for the owner's next
+        pass and never for a thread.
+        """
+        now = self._clock.read_monotonic()
+        if operation.method in operator_api.WRITES:
+            self._run_operation(operation, results, now)
+        else:
+            self._pool.submit(self._run_operation, operation, results, now)
+
+    def _run_operation(self, operation, results, received_at):
         owner = self.find_owner()
         if owner is None:
-            conn.try_send(messages.OperationResult(operation.id, 'not-owner'))
+            results.put(messages.OperationResult(operation.id, 'not-owner'))
             return
-        conn.try_send(owner.execute_operation(operation, received_at))
+        owner.execute_operation(operation, results.put, received_at)
 
     def submit(self, conn, message, payload, jobs):
         """Admit one complete request.
@@ -346,6 +362,39 @@
         )
 
 
+class _ResultSender:
+    """Sends the results of operations to one entry; a context manager.
+
+    Results come from the owner's threads, and an entry that does not read must
+    block none of them.
+    """
+
+    def __init__(self, conn):
+        self._conn = conn
+        self._results = queue.SimpleQueue()
+        self._thread = threading.Thread(
+            target=self._run, name=f'results-{conn.peer}', daemon=True
+        )
+
+    def __enter__(self):
+        self._thread.start()
+        return self
+
+    def __exit__(self, *exc_info):
+        # A send that blocks ends when the connection is closed.
+        self._results.put(None)
+
+    def put(self, message):
+        """Send a result soon, unless the connection is closed before."""
+        self._results.put(message)
+
+    def _run(self):
+        while True:
+            message = self._results.get()
+            if message is None or not self._conn.try_send(message):
+                return
+
+
 @dataclasses.dataclass(slots=True)
 class _Partial:
     """A request whose payload is not complete yet."""
--- a/packages/side/portwharf/side/server_test.py
+++ b/packages/side/portwharf/side/server_test.py
@@ -19,11 +19,16 @@
 
 
 class EntryConnection:
-    """An entry's end of a connection to a side, without a socket."""
+    """An entry's end of a connection to a side, without a socket.
+
+    :ivar reads: cleared while the entry reads nothing
+    """
 
     def __init__(self):
         self.to_side = queue.Queue()
         self.results = queue.Queue()
+        self.reads = threading.Event()
+        self.reads.set()
         self.peer = 'entry'
 
     def receive(self):
@@ -34,12 +39,13 @@
         return message
 
     def send(self, message):
-        """Keep a result of an operation."""
+        """Keep a result of an operation, once the entry reads."""
         if isinstance(message, messages.OperationResult):
+            self.reads.wait(WAIT_SECONDS)
             self.results.put(message)
 
     def try_send(self, message):
-        """Keep a result of an operation."""
+        """Keep a result of an operation, once the entry reads."""
         self.send(message)
         return True
 
@@ -63,6 +69,7 @@
         conn.to_side.put(None)
         thread.join()
 
+    conn.close = close
     case.addCleanup(close)
     return conn
 
@@ -103,6 +110,12 @@
     return items
 
 
+def list_results(conn, count):
+    """Return the statuses of the next ``count`` results, by number."""
+    results = [conn.results.get(timeout=WAIT_SECONDS) for _ in range(count)]
+    return {one.id: one.status for one in results}
+
+
 def accept_job(node, conn, number):
     """Have the owner accept the job of this number."""
     conn.to_side.put(make_submission(number))
@@ -153,7 +166,9 @@
         make_submission(1, left_ms=500),
         messages.Operation(2, 'list-workloads', b'\x80', 500),
     ):
-        answer = node.owner.execute_operation(operation, now - 1)
+        results = []
+        node.owner.execute_operation(operation, results.append, now - 1)
+        (answer,) = results
         case.assertEqual(answer.status, 'refused')
         case.assertEqual(answer.problems[0].code, 'not-accepted')
     case.assertEqual(node.owner.take_items(), [])
@@ -169,3 +184,58 @@
     answer = conn.results.get(timeout=WAIT_SECONDS)
     case.assertEqual(answer.status, 'ok')
     case.assertTrue(made.read_state().jobs[make_job_id(1)].cancelled)
+
+
+def test_all_waiting_calls_are_answered_after_one_pass(case):
+    made, node, conn = make_owner(case)
+    numbers = range(1, 31)
+    for number in numbers:
+        conn.to_side.put(make_submission(number))
+    node.owner.step(wait_for_calls(node.owner, len(numbers)))
+    statuses = list_results(conn, len(numbers))
+    case.assertEqual(statuses, dict.fromkeys(numbers, 'ok'))
+    jobs = {make_job_id(number) for number in numbers}
+    case.assertEqual(set(made.read_state().jobs), jobs)
+
+
+def test_entry_that_does_not_read_holds_up_nobody_else(case):
+    _, node, slow = make_owner(case)
+    slow.reads.clear()
+    for number in range(1, 11):
+        slow.to_side.put(make_submission(number))
+    items = wait_for_calls(node.owner, 10)
+    other = connect(case, node)
+    other.to_side.put(make_submission(11))
+    other.to_side.put(messages.Operation(12, 'list-workloads', b'\x80'))
+    node.owner.step(items + wait_for_calls(node.owner, 1))
+    case.assertEqual(list_results(other, 2), {11: 'ok', 12: 'ok'})
+    case.assertTrue(slow.results.empty())
+    slow.reads.set()
+    case.assertEqual(len(list_results(slow, 10)), 10)
+
+
+def test_call_is_carried_out_after_its_connection_is_lost(case):
+    made, node, conn = make_owner(case)
+    conn.to_side.put(make_submission(1))
+    items = wait_for_calls(node.owner, 1)
+    conn.close()
+    node.owner.step(items)
+    case.assertIn(make_job_id(1), made.read_state().jobs)
+
+
+def test_waiting_calls_are_refused_while_an_append_is_stalled(case):
+    made, node, conn = make_owner(case)
+    conn.to_side.put(make_submission(1))
+    made.fake.faults.down = True
+    node.owner.step(wait_for_calls(node.owner, 1))
+    for number in range(2, 32):
+        conn.to_side.put(make_submission(number))
+    for item in wait_for_calls(node.owner, 30):
+        node.owner.take_call(item)
+    node.owner.serve_stalled()
+    statuses = list_results(conn, 30)
+    case.assertEqual(statuses, dict.fromkeys(range(2, 32), 'refused'))
+    made.fake.faults.down = False
+    node.owner.step()
+    case.assertEqual(list_results(conn, 1), {1: 'ok'})
+    case.assertEqual(list(made.read_state().jobs), [make_job_id(1)])
--- a/packages/testing/portwharf/testing/cluster.py
+++ b/packages/testing/portwharf/testing/cluster.py
@@ -102,6 +102,12 @@
             claim = claimed.ok_value
             self.owner = owner.Owner(self.make_env(), claim.log, claim.state)
 
+    def ask(self, operation):
+        """Return the owner's ``messages.OperationResult`` of a read call."""
+        results = []
+        self.owner.execute_operation(operation, results.append)
+        return results[0]
+
     def _publish_zones(self):
         """Have the owner, if it is here, send the zones to the sides."""
         if self.owner is not None:
