Calls are answered before the other decisions of a slow pass

What callers saw: on a large site an owner's pass takes 0.3 to 2.5 s. A call that came during one waited for the rest of it and then for the whole next one, where it was executed first and answered last, after all placing and the append. An entry waits 1.35 s, so most callers got 504.

Cause: a pass makes one entry of everything it decides, and answers wait for that entry, whose length in time is that of placing.

If the decisions of the last pass took over 0.1 s and the input has calls, the pass now makes two batches. The first has the items alone: reports, with the ends of jobs and the gangs that follow from them, measurements and calls. It is logged, answered and sent. The second is an ordinary pass without items, in the same step, so that no input comes between: calls can't starve placing. What compares suspects, lost VMs and checkpoints stays in the second, since it has to see all reports. Should the first append stall, the step that completes it ends there; the next pass is not split, doesn't wait for input and begins with the reports that came meanwhile. Without that, a suspect could be given up, or a VM count as silent about its work, on the knowledge of before the stall; and a store that fails each first attempt would let no pass get to placing.

It is the time of deciding that counts, not of the whole pass: with a slow store alone a second append would only make answers later. And it has to be longer than the least interval between appends, so that the store sees no more writes than it should. Quick passes append once, as before, and so do passes without calls. The state is unlocked between the two, so reads get in as well.

Weighed and ruled out: reads and calls on a thread of their own: they change the state that placing reads from begin to end, so it would need a copy of the state or a lock that they wait for as they do now. A time limit for placing: the same tail of the waiting work would be passed over in each pass, and what comes before it (views of all VMs, relief) takes its time whole. Answers before the append: a later owner would not know of them.

--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -96,20 +96,7 @@
             None only triggers the pass
         :returns: a ``batches.Batch``
         """
-        batch = batches.Batch()
-        self._views = None
-        dropped = 0
-        for item in items:
-            if isinstance(item, batches.ReportsItem):
-                self._process_reports(item, batch)
-            elif isinstance(item, batches.MeasurementsItem):
-                self._record_measures(item)
-            elif item is not None and not self._execute_call(item, batch):
-                dropped += 1
-        if dropped:
-            metrics.DROPPED_CALLS.inc(dropped)
-            decisionlog.log_dropped_calls(dropped)
-        self._timer.mark('items')
+        batch = self.process_items(items)
         self._crashloops.resolve_suspects(
             batch, self._apply_event, self._handle_task_end
         )
@@ -128,6 +115,28 @@
         self._timer.mark('finish')
         return batch
 
+    def process_items(self, items):
+        """Process items from the inbox, and decide nothing else.
+
+        :param items: as for :meth:`decide`, which must follow
+        :returns: a ``batches.Batch``
+        """
+        batch = batches.Batch()
+        self._views = None
+        dropped = 0
+        for item in items:
+            if isinstance(item, batches.ReportsItem):
+                self._process_reports(item, batch)
+            elif isinstance(item, batches.MeasurementsItem):
+                self._record_measures(item)
+            elif item is not None and not self._execute_call(item, batch):
+                dropped += 1
+        if dropped:
+            metrics.DROPPED_CALLS.inc(dropped)
+            decisionlog.log_dropped_calls(dropped)
+        self._timer.mark('items')
+        return batch
+
     def _process_reports(self, item, batch):
         """Process a side's reports.
 
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -5,9 +5,11 @@
 One thread makes all decisions. It takes the queued input (reports of sides and
 calls of operators), computes the resulting events, appends them to the shard's
 log as one entry, and only then sends commands and answers. Nothing is told to
-anyone that a later owner would not find in the log. While the store does not
-answer, the thread retries the same append; connections, grants and reads go on
-in their own threads, and new submissions are refused at once.
+anyone that a later owner would not find in the log. While decisions take long,
+calls of operators do not wait for them: the queued input is then logged as an
+entry of its own, and the other decisions of the pass follow. While the store
+does not answer, the thread retries the same append; connections, grants and
+reads go on in their own threads, and new submissions are refused at once.
 """
 
 import logging
@@ -36,6 +38,9 @@
 # Largest number of items in one pass; the limit keeps log entries small.
 MAX_ITEMS = 400
 SNAPSHOT_ENTRIES = 300
+# Once the decisions of a pass have taken longer, calls are answered before
+# those of the next.
+SLOW_DECISIONS_SECONDS = 0.1
 # Changing calls are refused once an append has been pending this long.
 STALL_SECONDS = 0.5
 # Once an append has been pending this long, another VM is asked to take over.
@@ -67,6 +72,9 @@
         self._superseded = False
         self._takeover_requests = 0
         self._batch = None
+        # Whether input was processed and no other decisions were made since.
+        self._rest_due = False
+        self._decisions_seconds = 0.0
         self._item_count = 0
         self._event_count = 0
         self._entry_size = 0
@@ -315,14 +323,18 @@
             LOG.info('owner ends', extra=self._extra())
 
     def _wait_for_input(self):
-        """Return the queued items; wait up to one tick for the first."""
+        """Return the queued items; wait up to one tick for the first.
+
+        Does not wait for any while decisions are due.
+        """
         if self._batch is not None:
             return []
         items = []
-        try:
-            items.append(self._inbox.get(timeout=_TICK_SECONDS))
-        except queue.Empty:
-            return items
+        if not self._rest_due:
+            try:
+                items.append(self._inbox.get(timeout=_TICK_SECONDS))
+            except queue.Empty:
+                return items
         wait = self._next_append - self.read_clock()
         if wait > 0:
             self._stop.wait(wait)
@@ -350,27 +362,83 @@
             return batches.StepResult.DEPOSED
         if self._batch is None:
             self._timer.start()
-            if not self._confirm_ownership():
+            if not self._prepare_pass():
                 self.deposed.set()
                 return batches.StepResult.DEPOSED
-            self._timer.mark('confirm')
-            self._members.sync_links(self)
-            self._timer.mark('links')
-            self._announce_presses()
-            self._timer.mark('presses')
-            self._members.read_vm_list(self.read_clock())
-            self._refresh_zones()
-            self._timer.mark('lists')
             items = [*self._deferred, *items]
             self._deferred = []
             self._item_count = len(items)
-            with self._lock:
-                self._timer.mark('lock')
-                self._batch = self._decider.decide(items)
-            self._event_count = len(self._batch.events)
-            for action in self._batch.before_commit:
-                action()
-            self._timer.mark('send-early')
+            self._event_count = 0
+            if self._must_answer_first(items):
+                self._rest_due = True
+                self._make_batch(self._decider.process_items, items)
+                step = self._finish_batch()
+                if step is not batches.StepResult.DONE:
+                    # The pass after this entry has the reports that come until
+                    # it is logged.
+                    return step
+                items = []
+            self._rest_due = False
+            began = self.read_clock()
+            self._make_batch(self._decider.decide, items)
+            self._decisions_seconds = self.read_clock() - began
+        step = self._finish_batch()
+        if step is batches.StepResult.DONE:
+            self._write_snapshot_if_due()
+            self._timer.mark('snapshot')
+            self._timer.finish(self._item_count, self._event_count)
+        return step
+
+    def _prepare_pass(self):
+        """Read what a pass needs, and send what needs no decision.
+
+        :returns: False if another process has taken over
+        """
+        if not self._confirm_ownership():
+            return False
+        self._timer.mark('confirm')
+        self._members.sync_links(self)
+        self._timer.mark('links')
+        self._announce_presses()
+        self._timer.mark('presses')
+        self._members.read_vm_list(self.read_clock())
+        self._refresh_zones()
+        self._timer.mark('lists')
+        return True
+
+    def _must_answer_first(self, items):
+        """Tell whether items are logged before the other decisions.
+
+        Not twice without these decisions in between, and not if they take less
+        time than there should be between two appends.
+        """
+        slow_seconds = max(SLOW_DECISIONS_SECONDS, self._env.append_interval)
+        return (
+            not self._rest_due
+            and self._decisions_seconds > slow_seconds
+            and any(isinstance(one, batches.OperatorCall) for one in items)
+        )
+
+    def _make_batch(self, decide, items):
+        """Decide on items under the lock.
+
+        :param decide: the decider's function of the items that returns a
+            ``batches.Batch``
+        """
+        with self._lock:
+            self._timer.mark('lock')
+            self._batch = decide(items)
+        self._event_count += len(self._batch.events)
+        for action in self._batch.before_commit:
+            action()
+        self._timer.mark('send-early')
+
+    def _finish_batch(self):
+        """Append the events of the batch, then act on them.
+
+        :returns: a ``batches.StepResult``; unless it is DONE, the batch is
+            kept
+        """
         step = self._commit()
         self._timer.mark('append')
         if step is batches.StepResult.DEPOSED:
@@ -385,9 +453,6 @@
             for action in batch.after_commit:
                 action()
             self._timer.mark('send')
-            self._write_snapshot_if_due()
-            self._timer.mark('snapshot')
-            self._timer.finish(self._item_count, self._event_count)
         return step
 
     def _announce_presses(self):
