An owner refuses at once what it can't serve in time

What callers saw: 504 after 1.35 s for submissions that had reached an owner in the middle of a pass of 2 s. The client has waited for nearly half its deadline, and doesn't know whether the job will run.

Cause: an owner took every call, though it can tell by the length of its passes that some will expire in its queue.

A submit-job, submit or change is now answered "not accepted" when it arrives, if the pass under way, by the length of the last one, goes on for longer than 1.5 times what the caller still waits. The factor is there since passes differ; within it the call is taken and may be in time. So every pass takes calls near its end, and a pass that outlasts the last one takes them all: an estimate can't make an owner refuse for ever. Before a first pass, and between passes, nothing is refused. A pass that a stalled append held up is left out of the estimate: calls are refused for the stall meanwhile, and it says nothing of the next.

Not refused: cancellations and reads; calls without a deadline; a job that is in the state already, whose earlier sending may have had no answer: "not accepted" would be wrong about it. The counter portwharf_owner_refused_calls has the others.

Ruled out: refusing by the count of queued calls, as a pass takes in all of them; an average of passes, which lags when load rises.

--- a/packages/scheduler/portwharf/scheduler/metrics.py
+++ b/packages/scheduler/portwharf/scheduler/metrics.py
@@ -19,6 +19,10 @@
     'portwharf_owner_dropped_calls',
     'Calls that were not begun, as their callers had stopped waiting.',
 )
+REFUSED_CALLS = prometheus_client.Counter(
+    'portwharf_owner_refused_calls',
+    'Calls that were refused at once, as a pass would outlast their callers.',
+)
 CLOSED_ZONES = prometheus_client.Gauge(
     'portwharf_closed_zones',
     'Availability zones that an operator has closed to new starts.',
--- a/packages/scheduler/portwharf/scheduler/operator_api.py
+++ b/packages/scheduler/portwharf/scheduler/operator_api.py
@@ -6,7 +6,9 @@
 are queued for the deciding thread and answered once their events are logged;
 while the store is down they are refused. A call whose caller has stopped
 waiting is not carried out, since its caller has sent it again or given up; a
-cancellation is, since it takes little and frees room.
+cancellation is, since it takes little and frees room. A call that is not
+likely to be taken in while its caller waits is refused at once, so that its
+caller knows that nothing was changed.
 """
 
 import concurrent.futures
@@ -41,6 +43,10 @@
     'cancel': operations.Query,
 }
 CANCELS = ('cancel-job', 'cancel')
+# A call is refused if its estimated wait is longer than what its caller still
+# waits by this factor. Passes differ in length, so it is not refused if it may
+# be in time.
+_MAX_WAIT_FACTOR = 1.5
 _MS_PER_SECOND = 1000
 
 
@@ -172,12 +178,32 @@
         if not self._owner.accepts_calls():
             answer(result.Err(pending_calls.make_stalled_problem()))
             return
+        if self._is_too_late(deadline) and not self._is_accepted(
+            method, arguments
+        ):
+            metrics.REFUSED_CALLS.inc()
+            answer(result.Err(pending_calls.make_busy_problem()))
+            return
         called = batches.OperatorCall(
             concurrent.futures.Future(), method, arguments, deadline
         )
         self._pending.add(called.fut, answer)
         self._owner.take_call(called)
 
+    def _is_too_late(self, deadline):
+        """Tell whether the pass under way is likely to outlast a caller."""
+        left_seconds = deadline - self._env.clock.read_monotonic()
+        wait_seconds = self._owner.estimate_wait_seconds()
+        return wait_seconds > _MAX_WAIT_FACTOR * left_seconds
+
+    def _is_accepted(self, method, arguments):
+        """Tell whether a call submits a job that is accepted already.
+
+        An earlier sending of it may not have been answered: to refuse this one
+        would let its caller believe that the job never runs.
+        """
+        return method == 'submit-job' and arguments.job.id in self._state.jobs
+
     def _report_shard(self, views):
         """Return the shard's ``operations.ShardReport``.
 
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/operator_api_test.py
@@ -0,0 +1,122 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Which calls an owner takes while a pass is under way."""
+
+import threading
+import types
+
+from portwharf.core import clock
+from portwharf.core import codec
+from portwharf.peers import messages
+from portwharf.scheduler import job_operations
+from portwharf.scheduler import jobs_test
+from portwharf.scheduler import operations
+from portwharf.scheduler import operator_api
+from portwharf.scheduler import state
+from portwharf.testing import fixtures
+
+LEFT_MS = 1350
+
+
+class BusyOwner:
+    """An owner whose pass goes on for a while.
+
+    :ivar wait_seconds: how long the pass goes on
+    :ivar taken: the methods of the calls that it has taken
+    """
+
+    def __init__(self):
+        self.wait_seconds = 0.0
+        self.taken = []
+
+    def is_confirmed(self):
+        """Return True."""
+        return True
+
+    def accepts_calls(self):
+        """Return True."""
+        return True
+
+    def estimate_wait_seconds(self):
+        """Return how long the pass goes on."""
+        return self.wait_seconds
+
+    def take_call(self, call):
+        """Keep a call's method."""
+        self.taken.append(call.method)
+
+
+def make_api(jobs=()):
+    """Return the API of a busy owner, and the owner.
+
+    :param jobs: ids of accepted jobs
+    """
+    made = state.ShardState()
+    made.jobs.update((job, None) for job in jobs)
+    busy = BusyOwner()
+    env = types.SimpleNamespace(clock=clock.ManualClock())
+    deciding = types.SimpleNamespace(unlogged_job_ends=set())
+    lock = threading.RLock()
+    api = operator_api.OperatorApi(env, busy, lock, made, None, deciding)
+    return api, busy
+
+
+def make_call(method, left_ms=LEFT_MS):
+    """Return the operation of a call."""
+    job = jobs_test.make_job(jobs_test.make_step())
+    arguments = {
+        'submit-job': job_operations.JobSubmission(job),
+        'submit': operations.Submission('', fixtures.make_workload()),
+        'change': operations.Change('0-1', fixtures.make_workload()),
+    }.get(method, operations.Query(job.id))
+    return messages.Operation(1, method, codec.pack(arguments), left_ms)
+
+
+def execute(api, operation):
+    """Return the results that a call gets at once."""
+    results = []
+    api.execute_operation(operation, results.append)
+    return results
+
+
+def test_call_that_a_pass_would_outlast_is_refused_at_once(case):
+    api, busy = make_api()
+    busy.wait_seconds = 2.5
+    for method in ('submit-job', 'submit', 'change'):
+        (answer,) = execute(api, make_call(method))
+        case.assertEqual(answer.status, 'refused')
+        case.assertEqual(answer.problems[0].code, 'not-accepted')
+    case.assertEqual(busy.taken, [])
+
+
+def test_call_that_may_be_in_time_is_taken(case):
+    api, busy = make_api()
+    for seconds in (0.0, 1.0, 2.0):
+        busy.wait_seconds = seconds
+        case.assertEqual(execute(api, make_call('submit-job')), [])
+    case.assertEqual(len(busy.taken), 3)
+
+
+def test_call_without_a_deadline_is_taken(case):
+    api, busy = make_api()
+    busy.wait_seconds = 1000.0
+    case.assertEqual(execute(api, make_call('submit-job', 0)), [])
+    case.assertEqual(busy.taken, ['submit-job'])
+
+
+def test_cancellations_and_reads_are_never_refused_for_a_pass(case):
+    api, busy = make_api()
+    busy.wait_seconds = 1000.0
+    for method in operator_api.CANCELS:
+        case.assertEqual(execute(api, make_call(method)), [])
+    case.assertEqual(busy.taken, list(operator_api.CANCELS))
+    (answer,) = execute(api, make_call('read-job'))
+    case.assertEqual(answer.status, 'ok')
+
+
+def test_job_that_was_accepted_is_not_refused_when_sent_again(case):
+    job = jobs_test.make_job(jobs_test.make_step())
+    api, busy = make_api([job.id])
+    busy.wait_seconds = 1000.0
+    case.assertEqual(execute(api, make_call('submit-job')), [])
+    case.assertEqual(busy.taken, ['submit-job'])
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -296,6 +296,10 @@
         """Tell whether changing calls can be logged at present."""
         return not self.deposed.is_set() and not self._is_stalled()
 
+    def estimate_wait_seconds(self):
+        """Return how long a new call waits until a pass takes it in."""
+        return self._timer.estimate_left_seconds()
+
     def take_call(self, call):
         """Queue a changing call of an operator."""
         self._inbox.put(call)
@@ -360,7 +364,8 @@
             LOG.warning('deposed by a higher epoch', extra=self._extra())
             self.deposed.set()
             return batches.StepResult.DEPOSED
-        if self._batch is None:
+        is_retry = self.stalled
+        if not is_retry:
             self._timer.start()
             if not self._prepare_pass():
                 self.deposed.set()
@@ -386,7 +391,9 @@
         if step is batches.StepResult.DONE:
             self._write_snapshot_if_due()
             self._timer.mark('snapshot')
-            self._timer.finish(self._item_count, self._event_count)
+            self._timer.finish(
+                self._item_count, self._event_count, not is_retry
+            )
         return step
 
     def _prepare_pass(self):
--- a/packages/scheduler/portwharf/scheduler/pass_timing.py
+++ b/packages/scheduler/portwharf/scheduler/pass_timing.py
@@ -20,18 +20,36 @@
 
 
 class PassTimer:
-    """Times one pass after another; used by the deciding thread alone."""
+    """Times one pass after another.
+
+    Used by the deciding thread alone, but for :meth:`estimate_left_seconds`.
+    """
 
     def __init__(self, clock):
         """Take a ``clock.Clock``."""
         self._clock = clock
         self._began = self._marked = clock.read_monotonic()
         self._parts = {}
+        # When the pass under way will have taken as long as the last one.
+        self._expected_end = None
+        self._last_seconds = 0.0
 
     def start(self):
         """Start a pass."""
         self._began = self._marked = self._clock.read_monotonic()
         self._parts = {}
+        self._expected_end = self._began + self._last_seconds
+
+    def estimate_left_seconds(self):
+        """Return how long the pass under way goes on, by the last one.
+
+        :returns: 0 if no pass is under way, or it has taken longer than the
+            last one; may be called by any thread
+        """
+        expected_end = self._expected_end
+        if expected_end is None:
+            return 0.0
+        return max(0.0, expected_end - self._clock.read_monotonic())
 
     def mark(self, part):
         """Add the time since the last mark to a part of the pass."""
@@ -40,13 +58,17 @@
         self._parts[part] = self._parts.get(part, 0.0) + spent
         self._marked = now
 
-    def finish(self, items, events):
+    def finish(self, items, events, is_typical=True):
         """Record the pass, and log it if it was slow.
 
         :param items: the number of items that it processed
         :param events: the number of events that it logged
+        :param is_typical: whether the next one may take as long
         """
         took = self._clock.read_monotonic() - self._began
+        self._expected_end = None
+        if is_typical:
+            self._last_seconds = took
         for part, spent in self._parts.items():
             metrics.PASS_SECONDS.labels(part).observe(spent)
         if took < SLOW_PASS_SECONDS:
--- a/packages/scheduler/portwharf/scheduler/pending_calls.py
+++ b/packages/scheduler/portwharf/scheduler/pending_calls.py
@@ -136,6 +136,14 @@
     )
 
 
+def make_busy_problem():
+    return data.Problem(
+        'not-accepted',
+        text='the owner is too busy for calls now; nothing was changed',
+        remedy='send the same call again in some seconds',
+    )
+
+
 def _make_unknown_outcome():
     return data.Problem(
         'outcome-unknown',
--- a/packages/scheduler/portwharf/scheduler/slow_passes_test.py
+++ b/packages/scheduler/portwharf/scheduler/slow_passes_test.py
@@ -10,6 +10,7 @@
 from portwharf.scheduler import operations
 from portwharf.scheduler import owner
 from portwharf.scheduler import shardlog
+from portwharf.side import server_test
 from portwharf.testing import cluster
 from portwharf.testing import walk
 
@@ -22,19 +23,23 @@
     """Makes placing take long on all owners, and watches the answers.
 
     :ivar answered: for each placing, the values of the calls made so far
+    :ivar before: called before each placing
+    :ivar seconds: how long placing takes
     """
 
     def __init__(self, made, seconds=PLACING_SECONDS):
         self._made = made
-        self._seconds = seconds
+        self.seconds = seconds
         self._place = decider.Decider._place_tasks
         self.answered = []
+        self.before = lambda: None
 
     def place(self, one, batch):
         """Place tasks as the decider does, then let the time pass."""
         self.answered.append([call.fut.value for call in self._made.calls])
+        self.before()
         self._place(one, batch)
-        self._made.time.advance(self._seconds)
+        self._made.time.advance(self.seconds)
 
 
 def make_slow_owner(case, seconds=PLACING_SECONDS):
@@ -281,6 +286,46 @@
     case.assertEqual(sum(logged.parts_ms.values()), 1000)
 
 
+def test_owner_refuses_what_a_pass_would_outlast_until_near_its_end(case):
+    made, leader, slow = make_slow_owner(case, 2.5)
+    statuses = []
+
+    def send(number):
+        leader.execute_operation(
+            server_test.make_submission(number, 1350),
+            lambda answer: statuses.append(answer.status),
+        )
+
+    def send_during_the_pass():
+        send(1)
+        for _ in range(4):
+            deliver(made)
+        send(2)
+        slow.seconds = 0.9
+
+    submit(made)
+    slow.before = send_during_the_pass
+    run_step(made)
+    case.assertEqual(statuses, ['refused'])
+    slow.before = lambda: None
+    case.assertEqual(leader.estimate_wait_seconds(), 0)
+    send(3)
+    case.assertEqual(run_step(made), batches.StepResult.DONE)
+    case.assertEqual(statuses, ['refused', 'ok', 'ok'])
+
+
+def test_stalled_append_does_not_make_an_owner_refuse_later_calls(case):
+    made, leader, _ = make_slow_owner(case, 0.0)
+    submit(made)
+    made.fake.faults.down = True
+    case.assertIs(run_step(made), batches.StepResult.STALLED)
+    made.time.advance(2)
+    made.fake.faults.down = False
+    case.assertIs(leader.step(), batches.StepResult.DONE)
+    leader._timer.start()
+    case.assertEqual(leader.estimate_wait_seconds(), 0)
+
+
 def test_walks_with_input_logged_before_decisions(case):
     """Checks the invariants when each pass with input is split."""
 
