An entry forgets a call that it gives up

What was seen: an entry whose calls to an owner time out keeps each of them as an exchange of its link until the connection ends. The link counts as busy for good, so that it isn't closed when its side is no longer selected, and the age of the oldest exchange, by which the entry rates the side for requests, grows without end.

Cause: OwnerClient stops waiting for an answer and leaves the exchange with the link, which drops exchanges when an answer comes, a request is withdrawn, or the connection ends. An owner that drops late calls still answers them; one that is paused, or was replaced, never does.

The link now forgets the operation when the client gives it up, by time or since another side owns the shard. An answer that comes later finds no exchange and is ignored; one that comes just before is used, as the client holds the exchange.

Evidence: test_call_without_an_answer_is_forgotten and test_call_to_a_former_owner_is_forgotten failed before (view.sent 1 instead of 0).

Ruled out: telling the side with Withdraw: the owner knows the deadline of the call, and a side handles Withdraw for requests alone.

--- a/packages/entry/portwharf/entry/owner_client.py
+++ b/packages/entry/portwharf/entry/owner_client.py
@@ -117,6 +117,7 @@
             if now >= deadline or self.find_owner(shard) is not link:
                 # A paused owner keeps its connection while another one has
                 # taken over.
+                link.forget(operation)
                 break
         return exchange
 
--- a/packages/entry/portwharf/entry/owner_client_test.py
+++ b/packages/entry/portwharf/entry/owner_client_test.py
@@ -72,3 +72,30 @@
     within, default = (sent.left_ms for sent in conn.sent)
     case.assertTrue(0 < within <= 1350)
     case.assertTrue(1350 < default < 10_000)
+
+
+def check_nothing_pending(case, link):
+    """Check that a link waits for no answer."""
+    case.assertEqual(link.view.sent, 0)
+    later = clock.SystemClock().read_monotonic() + 60
+    case.assertEqual(link.measure_oldest_age(later), 0)
+
+
+def test_call_without_an_answer_is_forgotten(case):
+    client, link, conn = open_client(lambda operation: None)
+    (problem,) = call(client, 0.05).err_value
+    case.assertEqual(problem.code, owner_client.OUTCOME_UNKNOWN)
+    check_nothing_pending(case, link)
+    link.handle(conn, accept(conn.sent[0]))
+    check_nothing_pending(case, link)
+
+
+def test_call_to_a_former_owner_is_forgotten(case):
+    def lose_owner(operation):
+        link.view.state = messages.SideState(owner='vm-2', epoch=2)
+
+    client, link, conn = open_client(lose_owner)
+    (problem,) = call(client, 0.5).err_value
+    case.assertEqual(problem.code, owner_client.OUTCOME_UNKNOWN)
+    case.assertEqual(len(conn.sent), 1)
+    check_nothing_pending(case, link)
--- a/packages/entry/portwharf/entry/side_links.py
+++ b/packages/entry/portwharf/entry/side_links.py
@@ -188,6 +188,13 @@
         self._forget(message.id)
         self.send(messages.Withdraw(message.id))
 
+    def forget(self, message):
+        """Stop waiting for the answer to an operation.
+
+        An answer that still comes is ignored.
+        """
+        self._forget(message.id)
+
     def send_heartbeat(self, revision=NO_CONFIG_WANTED):
         """Send a heartbeat, which keeps the connection open.
 
@@ -229,7 +236,7 @@
             return
         exchange = self._exchanges.get(getattr(message, 'id', None))
         if exchange is None:
-            # This answers a request that was withdrawn.
+            # This answers a request that was withdrawn or given up.
             return
         if isinstance(message, messages.Answer):
             self.view.state.in_flight = message.in_flight
