Logs tell why a call failed, and when a job was cancelled

What was missing: an entry logs 503 or 504 without a reason, so that a shard without an owner, a refusal by the owner and an answer that never came look the same. An owner logs the acceptance of a job but not its cancellation: tasks that stopped 9 s after their job was cancelled could not be told from a cancellation that came late. How long calls wait in an owner was measured nowhere.

'submit answered' and 'cancel answered' get reason, the code of the problem, unless the status is 200. The entry's own problems have codes of their own now, no-owner and no-answer, with the HTTP statuses and Connect codes that not-accepted and outcome-unknown have; these are left to what an owner answers. Codes of problems are not part of any interface. The owner logs 'job cancelled' with the count of tasks told to stop, when the cancellation is executed the first time. The histogram portwharf_owner_call_seconds measures from the receipt of a queued call to its answer.

Two tests of an entry's problem and the table of statuses follow the new codes; they check as much as before. job_history reads the lines as before: the new fields and the new line change no delay (a test in delays_test).

Ruled out: one code for each kind of refusal by an owner, which an older entry would turn into 502; a line for each refused call, as they come in hundreds.

--- a/packages/entry/portwharf/entry/delays_test.py
+++ b/packages/entry/portwharf/entry/delays_test.py
@@ -211,6 +211,33 @@
     case.assertEqual(delay.took, 4)
 
 
+def test_refused_and_unconfirmed_calls_leave_a_job_as_it_is(case):
+    delay = measure(
+        case,
+        make_line(
+            0.5,
+            'submit answered',
+            request=JOB,
+            status=503,
+            reason='not-accepted',
+            took_ms=500,
+        ),
+        accept(1.0),
+        place(1.0, '0.1'),
+        make_line(2, 'job cancelled', request=JOB, count=1),
+        make_line(
+            2.5,
+            'cancel answered',
+            request=JOB,
+            status=504,
+            reason='no-answer',
+        ),
+        succeed(3.0, '0.1', 2000),
+        end(3.0),
+    )
+    check(case, delay, SUBMIT=1.0, RUN=2.0)
+
+
 def test_lines_that_are_no_log_lines_are_skipped(case):
     lines = ['no json', '{"asctime": 3}', '{broken', '["a"]', accept(0)]
     case.assertEqual(len(job_history.read_lines(lines).jobs), 1)
--- a/packages/entry/portwharf/entry/owner_client.py
+++ b/packages/entry/portwharf/entry/owner_client.py
@@ -25,6 +25,9 @@
 NOT_ACCEPTED = 'not-accepted'
 OUTCOME_UNKNOWN = 'outcome-unknown'
 UNKNOWN_ID = 'unknown-id'
+# Codes of problems that an entry finds, where the others come from an owner.
+NO_OWNER = 'no-owner'
+NO_ANSWER = 'no-answer'
 
 
 class OwnerClient:
@@ -64,7 +67,7 @@
             now = self._clock.read_monotonic()
             if left <= 0 or (limit_seconds and now - began > limit_seconds):
                 return result.Err(
-                    [_make_no_owner_problem(shard, maybe_received)]
+                    [_make_unserved_problem(shard, maybe_received)]
                 )
             exchange = self._call_once(shard, method, body, left)
             answer = exchange.answer if exchange else None
@@ -125,24 +128,24 @@
 def _resolve_refusal(problems, shard, maybe_received):
     """Return the problems of a call that the owner refused.
 
-    If an earlier attempt got no answer, "not accepted" turns into "outcome
-    unknown": this attempt changed nothing, but the earlier one may have.
+    If an earlier attempt got no answer, "not accepted" turns into "no answer":
+    this attempt changed nothing, but the earlier one may have.
     """
     refused = any(problem.code == NOT_ACCEPTED for problem in problems)
     if maybe_received and refused:
-        return [_make_no_owner_problem(shard, True)]
+        return [_make_unserved_problem(shard, True)]
     return problems
 
 
-def _make_no_owner_problem(shard, maybe_received):
+def _make_unserved_problem(shard, maybe_received):
     if maybe_received:
         return data.Problem(
-            OUTCOME_UNKNOWN,
+            NO_ANSWER,
             text=f'no answer from the owner of shard {shard}',
             remedy='send the same call with the same key again',
         )
     return data.Problem(
-        NOT_ACCEPTED,
+        NO_OWNER,
         text=f'shard {shard} has no owner now; nothing was changed',
         remedy='send the same call again in some seconds',
     )
--- a/packages/entry/portwharf/entry/owner_client_test.py
+++ b/packages/entry/portwharf/entry/owner_client_test.py
@@ -84,7 +84,7 @@
 def test_call_without_an_answer_is_forgotten(case):
     client, link, conn = open_client(lambda operation: None)
     (problem,) = call(client, 0.05).err_value
-    case.assertEqual(problem.code, owner_client.OUTCOME_UNKNOWN)
+    case.assertEqual(problem.code, owner_client.NO_ANSWER)
     check_nothing_pending(case, link)
     link.handle(conn, accept(conn.sent[0]))
     check_nothing_pending(case, link)
@@ -96,6 +96,42 @@
 
     client, link, conn = open_client(lose_owner)
     (problem,) = call(client, 0.5).err_value
-    case.assertEqual(problem.code, owner_client.OUTCOME_UNKNOWN)
+    case.assertEqual(problem.code, owner_client.NO_ANSWER)
     case.assertEqual(len(conn.sent), 1)
     check_nothing_pending(case, link)
+
+
+def refuse(operation):
+    """Return the answer of an owner that refuses a call."""
+    problems = [data.Problem(owner_client.NOT_ACCEPTED)]
+    return messages.OperationResult(operation.id, 'refused', b'', problems)
+
+
+def test_refusal_by_an_owner_differs_from_the_lack_of_one(case):
+    client, link, _ = open_client(refuse)
+    (problem,) = call(client).err_value
+    case.assertEqual(problem.code, owner_client.NOT_ACCEPTED)
+    link.view.up = False
+    (problem,) = call(client, 0.05).err_value
+    case.assertEqual(problem.code, owner_client.NO_OWNER)
+
+
+def test_refusal_after_a_lost_answer_does_not_deny_the_call(case):
+    def lose_first_answer(operation):
+        if len(conn.sent) == 1:
+            link.view.state = messages.SideState(owner='vm-2', epoch=2)
+            return None
+        return refuse(operation)
+
+    client, link, conn = open_client(lose_first_answer)
+    find = client.find_owner
+
+    def find_owner(shard):
+        found = find(shard)
+        link.view.state = messages.SideState(owner='vm-1', epoch=3)
+        return found
+
+    client.find_owner = find_owner
+    (problem,) = call(client).err_value
+    case.assertEqual(problem.code, owner_client.NO_ANSWER)
+    case.assertEqual(len(conn.sent), 2)
--- a/packages/operators/portwharf/operators/service.py
+++ b/packages/operators/portwharf/operators/service.py
@@ -25,6 +25,8 @@
     'conflict': code.Code.ABORTED,
     'quota-below-reserved': code.Code.FAILED_PRECONDITION,
     'not-accepted': code.Code.UNAVAILABLE,
+    'no-owner': code.Code.UNAVAILABLE,
+    'no-answer': code.Code.DEADLINE_EXCEEDED,
     'outcome-unknown': code.Code.DEADLINE_EXCEEDED,
     'no-worker-can-ever-hold-it': code.Code.FAILED_PRECONDITION,
 }
--- a/packages/platform/portwharf/platform/job_api.py
+++ b/packages/platform/portwharf/platform/job_api.py
@@ -37,6 +37,8 @@
 _JOB_ID = re.compile('[0-9a-fA-F]{16}')
 _SHARD = 0
 _STATUSES = {
+    owner_client.NO_OWNER: 503,
+    owner_client.NO_ANSWER: 504,
     owner_client.NOT_ACCEPTED: 503,
     owner_client.OUTCOME_UNKNOWN: 504,
     owner_client.UNKNOWN_ID: 410,
@@ -123,7 +125,7 @@
             'submit-job', submission, operations.Accepted, seconds
         )
         status = _map_status(answer)
-        self._log_answer('submit', job_id, queue, status, started)
+        self._log_answer('submit', job_id, queue, answer, started)
         if answer.is_err():
             return _respond_problem(respond, status, answer.err_value)
         return web.send_json(respond, 200, {})
@@ -147,18 +149,22 @@
         seconds = _read_time_limit(environ)
         answer = self._call('cancel-job', query, operations.Cancelled, seconds)
         status = _map_status(answer)
-        self._log_answer('cancel', job_id, queue, status, started)
+        self._log_answer('cancel', job_id, queue, answer, started)
         if answer.is_err():
             return _respond_problem(respond, status, answer.err_value)
         return web.send_json(respond, 200, {})
 
-    def _log_answer(self, verb, job_id, queue, status, started):
-        """Log a call's status and the configuration revision."""
+    def _log_answer(self, verb, job_id, queue, answer, started):
+        """Log a call's status and the configuration revision.
+
+        :param answer: the result of the call to the owner
+        """
         took = self._clock.read_monotonic() - started
         extra = logs.fields(
             request=job_id,
             queue=queue.name,
-            status=status,
+            status=_map_status(answer),
+            reason=None if answer.is_ok() else _find_code(answer.err_value),
             revision=self._keeper.read().revision,
             took_ms=int(took * _MS_PER_SECOND),
         )
@@ -217,9 +223,12 @@
     """Return the HTTP status for the result of a call to the owner."""
     if answer.is_ok():
         return 200
-    problems = answer.err_value
-    code = problems[0].code if problems else owner_client.OUTCOME_UNKNOWN
-    return _STATUSES.get(code, _BAD_GATEWAY)
+    return _STATUSES.get(_find_code(answer.err_value), _BAD_GATEWAY)
+
+
+def _find_code(problems):
+    """Return the code of the first problem of a call."""
+    return problems[0].code if problems else owner_client.OUTCOME_UNKNOWN
 
 
 def _respond_problem(respond, status, problems):
--- a/packages/platform/portwharf/platform/job_api_test.py
+++ b/packages/platform/portwharf/platform/job_api_test.py
@@ -121,7 +121,9 @@
 
 def test_refusals_say_what_is_true(case):
     statuses = {
+        owner_client.NO_OWNER: 503,
         owner_client.NOT_ACCEPTED: 503,
+        owner_client.NO_ANSWER: 504,
         owner_client.OUTCOME_UNKNOWN: 504,
         owner_client.UNKNOWN_ID: 410,
     }
@@ -134,6 +136,34 @@
         case.assertEqual(has_retry_after, status in (503, 504))
 
 
+def test_reason_is_logged_unless_a_call_succeeds(case):
+    pool, calls, _, _ = open_calls()
+    accepted = result.Ok(operations.Accepted(ID, True))
+    outcomes = (
+        (accepted, 200, None),
+        (fail(owner_client.NO_OWNER), 503, 'no-owner'),
+        (fail(owner_client.NO_ANSWER), 504, 'no-answer'),
+        (fail('failed-otherwise'), 502, 'failed-otherwise'),
+        (result.Err([]), 504, 'outcome-unknown'),
+    )
+    for outcome, status, reason in outcomes:
+        calls.answers['submit-job'] = calls.answers['cancel-job'] = outcome
+        with case.assertLogs('portwharf.platform.job_api') as watched:
+            send(pool, 'POST', f'/a/{ID}', BODY)
+            send(pool, 'DELETE', f'/a/{ID}')
+        logged = [
+            (one.getMessage(), one.status, one.reason)
+            for one in watched.records
+        ]
+        case.assertEqual(
+            logged,
+            [
+                ('submit answered', status, reason),
+                ('cancel answered', status, reason),
+            ],
+        )
+
+
 def test_state_is_returned_and_an_unknown_job_is_gone(case):
     pool, calls, _, _ = open_calls()
     view = job_operations.JobView(ID, 'running')
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -329,7 +329,9 @@
             )
             decisionlog.log_submission(outcome, item.arguments.job)
         elif item.method == 'cancel-job':
-            outcome = job_operations.cancel_job(self._state, item.arguments.id)
+            job_id = item.arguments.id
+            outcome = job_operations.cancel_job(self._state, job_id)
+            decisionlog.log_cancellation(outcome, job_id)
         elif item.method == 'change':
             outcome = operations.change(self._state, item.arguments)
         else:
--- a/packages/scheduler/portwharf/scheduler/decisionlog.py
+++ b/packages/scheduler/portwharf/scheduler/decisionlog.py
@@ -3,8 +3,9 @@
 """Logs an owner's decisions about jobs and their tasks.
 
 A job can be traced by its id through all lines: its acceptance, placements,
-failed, evicted and lost attempts, and its end. Tasks that succeed are
-combined into one line for each workload and VM to limit the volume.
+failed, evicted and lost attempts, its cancellation and its end. Tasks that
+succeed are combined into one line for each workload and VM to limit the
+volume.
 """
 
 import collections
@@ -44,6 +45,17 @@
         LOG.info('job accepted', extra=extra)
 
 
+def log_cancellation(outcome, job_id):
+    """Log a job's cancellation, the first time that it is executed.
+
+    :param outcome: Ok(``operations.CallOutcome``), or Err(Problem)
+    """
+    if outcome.is_ok() and outcome.ok_value.events:
+        count = len(outcome.ok_value.stop)
+        extra = logs.fields(request=job_id, count=count)
+        LOG.info('job cancelled', extra=extra)
+
+
 def log_dropped_calls(count):
     """Log how many calls one pass dropped, as their callers had left."""
     LOG.info('calls dropped', extra=logs.fields(count=count))
--- a/packages/scheduler/portwharf/scheduler/metrics.py
+++ b/packages/scheduler/portwharf/scheduler/metrics.py
@@ -23,6 +23,11 @@
     'portwharf_owner_refused_calls',
     'Calls that were refused at once, as a pass would outlast their callers.',
 )
+CALL_SECONDS = prometheus_client.Histogram(
+    'portwharf_owner_call_seconds',
+    'Time from the receipt of a queued call to its answer.',
+    buckets=(0.01, 0.03, 0.1, 0.3, 0.6, 1.0, 2.0, 4.0, 8.0),
+)
 CLOSED_ZONES = prometheus_client.Gauge(
     'portwharf_closed_zones',
     'Availability zones that an operator has closed to new starts.',
--- a/packages/scheduler/portwharf/scheduler/operator_api.py
+++ b/packages/scheduler/portwharf/scheduler/operator_api.py
@@ -119,7 +119,13 @@
             if arguments.is_err():
                 answer(arguments)
             else:
-                self._write(method, arguments.ok_value, deadline, answer)
+                called = batches.OperatorCall(
+                    concurrent.futures.Future(),
+                    method,
+                    arguments.ok_value,
+                    deadline,
+                )
+                self._write(called, received_at, answer)
         else:
             problem = data.Problem('unknown-method', 'method', method)
             answer(result.Err(problem))
@@ -169,26 +175,24 @@
             found = data.JobState.RUNNING
         return job_operations.JobView(job_id, str(found or ''))
 
-    def _write(self, method, arguments, deadline, answer):
+    def _write(self, called, received_at, answer):
         """Queue a write call, to be answered once it is logged.
 
+        :param called: a ``batches.OperatorCall``
+        :param received_at: when it came, by the owner's monotonic clock
         :param answer: called with Ok(a data class of ``operations``), or
             Err(Problem)
         """
         if not self._owner.accepts_calls():
             answer(result.Err(pending_calls.make_stalled_problem()))
-            return
-        if self._is_too_late(deadline) and not self._is_accepted(
-            method, arguments
+        elif self._is_too_late(called.deadline) and not self._is_accepted(
+            called.method, called.arguments
         ):
             metrics.REFUSED_CALLS.inc()
             answer(result.Err(pending_calls.make_busy_problem()))
-            return
-        called = batches.OperatorCall(
-            concurrent.futures.Future(), method, arguments, deadline
-        )
-        self._pending.add(called.fut, answer)
-        self._owner.take_call(called)
+        else:
+            self._pending.add(called.fut, answer, received_at)
+            self._owner.take_call(called)
 
     def _is_too_late(self, deadline):
         """Tell whether the pass under way is likely to outlast a caller."""
--- a/packages/scheduler/portwharf/scheduler/operator_api_test.py
+++ b/packages/scheduler/portwharf/scheduler/operator_api_test.py
@@ -5,6 +5,8 @@
 import threading
 import types
 
+import prometheus_client
+
 from portwharf.core import clock
 from portwharf.core import codec
 from portwharf.peers import messages
@@ -23,11 +25,13 @@
 
     :ivar wait_seconds: how long the pass goes on
     :ivar taken: the methods of the calls that it has taken
+    :ivar answer: whether it answers calls as it takes them
     """
 
     def __init__(self):
         self.wait_seconds = 0.0
         self.taken = []
+        self.answer = False
 
     def is_confirmed(self):
         """Return True."""
@@ -44,6 +48,8 @@
     def take_call(self, call):
         """Keep a call's method."""
         self.taken.append(call.method)
+        if self.answer:
+            call.fut.set_result(operations.Accepted())
 
 
 def make_api(jobs=()):
@@ -120,3 +126,19 @@
     busy.wait_seconds = 1000.0
     case.assertEqual(execute(api, make_call('submit-job')), [])
     case.assertEqual(busy.taken, ['submit-job'])
+
+
+def test_wait_of_a_call_begins_when_its_message_came(case):
+    def read_sum():
+        return prometheus_client.REGISTRY.get_sample_value(
+            'portwharf_owner_call_seconds_sum'
+        )
+
+    api, busy = make_api()
+    busy.answer = True
+    received_at = clock.ManualClock().read_monotonic() - 2
+    before = read_sum()
+    results = []
+    api.execute_operation(make_call('cancel-job'), results.append, received_at)
+    case.assertEqual(results[0].status, 'ok')
+    case.assertAlmostEqual(read_sum() - before, 2.0)
--- a/packages/scheduler/portwharf/scheduler/pending_calls.py
+++ b/packages/scheduler/portwharf/scheduler/pending_calls.py
@@ -13,15 +13,21 @@
 import result
 
 from portwharf.core import data
+from portwharf.scheduler import metrics
 
 CALL_TIMEOUT_SECONDS = 8.0
 
 
 @dataclasses.dataclass(slots=True)
 class _PendingCall:
-    """How to answer a call, and by when, on the owner's monotonic clock."""
+    """How to answer a call.
+
+    :param received_at: when it came, on the owner's monotonic clock
+    :param due: by when it is answered, on that clock
+    """
 
     respond: object = None
+    received_at: float = 0.0
     due: float = 0.0
 
 
@@ -56,18 +62,22 @@
         for fut in futures:
             fut.cancel()
 
-    def add(self, fut, respond):
+    def add(self, fut, respond, received_at=None):
         """Have a call answered when its future is done or it times out.
 
         :param fut: the ``concurrent.futures.Future`` of the call, whose result
             is the answer or a ``data.Problem``
         :param respond: called once, with Ok(answer) or Err(Problem), from any
             thread; must not block
+        :param received_at: when the call came, by the owner's monotonic
+            clock; None for now
         """
         now = self._clock.read_monotonic()
+        if received_at is None:
+            received_at = now
         with self._changed:
             self._calls[fut] = _PendingCall(
-                respond, now + CALL_TIMEOUT_SECONDS
+                respond, received_at, now + CALL_TIMEOUT_SECONDS
             )
             closed = self._closed
             self._changed.notify()
@@ -110,6 +120,8 @@
         with self._changed:
             pending = self._calls.pop(fut, None)
         if pending is not None:
+            took = self._clock.read_monotonic() - pending.received_at
+            metrics.CALL_SECONDS.observe(took)
             pending.respond(answer)
 
     def _run(self):
--- a/packages/scheduler/portwharf/scheduler/pending_calls_test.py
+++ b/packages/scheduler/portwharf/scheduler/pending_calls_test.py
@@ -5,6 +5,8 @@
 import concurrent.futures
 import threading
 
+import prometheus_client
+
 from portwharf.core import clock
 from portwharf.core import data
 from portwharf.scheduler import pending_calls
@@ -94,3 +96,21 @@
     answered = threading.Event()
     pending.add(concurrent.futures.Future(), lambda _: answered.set())
     case.assertTrue(answered.wait(10))
+
+
+def test_wait_of_a_call_is_measured_from_its_receipt(case):
+    def read_sum():
+        return prometheus_client.REGISTRY.get_sample_value(
+            'portwharf_owner_call_seconds_sum'
+        )
+
+    pending, now = make_calls()
+    fut = concurrent.futures.Future()
+    received_at = now.read_monotonic()
+    now.advance(0.5)
+    pending.add(fut, lambda answer: None, received_at)
+    now.advance(1.5)
+    before = read_sum()
+    fut.set_result('done')
+    pending.expire()
+    case.assertAlmostEqual(read_sum() - before, 2.0)
--- a/packages/side/portwharf/side/server_test.py
+++ b/packages/side/portwharf/side/server_test.py
@@ -186,6 +186,22 @@
     case.assertTrue(made.read_state().jobs[make_job_id(1)].cancelled)
 
 
+def test_cancellation_is_logged_the_first_time(case):
+    made, node, conn = make_owner(case)
+    accept_job(node, conn, 1)
+    with case.assertLogs('portwharf.scheduler.decisionlog') as watched:
+        for _ in range(2):
+            conn.to_side.put(make_cancellation(1))
+            node.owner.step(wait_for_calls(node.owner, 1))
+            conn.results.get(timeout=WAIT_SECONDS)
+    logged = [
+        (one.request, one.count)
+        for one in watched.records
+        if one.getMessage() == 'job cancelled'
+    ]
+    case.assertEqual(logged, [(make_job_id(1), 1)])
+
+
 def test_all_waiting_calls_are_answered_after_one_pass(case):
     made, node, conn = make_owner(case)
     numbers = range(1, 31)
