Post a side's messages to its owner and to entries

What callers saw: nothing yet. A side whose owner or one of whose entries does not read renews no leases, stops nothing, or takes no grants for 10 s.

Cause: the agent's one thread, which also makes all calls to the worker, waited in Connection.send for the owner; the thread that reads the owner's grants and commands tells each entry of a new roster, one after the other, and waited for the slowest. The thread that tells entries of this side's state waited likewise.

They post now: what an entry or the owner does not read waits in its own connection, up to 1 MiB. FakeConn and ownership_test record try_post, which the agent calls now.

Ruled out: a thread for each entry that sends rosters.

--- a/packages/scheduler/portwharf/scheduler/ownership_test.py
+++ b/packages/scheduler/portwharf/scheduler/ownership_test.py
@@ -205,7 +205,7 @@
     node = made.nodes[1]
     sent = []
     conn = node.server.agent._conn
-    conn.try_send = sent.append
+    conn.try_post = sent.append
     granted, node.guard.is_granted = node.guard.is_granted, lambda: False
     start = messages.StartTask(1, 'job.9', 1, exclusive=True)
     for is_granted in (node.guard.is_granted, granted):
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -567,7 +567,7 @@
     def _send(self, message):
         conn = self._conn
         if conn is not None:
-            conn.try_send(message)
+            conn.try_post(message)
 
 
 def _format_resources(resources):
--- a/packages/side/portwharf/side/agent_test.py
+++ b/packages/side/portwharf/side/agent_test.py
@@ -2,8 +2,11 @@
 # SPDX-License-Identifier: Apache-2.0
 """Which starts, lease renewals and stops an agent carries out."""
 
+import threading
+
 from portwharf.core import data
 from portwharf.peers import messages
+from portwharf.peers import streams_test
 from portwharf.scheduler import guard
 from portwharf.side import agent
 from portwharf.side import reports
@@ -222,3 +225,19 @@
         bench.agent.take_grant(messages.Grant(1, 778, 3, True))
         bench.step(0.1)
     case.assertEqual(bench.conn.take(messages.Heartbeat), [])
+
+
+def test_owner_that_does_not_read_does_not_hold_up_the_agent(case):
+    bench = agent_harness.AgentHarness()
+    conn, _ = streams_test.make_slow_pair(case)
+    bench.agent.take_owner(conn)
+
+    done = threading.Event()
+
+    def send_heartbeats():
+        for _ in range(400):
+            bench.step(1.0)
+        done.set()
+
+    threading.Thread(target=send_heartbeats, daemon=True).start()
+    case.assertTrue(done.wait(8))
--- a/packages/side/portwharf/side/server.py
+++ b/packages/side/portwharf/side/server.py
@@ -224,7 +224,7 @@
             # gets its configuration this way.
             update = self._keeper.make_update()
             if update.revision > message.config_revision:
-                conn.send(update)
+                conn.post(update)
         else:
             raise streams.ProtocolError(
                 f'unexpected message {type(message).__name__}'
@@ -327,7 +327,7 @@
         with self._lock:
             entries = list(self._entries)
         for conn in entries:
-            conn.try_send(message)
+            conn.try_post(message)
 
     def _make_state(self):
         slots = self.admission.slots if self.admission else 0
--- a/packages/testing/portwharf/testing/agent_harness.py
+++ b/packages/testing/portwharf/testing/agent_harness.py
@@ -64,7 +64,7 @@
     def __init__(self):
         self.sent = []
 
-    def try_send(self, message):
+    def try_post(self, message):
         """Record a message; always succeeds."""
         self.sent.append(message)
         return True
