Do not let an operation wait for a side that does not read

What callers saw: nothing yet. A call of an operator or of a job's client through an entry is answered later than its deadline, up to 10 s, and holds one of the entry's threads meanwhile.

Cause: SideLink.send_request sent an operation with Connection.send, which waits for the side to read, before the wait for the answer begins; and it waits its turn behind the payloads of others.

Evidence: the new test failed on the code before: the sender of operations was still blocked after 8 s.

Operations are posted; the caller's own time limit covers the rest. The payloads of requests still wait.

--- a/packages/entry/portwharf/entry/side_links.py
+++ b/packages/entry/portwharf/entry/side_links.py
@@ -198,7 +198,7 @@
 
     def _send(self, conn, message, payload):
         if not isinstance(message, messages.Request):
-            conn.send(message)
+            conn.post(message)
             return
         size = streams.CHUNK_BYTES
         message.size = len(payload)
--- a/packages/entry/portwharf/entry/side_links_test.py
+++ b/packages/entry/portwharf/entry/side_links_test.py
@@ -13,6 +13,7 @@
 from portwharf.entry import side_subset
 from portwharf.peers import messages
 from portwharf.peers import streams
+from portwharf.peers import streams_test
 from portwharf.scheduler import configuration
 from portwharf.testing import relay
 
@@ -195,3 +196,20 @@
     # Fails with queue.Empty if the owner is not dialed.
     while dialed.get(timeout=10) != owner:
         continue
+
+
+def test_side_that_does_not_read_does_not_hold_up_calls(case):
+    """A call waits for its answer, and no longer than its caller."""
+    vm = data.Vm('side-0')
+    link = side_links.SideLink(vm, None, None, clock.SystemClock())
+    link._conn, _ = streams_test.make_slow_pair(case)
+
+    done = threading.Event()
+
+    def send_operations():
+        for _ in range(100):
+            link.send_request(messages.Operation(body=bytes(2000)))
+        done.set()
+
+    threading.Thread(target=send_operations, daemon=True).start()
+    case.assertTrue(done.wait(8))
