Count a call's wait for a thread of the entry as part of its deadline

What callers saw: no answer within their deadline while the owner is slow; and an owner that was asked, seconds later, to carry out what they had given up.

Cause: an entry has 24 threads for clients' calls, each of which waits for the owner for up to 1.35 s of a deadline of 3 s. cheroot queues what finds no thread free, without a bound, and the application took a call's deadline to begin only when a thread took it up.

The server measures how long a connection with a request waits for a thread, and tells the application. The wait is taken off the time that a call has for its owner; when nothing is left of that, the call is refused with 503 and nobody is asked. So what waits is bounded by the deadline: a late call holds its thread no longer, and the queue drains at the speed of refusals.

Ruled out: more threads (the queue only begins later), a bound on the queue's length (the length that fits a deadline depends on the owner's speed; cheroot waits in its accepting thread when the queue is full, and answers 503 without reading the request, which resets the connection).

--- a/packages/core/portwharf/core/web.py
+++ b/packages/core/portwharf/core/web.py
@@ -9,9 +9,15 @@
 import json
 import threading
 
+from cheroot import server
 from cheroot import wsgi
 import prometheus_client
 
+from portwharf.core import clock
+
+# Key of a WSGI environment: for how many seconds the request has waited for a
+# thread. Absent if the application is not called by a ``Server``.
+QUEUED_SECONDS = 'portwharf.queued_seconds'
 _TEXT_TYPE = ('Content-Type', 'text/plain; charset=utf-8')
 _JSON_TYPE = ('Content-Type', 'application/json')
 _REASON_PHRASES = {
@@ -47,6 +53,36 @@
         return send_text(start_response, 404, 'no such page\n')
 
 
+class _Connection(server.HTTPConnection):
+    """A connection that measures how long its requests wait for a thread."""
+
+    queued_at = 0.0
+    queued_seconds = 0.0
+
+    def communicate(self):
+        now = self.server.clock.read_monotonic()
+        self.queued_seconds = now - self.queued_at
+        return super().communicate()
+
+
+class _Gateway(wsgi.Gateway_10):
+    """Tells the application how long a request has waited."""
+
+    def get_environ(self):
+        environ = super().get_environ()
+        environ[QUEUED_SECONDS] = self.req.conn.queued_seconds
+        return environ
+
+
+class _Server(wsgi.Server):
+    ConnectionClass = _Connection
+    clock = clock.SystemClock()
+
+    def process_conn(self, conn):
+        conn.queued_at = self.clock.read_monotonic()
+        super().process_conn(conn)
+
+
 class Server:
     """A ``cheroot`` server that runs in a thread; a context manager."""
 
@@ -58,7 +94,7 @@
         :param threads: number of threads that handle requests
         :param queue: size of the listen backlog
         """
-        self._server = wsgi.Server(
+        self._server = _Server(
             (address, port),
             app,
             numthreads=threads,
@@ -66,6 +102,7 @@
             request_queue_size=queue,
             shutdown_timeout=_SHUTDOWN_TIMEOUT_SECONDS,
         )
+        self._server.gateway = _Gateway
         self._server.prepare()
         self._thread = threading.Thread(
             target=self._server.serve, name='web', daemon=True
--- a/packages/core/portwharf/core/web_test.py
+++ b/packages/core/portwharf/core/web_test.py
@@ -8,6 +8,7 @@
 
 import urllib3
 
+from portwharf.core import clock
 from portwharf.core import web
 from portwharf.testing import fixtures
 
@@ -55,3 +56,29 @@
     conn.getresponse().read()
     server.drain(0.1)
     case.assertEqual(conn.sock.recv(1), b'')
+
+
+def test_application_is_told_how_long_a_request_has_waited(case):
+    started, released = threading.Event(), threading.Event()
+    waits = []
+
+    def app(environ, start_response):
+        waits.append(environ[web.QUEUED_SECONDS])
+        started.set()
+        released.wait(20)
+        return web.send_text(start_response, 200, 'done\n')
+
+    server = web.Server('127.0.0.1', 0, app, threads=1)
+    now = server._server.clock = clock.ManualClock()
+    case.enterContext(server)
+    pool = case.enterContext(concurrent.futures.ThreadPoolExecutor(2))
+    first = pool.submit(get, server.port, '/')
+    case.assertTrue(started.wait(20))
+    second = pool.submit(get, server.port, '/')
+    while not server._server.requests.qsize:
+        released.wait(0.01)
+    now.advance(7.0)
+    released.set()
+    case.assertEqual(first.result(20), (200, 'done\n'))
+    case.assertEqual(second.result(20), (200, 'done\n'))
+    case.assertEqual(waits, [0.0, 7.0])
--- a/packages/platform/portwharf/platform/job_api.py
+++ b/packages/platform/portwharf/platform/job_api.py
@@ -80,6 +80,10 @@
             return start_response(status, answer_headers)
 
         with self._shutdown.track_call():
+            if _read_time_limit(environ) <= 0:
+                # The client no longer waits for the owner's answer.
+                web.read_body(environ)
+                return _respond_error(respond, 503, 'too many calls')
             return self._dispatch(environ, respond)
 
     def _dispatch(self, environ, respond):
@@ -207,10 +211,16 @@
 
 
 def _read_time_limit(environ):
-    """Return for how many seconds a call may wait for its owner."""
+    """Return for how many seconds a call may wait for its owner.
+
+    The time that it has waited for a thread counts; the result is not
+    positive if no time is left.
+    """
     text = environ.get('HTTP_PORTWHARF_DEADLINE_MS', '')
     deadline_ms = int(text) if text.isdigit() else DEFAULT_DEADLINE_MS
-    return min(CALL_SECONDS, DEADLINE_SHARE * deadline_ms / _MS_PER_SECOND)
+    share = DEADLINE_SHARE * deadline_ms / _MS_PER_SECOND
+    queued = environ.get(web.QUEUED_SECONDS, 0.0)
+    return min(CALL_SECONDS, share) - queued
 
 
 def _map_status(answer):
--- a/packages/platform/portwharf/platform/job_api_test.py
+++ b/packages/platform/portwharf/platform/job_api_test.py
@@ -8,6 +8,7 @@
 
 from portwharf.core import clock
 from portwharf.core import data
+from portwharf.core import web
 from portwharf.entry import graceful_shutdown
 from portwharf.entry import owner_client
 from portwharf.platform import decoding
@@ -168,6 +169,23 @@
     case.assertEqual(waits, [1.35, 0.45, 1.35, 2.0])
 
 
+def test_wait_for_a_thread_counts_as_part_of_a_call(case):
+    pool, calls, _, _ = open_calls()
+    calls.answers['read-job'] = fail(owner_client.OUTCOME_UNKNOWN)
+    pool.environ[web.QUEUED_SECONDS] = 1.0
+    case.assertEqual(send(pool, 'GET', f'/a/{ID}').status, 504)
+    case.assertEqual([round(one, 2) for one in calls.seconds], [0.35])
+
+
+def test_call_whose_client_has_given_up_is_not_carried_out(case):
+    pool, calls, _, _ = open_calls()
+    pool.environ[web.QUEUED_SECONDS] = 1.35
+    for method, body in (('POST', BODY), ('DELETE', None), ('GET', None)):
+        answer = send(pool, method, f'/a/{ID}', body)
+        case.assertEqual(answer.status, 503)
+    case.assertEqual(calls.calls, [])
+
+
 def test_unknown_route_and_bad_id_are_not_found(case):
     pool, _, _, _ = open_calls()
     case.assertEqual(send(pool, 'POST', f'/x/{ID}', BODY).status, 404)
--- a/packages/testing/portwharf/testing/fixtures.py
+++ b/packages/testing/portwharf/testing/fixtures.py
@@ -31,18 +31,21 @@
     """Replaces a ``urllib3`` pool: calls a WSGI application directly.
 
     :cvar pool: None, as there are no pooled connections
+    :ivar environ: further values of the WSGI environment
     """
 
     pool = None
 
     def __init__(self, app):
         self._app = app
+        self.environ = {}
 
     def request(self, method, path, body=b'', headers=None, **_):
         """Call the application and return its :class:`Response`."""
         payload = body.encode() if isinstance(body, str) else body or b''
         response = Response()
         environ = {
+            **self.environ,
             'REQUEST_METHOD': method,
             'PATH_INFO': path,
             'CONTENT_LENGTH': str(len(payload)),
