Stop an attempt that was given up while its side stayed connected

What callers saw: a task that may overlap (a copy of a speculative step, a service) ran on after its job was cancelled, until its side's next connection. A service's replica was placed again and again on the VM where the given-up attempt still ran, refused each time, and counted as waiting.

Cause: a VM without heartbeats counts as silent, and its tasks are given up unless they are exclusive and their leases may last. But the connection stays open if only the agent's thread is held up, as by a runner that does not answer: the reading thread keeps it alive. When the agent goes on, it reports what has changed since its last report, and the running attempt has not changed. Only a full report, on the next connection, would tell the owner.

The owner sends a stop of each attempt that it gives up. A side that is gone does not get it, and reports in full when it comes back; one that was slow carries it out, or refuses the attempt if it does not know it.

Ruled out: closing the connection (it costs the grants of the other tasks on that VM), a full report with each heartbeat. Exclusive tasks are given up only once no lease of theirs can be valid, so the stop finds nothing of them.

--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -343,6 +343,10 @@
                     continue
                 event = events.TaskRequeued(task.id, task.attempt)
                 decisionlog.log_lost_attempt(task, name)
+                # The side may only have been slow, and reports on the same
+                # connection only what has changed.
+                command = reconcile.make_stop(self._state, task, False)
+                batch.send(self._members.get_link(name), command)
                 self._apply_event(batch, event)
                 decision = pass_inputs.explain_loss(task, name, now_ms)
                 self._apply_event(batch, events.DecisionMade(decision))
--- a/packages/scheduler/portwharf/scheduler/silent_sides_test.py
+++ b/packages/scheduler/portwharf/scheduler/silent_sides_test.py
@@ -11,8 +11,11 @@
 here are others with the same effect.
 """
 
+from unittest import mock
+
 from portwharf.core import data
 from portwharf.scheduler import ownership_test
+from portwharf.testing import cluster
 
 LASTING_KIND = data.Kind.STANDING
 # Longer than any lease and any other wait of an owner.
@@ -110,3 +113,37 @@
     made.restart_side(node)
     made.run(LONG_WAIT_SECONDS)
     case.assertTrue(runs_elsewhere(made, node, task))
+
+
+def pause_agent(made, node):
+    """Let a side send nothing until its VM counts as silent, and go on.
+
+    Its connection stays open, as another thread holds it.
+    """
+    agent = node.server.agent
+    with mock.patch.object(agent, 'step', lambda timeout=0.0: None):
+        made.run(cluster.LIMITS.unreachable + 1)
+
+
+def test_given_up_attempt_of_a_cancelled_job_is_stopped(case):
+    made = ownership_test.make_cluster(overlap_allowed=True)
+    node = made.nodes[1]
+    case.assertTrue(ownership_test.list_running(node))
+    pause_agent(made, node)
+    made.cancel(made.list_accepted()[0])
+    made.run(LONG_WAIT_SECONDS)
+    for one in made.nodes:
+        case.assertEqual(ownership_test.list_running(one), [])
+
+
+def test_given_up_attempt_of_a_service_does_not_block_the_next_one(case):
+    made = ownership_test.make_cluster(kind=data.Kind.SERVICE)
+    node = made.nodes[1]
+    case.assertTrue(ownership_test.list_running(node))
+    pause_agent(made, node)
+    made.run(LONG_WAIT_SECONDS)
+    state = made.read_state()
+    for task in state.tasks.values():
+        case.assertEqual(task.state, data.TaskState.PLACED)
+    running = [ownership_test.list_running(one) for one in made.nodes]
+    case.assertEqual(sorted(sum(running, [])), sorted(state.tasks))
