Carry out stops before starts that wait for a silent worker

What callers saw: a task that was cancelled, evicted or replaced runs on for seconds while its worker is slow to answer.

Cause: a side's agent carries out its owner's commands in order of arrival in one thread. A start without an answer is sent twice, each time for 0.4 s and a new connection, so a stop behind a handful of starts waits for seconds. Starts are refused at once only when the worker's listing has failed for 0.9 s, which a worker that answers some orders never reaches.

Evidence: the new test failed on the code before: one step sent two starts without an answer and a stop of that attempt, and nothing of the task to stop.

Stops have a queue of their own, which the agent takes from first, one a step, so that heartbeats go on. A stop may overtake the start of its own attempt: the side then reports the attempt as gone and refuses the start, as it does for any stop of an attempt that it does not know; a second test checks that.

Ruled out: a thread of its own for stops (the runner's connection and listing belong to one thread), a shorter wait for starts (a start that is carried out late costs more, as it has to be stopped).

--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -2,13 +2,14 @@
 # SPDX-License-Identifier: Apache-2.0
 """Starts, monitors and stops attempts on the VM's worker.
 
-One thread makes all calls to the worker. It carries out the owner's commands
-in order of arrival and periodically reads the worker's listing, renews leases,
-and sends heartbeats and reports. The worker lists an ended attempt until the
-owner confirms that the result is in the log, so a restarted side loses
-nothing.
+One thread makes all calls to the worker. It carries out the owner's commands,
+stops first and the others in order of arrival, and periodically reads the
+worker's listing, renews leases, and sends heartbeats and reports. The worker
+lists an ended attempt until the owner confirms that the result is in the log,
+so a restarted side loses nothing.
 """
 
+import collections
 import dataclasses
 import logging
 import queue
@@ -84,6 +85,9 @@
         self._clock = clock
         self._on_change = on_change
         self._commands = queue.SimpleQueue()
+        # Stops, which do not wait for starts that the worker may not answer.
+        # A start whose stop has overtaken it is refused.
+        self._stop_commands = collections.deque()
         self._command_granted_until = 0.0
         self._conn = None
         self._reported_states = {}
@@ -153,7 +157,11 @@
 
     def command(self, conn, message):
         """Queue a command that arrived on a connection."""
-        self._commands.put(_Command(conn, message, self._guard.granted_until))
+        command = _Command(conn, message, self._guard.granted_until)
+        if isinstance(message, messages.StopTask):
+            self._stop_commands.append(command)
+            command = None
+        self._commands.put(command)
 
     def take_grant(self, grant):
         """Take the owner's time from a grant, for the next heartbeat.
@@ -204,16 +212,24 @@
 
         :param timeout: seconds to wait for a command
         """
-        try:
-            self._execute(self._commands.get(timeout > 0, timeout))
-        except queue.Empty:
-            pass
+        self._execute(self._take_command(timeout))
         now = self._clock.read_monotonic()
         if now >= self._next_poll:
             self._next_poll = now + _POLL_SECONDS
             self._poll()
         self._send_heartbeat()
 
+    def _take_command(self, timeout):
+        """Return the next command, or None; waits if there is none."""
+        if not self._stop_commands:
+            try:
+                command = self._commands.get(timeout > 0, timeout)
+            except queue.Empty:
+                return None
+            if command is not None:
+                return command
+        return self._stop_commands.popleft() if self._stop_commands else None
+
     def _execute(self, command):
         """Carry out a command, unless its connection has ended."""
         if command is None or command.conn is not self._conn:
--- a/packages/side/portwharf/side/agent_test.py
+++ b/packages/side/portwharf/side/agent_test.py
@@ -4,6 +4,8 @@
 
 import threading
 
+import result
+
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.peers import streams_test
@@ -241,3 +243,28 @@
 
     threading.Thread(target=send_heartbeats, daemon=True).start()
     case.assertTrue(done.wait(8))
+
+
+def test_stop_does_not_wait_for_starts_without_an_answer(case):
+    bench = agent_harness.AgentHarness()
+    bench.grant()
+    bench.start()
+    del bench.worker.calls[:]
+    agent_harness.lose_answers(bench, *[result.Err('no answer')] * 8)
+    for number in range(1, 4):
+        start = messages.StartTask(3, f'w.{number}', 1)
+        bench.agent.command(bench.conn, start)
+    bench.agent.command(bench.conn, messages.StopTask(3, 'w.0', 1))
+    bench.agent.step()
+    case.assertEqual(bench.worker.calls, [('stop', 'w.0', 1)])
+
+
+def test_start_that_its_stop_has_overtaken_is_refused(case):
+    bench = agent_harness.AgentHarness()
+    bench.grant()
+    start = messages.StartTask(3, 'w.0', 1, resources=agent_harness.SIZE)
+    bench.agent.command(bench.conn, start)
+    bench.agent.command(bench.conn, messages.StopTask(3, 'w.0', 1))
+    bench.step()
+    case.assertEqual(bench.worker.calls, [])
+    case.assertEqual(bench.list_refused(), [agent.REFUSED_ATTEMPT])
