Do not wait for the thread of a link that is not needed any more

What callers saw: while VMs that have lost power are taken off the members, the owner decides and answers nothing for up to a second for each of them. An entry finds a new owner as much later.

Cause: the deciding thread, and the entry's thread for its links, joined the thread of each link that they closed. stop() closes a connection at once, but not a connection attempt, which lasts up to DIAL_SECONDS; and a VM without power, which is what is taken off, lets attempts hang one after the other.

The links are told to stop; their threads end by themselves after the attempt, as the tests check. Until then such a link sends nothing, has no connection, and changes only its own view. close() still joins the links that are in use.

Ruled out: shorter attempts (links with loss need them), dialling without a thread of its own.

--- a/packages/entry/portwharf/entry/side_links.py
+++ b/packages/entry/portwharf/entry/side_links.py
@@ -394,7 +394,9 @@
 
         A link that is up stays even if the list no longer names its VM: the
         list may be outdated or wrong, and a connection is better evidence.
-        A link to a side that is not selected closes once it is idle.
+        A link to a side that is not selected closes once it is idle. The
+        threads of closed links end by themselves, as they may be dialling a
+        VM that is gone.
         """
         selected = self._select_sides(list(self._listed_vms), self._links)
         links = dict(self._links)
@@ -404,10 +406,10 @@
                 continue
             if vm is None or _has_new_address(link.view.vm, vm):
                 del links[name]
-                link.__exit__(None, None, None)
+                link.stop()
             elif name not in selected and not link.view.sent:
                 del links[name]
-                link.__exit__(None, None, None)
+                link.stop()
         for name in selected:
             if name not in links:
                 links[name] = self._open_link(self._listed_vms[name])
--- a/packages/entry/portwharf/entry/side_links_test.py
+++ b/packages/entry/portwharf/entry/side_links_test.py
@@ -213,3 +213,23 @@
 
     threading.Thread(target=send_operations, daemon=True).start()
     case.assertTrue(done.wait(8))
+
+
+def test_removed_side_that_hangs_does_not_hold_up_other_links(case):
+    dialed = queue.Queue()
+    release = threading.Event()
+    case.addCleanup(release.set)
+
+    def dial(vm):
+        dialed.put(vm.name)
+        release.wait(30)
+        raise UnreachableError('not there')
+
+    first = StaticVmList(['side-0'])
+    table = side_links.LinkTable(first, dial, None, clock.SystemClock())
+    case.enterContext(table)
+    case.addCleanup(release.set)
+    case.assertEqual(dialed.get(timeout=10), 'side-0')
+    table._vmlist = StaticVmList(['side-1'])
+    # Fails with queue.Empty if the new side is not dialed.
+    case.assertEqual(dialed.get(timeout=10), 'side-1')
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -108,7 +108,8 @@
                 links[name].__enter__()
         self._links = links
         for link in ended:
-            link.__exit__(None, None, None)
+            # Its thread may be dialling a VM that is gone; it ends by itself.
+            link.stop()
 
     def has_settled(self, now):
         """Tell whether the members have had enough time to report.
--- a/packages/scheduler/portwharf/scheduler/membership_test.py
+++ b/packages/scheduler/portwharf/scheduler/membership_test.py
@@ -6,6 +6,9 @@
 
 import result
 
+from portwharf.core import data
+from portwharf.peers import streams
+from portwharf.scheduler import members
 from portwharf.scheduler import membership
 from portwharf.testing import cluster
 
@@ -74,3 +77,31 @@
     for thread in threads:
         thread.join()
     case.assertTrue(in_time)
+
+
+def test_removed_member_that_hangs_does_not_hold_up_its_owner(case):
+    """A VM that has lost power lets connections to it hang."""
+    made = cluster.Cluster(3)
+    owner = made.nodes[0].owner
+    dialled, let_dial_end, synced = (threading.Event() for _ in range(3))
+    case.addCleanup(let_dial_end.set)
+
+    class HangingLink(members.MemberLink):
+        def dial(self):
+            dialled.set()
+            let_dial_end.wait(20)
+            raise streams.PeerError('not there')
+
+    link = HangingLink(data.Vm('vm-09'), owner).__enter__()
+    case.assertTrue(dialled.wait(10))
+    owner._members._links['vm-09'] = link
+
+    def sync_links():
+        owner._members.sync_links(owner)
+        synced.set()
+
+    threading.Thread(target=sync_links, daemon=True).start()
+    case.assertTrue(synced.wait(8))
+    let_dial_end.set()
+    link._thread.join(10)
+    case.assertFalse(link._thread.is_alive())
