Decide on a takeover without waiting for members that hang

What callers saw: nobody decides for seconds longer than a takeover lasts, if other VMs have lost power together with the owner's.

Cause: the side that takes over asks all others, 16 at a time, and waited for all answers. Connections to a VM without power hang for 1 s each, so that with many of them the query takes seconds, after a majority has answered.

Evidence: the new test failed on the code before: two of three members said that they do not hear the owner, which is a majority, and no claim was made within 8 s while the third one hung.

The query ends once enough members have answered that they do not hear the owner. That is the condition for the claim already, whatever the others say. The query after a restart of all sides still needs every answer.

Ruled out: a thread for each member, a shorter limit for connections.

--- a/packages/scheduler/portwharf/scheduler/takeover.py
+++ b/packages/scheduler/portwharf/scheduler/takeover.py
@@ -310,7 +310,7 @@
         if last_owner is not None and last_owner.name != self._env.name:
             if not _has_heard_no_owner(self._query_member(last_owner)):
                 return
-        tally = self._query_members()
+        tally = self._query_members(len(self._members))
         if tally.unheard + 1 < len(self._members):
             return
         if self._guard.epoch == epoch and not self._guard.has_seen_owner:
@@ -320,8 +320,8 @@
         epoch = self._guard.epoch
         silence = self._guard.measure_silence()
         isolated_wait = self._env.limits.takeover * ISOLATED_FACTOR
-        tally = self._query_members()
         needed = len(self._members) // 2 + 1
+        tally = self._query_members(needed - 1)
         isolated = tally.hearing == 0 and silence >= isolated_wait
         if tally.not_hearing + 1 < needed and not isolated:
             return
@@ -356,15 +356,25 @@
         role.__enter__()
         self._owner = role
 
-    def _query_members(self):
-        """Ask the other members whether they hear the owner."""
+    def _query_members(self, enough):
+        """Ask the other members whether they hear the owner.
+
+        :param enough: how many that do not hear it end the query; members
+            that have lost power may leave each of its threads waiting
+        """
         others = [
             vm for vm in self._members.values() if vm.name != self._env.name
         ]
         tally = _QueryTally()
-        with concurrent.futures.ThreadPoolExecutor(_QUERY_THREADS) as pool:
-            for answer in pool.map(self._query_member, others):
-                tally.count(answer)
+        pool = concurrent.futures.ThreadPoolExecutor(_QUERY_THREADS)
+        try:
+            queries = [pool.submit(self._query_member, vm) for vm in others]
+            for query in concurrent.futures.as_completed(queries):
+                tally.count(query.result())
+                if tally.not_hearing >= enough:
+                    break
+        finally:
+            pool.shutdown(wait=False, cancel_futures=True)
         return tally
 
     def _query_member(self, vm):
--- a/packages/scheduler/portwharf/scheduler/takeover_test.py
+++ b/packages/scheduler/portwharf/scheduler/takeover_test.py
@@ -2,6 +2,8 @@
 # SPDX-License-Identifier: Apache-2.0
 """Which side takes over from a silent owner, and which does not."""
 
+import threading
+
 from portwharf.core import clock
 from portwharf.core import ids
 from portwharf.peers import messages
@@ -240,3 +242,25 @@
     bench = RestartedWatcherBench(make_unheard_answers())
     bench.guard.accept_owner(1, 'vm-00')
     case.assertFalse(bench.poll_at_once())
+
+
+def test_takeover_does_not_wait_for_members_that_hang(case):
+    """A VM that has lost power lets connections to it hang."""
+    names = [vm.name for vm in VMS if vm.name not in ('vm-00', FIRST)]
+    bench = WatcherBench(make_answers(False, *names[:2]))
+    let_dials_end, claimed = threading.Event(), threading.Event()
+    case.addCleanup(let_dials_end.set)
+
+    def dial(vm):
+        if vm.name not in names[:2]:
+            let_dials_end.wait(20)
+        return bench.dial(vm)
+
+    bench.watcher._env.dial = dial
+
+    def poll():
+        if bench.poll_after(LIMITS.takeover + 0.1):
+            claimed.set()
+
+    threading.Thread(target=poll, daemon=True).start()
+    case.assertTrue(claimed.wait(8))
