Do not ask the policy about steps that wait no longer

What callers saw: nothing yet. A step waits longer for its tickets while the policy, which answers one query at a time in 20 ms and more, is asked about steps that were cancelled, have ended or were placed.

Cause: a query waited in the queue until it was sent, whether or not its step still had tasks to place.

Evidence: the new test failed on the code before: the policy was asked about a step that the following pass had no demand of.

Each pass drops the queries about steps that it has no demand of. The order stays that of the first request: by precedence, the first steps, whose tickets expire and are asked for again, could keep the others from being asked.

--- a/packages/scheduler/portwharf/scheduler/policy.py
+++ b/packages/scheduler/portwharf/scheduler/policy.py
@@ -132,6 +132,13 @@
             )
             self._lock.notify()
 
+    def retain(self, steps):
+        """Drop the queries about other steps than these, which may be done."""
+        with self._lock:
+            for step in list(self._pending):
+                if step not in steps:
+                    del self._pending[step]
+
     def find_ticket(self, step, life):
         """Return a ticket that is valid now, or ''."""
         now = self._clock.read_monotonic()
@@ -165,7 +172,7 @@
     def _store_answer(self, query, permits, sent):
         until = sent + query.valid_seconds * _USABLE_FRACTION
         with self._lock:
-            del self._pending[query.step]
+            self._pending.pop(query.step, None)
             known = self._answers.setdefault(query.step, {})
             known.update((life, _Answer()) for life in query.lives)
             for one in permits:
@@ -193,6 +200,7 @@
     :param demands: list of ``backlog.Demand``
     :param views: list of ``vmview.VmView``
     """
+    advisor.retain({demand.record.id for demand in demands})
     for demand in demands:
         workload = demand.record.workload
         if not workload.ticket_ms:
--- a/packages/scheduler/portwharf/scheduler/policy_test.py
+++ b/packages/scheduler/portwharf/scheduler/policy_test.py
@@ -143,3 +143,11 @@
 def test_size_of_a_demand_is_unchanged_by_its_policy(case):
     size = make_demand().record.workload.reserved
     case.assertEqual(size, data.Resources(1000, 1000))
+
+
+def test_policy_is_not_asked_about_steps_that_wait_no_longer(case):
+    advisor, service, _ = open_advisor(FIRST)
+    policy.assign_tickets(advisor, [make_demand()], make_views())
+    policy.assign_tickets(advisor, [], make_views())
+    case.assertTrue(advisor.ask_next())
+    case.assertEqual(service.queries, [])
