--- a/packages/entry/portwharf/entry/owner_client_test.py
+++ b/packages/entry/portwharf/entry/owner_client_test.py
@@ -19,7 +19,7 @@
         self._answer = answer
         self.sent = []
 
-    def send(self, message):
+    def post(self, message):
         """Keep a call, and handle its answer if there is one."""
         self.sent.append(message)
         answer = self._answer(message)
--- a/packages/peers/portwharf/peers/links.py
+++ b/packages/peers/portwharf/peers/links.py
@@ -81,12 +81,13 @@
             conn.close()
 
     def send(self, message, frame=b''):
-        """Send a message; returns False if there is no open connection.
+        """Send a message without waiting for the peer to read.
 
-        :param frame: as for ``streams.Connection.send``
+        :param frame: as for ``streams.Connection.post``
+        :returns: False if there is no open connection
         """
         conn = self._conn
-        return conn is not None and conn.try_send(message, frame)
+        return conn is not None and conn.try_post(message, frame)
 
     def _run(self):
         while not self._stop.is_set():
--- a/packages/scheduler/portwharf/scheduler/membership_test.py
+++ b/packages/scheduler/portwharf/scheduler/membership_test.py
@@ -6,7 +6,9 @@
 
 import result
 
+from portwharf.core import data
 from portwharf.peers import streams
+from portwharf.scheduler import members
 from portwharf.scheduler import membership
 from portwharf.testing import cluster
 
@@ -17,7 +19,7 @@
     def __init__(self):
         self.frames = []
 
-    def try_send(self, message, frame=b''):
+    def try_post(self, message, frame=b''):
         """Record a frame; always succeeds."""
         self.frames.append(frame)
         return True
@@ -117,3 +119,31 @@
     owner._members.view_vms = view_and_count
     owner.step()
     case.assertEqual(len(calls), 1)
+
+
+def test_removed_member_that_hangs_does_not_hold_up_its_owner(case):
+    """A VM that has lost power lets connections to it hang."""
+    made = cluster.Cluster(3)
+    owner = made.nodes[0].owner
+    dialled, let_dial_end, synced = (threading.Event() for _ in range(3))
+    case.addCleanup(let_dial_end.set)
+
+    class HangingLink(members.MemberLink):
+        def dial(self):
+            dialled.set()
+            let_dial_end.wait(20)
+            raise streams.PeerError('not there')
+
+    link = HangingLink(data.Vm('vm-09'), owner).__enter__()
+    case.assertTrue(dialled.wait(10))
+    owner._members._links['vm-09'] = link
+
+    def sync_links():
+        owner._members.sync_links(owner)
+        synced.set()
+
+    threading.Thread(target=sync_links, daemon=True).start()
+    case.assertTrue(synced.wait(8))
+    let_dial_end.set()
+    link._thread.join(10)
+    case.assertFalse(link._thread.is_alive())
