Give a thread to a connection only once it has sent something

What callers saw: calls through an entry wait up to 10 s for a thread while other clients' connections, whose requests are held up by a cut or come later, hold all 24.

Cause: cheroot hands a new connection to a thread as soon as it is accepted, and the thread waits for its first request, up to the server's timeout of 10 s. Only a connection that is kept between two requests waits in the selector.

Evidence: the new test, with one thread and a connection that sends nothing, failed on the code before: a second client had no answer within 8 s.

A new connection waits in the selector as a kept one does, and is closed after the same time. A client that sends a part of a request still holds a thread.

Ruled out: more threads, a shorter timeout (clients may keep connections).

--- a/packages/core/portwharf/core/web.py
+++ b/packages/core/portwharf/core/web.py
@@ -79,6 +79,10 @@
     clock = clock.SystemClock()
 
     def process_conn(self, conn):
+        if conn.last_used is None:
+            # A new connection gets a thread once it has sent something.
+            self._connections.put(conn)
+            return
         conn.queued_at = self.clock.read_monotonic()
         super().process_conn(conn)
 
--- a/packages/core/portwharf/core/web_test.py
+++ b/packages/core/portwharf/core/web_test.py
@@ -4,6 +4,7 @@
 
 import concurrent.futures
 import http.client
+import socket
 import threading
 
 import urllib3
@@ -82,3 +83,18 @@
     case.assertEqual(first.result(20), (200, 'done\n'))
     case.assertEqual(second.result(20), (200, 'done\n'))
     case.assertEqual(waits, [0.0, 7.0])
+
+
+def test_connection_without_a_request_holds_no_thread(case):
+    app = web.StatusPages(lambda: True)
+    server = case.enterContext(web.Server('127.0.0.1', 0, app, threads=1))
+    address = ('127.0.0.1', server.port)
+    conn = socket.create_connection(address)
+    case.addCleanup(conn.close)
+    other = http.client.HTTPConnection(*address, timeout=8)
+    other.request('GET', '/healthz')
+    case.assertEqual(other.getresponse().status, 200)
+    # A request that comes late is answered as well.
+    conn.settimeout(8)
+    conn.sendall(b'GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n')
+    case.assertIn(b'200 OK', conn.recv(100))
