--- a/packages/entry/portwharf/entry/side_links_test.py
+++ b/packages/entry/portwharf/entry/side_links_test.py
@@ -13,6 +13,7 @@
 from portwharf.entry import side_subset
 from portwharf.peers import messages
 from portwharf.peers import streams
+from portwharf.peers import streams_test
 from portwharf.scheduler import configuration
 from portwharf.testing import relay
 
@@ -195,3 +196,40 @@
     # Fails with queue.Empty if the owner is not dialed.
     while dialed.get(timeout=10) != owner:
         continue
+
+
+def test_side_that_does_not_read_does_not_hold_up_calls(case):
+    """A call waits for its answer, and no longer than its caller."""
+    vm = data.Vm('side-0')
+    link = side_links.SideLink(vm, None, None, clock.SystemClock())
+    link._conn, _ = streams_test.make_slow_pair(case)
+
+    done = threading.Event()
+
+    def send_operations():
+        for _ in range(100):
+            link.send_request(messages.Operation(body=bytes(2000)))
+        done.set()
+
+    threading.Thread(target=send_operations, daemon=True).start()
+    case.assertTrue(done.wait(8))
+
+
+def test_removed_side_that_hangs_does_not_hold_up_other_links(case):
+    dialed = queue.Queue()
+    release = threading.Event()
+    case.addCleanup(release.set)
+
+    def dial(vm):
+        dialed.put(vm.name)
+        release.wait(30)
+        raise UnreachableError('not there')
+
+    first = StaticVmList(['side-0'])
+    table = side_links.LinkTable(first, dial, None, clock.SystemClock())
+    case.enterContext(table)
+    case.addCleanup(release.set)
+    case.assertEqual(dialed.get(timeout=10), 'side-0')
+    table._vmlist = StaticVmList(['side-1'])
+    # Fails with queue.Empty if the new side is not dialed.
+    case.assertEqual(dialed.get(timeout=10), 'side-1')
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -109,9 +109,10 @@
         self._timer.mark('members')
         self._relieve_services(batch)
         self._timer.mark('relieve')
-        self._place_tasks(batch)
+        views = self._place_tasks(batch)
         self._drop_expired(batch)
-        self._update_roster(batch)
+        if views is not None:
+            self._update_roster(views, batch)
         self._timer.mark('finish')
         return batch
 
@@ -373,6 +374,10 @@
                     continue
                 event = events.TaskRequeued(task.id, task.attempt)
                 decisionlog.log_lost_attempt(task, name)
+                # The side may only have been slow, and reports on the same
+                # connection only what has changed.
+                command = reconcile.make_stop(self._state, task, False)
+                batch.send(self._members.get_link(name), command)
                 self._apply_event(batch, event)
                 decision = pass_inputs.explain_loss(task, name, now_ms)
                 self._apply_event(batch, events.DecisionMade(decision))
@@ -437,23 +442,28 @@
         batch.send(self._members.get_link(task.vm), command)
 
     def _place_tasks(self, batch):
-        """Place waiting tasks."""
+        """Place waiting tasks.
+
+        :returns: list of ``vmview.VmView`` as the pass has left them, or None
+            if nothing may be placed now
+        """
         now = self._env.clock.read_monotonic()
         if not self._may_place(now):
-            return
-        views = self._members.view_vms()
+            return None
+        now_ms = self._env.clock.read_unix_ms()
+        weigher = precedence.Weigher(self._state, now_ms, self.runtimes)
+        views = self._members.view_vms(weigher)
         self._crashloops.mark_unstable(views)
         self._timer.mark('views')
         self._resolve_prepared_tasks(batch, views, now)
         if not self._members.has_recent_zones(now):
             # While the closed zones are unknown, only prepared tasks start;
             # their sides refuse those in zones that they know are closed.
-            return
+            return views
         quotas = self._env.keeper.read().quotas
-        demands = self._list_demands(now)
+        demands = self._list_demands(now, now_ms, weigher)
         if self._advisor is not None:
             policy.assign_tickets(self._advisor, demands, views)
-        now_ms = self._env.clock.read_unix_ms()
         self._timer.mark('demands')
         done = pass_inputs.plan(
             self._state,
@@ -479,22 +489,22 @@
                 (task.id, task.attempt), now
             )
             command = reconcile.make_start(
-                self._state, task, placed.ticket, self.runtimes
+                self._state, task, placed.ticket, weigher
             )
             batch.send(self._members.get_link(placed.vm), command)
         self._timer.mark('starts')
-        self._move_stuck_tasks(views, now, batch)
+        self._move_stuck_tasks(views, now, weigher, batch)
         self._timer.mark('move')
         self._evict_for_waiting(done, views, quotas, batch)
         self._timer.mark('evict')
-        self._prepare_tasks(done, batch)
+        self._prepare_tasks(done, views, batch)
         self._timer.mark('prepare')
         metrics.PLACEMENTS.inc(len(done.placements))
+        return views
 
-    def _move_stuck_tasks(self, views, now, batch):
+    def _move_stuck_tasks(self, views, now, weigher, batch):
         """Move filling tasks that make little progress to better VMs."""
         now_ms = self._env.clock.read_unix_ms()
-        weigher = precedence.Weigher(self._state, now_ms, self.runtimes)
         links = self._members.list_links()
         stalled = task_moves.find_stalled_tasks(
             self._state,
@@ -507,12 +517,12 @@
             self._move_history.record_move(task.id, task.vm, now)
             self._evict_task(task, task_moves.REASON_STALLED, now_ms, batch)
 
-    def _list_demands(self, now):
+    def _list_demands(self, now, now_ms, weigher):
         demands = pass_inputs.list_demands(
             self._state,
             lambda workload: self._health.list_avoided(workload, now),
-            self._env.clock.read_unix_ms(),
-            self.runtimes,
+            now_ms,
+            weigher,
         )
         origins = self._move_history.list_recent_origins(now)
         held = self._crashloops.list_held_back()
@@ -563,21 +573,20 @@
                 link = self._members.get_link(event.vm)
                 batch.send_before_commit(link, command)
 
-    def _prepare_tasks(self, done, batch):
+    def _prepare_tasks(self, done, views, batch):
         """Commit some starts in advance, for an outage of the store."""
         if not done.waiting:
             return
-        views = self._members.view_vms()
         for event in self.preparation.prepare_tasks(done.ordered, views):
             self._apply_event(batch, event)
 
-    def _update_roster(self, batch):
+    def _update_roster(self, views, batch):
         """Update the roster when services have moved."""
         now = self._env.clock.read_monotonic()
         if not self._may_place(now):
             return
         event, has_changed = self.rosters.update(
-            self._members.view_vms(),
+            views,
             self._env.clock.read_unix_ms(),
             lambda vm: self._grants.has_lapsed(vm, now),
         )
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -8,6 +8,7 @@
 
 from portwharf.core import data
 from portwharf.peers import messages
+from portwharf.peers import streams
 from portwharf.scheduler.decisions import pass_inputs
 from portwharf.scheduler.decisions import precedence
 from portwharf.scheduler.decisions import vmview
@@ -108,7 +109,8 @@
                 links[name].__enter__()
         self._links = links
         for link in ended:
-            link.__exit__(None, None, None)
+            # Its thread may be dialling a VM that is gone; it ends by itself.
+            link.stop()
 
     def has_settled(self, now):
         """Tell whether the members have had enough time to report.
@@ -144,10 +146,13 @@
         listed = self._listed.get(name)
         return listed is not None and listed.state != data.VmState.LIVE
 
-    def view_vms(self):
-        """Return a ``vmview.VmView`` of each member, for placement."""
+    def view_vms(self, weigher=None):
+        """Return a ``vmview.VmView`` of each member, for placement.
+
+        :param weigher: the ``precedence.Weigher`` of the pass, or None
+        """
         now = self._env.clock.read_monotonic()
-        weigher = precedence.Weigher(
+        weigher = weigher or precedence.Weigher(
             self._state, self._env.clock.read_unix_ms(), self._runtimes
         )
         views = []
@@ -289,9 +294,10 @@
         return self._env.zones.is_known_since(oldest)
 
     def announce(self, message):
-        """Send a message to all members."""
+        """Send a message, encoded once, to all members."""
+        frame = streams.encode_frame(message)
         for link in self.list_links():
-            link.send(message)
+            link.send(message, frame)
 
     def make_resignation(self, epoch, now):
         """Return the message that hands the shard over to a successor."""
--- a/packages/scheduler/portwharf/scheduler/membership_test.py
+++ b/packages/scheduler/portwharf/scheduler/membership_test.py
@@ -6,10 +6,25 @@
 
 import result
 
+from portwharf.core import data
+from portwharf.peers import streams
+from portwharf.scheduler import members
 from portwharf.scheduler import membership
 from portwharf.testing import cluster
 
 
+class Conn:
+    """Records the frames that are sent on a member's connection."""
+
+    def __init__(self):
+        self.frames = []
+
+    def try_post(self, message, frame=b''):
+        """Record a frame; always succeeds."""
+        self.frames.append(frame)
+        return True
+
+
 def open_members(size, granted):
     """Return the membership of a new owner, and when it began.
 
@@ -74,3 +89,61 @@
     for thread in threads:
         thread.join()
     case.assertTrue(in_time)
+
+
+def test_announcement_is_not_encoded_anew_for_each_member(case):
+    members, _ = open_members(4, 4)
+    message = members._env.zones.make_update()
+    for link in members.list_links():
+        link._conn = Conn()
+    members.announce(message)
+    frames = [
+        frame for link in members.list_links() for frame in link._conn.frames
+    ]
+    case.assertEqual(frames, [streams.encode_frame(message)] * 4)
+    case.assertEqual(len({id(frame) for frame in frames}), 1)
+
+
+def test_pass_does_not_view_all_vms_more_than_once(case):
+    made = cluster.Cluster(3)
+    made.submit(20)
+    made.run(4)
+    owner = made.nodes[0].owner
+    case.assertTrue(owner._decider.waiting)
+    view_vms, calls = owner._members.view_vms, []
+
+    def view_and_count(weigher):
+        calls.append(1)
+        return view_vms(weigher)
+
+    owner._members.view_vms = view_and_count
+    owner.step()
+    case.assertEqual(len(calls), 1)
+
+
+def test_removed_member_that_hangs_does_not_hold_up_its_owner(case):
+    """A VM that has lost power lets connections to it hang."""
+    made = cluster.Cluster(3)
+    owner = made.nodes[0].owner
+    dialled, let_dial_end, synced = (threading.Event() for _ in range(3))
+    case.addCleanup(let_dial_end.set)
+
+    class HangingLink(members.MemberLink):
+        def dial(self):
+            dialled.set()
+            let_dial_end.wait(20)
+            raise streams.PeerError('not there')
+
+    link = HangingLink(data.Vm('vm-09'), owner).__enter__()
+    case.assertTrue(dialled.wait(10))
+    owner._members._links['vm-09'] = link
+
+    def sync_links():
+        owner._members.sync_links(owner)
+        synced.set()
+
+    threading.Thread(target=sync_links, daemon=True).start()
+    case.assertTrue(synced.wait(8))
+    let_dial_end.set()
+    link._thread.join(10)
+    case.assertFalse(link._thread.is_alive())
--- a/packages/testing/portwharf/testing/cluster_fakes.py
+++ b/packages/testing/portwharf/testing/cluster_fakes.py
@@ -384,13 +384,16 @@
             raise streams.PeerError('closed')
         self._outgoing.append(message)
 
-    def try_send(self, message):
+    def try_send(self, message, frame=b''):
         """Queue a message; returns False if the pipe is closed."""
         if self._pipe.closed:
             return False
         self._outgoing.append(message)
         return True
 
+    post = send
+    try_post = try_send
+
     def close(self):
         """Close the pipe; queued messages may still be delivered."""
         self._pipe.closed = True
