Do not tell a caller that an accepted job never runs

What callers saw: 503 for a job that was sent again while the append that accepts it was stalled, or when the owner that had accepted it ended. A 503 says that the job never runs, and it did run.

Cause: a call that is refused without being executed (the owner accepts no calls, a stalled append, the end of an owner, a wait of 8 s) is answered "not accepted", whatever became of an earlier sending. Only the refusal for a long pass looked whether the job is accepted.

A refusal of a job that is in the state, logged or not, is now answered "outcome unknown", in the one place that all answers to calls pass, so that the caller sends it once more.

Ruled out: taking such calls in while an append is stalled; nothing is decided then, and the entry would wait for its whole deadline.

--- a/packages/scheduler/portwharf/scheduler/operator_api.py
+++ b/packages/scheduler/portwharf/scheduler/operator_api.py
@@ -175,19 +175,23 @@
         :param answer: called with Ok(a data class of ``operations``), or
             Err(Problem)
         """
+
+        def respond(outcome):
+            answer(self._correct_refusal(method, arguments, outcome))
+
         if not self._owner.accepts_calls():
-            answer(result.Err(pending_calls.make_stalled_problem()))
+            respond(result.Err(pending_calls.make_stalled_problem()))
             return
         if self._is_too_late(deadline) and not self._is_accepted(
             method, arguments
         ):
             metrics.REFUSED_CALLS.inc()
-            answer(result.Err(pending_calls.make_busy_problem()))
+            respond(result.Err(pending_calls.make_busy_problem()))
             return
         called = batches.OperatorCall(
             concurrent.futures.Future(), method, arguments, deadline
         )
-        self._pending.add(called.fut, answer)
+        self._pending.add(called.fut, respond)
         self._owner.take_call(called)
 
     def _is_too_late(self, deadline):
@@ -204,6 +208,19 @@
         """
         return method == 'submit-job' and arguments.job.id in self._state.jobs
 
+    def _correct_refusal(self, method, arguments, outcome):
+        """Return a call's outcome, which is unknown if its job may run.
+
+        :param outcome: Ok(answer), or Err(Problem)
+        """
+        if (
+            outcome.is_err()
+            and outcome.err_value.code == 'not-accepted'
+            and self._is_accepted(method, arguments)
+        ):
+            return result.Err(pending_calls.make_unknown_problem())
+        return outcome
+
     def _report_shard(self, views):
         """Return the shard's ``operations.ShardReport``.
 
--- a/packages/scheduler/portwharf/scheduler/pending_calls.py
+++ b/packages/scheduler/portwharf/scheduler/pending_calls.py
@@ -93,7 +93,7 @@
             if left > 0:
                 return left
             if not fut.cancel():
-                self._respond(fut, result.Err(_make_unknown_outcome()))
+                self._respond(fut, result.Err(make_unknown_problem()))
 
     def _complete(self, fut):
         if fut.cancelled():
@@ -144,7 +144,7 @@
     )
 
 
-def _make_unknown_outcome():
+def make_unknown_problem():
     return data.Problem(
         'outcome-unknown',
         text='the store has not confirmed the change; it may be in force',
--- a/packages/side/portwharf/side/server_test.py
+++ b/packages/side/portwharf/side/server_test.py
@@ -243,6 +243,33 @@
     case.assertEqual(list(made.read_state().jobs), [make_job_id(1)])
 
 
+def test_job_that_may_be_logged_is_not_refused_when_sent_again(case):
+    """While its append is stalled, and when its owner ends."""
+    made, node, conn = make_owner(case)
+    conn.to_side.put(make_submission(1))
+    items = wait_for_calls(node.owner, 1)
+    made.fake.faults.down = True
+    case.assertIs(node.owner.step(items), batches.StepResult.STALLED)
+    again = dataclasses.replace(make_submission(1), id=2)
+    conn.to_side.put(again)
+    for item in wait_for_calls(node.owner, 1):
+        node.owner.take_call(item)
+    node.owner.serve_stalled()
+    case.assertEqual(list_results(conn, 1), {2: 'unknown'})
+    made.time.advance(1)
+    conn.to_side.put(dataclasses.replace(again, id=3))
+    case.assertEqual(list_results(conn, 1), {3: 'unknown'})
+    made.fake.faults.down = False
+    case.assertIs(node.owner.step(), batches.StepResult.DONE)
+    case.assertEqual(list_results(conn, 1), {1: 'ok'})
+    conn.to_side.put(dataclasses.replace(again, id=4))
+    for item in wait_for_calls(node.owner, 1):
+        node.owner.take_call(item)
+    node.owner._refuse_inbox()
+    case.assertEqual(list_results(conn, 1), {4: 'unknown'})
+    case.assertIn(make_job_id(1), made.read_state().jobs)
+
+
 def test_entry_that_does_not_read_does_not_hold_up_grants(case):
     """The thread that reads the owner's grants tells entries of rosters."""
     made = cluster.Cluster(2)
