A slow append of calls ends the pass

What was seen: in the simulated cluster, an owner that was frozen for 3.5 s while it logged calls took all VMs for lost as soon as it went on. It requeued every task that may overlap and every replica, and told their sides to stop them.

Cause: the other decisions of a split pass follow the append of the calls at once. What a pass reads before it decides (whether this is still the owner, the reports that wait) is as old as that append, while the silence of the members is measured against the time after it. In a pass of one entry nothing is decided between an append and the next reading.

If the first entry takes longer than STALL_SECONDS, the step now ends as it does after a stalled one: the next pass confirms the ownership, takes in what has come, and makes the decisions that are due, without being split.

Ruled out: ending the step after every first entry; calls that come meanwhile would then be answered after the decisions instead of before the next ones.

--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -371,11 +371,16 @@
             self._event_count = 0
             if self._must_answer_first(items):
                 self._rest_due = True
+                began = self.read_clock()
                 self._make_batch(self._decider.process_items, items)
                 step = self._finish_batch()
-                if step is not batches.StepResult.DONE:
-                    # The pass after this entry has the reports that come until
-                    # it is logged.
+                took_seconds = self.read_clock() - began
+                if (
+                    step is not batches.StepResult.DONE
+                    or took_seconds > STALL_SECONDS
+                ):
+                    # The pass after this entry confirms the ownership again,
+                    # and has the reports that come until the entry is logged.
                     return step
                 items = []
             self._rest_due = False
--- a/packages/scheduler/portwharf/scheduler/slow_passes_test.py
+++ b/packages/scheduler/portwharf/scheduler/slow_passes_test.py
@@ -246,6 +246,38 @@
     case.assertIsInstance(fut.value, operations.Accepted)
 
 
+def test_owner_frozen_while_it_logs_calls_takes_no_vm_for_lost(case):
+    made, leader, slow = make_slow_owner(case)
+    made.submit(6, overlap_allowed=True)
+    run_step(made)
+    deliver(made)
+    held = count_placed(made)
+    case.assertEqual(held, 6)
+    append = leader._log.append
+
+    def append_and_freeze(chunk):
+        logged = append(chunk)
+        made.time.advance(cluster.LIMITS.unreachable + 0.5)
+        return logged
+
+    fut = submit(made)
+    with mock.patch.object(leader._log, 'append', append_and_freeze):
+        case.assertIs(run_step(made), batches.StepResult.DONE)
+    case.assertIsInstance(fut.value, operations.Accepted)
+    # What the sides sent meanwhile.
+    deliver(made)
+    slow.answered.clear()
+    case.assertIs(run_step(made), batches.StepResult.DONE)
+    case.assertEqual(len(slow.answered), 1)
+    state = made.read_state()
+    attempts = {
+        task.attempt
+        for tasks in state.held.values()
+        for task in tasks.values()
+    }
+    case.assertEqual((count_placed(made), attempts), (held, {1}))
+
+
 def test_deposed_owner_answers_and_places_nothing(case):
     made, leader, slow = make_slow_owner(case)
     made.nodes[1].claim()
