--- a/packages/scheduler/portwharf/scheduler/operator_api.py
+++ b/packages/scheduler/portwharf/scheduler/operator_api.py
@@ -183,15 +183,19 @@
         :param answer: called with Ok(a data class of ``operations``), or
             Err(Problem)
         """
+
+        def respond(outcome):
+            answer(self._correct_refusal(called, outcome))
+
         if not self._owner.accepts_calls():
-            answer(result.Err(pending_calls.make_stalled_problem()))
+            respond(result.Err(pending_calls.make_stalled_problem()))
         elif self._is_too_late(called.deadline) and not self._is_accepted(
-            called.method, called.arguments
+            called
         ):
             metrics.REFUSED_CALLS.inc()
-            answer(result.Err(pending_calls.make_busy_problem()))
+            respond(result.Err(pending_calls.make_busy_problem()))
         else:
-            self._pending.add(called.fut, answer, received_at)
+            self._pending.add(called.fut, respond, received_at)
             self._owner.take_call(called)
 
     def _is_too_late(self, deadline):
@@ -200,13 +204,29 @@
         wait_seconds = self._owner.estimate_wait_seconds()
         return wait_seconds > _MAX_WAIT_FACTOR * left_seconds
 
-    def _is_accepted(self, method, arguments):
+    def _is_accepted(self, called):
         """Tell whether a call submits a job that is accepted already.
 
         An earlier sending of it may not have been answered: to refuse this one
         would let its caller believe that the job never runs.
         """
-        return method == 'submit-job' and arguments.job.id in self._state.jobs
+        return (
+            called.method == 'submit-job'
+            and called.arguments.job.id in self._state.jobs
+        )
+
+    def _correct_refusal(self, called, outcome):
+        """Return a call's outcome, which is unknown if its job may run.
+
+        :param outcome: Ok(answer), or Err(Problem)
+        """
+        if (
+            outcome.is_err()
+            and outcome.err_value.code == 'not-accepted'
+            and self._is_accepted(called)
+        ):
+            return result.Err(pending_calls.make_unknown_problem())
+        return outcome
 
     def _report_shard(self, views):
         """Return the shard's ``operations.ShardReport``.
