Do not refuse a job at once whose earlier sending waits

What a caller could see: 504 for a job, then 503 for its next sending through another entry, which says that it never runs; and it runs.

Cause: an owner's deadline for a call begins when it reads the call, later than the entry's, by a slow link or a pause of the process. So an earlier sending may still wait there when the next one comes, and the refusal at once looked only for jobs that are in the state.

Evidence: the test failed before: the second sending was refused.

The pending calls know the jobs that they submit. A sending of one of them is taken, and a refusal that has to be is answered 'outcome unknown'.

--- a/packages/scheduler/portwharf/scheduler/operator_api.py
+++ b/packages/scheduler/portwharf/scheduler/operator_api.py
@@ -189,13 +189,12 @@
 
         if not self._owner.accepts_calls():
             respond(result.Err(pending_calls.make_stalled_problem()))
-        elif self._is_too_late(called.deadline) and not self._is_accepted(
-            called
-        ):
+        elif self._is_too_late(called.deadline) and not self._may_run(called):
             metrics.REFUSED_CALLS.inc()
             respond(result.Err(pending_calls.make_busy_problem()))
         else:
-            self._pending.add(called.fut, respond, received_at)
+            job = _find_submitted_job(called)
+            self._pending.add(called.fut, respond, received_at, job)
             self._owner.take_call(called)
 
     def _is_too_late(self, deadline):
@@ -204,15 +203,15 @@
         wait_seconds = self._owner.estimate_wait_seconds()
         return wait_seconds > _MAX_WAIT_FACTOR * left_seconds
 
-    def _is_accepted(self, called):
-        """Tell whether a call submits a job that is accepted already.
+    def _may_run(self, called):
+        """Tell whether a call submits a job that may run by another sending.
 
-        An earlier sending of it may not have been answered: to refuse this one
-        would let its caller believe that the job never runs.
+        That one may not have been answered: to refuse this one would let its
+        caller believe that the job never runs.
         """
-        return (
-            called.method == 'submit-job'
-            and called.arguments.job.id in self._state.jobs
+        job = _find_submitted_job(called)
+        return bool(job) and (
+            self._pending.has_submission(job) or job in self._state.jobs
         )
 
     def _correct_refusal(self, called, outcome):
@@ -223,7 +222,7 @@
         if (
             outcome.is_err()
             and outcome.err_value.code == 'not-accepted'
-            and self._is_accepted(called)
+            and self._may_run(called)
         ):
             return result.Err(pending_calls.make_unknown_problem())
         return outcome
@@ -280,6 +279,13 @@
         called.fut.set_result(pending_calls.make_stalled_problem())
 
 
+def _find_submitted_job(called):
+    """Return the id of the job that a call submits, or ''."""
+    if called.method != 'submit-job':
+        return ''
+    return called.arguments.job.id
+
+
 def _find_deadline(operation, received_at):
     """Return until when a call may be begun, by the owner's clock."""
     if operation.method in CANCELS or operation.left_ms <= 0:
--- a/packages/scheduler/portwharf/scheduler/operator_api_test.py
+++ b/packages/scheduler/portwharf/scheduler/operator_api_test.py
@@ -128,6 +128,18 @@
     case.assertEqual(busy.taken, ['submit-job'])
 
 
+def test_job_that_waits_is_not_refused_when_sent_again(case):
+    api, busy = make_api()
+    results = []
+    api.execute_operation(make_call('submit-job'), results.append)
+    busy.wait_seconds = 1000.0
+    case.assertEqual(execute(api, make_call('submit-job')), [])
+    busy.accepts_calls = lambda: False
+    (answer,) = execute(api, make_call('submit-job'))
+    case.assertEqual(answer.status, 'unknown')
+    case.assertEqual((busy.taken, results), (['submit-job'] * 2, []))
+
+
 def test_wait_of_a_call_begins_when_its_message_came(case):
     def read_sum():
         return prometheus_client.REGISTRY.get_sample_value(
--- a/packages/scheduler/portwharf/scheduler/pending_calls.py
+++ b/packages/scheduler/portwharf/scheduler/pending_calls.py
@@ -24,11 +24,13 @@
 
     :param received_at: when it came, on the owner's monotonic clock
     :param due: by when it is answered, on that clock
+    :param job: the id of the job that it submits, or ''
     """
 
     respond: object = None
     received_at: float = 0.0
     due: float = 0.0
+    job: str = ''
 
 
 class PendingCalls:
@@ -62,7 +64,7 @@
         for fut in futures:
             fut.cancel()
 
-    def add(self, fut, respond, received_at=None):
+    def add(self, fut, respond, received_at=None, job=''):
         """Have a call answered when its future is done or it times out.
 
         :param fut: the ``concurrent.futures.Future`` of the call, whose result
@@ -71,13 +73,14 @@
             thread; must not block
         :param received_at: when the call came, by the owner's monotonic
             clock; None for now
+        :param job: the id of the job that it submits, or ''
         """
         now = self._clock.read_monotonic()
         if received_at is None:
             received_at = now
         with self._changed:
             self._calls[fut] = _PendingCall(
-                respond, received_at, now + CALL_TIMEOUT_SECONDS
+                respond, received_at, now + CALL_TIMEOUT_SECONDS, job
             )
             closed = self._closed
             self._changed.notify()
@@ -85,6 +88,11 @@
         if closed:
             fut.cancel()
 
+    def has_submission(self, job):
+        """Tell whether a call that submits this job is pending."""
+        with self._changed:
+            return any(call.job == job for call in self._calls.values())
+
     def expire(self):
         """Answer the calls that have waited for too long.
 
