Task moves: list a workload's destinations once, not for each stalled task

Passes over 160 VMs took so long that clients' calls timed out.

Cause: every stalled task was compared with all VMs, also where no pace could make its move worthwhile and though the tasks of one step are alike: 19 % of the time of a busy owner's passes by now (profile: 32 tasks a pass).

A task that would not gain by a move to a VM at full pace is skipped. The VMs with room for a step's tasks are listed once, best pace first, until a move changes a view. The result is the same: whether a move is worthwhile only grows with the pace, and VMs of equal pace keep their order.

The test fails if destinations are kept after a move.

Ruled out: looking only at some of the stalled tasks in a pass, which would move others.

--- a/packages/scheduler/portwharf/scheduler/decisions/task_moves.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/task_moves.py
@@ -13,6 +13,7 @@
 import dataclasses
 
 from portwharf.core import data
+from portwharf.core import ids
 from portwharf.scheduler.decisions import precedence
 
 REASON_STALLED = 'hardly-works-there'
@@ -139,38 +140,56 @@
         added to them
     """
     chosen = []
+    # Tasks of one workload have the same destinations, until a move changes
+    # one of the views.
+    destinations = {}
     for entry in stalled:
         if len(chosen) >= MAX_MOVES_PER_PASS:
             break
-        destination = _find_destination(entry, views)
+        if not _is_worthwhile(entry, 1.0):
+            continue
+        name = ids.split_task_id(entry.task.id)
+        if name not in destinations:
+            destinations[name] = _list_destinations(entry, views)
+        destination = _pick_destination(entry, destinations[name])
         if destination is not None:
             destination.add_task(entry.workload, entry.weight)
+            destinations.clear()
             chosen.append(entry.task)
     return chosen
 
 
-def _find_destination(entry, views):
-    """Return the view that gives a stalled task the best pace, or None."""
+def _list_destinations(entry, views):
+    """Return the views with room for a stalled task, the best pace first.
+
+    :returns: list of (pace, view)
+    """
     workload = entry.workload
-    best, best_pace = None, 0.0
+    found = []
     for view in views:
-        idle_milli = view.capacity.cpu_milli - view.busy_milli
-        if view.closed or view.suspects or view.vm.name == entry.task.vm:
+        if view.closed or view.suspects:
             continue
-        if not workload.reserved.fits(view.room):
+        idle_milli = view.capacity.cpu_milli - view.busy_milli
+        if workload.resources.cpu_milli > idle_milli:
             continue
-        if workload.resources.cpu_milli > idle_milli or not view.suits(
-            workload
-        ):
+        if not workload.reserved.fits(view.room) or not view.suits(workload):
             continue
         pace = view.predict_pace(workload, entry.weight)
-        if (
-            pace >= MIN_DESTINATION_PACE
-            and pace > best_pace
-            and _is_worthwhile(entry, pace)
-        ):
-            best, best_pace = view, pace
-    return best
+        if pace >= MIN_DESTINATION_PACE:
+            found.append((pace, view))
+    found.sort(key=lambda row: -row[0])
+    return found
+
+
+def _pick_destination(entry, destinations):
+    """Return the view that gives a stalled task the best pace, or None.
+
+    :param destinations: as :func:`_list_destinations` returns them
+    """
+    for pace, view in destinations:
+        if view.vm.name != entry.task.vm:
+            return view if _is_worthwhile(entry, pace) else None
+    return None
 
 
 def _is_worthwhile(entry, pace):
--- a/packages/scheduler/portwharf/scheduler/decisions/task_moves_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/task_moves_test.py
@@ -119,6 +119,30 @@
     case.assertEqual(len(task_moves.choose_moves(saved, views)), 1)
 
 
+def find_two_stalled_tasks():
+    """Return two stalled tasks of one step, on vm-1."""
+    step = data.Workload(count=2, resources=SIZE, fills=True, image='plan')
+    shard_state = state.ShardState()
+    shard_state.apply(events.JobAccepted(1, data.Job(ID, steps=[step])))
+    paced = []
+    for number in range(2):
+        task = f'{ID}.0.0.{number}'
+        shard_state.apply(events.TaskPlaced(task, 1, 'vm-1'))
+        paced.append(messages.PacedTask(task, 1, 3))
+    link = Link('vm-1', View(paced))
+    return task_moves.find_stalled_tasks(
+        shard_state, [link], lambda _: 0.0, 10.0
+    )
+
+
+def test_second_task_does_not_move_into_room_that_the_first_took(case):
+    stalled = find_two_stalled_tasks()
+    views = [make_view('vm-2', filling_milli=12_000), make_view('vm-1')]
+    case.assertEqual(len(task_moves.choose_moves(stalled, views)), 1)
+    both = [make_view(filling_milli=12_000) for _ in range(2)]
+    case.assertEqual(len(task_moves.choose_moves(stalled, both)), 2)
+
+
 def test_moved_task_does_not_return_at_once(case):
     """The VM that it came from looks best, as its share there is free."""
     history = task_moves.MoveHistory()
