--- a/packages/entry/portwharf/entry/side_links.py
+++ b/packages/entry/portwharf/entry/side_links.py
@@ -188,6 +188,13 @@
         self._forget(message.id)
         self.send(messages.Withdraw(message.id))
 
+    def forget(self, message):
+        """Stop waiting for the answer to an operation.
+
+        An answer that still comes is ignored.
+        """
+        self._forget(message.id)
+
     def send_heartbeat(self, revision=NO_CONFIG_WANTED):
         """Send a heartbeat, which keeps the connection open.
 
@@ -198,7 +205,7 @@
 
     def _send(self, conn, message, payload):
         if not isinstance(message, messages.Request):
-            conn.send(message)
+            conn.post(message)
             return
         size = streams.CHUNK_BYTES
         message.size = len(payload)
@@ -229,7 +236,7 @@
             return
         exchange = self._exchanges.get(getattr(message, 'id', None))
         if exchange is None:
-            # This answers a request that was withdrawn.
+            # This answers a request that was withdrawn or given up.
             return
         if isinstance(message, messages.Answer):
             self.view.state.in_flight = message.in_flight
@@ -394,7 +401,9 @@
 
         A link that is up stays even if the list no longer names its VM: the
         list may be outdated or wrong, and a connection is better evidence.
-        A link to a side that is not selected closes once it is idle.
+        A link to a side that is not selected closes once it is idle. The
+        threads of closed links end by themselves, as they may be dialling a
+        VM that is gone.
         """
         selected = self._select_sides(list(self._listed_vms), self._links)
         links = dict(self._links)
@@ -404,10 +413,10 @@
                 continue
             if vm is None or _has_new_address(link.view.vm, vm):
                 del links[name]
-                link.__exit__(None, None, None)
+                link.stop()
             elif name not in selected and not link.view.sent:
                 del links[name]
-                link.__exit__(None, None, None)
+                link.stop()
         for name in selected:
             if name not in links:
                 links[name] = self._open_link(self._listed_vms[name])
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -26,6 +26,8 @@
 from portwharf.scheduler import job_operations
 from portwharf.scheduler import metrics
 from portwharf.scheduler import operations
+from portwharf.scheduler import pass_timing
+from portwharf.scheduler import pending_calls
 from portwharf.scheduler import policy
 from portwharf.scheduler import prepared_starts
 from portwharf.scheduler import reconcile
@@ -40,7 +42,9 @@
 class Decider:
     """Makes the decisions of one owner."""
 
-    def __init__(self, env, state, grant_table, health, advisor=None):
+    def __init__(
+        self, env, state, grant_table, health, advisor=None, timer=None
+    ):
         """Take the owner's environment and state.
 
         :param env: an ``environment.Environment``
@@ -48,7 +52,9 @@
         :param grant_table: a ``grants.GrantTable``
         :param health: a ``health.WorkerHealthTracker``
         :param advisor: a ``policy.TicketCache``, or None
+        :param timer: a ``pass_timing.PassTimer``, or None
         """
+        self._timer = timer or pass_timing.PassTimer(env.clock)
         self._advisor = advisor
         self._env = env
         self._state = state
@@ -90,15 +96,7 @@
             None only triggers the pass
         :returns: a ``batches.Batch``
         """
-        batch = batches.Batch()
-        self._views = None
-        for item in items:
-            if isinstance(item, batches.ReportsItem):
-                self._process_reports(item, batch)
-            elif isinstance(item, batches.MeasurementsItem):
-                self._record_measures(item)
-            elif item is not None:
-                self._execute_call(item, batch)
+        batch = self.process_items(items)
         self._crashloops.resolve_suspects(
             batch, self._apply_event, self._handle_task_end
         )
@@ -108,11 +106,36 @@
         self._update_members(batch)
         self._requeue_lost_tasks(batch)
         self._drain_leaving_vms(batch)
+        self._timer.mark('members')
         self._relieve_services(batch)
+        self._timer.mark('relieve')
         views = self._place_tasks(batch)
         self._drop_expired(batch)
         if views is not None:
             self._update_roster(views, batch)
+        self._timer.mark('finish')
+        return batch
+
+    def process_items(self, items):
+        """Process items from the inbox, and decide nothing else.
+
+        :param items: as for :meth:`decide`, which must follow
+        :returns: a ``batches.Batch``
+        """
+        batch = batches.Batch()
+        self._views = None
+        dropped = 0
+        for item in items:
+            if isinstance(item, batches.ReportsItem):
+                self._process_reports(item, batch)
+            elif isinstance(item, batches.MeasurementsItem):
+                self._record_measures(item)
+            elif item is not None and not self._execute_call(item, batch):
+                dropped += 1
+        if dropped:
+            metrics.DROPPED_CALLS.inc(dropped)
+            decisionlog.log_dropped_calls(dropped)
+        self._timer.mark('items')
         return batch
 
     def _process_reports(self, item, batch):
@@ -283,9 +306,13 @@
         """Execute an operator's call unless its caller has given up.
 
         :param item: a ``batches.OperatorCall``
+        :returns: whether it was executed
         """
         if not item.fut.set_running_or_notify_cancel():
-            return
+            return False
+        if self._env.clock.read_monotonic() > item.deadline:
+            item.fut.set_result(pending_calls.make_expired_problem())
+            return False
         now_ms = self._env.clock.read_unix_ms()
         if item.method == 'submit':
             if self._views is None:
@@ -310,12 +337,13 @@
             outcome = operations.cancel(self._state, item.arguments)
         if outcome.is_err():
             batch.answer(item.fut, outcome.err_value)
-            return
+            return True
         batch.events.extend(outcome.ok_value.events)
         for task in outcome.ok_value.stop:
             command = reconcile.make_stop(self._state, task, False)
             batch.send(self._members.get_link(task.vm), command)
         batch.answer(item.fut, outcome.ok_value.answer)
+        return True
 
     def _update_members(self, batch):
         """Add or remove one member if the VM list has changed."""
@@ -344,6 +372,10 @@
                     continue
                 event = events.TaskRequeued(task.id, task.attempt)
                 decisionlog.log_lost_attempt(task, name)
+                # The side may only have been slow, and reports on the same
+                # connection only what has changed.
+                command = reconcile.make_stop(self._state, task, False)
+                batch.send(self._members.get_link(name), command)
                 self._apply_event(batch, event)
                 decision = pass_inputs.explain_loss(task, name, now_ms)
                 self._apply_event(batch, events.DecisionMade(decision))
@@ -420,6 +452,7 @@
         weigher = precedence.Weigher(self._state, now_ms, self.runtimes)
         views = self._members.view_vms(weigher)
         self._crashloops.mark_unstable(views)
+        self._timer.mark('views')
         self._resolve_prepared_tasks(batch, views, now)
         if not self._members.has_recent_zones(now):
             # While the closed zones are unknown, only prepared tasks start;
@@ -429,6 +462,7 @@
         demands = self._list_demands(now, now_ms, weigher)
         if self._advisor is not None:
             policy.assign_tickets(self._advisor, demands, views)
+        self._timer.mark('demands')
         done = pass_inputs.plan(
             self._state,
             demands,
@@ -437,6 +471,7 @@
             now_ms,
             self.service_protection.remedies.predict_effect,
         )
+        self._timer.mark('place')
         self.waiting = {one.record.id: one for one in done.waiting}
         self._patience.record_waits(self.waiting, now)
         self._wait_log.update(self.waiting, now)
@@ -455,9 +490,13 @@
                 self._state, task, placed.ticket, weigher
             )
             batch.send(self._members.get_link(placed.vm), command)
+        self._timer.mark('starts')
         self._move_stuck_tasks(views, now, weigher, batch)
+        self._timer.mark('move')
         self._evict_for_waiting(done, views, quotas, batch)
+        self._timer.mark('evict')
         self._prepare_tasks(done, views, batch)
+        self._timer.mark('prepare')
         metrics.PLACEMENTS.inc(len(done.placements))
         return views
 
--- a/packages/scheduler/portwharf/scheduler/metrics.py
+++ b/packages/scheduler/portwharf/scheduler/metrics.py
@@ -15,6 +15,14 @@
     'portwharf_owner_given_up',
     'Tasks that were given up, as they crash the workers that start them.',
 )
+DROPPED_CALLS = prometheus_client.Counter(
+    'portwharf_owner_dropped_calls',
+    'Calls that were not begun, as their callers had stopped waiting.',
+)
+REFUSED_CALLS = prometheus_client.Counter(
+    'portwharf_owner_refused_calls',
+    'Calls that were refused at once, as a pass would outlast their callers.',
+)
 CLOSED_ZONES = prometheus_client.Gauge(
     'portwharf_closed_zones',
     'Availability zones that an operator has closed to new starts.',
@@ -23,3 +31,9 @@
     'portwharf_owner_suspects',
     'Tasks that workers crashed under, and that are not cleared.',
 )
+PASS_SECONDS = prometheus_client.Histogram(
+    'portwharf_owner_pass_seconds',
+    'Time that passes of the deciding thread spend on each part.',
+    ['part'],
+    buckets=(0.001, 0.004, 0.016, 0.064, 0.25, 1.0, 4.0),
+)
