Tests: the mutant of shared end numbers is caught in any order of events

test_acknowledged_number_of_a_previous_incarnation_is_caught failed in some runs: its mutant, which keeps the ended attempts of the former incarnation, was not caught by test_end_under_a_reused_id_is_reported_at_once.

Cause: the test. The thread that waits for ends was started just before the second incarnation's attempt was started and ended, and raced with it. If its request came after the end, the mutant's acknowledgement dropped the end, and the mutant was caught; if it was already waiting, it was answered with the end, and the thread had never seen the former end of the same number, so that the mutant notified as well. The product is right: it never sends a number of one incarnation to another, and both orders were reported at once.

Now there is a test for each order. In the first the attempt ends before the thread starts. In the second the thread has reported the former end, and its request to the next incarnation has come when the attempt ends; the fake runner tells. The mutant fails each of them whatever comes first, and is held against both. The tests' clients also outlast a pause of their process: a call was given up after 0.4 s, so that a start or a listing in the test itself failed. No wait or limit of the product is changed.

Ruled out: acknowledged ends that the fake lists to a waiting request. The product acknowledges no end of this incarnation before it is listed.

--- a/packages/platform/portwharf/platform/runner_restart_test.py
+++ b/packages/platform/portwharf/platform/runner_restart_test.py
@@ -32,7 +32,6 @@
 from portwharf.core import data
 from portwharf.platform import heartbeats
 from portwharf.platform import http_client
-from portwharf.platform import runner
 from portwharf.testing import platform_runner
 from portwharf import workers
 
@@ -47,7 +46,9 @@
 
     def __init__(self, case):
         self.fake, place = platform_runner.serve_runner(case)
-        self.client = runner.RunnerWorker(place, lambda: 7, MAX_HOLD_MS)
+        self.client = platform_runner.open_client(
+            place, lambda: 7, MAX_HOLD_MS
+        )
         self.deliver_heartbeat()
         # The incarnation that sent the latest listing.
         self.life = None
@@ -122,6 +123,7 @@
 
 
 def test_end_under_a_reused_id_is_reported_at_once(case):
+    """It came before the next request that waits for an end."""
     side = Runner(case)
     side.run_and_acknowledge(FIRST)
     side.restart()
@@ -129,7 +131,29 @@
     side.read_listing()
     notified = threading.Event()
     side.client.on_attempt_end(notified.set)
+    side.start(SECOND)
+    side.fake.end_run(SECOND)
+    case.assertFalse(notified.is_set())
     case.enterContext(side.client)
+    case.assertTrue(notified.wait(10))
+
+
+def test_end_under_a_reused_id_answers_a_waiting_request(case):
+    """A former end of the same number was reported as well."""
+    side = Runner(case)
+    notified = threading.Event()
+    side.client.on_attempt_end(notified.set)
+    case.enterContext(side.client)
+    side.start(FIRST)
+    side.fake.end_run(FIRST)
+    case.assertTrue(notified.wait(10))
+    side.read_listing()
+    side.client.forget(FIRST, 1)
+    side.read_listing()
+    side.restart()
+    side.deliver_heartbeat()
+    side.read_listing()
+    case.assertTrue(side.fake.wait_for_hold())
     side.start(SECOND)
     notified.clear()
     side.fake.end_run(SECOND)
--- a/packages/platform/portwharf/platform/runner_test.py
+++ b/packages/platform/portwharf/platform/runner_test.py
@@ -20,7 +20,7 @@
 def open_runner(case, token=7):
     """Return a client of a fake runner, and the fake."""
     fake, place = platform_runner.serve_runner(case)
-    client = runner.RunnerWorker(place, lambda: token, 6000)
+    client = platform_runner.open_client(place, lambda: token)
     client.record_heartbeat(make_life())
     client.read_listing()
     return client, fake
@@ -216,11 +216,11 @@
 
 def test_late_first_heartbeat_hides_no_attempt(case):
     _, place = platform_runner.serve_runner(case)
-    former = runner.RunnerWorker(place, lambda: 7, 6000)
+    former = platform_runner.open_client(place, lambda: 7)
     former.record_heartbeat(make_life())
     former.read_listing()
     start(former)
-    client = runner.RunnerWorker(place, lambda: 8, 6000)
+    client = platform_runner.open_client(place, lambda: 8)
     client.record_heartbeat(make_life('i-0'))
     listing = client.read_listing().ok_value
     case.assertEqual([a.task for a in listing.attempts], [TASK])
@@ -257,12 +257,12 @@
 
 def test_ends_of_an_unidentified_incarnation_are_not_acknowledged(case):
     fake, place = platform_runner.serve_runner(case)
-    former = runner.RunnerWorker(place, lambda: 7, 6000)
+    former = platform_runner.open_client(place, lambda: 7)
     former.record_heartbeat(make_life())
     former.read_listing()
     start(former)
     fake.end_run(TASK)
-    client = runner.RunnerWorker(place, lambda: 8, 6000)
+    client = platform_runner.open_client(place, lambda: 8)
     client.read_listing()
     fake.restart('i-2')
     client.record_heartbeat(make_life('i-2'))
@@ -282,7 +282,7 @@
 
 def test_nothing_starts_before_the_incarnation_is_identified(case):
     fake, place = platform_runner.serve_runner(case)
-    client = runner.RunnerWorker(place, lambda: 7, 6000)
+    client = platform_runner.open_client(place, lambda: 7)
     client.record_heartbeat(make_life('i-0'))
     client.read_listing()
     case.assertEqual(start(client).ok_value, workers.REFUSED_NO_HEARTBEAT)
@@ -293,7 +293,7 @@
     """A restarted side may hear its owner before the runner."""
     fake, place = platform_runner.serve_runner(case)
     fake.running[TASK] = 1
-    client = runner.RunnerWorker(place, lambda: 7, 6000)
+    client = platform_runner.open_client(place, lambda: 7)
     client.restore_start(
         workers.Start(TASK, 1, workload='a/b', resources=SIZE)
     )
--- a/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
@@ -229,9 +229,11 @@
 
 
 def test_acknowledged_number_of_a_previous_incarnation_is_caught(case):
+    restart_test = runner_restart_test
     for test in (
         runner_test.test_new_incarnation_is_never_told_of_the_old_ones_numbers,
-        runner_restart_test.test_end_under_a_reused_id_is_reported_at_once,
+        restart_test.test_end_under_a_reused_id_is_reported_at_once,
+        restart_test.test_end_under_a_reused_id_answers_a_waiting_request,
     ):
         kept = ended_attempts.EndedAttempts()
         check_fault_detected(
--- a/packages/testing/portwharf/testing/platform_runner.py
+++ b/packages/testing/portwharf/testing/platform_runner.py
@@ -12,8 +12,11 @@
 import json
 import threading
 import time
+from unittest import mock
 
 from portwharf.core import settings
+from portwharf.platform import http_client
+from portwharf.platform import runner
 from portwharf.testing import fixtures
 from portwharf.testing import platform_store
 from portwharf.testing import relay
@@ -21,6 +24,8 @@
 # Start time of the first incarnation; each later one starts 1 ms after the
 # last.
 FIRST_BORN_MS = 1_790_000_000_000
+# Longest pause of a test's process that its calls outlast.
+PAUSE_SECONDS = 10
 
 
 def serve_runner(case):
@@ -35,6 +40,28 @@
     return fake, settings.Endpoint('127.0.0.1', proxy.port)
 
 
+class PatientConnection(http_client.Connection):
+    """A connection whose calls outlast a pause of the test's process."""
+
+    def open(self, seconds):
+        """Connect, with a longer timeout."""
+        return super().open(seconds + PAUSE_SECONDS)
+
+    def call(self, method, path, seconds, body, headers):
+        """Send a request, with a longer timeout."""
+        seconds += PAUSE_SECONDS
+        return super().call(method, path, seconds, body, headers)
+
+
+def open_client(place, read_token, max_hold_ms=6000):
+    """Return a ``runner.RunnerWorker`` that no pause makes give up a call.
+
+    :param place: the runner's ``settings.Endpoint``
+    """
+    with mock.patch.object(http_client, 'Connection', PatientConnection):
+        return runner.RunnerWorker(place, read_token, max_hold_ms)
+
+
 class FakePlatformRunner:
     """A runner, as a WSGI application.
 
@@ -59,6 +86,8 @@
         self.unhealthy = 0
         self.orders = []
         self.ticket = ''
+        # Number of requests accepted whose answer may wait for an end.
+        self._wait_count = 0
 
     def restart(self, instance):
         """Restart without any runs, as after a crash.
@@ -85,6 +114,17 @@
             run = self.running.pop(task)
             self._record_end(task, run, how, saved)
 
+    def wait_for_hold(self, seconds=10):
+        """Wait for the next request whose answer may wait for an end.
+
+        :returns: whether one was accepted in time
+        """
+        with self._lock:
+            before = self._wait_count
+            return self._lock.wait_for(
+                lambda: self._wait_count > before, seconds
+            )
+
     def read_ms(self):
         """Return the runner's monotonic clock, in milliseconds."""
         return int(time.monotonic() * 1000)
@@ -170,8 +210,10 @@
     def _hold(self, body):
         acked = body.get('ackedUpto', 0)
         self.ended = [row for row in self.ended if row[0] > acked]
-        if not self.ended and body.get('waitMs'):
-            self._lock.wait(body['waitMs'] / 1000)
+        if body.get('waitMs'):
+            self._wait_count += 1
+            self._lock.notify_all()
+            self._lock.wait_for(lambda: self.ended, body['waitMs'] / 1000)
         rows = [[task, run, '', 5, 7] for task, run in self.running.items()]
         value = {'running': rows, 'ended': list(self.ended)}
         return 200, {**value, 'born': self.born_ms}
