Tests: four deliberate faults run again, and are caught by assertions

Four checks of the tests proved nothing: the replacement of the rule raised an error when it was called, and any exception counted as a detection.

Cause: the replaced functions have got another parameter since (predict_pace, make_held_tasks, list_demands) or another argument (_is_final_attempt gets the workload's record), and the replacements have not.

Evidence: the exception by which each of the 66 checks detects its fault, printed; these four were a TypeError or an AttributeError of the replacement itself. Now they are the assertions of the tests: test_lost_attempts_counted_as_failures_are_caught: job failed, not running; test_move_without_improvement_is_caught: one move where none is expected; test_side_without_its_held_tasks_is_caught: share 100, at most 3 expected; test_work_never_placed: "work has not ended".

--- a/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
@@ -59,7 +59,7 @@
         jobs_test.test_lost_attempts_do_not_count_as_failures,
         reconcile,
         '_is_final_attempt',
-        lambda task, workload: task.attempt >= workload.max_failures,
+        lambda task, record: task.attempt >= record.workload.max_failures,
     )
 
 
@@ -69,7 +69,7 @@
         jobs_test.test_job_fails_only_with_its_last_attempt,
         reconcile,
         '_is_final_attempt',
-        lambda task, workload: False,
+        lambda task, record: False,
     )
 
 
@@ -189,7 +189,7 @@
         task_moves_test.test_nothing_moves_where_it_would_work_no_better,
         vmview.VmView,
         'predict_pace',
-        lambda self, workload: 1.0,
+        lambda self, workload, weight: 1.0,
     )
 
 
@@ -324,7 +324,7 @@
         task_traits_test.test_restarted_side_throttles_beside_earlier_servers,
         reconcile,
         'make_held_tasks',
-        lambda state, vm: messages.HeldTasks(),
+        lambda state, vm, runtimes: messages.HeldTasks(),
     )
 
 
--- a/packages/scheduler/portwharf/scheduler/faults_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_test.py
@@ -290,7 +290,7 @@
         scenario,
         pass_inputs,
         'list_demands',
-        lambda state, list_avoided: [],
+        lambda state, list_avoided, now_ms, runtimes: [],
     )
 
 
