Tests: an error in a deliberate fault is no detection

check_fault_detected, and detects in the tests of at-most-once requests, took any exception for a detection, so that a replacement which cannot be called passed its check for good. Now only a failed assertion counts (a Violation and an InvariantError are assertions too); any other exception ends the check as an error, with its traceback. A test that fails without the fault shows its own failure instead of "True is not false".

Ruled out: errors of a replacement that the code under test swallows.

--- a/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
@@ -5,6 +5,8 @@
 Each test disables one rule and checks that the named test then fails.
 """
 
+from unittest import mock
+
 import result
 
 from portwharf.core import bounded_cache
@@ -255,13 +257,20 @@
 
 
 def test_ignored_birth_number_is_caught(case):
-    check_fault_detected(
-        case,
-        runner_restart_test.test_incarnations_under_one_id_are_told_apart,
-        heartbeats,
-        'read_birth_time',
-        lambda value: 0,
-    )
+    # The check of each reply reads the birth number by itself, and would
+    # refuse every listing.
+    with mock.patch.object(
+        runner_connection.RunnerConnection,
+        '_check_life',
+        lambda self, reply: result.Ok(reply),
+    ):
+        check_fault_detected(
+            case,
+            runner_restart_test.test_incarnations_under_one_id_are_told_apart,
+            heartbeats,
+            'read_birth_time',
+            lambda value: 0,
+        )
 
 
 def test_order_sent_to_any_incarnation_is_caught(case):
--- a/packages/scheduler/portwharf/scheduler/faults_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_test.py
@@ -30,25 +30,42 @@
 from portwharf.testing import walk
 
 
-def fails(test):
-    """Tell whether a test function fails."""
+def run_test(test):
+    """Run a test function and its cleanups."""
     case = unittest.TestCase()
     try:
         test(case)
-    except Exception:
-        return True
     finally:
         case.doCleanups()
+
+
+def fails(test):
+    """Tell whether a test function fails an assertion.
+
+    Any other exception is raised: it may come from an error in the fault.
+    """
+    try:
+        run_test(test)
+    except AssertionError:
+        return True
     return False
 
 
 def check_fault_detected(case, test, cls, name, replacement):
     """Check that a test passes, and fails when a rule is replaced."""
-    case.assertFalse(fails(test))
+    run_test(test)
     with mock.patch.object(cls, name, replacement):
         case.assertTrue(fails(test))
 
 
+def test_error_in_a_fault_is_not_a_detection(case):
+    def scenario(case):
+        raise TypeError('missing argument')
+
+    with case.assertRaises(TypeError):
+        fails(scenario)
+
+
 def test_epoch_of_commands_not_checked(case):
     check_fault_detected(
         case,
--- a/packages/scheduler/portwharf/scheduler/policy_test.py
+++ b/packages/scheduler/portwharf/scheduler/policy_test.py
@@ -72,8 +72,9 @@
     advisor, _, _ = open_advisor(SECOND)
     demand, views = make_demand(), make_views()
     policy.assign_tickets(advisor, [demand], views)
-    (waiting,) = place(demand, views).waiting
-    refused = waiting.choice.refusals[vm_choice.REFUSED_POLICY]
+    waiting = place(demand, views).waiting
+    case.assertEqual(len(waiting), 1)
+    refused = waiting[0].choice.refusals[vm_choice.REFUSED_POLICY]
     case.assertEqual(refused, 2)
     case.assertTrue(advisor.ask_next())
     policy.assign_tickets(advisor, [demand], views)
--- a/packages/scheduler/portwharf/scheduler/shardlog_test.py
+++ b/packages/scheduler/portwharf/scheduler/shardlog_test.py
@@ -60,7 +60,7 @@
     kv, fake = fixtures.make_store()
     log = open_log(kv)
     fake.faults.lose_answers = 1
-    case.assertEqual(log.append([EVENT]).ok_value, 0)
+    case.assertEqual(log.append([EVENT]).ok(), 0)
     contents = shardlog.ShardLog(kv, 0).read().ok_value
     case.assertEqual(len(contents.batches), 1)
 
@@ -93,7 +93,7 @@
     kv, _ = fixtures.make_store()
     first, second = open_log(kv), open_log(kv)
     case.assertTrue(second.append([EVENT]).is_ok())
-    deposed = first.append([EVENT]).err_value
+    deposed = first.append([EVENT]).err()
     case.assertIsInstance(deposed, shardlog.Deposed)
 
 
@@ -102,7 +102,7 @@
     first, second = open_log(kv), open_log(kv)
     second.append([EVENT])
     fake.faults.lose_requests = 1
-    deposed = first.append([EVENT]).err_value
+    deposed = first.append([EVENT]).err()
     case.assertIsInstance(deposed, shardlog.Deposed)
 
 
@@ -113,7 +113,7 @@
     later = open_log(kv)
     append_all(later, 5)
     case.assertTrue(later.write_snapshot(b'state').is_ok())
-    deposed = former.append([EVENT]).err_value
+    deposed = former.append([EVENT]).err()
     case.assertIsInstance(deposed, shardlog.Deposed)
 
 
--- a/packages/scheduler/portwharf/scheduler/zones_test.py
+++ b/packages/scheduler/portwharf/scheduler/zones_test.py
@@ -44,9 +44,11 @@
 
 
 def explain(made, workload_id):
-    """Return how many VMs were refused to a workload, by reason."""
+    """Return how many VMs were refused to a waiting workload, by reason."""
     owner = made.list_owners()[0].owner
-    waiting = owner._decider.waiting[workload_id]
+    waiting = owner._decider.waiting.get(workload_id)
+    if waiting is None:
+        return {}
     return {one.name: one.number for one in waiting.choice.list_refusals()}
 
 
--- a/packages/side/portwharf/side/at_most_once_machine_test.py
+++ b/packages/side/portwharf/side/at_most_once_machine_test.py
@@ -275,12 +275,12 @@
 
 
 def detects(run, cls, name, replacement):
-    """Tell whether a run fails when a function is replaced."""
+    """Tell whether a run fails a check when a function is replaced."""
     with mock.patch.object(cls, name, replacement):
         try:
             with contextlib.redirect_stdout(io.StringIO()):
                 run()
-        except Exception:
+        except AssertionError:
             return True
     return False
 
--- a/packages/side/portwharf/side/pacing_test.py
+++ b/packages/side/portwharf/side/pacing_test.py
@@ -59,6 +59,7 @@
 def test_missed_target_throttles_all_filling_tasks(case):
     pacer = make_pacer(light=0.0)
     changes = plan(pacer, make_listing(30, 'light'))
+    case.assertIn('light.0', changes)
     case.assertLessEqual(changes['light.0'], 50)
 
 
--- a/packages/testing/portwharf/testing/fake_store.py
+++ b/packages/testing/portwharf/testing/fake_store.py
@@ -156,7 +156,7 @@
         for operation in body.get('success', []):
             put = operation['request_put']
             if len(put['value']) * 3 // 4 > store.MAX_VALUE_BYTES:
-                raise ValueError('value exceeds store.MAX_VALUE_BYTES')
+                raise AssertionError('value exceeds store.MAX_VALUE_BYTES')
             self._put(put['key'], put['value'])
         return {'header': self._header(), 'succeeded': True}
 
