Tests: the port of an unreachable peer stays bound

test_unreachable_peer_is_an_error closed the socket by which it had found a port and then expected that nobody listens there; another process may have taken the port. Found by reading, as the only other test that finds a port by closing a socket. The socket now stays bound without listening while the connection is refused.

--- a/packages/peers/portwharf/peers/streams_test.py
+++ b/packages/peers/portwharf/peers/streams_test.py
@@ -116,8 +116,10 @@
     with socket.socket() as sock:
         sock.bind(('127.0.0.1', 0))
         port = sock.getsockname()[1]
-    with case.assertRaisesRegex(streams.PeerError, 'cannot reach'):
-        streams.dial('127.0.0.1', port)
+        # Bound and not listening: connections are refused, and no other
+        # process can listen there.
+        with case.assertRaisesRegex(streams.PeerError, 'cannot reach'):
+            streams.dial('127.0.0.1', port)
 
 
 def test_other_version_is_refused(case):
