Entry, side: a Content-Length that is no number is refused at once

A job call with a negative Content-Length got no answer and held one of the entry's threads until its client closed the connection; one that is no number raised an error in JobApi instead of a 400.

Cause: the length was taken by int() as it came. Read with -1, the body ends with the connection. The web server itself refuses only what int() refuses, so the first case comes in over the network, while the second does not; the receiver of heartbeats had the same fault with a negative length. Now web.read_length accepts decimal digits only, and both answer 400.

Evidence: over a socket, "Content-Length: -1" had no answer after 6 s before, and a 400 at once now. The tests failed before with "invalid literal for int()", and with a 200 for the heartbeat.

--- a/packages/core/portwharf/core/web.py
+++ b/packages/core/portwharf/core/web.py
@@ -118,17 +118,30 @@
     return _answer(start_response, status, body, _JSON_TYPE)
 
 
+def read_length(environ):
+    """Return the length of a WSGI request's body, 0 if it is not given.
+
+    :raises ValueError: not a number, or negative
+    """
+    text = environ.get('CONTENT_LENGTH') or '0'
+    if not (text.isascii() and text.isdigit()):
+        raise ValueError(f'Content-Length is {text!r:.40}, not a number >= 0')
+    return int(text)
+
+
 def read_body(environ):
-    """Return the body of a WSGI request."""
-    length = int(environ.get('CONTENT_LENGTH') or 0)
-    return environ['wsgi.input'].read(length)
+    """Return the body of a WSGI request.
+
+    :raises ValueError: its length is malformed
+    """
+    return environ['wsgi.input'].read(read_length(environ))
 
 
 def read_json(environ):
     """Return the JSON value of a WSGI request's body.
 
     :returns: the value, or an empty map if the body is empty
-    :raises ValueError: the body is not JSON
+    :raises ValueError: the body is not JSON, or its length is malformed
     """
     body = read_body(environ)
     return json.loads(body) if body else {}
--- a/packages/platform/portwharf/platform/heartbeats.py
+++ b/packages/platform/portwharf/platform/heartbeats.py
@@ -45,7 +45,7 @@
         if verb != 'heartbeat':
             return web.send_text(start_response, 404, 'no such page\n')
         try:
-            size = int(environ.get('CONTENT_LENGTH') or 0)
+            size = web.read_length(environ)
             raw = environ['wsgi.input'].read(min(size, MAX_BODY_BYTES))
             life = parse_life(instance, json.loads(raw))
         except (ValueError, AttributeError, RecursionError) as exc:
--- a/packages/platform/portwharf/platform/heartbeats_test.py
+++ b/packages/platform/portwharf/platform/heartbeats_test.py
@@ -2,6 +2,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """Tests of the receiver of a runner's heartbeats."""
 
+import io
 import json
 
 from portwharf.core import data
@@ -43,6 +44,20 @@
     case.assertEqual(send([], path, {}).status, 200)
 
 
+def test_length_that_is_no_number_is_refused(case):
+    received, statuses = [], []
+    receiver = heartbeats.HeartbeatReceiver(received.append)
+    for length in ('long', '-1', '\xb2'):
+        environ = {
+            'PATH_INFO': '/portwharf/instances/i-7/heartbeat',
+            'CONTENT_LENGTH': length,
+            'wsgi.input': io.BytesIO(json.dumps(HEARTBEAT).encode()),
+        }
+        receiver(environ, lambda status, _: statuses.append(status))
+    case.assertEqual(statuses, ['400 Bad Request'] * 3)
+    case.assertEqual(received, [])
+
+
 def test_malformed_heartbeat_is_refused_with_a_reason(case):
     received = []
     path = '/portwharf/instances/i-7/heartbeat'
--- a/packages/platform/portwharf/platform/job_api.py
+++ b/packages/platform/portwharf/platform/job_api.py
@@ -106,7 +106,10 @@
         return _respond_error(respond, 400, 'use POST, GET or DELETE')
 
     def _submit(self, job_id, queue, environ, respond):
-        size = int(environ.get('CONTENT_LENGTH') or 0)
+        try:
+            size = web.read_length(environ)
+        except ValueError as exc:
+            return _respond_error(respond, 400, str(exc))
         if size > MAX_BODY_BYTES:
             return _respond_error(respond, 400, 'the body is too large')
         try:
--- a/packages/platform/portwharf/platform/job_api_test.py
+++ b/packages/platform/portwharf/platform/job_api_test.py
@@ -2,6 +2,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """Tests of the HTTP interface for job clients."""
 
+import io
 import json
 
 import result
@@ -92,6 +93,20 @@
     return pool.request(method, path, raw, {'Host': 'desk.example:80'})
 
 
+def submit_with_length(pool, length):
+    """Submit a job with a Content-Length; returns the error response."""
+    environ = {
+        'REQUEST_METHOD': 'POST',
+        'HTTP_HOST': 'desk.example',
+        'PATH_INFO': f'/a/{ID}',
+        'CONTENT_LENGTH': length,
+        'wsgi.input': io.BytesIO(json.dumps(BODY).encode()),
+    }
+    statuses = []
+    body = pool.app(environ, lambda status, _: statuses.append(status))
+    return statuses[0], json.loads(b''.join(body))['error']
+
+
 def fail(code):
     """Return the result of a failed call."""
     return result.Err([data.Problem(code)])
@@ -208,6 +223,15 @@
         case.assertIn('mend', json.loads(answer.data)['error'])
 
 
+def test_length_that_is_no_number_is_refused(case):
+    pool, calls, _, _ = open_calls()
+    for length in ('long', '-1', '1_0', '\xb2'):
+        status, error = submit_with_length(pool, length)
+        case.assertEqual(status, '400 Bad Request', length)
+        case.assertIn('Content-Length', error)
+    case.assertEqual(calls.calls, [])
+
+
 def test_stopping_entry_closes_its_connections(case):
     pool, calls, _, _ = open_calls(stopping=True)
     calls.answers['read-job'] = result.Ok(job_operations.JobView(ID, 'queued'))
--- a/packages/testing/portwharf/testing/fixtures.py
+++ b/packages/testing/portwharf/testing/fixtures.py
@@ -31,12 +31,13 @@
     """Replaces a ``urllib3`` pool: calls a WSGI application directly.
 
     :cvar pool: None, as there are no pooled connections
+    :ivar app: the application
     """
 
     pool = None
 
     def __init__(self, app):
-        self._app = app
+        self.app = app
 
     def request(self, method, path, body=b'', headers=None, **_):
         """Call the application and return its :class:`Response`."""
@@ -56,7 +57,7 @@
             response.status = int(status.split()[0])
             response.headers = dict(header_pairs)
 
-        response.data = b''.join(self._app(environ, start_response))
+        response.data = b''.join(self.app(environ, start_response))
         return response
 
     def close(self):
