Entry: a deadline that int() refuses counts as none

A job call whose Portwharf-Deadline-Ms was a superscript digit, or a number of some thousand digits, ended with an error of the server instead of an answer.

Cause: isdigit() holds for more characters than int() reads (a header is decoded as Latin-1, which has three of them), and int() refuses texts of more than 4300 digits. Now both count as any other malformed deadline: the default holds.

Evidence: the test failed before with "invalid literal for int()".

--- a/packages/platform/portwharf/platform/job_api.py
+++ b/packages/platform/portwharf/platform/job_api.py
@@ -26,6 +26,8 @@
 DEADLINE_SHARE = 0.45
 # Deadline of calls whose client sends none.
 DEFAULT_DEADLINE_MS = 3000
+# Python refuses to convert texts of some thousand digits.
+_MAX_DEADLINE_DIGITS = 15
 # Time limit of the search for an owner. The call is then refused, and the
 # client can try another entry.
 FIND_OWNER_SECONDS = 0.5
@@ -212,7 +214,8 @@
 def _read_time_limit(environ):
     """Return for how many seconds a call may wait for its owner."""
     text = environ.get('HTTP_PORTWHARF_DEADLINE_MS', '')
-    deadline_ms = int(text) if text.isdigit() else DEFAULT_DEADLINE_MS
+    is_number = text.isdecimal() and len(text) <= _MAX_DEADLINE_DIGITS
+    deadline_ms = int(text) if is_number else DEFAULT_DEADLINE_MS
     return min(CALL_SECONDS, DEADLINE_SHARE * deadline_ms / _MS_PER_SECOND)
 
 
--- a/packages/platform/portwharf/platform/job_api_test.py
+++ b/packages/platform/portwharf/platform/job_api_test.py
@@ -174,13 +174,13 @@
 def test_call_times_out_while_its_client_can_retry(case):
     pool, calls, _, _ = open_calls()
     calls.answers['read-job'] = fail(owner_client.OUTCOME_UNKNOWN)
-    for deadline in ('', '1000', 'soon', '60000'):
+    for deadline in ('', '1000', 'soon', '60000', '\xb2', '9' * 5000):
         headers = {'Host': 'desk.example'}
         if deadline:
             headers['Portwharf-Deadline-Ms'] = deadline
         pool.request('GET', f'/a/{ID}', '', headers)
     waits = [round(seconds, 2) for seconds in calls.seconds]
-    case.assertEqual(waits, [1.35, 0.45, 1.35, 2.0])
+    case.assertEqual(waits, [1.35, 0.45, 1.35, 2.0, 1.35, 1.35])
 
 
 def test_unknown_route_and_bad_id_are_not_found(case):
