Codec: lists of texts and whole numbers are of their declared type

A message or log entry with a text where a list of texts belongs was read as the list of its characters, a map as the list of its keys, and a list's items were of any type. A boolean was read as a number. from_map promises a ValueError for any value that is not of the declared type; a wrong value got further, to where it was used.

Cause: lists of plain values were read by list(), and bool is a subclass of int. Lists of data classes were checked already; both kinds now share the check of type and length, and the items are checked as single values are.

Evidence: the new tests failed before with "ValueError not raised: one" and "{'count': True}".

--- a/packages/core/portwharf/core/codec.py
+++ b/packages/core/portwharf/core/codec.py
@@ -106,7 +106,8 @@
                 functools.partial(_read_list, item_type),
                 _write_list,
             )
-        return _FieldCodec(field.name, default, list, list)
+        read = functools.partial(_read_plain_list, item_type)
+        return _FieldCodec(field.name, default, read, list)
     return _FieldCodec(
         field.name, default, functools.partial(_check_type, hint), None
     )
@@ -115,22 +116,33 @@
 def _check_type(hint, item):
     """Return a plain value of the declared type.
 
-    Whole numbers are accepted for ``float`` fields.
+    Whole numbers are accepted for ``float`` fields. A boolean is no number,
+    although ``bool`` is a subclass of ``int``.
 
     :raises ValueError: the value is of another type
     """
     expected = hint if isinstance(hint, type) else object
-    if expected is float and isinstance(item, int):
+    is_number = isinstance(item, int) and not isinstance(item, bool)
+    if expected is float and is_number:
         return float(item)
-    if not isinstance(item, expected):
+    if not isinstance(item, expected) or (expected is int and not is_number):
         raise ValueError(f'{item!r} is not of type {expected.__name__}')
     return item
 
 
 def _read_list(cls, items):
+    _check_list(cls, items)
+    return [from_map(cls, item) for item in items]
+
+
+def _read_plain_list(cls, items):
+    _check_list(cls, items)
+    return [_check_type(cls, item) for item in items]
+
+
+def _check_list(cls, items):
     if not isinstance(items, list) or len(items) > MAX_LIST_ITEMS:
         raise ValueError(f'not a list of {cls.__name__}, or too long')
-    return [from_map(cls, item) for item in items]
 
 
 def _write_list(items):
--- a/packages/core/portwharf/core/codec_test.py
+++ b/packages/core/portwharf/core/codec_test.py
@@ -46,6 +46,13 @@
     words: list[str] = dataclasses.field(default_factory=list)
 
 
+@dataclasses.dataclass(slots=True)
+class Share:
+    """A value that contains a fraction."""
+
+    share: float = 0.0
+
+
 def test_any_workload_survives_a_round_trip(case):
     @hypothesis.settings(derandomize=True, database=None)
     @hypothesis.given(WORKLOADS)
@@ -83,6 +90,21 @@
         codec.unpack(data.Workload, raw)
 
 
+def test_list_of_another_type_is_refused(case):
+    for words in ('one', {'one': 1}, ['one', 5], [b'one'], [['one']], None):
+        with case.assertRaises(ValueError, msg=words):
+            codec.unpack(Tree, msgpack.packb({'words': words}))
+
+
+def test_truth_value_is_no_number(case):
+    for fields in ({'count': True}, {'resources': {'cpu_milli': False}}):
+        with case.assertRaises(ValueError, msg=fields):
+            codec.unpack(data.Workload, msgpack.packb(fields))
+    with case.assertRaises(ValueError):
+        codec.unpack(Share, msgpack.packb({'share': True}))
+    case.assertEqual(codec.unpack(Share, msgpack.packb({'share': 1})).share, 1)
+
+
 def test_wrong_shape_is_refused(case):
     for value in (5, [], {'resources': 7}, {'resources': []}):
         with case.assertRaises(ValueError):
