Settings: names are ASCII, as their rule means

A name in a settings file, and a workload's name, team or program, could have letters and digits of any script, as "zône" or "zone-²". The rule says letters, digits, dots and dashes, and names become parts of ids, of services in calls and of log fields; the same accented letter has two spellings, of which the rule took one, so that two names that look alike would differ.

Cause: isalnum() is not limited to ASCII. The rule is now a pattern, and its text says so. A settings file or a new workload with other letters is refused with that text; accepted workloads are not checked again.

Evidence: test_names_are_ascii failed before with "Invalid not raised: zône".

--- a/packages/core/portwharf/core/settings.py
+++ b/packages/core/portwharf/core/settings.py
@@ -10,6 +10,7 @@
 import dataclasses
 import difflib
 import ipaddress
+import re
 import tomllib
 
 import result
@@ -21,6 +22,7 @@
 Invalid = voluptuous.Invalid
 MAX_PORT = 65535
 MAX_NAME_CHARACTERS = 63
+_NAME = re.compile(f'[A-Za-z0-9.-]{{1,{MAX_NAME_CHARACTERS}}}')
 
 
 @dataclasses.dataclass(slots=True)
@@ -123,11 +125,11 @@
 
 
 def name(value):
-    """Check that a value is a name: letters, digits, dots and dashes."""
-    valid = isinstance(value, str) and 0 < len(value) <= MAX_NAME_CHARACTERS
-    if not valid or not value.replace('-', 'a').replace('.', 'a').isalnum():
+    """Check that a value is a name: ASCII letters, digits, dots, dashes."""
+    valid = isinstance(value, str) and _NAME.fullmatch(value)
+    if not valid:
         raise voluptuous.Invalid(
-            'must be letters, digits, dots and dashes, at most '
+            'must be ASCII letters, digits, dots and dashes, at most '
             f'{MAX_NAME_CHARACTERS} of them'
         )
     return value
--- a/packages/core/portwharf/core/settings_test.py
+++ b/packages/core/portwharf/core/settings_test.py
@@ -57,6 +57,13 @@
     case.assertIn('from 1 to 65,535', problem.text)
 
 
+def test_names_are_ascii(case):
+    case.assertEqual(settings.name('zone-1.a'), 'zone-1.a')
+    for name in ('', 'a b', 'z\xf4ne', 'zone-\xb2', '\u0663'):
+        with case.assertRaises(settings.Invalid, msg=name):
+            settings.name(name)
+
+
 def test_text_that_is_not_toml_is_reported(case):
     (problem,) = check('[vm\n')
     case.assertEqual(problem.code, 'not-toml')
--- a/packages/operators/portwharf/operators/validators.py
+++ b/packages/operators/portwharf/operators/validators.py
@@ -17,7 +17,7 @@
 MAX_MEMORY_MB = 16_000_000
 MAX_ACCELERATORS = 64
 MAX_SECONDS = 30 * 24 * 3600
-NAME_RULE = 'letters, digits, dots and dashes, at most 63'
+NAME_RULE = 'ASCII letters, digits, dots and dashes, at most 63'
 
 
 def check_workload(workload):
