Store client: a range of keys has no values

PlatformStore.read_range ignored keys_only and returned the values, which the contract of store.Store leaves empty and EtcdStore does not return. Callers that only count or delete keys decoded and kept every value of the range.

Cause: the platform's store has no such request, so all items come with their values; the client passed them on. It now leaves them empty itself; what goes over the network stays the same.

Evidence: test_range_of_keys_has_no_values failed before with the values.

--- a/packages/platform/portwharf/platform/store_client.py
+++ b/packages/platform/portwharf/platform/store_client.py
@@ -76,7 +76,7 @@
             for item in items:
                 key = item['privateKey']
                 if first <= key < last and key != last_key:
-                    found.append(_read_entry(item))
+                    found.append(_read_entry(item, keys_only))
             more = reply.ok_value.value.get('more') and items
             if not more or (limit and len(found) >= limit):
                 return result.Ok(found[: limit or None])
@@ -244,11 +244,10 @@
     return item
 
 
-def _read_entry(item):
+def _read_entry(item, key_only=False):
+    value = '' if key_only else item.get('value', '')
     return store.Entry(
-        item['privateKey'],
-        base64.b64decode(item.get('value', '')),
-        item['rev'],
+        item['privateKey'], base64.b64decode(value), item['rev']
     )
 
 
--- a/packages/platform/portwharf/platform/store_client_test.py
+++ b/packages/platform/portwharf/platform/store_client_test.py
@@ -55,6 +55,16 @@
     case.assertEqual(len(client.read_range('log/1', 'log/8', 2).ok_value), 2)
 
 
+def test_range_of_keys_has_no_values(case):
+    client, _ = open_store(case)
+    for number in range(9):
+        client.swap(f'log/{number}', b'%d' % number, 0)
+    found = client.read_range('log/1', 'log/8', keys_only=True).ok_value
+    case.assertEqual([e.key[-1] for e in found], list('1234567'))
+    case.assertEqual({e.value for e in found}, {b''})
+    case.assertTrue(all(e.revision for e in found))
+
+
 def test_range_is_deleted_without_its_end(case):
     client, _ = open_store(case)
     for number in range(5):
