Ids, steps: a superscript digit is no number

Cause: isdigit() holds for characters that int() refuses. isdecimal() holds for those that it reads.

Evidence: both tests failed before with "invalid literal for int()".

--- a/packages/entry/portwharf/entry/cli.py
+++ b/packages/entry/portwharf/entry/cli.py
@@ -63,7 +63,7 @@
     addresses = []
     for part in (entry or os.environ.get(_ENTRY_VARIABLE, '')).split(','):
         address, colon, port = part.strip().rpartition(':')
-        if not colon or not port.isdigit():
+        if not colon or not port.isdecimal():
             print(
                 f'--entry: must be IP:PORT, not {part!r}; '
                 f'or set {_ENTRY_VARIABLE}',
--- a/packages/scheduler/portwharf/scheduler/jobs.py
+++ b/packages/scheduler/portwharf/scheduler/jobs.py
@@ -116,7 +116,7 @@
             text = 'must be at least 1'
             return _make_problem(job, f'{field}.count', str(step.count), text)
         for dependency in step.after:
-            if not dependency.isdigit() or int(dependency) >= number:
+            if not dependency.isdecimal() or int(dependency) >= number:
                 text = 'must be the number of an earlier step'
                 return _make_problem(job, f'{field}.after', dependency, text)
     return None
--- a/packages/scheduler/portwharf/scheduler/jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/jobs_test.py
@@ -154,9 +154,10 @@
 
 
 def test_dependency_on_a_later_step_is_refused(case):
-    problem = jobs.validate_job(make_job(make_step(after=['0'])))
-    case.assertEqual(problem.field, 'steps.0.after')
-    case.assertIn('earlier step', problem.text)
+    for dependency in ('0', '-1', '\xb2'):
+        problem = jobs.validate_job(make_job(make_step(after=[dependency])))
+        case.assertEqual(problem.field, 'steps.0.after')
+        case.assertIn('earlier step', problem.text)
 
 
 def test_filling_task_reserves_no_processors(case):
--- a/packages/scheduler/portwharf/scheduler/operations.py
+++ b/packages/scheduler/portwharf/scheduler/operations.py
@@ -186,7 +186,7 @@
 def read_shard(workload_id):
     """Return the shard of a workload's or task's id, or None."""
     number, dash, _ = workload_id.partition('-')
-    return int(number) if dash and number.isdigit() else None
+    return int(number) if dash and number.isdecimal() else None
 
 
 def submit(state, call, views, shard, now_ms):
--- a/packages/scheduler/portwharf/scheduler/operations_test.py
+++ b/packages/scheduler/portwharf/scheduler/operations_test.py
@@ -52,6 +52,7 @@
     made = operations.make_workload_id(17)
     case.assertEqual(operations.read_shard(made), 17)
     case.assertIsNone(operations.read_shard('lens/plans'))
+    case.assertIsNone(operations.read_shard('\xb2-plans'))
 
 
 def test_unplaceable_workload_is_refused_and_explained(case):
