Runner client: an answer that closes its connection ends no thread

If a runner answered a request with "Connection: close", the next order on that connection raised an AttributeError. It ended the thread that waits for ended attempts for good, with no more than a traceback on the standard error, so that ends were only noticed by the next regular listing; in read_listing it came up to the agent's thread.

Cause: the HTTP library drops its socket with such an answer, and Connection.call used it unseen. RunnerConnection.reach identifies the incarnation by a first request, and the order follows without another look at the connection. Now such a call is not sent and has no reply, as on any other connection that is gone; the caller connects again.

Evidence: the test failed before with "'NoneType' object has no attribute 'settimeout'". Open: a runner that closes every connection can be given no order, as each connection needs a second request.

--- a/packages/platform/portwharf/platform/http_client.py
+++ b/packages/platform/portwharf/platform/http_client.py
@@ -129,6 +129,9 @@
         :param seconds: timeout
         :returns: Ok(Reply), or Err(NoReply)
         """
+        if self._conn.sock is None:
+            # The last response closed the connection.
+            return result.Err(NoReply('the connection is closed'))
         raw = json.dumps(body)
         self._conn.timeout = seconds
         try:
--- a/packages/platform/portwharf/platform/http_client_test.py
+++ b/packages/platform/portwharf/platform/http_client_test.py
@@ -77,3 +77,20 @@
     case.assertTrue(call(client, '/held', 0.1).is_err())
     app.released.set()
     case.assertTrue(held.result().is_ok())
+
+
+def close_after_answer(environ, start_response):
+    """Answer, and ask to close the connection."""
+    start_response('200 OK', [('Connection', 'close')])
+    return [b'{}']
+
+
+def test_call_on_a_connection_that_its_peer_closes_is_not_sent(case):
+    port = fixtures.serve(case, close_after_answer)
+    conn = http_client.Connection(settings.Endpoint('127.0.0.1', port))
+    conn.open(10)
+    case.addCleanup(conn.close)
+    case.assertTrue(conn.call('GET', '/', 10, {}, {}).is_ok())
+    answer = conn.call('GET', '/', 10, {}, {})
+    case.assertTrue(answer.is_err())
+    case.assertFalse(answer.err_value.sent)
