Placement: predict a filling task's pace on a VM once

Passes over 160 VMs took so long that clients' calls timed out.

Cause: the pace of a filling task was predicted to refuse a VM and once more to score it, each time with what the other tasks there would yield for each serving image, also where the headroom was enough without that: 15 % of the time of a busy owner's passes (profile: 600 predictions a pass). Comparing a size with a VM's room made an object for each VM.

The pace is kept while a VM is assessed. What others yield is added up only where the headroom alone limits the pace, as it can only add to it. Sizes are compared with numbers.

Ruled out: a bound of the pace by image, kept for all VMs, as headrooms and neighbours differ on each.

--- a/packages/scheduler/portwharf/scheduler/decisions/scoring.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/scoring.py
@@ -56,8 +56,11 @@
     return spread
 
 
-def score_vm(demand, view, spread):
-    """Return the addends of a VM's score, as ``events.Part``."""
+def score_vm(demand, view, spread, pace=1.0):
+    """Return the addends of a VM's score, as ``events.Part``.
+
+    :param pace: of a filling task, as ``view.predict_pace`` returns it
+    """
     workload = demand.record.workload
     size = workload.reserved
     after = view.reserved.add(size)
@@ -70,8 +73,7 @@
         busy = view.busy_milli / max(1, view.capacity.cpu_milli)
         parts.append(events.Part('busy', _BUSY_WEIGHT * busy))
         if workload.fills:
-            slowdown = 1.0 - view.predict_pace(workload, demand.weight)
-            parts.append(events.Part('paced', _SLOWDOWN_WEIGHT * slowdown))
+            parts.append(events.Part('paced', _SLOWDOWN_WEIGHT * (1.0 - pace)))
         elif not workload.target_ms and not view.serving_milli:
             parts.append(events.Part('clear', _CLEAR_VM_PENALTY))
         if workload.data_rack and workload.data_rack not in view.labels:
--- a/packages/scheduler/portwharf/scheduler/decisions/vm_choice.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vm_choice.py
@@ -75,6 +75,9 @@
         self._views = views
         self._predict_effect = predict_effect
         self._size = demand.record.workload.reserved
+        # The pace of a filling task on the VM that is being assessed, once it
+        # is known.
+        self._pace = None
         # The next task's properties that the assessments depend on.
         self._properties = None
         # Of each VM: its score, infinite if it is refused, and its addends,
@@ -130,6 +133,7 @@
         """Compute one VM's score, or why it is refused."""
         view = self._views[index]
         parts = []
+        self._pace = None
         reason = self._refuse(view)
         if not reason:
             parts, reason = self._score(view, spread)
@@ -147,6 +151,9 @@
         reason = _refuse(self._size, view) or _refuse_step(demand, view)
         if reason:
             return reason
+        if workload.fills and demand.is_selective:
+            if self._predict_pace(view) < _MIN_PACE:
+                return REFUSED_SLOWS_SERVICE
         name = view.vm.name
         if workload.kind == data.Kind.SERVICE and demand.placed[name]:
             # A VM has one runner, so a second replica would add nothing.
@@ -159,12 +166,22 @@
             return REFUSED_SUSPECT
         return ''
 
+    def _predict_pace(self, view):
+        """Return the pace of a filling task on the VM that is assessed."""
+        if self._pace is None:
+            self._pace = view.predict_pace(
+                self._demand.record.workload, self._demand.weight
+            )
+        return self._pace
+
     def _score(self, view, spread):
         """Return the addends of a VM's score, and a reason to refuse it."""
         demand = self._demand
         _, crash_count, _ = self._properties
         workload = demand.record.workload
-        parts = scoring.score_vm(demand, view, spread)
+        is_paced = workload.job and workload.fills
+        pace = self._predict_pace(view) if is_paced else 1.0
+        parts = scoring.score_vm(demand, view, spread, pace)
         parts += scoring.score_crash_risk(demand, crash_count, view)
         if (
             workload.kind != data.Kind.BATCH
@@ -233,12 +250,12 @@
     """Return why a VM cannot take a task of a size, or ''."""
     if view.closed:
         return view.closed
-    room = view.room
-    if size.cpu_milli > room.cpu_milli:
+    capacity, reserved = view.capacity, view.reserved
+    if size.cpu_milli > capacity.cpu_milli - reserved.cpu_milli:
         return 'processors'
-    if size.memory_mb > room.memory_mb:
+    if size.memory_mb > capacity.memory_mb - reserved.memory_mb:
         return 'memory'
-    if size.accelerators > room.accelerators:
+    if size.accelerators > capacity.accelerators - reserved.accelerators:
         return 'accelerators'
     return ''
 
@@ -257,9 +274,4 @@
         idle_milli = view.capacity.cpu_milli - view.busy_milli
         if workload.resources.cpu_milli > idle_milli:
             return 'processors'
-        if (
-            demand.is_selective
-            and view.predict_pace(workload, demand.weight) < _MIN_PACE
-        ):
-            return REFUSED_SLOWS_SERVICE
     return ''
--- a/packages/scheduler/portwharf/scheduler/decisions/vmview.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vmview.py
@@ -155,6 +155,9 @@
             cost = press * share
             if cost <= 0:
                 continue
+            if room / cost >= pace:
+                # Tasks that yield would only add to that.
+                continue
             rank = precedence.rank(weight, press)
             room += self._sum_yielding(serving, rank)
             pace = min(pace, max(0.0, room) / cost)
