Quotas: what teams have reserved is added up only if there is a quota

Without a quota the sums limit nothing, so that they are left out.

The test fails on the former code.

Ruled out: sums kept by the state with each event, which deployments without quotas would pay for as well.

--- a/packages/scheduler/portwharf/scheduler/decisions/pass_inputs.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/pass_inputs.py
@@ -68,7 +68,9 @@
     """
     if not demands:
         return placement.PlacementResult()
-    team_quotas = backlog.Quotas(quotas, sum_by_team(state))
+    # Without any quota, what teams have reserved does not matter.
+    reserved = sum_by_team(state) if quotas else {}
+    team_quotas = backlog.Quotas(quotas, reserved)
     return placement.place_demands(
         demands, views, team_quotas, now_ms, predict_effect
     )
@@ -164,6 +166,8 @@
 
 def find_over_quota(state, quotas):
     """Return the names of the teams that exceed their quotas."""
+    if not quotas:
+        return set()
     return {
         team
         for team, used in sum_by_team(state).items()
--- a/packages/scheduler/portwharf/scheduler/jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/jobs_test.py
@@ -2,6 +2,8 @@
 # SPDX-License-Identifier: Apache-2.0
 """Dependencies, attempts, states and placement of jobs."""
 
+from unittest import mock
+
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.scheduler.decisions import forecast
@@ -301,3 +303,16 @@
     owner._members._runtimes = owner._decider.runtimes
     owner.step()
     case.assertEqual(owner._decider.runtimes.count, 1)
+
+
+def test_reservations_are_not_added_up_without_a_quota(case):
+    made = cluster.Cluster(3)
+    made.submit(20)
+    made.run(4)
+    owner = made.nodes[0].owner
+    case.assertTrue(owner._decider.waiting)
+    failure = AssertionError('added up')
+    with mock.patch.object(
+        pass_inputs, 'sum_by_team', autospec=True, side_effect=failure
+    ):
+        owner.step()
