Task moves: idle processors of the VMs computed once for all destinations

They are listed once, and again after a move changed a view.

The test of the room that a first move took covers the list, too.

--- a/packages/scheduler/portwharf/scheduler/decisions/task_moves.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/task_moves.py
@@ -143,33 +143,47 @@
     # Tasks of one workload have the same destinations, until a move changes
     # one of the views.
     destinations = {}
+    idle = None
     for entry in stalled:
         if len(chosen) >= MAX_MOVES_PER_PASS:
             break
         if not _is_worthwhile(entry, 1.0):
             continue
         name = ids.split_task_id(entry.task.id)
+        if idle is None:
+            idle = _list_idle(views)
         if name not in destinations:
-            destinations[name] = _list_destinations(entry, views)
+            destinations[name] = _list_destinations(entry, idle)
         destination = _pick_destination(entry, destinations[name])
         if destination is not None:
             destination.add_task(entry.workload, entry.weight)
             destinations.clear()
+            idle = None
             chosen.append(entry.task)
     return chosen
 
 
-def _list_destinations(entry, views):
+def _list_idle(views):
+    """Return the views that tasks may move to, with their idle processors.
+
+    :returns: list of (thousandths of a processor, view)
+    """
+    return [
+        (view.capacity.cpu_milli - view.busy_milli, view)
+        for view in views
+        if not view.closed and not view.suspects
+    ]
+
+
+def _list_destinations(entry, idle):
     """Return the views with room for a stalled task, the best pace first.
 
+    :param idle: as :func:`_list_idle` returns it
     :returns: list of (pace, view)
     """
     workload = entry.workload
     found = []
-    for view in views:
-        if view.closed or view.suspects:
-            continue
-        idle_milli = view.capacity.cpu_milli - view.busy_milli
+    for idle_milli, view in idle:
         if workload.resources.cpu_milli > idle_milli:
             continue
         if not workload.reserved.fits(view.room) or not view.suits(workload):
