Entry: a late call with a malformed length is refused, not an error

What a caller could see: a call that waited too long for a thread, and whose Content-Length is no number, ended with an error of the server.

It answers 400 now.

--- a/packages/platform/portwharf/platform/job_api.py
+++ b/packages/platform/portwharf/platform/job_api.py
@@ -85,9 +85,7 @@
 
         with self._shutdown.track_call():
             if _read_time_limit(environ) <= 0:
-                # The client no longer waits for the owner's answer.
-                web.read_body(environ)
-                return _respond_error(respond, 503, 'too many calls')
+                return _refuse_late_call(environ, respond)
             return self._dispatch(environ, respond)
 
     def _dispatch(self, environ, respond):
@@ -235,6 +233,15 @@
     return min(CALL_SECONDS, share) - queued
 
 
+def _refuse_late_call(environ, respond):
+    """Refuse a call whose client no longer waits for the owner's answer."""
+    try:
+        web.read_body(environ)
+    except ValueError as exc:
+        return _respond_error(respond, 400, str(exc))
+    return _respond_error(respond, 503, 'too many calls')
+
+
 def _map_status(answer):
     """Return the HTTP status for the result of a call to the owner."""
     if answer.is_ok():
--- a/packages/platform/portwharf/platform/job_api_test.py
+++ b/packages/platform/portwharf/platform/job_api_test.py
@@ -231,6 +231,20 @@
     case.assertEqual(calls.calls, [])
 
 
+def test_late_call_with_a_malformed_length_is_refused(case):
+    pool, _, _, _ = open_calls()
+    environ = {
+        'REQUEST_METHOD': 'POST',
+        'PATH_INFO': f'/a/{ID}',
+        'CONTENT_LENGTH': 'x',
+        'wsgi.input': io.BytesIO(),
+        web.QUEUED_SECONDS: 1.35,
+    }
+    statuses = []
+    pool.app(environ, lambda status, _: statuses.append(status[:3]))
+    case.assertEqual(statuses, ['400'])
+
+
 def test_unknown_route_and_bad_id_are_not_found(case):
     pool, _, _, _ = open_calls()
     case.assertEqual(send(pool, 'POST', f'/x/{ID}', BODY).status, 404)
