--- a/packages/operators/portwharf/operators/service_test.py
+++ b/packages/operators/portwharf/operators/service_test.py
@@ -144,7 +144,7 @@
 
 
 def test_client_skips_an_unreachable_entry(case):
-    app = make_pool(FakeBackend())._app
+    app = make_pool(FakeBackend()).app
     port = fixtures.serve(case, app)
     client = operators.Client([('127.0.0.1', 1), ('127.0.0.1', port)])
     answer = client.call(
