Start no task before its preparation is logged

What callers saw: while the store was out, a task ran that the log did not know; a later owner could run it a second time, an exclusive one at the same time on another VM.

Cause: events change the state before they are appended. An owner whose append is stalled starts the prepared tasks of its state as room becomes free, and these included the ones that only the stalled batch prepares.

Evidence: the three tests failed before. One task more had run than the log held; an exclusive task ran on vm-00 and vm-01 after a takeover by an owner that could not reach vm-01; and with the second of two entries stalled, the tasks of both began.

The events of a batch are removed as their entries are appended. So what they still prepare is not in the log, or not known to be, and is skipped. Tasks that an earlier pass or entry has prepared start as before.

Ruled out: starts that are sent before the commit. Prepared tasks are resolved before the same pass prepares others, and a pass begins only after all entries of the one before, also when it makes two batches.

--- a/packages/scheduler/portwharf/scheduler/batches.py
+++ b/packages/scheduler/portwharf/scheduler/batches.py
@@ -10,6 +10,8 @@
 import enum
 import math
 
+from portwharf.scheduler import events
+
 
 @dataclasses.dataclass(slots=True)
 class ReportsItem:
@@ -51,8 +53,8 @@
 class Batch:
     """The events of one pass, and the actions around logging them.
 
-    ``events`` holds the events, ``before_commit`` and ``after_commit`` the
-    functions to call before and after the events are logged.
+    ``events`` holds the events that are not logged yet, ``before_commit`` and
+    ``after_commit`` the functions to call before and after they are logged.
     """
 
     def __init__(self):
@@ -60,6 +62,17 @@
         self.before_commit = []
         self.after_commit = []
 
+    def list_prepared(self):
+        """Return (task, attempt) of each preparation that is not logged yet.
+
+        :returns: a set
+        """
+        return {
+            (event.task, event.attempt)
+            for event in self.events
+            if isinstance(event, events.TaskPrepared)
+        }
+
     def send_before_commit(self, link, message):
         """Send a message that needs only events that are logged already."""
         if link is not None:
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -489,10 +489,11 @@
             elif item is not None:
                 self._deferred.append(item)
         self._request_takeover()
+        unlogged = self._batch.list_prepared()
         for item in items:
             if isinstance(item, batches.ReportsItem):
                 starts = self._decider.preparation.start_in_freed_room(
-                    item.link.name, item.message.reports
+                    item.link.name, item.message.reports, unlogged
                 )
                 for start in starts:
                     item.link.send(start)
--- a/packages/scheduler/portwharf/scheduler/prepared_starts.py
+++ b/packages/scheduler/portwharf/scheduler/prepared_starts.py
@@ -7,7 +7,8 @@
 VMs that have no room for them yet. Normally, once there is room they are
 placed on that VM or requeued for another. While an append is stalled, the
 owner starts a prepared task as soon as tasks that ended on its VM have freed
-enough room; the side checks that as well.
+enough room; the side checks that as well. Tasks that the stalled append itself
+prepares are not started, as a later owner would not know of them.
 
 An owner may requeue a prepared task only while it is certain that nobody has
 started it: the owner itself has not, and the side has reported on this
@@ -108,12 +109,14 @@
                     resolved.append(event)
         return resolved
 
-    def start_in_freed_room(self, vm, reports):
+    def start_in_freed_room(self, vm, reports, unlogged):
         """Start prepared tasks in the room that ended attempts have freed.
 
         Called for reports that arrive while an append is stalled.
 
         :param reports: list of ``messages.TaskReport``
+        :param unlogged: set of (task, attempt) whose preparation is not in
+            the log; a later owner would not know of their start
         :returns: list of ``messages.StartTask`` to send at once
         """
         freed = self._freed.setdefault(vm, _Freed())
@@ -123,7 +126,9 @@
         for task in self._state.prepared[vm].values():
             size = self._state.find_workload(task.id).workload.resources
             name = (task.id, task.attempt)
-            if name in self._started or not size.fits(freed.room):
+            if name in self._started or name in unlogged:
+                continue
+            if not size.fits(freed.room):
                 continue
             freed.room = freed.room.subtract(size)
             self._started.add(name)
--- a/packages/scheduler/portwharf/scheduler/prepared_starts_test.py
+++ b/packages/scheduler/portwharf/scheduler/prepared_starts_test.py
@@ -2,8 +2,19 @@
 # SPDX-License-Identifier: Apache-2.0
 """Prepared tasks start during an outage, once, and are not lost."""
 
+from unittest import mock
+
+import result
+
 from portwharf.peers import messages
+from portwharf.scheduler import batches
 from portwharf.scheduler import ownership_test
+from portwharf.scheduler import shardlog
+
+
+def list_started(node):
+    """Return the tasks of all attempts that a node's worker has begun."""
+    return [run.attempt.task for run in node.worker.record]
 
 
 def test_prepared_tasks_start_during_an_outage(case):
@@ -96,3 +107,83 @@
     case.assertTrue(lost)
     made.submit(1)
     ownership_test.finish(made)
+
+
+def test_task_is_not_started_before_its_preparation_is_logged(case):
+    made = ownership_test.make_cluster(2, 1)
+    made.fake.faults.down = True
+    fut = made.submit()
+    made.run(1)
+    made.finish_running()
+    made.run(5)
+    case.assertTrue(made.nodes[0].owner.stalled)
+    case.assertEqual(ownership_test.count_runs(made), 2)
+    made.fake.faults.down = False
+    made.run(3)
+    case.assertIn(f'{fut.value.id}.0', list_started(made.nodes[0]))
+    ownership_test.finish(made)
+    case.assertEqual(ownership_test.count_runs(made), 3)
+
+
+def test_task_of_an_unlogged_preparation_does_not_run_twice(case):
+    """An owner that loses the store prepares a task; its successor places it.
+
+    The successor cannot reach the VM that the task was prepared on, and has
+    no record of that to wait for.
+    """
+    # Two tasks run on each VM, two are prepared, and one waits.
+    made = ownership_test.make_cluster(13)
+    former, cut_off, successor = made.nodes
+    state = made.read_state()
+    (record,) = state.workloads.values()
+    task = state.list_tasks(record)[-1]
+    case.assertEqual(record.begun, 12)
+    former.pool.cut = True
+    made.cut(cut_off, successor)
+    # A prepared task is placed, and the waiting one is prepared instead.
+    cut_off.worker.finish(ownership_test.list_running(cut_off)[0])
+    made.run(1)
+    case.assertIn(task.id, former.owner._state.prepared[cut_off.vm.name])
+    for name in ownership_test.list_running(cut_off):
+        cut_off.worker.finish(name)
+    made.run(2)
+    successor.claim()
+    made.run(2)
+    for _ in range(3):
+        for node in (former, successor):
+            for name in ownership_test.list_running(node):
+                if name != task.id:
+                    node.worker.finish(name)
+        made.run(1)
+    hosts = [node for node in made.nodes if task.id in list_started(node)]
+    case.assertEqual(len(hosts), 1)
+    case.assertIsNot(hosts[0], cut_off)
+    ownership_test.finish(made)
+
+
+def test_only_tasks_of_the_logged_entries_of_a_stalled_batch_start(case):
+    made = ownership_test.make_cluster(2, 1)
+    (node,) = made.nodes
+    append = shardlog.ShardLog.append
+    appended = []
+
+    def append_one(log, events):
+        if appended:
+            return result.Err(shardlog.Stalled('down'))
+        appended.append(events)
+        return append(log, events)
+
+    made.submit(2)
+    with (
+        mock.patch.object(shardlog, 'count_fitting_events', lambda events: 2),
+        mock.patch.object(shardlog.ShardLog, 'append', append_one),
+    ):
+        items = node.owner.take_items()
+        case.assertIs(node.owner.step(items), batches.StepResult.STALLED)
+        (logged,) = made.read_state().prepared['vm-00']
+        case.assertEqual(len(node.owner._state.prepared['vm-00']), 2)
+        made.finish_running()
+        made.run(5)
+        case.assertEqual(list_started(node)[2:], [logged])
+    ownership_test.finish(made)
+    case.assertEqual(ownership_test.count_runs(made), 4)
