Tell a roster as in force only once it is logged

What callers saw: while the store was out for the owner, a side that connected again acted by a roster that no later owner knew. After a takeover, another VM admitted the same not-repeatable id.

Cause: events change the state before they are appended, and the message that greets a side was made from the state. A roster whose append was stalled was in it, and the pending one was not told any more.

The keeper now publishes its message as a whole after the batch is logged, and links read only that. Until then the roster is told as pending with the one in force in the log, so that a side acts only for ids with the same home in both.

By reading, not by a run, that also ends a race: a link could read between the removal of the pending roster and the change of the state, and told neither.

The state machine of at-most-once requests has no log; it publishes after each update, where the owner does after the append. Its checks are unchanged.

Ruled out: the lock for make_rosters. The state holds the roster until the append is confirmed, also under the lock.

--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -593,9 +593,12 @@
         if event is not None:
             self._apply_event(batch, event)
         if has_changed:
-            batch.after_commit.append(
-                lambda: self._members.announce(self.rosters.make_update())
-            )
+            batch.after_commit.append(self._announce_rosters)
+
+    def _announce_rosters(self):
+        """Publish the rosters, which are logged, and send them to all."""
+        self.rosters.publish()
+        self._members.announce(self.rosters.make_update())
 
     def _drop_expired(self, batch):
         """Drop workloads and jobs that ended long ago, at intervals."""
--- a/packages/scheduler/portwharf/scheduler/rosters.py
+++ b/packages/scheduler/portwharf/scheduler/rosters.py
@@ -7,7 +7,8 @@
 for ids that have the same home in both rosters. Once every member has
 acknowledged the pending roster, or can hold no valid grant any more, no side
 acts by the old roster alone; the new one is then logged with its effective
-time and is in force.
+time and is in force. Until the log confirms that, it is still told as pending,
+as a later owner may not know of it.
 """
 
 from portwharf.core import data
@@ -26,19 +27,32 @@
         self._pending = None
         self._last_seq = 0
         self._acks = {}
+        self._update = None
+        self.publish()
 
     def record_ack(self, member, seq):
         """Record the highest roster number that a member acts by."""
         self._acks[member] = seq
 
     def make_update(self):
-        """Return the rosters as a message for sides and entries."""
-        pending = self._pending or data.Roster()
-        return messages.RosterUpdate(pending, list(self._state.rosters))
+        """Return the published rosters as a message for sides and entries.
+
+        May be called by any thread at any time.
+        """
+        return self._update
+
+    def publish(self):
+        """Publish the rosters; all their events must be logged."""
+        # Replaced as a whole, since the links read it without the lock.
+        self._update = messages.RosterUpdate(
+            self._pending or data.Roster(), list(self._state.rosters)
+        )
 
     def update(self, views, now_ms, has_lapsed):
         """Update the rosters after a change of where services run.
 
+        News must be published once the event and all before it are logged.
+
         :param views: list of ``vmview.VmView``
         :param has_lapsed: function of a VM name that tells whether its side
             holds no valid grant
--- a/packages/side/portwharf/side/at_most_once_machine_test.py
+++ b/packages/side/portwharf/side/at_most_once_machine_test.py
@@ -97,6 +97,7 @@
         )
         if event is not None:
             self.state.apply(event)
+        self.keeper.publish()
 
     def update_side(self, name):
         """Send the rosters to a side with a grant, and take its reply."""
