Count freed room once for all entries of a batch

What callers saw: while the store was out, a side was told to start one more prepared task than it had room for.

Cause: the room that ended attempts had freed was forgotten after each entry of a batch, though the reports of these ends wait until the batch is done. A side that connected again between two entries reported the same ends, and they counted again.

Evidence: the test failed before, with two prepared tasks told to start in the room of one ended attempt.

The room is now forgotten when all entries of the batch are logged, just before the reports that were kept meanwhile can be processed. For a batch of one entry nothing changes.

Ruled out: forgetting the room and keeping only the names of the attempts. The rest of the room would be lost between entries, and prepared tasks with it.

--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -451,6 +451,7 @@
         if step is batches.StepResult.DEPOSED:
             self.deposed.set()
         if step is batches.StepResult.DONE:
+            self._decider.preparation.clear_freed()
             # The append may have taken long. Sides check starts against the
             # closed zones they were told, so these go out first on each
             # connection.
@@ -567,7 +568,6 @@
         metrics.APPENDS.inc()
         if answer.is_ok():
             self._pending_since = None
-            self._decider.preparation.clear_freed()
             self._grants.record_store(sent_at)
             self._next_append = sent_at + self._env.append_interval
             return batches.StepResult.DONE
--- a/packages/scheduler/portwharf/scheduler/prepared_starts.py
+++ b/packages/scheduler/portwharf/scheduler/prepared_starts.py
@@ -144,7 +144,7 @@
         ]
 
     def clear_freed(self):
-        """Forget the freed resources, as an append was confirmed."""
+        """Forget the freed resources, as all events of a batch are logged."""
         self._freed.clear()
 
     def _add_freed(self, vm, report, freed):
--- a/packages/scheduler/portwharf/scheduler/prepared_starts_test.py
+++ b/packages/scheduler/portwharf/scheduler/prepared_starts_test.py
@@ -187,3 +187,44 @@
         case.assertEqual(list_started(node)[2:], [logged])
     ownership_test.finish(made)
     case.assertEqual(ownership_test.count_runs(made), 4)
+
+
+def test_freed_room_is_counted_once_between_the_entries_of_a_batch(case):
+    """A side reports an end again after some entries of the batch."""
+    made = ownership_test.make_cluster(2, 1)
+    (node,) = made.nodes
+    made.submit(2)
+    made.run(3)
+    case.assertEqual(len(made.read_state().prepared['vm-00']), 2)
+    append = shardlog.ShardLog.append
+    appended = []
+    allowed = 0
+
+    def append_allowed(log, events):
+        if len(appended) >= allowed:
+            return result.Err(shardlog.Stalled('down'))
+        appended.append(events)
+        return append(log, events)
+
+    def list_told():
+        return node.owner._decider.preparation.list_started('vm-00')
+
+    made.submit(1)
+    made.submit(1)
+    with (
+        mock.patch.object(shardlog, 'count_fitting_events', lambda events: 1),
+        mock.patch.object(shardlog.ShardLog, 'append', append_allowed),
+    ):
+        made.run(1)
+        node.worker.finish(ownership_test.list_running(node)[0])
+        made.run(2)
+        case.assertEqual(len(list_told()), 1)
+        allowed = 1
+        made.run(2)
+        case.assertEqual(len(appended), 1)
+        case.assertTrue(node.owner.stalled)
+        made.break_pipes(node)
+        made.run(3)
+        case.assertEqual(len(list_told()), 1)
+    ownership_test.finish(made)
+    case.assertEqual(ownership_test.count_runs(made), 6)
