--- a/packages/side/portwharf/side/server_test.py
+++ b/packages/side/portwharf/side/server_test.py
@@ -176,6 +176,26 @@
     case.assertEqual(node.owner.take_items(), [])
 
 
+def test_read_that_waited_for_a_pass_too_long_is_refused(case):
+    made, node, conn = make_owner(case)
+    reading = threading.Event()
+    owner = node.owner
+    confirm = owner.is_confirmed
+
+    def note_read():
+        reading.set()
+        return confirm()
+
+    owner.is_confirmed = note_read
+    with owner._lock:
+        conn.to_side.put(
+            messages.Operation(1, 'list-workloads', b'\x80', 500)
+        )
+        case.assertTrue(reading.wait(WAIT_SECONDS))
+        made.time.advance(1)
+    case.assertEqual(list_results(conn, 1), {1: 'refused'})
+
+
 def test_cancellation_is_carried_out_for_a_caller_that_gave_up(case):
     made, node, conn = make_owner(case)
     case.assertEqual(accept_job(node, conn, 1).status, 'ok')
