--- a/packages/platform/portwharf/platform/job_api.py
+++ b/packages/platform/portwharf/platform/job_api.py
@@ -26,6 +26,8 @@
 DEADLINE_SHARE = 0.45
 # Deadline of calls whose client sends none.
 DEFAULT_DEADLINE_MS = 3000
+# Python refuses to convert texts of some thousand digits.
+_MAX_DEADLINE_DIGITS = 15
 # Time limit of the search for an owner. The call is then refused, and the
 # client can try another entry.
 FIND_OWNER_SECONDS = 0.5
@@ -37,6 +39,8 @@
 _JOB_ID = re.compile('[0-9a-fA-F]{16}')
 _SHARD = 0
 _STATUSES = {
+    owner_client.NO_OWNER: 503,
+    owner_client.NO_ANSWER: 504,
     owner_client.NOT_ACCEPTED: 503,
     owner_client.OUTCOME_UNKNOWN: 504,
     owner_client.UNKNOWN_ID: 410,
@@ -81,9 +85,7 @@
 
         with self._shutdown.track_call():
             if _read_time_limit(environ) <= 0:
-                # The client no longer waits for the owner's answer.
-                web.read_body(environ)
-                return _respond_error(respond, 503, 'too many calls')
+                return _refuse_late_call(environ, respond)
             return self._dispatch(environ, respond)
 
     def _dispatch(self, environ, respond):
@@ -110,7 +112,10 @@
         return _respond_error(respond, 400, 'use POST, GET or DELETE')
 
     def _submit(self, job_id, queue, environ, respond):
-        size = int(environ.get('CONTENT_LENGTH') or 0)
+        try:
+            size = web.read_length(environ)
+        except ValueError as exc:
+            return _respond_error(respond, 400, str(exc))
         if size > MAX_BODY_BYTES:
             return _respond_error(respond, 400, 'the body is too large')
         try:
@@ -127,7 +132,7 @@
             'submit-job', submission, operations.Accepted, seconds
         )
         status = _map_status(answer)
-        self._log_answer('submit', job_id, queue, status, started)
+        self._log_answer('submit', job_id, queue, answer, started)
         if answer.is_err():
             return _respond_problem(respond, status, answer.err_value)
         return web.send_json(respond, 200, {})
@@ -151,18 +156,22 @@
         seconds = _read_time_limit(environ)
         answer = self._call('cancel-job', query, operations.Cancelled, seconds)
         status = _map_status(answer)
-        self._log_answer('cancel', job_id, queue, status, started)
+        self._log_answer('cancel', job_id, queue, answer, started)
         if answer.is_err():
             return _respond_problem(respond, status, answer.err_value)
         return web.send_json(respond, 200, {})
 
-    def _log_answer(self, verb, job_id, queue, status, started):
-        """Log a call's status and the configuration revision."""
+    def _log_answer(self, verb, job_id, queue, answer, started):
+        """Log a call's status and the configuration revision.
+
+        :param answer: the result of the call to the owner
+        """
         took = self._clock.read_monotonic() - started
         extra = logs.fields(
             request=job_id,
             queue=queue.name,
-            status=status,
+            status=_map_status(answer),
+            reason=None if answer.is_ok() else _find_code(answer.err_value),
             revision=self._keeper.read().revision,
             took_ms=int(took * _MS_PER_SECOND),
         )
@@ -217,19 +226,32 @@
     positive if no time is left.
     """
     text = environ.get('HTTP_PORTWHARF_DEADLINE_MS', '')
-    deadline_ms = int(text) if text.isdigit() else DEFAULT_DEADLINE_MS
+    is_number = text.isdecimal() and len(text) <= _MAX_DEADLINE_DIGITS
+    deadline_ms = int(text) if is_number else DEFAULT_DEADLINE_MS
     share = DEADLINE_SHARE * deadline_ms / _MS_PER_SECOND
     queued = environ.get(web.QUEUED_SECONDS, 0.0)
     return min(CALL_SECONDS, share) - queued
 
 
+def _refuse_late_call(environ, respond):
+    """Refuse a call whose client no longer waits for the owner's answer."""
+    try:
+        web.read_body(environ)
+    except ValueError as exc:
+        return _respond_error(respond, 400, str(exc))
+    return _respond_error(respond, 503, 'too many calls')
+
+
 def _map_status(answer):
     """Return the HTTP status for the result of a call to the owner."""
     if answer.is_ok():
         return 200
-    problems = answer.err_value
-    code = problems[0].code if problems else owner_client.OUTCOME_UNKNOWN
-    return _STATUSES.get(code, _BAD_GATEWAY)
+    return _STATUSES.get(_find_code(answer.err_value), _BAD_GATEWAY)
+
+
+def _find_code(problems):
+    """Return the code of the first problem of a call."""
+    return problems[0].code if problems else owner_client.OUTCOME_UNKNOWN
 
 
 def _respond_problem(respond, status, problems):
--- a/packages/scheduler/portwharf/scheduler/decisions/service_protection.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/service_protection.py
@@ -106,6 +106,8 @@
 
     def record_running(self, now):
         """Record what runs beside services, for measurements to come."""
+        if not self._state.services and not any(self._service_views.values()):
+            return
         for vm in self._service_views:
             kinds = remedies.count_kinds(self.list_neighbours(vm, now))
             self._timeline.record(vm, kinds, now)
@@ -163,6 +165,9 @@
         actions = []
         for vm in list(self._service_views):
             services = self._list_services(vm, now)
+            if not services and not self._throttled:
+                # There is nothing to protect and nothing to release.
+                continue
             neighbours = self.list_neighbours(vm, now)
             action = self.remedies.find_action(
                 vm, services, neighbours, now
@@ -185,6 +190,14 @@
         """
         actions = []
         evictable = self._list_evictable(views, over_quota, now)
+        least_importance = min(
+            (
+                neighbour.importance
+                for found in evictable.values()
+                for neighbour in found
+            ),
+            default=_ABOVE_ANY_IMPORTANCE,
+        )
         # Shapes of requests for which no room can be made, as thousands of
         # jobs may request the same.
         failed_shapes = set()
@@ -195,6 +208,8 @@
             if actions and not workload.urgent:
                 # One demand per pass: the freed room may do for the next.
                 continue
+            if _get_importance_limit(workload) <= least_importance:
+                continue
             shape = _get_request_shape(demand)
             if shape in failed_shapes or not demand.tasks:
                 continue
--- a/packages/scheduler/portwharf/scheduler/operator_api.py
+++ b/packages/scheduler/portwharf/scheduler/operator_api.py
@@ -119,7 +119,13 @@
             if arguments.is_err():
                 answer(arguments)
             else:
-                self._write(method, arguments.ok_value, deadline, answer)
+                called = batches.OperatorCall(
+                    concurrent.futures.Future(),
+                    method,
+                    arguments.ok_value,
+                    deadline,
+                )
+                self._write(called, received_at, answer)
         else:
             problem = data.Problem('unknown-method', 'method', method)
             answer(result.Err(problem))
@@ -169,30 +175,27 @@
             found = data.JobState.RUNNING
         return job_operations.JobView(job_id, str(found or ''))
 
-    def _write(self, method, arguments, deadline, answer):
+    def _write(self, called, received_at, answer):
         """Queue a write call, to be answered once it is logged.
 
+        :param called: a ``batches.OperatorCall``
+        :param received_at: when it came, by the owner's monotonic clock
         :param answer: called with Ok(a data class of ``operations``), or
             Err(Problem)
         """
 
         def respond(outcome):
-            answer(self._correct_refusal(method, arguments, outcome))
+            answer(self._correct_refusal(called, outcome))
 
         if not self._owner.accepts_calls():
             respond(result.Err(pending_calls.make_stalled_problem()))
-            return
-        if self._is_too_late(deadline) and not self._is_accepted(
-            method, arguments
-        ):
+        elif self._is_too_late(called.deadline) and not self._may_run(called):
             metrics.REFUSED_CALLS.inc()
             respond(result.Err(pending_calls.make_busy_problem()))
-            return
-        called = batches.OperatorCall(
-            concurrent.futures.Future(), method, arguments, deadline
-        )
-        self._pending.add(called.fut, respond)
-        self._owner.take_call(called)
+        else:
+            job = _find_submitted_job(called)
+            self._pending.add(called.fut, respond, received_at, job)
+            self._owner.take_call(called)
 
     def _is_too_late(self, deadline):
         """Tell whether the pass under way is likely to outlast a caller."""
@@ -200,15 +203,18 @@
         wait_seconds = self._owner.estimate_wait_seconds()
         return wait_seconds > _MAX_WAIT_FACTOR * left_seconds
 
-    def _is_accepted(self, method, arguments):
-        """Tell whether a call submits a job that is accepted already.
+    def _may_run(self, called):
+        """Tell whether a call submits a job that may run by another sending.
 
-        An earlier sending of it may not have been answered: to refuse this one
-        would let its caller believe that the job never runs.
+        That one may not have been answered: to refuse this one would let its
+        caller believe that the job never runs.
         """
-        return method == 'submit-job' and arguments.job.id in self._state.jobs
+        job = _find_submitted_job(called)
+        return bool(job) and (
+            self._pending.has_submission(job) or job in self._state.jobs
+        )
 
-    def _correct_refusal(self, method, arguments, outcome):
+    def _correct_refusal(self, called, outcome):
         """Return a call's outcome, which is unknown if its job may run.
 
         :param outcome: Ok(answer), or Err(Problem)
@@ -216,7 +222,7 @@
         if (
             outcome.is_err()
             and outcome.err_value.code == 'not-accepted'
-            and self._is_accepted(method, arguments)
+            and self._may_run(called)
         ):
             return result.Err(pending_calls.make_unknown_problem())
         return outcome
@@ -273,6 +279,13 @@
         called.fut.set_result(pending_calls.make_stalled_problem())
 
 
+def _find_submitted_job(called):
+    """Return the id of the job that a call submits, or ''."""
+    if called.method != 'submit-job':
+        return ''
+    return called.arguments.job.id
+
+
 def _find_deadline(operation, received_at):
     """Return until when a call may be begun, by the owner's clock."""
     if operation.method in CANCELS or operation.left_ms <= 0:
