--- a/packages/side/portwharf/side/server_test.py
+++ b/packages/side/portwharf/side/server_test.py
@@ -182,11 +182,11 @@
     owner = node.owner
     confirm = owner.is_confirmed
 
-    def note_read():
+    def confirm_and_signal():
         reading.set()
         return confirm()
 
-    owner.is_confirmed = note_read
+    owner.is_confirmed = confirm_and_signal
     with owner._lock:
         conn.to_side.put(
             messages.Operation(1, 'list-workloads', b'\x80', 500)
