--- a/packages/side/portwharf/side/server_test.py
+++ b/packages/side/portwharf/side/server_test.py
@@ -188,9 +188,7 @@
 
     owner.is_confirmed = confirm_and_signal
     with owner._lock:
-        conn.to_side.put(
-            messages.Operation(1, 'list-workloads', b'\x80', 500)
-        )
+        conn.to_side.put(messages.Operation(1, 'list-workloads', b'\x80', 500))
         case.assertTrue(reading.wait(WAIT_SECONDS))
         made.time.advance(1)
     case.assertEqual(list_results(conn, 1), {1: 'refused'})
