--- a/packages/peers/portwharf/peers/streams.py
+++ b/packages/peers/portwharf/peers/streams.py
@@ -96,7 +96,7 @@
         self._posted_bytes = 0
         self._queued_frames = 0
         self._sent_frames = 0
-        # When the peer stopped taking data, or None.
+        # The time since which the peer has taken no data, or None.
         self._blocked_since = None
         self._closed = False
         self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -70,7 +70,8 @@
         self._superseded = False
         self._takeover_requests = 0
         self._batch = None
-        # Whether input was processed and no other decisions were made since.
+        # Set after an entry of the input alone, until a pass makes the other
+        # decisions.
         self._rest_due = False
         self._decisions_seconds = 0.0
         self._item_count = 0
--- a/packages/scheduler/portwharf/scheduler/pass_timing.py
+++ b/packages/scheduler/portwharf/scheduler/pass_timing.py
@@ -30,7 +30,8 @@
         self._clock = clock
         self._began = self._marked = clock.read_monotonic()
         self._parts = {}
-        # When the pass under way will have taken as long as the last one.
+        # The time at which the pass under way has taken as long as the last
+        # one, or None between passes.
         self._expected_end = None
         self._last_seconds = 0.0
 
--- a/packages/scheduler/portwharf/scheduler/slow_passes_test.py
+++ b/packages/scheduler/portwharf/scheduler/slow_passes_test.py
@@ -264,7 +264,7 @@
     with mock.patch.object(leader._log, 'append', append_and_freeze):
         case.assertIs(run_step(made), batches.StepResult.DONE)
     case.assertIsInstance(fut.value, operations.Accepted)
-    # What the sides sent meanwhile.
+    # Delivers what the sides sent meanwhile.
     deliver(made)
     slow.answered.clear()
     case.assertIs(run_step(made), batches.StepResult.DONE)
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -212,14 +212,14 @@
 
         :param timeout: seconds to wait for a command
         """
-        self._execute(self._take_command(timeout))
+        self._execute(self._pop_command(timeout))
         now = self._clock.read_monotonic()
         if now >= self._next_poll:
             self._next_poll = now + _POLL_SECONDS
             self._poll()
         self._send_heartbeat()
 
-    def _take_command(self, timeout):
+    def _pop_command(self, timeout):
         """Return the next command, or None; waits if there is none."""
         if not self._stop_commands:
             try:
--- a/packages/side/portwharf/side/server.py
+++ b/packages/side/portwharf/side/server.py
@@ -222,7 +222,7 @@
         elif isinstance(message, messages.Withdraw):
             incoming.withdraw(message.id)
         elif isinstance(message, messages.Operation):
-            self._take_operation(message, results)
+            self._dispatch_operation(message, results)
         elif isinstance(message, messages.SideState):
             # An entry's heartbeat keeps an idle connection open and contains
             # its configuration revision. An entry without access to the store
@@ -235,7 +235,7 @@
                 f'unexpected message {type(message).__name__}'
             )
 
-    def _take_operation(self, operation, results):
+    def _dispatch_operation(self, operation, results):
         """Have the owner carry out a call.
 
         A write call only queues here, so that calls wait for the owner's next
