Log how much of what they ask for throttled filling tasks get

A side logs 'filling tasks throttled', at most once in 5 s and only while one of them is below its full share, and sets two gauges at each poll.

--- a/packages/core/portwharf/core/logs.py
+++ b/packages/core/portwharf/core/logs.py
@@ -55,6 +55,11 @@
     'items',
     'events',
     'parts_ms',
+    'throttled',
+    'least',
+    'asked_milli',
+    'used_milli',
+    'tail_percent',
 )
 _TEXT_FORMAT = '%(asctime)s %(levelname)s %(name)s: %(message)s'
 _JSON_FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
--- a/packages/side/portwharf/side/pacing.py
+++ b/packages/side/portwharf/side/pacing.py
@@ -168,7 +168,9 @@
         )
         if self._is_suspended(now):
             wanted = dict.fromkeys(wanted, 0)
-        return self._list_changes(filling, wanted)
+        changes = self._list_changes(filling, wanted)
+        self._log_filling(serving, filling, now)
+        return changes
 
     def _log_state(self, serving, filling, now):
         """Log unknown attempts and missed targets."""
@@ -179,6 +181,26 @@
             worst, target_ms, self._throttle_factor, len(filling), now
         )
 
+    def _log_filling(self, serving, filling, now):
+        """Log the filling tasks, with the shares that they are set to."""
+        shares = [
+            self._sent.get((one.task, one.attempt), FULL) for one in filling
+        ]
+        state = pacing_log.FillingState(
+            count=len(filling),
+            throttled=sum(share < FULL for share in shares),
+            least=sum(share <= LEAST for share in shares),
+            asked_milli=sum(
+                self._traits.find(one).fill_milli for one in filling
+            ),
+            used_milli=sum(one.used_cpu_milli for one in filling),
+            tail_ratio=max(
+                map(self._compute_target_ratio, serving), default=0.0
+            ),
+            throttle=self._throttle_factor,
+        )
+        self.log.record_filling(state, now)
+
     def _compute_target_ratio(self, attempt):
         """Return a serving attempt's tail latency as a share of its target."""
         return attempt.tail_ms / self._traits.find(attempt).target_ms
--- a/packages/side/portwharf/side/pacing_log.py
+++ b/packages/side/portwharf/side/pacing_log.py
@@ -1,13 +1,15 @@
 # Copyright the portwharf authors.
 # SPDX-License-Identifier: Apache-2.0
-"""Logs episodes of missed latency targets and failed throttle commands.
+"""Logs missed latency targets, failed throttle commands and throttled work.
 
 A serving task can stay over its target for three reasons: the side does not
 know that it is a serving task, the filling tasks are not throttled enough, or
 the worker does not carry out throttle commands. Each has its own log line, and
-an episode has only a few lines.
+an episode has only a few lines. While filling tasks are throttled, a line
+every few seconds tells how much of what they ask for they get.
 """
 
+import dataclasses
 import logging
 
 from portwharf.core import logs
@@ -19,9 +21,34 @@
 MIN_MISS_SECONDS = 1.0
 # Failed throttle commands are logged at most this often.
 _FAILURE_LOG_SECONDS = 1.0
+# Throttled filling tasks are logged at most this often.
+FILLING_LOG_SECONDS = 5.0
 _MS_PER_SECOND = 1000
 
 
+@dataclasses.dataclass(slots=True)
+class FillingState:
+    """The filling tasks on one VM at one poll.
+
+    :param count: number of running filling attempts
+    :param throttled: number of them that are below their full share
+    :param least: number of them at the least share or suspended
+    :param asked_milli: processors that they ask for, in thousandths
+    :param used_milli: processors that they use, in thousandths
+    :param tail_ratio: highest tail latency of the serving tasks there, as a
+        share of its target; 0 if none is measured
+    :param throttle: the factor, 0 to 1, on the shares of all of them
+    """
+
+    count: int = 0
+    throttled: int = 0
+    least: int = 0
+    asked_milli: int = 0
+    used_milli: int = 0
+    tail_ratio: float = 0.0
+    throttle: float = 1.0
+
+
 class PacingLog:
     """Logs about pacing on one VM."""
 
@@ -31,6 +58,7 @@
         self._logged = False
         self._failures = 0
         self._next_failure_log = 0.0
+        self._next_filling_log = 0.0
 
     def report_unknown(self, attempts):
         """Log when the number of unknown attempts rises, or falls to zero.
@@ -80,6 +108,30 @@
             ),
         )
 
+    def record_filling(self, state, now):
+        """Set the metrics of filling tasks, and log while any is throttled.
+
+        :param state: a :class:`FillingState`
+        """
+        metrics.FILLING_MILLI.labels('asked').set(state.asked_milli)
+        metrics.FILLING_MILLI.labels('used').set(state.used_milli)
+        metrics.LEAST_SHARE_ATTEMPTS.set(state.least)
+        if not state.throttled or now < self._next_filling_log:
+            return
+        self._next_filling_log = now + FILLING_LOG_SECONDS
+        LOG.info(
+            'filling tasks throttled',
+            extra=logs.fields(
+                count=state.count,
+                throttled=state.throttled,
+                least=state.least,
+                asked_milli=state.asked_milli,
+                used_milli=state.used_milli,
+                tail_percent=int(100 * state.tail_ratio),
+                percent=int(100 * state.throttle),
+            ),
+        )
+
     def record_throttle(self, pace, paced, now):
         """Count a throttle command, and log a failed one.
 
--- a/packages/side/portwharf/side/pacing_log_test.py
+++ b/packages/side/portwharf/side/pacing_log_test.py
@@ -4,6 +4,7 @@
 
 import logging
 
+import prometheus_client
 import result
 
 from portwharf.side import pacing
@@ -23,6 +24,17 @@
     return [record.getMessage() for record in caught.records]
 
 
+def read_filling_metrics():
+    """Return what is asked for, what is used, and who has the least share."""
+    registry = prometheus_client.REGISTRY
+    name = 'portwharf_side_filling_milli'
+    return (
+        registry.get_sample_value(name, {'amount': 'asked'}),
+        registry.get_sample_value(name, {'amount': 'used'}),
+        registry.get_sample_value('portwharf_side_least_share_attempts'),
+    )
+
+
 def test_unknown_attempts_are_logged_once_and_when_known(case):
     log = pacing_log.PacingLog()
 
@@ -63,6 +75,46 @@
         log.record_tail(make_attempt(30), 20, 0.5, 1, 0.8)
 
 
+def test_throttled_filling_tasks_are_logged_rarely(case):
+    log = pacing_log.PacingLog()
+    state = pacing_log.FillingState(
+        count=4,
+        throttled=3,
+        least=2,
+        asked_milli=7200,
+        used_milli=1900,
+        tail_ratio=0.625,
+        throttle=0.5,
+    )
+    with case.assertLogs(pacing_log.LOG, logging.INFO) as caught:
+        for number in range(26):
+            log.record_filling(state, 0.4 * number)
+    case.assertEqual(
+        [record.getMessage() for record in caught.records],
+        ['filling tasks throttled'] * 2,
+    )
+    record = caught.records[0]
+    case.assertEqual((record.count, record.throttled, record.least), (4, 3, 2))
+    case.assertEqual((record.asked_milli, record.used_milli), (7200, 1900))
+    case.assertEqual((record.tail_percent, record.percent), (62, 50))
+
+
+def test_filling_tasks_at_their_full_share_are_not_logged(case):
+    log = pacing_log.PacingLog()
+    state = pacing_log.FillingState(count=4, asked_milli=7200, used_milli=7200)
+    with case.assertNoLogs(pacing_log.LOG):
+        log.record_filling(state, 0.0)
+
+
+def test_filling_metrics_follow_each_poll(case):
+    log = pacing_log.PacingLog()
+    state = pacing_log.FillingState(3, 2, 1, asked_milli=900, used_milli=300)
+    log.record_filling(state, 0.0)
+    case.assertEqual(read_filling_metrics(), (900, 300, 1))
+    log.record_filling(pacing_log.FillingState(), 0.4)
+    case.assertEqual(read_filling_metrics(), (0, 0, 0))
+
+
 def test_failed_throttle_commands_are_counted_and_logged_rarely(case):
     log = pacing_log.PacingLog()
     pace = pacing.Pace('f.0', 1, 10)
--- a/packages/side/portwharf/side/pacing_test.py
+++ b/packages/side/portwharf/side/pacing_test.py
@@ -2,9 +2,12 @@
 # SPDX-License-Identifier: Apache-2.0
 """Filling tasks are throttled to protect serving ones, heaviest first."""
 
+import logging
+
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.side import pacing
+from portwharf.side import pacing_log
 from portwharf.side import task_traits
 from portwharf import workers
 
@@ -165,6 +168,28 @@
     case.assertEqual(paces, {'light.0': 0, 'heavy.0': 0})
 
 
+def test_log_tells_what_throttled_tasks_ask_for_and_use(case):
+    pacer = make_pacer(light=0.2, heavy=8.0)
+    listing = make_listing(16, 'light', 'heavy', used=100)
+    with case.assertLogs(pacing_log.LOG, logging.INFO) as caught:
+        plan(pacer, listing)
+    (record,) = caught.records
+    case.assertEqual(record.getMessage(), 'filling tasks throttled')
+    case.assertEqual((record.count, record.throttled, record.least), (2, 1, 1))
+    case.assertEqual((record.asked_milli, record.used_milli), (8000, 200))
+    case.assertEqual((record.tail_percent, record.percent), (80, 100))
+
+
+def test_suspended_tasks_are_logged_as_at_the_least_share(case):
+    pacer = make_pacer(light=0.1, heavy=8.0)
+    for number in range(4):
+        plan(pacer, make_listing(30, 'light', 'heavy'), 0.4 * number)
+    with case.assertLogs(pacing_log.LOG, logging.INFO) as caught:
+        plan(pacer, make_listing(30, 'light', 'heavy'), 9.0)
+    (record,) = caught.records
+    case.assertEqual((record.throttled, record.least), (2, 2))
+
+
 def test_suspended_work_resumes_once_the_target_is_met(case):
     pacer = make_pacer(light=0.1)
     for number in range(5):
