Tell sides again how much work is left in the jobs that they work on

What callers saw: under overload a job's last tasks stayed at the least share behind tasks of jobs with more work left, and the job came late.

Cause: a side ranks filling tasks by the work that was left in their jobs when they started, or when the owner's connection began; nothing told it anew, nor the due time that learnt run times shift.

Why this works: once a second, the owner sends each side the claims of the steps on its VM that have changed by a tenth, or half a second in their due time; on a new connection all of them. All tasks of a step share one claim, so that a later start updates it as well. An older side skips the message.

Ruled out: sending all claims to all members, as presses are (bytes grow with jobs times members).

--- a/packages/peers/portwharf/peers/messages.py
+++ b/packages/peers/portwharf/peers/messages.py
@@ -320,6 +320,29 @@
     tasks: list[HeldTask] = dataclasses.field(default_factory=list)
 
 
+@dataclasses.dataclass(slots=True)
+class StepClaim:
+    """The claim of a step's filling tasks; fields as in :class:`StartTask`.
+
+    :param workload: the step's id
+    """
+
+    workload: str = ''
+    left: float = 0.0
+    due_ms: int = 0
+    late_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class ClaimUpdate:
+    """From an owner: claims of filling tasks on the VM that have changed.
+
+    :param claims: list of :class:`StepClaim`
+    """
+
+    claims: list[StepClaim] = dataclasses.field(default_factory=list)
+
+
 @dataclasses.dataclass(slots=True)
 class StopTask:
     """From an owner: stop this attempt.
@@ -522,6 +545,7 @@
     'grant': Grant,
     'presses': PressUpdate,
     'held': HeldTasks,
+    'claims': ClaimUpdate,
     'reports': Reports,
     'forget': ForgetTasks,
     'start': StartTask,
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -14,6 +14,7 @@
 from portwharf.core import logs
 from portwharf.peers import messages
 from portwharf.scheduler import batches
+from portwharf.scheduler import claim_updates
 from portwharf.scheduler import crashloop
 from portwharf.scheduler import decisionlog
 from portwharf.scheduler.decisions import forecast
@@ -72,6 +73,7 @@
         self.runtimes = forecast.RunTimeModel()
         self.preparation = prepared_starts.PreparedStarts(state)
         self.rosters = rosters.RosterKeeper(state)
+        self._claims = claim_updates.ClaimNotifier(state)
         # ``placement.UnplacedWorkload`` of the last pass, by workload id.
         self.waiting = {}
         self._patience = pass_inputs.Patience()
@@ -493,6 +495,9 @@
             )
             batch.send(self._members.get_link(placed.vm), command)
         self._timer.mark('starts')
+        links = self._members.list_links()
+        for update in self._claims.take_due_updates(links, weigher, now):
+            batch.send(*update)
         self._move_stuck_tasks(views, now, weigher, batch)
         self._timer.mark('move')
         self._evict_for_waiting(done, views, quotas, batch)
--- a/packages/scheduler/portwharf/scheduler/decisions/precedence.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/precedence.py
@@ -11,9 +11,8 @@
 serving task) times the work left in its job. Late jobs yield to those in time.
 
 The owner ranks by the work left now, to predict a task's pace on a VM. The
-side ranks by the work that was left when the task began, to decide which
-tasks to slow down, so that it may slow a task of a nearly finished job that
-the owner would not.
+side ranks by the work left that the owner told it last, to decide which tasks
+to slow down (``claim_updates``).
 """
 
 import dataclasses
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -244,6 +244,8 @@
             self._pacer.presses.replace_estimates(message.presses)
         elif isinstance(message, messages.HeldTasks):
             self._record_held(message)
+        elif isinstance(message, messages.ClaimUpdate):
+            self._pacer.update_claims(message.claims)
         elif not self._monitor.knows_all:
             # The command may concern an attempt that was started before this
             # side restarted. The owner sends it again after the full report,
--- a/packages/side/portwharf/side/pacing.py
+++ b/packages/side/portwharf/side/pacing.py
@@ -111,6 +111,11 @@
             self.record_held(held)
         self._traits.record_all_described()
 
+    def update_claims(self, claims):
+        """Take a list of ``messages.StepClaim`` of tasks that may run here."""
+        for one in claims:
+            self._traits.update_claim(one)
+
     @property
     def has_unknown_attempts(self):
         """Whether an attempt of unknown size runs here."""
@@ -355,7 +360,7 @@
             ),
             default=0.0,
         )
-        weight = trait.claim.weigh(now_ms)
+        weight = self._traits.find_claim(attempt).weigh(now_ms)
         return (precedence.rank(weight, press), attempt.task)
 
     def _list_changes(self, filling, wanted):
--- a/packages/side/portwharf/side/server.py
+++ b/packages/side/portwharf/side/server.py
@@ -36,6 +36,7 @@
     messages.ForgetTasks,
     messages.PressUpdate,
     messages.HeldTasks,
+    messages.ClaimUpdate,
 )
 _MS_PER_SECOND = 1000
 
--- a/packages/side/portwharf/side/task_traits.py
+++ b/packages/side/portwharf/side/task_traits.py
@@ -12,6 +12,7 @@
 import dataclasses
 
 from portwharf.core import bounded_cache
+from portwharf.core import ids
 from portwharf.scheduler.decisions import precedence
 
 # Tasks that are remembered, unless more of them run. A start without an answer
@@ -28,19 +29,16 @@
         0
     :param target_ms: the tail latency target of a serving task, or 0
     :param attempt: the latest attempt that the owner has described
-    :param claim: the claim of its job, for its precedence
     """
 
     image: str = ''
     fill_milli: int = 0
     target_ms: int = 0
     attempt: int = 0
-    claim: precedence.Claim = dataclasses.field(
-        default_factory=precedence.Claim
-    )
 
 
 _UNKNOWN_TASK = TaskTraits()
+_NO_CLAIM = precedence.Claim()
 
 
 class TraitsCache:
@@ -48,6 +46,8 @@
 
     def __init__(self):
         self._known = bounded_cache.BoundedCache(MAX_TRAITS)
+        # ``precedence.Claim`` by step, which all of its tasks share.
+        self._claims = bounded_cache.BoundedCache(MAX_TRAITS)
         self._all_described = False
         self.unknown = []
 
@@ -62,11 +62,23 @@
             message.fill_milli,
             message.target_ms,
             message.attempt,
-            precedence.Claim(message.left, message.due_ms, message.late_ms),
         )
         self._known.put(message.task, trait)
+        self._put_claim(ids.split_task_id(message.task), message)
         return new
 
+    def update_claim(self, message):
+        """Take a ``messages.StepClaim``, as the work of a job gets less."""
+        self._put_claim(message.workload, message)
+
+    def find_claim(self, attempt):
+        """Return the ``precedence.Claim`` of an attempt's step."""
+        return self._claims.get(ids.split_task_id(attempt.task), _NO_CLAIM)
+
+    def _put_claim(self, step, message):
+        claim = precedence.Claim(message.left, message.due_ms, message.late_ms)
+        self._claims.put(step, claim)
+
     def record_all_described(self):
         """Record that the owner has described all tasks that the VM holds."""
         self._all_described = True
@@ -79,6 +91,7 @@
         stopped.
         """
         self._known.set_in_use(one.task for one in running)
+        self._claims.set_in_use(ids.split_task_id(one.task) for one in running)
         self.unknown = []
         if self._all_described:
             self.unknown = [a for a in running if self._is_unknown(a)]
--- a/packages/side/portwharf/side/task_traits_test.py
+++ b/packages/side/portwharf/side/task_traits_test.py
@@ -122,3 +122,33 @@
     known = node.server.agent._pacer._traits
     known.set_running(running)
     case.assertEqual(known.unknown, [])
+
+
+def test_claim_follows_the_work_left_in_its_job(case):
+    """The side ranks tasks by the work left in their jobs.
+
+    Of a job's three tasks two end. The third goes on, and completes its job
+    for a third of the work that was left when it started.
+    """
+    deployment = cluster.Cluster(3)
+    step = data.Workload(
+        count=3,
+        resources=SIZE,
+        program='plan',
+        fills=True,
+        most_per_vm=1,
+        run_ms=60_000,
+    )
+    deployment.submit_job(data.Job('5c0e7a21d94b36f8', steps=[step]))
+    deployment.run(4)
+    node = deployment.nodes[2]
+    (run,) = [run for run in node.worker.runs if run.running]
+    traits = node.server.agent._pacer._traits
+    before = traits.find_claim(run.attempt).left
+    for other in deployment.nodes[:2]:
+        for ended in list(other.worker.runs):
+            other.worker.finish(ended.attempt.task)
+    deployment.run(8)
+    case.assertTrue(run.running)
+    left = traits.find_claim(run.attempt).left
+    case.assertLess(left, before / 2, f'{before} s of CPU at the start')
--- a/packages/testing/portwharf/testing/overload_day.py
+++ b/packages/testing/portwharf/testing/overload_day.py
@@ -20,6 +20,7 @@
 from portwharf.core import clock
 from portwharf.core import data
 from portwharf.peers import messages
+from portwharf.scheduler import claim_updates
 from portwharf.scheduler.decisions import forecast
 from portwharf.scheduler.decisions import pass_inputs
 from portwharf.scheduler.decisions import precedence
@@ -105,6 +106,7 @@
     def __init__(self, name):
         self.name = name
         self.view = self
+        self.connection = 0
         self.paced = []
 
 
@@ -144,6 +146,9 @@
         self._placed_at = {}
         self._patience = pass_inputs.Patience()
         self._move_history = task_moves.MoveHistory()
+        # What the side of each VM was told, by (VM name, step).
+        self._claims = {}
+        self._claim_notifier = claim_updates.ClaimNotifier(self._state)
         self._submitted = {}
         self._saved_seconds = {}
         self._latencies = {}
@@ -220,17 +225,17 @@
         by_vm = {link.name: [] for link in self._links}
         for run in self._runs.values():
             by_vm[run.vm].append(run)
-        weigher = precedence.Weigher(self._state, self._now_ms, self.run_times)
         for link in self._links:
-            link.paced = self._pace_vm(link.name, by_vm[link.name], weigher)
+            link.paced = self._pace_vm(link.name, by_vm[link.name])
 
-    def _pace_vm(self, name, runs, weigher):
+    def _pace_vm(self, name, runs):
         ranked = []
         for run in runs:
             record = self._state.find_workload(run.task)
             if record.workload.fills and not run.stopping:
                 press = self._presses[record.workload.image]
-                rank = precedence.rank(weigher.weigh(record), press)
+                claim = self._claims[(name, record.id)]
+                rank = precedence.rank(claim.weigh(self._now_ms), press)
                 ranked.append((rank, run.task, press, run))
         headroom, paced = self._get_tolerated_press(name), []
         for _, _, press, run in sorted(ranked, key=lambda row: row[:2]):
@@ -299,11 +304,10 @@
 
     def _run_pass(self):
         views = self._view_vms()
+        weigher = precedence.Weigher(self._state, self._now_ms, self.run_times)
+        self._update_claims(weigher)
         demands = pass_inputs.list_demands(
-            self._state,
-            lambda _: frozenset(),
-            self._now_ms,
-            precedence.Weigher(self._state, self._now_ms, self.run_times),
+            self._state, lambda _: frozenset(), self._now_ms, weigher
         )
         origins = self._move_history.list_recent_origins(self.now)
         for demand in demands:
@@ -315,15 +319,27 @@
         waiting = {demand.record.id: demand for demand in planned.waiting}
         self._patience.record_waits(waiting, self.now)
         for placement in planned.placements:
-            self._place(placement)
+            self._place(placement, weigher)
         self._views = views
 
-    def _place(self, placement):
+    def _update_claims(self, weigher):
+        updates = self._claim_notifier.take_due_updates(
+            self._links, weigher, self.now
+        )
+        for link, update in updates:
+            for one in update.claims:
+                self._claims[(link.name, one.workload)] = precedence.Claim(
+                    one.left, one.due_ms, one.late_ms
+                )
+
+    def _place(self, placement, weigher):
         event = events.TaskPlaced(
             placement.task, placement.attempt, placement.vm
         )
         self._state.apply(event)
         record = self._state.find_workload(placement.task)
+        claim = weigher.make_claim(record)
+        self._claims[(placement.vm, record.id)] = claim
         submitted = self._submitted[record.workload.job]
         number = int(record.id.rpartition('.')[2])
         variation = 0.9 + 0.2 * self._draw_random(placement, 'needs')
