--- a/packages/testing/portwharf/testing/overload_day.py
+++ b/packages/testing/portwharf/testing/overload_day.py
@@ -20,6 +20,7 @@
 from portwharf.core import clock
 from portwharf.core import data
 from portwharf.peers import messages
+from portwharf.scheduler import claim_updates
 from portwharf.scheduler.decisions import forecast
 from portwharf.scheduler.decisions import pass_inputs
 from portwharf.scheduler.decisions import precedence
@@ -33,8 +34,6 @@
 from portwharf.testing import overload_load
 
 VMS = 20
-VM_CAPACITY = data.Resources(64_000, 250_000)
-SERVER_SIZE = data.Resources(36_000, 80_000)
 DURATION_SECONDS = 40.0
 STEP_SECONDS = 0.1
 # Press of light and heavy filling images, the share of heavy ones, and the
@@ -54,6 +53,31 @@
 FAILURE_SHARE = 0.05
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Site:
+    """The VMs of a site, all alike, and the tasks of its wide jobs.
+
+    :param server_size: what the server task of each VM reserves
+    """
+
+    capacity: data.Resources
+    server_size: data.Resources
+    wide: overload_load.WideShape
+
+
+LARGE_VMS = Site(
+    data.Resources(64_000, 250_000),
+    data.Resources(36_000, 80_000),
+    overload_load.WideShape(7000, 2.4, 1.0),
+)
+# Few processors are left beside the servers, and steps have many small tasks.
+SMALL_VMS = Site(
+    data.Resources(16_000, 64_000),
+    data.Resources(13_500, 28_000),
+    overload_load.WideShape(1800, 2.8, 1.35),
+)
+
+
 @dataclasses.dataclass(slots=True)
 class Run:
     """One attempt on a VM.
@@ -82,21 +106,33 @@
     def __init__(self, name):
         self.name = name
         self.view = self
+        self.connection = 0
         self.paced = []
 
 
 class Day:
     """Simulates one day in steps of ``STEP_SECONDS``."""
 
-    def __init__(self, seed, load=1.3, estimates_off=0.9, run_times=None):
+    def __init__(
+        self,
+        seed,
+        load=1.3,
+        estimates_off=0.9,
+        run_times=None,
+        site=LARGE_VMS,
+    ):
         """Take a seed and the parameters of the load.
 
         :param load: wide jobs a second
         :param estimates_off: maximum relative error of run time estimates
         :param run_times: a ``forecast.RunTimeModel``, or None for a new one
+        :param site: the :class:`Site`
         """
         self._seed = seed
-        self._clients = overload_load.Clients(seed, load, estimates_off)
+        self._site = site
+        self._clients = overload_load.Clients(
+            seed, load, estimates_off, site.wide
+        )
         self._clock = clock.ManualClock(0.0)
         self._state = state.ShardState()
         self.run_times = (
@@ -110,6 +146,9 @@
         self._placed_at = {}
         self._patience = pass_inputs.Patience()
         self._move_history = task_moves.MoveHistory()
+        # What the side of each VM was told, by (VM name, step).
+        self._claims = {}
+        self._claim_notifier = claim_updates.ClaimNotifier(self._state)
         self._submitted = {}
         self._saved_seconds = {}
         self._latencies = {}
@@ -132,6 +171,11 @@
                 self._move_stuck_tasks()
         return self._make_tallies()
 
+    @property
+    def _share(self):
+        """The share of a VM's processors that a filling task asks for."""
+        return self._site.wide.cpu_milli / self._site.capacity.cpu_milli
+
     @property
     def now(self):
         """The simulated time, in seconds."""
@@ -181,21 +225,21 @@
         by_vm = {link.name: [] for link in self._links}
         for run in self._runs.values():
             by_vm[run.vm].append(run)
-        weigher = precedence.Weigher(self._state, self._now_ms, self.run_times)
         for link in self._links:
-            link.paced = self._pace_vm(link.name, by_vm[link.name], weigher)
+            link.paced = self._pace_vm(link.name, by_vm[link.name])
 
-    def _pace_vm(self, name, runs, weigher):
+    def _pace_vm(self, name, runs):
         ranked = []
         for run in runs:
             record = self._state.find_workload(run.task)
             if record.workload.fills and not run.stopping:
                 press = self._presses[record.workload.image]
-                rank = precedence.rank(weigher.weigh(record), press)
+                claim = self._claims[(name, record.id)]
+                rank = precedence.rank(claim.weigh(self._now_ms), press)
                 ranked.append((rank, run.task, press, run))
         headroom, paced = self._get_tolerated_press(name), []
         for _, _, press, run in sorted(ranked, key=lambda row: row[:2]):
-            full_press = press * 7000 / VM_CAPACITY.cpu_milli
+            full_press = press * self._share
             run.pace = max(0.03, min(1.0, headroom / full_press))
             headroom = max(0.0, headroom - full_press * run.pace)
             if run.pace < 1:
@@ -260,11 +304,10 @@
 
     def _run_pass(self):
         views = self._view_vms()
+        weigher = precedence.Weigher(self._state, self._now_ms, self.run_times)
+        self._update_claims(weigher)
         demands = pass_inputs.list_demands(
-            self._state,
-            lambda _: frozenset(),
-            self._now_ms,
-            precedence.Weigher(self._state, self._now_ms, self.run_times),
+            self._state, lambda _: frozenset(), self._now_ms, weigher
         )
         origins = self._move_history.list_recent_origins(self.now)
         for demand in demands:
@@ -276,15 +319,27 @@
         waiting = {demand.record.id: demand for demand in planned.waiting}
         self._patience.record_waits(waiting, self.now)
         for placement in planned.placements:
-            self._place(placement)
+            self._place(placement, weigher)
         self._views = views
 
-    def _place(self, placement):
+    def _update_claims(self, weigher):
+        updates = self._claim_notifier.take_due_updates(
+            self._links, weigher, self.now
+        )
+        for link, update in updates:
+            for one in update.claims:
+                self._claims[(link.name, one.workload)] = precedence.Claim(
+                    one.left, one.due_ms, one.late_ms
+                )
+
+    def _place(self, placement, weigher):
         event = events.TaskPlaced(
             placement.task, placement.attempt, placement.vm
         )
         self._state.apply(event)
         record = self._state.find_workload(placement.task)
+        claim = weigher.make_claim(record)
+        self._claims[(placement.vm, record.id)] = claim
         submitted = self._submitted[record.workload.job]
         number = int(record.id.rpartition('.')[2])
         variation = 0.9 + 0.2 * self._draw_random(placement, 'needs')
@@ -309,9 +364,10 @@
         views = []
         for number, link in enumerate(self._links):
             vm = data.Vm(link.name, availability_zone=f'zone-{number % 3}')
-            reserved = self._state.reserved[link.name].add(SERVER_SIZE)
-            view = vmview.VmView(vm, VM_CAPACITY, reserved)
-            view.serving_milli = SERVER_SIZE.cpu_milli
+            reserved = self._state.reserved[link.name]
+            reserved = reserved.add(self._site.server_size)
+            view = vmview.VmView(vm, self._site.capacity, reserved)
+            view.serving_milli = self._site.server_size.cpu_milli
             percent_by_task = {p.task: p.percent for p in link.paced}
             headroom = self._get_tolerated_press(link.name)
             for task in self._state.held[link.name].values():
@@ -323,9 +379,7 @@
                 weight = weigher.weigh(record)
                 view.record_filling(record.workload, weight, percent / 100)
                 press = self._presses[record.workload.image]
-                headroom -= (
-                    press * 7000 / VM_CAPACITY.cpu_milli * percent / 100
-                )
+                headroom -= press * self._share * percent / 100
             view.set_headrooms(
                 self._press_model,
                 [messages.Headroom('serve', max(0.0, headroom))],
@@ -387,13 +441,14 @@
 }
 
 
-def simulate_day(predictor, seed, load=1.0, estimates_off=0.9):
+def simulate_day(predictor, seed, load=1.0, estimates_off=0.9, site=LARGE_VMS):
     """Simulate one day.
 
     :param predictor: key of ``PREDICTORS``
     :returns: map of queue to ``overload_load.Tally``
     """
-    return Day(seed, load, estimates_off, PREDICTORS[predictor]()).run()
+    run_times = PREDICTORS[predictor]()
+    return Day(seed, load, estimates_off, run_times, site).run()
 
 
 def main():
