Repeat shares while an unanswered throttle command may come late

What callers saw: a serving task over its target although its side had suspended the filling tasks beside it, or a filling task that crawled beside a server with ample headroom, until either ended.

Cause: a worker may carry out an unanswered command seconds later, after newer ones. The side took the share of the last answered command for the one in force and sent nothing until its plan changed; the plan of a suspended or a released task does not change.

Evidence: both new tests of late commands failed on the code before, the share in force at the end being 100 in place of 0, and 3 in place of 100.

Why this works: for as long as an unanswered command may still be carried out, and after the start of a side process, whose predecessor may have left one, all shares that were ever set are sent again every two seconds. While all commands are answered nothing is repeated, which the third test guards.

Ruled out: telling a wrong share by the CPU in use, as a filling task gets only what others leave, so that little use does not show a low share.

--- a/packages/side/portwharf/side/pace_controller.py
+++ b/packages/side/portwharf/side/pace_controller.py
@@ -4,12 +4,20 @@
 
 The controller takes the owner's descriptions of the tasks on the VM and sends
 throttle commands to the worker. A command without an answer leaves the share
-unknown, and is sent again.
+unknown, and is sent again. It may still be carried out seconds later, after
+newer commands, so all shares are repeated for a while.
 """
 
 from portwharf.side import pacing
 from portwharf.side import reports
 
+# Time during which an unanswered command may still be carried out, as for
+# starts (``task_traits.MAX_TRAITS``).
+LATE_SECONDS = 12.0
+# Interval at which shares are repeated during that time. Shorter than the time
+# for which a target may be missed.
+REPEAT_SECONDS = 2.0
+
 
 class PaceController:
     """Controls the CPU shares on one worker; used by the agent's thread."""
@@ -18,6 +26,10 @@
         """Take the worker, or None."""
         self._worker = worker
         self.pacer = pacing.Pacer()
+        # Until when an unanswered command may be carried out; None before the
+        # first plan, as the previous side process may have left one.
+        self._late_until = None
+        self._next_repeat = 0.0
 
     def record_held(self, message):
         """Record a ``messages.HeldTasks``: all tasks that the VM holds."""
@@ -41,6 +53,7 @@
         :param listing: a ``workers.Listing``, just read
         :param now_ms: Unix time, to which the due times of jobs refer
         """
+        self._forget_sent_if_due(now)
         due = self.pacer.plan(listing, now, now_ms)
         while due:
             pace = due.pop(0)
@@ -53,4 +66,13 @@
                 # heartbeat.
                 for one in (pace, *due):
                     self.pacer.forget_sent(one)
+                self._late_until = now + LATE_SECONDS
                 return
+
+    def _forget_sent_if_due(self, now):
+        """Have all shares sent again while a late command may replace them."""
+        if self._late_until is None:
+            self._late_until = now + LATE_SECONDS
+        if self._next_repeat <= now < self._late_until:
+            self._next_repeat = now + REPEAT_SECONDS
+            self.pacer.forget_all_sent()
--- a/packages/side/portwharf/side/pace_controller_test.py
+++ b/packages/side/portwharf/side/pace_controller_test.py
@@ -31,9 +31,47 @@
         self.recalled.append(start)
 
 
-def make_controller(count=3):
+class DelayingWorker(RecordingWorker):
+    """Leaves one throttle command unanswered and carries it out late.
+
+    :ivar shares: the share in force by task, in percent
+    """
+
+    def __init__(self, percent, delay_seconds):
+        """Set up the worker.
+
+        :param percent: the first command to this share is delayed
+        :param delay_seconds: until it is carried out
+        """
+        super().__init__()
+        self.shares = {}
+        self.now = 0.0
+        self._percent = percent
+        self._delay_seconds = delay_seconds
+        self._delayed = None
+
+    def throttle(self, task, attempt, percent):
+        """Record a command; carry it out unless it is the delayed one."""
+        super().throttle(task, attempt, percent)
+        if self._delayed is None and percent == self._percent:
+            due_at = self.now + self._delay_seconds
+            self._delayed = (due_at, task, percent)
+            return result.Err('timed out')
+        self.shares[task] = percent
+        return result.Ok(None)
+
+    def advance(self, now):
+        """Carry out the delayed command if it is due."""
+        self.now = now
+        if self._delayed and now >= self._delayed[0]:
+            _, task, percent = self._delayed
+            self.shares[task] = percent
+            self._delayed = ()
+
+
+def make_controller(count=3, worker=None):
     """Return a controller that knows a serving and some filling tasks."""
-    worker = RecordingWorker()
+    worker = worker or RecordingWorker()
     controller = pace_controller.PaceController(worker)
     held = [messages.HeldTask('s.0', 1, program='desk', target_ms=20)]
     for number in range(count):
@@ -114,3 +152,44 @@
     case.assertEqual(
         [heartbeat.known for heartbeat in heartbeats], [[press], []]
     )
+
+
+def simulate_delayed_command(percent, tails):
+    """Poll every 0.4 s while a command is carried out three seconds late.
+
+    :param percent: the first command to this share is delayed
+    :param tails: the tail latency at each poll, in ms
+    :returns: the shares in force at the end, by task
+    """
+    worker = DelayingWorker(percent, 3.0)
+    controller, _ = make_controller(1, worker)
+    for number, tail_ms in enumerate(tails):
+        now = 0.4 * number
+        worker.advance(now)
+        controller.apply_plan(make_listing(tail_ms, 1), now)
+    return worker.shares
+
+
+def test_suspension_holds_after_a_late_release(case):
+    """An unanswered command may be carried out after newer ones.
+
+    The target is missed, met, and missed again; the release in between is
+    carried out after the filling task has been suspended.
+    """
+    tails = [30] * 3 + [5] * 6 + [30] * 15
+    case.assertEqual(simulate_delayed_command(100, tails), {'f.0': 0})
+
+
+def test_release_holds_after_a_late_throttle(case):
+    tails = [30] * 3 + [5] * 20
+    case.assertEqual(simulate_delayed_command(3, tails), {'f.0': 100})
+
+
+def test_commands_are_not_repeated_while_all_are_answered(case):
+    controller, worker = make_controller()
+    for number in range(40):
+        controller.apply_plan(make_listing(30), 0.4 * number)
+    count = len(worker.commands)
+    for number in range(40, 60):
+        controller.apply_plan(make_listing(30), 0.4 * number)
+    case.assertEqual(len(worker.commands), count)
--- a/packages/side/portwharf/side/pacing.py
+++ b/packages/side/portwharf/side/pacing.py
@@ -214,6 +214,10 @@
         """Record that the share of an attempt is unknown."""
         self._sent[(pace.task, pace.attempt)] = None
 
+    def forget_all_sent(self):
+        """Record that no share that was ever sent is known to be in force."""
+        self._sent = dict.fromkeys(self._sent)
+
     def _sum_used(self, filling, capacity_milli):
         """Return the share of the VM's CPU that each filling image uses."""
         used = collections.defaultdict(float)
