Send an owner's unanswered throttle command again

What callers saw: a task that was throttled beside a service stayed so until it ended, or a service stayed late beside a task that counted as throttled.

Cause: the side dropped the worker's answer to the owner's command. The owner counts a command as done once it is sent and repeats it only after the connection has ended, so nobody gave it again.

Evidence: the new test failed, as no command for the task followed the unanswered one.

Why this works: the side keeps the latest command for each attempt until the worker has answered it, and drops it when the attempt is not listed any more. A command that fails goes behind the others.

Ruled out: an answer to the owner, which would need a message and would be lost with the same connections. The fake worker of one test returned None where the interface has an Ok; it follows the interface now.

--- a/packages/scheduler/portwharf/scheduler/decisions/service_protection_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/service_protection_test.py
@@ -2,6 +2,8 @@
 # SPDX-License-Identifier: Apache-2.0
 """More important work and services get room, with real owner and sides."""
 
+import result
+
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.scheduler.decisions import service_protection
@@ -116,10 +118,13 @@
     node.keeper.update(5, text)
     fill_with_batch_work(sim)
     throttled = []
+
+    def throttle(task, _, percent):
+        throttled.append((task, percent))
+        return result.Ok(None)
+
     for one in sim.nodes:
-        one.worker.throttle = lambda task, attempt, percent: throttled.append(
-            (task, percent)
-        )
+        one.worker.throttle = throttle
     measure = messages.ServiceMeasure('lens/fit', 50, 90_000, 0.5, 500)
     for _ in range(8):
         node.owner.take_measures('vm-01', [measure])
--- a/packages/side/portwharf/side/pace_controller.py
+++ b/packages/side/portwharf/side/pace_controller.py
@@ -30,6 +30,8 @@
         # first plan, as the previous side process may have left one.
         self._late_until = None
         self._next_repeat = 0.0
+        # The owner's latest unanswered command for each attempt.
+        self._unanswered = {}
 
     def record_held(self, message):
         """Record a ``messages.HeldTasks``: all tasks that the VM holds."""
@@ -42,9 +44,11 @@
     def throttle(self, message):
         """Carry out a ``messages.ThrottleTask``.
 
-        For a filling task, the pacer's next plan replaces this share.
+        For a filling task, the pacer's next plan replaces this share. The
+        owner sends each command once, so one without an answer is sent again.
         """
-        self._worker.throttle(message.task, message.attempt, message.percent)
+        self._unanswered[(message.task, message.attempt)] = message
+        self._send_unanswered()
         self.pacer.forget_sent(message)
 
     def apply_plan(self, listing, now, now_ms=0):
@@ -68,6 +72,22 @@
                     self.pacer.forget_sent(one)
                 self._late_until = now + LATE_SECONDS
                 return
+        listed = {(one.task, one.attempt) for one in listing.attempts}
+        for name in self._unanswered.keys() - listed:
+            del self._unanswered[name]
+        self._send_unanswered()
+
+    def _send_unanswered(self):
+        """Send the owner's commands until one of them gets no answer."""
+        for name, message in list(self._unanswered.items()):
+            paced = self._worker.throttle(
+                message.task, message.attempt, message.percent
+            )
+            del self._unanswered[name]
+            if paced.is_err():
+                # Last in line, so that it does not block the others.
+                self._unanswered[name] = message
+                return
 
     def _forget_sent_if_due(self, now):
         """Have all shares sent again while a late command may replace them."""
--- a/packages/side/portwharf/side/pace_controller_test.py
+++ b/packages/side/portwharf/side/pace_controller_test.py
@@ -193,3 +193,24 @@
     for number in range(40, 60):
         controller.apply_plan(make_listing(30), 0.4 * number)
     case.assertEqual(len(worker.commands), count)
+
+
+def test_owners_unanswered_command_is_sent_again(case):
+    """The owner learns of no answer and never repeats the command.
+
+    A release that got lost left a task throttled until it ended.
+    """
+    controller, worker = make_controller(1)
+    worker.answer = result.Err('timed out')
+    controller.throttle(messages.ThrottleTask(1, 'b.0', 1, 100))
+    worker.answer = result.Ok(None)
+    worker.commands.clear()
+    listing = make_listing(10, 1)
+    batch = workers.Attempt('b.0', 1, data.RunState.RUNNING)
+    listing.attempts.append(batch)
+    for number in range(3):
+        controller.apply_plan(listing, 0.4 * number)
+    case.assertEqual(
+        [command for command in worker.commands if command[0] == 'b.0'],
+        [('b.0', 100)],
+    )
