Forget the paces that a side told on an ended connection

A filling task on a VM that its owner could not reach was evicted as stalled by a pace of before.

Cause: a member's view keeps the paces of the last heartbeat after its connection has ended. The owner went on weighing moves by them, logged an eviction whose stop it could not send, and stopped the task on the next connection whatever its pace was by then.

Evidence: the new test found the task stalled after the end of the connection.

Why this works: a connection's end takes the paces with it, as it does the grant and the report; the first heartbeat of the next one brings new ones.

Ruled out: headrooms of such a VM, as it is closed to placing until a heartbeat on the new connection has been granted.

--- a/packages/scheduler/portwharf/scheduler/decisions/task_moves_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/task_moves_test.py
@@ -12,6 +12,7 @@
 from portwharf.scheduler.decisions import vmview
 from portwharf.scheduler import events
 from portwharf.scheduler import state
+from portwharf.testing import cluster
 
 ID = '5c0e7a21d94b36f8'
 TASK = f'{ID}.0.0.0'
@@ -33,13 +34,13 @@
     view: View
 
 
-def make_state(**fields):
-    """Return a state with a filling task on vm-1."""
+def make_state(vm='vm-1', **fields):
+    """Return a state with a filling task on a VM."""
     values = {'resources': SIZE, 'fills': True, 'image': 'plan', **fields}
     step = data.Workload(count=1, **values)
     shard_state = state.ShardState()
     shard_state.apply(events.JobAccepted(1, data.Job(ID, steps=[step])))
-    shard_state.apply(events.TaskPlaced(TASK, 1, 'vm-1'))
+    shard_state.apply(events.TaskPlaced(TASK, 1, vm))
     return shard_state
 
 
@@ -74,6 +75,18 @@
     case.assertEqual(find_stalled_tasks(60), [])
 
 
+def test_pace_told_on_an_ended_connection_moves_nothing(case):
+    """The pace may have changed since, and the stop would come late."""
+    made = cluster.Cluster(1)
+    made.run(2)
+    (link,) = made.nodes[0].owner.list_links()
+    link.view.paced = [messages.PacedTask(TASK, 1, 3, 0)]
+    arguments = make_state(link.name), [link], lambda _: 0.0, 10.0
+    case.assertEqual(len(task_moves.find_stalled_tasks(*arguments)), 1)
+    link.detach()
+    case.assertEqual(task_moves.find_stalled_tasks(*arguments), [])
+
+
 def test_task_that_has_just_begun_stays(case):
     case.assertEqual(find_stalled_tasks(3, began=9.5), [])
 
--- a/packages/scheduler/portwharf/scheduler/members.py
+++ b/packages/scheduler/portwharf/scheduler/members.py
@@ -104,6 +104,9 @@
         self.view.connection += 1
         self.view.reported = False
         self.view.granted = False
+        # May be out of date by the time of the next connection, and a stop
+        # that is based on it could not be sent before.
+        self.view.paced = []
 
     def handle(self, conn, message):
         if isinstance(message, messages.Heartbeat):
