Adopt a well-known pair over one that was hardly observed

Cause: a new owner kept what it knew first. One observation of a side that had restarted with the former owner counted as known, so that the estimates that the other sides told later were dropped, and replaced there as well.

Evidence: the new test failed with an estimate of 1.9, deviation 3.5, where the former owner's was 8.0, deviation 0.5.

Why this works: a pair whose deviation is over half of the prior's takes the estimate of a side with a lower one. What the owner has observed more than a few times stays, as the test before has it.

Ruled out: always the lower deviation, as a side that connects again tells what this owner itself sent it, from before its later observations.

--- a/packages/scheduler/portwharf/scheduler/decisions/tail_interference.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/tail_interference.py
@@ -36,6 +36,8 @@
 # before it is measured again, plus this share of its deviation.
 _SHIFT_FACTOR = 1.5
 _DEVIATION_FACTOR = 0.25
+# A pair with a larger deviation counts as unknown.
+_MAX_KNOWN_DEVIATION = PRIOR_DEVIATION / 2
 # Smaller changes of the share of processors show too little.
 MIN_DIFFERENCE = 0.02
 
@@ -48,16 +50,26 @@
         self.presses = []
         self._covariance = []
 
-    def add(self, image, press=PRIOR_PRESS, deviation=PRIOR_DEVIATION):
+    def add(self, image):
         """Add a filling image, unless it is known, with its prior."""
         if image in self.images:
             return
         for row in self._covariance:
             row.append(0.0)
         self.images.append(image)
-        self.presses.append(press)
+        self.presses.append(PRIOR_PRESS)
         self._covariance.append([0.0] * len(self.images))
-        self._covariance[-1][-1] = deviation**2
+        self._covariance[-1][-1] = PRIOR_DEVIATION**2
+
+    def replace(self, image, press, deviation):
+        """Replace what is known of a filling image."""
+        self.add(image)
+        number = self.images.index(image)
+        self.presses[number] = press
+        for row in self._covariance:
+            row[number] = 0.0
+        self._covariance[number] = [0.0] * len(self.images)
+        self._covariance[number][number] = deviation**2
 
     def get_deviation(self, number):
         """Return the standard deviation of a press.
@@ -155,10 +167,13 @@
         """
         for known in estimates:
             name = (known.serving, known.filling)
-            if name in self._estimates:
+            own = self._estimates.get(name)
+            if own is not None and own.deviation <= max(
+                _MAX_KNOWN_DEVIATION, known.deviation
+            ):
                 continue
             model = self._filters.setdefault(known.serving, _KalmanFilter())
-            model.add(known.filling, known.press, known.deviation)
+            model.replace(known.filling, known.press, known.deviation)
             self._estimates[name] = known
 
     def replace_estimates(self, estimates):
--- a/packages/scheduler/portwharf/scheduler/interference_updates_test.py
+++ b/packages/scheduler/portwharf/scheduler/interference_updates_test.py
@@ -36,3 +36,17 @@
             1.0 + interference_updates.UPDATE_INTERVAL_SECONDS
         )
     )
+
+
+def test_well_known_pair_outlasts_a_first_observation_of_a_new_owner(case):
+    """The first side that a new owner hears may know no pair.
+
+    What it observes once is taken as known before the other sides tell what
+    they know, and is then sent to them in its place.
+    """
+    made = interference_updates.InterferenceTracker()
+    change = messages.FillChange('plan', 0.02)
+    made.add_observations([messages.PressObserved('desk', 0.0, [change])])
+    made.adopt([PRESS])
+    (press,) = made.make_update().presses
+    case.assertGreater(press.press, 6.0, f'deviation {press.deviation:.1f}')
