Log what filling tasks used while a target was missed, and gaps of polls

A log told that a target was missed and the throttle factor, and not whether the shares were in force or the side polled in time. The lines of an episode now have the CPU that filling tasks use and the longest time between two polls.

--- a/packages/core/portwharf/core/logs.py
+++ b/packages/core/portwharf/core/logs.py
@@ -52,6 +52,8 @@
     'due_ms',
     'run_ms',
     'paced_ms',
+    'gap_ms',
+    'used_milli',
     'items',
     'events',
     'parts_ms',
--- a/packages/side/portwharf/side/pacing.py
+++ b/packages/side/portwharf/side/pacing.py
@@ -183,7 +183,12 @@
         worst = max(serving, key=self._compute_target_ratio, default=None)
         target_ms = self._traits.find(worst).target_ms if worst else 0
         self.log.record_tail(
-            worst, target_ms, self._throttle_factor, len(filling), now
+            worst,
+            target_ms,
+            self._throttle_factor,
+            len(filling),
+            now,
+            sum(one.used_cpu_milli for one in filling),
         )
 
     def _log_filling(self, serving, filling, now):
--- a/packages/side/portwharf/side/pacing_log.py
+++ b/packages/side/portwharf/side/pacing_log.py
@@ -5,8 +5,10 @@
 A serving task can stay over its target for three reasons: the side does not
 know that it is a serving task, the filling tasks are not throttled enough, or
 the worker does not carry out throttle commands. Each has its own log line, and
-an episode has only a few lines. While filling tasks are throttled, a line
-every few seconds tells how much of what they ask for they get.
+an episode has only a few lines. The CPU that filling tasks use tells their own
+share of an episode, and the gap between two polls a side that was slow. While
+filling tasks are throttled, a line every few seconds tells how much of what
+they ask for they get.
 """
 
 import dataclasses
@@ -56,6 +58,10 @@
         self._unknown = 0
         self._over_since = None
         self._logged = False
+        # The longest gap between two polls since then, and the latest poll.
+        self._gap = 0.0
+        self._polled_at = 0.0
+        self._used_milli = 0
         self._failures = 0
         self._next_failure_log = 0.0
         self._next_filling_log = 0.0
@@ -77,7 +83,9 @@
             LOG.info('no unknown attempts left')
         self._unknown = count
 
-    def record_tail(self, attempt, target_ms, throttle, filling, now):
+    def record_tail(
+        self, attempt, target_ms, throttle, filling, now, used_milli=0
+    ):
         """Log when a task has missed its target for long, and its recovery.
 
         :param attempt: the serving ``workers.Attempt`` whose tail latency is
@@ -85,13 +93,19 @@
         :param target_ms: its latency target
         :param throttle: the factor, 0 to 1, on the shares of all filling tasks
         :param filling: the number of filling tasks
+        :param used_milli: CPU that they use, in thousandths
         """
+        if self._over_since is not None:
+            self._gap = max(self._gap, now - self._polled_at)
+        self._polled_at = now
         if attempt is None or attempt.tail_ms <= target_ms:
             self._end_episode(now)
             return
         metrics.POLLS_OVER_TARGET.inc()
         if self._over_since is None:
             self._over_since = now
+            self._gap = 0.0
+        self._used_milli = used_milli
         if self._logged or now - self._over_since < MIN_MISS_SECONDS:
             return
         self._logged = True
@@ -105,6 +119,8 @@
                 percent=int(100 * throttle),
                 count=filling,
                 strangers=self._unknown,
+                used_milli=used_milli,
+                gap_ms=int(self._gap * _MS_PER_SECOND),
             ),
         )
 
@@ -160,9 +176,11 @@
 
     def _end_episode(self, now):
         if self._logged:
-            took = int((now - self._over_since) * _MS_PER_SECOND)
-            LOG.info(
-                'latency target met again', extra=logs.fields(took_ms=took)
+            extra = logs.fields(
+                took_ms=int((now - self._over_since) * _MS_PER_SECOND),
+                gap_ms=int(self._gap * _MS_PER_SECOND),
+                used_milli=self._used_milli,
             )
+            LOG.info('latency target met again', extra=extra)
         self._over_since = None
         self._logged = False
--- a/packages/side/portwharf/side/pacing_log_test.py
+++ b/packages/side/portwharf/side/pacing_log_test.py
@@ -67,6 +67,19 @@
     )
 
 
+def test_end_of_a_target_miss_tells_the_longest_gap_between_polls(case):
+    log = pacing_log.PacingLog()
+    log.record_tail(make_attempt(10), 20, 1.0, 1, 0.0, 400)
+    with case.assertLogs(pacing_log.LOG, logging.INFO) as caught:
+        for now, used_milli in ((5.0, 400), (5.5, 300), (7.25, 12)):
+            log.record_tail(make_attempt(30), 20, 0.5, 1, now, used_milli)
+        log.record_tail(make_attempt(10), 20, 0.5, 1, 7.5, 0)
+    last = caught.records[-1]
+    case.assertEqual(
+        (last.took_ms, last.gap_ms, last.used_milli), (2500, 1750, 12)
+    )
+
+
 def test_short_target_miss_is_not_logged(case):
     log = pacing_log.PacingLog()
     with case.assertNoLogs(pacing_log.LOG):
