Send the throttle commands that fail after the others

Cause: a round of commands ends with its first failure, as more could time out, and the next one begins with the same task. While the command for one task fails each time, no task behind it is ever throttled or released.

Evidence: the new test; of three tasks the third got no command in five rounds: AssertionError: ('f.2', 0) not found in [('f.0', 3), ('f.0', 3), ('f.0', 3), ('f.0', 0), ('f.0', 0)]

Why this works: attempts whose last command failed come last, so that each round gets past those that failed before it. A silent worker still costs one time limit a round.

Ruled out: going on after an answer that is an error, as the side does not see whether an answer or none was the failure.

--- a/packages/side/portwharf/side/pace_controller.py
+++ b/packages/side/portwharf/side/pace_controller.py
@@ -30,6 +30,8 @@
         # first plan, as the previous side process may have left one.
         self._late_until = None
         self._next_repeat = 0.0
+        # Attempts whose last command failed; the others come first.
+        self._failed = set()
         # The owner's latest unanswered command for each attempt.
         self._unanswered = {}
 
@@ -59,6 +61,8 @@
         """
         self._forget_sent_if_due(now)
         due = self.pacer.plan(listing, now, now_ms)
+        self._failed &= {(one.task, one.attempt) for one in due}
+        due.sort(key=lambda one: (one.task, one.attempt) in self._failed)
         while due:
             pace = due.pop(0)
             paced = self._worker.throttle(
@@ -70,6 +74,7 @@
                 # heartbeat.
                 for one in (pace, *due):
                     self.pacer.forget_sent(one)
+                self._failed.add((pace.task, pace.attempt))
                 self._late_until = now + LATE_SECONDS
                 return
         listed = {(one.task, one.attempt) for one in listing.attempts}
--- a/packages/side/portwharf/side/pace_controller_test.py
+++ b/packages/side/portwharf/side/pace_controller_test.py
@@ -117,6 +117,21 @@
     )
 
 
+def test_command_that_always_fails_does_not_block_the_others(case):
+    """Each round ends with its first failure, and began with the same task."""
+    controller, worker = make_controller()
+    throttle = worker.throttle
+
+    def fail_two(task, attempt, percent):
+        throttle(task, attempt, percent)
+        return result.Ok(None) if task == 'f.2' else result.Err('HTTP 400')
+
+    worker.throttle = fail_two
+    for number in range(5):
+        controller.apply_plan(make_listing(), 0.4 * number)
+    case.assertIn(('f.2', 0), worker.commands)
+
+
 def test_owners_command_does_not_override_the_pacer(case):
     controller, worker = make_controller(1)
     controller.apply_plan(make_listing(30, 1), 0.0)
