Count a tail that is reported at its target as missed

What callers saw: a serving task just over its target for as long as its own load lasted, beside filling tasks at the least share, with no restart and no line in the side's log.

Cause: a worker reports tails in whole milliseconds. A tail of up to 1 ms over the target is reported at the target, and that counted as met: filling tasks stayed at the least share, which several of them feel, and were never suspended.

Evidence: the new test failed with shares of 3 percent in place of 0.

Why this works: a target counts as met only if the whole-millisecond figure is below it, so that no miss is hidden by rounding.

Ruled out: the throttle factor and the estimates, which were right there. Not mended by this: readings with random errors, of which one that is low ends a miss.

--- a/packages/core/portwharf/core/logs.py
+++ b/packages/core/portwharf/core/logs.py
@@ -60,7 +60,6 @@
     'throttled',
     'least',
     'asked_milli',
-    'used_milli',
     'tail_percent',
 )
 _TEXT_FORMAT = '%(asctime)s %(levelname)s %(name)s: %(message)s'
--- a/packages/side/portwharf/side/pacing.py
+++ b/packages/side/portwharf/side/pacing.py
@@ -29,8 +29,8 @@
 # Share of the target that tail latency is steered to. The rest absorbs load
 # changes between two polls.
 TARGET_SHARE = 0.85
-# Tail latency, as a share of the target, above which the throttle factor is
-# lowered.
+# Tail latency, as a share of the target, from which on the throttle factor is
+# lowered. A tail that is reported at its target may be up to 1 ms over it.
 _MAX_TARGET_RATIO = 1.0
 _THROTTLE_BACKOFF = 0.5
 _THROTTLE_RECOVERY = 0.2
@@ -284,7 +284,7 @@
 
     def _update_throttle_factor(self, serving, filled, now):
         worst = max(map(self._compute_target_ratio, serving), default=0.0)
-        if worst <= _MAX_TARGET_RATIO or not filled:
+        if worst < _MAX_TARGET_RATIO or not filled:
             self._over_since = None
             self._throttle_factor = min(
                 1.0, self._throttle_factor + _THROTTLE_RECOVERY
--- a/packages/side/portwharf/side/pacing_log.py
+++ b/packages/side/portwharf/side/pacing_log.py
@@ -98,7 +98,7 @@
         if self._over_since is not None:
             self._gap = max(self._gap, now - self._polled_at)
         self._polled_at = now
-        if attempt is None or attempt.tail_ms <= target_ms:
+        if attempt is None or attempt.tail_ms < target_ms:
             self._end_episode(now)
             return
         metrics.POLLS_OVER_TARGET.inc()
--- a/packages/side/portwharf/side/pacing_test.py
+++ b/packages/side/portwharf/side/pacing_test.py
@@ -190,6 +190,16 @@
     case.assertEqual((record.throttled, record.least), (2, 2))
 
 
+def test_tail_that_is_reported_at_its_target_counts_as_missed(case):
+    """A tail of 20.9 ms is reported as 20 ms and misses a target of 20 ms."""
+    pacer = make_pacer(light=0.1, heavy=8.0)
+    paces = {}
+    for number in range(6):
+        listing = make_listing(20, 'light', 'heavy', used=120)
+        paces |= plan(pacer, listing, 0.4 * number)
+    case.assertEqual(paces, {'light.0': 0, 'heavy.0': 0})
+
+
 def test_suspended_work_resumes_once_the_target_is_met(case):
     pacer = make_pacer(light=0.1)
     for number in range(5):
