Count the headroom of tasks placed since a heartbeat as used

What callers saw: several filling tasks of one moment on a VM whose servers had headroom for one, and all but that one at the least share for seconds.

Cause: the view of a VM takes its headrooms from the last heartbeat, and each pass begins anew from it. What earlier passes have placed since then was not taken off, so that each pass until the next heartbeat with the effect gave the same headroom away.

Why this works: a filling task that was placed less than .8 s before the last heartbeat takes the headroom that placing reckoned with; later ones are in the figures of the side.

Ruled out: fewer passes (calls and ends wait for them); heartbeats at once after a start (the tail shows nothing yet).

--- a/packages/scheduler/portwharf/scheduler/decisions/vmview.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vmview.py
@@ -198,14 +198,18 @@
         share = self._get_cpu_share(workload) * pace
         self.fillings.append(FillingTask(weight, workload.image, share))
 
+    def take_headroom(self, workload, weight):
+        """Take off the headroom that a filling task is going to use."""
+        pace = self.predict_pace(workload, weight)
+        share = self._get_cpu_share(workload)
+        for serving in self.headrooms:
+            press = self.pairs.get_upper_bound(serving, workload.image)
+            self.headrooms[serving] -= press * share * pace
+        self.record_filling(workload, weight, pace)
+
     def add_task(self, workload, weight=precedence.LAST_WEIGHT):
         """Add a newly placed task."""
         if workload.fills:
-            pace = self.predict_pace(workload, weight)
-            share = self._get_cpu_share(workload)
-            for serving in self.headrooms:
-                press = self.pairs.get_upper_bound(serving, workload.image)
-                self.headrooms[serving] -= press * share * pace
-            self.record_filling(workload, weight, pace)
+            self.take_headroom(workload, weight)
         self.reserved = self.reserved.add(workload.reserved)
         self.add_usage(workload)
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -22,6 +22,9 @@
 # before ``MIN_SETTLE_SECONDS``.
 SETTLE_SHARE = 0.75
 MIN_SETTLE_SECONDS = 0.25
+# Time from the placing of a task until tail latencies show its effect: its
+# start, and the half second over which a worker measures.
+MEASURE_SECONDS = 0.8
 VM_LIST_INTERVAL_SECONDS = 5.0
 
 CLOSED_UNREACHABLE = 'unreachable'
@@ -181,13 +184,33 @@
         pace_percents = {
             (pace.task, pace.attempt): pace.percent for pace in link.view.paced
         }
+        unmeasured = []
         for task in self._state.held[link.name].values():
             record = self._state.find_workload(task.id)
             view.add_usage(record.workload)
-            if record.workload.fills:
-                percent = pace_percents.get((task.id, task.attempt), 100)
-                weight = weigher.weigh(record)
-                view.record_filling(record.workload, weight, percent / 100)
+            if not record.workload.fills:
+                continue
+            name = (task.id, task.attempt)
+            weight = weigher.weigh(record)
+            if self._is_measured(link, name):
+                pace = pace_percents.get(name, 100) / 100
+                view.record_filling(record.workload, weight, pace)
+            else:
+                unmeasured.append((record.workload, weight))
+        for row in unmeasured:
+            view.take_headroom(*row)
+
+    def _is_measured(self, link, attempt):
+        """Return whether the last heartbeat told of an attempt's effect.
+
+        Otherwise each pass until the next one would give the same headroom
+        away again.
+
+        :param attempt: (task id, attempt number)
+        """
+        placed_at = self._service_protection.get_placed_at(attempt)
+        heard = link.view.heard
+        return heard is not None and heard - placed_at >= MEASURE_SECONDS
 
     def _add_suspects(self, view):
         """Add the tasks that may crash the worker of a VM to its view."""
--- a/packages/scheduler/portwharf/scheduler/membership_test.py
+++ b/packages/scheduler/portwharf/scheduler/membership_test.py
@@ -147,3 +147,31 @@
     let_dial_end.set()
     link._thread.join(10)
     case.assertFalse(link._thread.is_alive())
+
+
+def test_task_placed_since_the_heartbeat_uses_headroom(case):
+    """A side reports the headroom that is left some polls after a start.
+
+    Passes until then must not give the same headroom away again.
+    """
+    made = cluster.Cluster(1)
+    size = data.Resources(400, 400)
+    names = {'resources': size, 'program': 'desk', 'image': 'desk'}
+    made.submit(1, kind=data.Kind.STANDING, target_ms=20, **names)
+    made.run(4)
+    node = made.nodes[0]
+    (run,) = node.worker.runs
+    node.worker.tails[run.attempt.task] = 10
+    made.run(2)
+    owner = node.owner
+    heard_at = owner.list_links()[0].view.heard
+    headrooms = []
+    for _ in range(4):
+        (view,) = owner._members.view_vms()
+        headrooms.append(view.headrooms['desk'])
+        names = {'resources': size, 'program': 'plan', 'image': 'plan'}
+        made.submit(1, fills=True, **names)
+        owner.step(owner.take_items())
+    case.assertGreater(len(owner._state.held[node.vm.name]), 2)
+    case.assertEqual(owner.list_links()[0].view.heard, heard_at)
+    case.assertLess(headrooms[-1], headrooms[0], headrooms)
