A trial counts against its task only if its worker crashed

What callers saw: a sound job could be shown as failed. Its task had been under two unrelated crashes, was held back and started once more as a trial. The trial was refused (room, a closed zone) or lost with its VM, and the next pass gave the task up.

Cause: the detector asked whether the last attempt was a trial, not whether a worker had crashed under it. The last crash of an earlier attempt was then judged by the rule for trials: one crash, and one calm second before it, were conclusive.

Evidence: both tests failed before, 'failed' != 'running', in the pass after the refusal and after the loss. Why this works: the number of crashes at the trial's start is kept, and a trial is evidence only once there are more. Crashes that are taken off a task make that rarer, never more frequent. The third test keeps that a crash in a trial by itself is enough.

Ruled out: dropping the trial on its report (a VM that is lost sends none).

--- a/packages/scheduler/portwharf/scheduler/crashloop.py
+++ b/packages/scheduler/portwharf/scheduler/crashloop.py
@@ -31,8 +31,9 @@
         # Time at which a suspect's attempt was reported as running, by (task,
         # attempt).
         self._running_since = {}
-        # (task, attempt) of attempts that were started as trials.
-        self._trials = set()
+        # Number of the task's crashes before each attempt that was started as
+        # a trial, by (task, attempt).
+        self._trials = {}
         # Tasks whose workers crashed, as reported in this pass.
         self._crashed = []
 
@@ -93,11 +94,13 @@
     def record_placement(self, task):
         """Record the placement of a task, as a trial if it is a suspect."""
         if len(task.crashes) >= suspects.SUSPECT_CRASHES:
-            self._trials.add((task.id, task.attempt))
+            self._trials[(task.id, task.attempt)] = len(task.crashes)
 
     def _assess(self, task):
         now = self._clock.read_monotonic()
-        is_trial = (task.id, task.attempt) in self._trials
+        # A trial that was refused or lost with its VM proves nothing.
+        before = self._trials.get((task.id, task.attempt))
+        is_trial = before is not None and len(task.crashes) > before
         return suspects.assess(self._state, task, self._times, is_trial, now)
 
     def _give_up(self, task, batch, add):
@@ -123,7 +126,11 @@
             (task.id, task.attempt): task
             for task in self._state.suspects.values()
         }
-        self._trials.intersection_update(known)
+        self._trials = {
+            name: count
+            for name, count in self._trials.items()
+            if name in known
+        }
         self._running_since = {
             name: since
             for name, since in self._running_since.items()
--- a/packages/scheduler/portwharf/scheduler/crashloop_test.py
+++ b/packages/scheduler/portwharf/scheduler/crashloop_test.py
@@ -22,8 +22,14 @@
 it. Before the fix the first test below had 23 starts in 30 s on five VMs.
 """
 
+from portwharf.core import clock
 from portwharf.core import data
+from portwharf.peers import messages
+from portwharf.scheduler import batches
+from portwharf.scheduler import crashloop
+from portwharf.scheduler import events
 from portwharf.scheduler import jobs_test
+from portwharf.scheduler import reconcile
 from portwharf.testing import cluster
 
 CRASHER = f'{jobs_test.FIRST}.0'
@@ -125,3 +131,85 @@
             node.worker.crash()
     made.run(30)
     case.assertEqual(made.read_state().tasks[task].state, 'failed')
+
+
+class TrialScenario:
+    """A sound task that waits for a trial after two unrelated crashes.
+
+    Another worker crashed just before the first of them, so that only a trial
+    can tell whether the task has caused them.
+    """
+
+    TASK = f'{jobs_test.FIRST}.0'
+
+    def __init__(self):
+        self.clock = clock.ManualClock()
+        self.state = jobs_test.accept(jobs_test.make_step())
+        self.detector = crashloop.CrashLoopDetector(
+            self.clock, self.state, None
+        )
+        self.clock.advance(49.9)
+        self._report_crash('vm-3', 'other.0', 1)
+        self._advance(0.1)
+        self._place_and_crash('vm-1', 1)
+        self._advance(1.5)
+        self._place_and_crash('vm-2', 2)
+        self._advance(5.0)
+
+    def place_trial(self):
+        """Place the task, which is its third attempt."""
+        self.state.apply(events.TaskPlaced(self.TASK, 3, 'vm-4'))
+        self.detector.record_placement(self.state.tasks[self.TASK])
+
+    def report(self, vm, task, attempt, state, **fields):
+        """Process a side's report as an owner does."""
+        told = messages.TaskReport(task, attempt, state, **fields)
+        verdict = reconcile.ReportOutcome()
+        reconcile.process_report(self.state, vm, told, verdict)
+        self.detector.record_report(vm, told)
+
+    def resolve(self):
+        """Let the detector decide; returns the state of the job."""
+        batch = batches.Batch()
+        self.detector.resolve_suspects(
+            batch,
+            lambda _, event: self.state.apply(event),
+            lambda event, _: None,
+        )
+        return self.state.find_job_state(jobs_test.ID)
+
+    def _place_and_crash(self, vm, attempt):
+        self.state.apply(events.TaskPlaced(self.TASK, attempt, vm))
+        self._report_crash(vm, self.TASK, attempt)
+
+    def _report_crash(self, vm, task, attempt):
+        gone = data.RunState.GONE
+        self.report(vm, task, attempt, gone, crash='life', ran_ms=20)
+
+    def _advance(self, seconds):
+        self.clock.advance(seconds)
+        self.resolve()
+
+
+def test_trial_that_is_refused_is_no_evidence_against_its_task(case):
+    scenario = TrialScenario()
+    scenario.place_trial()
+    refused = data.RunState.REFUSED
+    scenario.report('vm-4', scenario.TASK, 3, refused)
+    case.assertEqual(scenario.resolve(), data.JobState.RUNNING)
+
+
+def test_trial_that_is_lost_with_its_vm_is_no_evidence(case):
+    scenario = TrialScenario()
+    scenario.place_trial()
+    scenario.state.apply(events.TaskRequeued(scenario.TASK, 3))
+    case.assertEqual(scenario.resolve(), data.JobState.RUNNING)
+
+
+def test_crash_in_a_trial_gives_its_task_up(case):
+    scenario = TrialScenario()
+    scenario.place_trial()
+    gone = data.RunState.GONE
+    scenario.report('vm-4', scenario.TASK, 3, gone, crash='life', ran_ms=20)
+    scenario.clock.advance(5.0)
+    case.assertEqual(scenario.resolve(), data.JobState.FAILED)
