Try a job that stands still though a like one has failed

What callers saw: a job of filling tasks had nothing running although memory was free, for as long as another job of the same size was in line before it.

Cause: a pass remembers by shape which tasks fit nowhere and does not try the next of that shape.

Ruled out: not remembering starving tasks at all. There may be many, and each fits where another does; the refusal of one is right for the next.

--- a/packages/scheduler/portwharf/scheduler/jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/jobs_test.py
@@ -270,6 +270,23 @@
     case.assertEqual(len(done.placements), 1)
 
 
+def test_job_that_stands_still_is_tried_after_one_that_partly_runs(case):
+    made = accept(make_step(3, fills=True, image='plan'))
+    made.apply(events.TaskPlaced(f'{FIRST}.0', 1, 'vm-2'))
+    step = make_step(3, fills=True, image='plan')
+    other = data.Job('e' * 16, 'plans', 1, b'', [step], 2000)
+    made.apply(events.JobAccepted(NOW, other))
+    view = vmview.VmView(data.Vm('vm-1'), data.Resources(9000, 9000))
+    view.set_headrooms(tail_interference.TailInterferenceModel(), [])
+    view.filling_milli = 9000
+    demands = pass_inputs.list_demands(made, lambda _: frozenset(), NOW)
+    for demand in demands:
+        demand.accept_any_vm()
+    done = pass_inputs.plan(made, demands, [view], {}, NOW)
+    placed = [one.task for one in done.placements]
+    case.assertEqual(placed, [f'{other.id}.0.0.0'])
+
+
 class CountingRunTimes(forecast.RunTimeModel):
     """Counts its predictions."""
 
