Place a whole gang beyond the processors when it stands still

What callers saw: a gang of filling tasks had nothing running for as long as other filling tasks used the processors, with memory free everywhere.

Cause: a step that stands still may have one task beyond the processors. A gang is tried member by member on copies of the VMs; with its first member counted as placed it stood still no more, and the second was refused.

Evidence: the test failed before, 0 members placed and not 3.

Ruled out: asking for processors for all but one member; a gang has no use for one. What the gang may use beside a server is decided by the side, as ever.

--- a/packages/scheduler/portwharf/scheduler/decisions/backlog.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/backlog.py
@@ -141,9 +141,11 @@
         """Whether it has waited for long and has no task placed.
 
         One of its tasks may then be placed where only memory is free, as a
-        slow job is better than a stopped one.
+        slow job is better than a stopped one. A gang is placed whole.
         """
-        return not self.is_selective and not self.placed
+        if self.is_selective:
+            return False
+        return self.record.workload.gang or not self.placed
 
     def _count_crashes(self):
         """Return the number of worker crashes by id of a waiting task."""
--- a/packages/scheduler/portwharf/scheduler/jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/jobs_test.py
@@ -287,6 +287,17 @@
     case.assertEqual(placed, [f'{other.id}.0.0.0'])
 
 
+def test_gang_that_stands_still_is_placed_beyond_the_processors(case):
+    made = accept(make_step(3, fills=True, gang=True, image='plan'))
+    view = vmview.VmView(data.Vm('vm-1'), data.Resources(9000, 9000))
+    view.set_headrooms(tail_interference.TailInterferenceModel(), [])
+    view.filling_milli = 9000
+    (demand,) = pass_inputs.list_demands(made, lambda _: frozenset(), NOW)
+    demand.accept_any_vm()
+    done = pass_inputs.plan(made, [demand], [view], {}, NOW)
+    case.assertEqual(len(done.placements), 3)
+
+
 class CountingRunTimes(forecast.RunTimeModel):
     """Counts its predictions."""
 
