Preemption waits three seconds for an eviction, not for ever

What callers saw: important work waited for room, and none was made anywhere in the shard, while one worker left the stop of one task unanswered.

Cause: no eviction is begun while any is in progress, so that the room which it frees is seen first. A task counts as being evicted until its end is reported, and a VM that is heard may never report it.

Evidence: the test failed before, 'waiting' and not 'placed' for a service that needed room on two sound VMs; with the check taken out it passed.

Ruled out: no waiting at all (each pass would evict once more until the first stop has taken effect); an end that the owner assumes (the task may run on). The task itself goes on holding its room: only its worker can end it.

--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -37,6 +37,8 @@
 LOG = logging.getLogger(__name__)
 
 _DROP_INTERVAL_SECONDS = 20.0
+# Time for which preemption waits for an eviction that is in progress.
+_MAX_EVICTION_SECONDS = 3.0
 _HEALTHY_REFUSALS = (messages.REFUSED_GRANT, messages.REFUSED_ZONE)
 
 
@@ -79,6 +81,8 @@
         self._patience = pass_inputs.Patience()
         self._wait_log = decisionlog.WaitLog()
         self._move_history = task_moves.MoveHistory()
+        # When evictions in progress were first seen, by (task, attempt).
+        self._evicting_since = {}
         # (task, attempt) rows that a VM should run but did not list, by VM.
         self._missing = {}
         # Ended jobs whose end is not logged yet and must not be shown.
@@ -539,21 +543,33 @@
 
     def _evict_for_waiting(self, done, views, quotas, batch):
         """Evict tasks to make room for more important waiting ones."""
-        if not done.waiting or self._is_evicting():
-            return
         now = self._env.clock.read_monotonic()
+        if not done.waiting or self._is_evicting(now):
+            return
         over = pass_inputs.find_over_quota(self._state, quotas)
         for action in self.service_protection.plan_evictions(
             done.ordered, views, over, now
         ):
             self._apply_action(action, batch)
 
-    def _is_evicting(self):
-        """Return whether an eviction is in progress."""
-        return any(
-            task.state == data.TaskState.EVICTING
+    def _is_evicting(self, now):
+        """Return whether an eviction is in progress that may free room soon.
+
+        One that does not end, such as on a worker that answers no stops, must
+        not prevent all others.
+        """
+        names = [
+            (task.id, task.attempt)
             for held in self._state.held.values()
             for task in held.values()
+            if task.state == data.TaskState.EVICTING
+        ]
+        self._evicting_since = {
+            name: self._evicting_since.get(name, now) for name in names
+        }
+        return any(
+            now - since < _MAX_EVICTION_SECONDS
+            for since in self._evicting_since.values()
         )
 
     def _may_place(self, now):
