Quarantine half of the workers at most

What callers saw: while several jobs came that fail on every attempt, all workers were quarantined. Sound jobs stood still for five seconds, then longer, as the probes went to tasks that fail as well; and the jobs that fail were not shown as failed, as nothing of them was tried any more.

If more than half fail what they are given, the jobs are more likely at fault.

Ruled out: counting only failures of jobs that have succeeded elsewhere. A job of one task has no elsewhere.

--- a/packages/scheduler/portwharf/scheduler/decisions/health.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/health.py
@@ -128,6 +128,20 @@
         record = self._records.get(vm)
         return record is not None and 0 < record.until <= now
 
+    def list_restricted(self, vms):
+        """Return the workers that are quarantined or await a probe.
+
+        They are at most half of all: if more fail what they are given, the
+        jobs are more likely at fault. Those with the longest quarantines stay.
+
+        :param vms: the names of all workers
+        """
+        found = [
+            vm for vm in vms if vm in self._records and self._records[vm].until
+        ]
+        found.sort(key=lambda vm: -self._records[vm].seconds)
+        return set(found[: len(vms) // 2])
+
     def record_refusal(self, vm, workload, now):
         """Record that a side refused to start an attempt, for a good reason.
 
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -158,6 +158,7 @@
         weigher = weigher or precedence.Weigher(
             self._state, self._env.clock.read_unix_ms(), self._runtimes
         )
+        restricted = self._health.list_restricted(list(self._links))
         views = []
         for name, link in self._links.items():
             view = vmview.VmView(link.view.vm, link.view.capacity)
@@ -174,7 +175,9 @@
             view.closed = self._find_closed_reason(
                 name, link, now
             ) or self._find_zone_closed_reason(link)
-            view.probe = self._health.awaits_probe(name, now)
+            if name in restricted:
+                view.closed = view.closed or self._find_quarantine(name, now)
+                view.probe = self._health.awaits_probe(name, now)
             views.append(view)
         self._service_protection.fill_views(views, now)
         return views
@@ -292,6 +295,10 @@
             return CLOSED_NOT_READY
         if link.view.draining or self.is_leaving(name):
             return CLOSED_LEAVING
+        return ''
+
+    def _find_quarantine(self, name, now):
+        """Return the reason if a quarantined VM gets no new tasks, or ''."""
         if self._health.is_quarantined(name, now):
             return CLOSED_QUARANTINED
         if self._health.is_probing(name, now):
