--- a/packages/testing/portwharf/testing/relay.py
+++ b/packages/testing/portwharf/testing/relay.py
@@ -111,6 +111,9 @@
             self._forward_both_ways(client_sock, target_sock)
 
     def _forward_both_ways(self, client_sock, target_sock):
+        # A connection may be closed as soon as it is known or forwarded.
+        for sock in (client_sock, target_sock):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         with self._lock:
             self._open_sockets |= {client_sock, target_sock}
         freeze_requested = self._freeze_requested
@@ -119,7 +122,6 @@
             (target_sock, client_sock, self._from_target),
         )
         for source, sink, flow_enabled in directions:
-            source.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             threading.Thread(
                 target=self._forward,
                 args=(source, sink, flow_enabled, freeze_requested),
--- a/packages/testing/portwharf/testing/relay_test.py
+++ b/packages/testing/portwharf/testing/relay_test.py
@@ -3,6 +3,7 @@
 """Tests of the faults that a relay injects."""
 
 import socket
+from unittest import mock
 
 from portwharf.testing import relay
 
@@ -13,6 +14,7 @@
     The function returns the sockets of both ends.
     """
     server = socket.create_server(('127.0.0.1', 0))
+    server.settimeout(10)
     case.addCleanup(server.close)
     proxy = relay.Relay('127.0.0.1', 0, server.getsockname()[1])
     case.enterContext(proxy)
@@ -42,3 +44,27 @@
     server_end.setblocking(False)
     with case.assertRaises(BlockingIOError):
         server_end.recv(10)
+
+
+class InlineThread:
+    """Runs its target when it is started, and returns after that."""
+
+    def __init__(self, target, args, daemon):
+        self._target = target
+        self._args = args
+
+    def start(self):
+        """Run the target to its end."""
+        self._target(*self._args)
+
+
+def test_relay_goes_on_after_a_connection_that_closes_at_once(case):
+    """One direction ends, and closes both sockets, before the other begins."""
+    proxy, connect = open_relay(case)
+    with mock.patch.object(relay.threading, 'Thread', InlineThread):
+        client, server_end = connect()
+        client.close()
+        case.assertEqual(server_end.recv(10), b'')
+    client, server_end = connect()
+    client.sendall(b'new')
+    case.assertEqual(server_end.recv(10), b'new')
