--- a/packages/scheduler/portwharf/scheduler/crashloop.py
+++ b/packages/scheduler/portwharf/scheduler/crashloop.py
@@ -98,14 +98,20 @@
 
     def _assess(self, task):
         now = self._clock.read_monotonic()
-        # A trial that was refused or lost with its VM proves nothing.
-        before = self._trials.get((task.id, task.attempt))
-        is_trial = before is not None and len(task.crashes) > before
+        is_trial = self._has_crashed_in_trial(task)
         return suspects.assess(self._state, task, self._times, is_trial, now)
 
+    def _has_crashed_in_trial(self, task):
+        """Return whether a task's last attempt was a trial and crashed.
+
+        A trial that was refused or lost with its VM proves nothing.
+        """
+        before = self._trials.get((task.id, task.attempt))
+        return before is not None and len(task.crashes) > before
+
     def _give_up(self, task, batch, add):
         """Fail a task; returns its ``events.TaskEnded``."""
-        decisionlog.log_given_up(task)
+        decisionlog.log_given_up(task, self._has_crashed_in_trial(task))
         metrics.GIVEN_UP.inc()
         self._times.forget(one.name for one in task.crashes)
         now_ms = self._clock.read_unix_ms()
--- a/packages/scheduler/portwharf/scheduler/decisionlog.py
+++ b/packages/scheduler/portwharf/scheduler/decisionlog.py
@@ -159,10 +159,21 @@
     LOG.info('task cleared of crashing its workers', extra=extra)
 
 
-def log_given_up(task):
-    """Log that a task fails because it crashes its workers."""
+def log_given_up(task, in_trial):
+    """Log that a task fails because it crashes its workers.
+
+    :param in_trial: whether its last crash came in a trial
+    """
+    crashes = [
+        f'{one.name} at its start' if one.close else one.name
+        for one in task.crashes
+    ]
+    kind = 'trial' if in_trial else 'no trial'
     extra = logs.fields(
-        task=task.id, attempt=task.attempt, count=len(task.crashes)
+        task=task.id,
+        attempt=task.attempt,
+        count=len(task.crashes),
+        reason=f'{kind}: {", ".join(crashes)}',
     )
     LOG.warning('task given up: crashes its workers', extra=extra)
 
--- a/packages/scheduler/portwharf/scheduler/decisionlog_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisionlog_test.py
@@ -7,6 +7,8 @@
 from portwharf.scheduler.decisions import placement
 from portwharf.scheduler.decisions import vm_choice
 from portwharf.scheduler import events
+from portwharf.scheduler import state
+from portwharf.scheduler import suspects
 
 LOGGER = 'portwharf.scheduler.decisionlog'
 
@@ -35,6 +37,18 @@
     case.assertEqual(logged, [('a.0.0', '3.1,5.2', 900)])
 
 
+def test_crashes_of_a_given_up_task_are_logged(case):
+    task = state.TaskRecord('a.0.0.3', 3, attempt=3)
+    task.crashes = [
+        suspects.CrashRecord('vm-1/life', True),
+        suspects.CrashRecord('vm-2/life', False),
+    ]
+    with case.assertLogs(LOGGER) as watched:
+        decisionlog.log_given_up(task, True)
+    (line,) = watched.records
+    case.assertEqual(line.reason, 'trial: vm-1/life at its start, vm-2/life')
+
+
 def test_long_wait_is_logged_once(case):
     log = decisionlog.WaitLog()
     choice = vm_choice.Choice()
