Make room only on VMs that may run the work that waits for it

What callers saw: a lasting task that needs a label waited without end while less important work was evicted every ten seconds on a VM without that label, and came back to the same room.

Cause: preemption chose the cheapest VM by size and importance alone. Label, pool, limit per VM and the tickets of a policy were checked by placement only. Demands that differ in them also shared one memory of failed shapes.

Ruled out: using placement's whole check. It refuses for room as well, and room is what an eviction makes.

--- a/packages/scheduler/portwharf/scheduler/decisions/service_protection.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/service_protection.py
@@ -14,6 +14,7 @@
 from portwharf.scheduler.decisions import backlog
 from portwharf.scheduler.decisions import interference
 from portwharf.scheduler.decisions import remedies
+from portwharf.scheduler.decisions import vm_choice
 
 # A batch task is evicted only for work that is this much more important.
 IMPORTANCE_MARGIN = 200
@@ -243,6 +244,8 @@
                 continue
             if self._has_replica(demand, view):
                 continue
+            if vm_choice.check_constraints(demand, view):
+                continue
             chosen = remedies.pick_to_make_room(
                 workload.resources,
                 view.room,
@@ -323,6 +326,8 @@
     workload = demand.record.workload
     if workload.kind != data.Kind.BATCH or demand.avoided:
         return None
+    if workload.most_per_vm or workload.ticket_ms:
+        return None
     size = workload.resources
     return (
         size.cpu_milli,
@@ -330,4 +335,6 @@
         size.accelerators,
         workload.urgent,
         _get_importance_limit(workload),
+        workload.pool,
+        workload.label,
     )
--- a/packages/scheduler/portwharf/scheduler/decisions/service_protection_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/service_protection_test.py
@@ -7,6 +7,7 @@
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.scheduler.decisions import service_protection
+from portwharf.scheduler import jobs_test
 from portwharf.testing import cluster
 
 WHOLE = data.Resources(2000, 2000)
@@ -99,6 +100,19 @@
     case.assertEqual(len(list_running(sim, service.value.id)), 2)
 
 
+def test_room_is_made_only_where_the_work_may_run(case):
+    sim = cluster.Cluster(3)
+    sim.nodes[2].worker.labels = ['a']
+    batch = fill_with_batch_work(sim)
+    step = jobs_test.make_step(1, kind=data.Kind.STANDING, label='a')
+    job = jobs_test.make_job(step)
+    job.rank = 0
+    sim.submit_job(job)
+    sim.run(8)
+    case.assertEqual(len(list_running(sim, jobs_test.ID)), 1)
+    case.assertEqual(len(list_running(sim, batch)), 5)
+
+
 def test_room_lent_beyond_a_quota_is_reclaimed(case):
     sim = cluster.Cluster(3)
     text = '[teams.lens]\nquota = {cpu_milli = 2000, memory_mb = 90000}\n'
--- a/packages/scheduler/portwharf/scheduler/decisions/vm_choice.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vm_choice.py
@@ -260,8 +260,11 @@
     return ''
 
 
-def _refuse_step(demand, view):
-    """Return why a VM cannot take a task of a job's step, or ''."""
+def check_constraints(demand, view):
+    """Return why a VM may not run a demand, however much room it has, or ''.
+
+    :param demand: a ``backlog.Demand``
+    """
     workload = demand.record.workload
     if not view.suits(workload):
         return 'other-pool-or-label'
@@ -270,6 +273,15 @@
         return 'enough-of-them-there'
     if workload.ticket_ms and view.vm.name not in demand.tickets:
         return REFUSED_POLICY
+    return ''
+
+
+def _refuse_step(demand, view):
+    """Return why a VM cannot take a task of a job's step, or ''."""
+    reason = check_constraints(demand, view)
+    if reason:
+        return reason
+    workload = demand.record.workload
     if workload.fills and not demand.is_starving:
         idle_milli = view.compute_idle_milli(demand.weight)
         if workload.resources.cpu_milli > idle_milli:
