Operators' work that stands still does not avoid workers for ever longer

What callers saw: a service that all workers had refused for a while began up to two minutes after they would have taken it (22 s after refusals of 40 s).

Cause: a workload keeps away from a worker that refused or failed it, twice as long each time. Steps of jobs give that up once they have waited; other workloads never did, though nothing else was open to them.

Ruled out: a lower bound on the avoidance itself.

--- a/packages/scheduler/portwharf/scheduler/decisions/pass_inputs.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/pass_inputs.py
@@ -35,7 +35,7 @@
 
 
 class Patience:
-    """Tracks how long steps of jobs have waited for a VM that suits them."""
+    """Tracks how long workloads have waited for a VM that suits them."""
 
     def __init__(self):
         self._since = {}
@@ -48,13 +48,13 @@
         """Let demands that have waited long enough accept any VM with room."""
         for demand in demands:
             waited = now - self._since.get(demand.record.id, now)
-            if (
-                not demand.record.workload.job
-                or waited <= FIRST_PATIENCE_SECONDS
-            ):
+            if waited <= FIRST_PATIENCE_SECONDS:
                 continue
             if not demand.placed or waited > REMAINING_PATIENCE_SECONDS:
-                demand.accept_any_vm()
+                if demand.record.workload.job:
+                    demand.accept_any_vm()
+                else:
+                    demand.avoided = frozenset()
 
 
 def plan(state, demands, views, quotas, now_ms, predict_effect=None):
