Entry: a cancellation that waited for a thread is carried out

What callers saw: 503 for each cancellation of a busy entry, with nothing in the logs, and the job's tasks ran on until a sending met a shorter queue.

Cause: an entry refuses any call that has waited for one of its threads for as long as it would wait for the owner, .45 of the client's deadline. That is right for submissions and reads. But an owner carries out cancellations however late they are, and a client asks for one until it is answered, so the refusal kept waiting work waiting, and what it was to stop went on taking room.

A cancellation now goes on to the owner and is waited for .3 s at least, or as long as an entry that stops has left.

Ruled out: the whole time limit again for a late cancellation. It would hold a thread for up to 1.35 s while there is no owner.

--- a/packages/platform/portwharf/platform/job_api.py
+++ b/packages/platform/portwharf/platform/job_api.py
@@ -24,6 +24,9 @@
 # attempt at another entry.
 CALL_SECONDS = 2.0
 DEADLINE_SHARE = 0.45
+# Least time that a cancellation waits, however late it is. The owner carries
+# it out in any case, and its client asks again until it is answered.
+MIN_CANCEL_SECONDS = 0.3
 # Deadline of calls whose client sends none.
 DEFAULT_DEADLINE_MS = 3000
 # Python refuses to convert texts of some thousand digits.
@@ -84,7 +87,8 @@
             return start_response(status, answer_headers)
 
         with self._shutdown.track_call():
-            if _read_time_limit(environ) <= 0:
+            is_cancellation = environ['REQUEST_METHOD'] == 'DELETE'
+            if _read_time_limit(environ) <= 0 and not is_cancellation:
                 return _refuse_late_call(environ, respond)
             return self._dispatch(environ, respond)
 
@@ -153,7 +157,7 @@
     def _cancel(self, job_id, queue, environ, respond):
         query = operations.Query(job_id)
         started = self._clock.read_monotonic()
-        seconds = _read_time_limit(environ)
+        seconds = max(MIN_CANCEL_SECONDS, _read_time_limit(environ))
         answer = self._call('cancel-job', query, operations.Cancelled, seconds)
         status = _map_status(answer)
         self._log_answer('cancel', job_id, queue, answer, started)
