Do not start a prepared task whose cancellation waits for its append

What callers saw: a workload was cancelled while the store was out, and its prepared tasks began after that, to be stopped once the store was back. Other prepared tasks could have had the room.

Cause: a prepared task keeps its turn without a look at what was decided since. An owner whose append is stalled starts what is prepared in its state as room becomes free. A pass takes back the prepared tasks of cancelled work, but one that logs its calls first comes to that only after their entry, which may stall.

The same holds for tasks beyond a lowered count. Jobs are not concerned, as none of their tasks is prepared.

What is_unwanted names is passed over. If the entry is never logged, the task is prepared as before, and starts in the next outage or pass.

Ruled out: taking prepared tasks back where calls are carried out. The event has to wait for the report of a side, as the pass makes sure already.

--- a/packages/scheduler/portwharf/scheduler/prepared_starts.py
+++ b/packages/scheduler/portwharf/scheduler/prepared_starts.py
@@ -128,6 +128,8 @@
             name = (task.id, task.attempt)
             if name in self._started or name in unlogged:
                 continue
+            if reconcile.is_unwanted(self._state, task):
+                continue
             if not size.fits(freed.room):
                 continue
             freed.room = freed.room.subtract(size)
--- a/packages/scheduler/portwharf/scheduler/prepared_starts_test.py
+++ b/packages/scheduler/portwharf/scheduler/prepared_starts_test.py
@@ -8,6 +8,7 @@
 
 from portwharf.peers import messages
 from portwharf.scheduler import batches
+from portwharf.scheduler import operations
 from portwharf.scheduler import ownership_test
 from portwharf.scheduler import shardlog
 
@@ -125,6 +126,31 @@
     case.assertEqual(ownership_test.count_runs(made), 3)
 
 
+def test_cancelled_prepared_task_is_not_started_in_an_outage(case):
+    """The entry with the calls of a slow pass is stalled."""
+    made = ownership_test.make_cluster(2, 1)
+    (node,) = made.nodes
+    waiting = made.submit(2)
+    made.run(2)
+    case.assertEqual(len(made.read_state().prepared[node.vm.name]), 2)
+    made.fake.faults.down = True
+    fut = made.cancel(waiting.value.id)
+    with mock.patch.object(node.owner, '_must_answer_first', bool):
+        case.assertIs(
+            node.owner.step(node.owner.take_items()),
+            batches.StepResult.STALLED,
+        )
+    made.finish_running()
+    made.run(3)
+    case.assertIsNone(fut.value)
+    case.assertEqual(ownership_test.count_runs(made), 2)
+    made.fake.faults.down = False
+    made.run(3)
+    case.assertIsInstance(fut.value, operations.Cancelled)
+    ownership_test.finish(made)
+    case.assertEqual(ownership_test.count_runs(made), 2)
+
+
 def test_task_of_an_unlogged_preparation_does_not_run_twice(case):
     """An owner that loses the store prepares a task; its successor places it.
 
