Walks cancel jobs, and check what starts after a cancellation

No walk had cancelled a job of steps: the walk drew one of all accepted ids and cancelled it as a workload, which an owner answers as an unknown id. And no check compared starts with cancellations that were acknowledged.

Cluster.cancel now calls cancel-job for jobs, with the same random draws. A start more than 3 s after the acknowledgement is a violation, whatever fails.

--- a/packages/testing/portwharf/testing/cluster.py
+++ b/packages/testing/portwharf/testing/cluster.py
@@ -168,6 +168,8 @@
     :ivar cuts: pairs of names of VMs that cannot reach each other
     :ivar calls: operator calls that were made
     :ivar closed: true time at which each closed zone was closed, by name
+    :ivar cancelled: true time at which the cancellation of each job or
+        workload was seen to be acknowledged, by id
     :ivar crashers: ids of tasks that crash workers and so may fail
     :ivar exhausted_jobs: ids of jobs with a task that used up its failures
     :ivar stale_pipes: closed pipes that may hold messages, and their nodes
@@ -185,6 +187,7 @@
         self.cuts = set()
         self.calls = []
         self.closed = {}
+        self.cancelled = {}
         self.crashers = set()
         self.exhausted_jobs = set()
         self.stale_pipes = []
@@ -386,9 +389,17 @@
         """Submit a ``data.Job`` to the owner of the highest epoch."""
         return self._call('submit-job', job_operations.JobSubmission(job))
 
-    def cancel(self, job):
-        """Cancel a job, by the owner of the highest epoch."""
-        return self._call('cancel', operations.Query(job))
+    def cancel(self, name):
+        """Cancel a job or a workload, by the owner of the highest epoch.
+
+        :param name: the id of either
+        """
+        is_job = any(
+            call.method == 'submit-job' and call.arguments.job.id == name
+            for call in self.calls
+        )
+        method = 'cancel-job' if is_job else 'cancel'
+        return self._call(method, operations.Query(name))
 
     def _call(self, method, arguments):
         owners = self.list_owners()
@@ -437,6 +448,9 @@
         cluster_checks.check_exclusive_tasks(self.nodes)
         cluster_checks.check_attempt_vms(self.nodes)
         cluster_checks.check_zones(self)
+        for name in self.list_cancelled():
+            self.cancelled.setdefault(name, self.time.read_monotonic())
+        cluster_checks.check_cancellations(self)
 
     def settle(self, seconds=150.0):
         """Heal the cluster, then run it until all work has ended.
--- a/packages/testing/portwharf/testing/cluster_checks.py
+++ b/packages/testing/portwharf/testing/cluster_checks.py
@@ -9,12 +9,16 @@
 import collections
 
 from portwharf.core import data
+from portwharf.core import ids
+from portwharf.scheduler import jobs
 from portwharf.testing import cluster_fakes
 
 # Failures after which a task of a walk's job is not retried.
 MAX_FAILURES = 3
 # Time after closing a zone for which tasks may still start there.
 ZONE_CLOSE_SECONDS = 5.0
+# Time after an acknowledged cancellation in which tasks may still start.
+CANCEL_SECONDS = 3.0
 
 
 def check_capacity(nodes):
@@ -73,6 +77,21 @@
                     )
 
 
+def check_cancellations(cluster):
+    """Check that no task starts long after its cancellation."""
+    for node in cluster.nodes:
+        for run in node.worker.record:
+            task = run.attempt.task
+            name = ids.split_task_id(task)
+            if is_job_task(task):
+                name = jobs.split_step_id(name)[0]
+            since = cluster.cancelled.get(name)
+            if since is not None and run.true_began - since > CANCEL_SECONDS:
+                raise cluster_fakes.Violation(
+                    f'{task} started long after its cancellation'
+                )
+
+
 def check_record(nodes):
     """Check the starts and ends that the workers recorded."""
     check_no_start_after_success(nodes)
