Carry out a cancellation that waited for a pass beyond its time limit

Cancellations are an exception everywhere else: they have no deadline, and no refusal at once.

Found by reading.

After its time limit a cancellation is answered as of unknown outcome, and stays in the inbox. Its later result goes to nobody. An owner that ends, or whose append stalls, refuses it as before.

Ruled out: no time limit at all, which keeps the answers to entries that have long given up.

--- a/packages/scheduler/portwharf/scheduler/operator_api.py
+++ b/packages/scheduler/portwharf/scheduler/operator_api.py
@@ -194,7 +194,10 @@
             respond(result.Err(pending_calls.make_busy_problem()))
         else:
             job = _find_submitted_job(called)
-            self._pending.add(called.fut, respond, received_at, job)
+            is_cancellation = called.method in CANCELS
+            self._pending.add(
+                called.fut, respond, received_at, job, is_cancellation
+            )
             self._owner.take_call(called)
 
     def _is_too_late(self, deadline):
--- a/packages/scheduler/portwharf/scheduler/pending_calls.py
+++ b/packages/scheduler/portwharf/scheduler/pending_calls.py
@@ -25,12 +25,14 @@
     :param received_at: when it came, on the owner's monotonic clock
     :param due: by when it is answered, on that clock
     :param job: the id of the job that it submits, or ''
+    :param is_cancellation: it is carried out however late
     """
 
     respond: object = None
     received_at: float = 0.0
     due: float = 0.0
     job: str = ''
+    is_cancellation: bool = False
 
 
 class PendingCalls:
@@ -64,7 +66,9 @@
         for fut in futures:
             fut.cancel()
 
-    def add(self, fut, respond, received_at=None, job=''):
+    def add(
+        self, fut, respond, received_at=None, job='', is_cancellation=False
+    ):
         """Have a call answered when its future is done or it times out.
 
         :param fut: the ``concurrent.futures.Future`` of the call, whose result
@@ -74,13 +78,19 @@
         :param received_at: when the call came, by the owner's monotonic
             clock; None for now
         :param job: the id of the job that it submits, or ''
+        :param is_cancellation: whether a pass may begin it after its time
+            limit
         """
         now = self._clock.read_monotonic()
         if received_at is None:
             received_at = now
         with self._changed:
             self._calls[fut] = _PendingCall(
-                respond, received_at, now + CALL_TIMEOUT_SECONDS, job
+                respond,
+                received_at,
+                now + CALL_TIMEOUT_SECONDS,
+                job,
+                is_cancellation,
             )
             closed = self._closed
             self._changed.notify()
@@ -96,8 +106,8 @@
     def expire(self):
         """Answer the calls that have waited for too long.
 
-        One that was not begun is refused and never carried out. The outcome
-        of the others is unknown.
+        One that was not begun is refused and never carried out, unless it is
+        a cancellation. The outcome of the others is unknown.
 
         :returns: seconds until the next call is due, or None
         """
@@ -107,10 +117,10 @@
                 fut = next(iter(self._calls), None)
                 if fut is None:
                     return None
-                left = self._calls[fut].due - now
-            if left > 0:
-                return left
-            if not fut.cancel():
+                call = self._calls[fut]
+            if call.due > now:
+                return call.due - now
+            if call.is_cancellation or not fut.cancel():
                 self._respond(fut, result.Err(make_unknown_problem()))
 
     def _complete(self, fut):
--- a/packages/scheduler/portwharf/scheduler/pending_calls_test.py
+++ b/packages/scheduler/portwharf/scheduler/pending_calls_test.py
@@ -53,6 +53,18 @@
     case.assertFalse(fut.set_running_or_notify_cancel())
 
 
+def test_cancellation_that_was_not_begun_in_time_may_still_be(case):
+    pending, now = make_calls()
+    fut, answers = concurrent.futures.Future(), []
+    pending.add(fut, answers.append, is_cancellation=True)
+    now.advance(TIMEOUT)
+    case.assertIsNone(pending.expire())
+    case.assertEqual(list_codes(answers), ['outcome-unknown'])
+    case.assertTrue(fut.set_running_or_notify_cancel())
+    fut.set_result('done')
+    case.assertEqual(len(answers), 1)
+
+
 def test_outcome_of_a_call_whose_append_takes_long_is_unknown(case):
     pending, now = make_calls()
     fut, answers = add(pending)
--- a/packages/side/portwharf/side/server_test.py
+++ b/packages/side/portwharf/side/server_test.py
@@ -15,6 +15,7 @@
 from portwharf.scheduler import job_operations
 from portwharf.scheduler import jobs_test
 from portwharf.scheduler import operations
+from portwharf.scheduler import pending_calls
 from portwharf.testing import cluster
 
 WAIT_SECONDS = 10
@@ -206,6 +207,18 @@
     case.assertTrue(made.read_state().jobs[make_job_id(1)].cancelled)
 
 
+def test_cancellation_is_carried_out_after_its_time_limit(case):
+    made, node, conn = make_owner(case)
+    case.assertEqual(accept_job(node, conn, 1).status, 'ok')
+    conn.to_side.put(make_cancellation(1))
+    items = wait_for_calls(node.owner, 1)
+    made.time.advance(2 * pending_calls.CALL_TIMEOUT_SECONDS)
+    node.owner._operator_api._pending.expire()
+    conn.results.get(timeout=WAIT_SECONDS)
+    node.owner.step(items)
+    case.assertTrue(made.read_state().jobs[make_job_id(1)].cancelled)
+
+
 def test_cancellation_is_logged_the_first_time(case):
     made, node, conn = make_owner(case)
     accept_job(node, conn, 1)
