Logs tell of stops without effect and of late calls that were refused

A task that ran on after its cancellation left no trace at its side: a stop that the worker left unanswered, or answered and did not carry out, was sent again without a line. Nor did an entry log that it refused a call which had waited too long for a thread, or that a cancellation named a route that is gone, so that neither could be told from a client that never called.

The lines are at most one for each stop and call to the worker, and one for each refused call. The tests failed before, as nothing was logged.

--- a/packages/platform/portwharf/platform/job_api.py
+++ b/packages/platform/portwharf/platform/job_api.py
@@ -100,6 +100,14 @@
         path = environ.get('PATH_INFO', '')
         queue = decoding.find_queue(cfg, host, path)
         if queue is None:
+            if environ['REQUEST_METHOD'] == 'DELETE':
+                extra = logs.fields(
+                    request=path.rpartition('/')[2],
+                    status=404,
+                    reason='no-queue',
+                    revision=cfg.revision,
+                )
+                LOG.info('cancel answered', extra=extra)
             return _respond_error(respond, 404, 'no such queue')
         job_id = path[len(queue.prefix) :]
         method = environ['REQUEST_METHOD']
@@ -239,6 +247,12 @@
 
 def _refuse_late_call(environ, respond):
     """Refuse a call whose client no longer waits for the owner's answer."""
+    extra = logs.fields(
+        request=environ.get('PATH_INFO', '').rpartition('/')[2],
+        reason=environ['REQUEST_METHOD'],
+        took_ms=int(environ.get(web.QUEUED_SECONDS, 0.0) * _MS_PER_SECOND),
+    )
+    LOG.info('late call refused', extra=extra)
     try:
         web.read_body(environ)
     except ValueError as exc:
--- a/packages/platform/portwharf/platform/job_api_test.py
+++ b/packages/platform/portwharf/platform/job_api_test.py
@@ -231,6 +231,27 @@
     case.assertEqual(calls.calls, [])
 
 
+def test_late_call_is_logged(case):
+    pool, _, _, _ = open_calls()
+    pool.environ[web.QUEUED_SECONDS] = 1.5
+    with case.assertLogs('portwharf.platform.job_api') as watched:
+        send(pool, 'POST', f'/a/{ID}', BODY)
+    (line,) = watched.records
+    case.assertEqual(line.getMessage(), 'late call refused')
+    logged = (line.request, line.reason, line.took_ms)
+    case.assertEqual(logged, (ID, 'POST', 1500))
+
+
+def test_cancellation_without_a_queue_is_logged(case):
+    pool, _, _, _ = open_calls()
+    with case.assertLogs('portwharf.platform.job_api') as watched:
+        case.assertEqual(send(pool, 'DELETE', f'/x/{ID}').status, 404)
+    (line,) = watched.records
+    case.assertEqual(line.getMessage(), 'cancel answered')
+    logged = (line.request, line.status, line.reason)
+    case.assertEqual(logged, (ID, 404, 'no-queue'))
+
+
 def test_late_cancellation_is_carried_out(case):
     pool, calls, _, _ = open_calls()
     calls.answers['cancel-job'] = result.Ok(operations.Cancelled())
--- a/packages/side/portwharf/side/unconfirmed.py
+++ b/packages/side/portwharf/side/unconfirmed.py
@@ -140,5 +140,9 @@
             elif sent_at is None or now - sent_at >= STOP_RETRY_SECONDS:
                 del self._stops[name]
                 self._stops[name] = (checkpoint, now)
+                extra = logs.fields(task=name[0], attempt=name[1])
+                if sent_at is not None:
+                    LOG.warning('stop sent again', extra=extra)
                 if worker.stop(name[0], name[1], checkpoint).is_err():
+                    LOG.warning('stop not answered by the worker', extra=extra)
                     break
--- a/packages/side/portwharf/side/unconfirmed_test.py
+++ b/packages/side/portwharf/side/unconfirmed_test.py
@@ -9,6 +9,7 @@
 
 import result
 
+from portwharf.side import reports
 from portwharf.side import unconfirmed
 from portwharf.testing import agent_harness
 from portwharf import workers
@@ -63,3 +64,22 @@
         case.assertEqual(len(sent), 1)
         seen.update(sent)
     case.assertEqual(seen, set(TASKS))
+
+
+def test_stop_without_effect_is_logged(case):
+    orders, worker = unconfirmed.UnconfirmedCommands(), UnresponsiveWorker()
+    start = workers.Start('w.0', 1, resources=agent_harness.SIZE)
+    listing = workers.Listing(attempts=[reports.make_attempt(start)])
+    orders.add_stop('w.0', 1, False)
+    with case.assertLogs('portwharf.side.unconfirmed') as watched:
+        orders.resend_stops(worker, listing, 0.0)
+        worker.stop = lambda *order: result.Ok(None)
+        orders.resend_stops(worker, listing, unconfirmed.STOP_RETRY_SECONDS)
+    logged = [(one.getMessage(), one.task) for one in watched.records]
+    case.assertEqual(
+        logged,
+        [
+            ('stop not answered by the worker', 'w.0'),
+            ('stop sent again', 'w.0'),
+        ],
+    )
