Side: stops that wait are sent before the worker is polled again

What callers saw: of many tasks that were cancelled on one VM, the last ones ran on for longer by a poll each of those before them: a listing, a renewal of leases, and orders on shares.

Cause: each stop has the agent poll its worker at once, and the agent carries out one command between two polls.

Evidence: the test failed before: four stops took a poll each, where one after the last will do. Found by reading.

Only the poll at once is left to the last stop that waits; the regular ones, every .4 s, stay, so that leases and heartbeats do not depend on how many stops there are.

Ruled out: the same for starts. A start without an answer is settled by the poll after it.

--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -427,7 +427,8 @@
         )
         now = self._clock.read_monotonic()
         self._unconfirmed.resend_stops(self._worker, self._listing, now)
-        self._next_poll = 0.0
+        if not self._stop_commands:
+            self._next_poll = 0.0
 
     def _forget_attempts(self, refs):
         for ref in refs:
--- a/packages/side/portwharf/side/agent_test.py
+++ b/packages/side/portwharf/side/agent_test.py
@@ -259,6 +259,28 @@
     case.assertEqual(bench.worker.calls, [('stop', 'w.0', 1)])
 
 
+def test_waiting_stops_are_sent_before_the_worker_is_polled_again(case):
+    bench = agent_harness.AgentHarness()
+    bench.grant()
+    tasks = [f'w.{number}' for number in range(4)]
+    for task in tasks:
+        bench.start(task)
+    read_listing = bench.worker.read_listing
+
+    def record_poll():
+        bench.worker.calls.append(('poll',))
+        return read_listing()
+
+    bench.worker.read_listing = record_poll
+    del bench.worker.calls[:]
+    for task in tasks:
+        bench.agent.command(bench.conn, messages.StopTask(3, task, 1))
+    for _ in tasks:
+        bench.agent.step()
+    stops = [('stop', task, 1) for task in tasks]
+    case.assertEqual(bench.worker.calls, [*stops, ('poll',)])
+
+
 def test_start_that_its_stop_has_overtaken_is_refused(case):
     bench = agent_harness.AgentHarness()
     bench.grant()
