Soak: what starts or runs on after a cancellation is found at any time

The soak only looked at its end whether a task of a cancelled job still ran. A start seconds after the confirmation, or a task that ran on until its lease, passed.

Two checks compare each run of a cancelled job with the client's confirmation: none begins more than 5.5 s after it (3 s, and the delay of a start that a runner left unanswered, as for closed zones), and none ends more than 8.5 s after it (a lease, and the same), whatever faults there are. Each has a test that finds a violation and takes the run just inside the limit.

--- a/packages/testing/portwharf/testing/soak_checks.py
+++ b/packages/testing/portwharf/testing/soak_checks.py
@@ -24,6 +24,9 @@
 # of starts that runners left unanswered.
 ZONE_CLOSURE_DELAY_SECONDS = 5.0
 LATE_START_SECONDS = 2.5
+# Longest time that a task runs on, whatever fails, after its cancellation was
+# confirmed: its lease, and the delay of a start that was left unanswered.
+LONGEST_LEASE_SECONDS = 6.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -64,6 +67,8 @@
         check_gangs,
         check_final_states,
         check_cancelled_jobs,
+        check_starts_after_cancellation,
+        check_runs_after_cancellation,
         check_crashers,
     )
 
@@ -228,6 +233,44 @@
     ]
 
 
+def check_starts_after_cancellation(jobs, spans):
+    """No task starts well after the confirmation of its cancellation."""
+    limit = CANCEL_DELAY_SECONDS + LATE_START_SECONDS
+    return [
+        f'{span.task}: started {late:.1f} s after its cancellation: '
+        f'{format_runs([span])}'
+        for span, late in _list_cancelled(jobs, spans, lambda one: one.began)
+        if late > limit
+    ]
+
+
+def check_runs_after_cancellation(jobs, spans):
+    """No task outlasts the confirmation of its cancellation by a lease."""
+    limit = LONGEST_LEASE_SECONDS + LATE_START_SECONDS
+    return [
+        f'{span.task}: ran on for {late:.1f} s after its cancellation: '
+        f'{format_runs([span])}'
+        for span, late in _list_cancelled(jobs, spans, lambda one: one.ended)
+        if late > limit
+    ]
+
+
+def _list_cancelled(jobs, spans, read_time):
+    """Return runs of cancelled jobs and how long after the confirmation.
+
+    :param read_time: function of a span that returns a time, or None to leave
+        the run out
+    :returns: list of (span, seconds)
+    """
+    rows = []
+    for span in spans:
+        job = jobs.get(_split_task_name(span.task)[0])
+        moment = read_time(span)
+        if job is not None and job.cancelled and moment is not None:
+            rows.append((span, moment - job.cancelled))
+    return rows
+
+
 def check_crashers(jobs, spans):
     """A task that crashes its runners is given up after enough crashes."""
     problems = []
--- a/packages/testing/portwharf/testing/soak_checks_test.py
+++ b/packages/testing/portwharf/testing/soak_checks_test.py
@@ -110,6 +110,31 @@
     case.assertIn('still running', problem)
 
 
+def test_start_long_after_a_cancellation_is_found(case):
+    job = make_job(cancelled=2.0, cancel_sent=True)
+    limit = (
+        2.0 + soak_checks.CANCEL_DELAY_SECONDS + soak_checks.LATE_START_SECONDS
+    )
+    in_time = make_span(began=limit - 0.1, ended=limit, how='stopped')
+    case.assertEqual(run_checks(job, in_time), [])
+    late = make_span(began=limit + 0.1, ended=limit + 0.2, how='stopped')
+    (problem,) = run_checks(job, late)
+    case.assertIn('s after its cancellation', problem)
+
+
+def test_run_that_outlasts_its_cancellation_by_a_lease_is_found(case):
+    job = make_job(cancelled=2.0, cancel_sent=True)
+    limit = (
+        2.0
+        + soak_checks.LONGEST_LEASE_SECONDS
+        + soak_checks.LATE_START_SECONDS
+    )
+    in_time = make_span(ended=limit - 0.1, how='stopped')
+    case.assertEqual(run_checks(job, in_time), [])
+    (problem,) = run_checks(job, make_span(ended=limit + 0.1, how='stopped'))
+    case.assertIn('ran on for', problem)
+
+
 def test_too_many_crashes_of_a_crasher_are_found(case):
     job = make_job(crashes=True, states=['failed'])
     runs = [
