--- a/packages/scheduler/portwharf/scheduler/jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/jobs_test.py
@@ -278,7 +278,7 @@
     made.apply(events.JobAccepted(NOW, other))
     view = vmview.VmView(data.Vm('vm-1'), data.Resources(9000, 9000))
     view.set_headrooms(tail_interference.TailInterferenceModel(), [])
-    view.filling_milli = 9000
+    view.record_filling(make_step(resources=view.capacity), 0.0, 1.0)
     demands = pass_inputs.list_demands(made, lambda _: frozenset(), NOW)
     for demand in demands:
         demand.accept_any_vm()
@@ -291,7 +291,7 @@
     made = accept(make_step(3, fills=True, gang=True, image='plan'))
     view = vmview.VmView(data.Vm('vm-1'), data.Resources(9000, 9000))
     view.set_headrooms(tail_interference.TailInterferenceModel(), [])
-    view.filling_milli = 9000
+    view.record_filling(make_step(resources=view.capacity), 0.0, 1.0)
     (demand,) = pass_inputs.list_demands(made, lambda _: frozenset(), NOW)
     demand.accept_any_vm()
     done = pass_inputs.plan(made, [demand], [view], {}, NOW)
