Log the cancellation of a job that is not known

What callers would see: 410 for the cancellation of a job whose submission was under way or accepted by a later owner, and the job runs all the same, for good if it lasts.

Cause: the answer "unknown" was the one that no entry of the log confirmed, and nothing of the cancellation was kept. A submission that came after it, on the slower connection of another entry, was accepted as new; and a former owner that is still confirmed called unknown what its successor had accepted.

Why this works: the id is logged before the answer goes out, so that a former owner's append is refused like any other, and a later submission of that id is accepted and cancelled in one entry. The last 1,000 ids are kept. Older owners skip the event, as they do all kinds that they do not know.

Ruled out: refusing the later submission, as its client may have had a 504 for it and would find no job; keeping ids in the owner's memory, which a successor does not have.

--- a/packages/scheduler/portwharf/scheduler/cancellations_test.py
+++ b/packages/scheduler/portwharf/scheduler/cancellations_test.py
@@ -7,9 +7,12 @@
 """
 
 from portwharf.core import data
+from portwharf.scheduler import batches
+from portwharf.scheduler import jobs_test
 from portwharf.scheduler import operations
 from portwharf.scheduler import ownership_test
 from portwharf.testing import cluster
+from portwharf.testing import cluster_fakes
 
 # Longer than a new connection and its full report take, and shorter than the
 # lease of a task that nobody stops.
@@ -166,3 +169,35 @@
     made.nodes[0].pool.cut = False
     check_stopped(case, made)
     case.assertIsInstance(fut.value, operations.Cancelled)
+
+
+def test_submission_that_its_cancellation_has_overtaken(case):
+    """They come by two entries, the submission on the slower link."""
+    made = cluster.Cluster(3)
+    made.run(4)
+    job = jobs_test.make_job(jobs_test.make_step())
+    early = made._call('cancel-job', operations.Query(job.id))
+    step_owner(made)
+    case.assertIsNotNone(early.value)
+    made.submit_job(job)
+    made.run(STOP_SECONDS)
+    case.assertEqual(ownership_test.count_runs(made), 0)
+
+
+def test_former_owner_does_not_call_an_accepted_job_unknown(case):
+    """It is still confirmed, and the job was accepted by its successor."""
+    made = cluster.Cluster(3)
+    made.run(4)
+    former, successor = made.nodes[:2]
+    successor.claim()
+    job = jobs_test.make_job(jobs_test.make_step(kind=data.Kind.STANDING))
+    accepted = made.submit_job(job)
+    successor.owner.step(successor.owner.take_items())
+    case.assertIsInstance(accepted.value, operations.Accepted)
+    case.assertTrue(former.owner.is_confirmed())
+    call = batches.OperatorCall(
+        cluster_fakes.FakeFuture(), 'cancel-job', operations.Query(job.id)
+    )
+    former.owner.step([call])
+    code = getattr(call.fut.value, 'code', '')
+    case.assertNotEqual(code, 'unknown-id')
--- a/packages/scheduler/portwharf/scheduler/decisionlog.py
+++ b/packages/scheduler/portwharf/scheduler/decisionlog.py
@@ -16,6 +16,7 @@
 from portwharf.core import logs
 from portwharf.scheduler import events
 from portwharf.scheduler import jobs
+from portwharf.scheduler import operations
 
 LOG = logging.getLogger(__name__)
 
@@ -53,7 +54,9 @@
     if outcome.is_ok() and outcome.ok_value.events:
         count = len(outcome.ok_value.stop)
         extra = logs.fields(request=job_id, count=count)
-        LOG.info('job cancelled', extra=extra)
+        known = isinstance(outcome.ok_value.answer, operations.Cancelled)
+        text = 'job cancelled' if known else 'job withdrawn before it came'
+        LOG.info(text, extra=extra)
 
 
 def log_dropped_calls(count):
--- a/packages/scheduler/portwharf/scheduler/events.py
+++ b/packages/scheduler/portwharf/scheduler/events.py
@@ -118,6 +118,13 @@
     id: str = ''
 
 
+@dataclasses.dataclass(slots=True)
+class JobWithdrawn:
+    """A job was cancelled before it was submitted, or after it was dropped."""
+
+    id: str = ''
+
+
 @dataclasses.dataclass(slots=True)
 class JobDropped:
     """The record of an ended job was dropped after its retention."""
@@ -244,6 +251,7 @@
     'drop': WorkloadDropped,
     'job': JobAccepted,
     'job-cancel': JobCancelled,
+    'job-withdraw': JobWithdrawn,
     'job-drop': JobDropped,
     'place': TaskPlaced,
     'prepare': TaskPrepared,
--- a/packages/scheduler/portwharf/scheduler/job_operations.py
+++ b/packages/scheduler/portwharf/scheduler/job_operations.py
@@ -57,17 +57,26 @@
         answer=operations.Accepted(call.job.id, True)
     )
     operations.add_event(state, outcome, events.JobAccepted(now_ms, call.job))
+    if call.job.id in state.withdrawn:
+        # Its cancellation came by a faster connection.
+        operations.add_event(state, outcome, events.JobCancelled(call.job.id))
     return result.Ok(outcome)
 
 
 def cancel_job(state, job_id):
     """Cancel a job; cancelling it again changes nothing.
 
-    :returns: Ok(CallOutcome), or Err(Problem)
+    An unknown id is logged too: the job may still be submitted, and a former
+    owner must not call a job unknown that its successor has accepted.
+
+    :returns: Ok(CallOutcome), whose answer is a Problem for an unknown id
     """
     record = state.jobs.get(job_id)
     if record is None:
-        return result.Err(operations.make_unknown_id(job_id))
+        problem = operations.make_unknown_id(job_id)
+        outcome = operations.CallOutcome(answer=problem)
+        operations.add_event(state, outcome, events.JobWithdrawn(job_id))
+        return result.Ok(outcome)
     outcome = operations.CallOutcome(answer=operations.Cancelled())
     if not record.cancelled:
         operations.add_event(state, outcome, events.JobCancelled(job_id))
--- a/packages/scheduler/portwharf/scheduler/state.py
+++ b/packages/scheduler/portwharf/scheduler/state.py
@@ -23,6 +23,10 @@
 # Requests that name a roster older than all of these are not run.
 MAX_ROSTERS = 16
 
+# Ids of withdrawn jobs that are remembered; a submission that is overtaken by
+# its cancellation comes within seconds.
+MAX_WITHDRAWN = 1000
+
 
 @dataclasses.dataclass(slots=True)
 class TaskRecord:
@@ -100,6 +104,7 @@
     history: list[bytes] = dataclasses.field(default_factory=list)
     rosters: list[data.Roster] = dataclasses.field(default_factory=list)
     jobs: list[JobRecord] = dataclasses.field(default_factory=list)
+    withdrawn: list[str] = dataclasses.field(default_factory=list)
 
 
 class ShardState:
@@ -125,6 +130,9 @@
         self.rosters = []
         # Tasks whose workers crashed and that are not cleared, by id.
         self.suspects = {}
+        # Ids of jobs that were cancelled before they were submitted, the
+        # oldest first.
+        self.withdrawn = {}
         self._by_key = {}
 
     def apply(self, event):
@@ -231,6 +239,7 @@
             [],
             self.rosters,
             list(self.jobs.values()),
+            list(self.withdrawn),
         )
         return codec.pack(snapshot)
 
@@ -273,6 +282,7 @@
                     state.prepared[task.vm][task.id] = task
         state.history.load(snapshot.history)
         state.rosters = snapshot.rosters
+        state.withdrawn = dict.fromkeys(snapshot.withdrawn)
         return state
 
     def _reserve(self, record, task):
@@ -331,6 +341,11 @@
         for name in record.steps:
             self._cancel_workload(events.WorkloadCancelled(name))
 
+    def _withdraw_job(self, event):
+        self.withdrawn[event.id] = None
+        if len(self.withdrawn) > MAX_WITHDRAWN:
+            del self.withdrawn[next(iter(self.withdrawn))]
+
     def _drop_job(self, event):
         for name in self.jobs.pop(event.id).steps:
             self._drop_workload(events.WorkloadDropped(name))
@@ -500,6 +515,7 @@
     events.WorkloadDropped: ShardState._drop_workload,
     events.JobAccepted: ShardState._accept_job,
     events.JobCancelled: ShardState._cancel_job,
+    events.JobWithdrawn: ShardState._withdraw_job,
     events.JobDropped: ShardState._drop_job,
     events.TaskPlaced: ShardState._place_task,
     events.TaskPrepared: ShardState._prepare_task,
--- a/packages/scheduler/portwharf/scheduler/state_test.py
+++ b/packages/scheduler/portwharf/scheduler/state_test.py
@@ -194,3 +194,13 @@
     made.apply(lost_again)
     restored = state.ShardState.unpack(made.pack())
     case.assertEqual((made.suspects, restored.suspects), ({}, {}))
+
+
+def test_withdrawn_jobs_are_in_the_snapshot_and_bounded(case):
+    made = state.ShardState()
+    for number in range(state.MAX_WITHDRAWN + 2):
+        made.apply(events.JobWithdrawn(f'{number:016x}'))
+    kept = state.ShardState.unpack(made.pack()).withdrawn
+    case.assertEqual(len(kept), state.MAX_WITHDRAWN)
+    case.assertNotIn(f'{1:016x}', kept)
+    case.assertIn(f'{2:016x}', kept)
