Hand the shard over while its closed zones cannot be read

What callers would see: work waits with room for it, for as long as the store turns the owner's VM away and serves the others.

Cause: an owner that has not read the closed zones lately places nothing. Another VM was asked to take over only while an append was pending, and with nothing to append there was none: the owner is heard, confirmed by a majority, and idle.

Why this works: the request goes out as for a stalled append, once a second and to another member each time. While the store is down for all no claim goes through, and nothing changes.

--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -43,6 +43,8 @@
 STALL_SECONDS = 0.5
 # Once an append has been pending this long, another VM is asked to take over.
 TAKEOVER_REQUEST_SECONDS = 0.8
+# Interval of such requests while the closed zones cannot be read.
+ZONES_REQUEST_SECONDS = 1.0
 _TICK_SECONDS = 0.5
 _RETRY_SECONDS = 0.2
 _MAX_RETRY_SECONDS = 0.4
@@ -69,6 +71,10 @@
         self._check_requested = threading.Event()
         self._superseded = False
         self._takeover_requests = 0
+        # Since when the closed zones could not be read, or None, and when the
+        # next request for a takeover may go out because of it.
+        self._zones_unknown_since = None
+        self._next_zones_request = 0.0
         self._batch = None
         # Set after an entry of the input alone, until a pass makes the other
         # decisions.
@@ -411,6 +417,7 @@
         self._timer.mark('presses')
         self._members.read_vm_list(self.read_clock())
         self._refresh_zones()
+        self._request_takeover_without_zones()
         self._timer.mark('lists')
         return True
 
@@ -478,6 +485,21 @@
         if not self._members.has_recent_zones(self.read_clock()):
             self._env.zones.refresh(self._env.kv)
 
+    def _request_takeover_without_zones(self):
+        """Hand the shard over if nothing is placed as zones are unknown.
+
+        No append may be under way that would stall and do the same.
+        """
+        now = self.read_clock()
+        if self._members.has_recent_zones(now):
+            self._zones_unknown_since = None
+            return
+        if self._zones_unknown_since is None:
+            self._zones_unknown_since = now
+        if now >= self._next_zones_request:
+            self._next_zones_request = now + ZONES_REQUEST_SECONDS
+            self._request_takeover(self._zones_unknown_since)
+
     def serve_stalled(self):
         """Handle input that needs no append, while one is stalled.
 
@@ -490,7 +512,7 @@
                 operator_api.refuse_call(item)
             elif item is not None:
                 self._deferred.append(item)
-        self._request_takeover()
+        self._request_takeover(self._pending_since)
         unlogged = self._batch.list_prepared()
         for item in items:
             if isinstance(item, batches.ReportsItem):
@@ -500,14 +522,15 @@
                 for start in starts:
                     item.link.send(start)
 
-    def _request_takeover(self):
+    def _request_takeover(self, since):
         """Ask a member, a different one each time, to take the shard over.
 
         The store may be unreachable from this VM and reachable from others.
         Until one of them has appended its epoch, this owner goes on granting;
         if none can, it remains the owner.
+
+        :param since: when this VM's trouble with the store began, or None
         """
-        since = self._pending_since
         if (
             since is None
             or self.read_clock() - since < TAKEOVER_REQUEST_SECONDS
--- a/packages/scheduler/portwharf/scheduler/zones_test.py
+++ b/packages/scheduler/portwharf/scheduler/zones_test.py
@@ -429,3 +429,20 @@
         return original(self, message, known)
 
     return check_start
+
+
+def test_owner_that_cannot_read_the_keys_hands_over_before_it_appends(case):
+    """Other VMs reach the store, and work waits with room for it."""
+    made = make_cluster()
+    for node in made.nodes:
+        node.worker.resize(500)
+    made.run(2)
+    made.submit(2)
+    made.run(2)
+    case.assertEqual(len(made.list_accepted()), 1)
+    made.nodes[0].pool.cut = True
+    made.run(zones.MAX_AGE_SECONDS + 1)
+    made.nodes[2].worker.resize(2000)
+    made.run(LONG_WAIT_SECONDS)
+    asked = [one for one in made.nodes if one.guard.take_takeover_request()]
+    case.assertNotEqual(asked, [])
