Move tasks that make no progress

What callers saw: a task that a worker lists as running, and whose percent does not change, kept its place for good. Its job never ended; a standing task was never at work.

Cause: being listed was taken for progress. The VM is heard, its side reports and its lease is renewed, so nothing counts as lost, and nobody compared how far a task is with how far it should be. Only filling tasks that their own side throttles to 30% or less were moved.

Why this works: a side measures for how long an attempt's percent has not changed, scaled to its share, and tells its owner with each heartbeat. The owner compares that with the predicted run time (or the start-up time of a standing task, the loss without checkpoints, and at least 6 s), and evicts the attempt if another VM has room. Task and VM are kept apart for a minute; a task that moved on from a second VM is now kept off both. Each move doubles the time, and there are four without progress in between. Two tasks each of two jobs that hang on a worker with no success between quarantine it. An older side sends no such field, which changes nothing; a restarted one counts anew.

The soak's runner lists standing tasks as at work, not as 5% for good.

Ruled out: a verdict by the side (it knows no run times); going by the processors in use (a hung task may use all of its own); counting each hung task as a failure of the worker (one would quarantine a worker on probation); moves without a bound. Gangs stay as they are: stopping one member stops all.

--- a/packages/core/portwharf/core/logs.py
+++ b/packages/core/portwharf/core/logs.py
@@ -61,6 +61,8 @@
     'least',
     'asked_milli',
     'tail_percent',
+    'worked_ms',
+    'limit_ms',
 )
 _TEXT_FORMAT = '%(asctime)s %(levelname)s %(name)s: %(message)s'
 _JSON_FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
--- a/packages/peers/portwharf/peers/messages.py
+++ b/packages/peers/portwharf/peers/messages.py
@@ -131,6 +131,20 @@
     done: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class HungTask:
+    """A running attempt whose progress has not changed for some time.
+
+    :param done: how much of its work is done, in percent
+    :param worked_ms: time since that changed, scaled to its full CPU share
+    """
+
+    task: str = ''
+    attempt: int = 0
+    done: int = 0
+    worked_ms: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class SavedTask:
     """The latest checkpoint of a running attempt."""
@@ -187,6 +201,7 @@
     :param saved: new checkpoints of running attempts
     :param born_ms: when that incarnation began, as instance ids may be reused
     :param measured: measured run times of running tasks, each sent once
+    :param hung: the attempts that have made no progress for some time
     """
 
     side_ms: int = 0
@@ -211,6 +226,7 @@
     saved: list[SavedTask] = dataclasses.field(default_factory=list)
     born_ms: int = 0
     measured: list[RunMeasure] = dataclasses.field(default_factory=list)
+    hung: list[HungTask] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -19,6 +19,7 @@
 from portwharf.scheduler import decisionlog
 from portwharf.scheduler.decisions import forecast
 from portwharf.scheduler.decisions import gangs
+from portwharf.scheduler.decisions import hung_tasks
 from portwharf.scheduler.decisions import pass_inputs
 from portwharf.scheduler.decisions import precedence
 from portwharf.scheduler.decisions import service_protection
@@ -83,6 +84,9 @@
         self._move_history = task_moves.MoveHistory()
         # When evictions in progress were first seen, by (task, attempt).
         self._evicting_since = {}
+        self._hung_tasks = hung_tasks.HungTaskMover(
+            state, self.service_protection.get_placed_at
+        )
         # (task, attempt) rows that a VM should run but did not list, by VM.
         self._missing = {}
         # Ended jobs whose end is not logged yet and must not be shown.
@@ -503,6 +507,7 @@
         for update in self._claims.take_due_updates(links, weigher, now):
             batch.send(*update)
         self._move_stuck_tasks(views, now, weigher, batch)
+        self._move_hung_tasks(views, now, weigher, batch)
         self._timer.mark('move')
         self._evict_for_waiting(done, views, quotas, batch)
         self._timer.mark('evict')
@@ -526,6 +531,28 @@
             self._move_history.record_move(task.id, task.vm, now)
             self._evict_task(task, task_moves.REASON_STALLED, now_ms, batch)
 
+    def _move_hung_tasks(self, views, now, weigher, batch):
+        """Move tasks that make no progress to other VMs."""
+        now_ms = self._env.clock.read_unix_ms()
+        links = self._members.list_links()
+        moves, kept = self._hung_tasks.choose(links, views, weigher, now)
+        for one in kept:
+            decisionlog.log_hung_attempt(one)
+        for one in moves:
+            decisionlog.log_hung_attempt(one)
+            metrics.HUNG_MOVES.inc()
+            task = one.task
+            if self._health.record_hung(
+                task.vm, task.id, one.record.workload.job, now
+            ):
+                LOG.warning(
+                    'worker quarantined', extra=logs.fields(vm=task.vm)
+                )
+            self._move_history.record_move(
+                task.id, task.vm, now, hung_tasks.AVOID_ORIGIN_SECONDS
+            )
+            self._evict_task(task, hung_tasks.REASON_HUNG, now_ms, batch)
+
     def _list_demands(self, now, now_ms, weigher):
         demands = pass_inputs.list_demands(
             self._state,
@@ -636,6 +663,7 @@
         for job_id in pass_inputs.list_expired_jobs(self._state, now_ms):
             self._apply_event(batch, events.JobDropped(job_id))
         self.runtimes.forget(self._state.unended)
+        self._hung_tasks.forget(self._state.unended)
 
     def _apply_event(self, batch, event):
         self._state.apply(event)
--- a/packages/scheduler/portwharf/scheduler/decisionlog.py
+++ b/packages/scheduler/portwharf/scheduler/decisionlog.py
@@ -142,6 +142,27 @@
     LOG.info('evicting', extra=extra)
 
 
+def log_hung_attempt(one):
+    """Log that an attempt makes no progress, and whether it stays.
+
+    :param one: a ``hung_tasks.HungAttempt``
+    """
+    task = one.task
+    extra = logs.fields(
+        task=task.id,
+        attempt=task.attempt,
+        vm=task.vm,
+        percent=one.report.done,
+        worked_ms=one.report.worked_ms,
+        run_ms=one.run_ms,
+        limit_ms=one.limit_ms,
+        count=one.moves,
+        reason=one.kept or None,
+    )
+    text = 'hung attempt stays' if one.kept else 'hung attempt moves'
+    LOG.warning(text, extra=extra)
+
+
 def log_lost_attempt(task, vm):
     """Log that an attempt is given up because its VM is lost."""
     extra = logs.fields(task=task.id, attempt=task.attempt, vm=vm)
--- a/packages/scheduler/portwharf/scheduler/decisions/backlog.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/backlog.py
@@ -69,7 +69,7 @@
         self.is_selective = True
         # The rack that its tasks should share, '' for any.
         self.rack = ''
-        # The VM that a task was moved away from, by task id.
+        # The set of VMs that a task was moved away from, by task id.
         self.moved_from = {}
         # Ids of the tasks that must not be placed now.
         self.held_tasks = frozenset()
@@ -124,11 +124,11 @@
         return bool(self._count_crashes())
 
     @property
-    def moved_from_vm(self):
-        """The VM that its next task was moved away from, or ''."""
+    def moved_from_vms(self):
+        """The VMs that its next task was moved away from, as a set."""
         if not self.moved_from or not self.tasks:
-            return ''
-        return self.moved_from.get(self.tasks[0], '')
+            return frozenset()
+        return self.moved_from.get(self.tasks[0], frozenset())
 
     def accept_any_vm(self):
         """Accept any VM with room, as it has waited long enough."""
--- a/packages/scheduler/portwharf/scheduler/decisions/health.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/health.py
@@ -40,6 +40,7 @@
     """Recent failures and quarantine of one worker.
 
     :param failures: failures in a row, by job or workload
+    :param hung: tasks that hung there since, by job or workload
     :param until: end of its quarantine, 0 if there is none
     :param seconds: length of its last quarantine
     :param probed: when the last probe was placed there
@@ -48,6 +49,9 @@
     failures: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
+    hung: dict = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(set)
+    )
     until: float = 0.0
     seconds: float = 0.0
     probed: float = float('-inf')
@@ -107,6 +111,28 @@
             return self._quarantine(record, now)
         return False
 
+    def record_hung(self, vm, task, unit, now):
+        """Record that a task made no progress on a worker.
+
+        Only several tasks of several jobs count against the worker, whether
+        it was quarantined before or not.
+
+        :param unit: the job or workload of the task
+        :returns: whether this quarantines the worker
+        """
+        record = self._records.setdefault(vm, _WorkerRecord())
+        record.hung[unit].add(task)
+        counted = sum(
+            min(MAX_COUNTED_PER_JOB, len(one)) for one in record.hung.values()
+        )
+        if (
+            counted < QUARANTINE_FAILURES
+            or len(record.hung) < QUARANTINE_WORKLOADS
+        ):
+            return False
+        record.hung.clear()
+        return self._quarantine(record, now)
+
     def record_placement(self, vm, now):
         """Record that a task was placed on a worker."""
         if self.awaits_probe(vm, now):
--- a/packages/scheduler/portwharf/scheduler/decisions/health_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/health_test.py
@@ -34,6 +34,38 @@
     case.assertTrue(tracker.record_failure(VM, 'b.0', 0.0, 'b'))
 
 
+def record_hung(tracker, tasks):
+    """Record hung tasks, named by job and number; returns the last result."""
+    outcomes = [
+        tracker.record_hung(VM, task, task.split('.')[0], 0.0)
+        for task in tasks
+    ]
+    return outcomes[-1]
+
+
+def test_tasks_of_one_job_that_hang_do_not_quarantine_a_worker(case):
+    tracker = health.WorkerHealthTracker()
+    tasks = [f'a.{number}' for number in range(20)]
+    case.assertFalse(record_hung(tracker, [*tasks, 'b.0', 'b.0', 'b.0']))
+
+
+def test_worker_where_tasks_of_several_jobs_hang_is_quarantined(case):
+    tracker = health.WorkerHealthTracker()
+    case.assertFalse(record_hung(tracker, ['a.0', 'a.1', 'b.0']))
+    case.assertTrue(record_hung(tracker, ['b.1']))
+    later = health.MIN_QUARANTINE_SECONDS
+    case.assertTrue(tracker.awaits_probe(VM, later))
+    case.assertFalse(tracker.record_hung(VM, 'a.0', 'a', later))
+    case.assertFalse(tracker.is_quarantined(VM, later))
+
+
+def test_success_resets_hung_tasks(case):
+    tracker = health.WorkerHealthTracker()
+    record_hung(tracker, ['a.0', 'a.1', 'b.0'])
+    tracker.record_success(VM)
+    case.assertFalse(record_hung(tracker, ['b.1']))
+
+
 def test_probe_without_result_is_followed_by_another(case):
     tracker = health.WorkerHealthTracker()
     record_failures(tracker, ['a', 'a', 'b', 'b'])
--- a/packages/scheduler/portwharf/scheduler/decisions/placement.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/placement.py
@@ -221,7 +221,7 @@
     if (
         workload.kind != data.Kind.BATCH
         or demand.avoided
-        or demand.moved_from_vm
+        or demand.moved_from_vms
     ):
         return None
     if workload.most_per_vm or workload.gang or workload.ticket_ms:
--- a/packages/scheduler/portwharf/scheduler/decisions/task_moves.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/task_moves.py
@@ -10,6 +10,7 @@
 checkpoints starts again from the beginning.
 """
 
+import collections
 import dataclasses
 
 from portwharf.core import data
@@ -78,18 +79,23 @@
     """Tracks the VMs that moved tasks must not return to yet."""
 
     def __init__(self):
-        self._moved = {}
+        # When each avoidance ends, by (task, VM).
+        self._ends = {}
 
-    def record_move(self, task, vm, now):
-        """Record that a task is moved away from a VM."""
-        self._moved[task] = (vm, now + AVOID_ORIGIN_SECONDS)
+    def record_move(self, task, vm, now, seconds=AVOID_ORIGIN_SECONDS):
+        """Record that a task is moved away from a VM.
+
+        :param seconds: time during which it must not return there
+        """
+        self._ends[(task, vm)] = now + seconds
 
     def list_recent_origins(self, now):
-        """Return the VMs that tasks must not return to yet, by task id."""
-        self._moved = {
-            task: move for task, move in self._moved.items() if now < move[1]
-        }
-        return {task: vm for task, (vm, _) in self._moved.items()}
+        """Return the sets of VMs not to return to yet, by task id."""
+        self._ends = {n: end for n, end in self._ends.items() if now < end}
+        origins = collections.defaultdict(set)
+        for task, vm in self._ends:
+            origins[task].add(vm)
+        return dict(origins)
 
 
 def find_stalled_tasks(state, links, get_placed_at, now, weigher=None):
--- a/packages/scheduler/portwharf/scheduler/decisions/vm_choice.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vm_choice.py
@@ -121,7 +121,7 @@
         """Assess all VMs again if the next task differs from the last one."""
         demand = self._demand
         properties = (
-            demand.moved_from_vm,
+            demand.moved_from_vms,
             demand.crash_count,
             demand.is_starving,
         )
@@ -146,7 +146,7 @@
     def _refuse(self, view):
         """Return why a VM cannot take the next task, or ''."""
         demand = self._demand
-        moved_from_vm, crash_count, _ = self._properties
+        moved_from_vms, crash_count, _ = self._properties
         workload = demand.record.workload
         reason = _refuse(self._size, view) or _refuse_step(demand, view)
         if reason:
@@ -160,7 +160,7 @@
             return 'replica-there-already'
         if name in demand.avoided:
             return 'failed-there-lately'
-        if name == moved_from_vm:
+        if name in moved_from_vms:
             return 'was-moved-away-from-there'
         if _is_crash_risk(demand, crash_count, view):
             return REFUSED_SUSPECT
--- a/packages/scheduler/portwharf/scheduler/members.py
+++ b/packages/scheduler/portwharf/scheduler/members.py
@@ -33,6 +33,7 @@
     :param largest: the largest capacity that its worker has reported
     :param saved: deque of ``messages.SavedTask`` not yet processed
     :param measured: deque of ``messages.RunMeasure`` not yet processed
+    :param hung: list of ``messages.HungTask`` of the last heartbeat
     :param granted: the last grant on this connection was valid
     :param reported: the side has sent its full report on this connection
     """
@@ -53,6 +54,7 @@
     leaves_in_ms: int = 0
     headrooms: list = dataclasses.field(default_factory=list)
     paced: list = dataclasses.field(default_factory=list)
+    hung: list = dataclasses.field(default_factory=list)
     rack: str = ''
     life: data.IncarnationId = data.IncarnationId()
     saved: collections.deque = dataclasses.field(
@@ -107,6 +109,7 @@
         # May be out of date by the time of the next connection, and a stop
         # that is based on it could not be sent before.
         self.view.paced = []
+        self.view.hung = []
 
     def handle(self, conn, message):
         if isinstance(message, messages.Heartbeat):
@@ -136,6 +139,7 @@
         view.leaves_in_ms = beat.leaves_in_ms
         view.headrooms = beat.headrooms
         view.paced = beat.paced
+        view.hung = beat.hung
         view.rack = beat.rack
         view.life = data.IncarnationId(beat.life, beat.born_ms)
         view.saved.extend(beat.saved)
--- a/packages/scheduler/portwharf/scheduler/members_test.py
+++ b/packages/scheduler/portwharf/scheduler/members_test.py
@@ -200,3 +200,11 @@
     case.assertTrue(done.wait(8))
     # The commands that were lost are repeated after the next full report.
     exchange_hellos(conns)
+
+
+def test_hung_tasks_of_an_ended_connection_are_dropped(case):
+    """The next connection may be to a restarted side, which counts anew."""
+    link = members.MemberLink(data.Vm('vm-1'), FakeOwner())
+    link.view.hung = [messages.HungTask('job.0', 1, 5, 9000)]
+    link.detach()
+    case.assertEqual(link.view.hung, [])
--- a/packages/scheduler/portwharf/scheduler/metrics.py
+++ b/packages/scheduler/portwharf/scheduler/metrics.py
@@ -15,6 +15,10 @@
     'portwharf_owner_given_up',
     'Tasks that were given up, as they crash the workers that start them.',
 )
+HUNG_MOVES = prometheus_client.Counter(
+    'portwharf_owner_hung_moves',
+    'Attempts that were stopped to run elsewhere, as they made no progress.',
+)
 DROPPED_CALLS = prometheus_client.Counter(
     'portwharf_owner_dropped_calls',
     'Calls that were not begun, as their callers had stopped waiting.',
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -23,6 +23,7 @@
 from portwharf.side import leases
 from portwharf.side import loss_reporter
 from portwharf.side import pace_controller
+from portwharf.side import progress
 from portwharf.side import reports
 from portwharf.side import runtimes
 from portwharf.side import slowdowns
@@ -105,6 +106,7 @@
         self._checkpoints = checkpoints.CheckpointReporter()
         self._runtimes = runtimes.RuntimeEstimator()
         self._slowdowns = slowdowns.SlowdownLog()
+        self._progress = progress.ProgressTracker()
         self._owner_ms = 0
         self._retry_seconds = _INITIAL_RETRY_SECONDS
         # The last grant was not valid, so the next heartbeat is sent early.
@@ -259,6 +261,7 @@
             self._stop_attempt(message)
         elif isinstance(message, messages.ThrottleTask):
             self._pace_controller.throttle(message)
+            self._progress.record_throttle(message)
 
     def _reset_for_owner(self):
         """Prepare for a new owner connection; a full report is due."""
@@ -469,6 +472,9 @@
         paced = self._pacer.list_paced()
         self._runtimes.update(self._listing.attempts, paced, now)
         self._slowdowns.update(self._listing.attempts, paced, now)
+        self._progress.update(
+            self._listing.attempts, self._pacer.get_share, now
+        )
         self._pace_controller.apply_plan(self._listing, now, now_ms)
         self._update_services()
         self._report(self._full_report_due)
@@ -580,6 +586,7 @@
                 self._checkpoints.list_due(self._listing.attempts, now),
                 self._listing.life.born_ms,
                 self._runtimes.take_estimates(),
+                self._progress.list_hung(),
             )
         )
 
--- a/packages/side/portwharf/side/pacing.py
+++ b/packages/side/portwharf/side/pacing.py
@@ -239,6 +239,14 @@
         observed, self._observed = self._observed, []
         return observed
 
+    def get_share(self, name):
+        """Return the share of an attempt in percent, 0 if it is unknown.
+
+        :param name: (task, attempt)
+        """
+        share = self._sent.get(name, FULL)
+        return 0 if share is None else share
+
     def list_paced(self):
         """Return the ``messages.PacedTask`` of each throttled attempt."""
         return [
--- a/packages/side/portwharf/side/pacing_test.py
+++ b/packages/side/portwharf/side/pacing_test.py
@@ -206,3 +206,10 @@
         plan(pacer, make_listing(30, 'light'), 0.4 * number)
     changes = plan(pacer, make_listing(10, 'light'), 2.0)
     case.assertGreaterEqual(changes['light.0'], pacing.LEAST)
+
+
+def test_share_that_a_former_side_process_may_have_set_is_unknown(case):
+    pacer = pacing.Pacer()
+    pacer.record_held(messages.HeldTask('light.0', 1))
+    case.assertEqual(pacer.get_share(('light.0', 1)), 0)
+    case.assertEqual(pacer.get_share(('light.1', 1)), pacing.FULL)
--- a/packages/testing/portwharf/testing/soak_runner.py
+++ b/packages/testing/portwharf/testing/soak_runner.py
@@ -246,6 +246,8 @@
         for row in rows:
             span = self._find_running(row[0], row[1])
             work = _read_span_work(span) if span is not None else Work()
+            if work.lasts:
+                row[3] = 100
             if work.serves:
                 row[4] = tail_ms
             elif work.fills:
