Trim the log a few entries at a time

What callers would see: with a store that takes .28 s a call, nothing is answered, placed or stopped for some 4 s, every 300 entries.

Keys sort by number, so that a deposed owner deletes nothing of its successor's.

Ruled out: a thread of its own, as it would trim beside the appends of the deciding thread on the same log.

shardlog_test and ownership_test write and trim in one function now; what they check is unchanged.

--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -396,7 +396,8 @@
             self._decisions_seconds = self.read_clock() - began
         step = self._finish_batch()
         if step is batches.StepResult.DONE:
-            self._write_snapshot_if_due()
+            if not self._write_snapshot_if_due():
+                self._log.trim()
             self._timer.mark('snapshot')
             self._timer.finish(
                 self._item_count, self._event_count, not is_retry
@@ -603,9 +604,12 @@
         return batches.StepResult.STALLED
 
     def _write_snapshot_if_due(self):
-        """Write a snapshot every ``SNAPSHOT_ENTRIES`` entries."""
+        """Write a snapshot every ``SNAPSHOT_ENTRIES`` entries.
+
+        :returns: whether one was due
+        """
         if self._log.next_seq - self._snapshot_seq < SNAPSHOT_ENTRIES:
-            return
+            return False
         self._snapshot_seq = self._log.next_seq
         with self._lock:
             raw = self._state.pack()
@@ -613,6 +617,7 @@
         written = self._log.write_snapshot(raw, history)
         if written.is_err():
             LOG.warning('snapshot not written: %s', written.err_value)
+        return True
 
     def _is_stalled(self):
         since = self._pending_since
--- a/packages/scheduler/portwharf/scheduler/ownership_test.py
+++ b/packages/scheduler/portwharf/scheduler/ownership_test.py
@@ -15,6 +15,7 @@
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.scheduler import shardlog
+from portwharf.scheduler import shardlog_test
 from portwharf.testing import cluster
 from portwharf.testing import walk
 
@@ -346,7 +347,8 @@
         made.submit(2)
         made.run(2)
         raw = first.owner._state.pack()
-        case.assertTrue(first.owner._log.write_snapshot(raw).is_ok())
+        written = shardlog_test.write_snapshot(first.owner._log, raw)
+        case.assertTrue(written.is_ok())
     made.restart_side(first)
     second.claim()
     finish(made)
@@ -362,7 +364,8 @@
     for _ in range(4):
         made.submit(1)
         made.run(2)
-    second.owner._log.write_snapshot(second.owner._state.pack())
+    raw = second.owner._state.pack()
+    shardlog_test.write_snapshot(second.owner._log, raw)
     answer = first.owner._log.append([])
     case.assertIsInstance(answer.err_value, shardlog.Deposed)
 
--- a/packages/scheduler/portwharf/scheduler/shardlog.py
+++ b/packages/scheduler/portwharf/scheduler/shardlog.py
@@ -14,7 +14,9 @@
 Ownership is lost in no other way, and no lease has to be renewed.
 """
 
+import collections
 import dataclasses
+import itertools
 import logging
 import zlib
 
@@ -34,6 +36,8 @@
 # Size limit of an entry, well under that of the store.
 MAX_ENTRY_BYTES = 700_000
 SNAPSHOT_CHUNK_BYTES = 700_000
+# Entries deleted at a time, as the owner decides nothing meanwhile.
+TRIM_ENTRIES = 32
 _MAX_READ_ATTEMPTS = 5
 # The fastest level is enough, as events repeat names and reasons and compress
 # well. All sides read the log at once after a power loss, so its size matters.
@@ -110,6 +114,8 @@
         self._next_seq = 0
         self._snapshot_head = None
         self._pending = None
+        # Ranges of keys, as (first, end), that the last snapshot replaces.
+        self._replaced = collections.deque()
 
     @property
     def next_seq(self):
@@ -156,9 +162,10 @@
         return answer.map(self._is_last_entry)
 
     def write_snapshot(self, raw, aside=b''):
-        """Write the state after the last entry, then trim the log.
+        """Write the state after the last entry.
 
-        A failure leaves the old snapshot in force.
+        A failure leaves the old snapshot in force. What a new one replaces is
+        left to :meth:`trim`.
 
         :param raw: the packed state
         :param aside: the part that only an owner reads, kept apart because
@@ -181,6 +188,7 @@
             written = self._kv.swap(key, chunk, 0)
             if written.is_err():
                 return written
+        replaced = self._list_replaced(seq)
         head = codec.pack(SnapshotHead(seq, len(chunks), len(aside_chunks)))
         revision = self._snapshot_head.revision if self._snapshot_head else 0
         swapped = self._kv.swap(self._snapshot_head_key, head, revision)
@@ -191,7 +199,27 @@
         self._snapshot_head = store.Entry(
             self._snapshot_head_key, head, swapped.ok_value.revision
         )
-        return self._trim(seq)
+        self._replaced = replaced
+        return result.Ok(None)
+
+    def trim(self):
+        """Delete some of what the last snapshot replaces.
+
+        After a failure the rest is left to the trimming after the next
+        snapshot.
+
+        :returns: Ok(True) if there is more to delete, Ok(False) if not, or
+            Err(StoreError)
+        """
+        if not self._replaced:
+            return result.Ok(False)
+        trimmed = self._kv.delete_range(*self._replaced.popleft())
+        if trimmed.is_err():
+            self._replaced.clear()
+            return trimmed
+        if not self._replaced:
+            LOG.info('trimmed log', extra=logs.fields(shard=self._shard))
+        return result.Ok(bool(self._replaced))
 
     @property
     def _snapshot_head_key(self):
@@ -309,20 +337,27 @@
         contents.seq = seq - 1
         return result.Ok(contents)
 
-    def _trim(self, seq):
-        """Delete the entries and snapshots that a snapshot replaces.
+    def _list_replaced(self, seq):
+        """Return the ranges of keys that a new snapshot replaces.
 
-        :param seq: the last entry that the snapshot covers
+        The range below the present snapshot is usually empty.
+
+        :param seq: the last entry that the snapshot covers, which stays
+        :returns: deque of (first key, end key)
         """
-        first, last = self._make_entry_key(1), self._make_entry_key(seq)
-        trimmed = self._kv.delete_range(first, last)
-        if trimmed.is_err():
-            return trimmed
-        first = f'{self._prefix}snapshot/'
-        last = self._make_chunk_key(seq, 0)
-        trimmed = self._kv.delete_range(first, last)
-        LOG.info('trimmed log', extra=logs.fields(shard=self._shard))
-        return trimmed.map(lambda _: None)
+        begin = 1
+        if self._snapshot_head is not None:
+            head = codec.unpack(SnapshotHead, self._snapshot_head.value)
+            begin = max(1, head.seq)
+        bounds = [1, *range(begin, seq, TRIM_ENTRIES), seq]
+        keys = [self._make_entry_key(number) for number in bounds]
+        ranges = collections.deque(
+            pair for pair in itertools.pairwise(keys) if pair[0] < pair[1]
+        )
+        ranges.append(
+            (f'{self._prefix}snapshot/', self._make_chunk_key(seq, 0))
+        )
+        return ranges
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/scheduler/portwharf/scheduler/shardlog_test.py
+++ b/packages/scheduler/portwharf/scheduler/shardlog_test.py
@@ -2,6 +2,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """The log survives lost answers, competing writers and trimming."""
 
+import itertools
 import random
 
 import msgpack
@@ -31,6 +32,14 @@
     return [event.id for batch in contents.batches for event in batch]
 
 
+def write_snapshot(log, *parts):
+    """Write a snapshot and delete all that it replaces."""
+    written = log.write_snapshot(*parts)
+    while log.trim().ok_value:
+        pass
+    return written
+
+
 def test_read_gives_what_was_appended(case):
     kv, _ = fixtures.make_store()
     append_all(open_log(kv), 3)
@@ -112,7 +121,7 @@
     append_all(former, 3)
     later = open_log(kv)
     append_all(later, 5)
-    case.assertTrue(later.write_snapshot(b'state').is_ok())
+    case.assertTrue(write_snapshot(later, b'state').is_ok())
     deposed = former.append([EVENT]).err()
     case.assertIsInstance(deposed, shardlog.Deposed)
 
@@ -122,7 +131,7 @@
     founder = open_log(kv)
     later = open_log(kv)
     append_all(later, 5)
-    later.write_snapshot(b'state')
+    write_snapshot(later, b'state')
     deposed = founder.append([EVENT]).err_value
     case.assertIsInstance(deposed, shardlog.Deposed)
 
@@ -132,7 +141,7 @@
     log = open_log(kv)
     append_all(log, 4)
     raw = bytes(range(256)) * 8000
-    log.write_snapshot(raw)
+    write_snapshot(log, raw)
     append_all(log, 2)
     contents = shardlog.ShardLog(kv, 0).read().ok_value
     case.assertEqual(contents.snapshot, raw)
@@ -145,9 +154,9 @@
     kv, fake = fixtures.make_store()
     log = open_log(kv)
     append_all(log, 2)
-    log.write_snapshot(b'one')
+    write_snapshot(log, b'one')
     append_all(log, 2)
-    log.write_snapshot(b'two')
+    write_snapshot(log, b'two')
     contents = shardlog.ShardLog(kv, 0).read().ok_value
     case.assertEqual(contents.snapshot, b'two')
     chunks = [key for key in fake.list_keys() if '/snapshot/' in key]
@@ -160,8 +169,8 @@
     append_all(former, 2)
     later = open_log(kv)
     append_all(later, 2)
-    later.write_snapshot(b'later')
-    case.assertTrue(former.write_snapshot(b'former').is_err())
+    write_snapshot(later, b'later')
+    case.assertTrue(write_snapshot(former, b'former').is_err())
     contents = shardlog.ShardLog(kv, 0).read().ok_value
     case.assertEqual(contents.snapshot, b'later')
 
@@ -194,10 +203,10 @@
     kv, fake = fixtures.make_store()
     log = open_log(kv)
     append_all(log, 2)
-    log.write_snapshot(b'one', b'history of one')
+    write_snapshot(log, b'one', b'history of one')
     append_all(log, 1)
     history = random.Random(1).randbytes(shardlog.SNAPSHOT_CHUNK_BYTES + 1)
-    log.write_snapshot(b'two', history)
+    write_snapshot(log, b'two', history)
     owner = shardlog.ShardLog(kv, 0).read().ok_value
     case.assertEqual(owner.snapshot, b'two')
     case.assertEqual(owner.aside, history)
@@ -249,3 +258,44 @@
     kv.swap('shards/0000/log/000000000000', b'\x78\x01garbled', 0)
     with case.assertRaises(ValueError):
         shardlog.ShardLog(kv, 0).read()
+
+
+def test_trimming_deletes_few_entries_at_a_time(case):
+    kv, fake = fixtures.make_store()
+    log = open_log(kv)
+    append_all(log, 3 * shardlog.TRIM_ENTRIES)
+    log.write_snapshot(b'state')
+    counts = [len(fake.list_keys())]
+    while log.trim().ok_value:
+        counts.append(len(fake.list_keys()))
+    deleted = [a - b for a, b in itertools.pairwise(counts)]
+    case.assertLessEqual(max(deleted), shardlog.TRIM_ENTRIES)
+    entries = [key for key in fake.list_keys() if '/log/' in key]
+    case.assertEqual(len(entries), 2)
+
+
+def test_log_is_read_whole_while_it_is_partly_trimmed(case):
+    kv, _ = fixtures.make_store()
+    log = open_log(kv)
+    append_all(log, 3 * shardlog.TRIM_ENTRIES)
+    log.write_snapshot(b'state')
+    log.trim()
+    append_all(log, 2)
+    contents = shardlog.ShardLog(kv, 0).read().ok_value
+    case.assertEqual(contents.snapshot, b'state')
+    case.assertEqual(list_ids(contents), ['0', '1'])
+
+
+def test_rest_of_a_trimming_that_failed_is_deleted_later(case):
+    kv, fake = fixtures.make_store()
+    log = open_log(kv)
+    append_all(log, 2 * shardlog.TRIM_ENTRIES)
+    log.write_snapshot(b'one')
+    fake.faults.down = True
+    case.assertTrue(log.trim().is_err())
+    fake.faults.down = False
+    case.assertFalse(log.trim().ok_value)
+    append_all(log, 2)
+    write_snapshot(log, b'two')
+    entries = [key for key in fake.list_keys() if '/log/' in key]
+    case.assertEqual(len(entries), 2)
--- a/packages/scheduler/portwharf/scheduler/slow_passes_test.py
+++ b/packages/scheduler/portwharf/scheduler/slow_passes_test.py
@@ -12,11 +12,16 @@
 from portwharf.scheduler import shardlog
 from portwharf.side import server_test
 from portwharf.testing import cluster
+from portwharf.testing import cluster_checks
 from portwharf.testing import walk
 
 PLACING_SECONDS = 2 * owner.SLOW_DECISIONS_SECONDS
 SMALL = data.Resources(100, 100)
 LOGGER = 'portwharf.scheduler.pass_timing'
+SLOW_CALL_SECONDS = 0.28
+# The platform's store deletes 32 keys a call: the entries before a snapshot
+# take a reading and ten calls, the former snapshot takes two in all.
+CALLS_PER_DELETION = 6.5
 
 
 class SlowPlacing:
@@ -381,3 +386,40 @@
         for seed in (1, 2, 3):
             with case.subTest(seed=seed):
                 walk.Walk(seed, more=True, births=True, jobs=True).run()
+
+
+def test_cancellation_does_not_wait_for_a_snapshot(case):
+    """It comes as the snapshot begins, and the store is slow."""
+    made = cluster.Cluster()
+    made.run(2)
+    accepted = submit(made)
+    run_step(made)
+    pool = made.nodes[0].pool
+    request, write = pool.request, shardlog.ShardLog.write_snapshot
+    cancelled, answered = [], []
+
+    def request_slowly(method, path, *args, **options):
+        calls = CALLS_PER_DELETION if path.endswith('deleterange') else 1
+        made.time.advance(calls * SLOW_CALL_SECONDS)
+        return request(method, path, *args, **options)
+
+    def cancel_and_write(log, *args):
+        if not cancelled:
+            cancelled.append(made.time.read_monotonic())
+            made.cancel(accepted.value.id).set_result = lambda _: (
+                answered.append(made.time.read_monotonic())
+            )
+        return write(log, *args)
+
+    pool.request = request_slowly
+    with (
+        mock.patch.object(owner, 'SNAPSHOT_ENTRIES', 1),
+        mock.patch.object(
+            shardlog.ShardLog, 'write_snapshot', cancel_and_write
+        ),
+    ):
+        submit(made)
+        while not answered:
+            run_step(made)
+    waited_seconds = answered[0] - cancelled[0]
+    case.assertLess(waited_seconds, cluster_checks.CANCEL_SECONDS)
