Failing test: a start without an answer is waited for without end

A worker answers listings and leaves a start and the stops after it without an answer. The attempt is neither confirmed nor refused: the VM is heard, its worker is not silent, and the owner waits for the side.

Not fixed: giving the start up rests on the runner refusing it by its own lease. If it goes by the longest that it was told since, the task would run twice.

--- a/packages/side/portwharf/side/unconfirmed_test.py
+++ b/packages/side/portwharf/side/unconfirmed_test.py
@@ -83,3 +83,35 @@
             ('stop sent again', 'w.0'),
         ],
     )
+
+
+def test_start_is_given_up_once_its_lease_has_expired(case):
+    """The worker answers listings, but neither the start nor its stops.
+
+    Nothing else ends the wait: the VM is heard, and its worker is not silent.
+    """
+    bench = agent_harness.AgentHarness()
+    no_answer = result.Err('timed out')
+    agent_harness.lose_answers(bench, no_answer, no_answer)
+    bench.worker.stop = lambda *_: no_answer
+    bench.grant()
+    bench.start()
+    limits = agent_harness.LIMITS
+    for _ in range(int(limits.guard + limits.lease) + 2):
+        bench.grant()
+        bench.step(1.0)
+    case.assertEqual(agent_harness.list_gone(bench), [('w.0', 1)])
+
+
+def test_start_is_not_given_up_before_its_lease_has_expired(case):
+    bench = agent_harness.AgentHarness()
+    no_answer = result.Err('timed out')
+    agent_harness.lose_answers(bench, no_answer, no_answer)
+    bench.worker.stop = lambda *_: no_answer
+    bench.grant()
+    bench.start()
+    limits = agent_harness.LIMITS
+    for _ in range(int(limits.guard + limits.lease) - 1):
+        bench.grant()
+        bench.step(1.0)
+    case.assertEqual(agent_harness.list_gone(bench), [])
