Failing test: estimates of interference stay wrong, either way

An estimate that is far too high keeps shares so small that their changes are not observed; and shares follow the tail, so that one beside a server whose load swings sinks.

--- a/packages/side/portwharf/side/pacing_test.py
+++ b/packages/side/portwharf/side/pacing_test.py
@@ -3,9 +3,11 @@
 """Filling tasks are throttled to protect serving ones, heaviest first."""
 
 import logging
+import math
 
 from portwharf.core import data
 from portwharf.peers import messages
+from portwharf.scheduler.decisions import tail_interference
 from portwharf.side import pacing
 from portwharf.side import pacing_log
 from portwharf.side import task_traits
@@ -213,3 +215,59 @@
     pacer.record_held(messages.HeldTask('light.0', 1))
     case.assertEqual(pacer.get_share(('light.0', 1)), 0)
     case.assertEqual(pacer.get_share(('light.1', 1)), pacing.FULL)
+
+
+def simulate_alone(press, real_press, tail_ms, count, swing=0.0):
+    """Run filling tasks beside a server for 60 s; nothing starts or ends.
+
+    The estimate is learnt from the pacer's observations, as an owner does.
+
+    :param press: the estimate that the pacer begins with
+    :param real_press: the real interference
+    :param tail_ms: the server's tail latency without filling tasks
+    :param count: the number of filling tasks
+    :param swing: amplitude of the logarithm of that tail latency, which has a
+        period of four seconds
+    :returns: the mean share of the filling tasks at the end, in percent, and
+        the learnt press
+    """
+    pacer = make_pacer(**{f'f{number}': press for number in range(count)})
+    owner = tail_interference.TailInterferenceModel()
+    owner.add_unknown([messages.Press('desk', 'f0', press, 0.5)])
+    for number in range(count):
+        start = messages.StartTask(
+            task=f'f{number}.0', program='f0', fill_milli=1800
+        )
+        pacer.record_start(start)
+    shares = {f'f{number}.0': 100 for number in range(count)}
+    images = [f'f{number}' for number in range(count)]
+    for step in range(150):
+        used = sum(shares.values()) / 100 * 1800
+        load = swing * math.sin(math.pi / 2 * 0.4 * step)
+        tail = tail_ms * math.exp(load + real_press * used / 16000)
+        listing = make_listing(int(tail), *images)
+        for attempt in listing.attempts[1:]:
+            attempt.used_cpu_milli = 18 * shares[attempt.task]
+        shares |= plan(pacer, listing, 0.4 * step)
+        for observed in pacer.record_presses_observed():
+            owner.add_observation(observed)
+        pacer.presses.replace_estimates(owner.list_all())
+    return sum(shares.values()) / count, owner.get_press('desk', 'f0')
+
+
+def test_low_estimate_is_corrected_while_nothing_starts_or_ends(case):
+    _, press = simulate_alone(0.0, 8.0, 10, 8)
+    case.assertGreater(press, 4.0)
+
+
+def test_estimates_come_near_the_real_interference(case):
+    """Shares follow the estimates and the tails, so both bias what is learnt.
+
+    Where an estimate is far too high, shares stay too small to show it. Where
+    the server's own load swings, shares shrink while its tail still grows,
+    which looks as if filling tasks reduced it.
+    """
+    share, high = simulate_alone(40.0, 0.0, 16, 8)
+    _, low = simulate_alone(8.0, 8.0, 10, 8, swing=0.5)
+    text = f'share {share:.0f}, learnt {high:.1f} for 0 and {low:.1f} for 8'
+    case.assertEqual((share > 50, low > 4.0), (True, True), text)
