Report the planned share of a task while the one in force is unknown

What callers saw: while a worker left throttle commands unanswered, its VM got filling tasks for which there was no headroom, and no stalled task of it was moved.

Cause: a heartbeat listed throttled tasks by the share last answered, and left those out whose share is unknown. The owner takes a task that is not listed for one at full pace. Since shares are repeated after an unanswered command, the first one without an answer made all of them unknown at once.

Evidence: the new test failed before, {} for three suspended tasks.

Why this works: the planned share is what is sent again until it is answered.

Ruled out: telling the owner that a share is unknown. It has no better estimate than the side.

--- a/packages/side/portwharf/side/pace_controller_test.py
+++ b/packages/side/portwharf/side/pace_controller_test.py
@@ -229,3 +229,14 @@
         [command for command in worker.commands if command[0] == 'b.0'],
         [('b.0', 100)],
     )
+
+
+def test_throttled_tasks_are_reported_while_the_worker_is_silent(case):
+    """An owner takes a task that is not reported for one at full pace."""
+    controller, worker = make_controller()
+    for number in range(5):
+        controller.apply_plan(make_listing(), 0.4 * number)
+    worker.answer = result.Err('timed out')
+    controller.apply_plan(make_listing(), 2.4)
+    paced = {one.task: one.percent for one in controller.pacer.list_paced()}
+    case.assertEqual(paced, {'f.0': 0, 'f.1': 0, 'f.2': 0})
--- a/packages/side/portwharf/side/pacing.py
+++ b/packages/side/portwharf/side/pacing.py
@@ -82,6 +82,8 @@
         # The share that each attempt was last set to, in percent; None where a
         # previous side process or an unanswered command may have set another.
         self._sent = {}
+        # The share that each attempt should have, in percent.
+        self._wanted = {}
         # The progress of each attempt, in percent.
         self._progress = {}
         self._throttle_factor = 1.0
@@ -173,6 +175,7 @@
         )
         if self._is_suspended(now):
             wanted = dict.fromkeys(wanted, 0)
+        self._wanted = wanted
         changes = self._list_changes(filling, wanted)
         self._log_filling(serving, filling, now)
         return changes
@@ -248,12 +251,18 @@
         return 0 if share is None else share
 
     def list_paced(self):
-        """Return the ``messages.PacedTask`` of each throttled attempt."""
-        return [
-            messages.PacedTask(*name, percent, self._progress.get(name, 0))
-            for name, percent in self._sent.items()
-            if percent is not None and percent < FULL
-        ]
+        """Return the ``messages.PacedTask`` of each throttled attempt.
+
+        Where it is unknown which share is in force, it is the planned one.
+        """
+        found = []
+        for name, percent in self._sent.items():
+            if percent is None:
+                percent = self._wanted.get(name, FULL)
+            if percent < FULL:
+                done = self._progress.get(name, 0)
+                found.append(messages.PacedTask(*name, percent, done))
+        return found
 
     def _observe(self, serving, filling, capacity_milli, now):
         """Record what changed since the last sample, for the owner."""
