Let throttle commands that failed take turns

Cause: attempts whose last command failed came last, but in their old order among themselves. A round ends with its first failure, so that the same one ended each round.

Why this works: they are sent in the order in which they failed.

--- a/packages/side/portwharf/side/pace_controller.py
+++ b/packages/side/portwharf/side/pace_controller.py
@@ -30,8 +30,9 @@
         # first plan, as the previous side process may have left one.
         self._late_until = None
         self._next_repeat = 0.0
-        # Attempts whose last command failed; the others come first.
-        self._failed = set()
+        # Attempts whose last command failed, in that order, as keys; the
+        # others come first.
+        self._failed = {}
         # The owner's latest unanswered command for each attempt.
         self._unanswered = {}
 
@@ -61,23 +62,26 @@
         """
         self._forget_sent_if_due(now)
         due = self.pacer.plan(listing, now, now_ms)
-        self._failed &= {(one.task, one.attempt) for one in due}
-        due.sort(key=lambda one: (one.task, one.attempt) in self._failed)
+        listed = {(one.task, one.attempt) for one in listing.attempts}
+        for name in self._failed.keys() - listed:
+            del self._failed[name]
+        ranks = {name: rank for rank, name in enumerate(self._failed, 1)}
+        due.sort(key=lambda one: ranks.get((one.task, one.attempt), 0))
         while due:
             pace = due.pop(0)
             paced = self._worker.throttle(
                 pace.task, pace.attempt, pace.percent
             )
             self.pacer.log.record_throttle(pace, paced, now)
+            self._failed.pop((pace.task, pace.attempt), None)
             if paced.is_err():
                 # Further commands could time out as well, which delays the
                 # heartbeat.
                 for one in (pace, *due):
                     self.pacer.forget_sent(one)
-                self._failed.add((pace.task, pace.attempt))
+                self._failed[(pace.task, pace.attempt)] = None
                 self._late_until = now + LATE_SECONDS
                 return
-        listed = {(one.task, one.attempt) for one in listing.attempts}
         for name in self._unanswered.keys() - listed:
             del self._unanswered[name]
         self._send_unanswered()
--- a/packages/side/portwharf/side/pace_controller_test.py
+++ b/packages/side/portwharf/side/pace_controller_test.py
@@ -240,3 +240,22 @@
     controller.apply_plan(make_listing(), 2.4)
     paced = {one.task: one.percent for one in controller.pacer.list_paced()}
     case.assertEqual(paced, {'f.0': 0, 'f.1': 0, 'f.2': 0})
+
+
+def test_commands_that_failed_take_turns(case):
+    """One that always fails must not keep another from a second try."""
+    controller, worker = make_controller()
+    throttle, refused = worker.throttle, ['f.0', 'f.1']
+
+    def fail(task, attempt, percent):
+        throttle(task, attempt, percent)
+        return result.Err('HTTP 400') if task in refused else result.Ok(None)
+
+    worker.throttle = fail
+    for number in range(4):
+        controller.apply_plan(make_listing(), 0.4 * number)
+    refused.remove('f.1')
+    worker.commands.clear()
+    for number in range(4, 7):
+        controller.apply_plan(make_listing(), 0.4 * number)
+    case.assertIn(('f.1', 0), worker.commands)
