Keep an owner's late throttle commands from replacing newer ones

Cause: the repeating of unanswered commands stopped at the pacer's. An unanswered command of the owner was sent again after the plan, and replaced the pacer's share of a filling task, which counted as in force; and one that a worker carried out late replaced a newer one of the owner for good.

Why this works: an owner's command for a filling task is dropped once the plan has replaced it. The others are kept until their attempt has ended, and are repeated like the pacer's shares, also after one of them was not answered.

Ruled out: sending the owner's commands before the plan; each repeat would let a filling task loose for a moment.

--- a/packages/side/portwharf/side/pace_controller.py
+++ b/packages/side/portwharf/side/pace_controller.py
@@ -26,14 +26,16 @@
         """Take the worker, or None."""
         self._worker = worker
         self.pacer = pacing.Pacer()
-        # Until when an unanswered command may be carried out; None before the
-        # first plan, as the previous side process may have left one.
+        # Until when an unanswered command may be carried out; None if the next
+        # plan has to set it. The previous side process may have left one.
         self._late_until = None
         self._next_repeat = 0.0
         # Attempts whose last command failed, in that order, as keys; the
         # others come first.
         self._failed = {}
-        # The owner's latest unanswered command for each attempt.
+        # The owner's latest command for each attempt that the pacer does not
+        # control, and those of them that are to be sent.
+        self._ordered = {}
         self._unanswered = {}
 
     def record_held(self, message):
@@ -50,7 +52,8 @@
         For a filling task, the pacer's next plan replaces this share. The
         owner sends each command once, so one without an answer is sent again.
         """
-        self._unanswered[(message.task, message.attempt)] = message
+        name = (message.task, message.attempt)
+        self._ordered[name] = self._unanswered[name] = message
         self._send_unanswered()
         self.pacer.forget_sent(message)
 
@@ -62,9 +65,7 @@
         """
         self._forget_sent_if_due(now)
         due = self.pacer.plan(listing, now, now_ms)
-        listed = {(one.task, one.attempt) for one in listing.attempts}
-        for name in self._failed.keys() - listed:
-            del self._failed[name]
+        self._drop_orders(listing)
         ranks = {name: rank for rank, name in enumerate(self._failed, 1)}
         due.sort(key=lambda one: ranks.get((one.task, one.attempt), 0))
         while due:
@@ -82,10 +83,22 @@
                 self._failed[(pace.task, pace.attempt)] = None
                 self._late_until = now + LATE_SECONDS
                 return
-        for name in self._unanswered.keys() - listed:
-            del self._unanswered[name]
         self._send_unanswered()
 
+    def _drop_orders(self, listing):
+        """Drop what concerns attempts that have ended.
+
+        The owner's commands for filling tasks are dropped too, as the plan
+        has just replaced them.
+        """
+        listed = {(one.task, one.attempt) for one in listing.attempts}
+        for orders in (self._ordered, self._unanswered):
+            for name in list(orders):
+                if name not in listed or self.pacer.controls(name):
+                    del orders[name]
+        for name in self._failed.keys() - listed:
+            del self._failed[name]
+
     def _send_unanswered(self):
         """Send the owner's commands until one of them gets no answer."""
         for name, message in list(self._unanswered.items()):
@@ -96,6 +109,8 @@
             if paced.is_err():
                 # Last in line, so that it does not block the others.
                 self._unanswered[name] = message
+                # It may be carried out late from now on.
+                self._late_until = None
                 return
 
     def _forget_sent_if_due(self, now):
@@ -105,3 +120,4 @@
         if self._next_repeat <= now < self._late_until:
             self._next_repeat = now + REPEAT_SECONDS
             self.pacer.forget_all_sent()
+            self._unanswered.update(self._ordered)
--- a/packages/side/portwharf/side/pace_controller_test.py
+++ b/packages/side/portwharf/side/pace_controller_test.py
@@ -259,3 +259,33 @@
     for number in range(4, 7):
         controller.apply_plan(make_listing(), 0.4 * number)
     case.assertIn(('f.1', 0), worker.commands)
+
+
+def test_owners_repeated_command_does_not_override_the_pacer(case):
+    """The pacer would count its own share as in force until it changes."""
+    controller, worker = make_controller(1)
+    for number in range(40):
+        controller.apply_plan(make_listing(30, 1), 0.4 * number)
+    worker.answer = result.Err('timed out')
+    controller.throttle(messages.ThrottleTask(1, 'f.0', 1, 100))
+    worker.answer = result.Ok(None)
+    controller.apply_plan(make_listing(30, 1), 16.0)
+    case.assertEqual(worker.commands[-1], ('f.0', 0))
+
+
+def test_owners_release_holds_after_a_late_throttle(case):
+    """An owner's unanswered command may be carried out after a newer one."""
+    worker = DelayingWorker(20, 3.0)
+    controller, _ = make_controller(0, worker)
+    listing = make_listing(10, 0)
+    batch = workers.Attempt('b.0', 1, data.RunState.RUNNING)
+    listing.attempts.append(batch)
+    for number in range(20):
+        now = 0.4 * number
+        worker.advance(now)
+        if number == 1:
+            controller.throttle(messages.ThrottleTask(1, 'b.0', 1, 20))
+        if number == 4:
+            controller.throttle(messages.ThrottleTask(1, 'b.0', 1, 100))
+        controller.apply_plan(listing, now)
+    case.assertEqual(worker.shares, {'b.0': 100})
--- a/packages/side/portwharf/side/pacing.py
+++ b/packages/side/portwharf/side/pacing.py
@@ -222,6 +222,10 @@
         """Record that the share of an attempt is unknown."""
         self._sent[(pace.task, pace.attempt)] = None
 
+    def controls(self, name):
+        """Return whether an attempt, (task, attempt), has had a share."""
+        return name in self._sent
+
     def forget_all_sent(self):
         """Record that no share that was ever sent is known to be in force."""
         self._sent = dict.fromkeys(self._sent)
