Quarantine half of the workers in reach at most, in each pool

Cause: the bound of half counted all members: also those out of reach or leaving, and those of other pools, on which a job cannot run.

Evidence: both new tests failed before: 0 workers open for 1 with two of four out of reach, and 2 for 3 with two pools of two.

Ruled out: counting by label as well. Labels overlap, and a step without one can run beside those with one.

--- a/packages/scheduler/portwharf/scheduler/hopeless_jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/hopeless_jobs_test.py
@@ -69,3 +69,37 @@
     views = made.nodes[0].owner._members.view_vms()
     closed = [view.closed for view in views]
     case.assertEqual(closed.count(membership.CLOSED_QUARANTINED), 1)
+
+
+def quarantine(made, names):
+    """Quarantine workers by failures of several workloads."""
+    tracker = made.nodes[0].owner._members._health
+    now = made.nodes[0].owner.read_clock()
+    for name in names:
+        for number in range(4):
+            tracker.record_failure(name, f'w.{number}', now)
+
+
+def list_open(made):
+    """Return the names of the workers that take tasks."""
+    views = made.nodes[0].owner._members.view_vms()
+    return [view.vm.name for view in views if not view.closed]
+
+
+def test_half_of_the_workers_in_reach_at_most_are_quarantined(case):
+    made = cluster.Cluster(4)
+    made.run(3)
+    for node in made.nodes[2:]:
+        made.isolate(node)
+    made.run(6)
+    quarantine(made, ['vm-00', 'vm-01'])
+    case.assertEqual(len(list_open(made)), 1)
+
+
+def test_half_of_the_workers_of_a_pool_at_most_are_quarantined(case):
+    made = cluster.Cluster(4)
+    made.run(3)
+    for link in made.nodes[0].owner.list_links()[:2]:
+        link.view.pool = 'desk'
+    quarantine(made, ['vm-00', 'vm-01'])
+    case.assertEqual(len(list_open(made)), 3)
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -6,6 +6,8 @@
 them. The member list itself is in the shard's log.
 """
 
+import collections
+
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.peers import streams
@@ -158,7 +160,7 @@
         weigher = weigher or precedence.Weigher(
             self._state, self._env.clock.read_unix_ms(), self._runtimes
         )
-        restricted = self._health.list_restricted(list(self._links))
+        restricted = self._list_restricted(now)
         views = []
         for name, link in self._links.items():
             view = vmview.VmView(link.view.vm, link.view.capacity)
@@ -182,6 +184,21 @@
         self._service_protection.fill_views(views, now)
         return views
 
+    def _list_restricted(self, now):
+        """Return the set of VMs whose workers are kept from most tasks.
+
+        Only half of the VMs that would take tasks are, in each pool, as a pool
+        may be all that a job can run on.
+        """
+        pools = collections.defaultdict(list)
+        for name, link in self._links.items():
+            if not (
+                self._find_closed_reason(name, link, now)
+                or self._find_zone_closed_reason(link)
+            ):
+                pools[link.view.pool].append(name)
+        return set().union(*map(self._health.list_restricted, pools.values()))
+
     def _add_fill(self, link, view, weigher):
         """Add the load of a VM beyond its reserved resources to its view."""
         pace_percents = {
