Count the headroom that tasks of a former owner use only once

Cause: an owner has no time of placing for the tasks of the owner before, and takes the time of its own start. They counted as placed since the heartbeat, so that the headroom that the side reports had their part taken off again.

Evidence: the new test failed before, headroom 0.0 for the reported 0.53.

Why this works: what another owner has placed counts as measured. For a task that it placed in its last moments, the headroom is taken off a heartbeat late, once.

Ruled out: the time of placing in the log, which is wall time.

--- a/packages/scheduler/portwharf/scheduler/decisions/service_protection.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/service_protection.py
@@ -75,6 +75,13 @@
         """
         return self._placed_at.get(attempt, self._began)
 
+    def has_placed(self, attempt):
+        """Return whether this owner has placed an attempt.
+
+        :param attempt: (task id, attempt number)
+        """
+        return attempt in self._placed_at
+
     def record_measures(self, vm, measures, targets, now):
         """Record a side's measurements of its services.
 
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -224,12 +224,14 @@
         """Return whether the last heartbeat told of an attempt's effect.
 
         Otherwise each pass until the next one would give the same headroom
-        away again.
+        away again. What a former owner has placed counts as measured.
 
         :param attempt: (task id, attempt number)
         """
-        placed_at = self._service_protection.get_placed_at(attempt)
         heard = link.view.heard
+        if not self._service_protection.has_placed(attempt):
+            return heard is not None
+        placed_at = self._service_protection.get_placed_at(attempt)
         return heard is not None and heard - placed_at >= MEASURE_SECONDS
 
     def _add_suspects(self, view):
--- a/packages/scheduler/portwharf/scheduler/membership_test.py
+++ b/packages/scheduler/portwharf/scheduler/membership_test.py
@@ -175,3 +175,25 @@
     case.assertGreater(len(owner._state.held[node.vm.name]), 2)
     case.assertEqual(owner.list_links()[0].view.heard, heard_at)
     case.assertLess(headrooms[-1], headrooms[0], headrooms)
+
+
+def test_tasks_of_the_owner_before_are_in_the_headroom_that_sides_report(case):
+    """A new owner must not take the headroom of running tasks off again."""
+    made = cluster.Cluster(1)
+    size = data.Resources(400, 400)
+    names = {'resources': size, 'program': 'desk', 'image': 'desk'}
+    made.submit(1, kind=data.Kind.STANDING, target_ms=20, **names)
+    made.run(4)
+    node = made.nodes[0]
+    (run,) = node.worker.runs
+    node.worker.tails[run.attempt.task] = 10
+    names = {'resources': size, 'program': 'plan', 'image': 'plan'}
+    made.submit(1, fills=True, **names)
+    made.run(6)
+    case.assertEqual(len(node.owner._state.held[node.vm.name]), 2)
+    node.end_owner()
+    node.claim()
+    made.tick(0.3)
+    (view,) = node.owner._members.view_vms()
+    (told,) = node.owner.list_links()[0].view.headrooms
+    case.assertEqual(view.headrooms, {'desk': told.room})
