Tell claims once a side can be reached, not before

Cause: what was sent is kept by connection, and a connection counts from the end of the one before. A pass in between recorded claims as sent that went nowhere, while the greeting of the next connection may have been made from older ones.

Evidence: the new test failed before, a claim told while there is no connection, and none after it.

Why this works: nothing is told before the side's full report, which follows the greeting; then all claims are.

--- a/packages/scheduler/portwharf/scheduler/claim_updates.py
+++ b/packages/scheduler/portwharf/scheduler/claim_updates.py
@@ -41,6 +41,10 @@
         last, self._sent = self._sent, {}
         updates = []
         for link in links:
+            if not link.view.reported:
+                # Nothing can be sent now. The greeting of the next connection
+                # may have been made already, from older claims.
+                continue
             name = (link.name, link.view.connection)
             rows = self._list_changed(link.name, name, last, weigher)
             if rows:
--- a/packages/scheduler/portwharf/scheduler/claim_updates_test.py
+++ b/packages/scheduler/portwharf/scheduler/claim_updates_test.py
@@ -19,6 +19,7 @@
 
     name: str = 'vm-1'
     connection: int = 0
+    reported: bool = True
 
     @property
     def view(self):
@@ -85,6 +86,15 @@
     case.assertEqual(len(list_claims(notifier, made, link, 5.0)), 1)
 
 
+def test_claims_are_told_once_the_side_can_be_reached(case):
+    """What is sent between two connections is lost."""
+    made, link = make_state(), FakeLink(reported=False)
+    notifier = claim_updates.ClaimNotifier(made)
+    case.assertEqual(list_claims(notifier, made, link, 0.0), [])
+    link.reported = True
+    case.assertEqual(len(list_claims(notifier, made, link, 5.0)), 1)
+
+
 def test_steps_that_do_not_fill_are_not_told(case):
     made = jobs_test.accept(jobs_test.make_step(2))
     made.apply(events.TaskPlaced(f'{jobs_test.FIRST}.0', 1, 'vm-1'))
--- a/packages/testing/portwharf/testing/overload_day.py
+++ b/packages/testing/portwharf/testing/overload_day.py
@@ -107,6 +107,7 @@
         self.name = name
         self.view = self
         self.connection = 0
+        self.reported = True
         self.paced = []
 
 
