Test that a side expects the claims of an owner

A side closes the connection upon a message that it does not expect. No test failed with claims missing from what it takes: the cluster's messages do go through it, but a closed connection is opened anew there, with new claims.

The new test fails then: ProtocolError: unexpected message ClaimUpdate.

--- a/packages/side/portwharf/side/server_test.py
+++ b/packages/side/portwharf/side/server_test.py
@@ -338,3 +338,16 @@
 
     threading.Thread(target=take_rosters, daemon=True).start()
     case.assertTrue(done.wait(8))
+
+
+def test_owner_may_send_claims(case):
+    """A side closes the connection upon a message that it does not expect."""
+    made, node, _ = make_owner(case)
+    link = node.owner.list_links()[0]
+    side = made.find(link.name)
+    taken = []
+    side.server.agent.command = lambda _, message: taken.append(message)
+    update = messages.ClaimUpdate([messages.StepClaim('a.0.0', 2.0)])
+    hello = node.owner.make_hello()
+    side.server.take_owner_message(link.pipe.side, hello, update)
+    case.assertEqual(taken, [update])
