Do not evict more tasks on a VM where an eviction does not end

What callers saw: nothing that was played; on a worker that answers no stops, one task after the other was evicted for the same waiting work, which got no room by it.

Cause: since preemption waits three seconds for an eviction, it went on with the cheapest VM again, which was the same one.

Evidence: the new test failed before, both tasks of the VM evicting and not one.

Why this works: by the time that preemption goes on, all evictions that are still in progress have taken too long; their VMs are left out.

--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -82,7 +82,8 @@
         self._patience = pass_inputs.Patience()
         self._wait_log = decisionlog.WaitLog()
         self._move_history = task_moves.MoveHistory()
-        # When evictions in progress were first seen, by (task, attempt).
+        # When evictions in progress were first seen, by (VM name, task,
+        # attempt).
         self._evicting_since = {}
         self._hung_tasks = hung_tasks.HungTaskMover(
             state, self.service_protection.get_placed_at
@@ -574,6 +575,9 @@
         if not done.waiting or self._is_evicting(now):
             return
         over = pass_inputs.find_over_quota(self._state, quotas)
+        # Another eviction would free no room where one does not end.
+        stuck = {vm for vm, _, _ in self._evicting_since}
+        views = [view for view in views if view.vm.name not in stuck]
         for action in self.service_protection.plan_evictions(
             done.ordered, views, over, now
         ):
@@ -586,8 +590,8 @@
         not prevent all others.
         """
         names = [
-            (task.id, task.attempt)
-            for held in self._state.held.values()
+            (vm, task.id, task.attempt)
+            for vm, held in self._state.held.items()
             for task in held.values()
             if task.state == data.TaskState.EVICTING
         ]
