--- a/packages/scheduler/portwharf/scheduler/claim_updates.py
+++ b/packages/scheduler/portwharf/scheduler/claim_updates.py
@@ -3,8 +3,8 @@
 """Keeps sides informed of the claims of the filling tasks on their VMs.
 
 A claim changes while a task runs: its job's other tasks end, and learnt run
-times shift its due time. A side that ranked by the claims of the starts would
-prefer what has come last to what is nearly done.
+times shift its due time. By the claims of the starts, a task of a job that is
+nearly done would rank by work that has ended long ago.
 """
 
 from portwharf.peers import messages
--- a/packages/scheduler/portwharf/scheduler/decisions/health.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/health.py
@@ -5,7 +5,8 @@
 A worker is quarantined when attempts of several different workloads failed on
 it in a row, with no success between them, which a single bad job cannot cause.
 It then gets no tasks for a while, after that one task as a probe, and a longer
-quarantine if the probe fails. A success clears it.
+quarantine if the probe fails. A success clears it. Several bad jobs can cause
+it everywhere, so that only half of the workers are held to it.
 
 Apart from that, a workload avoids a worker that it failed on for some seconds,
 so that its retries go elsewhere.
--- a/packages/scheduler/portwharf/scheduler/decisions/vmview.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vmview.py
@@ -111,8 +111,9 @@
     def compute_idle_milli(self, weight):
         """Return the processors that a further filling task can have here.
 
-        The filling tasks that rank after it are slowed down in its favour, and
-        the others use what their pace allows.
+        The filling tasks that rank after it are expected to be slowed down in
+        its favour. The others use what their pace allows. A side does so only
+        where a serving task has too little headroom for all of them.
 
         :param weight: its job's weight, as ``precedence.Claim.weigh`` returns
             it
--- a/packages/side/portwharf/side/pace_controller.py
+++ b/packages/side/portwharf/side/pace_controller.py
@@ -14,8 +14,8 @@
 # Time during which an unanswered command may still be carried out, as for
 # starts (``task_traits.MAX_TRAITS``).
 LATE_SECONDS = 12.0
-# Interval at which shares are repeated during that time. Shorter than the time
-# for which a target may be missed.
+# Interval at which shares are repeated during that time, which bounds how long
+# a late command is in force.
 REPEAT_SECONDS = 2.0
 
 
