Bound what the filling tasks of a VM ask for

What callers would see: after their patience, tens of filling tasks on one VM, all of them slow once the serving tasks there need less.

Cause: a task that is predicted to get no headroom counts with no processors, so that memory alone bounded how many of them one pass placed on a VM.

Evidence: test_tasks_without_headroom_do_not_pile_up_on_a_vm (after a reviewer's draft, in which one pass placed all 60 tasks of 1.8 processors on a VM of 16): 18 are placed there now. The reviewer's bound of twice the capacity is met but for 400 thousandths (32.4 processors for 32).

Open, of the same review: a side throttles for the sake of serving tasks only, so that on a VM without them, or with ample headroom, what ranks after a task does not yield its processors; the worker shares them.

--- a/packages/scheduler/portwharf/scheduler/decisions/vm_choice_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vm_choice_test.py
@@ -171,3 +171,22 @@
     view = make_throttled_view(20.0, [1.0] * 6)
     choice = choose_for_filling_task(view, weight=500.0)
     case.assertEqual(choice.refusals, {'processors': 1})
+
+
+def test_tasks_without_headroom_do_not_pile_up_on_a_vm(case):
+    """Each is predicted to use no processors, but all may be at work later."""
+    view = make_throttled_view(20.0, [])
+    workload = fixtures.make_workload(
+        job='a',
+        fills=True,
+        image='plan',
+        count=60,
+        resources=data.Resources(1800, 500),
+    )
+    record = state.WorkloadRecord('a.0.0', workload.key, 5, workload)
+    demand = backlog.Demand(record, weight=20.0)
+    demand.accept_any_vm()
+    placed = place_all(demand, [view], None, None)
+    free_milli = 16_000 - 8000 * vmview.SERVING_UTILIZATION
+    most = vmview.MAX_FILLING_FACTOR * free_milli // 1800
+    case.assertEqual(len([name for name, *_ in placed if name]), most)
--- a/packages/scheduler/portwharf/scheduler/decisions/vmview.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vmview.py
@@ -12,6 +12,10 @@
 # Share of its reserved processors that a serving task uses at its peak; the
 # others are left to filling tasks.
 SERVING_UTILIZATION = 0.65
+# Bound on what the filling tasks of a VM ask for, as a multiple of the
+# processors that others leave: they are throttled for as long as others need
+# headroom, and no longer.
+MAX_FILLING_FACTOR = 3.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -123,8 +127,11 @@
             task.share for task in self.fillings if task.weight <= weight
         )
         filling_milli = share * self.capacity.cpu_milli
-        other_milli = self.busy_milli - self.filling_milli
-        return int(self.capacity.cpu_milli - other_milli - filling_milli)
+        free_milli = self.capacity.cpu_milli - (
+            self.busy_milli - self.filling_milli
+        )
+        most_milli = MAX_FILLING_FACTOR * free_milli - self.filling_milli
+        return int(min(free_milli - filling_milli, most_milli))
 
     def add_usage(self, workload):
         """Add the processors of one filling or serving task."""
