--- a/packages/scheduler/portwharf/scheduler/claim_updates.py
+++ b/packages/scheduler/portwharf/scheduler/claim_updates.py
@@ -28,7 +28,7 @@
         # (VM name, number of the connection).
         self._sent = {}
 
-    def take_due_updates(self, links, weigher, now):
+    def make_due_updates(self, links, weigher, now):
         """Return the updates that are due, once each interval.
 
         :param links: list of ``members.MemberLink``
--- a/packages/scheduler/portwharf/scheduler/claim_updates_test.py
+++ b/packages/scheduler/portwharf/scheduler/claim_updates_test.py
@@ -39,7 +39,7 @@
 def list_claims(notifier, made, link, now):
     """Return the ``messages.StepClaim`` that one side is told."""
     weigher = precedence.Weigher(made, NOW_MS)
-    updates = notifier.take_due_updates([link], weigher, now)
+    updates = notifier.make_due_updates([link], weigher, now)
     return [claim for _, update in updates for claim in update.claims]
 
 
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -505,7 +505,7 @@
             batch.send(self._members.get_link(placed.vm), command)
         self._timer.mark('starts')
         links = self._members.list_links()
-        for update in self._claims.take_due_updates(links, weigher, now):
+        for update in self._claims.make_due_updates(links, weigher, now):
             batch.send(*update)
         self._move_stuck_tasks(views, now, weigher, batch)
         self._move_hung_tasks(views, now, weigher, batch)
--- a/packages/scheduler/portwharf/scheduler/decisions/task_moves.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/task_moves.py
@@ -79,7 +79,7 @@
     """Tracks the VMs that moved tasks must not return to yet."""
 
     def __init__(self):
-        # When each avoidance ends, by (task, VM).
+        # The time at which each avoidance ends is kept by (task, VM).
         self._ends = {}
 
     def record_move(self, task, vm, now, seconds=AVOID_ORIGIN_SECONDS):
--- a/packages/scheduler/portwharf/scheduler/decisions/vmview.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vmview.py
@@ -12,9 +12,8 @@
 # Share of its reserved processors that a serving task uses at its peak; the
 # others are left to filling tasks.
 SERVING_UTILIZATION = 0.65
-# Bound on what the filling tasks of a VM ask for, as a multiple of the
-# processors that others leave: they are throttled for as long as others need
-# headroom, and no longer.
+# Limit on the processors that the filling tasks of a VM request, as a multiple
+# of what other tasks leave. All of them may run at full pace at the same time.
 MAX_FILLING_FACTOR = 3.0
 
 
@@ -206,8 +205,8 @@
         share = self._get_cpu_share(workload) * pace
         self.fillings.append(FillingTask(weight, workload.image, share))
 
-    def take_headroom(self, workload, weight):
-        """Take off the headroom that a filling task is going to use."""
+    def reserve_headroom(self, workload, weight):
+        """Reserve the headroom that a filling task is going to use."""
         pace = self.predict_pace(workload, weight)
         share = self._get_cpu_share(workload)
         for serving in self.headrooms:
@@ -218,6 +217,6 @@
     def add_task(self, workload, weight=precedence.LAST_WEIGHT):
         """Add a newly placed task."""
         if workload.fills:
-            self.take_headroom(workload, weight)
+            self.reserve_headroom(workload, weight)
         self.reserved = self.reserved.add(workload.reserved)
         self.add_usage(workload)
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -218,7 +218,7 @@
             else:
                 unmeasured.append((record.workload, weight))
         for row in unmeasured:
-            view.take_headroom(*row)
+            view.reserve_headroom(*row)
 
     def _is_measured(self, link, attempt):
         """Return whether the last heartbeat told of an attempt's effect.
--- a/packages/scheduler/portwharf/scheduler/membership_test.py
+++ b/packages/scheduler/portwharf/scheduler/membership_test.py
@@ -12,6 +12,8 @@
 from portwharf.scheduler import membership
 from portwharf.testing import cluster
 
+SMALL = data.Resources(400, 400)
+
 
 class Conn:
     """Records the frames that are sent on a member's connection."""
@@ -149,19 +151,30 @@
     case.assertFalse(link._thread.is_alive())
 
 
+def make_serving_cluster():
+    """Return a cluster of one VM with a serving task that has headroom."""
+    made = cluster.Cluster(1)
+    names = {'resources': SMALL, 'program': 'desk', 'image': 'desk'}
+    made.submit(1, kind=data.Kind.STANDING, target_ms=20, **names)
+    made.run(4)
+    worker = made.nodes[0].worker
+    (run,) = worker.runs
+    worker.tails[run.attempt.task] = 10
+    return made
+
+
+def submit_filling_task(made):
+    """Submit a filling task to a cluster."""
+    made.submit(1, fills=True, resources=SMALL, program='plan', image='plan')
+
+
 def test_task_placed_since_the_heartbeat_uses_headroom(case):
     """A side reports the headroom that is left some polls after a start.
 
     Passes until then must not give the same headroom away again.
     """
-    made = cluster.Cluster(1)
-    size = data.Resources(400, 400)
-    names = {'resources': size, 'program': 'desk', 'image': 'desk'}
-    made.submit(1, kind=data.Kind.STANDING, target_ms=20, **names)
-    made.run(4)
+    made = make_serving_cluster()
     node = made.nodes[0]
-    (run,) = node.worker.runs
-    node.worker.tails[run.attempt.task] = 10
     made.run(2)
     owner = node.owner
     heard_at = owner.list_links()[0].view.heard
@@ -169,8 +182,7 @@
     for _ in range(4):
         (view,) = owner._members.view_vms()
         headrooms.append(view.headrooms['desk'])
-        names = {'resources': size, 'program': 'plan', 'image': 'plan'}
-        made.submit(1, fills=True, **names)
+        submit_filling_task(made)
         owner.step(owner.take_items())
     case.assertGreater(len(owner._state.held[node.vm.name]), 2)
     case.assertEqual(owner.list_links()[0].view.heard, heard_at)
@@ -179,16 +191,9 @@
 
 def test_tasks_of_the_owner_before_are_in_the_headroom_that_sides_report(case):
     """A new owner must not take the headroom of running tasks off again."""
-    made = cluster.Cluster(1)
-    size = data.Resources(400, 400)
-    names = {'resources': size, 'program': 'desk', 'image': 'desk'}
-    made.submit(1, kind=data.Kind.STANDING, target_ms=20, **names)
-    made.run(4)
+    made = make_serving_cluster()
     node = made.nodes[0]
-    (run,) = node.worker.runs
-    node.worker.tails[run.attempt.task] = 10
-    names = {'resources': size, 'program': 'plan', 'image': 'plan'}
-    made.submit(1, fills=True, **names)
+    submit_filling_task(made)
     made.run(6)
     case.assertEqual(len(node.owner._state.held[node.vm.name]), 2)
     node.end_owner()
--- a/packages/side/portwharf/side/unconfirmed_test.py
+++ b/packages/side/portwharf/side/unconfirmed_test.py
@@ -85,10 +85,10 @@
     )
 
 
-def test_start_is_given_up_once_its_lease_has_expired(case):
-    """The worker answers listings, but neither the start nor its stops.
+def list_gone_after(seconds):
+    """Return what is told as gone of a start that nobody answers.
 
-    Nothing else ends the wait: the VM is heard, and its worker is not silent.
+    :param seconds: time after the end of its lease, or before it if negative
     """
     bench = agent_harness.AgentHarness()
     no_answer = result.Err('timed out')
@@ -97,21 +97,19 @@
     bench.grant()
     bench.start()
     limits = agent_harness.LIMITS
-    for _ in range(int(limits.guard + limits.lease) + 2):
+    for _ in range(int(limits.guard + limits.lease) + seconds):
         bench.grant()
         bench.step(1.0)
-    case.assertEqual(agent_harness.list_gone(bench), [('w.0', 1)])
+    return agent_harness.list_gone(bench)
+
+
+def test_start_is_given_up_once_its_lease_has_expired(case):
+    """The worker answers listings, but neither the start nor its stops.
+
+    Nothing else ends the wait: the VM is heard, and its worker is not silent.
+    """
+    case.assertEqual(list_gone_after(2), [('w.0', 1)])
 
 
 def test_start_is_not_given_up_before_its_lease_has_expired(case):
-    bench = agent_harness.AgentHarness()
-    no_answer = result.Err('timed out')
-    agent_harness.lose_answers(bench, no_answer, no_answer)
-    bench.worker.stop = lambda *_: no_answer
-    bench.grant()
-    bench.start()
-    limits = agent_harness.LIMITS
-    for _ in range(int(limits.guard + limits.lease) - 1):
-        bench.grant()
-        bench.step(1.0)
-    case.assertEqual(agent_harness.list_gone(bench), [])
+    case.assertEqual(list_gone_after(-1), [])
--- a/packages/testing/portwharf/testing/overload_day.py
+++ b/packages/testing/portwharf/testing/overload_day.py
@@ -147,7 +147,7 @@
         self._placed_at = {}
         self._patience = pass_inputs.Patience()
         self._move_history = task_moves.MoveHistory()
-        # What the side of each VM was told, by (VM name, step).
+        # The claims that sides were told are kept by (VM name, step).
         self._claims = {}
         self._claim_notifier = claim_updates.ClaimNotifier(self._state)
         self._submitted = {}
@@ -324,7 +324,7 @@
         self._views = views
 
     def _update_claims(self, weigher):
-        updates = self._claim_notifier.take_due_updates(
+        updates = self._claim_notifier.make_due_updates(
             self._links, weigher, self.now
         )
         for link, update in updates:
