--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -24,6 +24,7 @@
 from portwharf.scheduler.decisions import precedence
 from portwharf.scheduler.decisions import service_protection
 from portwharf.scheduler.decisions import task_moves
+from portwharf.scheduler.decisions import uneven_pools
 from portwharf.scheduler import events
 from portwharf.scheduler import job_operations
 from portwharf.scheduler import metrics
@@ -475,7 +476,15 @@
         demands = self._list_demands(now, now_ms, weigher)
         if self._advisor is not None:
             policy.assign_tickets(self._advisor, demands, views)
+        uneven_pools.require_pace(demands, views)
+        stalled = self._find_stalled_tasks(now, weigher)
         self._timer.mark('demands')
+        first = task_moves.list_first(stalled, demands, views)
+        early = self._move_stalled_tasks(first, views, now, batch)
+        if early:
+            metrics.EARLY_MOVES.inc(early)
+            decisionlog.log_early_moves(early, len(first))
+        self._timer.mark('move')
         done = pass_inputs.plan(
             self._state,
             demands,
@@ -507,7 +516,8 @@
         links = self._members.list_links()
         for update in self._claims.make_due_updates(links, weigher, now):
             batch.send(*update)
-        self._move_stuck_tasks(views, now, weigher, batch)
+        # Tasks that moved above are not placed any more.
+        self._move_stalled_tasks(stalled, views, now, batch, early)
         self._move_hung_tasks(views, now, weigher, batch)
         self._timer.mark('move')
         self._evict_for_waiting(done, views, quotas, batch)
@@ -517,20 +527,40 @@
         metrics.PLACEMENTS.inc(len(done.placements))
         return views
 
-    def _move_stuck_tasks(self, views, now, weigher, batch):
-        """Move filling tasks that make little progress to better VMs."""
-        now_ms = self._env.clock.read_unix_ms()
-        links = self._members.list_links()
+    def _find_stalled_tasks(self, now, weigher):
+        """Return the filling tasks that make little progress.
+
+        :returns: list of ``task_moves.StalledTask`` that may move once more
+        """
         stalled = task_moves.find_stalled_tasks(
             self._state,
-            links,
+            self._members.list_links(),
             self.service_protection.get_placed_at,
             now,
             weigher,
         )
-        for task in task_moves.choose_moves(stalled, views):
-            self._move_history.record_move(task.id, task.vm, now)
+        may_move = self._move_history.may_move
+        return [entry for entry in stalled if may_move(entry.task.id)]
+
+    def _move_stalled_tasks(self, stalled, views, now, batch, moved=0):
+        """Move filling tasks that make little progress to better VMs.
+
+        :param stalled: list of ``task_moves.StalledTask``
+        :param moved: number of such moves in this pass so far
+        :returns: number of moves
+        """
+        now_ms = self._env.clock.read_unix_ms()
+        limit = task_moves.MAX_MOVES_PER_PASS - moved
+        placed = [
+            entry
+            for entry in stalled
+            if entry.task.state == data.TaskState.PLACED
+        ]
+        chosen = task_moves.choose_moves(placed, views, limit)
+        for task in chosen:
+            self._move_history.record_stalled_move(task.id, task.vm, now)
             self._evict_task(task, task_moves.REASON_STALLED, now_ms, batch)
+        return len(chosen)
 
     def _move_hung_tasks(self, views, now, weigher, batch):
         """Move tasks that make no progress to other VMs."""
@@ -668,6 +698,7 @@
             self._apply_event(batch, events.JobDropped(job_id))
         self.runtimes.forget(self._state.unended)
         self._hung_tasks.forget(self._state.unended)
+        self._move_history.forget(self._state.unended)
 
     def _apply_event(self, batch, event):
         self._state.apply(event)
--- a/packages/scheduler/portwharf/scheduler/decisionlog.py
+++ b/packages/scheduler/portwharf/scheduler/decisionlog.py
@@ -142,6 +142,15 @@
     LOG.info('evicting', extra=extra)
 
 
+def log_early_moves(count, first):
+    """Log how many stalled tasks move before waiting ones are placed.
+
+    :param first: number of stalled tasks that rank before all waiting ones
+    """
+    extra = logs.fields(count=count, stalled=first)
+    LOG.info('stalled tasks moved before placement', extra=extra)
+
+
 def log_hung_attempt(one):
     """Log that an attempt makes no progress, and whether it stays.
 
--- a/packages/scheduler/portwharf/scheduler/decisions/backlog.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/backlog.py
@@ -19,6 +19,8 @@
 # Importance that a workload gains by waiting, so that none starves.
 AGEING_PER_MINUTE = 2.0
 MAX_AGEING = 400.0
+# Pace, 0 to 1, below which a filling task waits for another VM.
+MIN_PACE = 0.35
 _NO_DEADLINE = float('inf')
 # Time after a job has become too late to matter during which its steps are
 # served last.
@@ -42,6 +44,7 @@
         'avoided',
         'is_selective',
         'held_tasks',
+        'min_pace',
         'rack',
         'record',
         'moved_from',
@@ -67,6 +70,8 @@
         # Tells whether the workload waits for a VM that suits it instead of
         # accepting any VM with room.
         self.is_selective = True
+        # Pace, 0 to 1, below which a VM does not suit a filling workload.
+        self.min_pace = MIN_PACE
         # The rack that its tasks should share, '' for any.
         self.rack = ''
         # The set of VMs that a task was moved away from, by task id.
--- a/packages/scheduler/portwharf/scheduler/decisions/task_moves.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/task_moves.py
@@ -37,6 +37,11 @@
 # Maximum number of moves in one pass. It is small, so that the effect of the
 # moves is seen before the next pass.
 MAX_MOVES_PER_PASS = 4
+# Moves of one stalled task until it ends. Each one discards work, or at least
+# the time of the move.
+MAX_MOVES = 3
+# Progress, in percent, from which a task without checkpoints stays.
+MAX_LOST_PERCENT = 25
 
 
 @dataclasses.dataclass(slots=True)
@@ -74,13 +79,38 @@
         left = (100 - kept) / 100 / pace
         return MOVE_COST_MS + left * self.run_ms
 
+    @property
+    def precedence(self):
+        """Its sort key: importance, then weight; the lowest goes first."""
+        return (-self.workload.importance, self.weight)
+
 
 class MoveHistory:
-    """Tracks the VMs that moved tasks must not return to yet."""
+    """Tracks the moves of tasks, and the VMs not to return to yet."""
 
     def __init__(self):
         # The time at which each avoidance ends is kept by (task, VM).
         self._ends = {}
+        # Number of moves of stalled tasks, by task.
+        self._counts = collections.Counter()
+
+    def record_stalled_move(self, task, vm, now):
+        """Record that a stalled task is moved away from a VM."""
+        self._counts[task] += 1
+        self.record_move(task, vm, now)
+
+    def may_move(self, task):
+        """Return whether a stalled task may move once more."""
+        return self._counts[task] < MAX_MOVES
+
+    def forget(self, live):
+        """Drop the number of moves of all tasks but the live ones.
+
+        :param live: ids of the workloads that may still run
+        """
+        for task in list(self._counts):
+            if ids.split_task_id(task) not in live:
+                del self._counts[task]
 
     def record_move(self, task, vm, now, seconds=AVOID_ORIGIN_SECONDS):
         """Record that a task is moved away from a VM.
@@ -138,12 +168,44 @@
     return found
 
 
-def choose_moves(stalled, views):
+def list_first(stalled, demands, views):
+    """Return the stalled tasks that get good VMs before waiting ones.
+
+    These are the tasks in uneven pools whose jobs rank before those of all
+    waiting filling tasks. Without any waiting, none needs to go before them.
+
+    :param stalled: list of :class:`StalledTask`
+    :param demands: list of ``backlog.Demand``
+    :param views: list of ``vmview.VmView``
+    :returns: list of :class:`StalledTask`, in the order of precedence
+    """
+    uneven = {view.vm.name for view in views if view.uneven}
+    if not uneven:
+        return []
+    waiting = [
+        (-demand.record.workload.importance, demand.weight)
+        for demand in demands
+        if demand.record.workload.fills
+    ]
+    if not waiting:
+        return []
+    limit = min(waiting)
+    first = [
+        entry
+        for entry in stalled
+        if entry.task.vm in uneven and entry.precedence < limit
+    ]
+    first.sort(key=lambda entry: entry.precedence)
+    return first
+
+
+def choose_moves(stalled, views, limit=MAX_MOVES_PER_PASS):
     """Return the stalled tasks to move, as ``state`` tasks.
 
     :param stalled: list of :class:`StalledTask`
-    :param views: list of ``vmview.VmView`` after a pass; the chosen tasks are
+    :param views: list of ``vmview.VmView`` of a pass; the chosen tasks are
         added to them
+    :param limit: maximum number of moves
     """
     chosen = []
     # Tasks of one workload have the same destinations, until a move changes
@@ -151,7 +213,7 @@
     destinations = {}
     idle = None
     for entry in stalled:
-        if len(chosen) >= MAX_MOVES_PER_PASS:
+        if len(chosen) >= limit:
             break
         if not _is_worthwhile(entry, 1.0):
             continue
--- a/packages/scheduler/portwharf/scheduler/decisions/vm_choice.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vm_choice.py
@@ -22,8 +22,6 @@
 REFUSED_SUSPECT = 'beside-a-suspect'
 REASON_NO_ROOM = 'no-worker-has-room-now'
 REASON_NO_WORKERS = 'no-worker-is-known'
-# Pace, 0 to 1, below which a filling task waits for another VM.
-_MIN_PACE = 0.35
 # Weight of interference with services against the fill of a VM.
 _INTERFERENCE_WEIGHT = 6.0
 
@@ -152,7 +150,7 @@
         if reason:
             return reason
         if workload.fills and demand.is_selective:
-            if self._predict_pace(view) < _MIN_PACE:
+            if self._predict_pace(view) < demand.min_pace:
                 return REFUSED_SLOWS_SERVICE
         name = view.vm.name
         if workload.kind == data.Kind.SERVICE and demand.placed[name]:
--- a/packages/scheduler/portwharf/scheduler/decisions/vmview.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vmview.py
@@ -57,6 +57,9 @@
         or workload
     :param unsteady: its worker has crashed lately
     :param largest: the largest capacity that its worker has reported
+    :param lasting: by serving image, the least headroom of the last seconds
+        without filling tasks, where known (``lasting_headroom``)
+    :param uneven: its pool is uneven (``uneven_pools``)
     """
 
     vm: data.Vm = dataclasses.field(default_factory=data.Vm)
@@ -85,6 +88,8 @@
     suspects: dict = dataclasses.field(default_factory=dict)
     unsteady: bool = False
     largest: data.Resources = dataclasses.field(default_factory=data.Resources)
+    lasting: dict = dataclasses.field(default_factory=dict)
+    uneven: bool = False
 
     def __post_init__(self):
         self.rack = self.rack or self.vm.rack
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -11,8 +11,10 @@
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.peers import streams
+from portwharf.scheduler.decisions import lasting_headroom
 from portwharf.scheduler.decisions import pass_inputs
 from portwharf.scheduler.decisions import precedence
+from portwharf.scheduler.decisions import uneven_pools
 from portwharf.scheduler.decisions import vmview
 from portwharf.scheduler import events
 from portwharf.scheduler import suspects
@@ -67,6 +69,8 @@
         self._state = state
         self._grants = grant_table
         self._health = health
+        self._headrooms = lasting_headroom.HeadroomTracker()
+        self._uneven_pools = uneven_pools.UnevenPools()
         self._links = {}
         self._listed = {}
         self._listed_at = {}
@@ -162,6 +166,7 @@
         )
         restricted = self._list_restricted(now)
         views = []
+        unmeasured = []
         for name, link in self._links.items():
             view = vmview.VmView(link.view.vm, link.view.capacity)
             view.largest = link.view.largest
@@ -172,7 +177,8 @@
             view.rack = link.view.rack or view.rack
             view.life = link.view.life
             view.set_headrooms(self._pairs, link.view.headrooms)
-            self._add_fill(link, view, weigher)
+            unmeasured += self._add_fill(link, view, weigher)
+            self._track_headroom(link, view, now)
             self._add_suspects(view)
             view.closed = self._find_closed_reason(
                 name, link, now
@@ -181,9 +187,39 @@
                 view.closed = view.closed or self._find_quarantine(name, now)
                 view.probe = self._health.awaits_probe(name, now)
             views.append(view)
+        self._headrooms.forget(self._links.keys())
+        self._uneven_pools.update(views, self._count_filling, now)
+        for view, workload, weight in unmeasured:
+            view.reserve_headroom(workload, weight)
         self._service_protection.fill_views(views, now)
         return views
 
+    def _track_headroom(self, link, view, now):
+        """Set the headroom of a VM that lasts."""
+        known = link.view
+        # A side that has reconnected may have restarted, and reports no paces
+        # until it knows its tasks again.
+        place = (known.vm.address, known.vm.port)
+        origin = (place, known.connection, known.life)
+        self._headrooms.update(
+            view, known.headrooms, known.heard, origin, now
+        )
+
+    def _count_filling(self, views):
+        """Return Counters of the filling tasks of each pool.
+
+        :returns: map of pool to a Counter by (image, processors in
+            thousandths)
+        """
+        counts = collections.defaultdict(collections.Counter)
+        for view in views:
+            for task in self._state.held[view.vm.name].values():
+                workload = self._state.find_workload(task.id).workload
+                if workload.fills:
+                    size = workload.resources.cpu_milli
+                    counts[view.pool][(workload.image, size)] += 1
+        return counts
+
     def _list_restricted(self, now):
         """Return the set of VMs whose workers are kept from most tasks.
 
@@ -200,7 +236,11 @@
         return set().union(*map(self._health.list_restricted, pools.values()))
 
     def _add_fill(self, link, view, weigher):
-        """Add the load of a VM beyond its reserved resources to its view."""
+        """Add the load of a VM beyond its reserved resources to its view.
+
+        :returns: list of (view, workload, weight) of the filling tasks whose
+            effect is not reported yet
+        """
         pace_percents = {
             (pace.task, pace.attempt): pace.percent for pace in link.view.paced
         }
@@ -216,9 +256,8 @@
                 pace = pace_percents.get(name, 100) / 100
                 view.record_filling(record.workload, weight, pace)
             else:
-                unmeasured.append((record.workload, weight))
-        for row in unmeasured:
-            view.reserve_headroom(*row)
+                unmeasured.append((view, record.workload, weight))
+        return unmeasured
 
     def _is_measured(self, link, attempt):
         """Return whether the last heartbeat told of an attempt's effect.
--- a/packages/scheduler/portwharf/scheduler/metrics.py
+++ b/packages/scheduler/portwharf/scheduler/metrics.py
@@ -19,6 +19,15 @@
     'portwharf_owner_hung_moves',
     'Attempts that were stopped to run elsewhere, as they made no progress.',
 )
+EARLY_MOVES = prometheus_client.Counter(
+    'portwharf_owner_early_moves',
+    'Stalled tasks that got a better VM before waiting tasks did.',
+)
+UNEVEN_POOLS = prometheus_client.Gauge(
+    'portwharf_owner_uneven_pool',
+    'Whether the VMs of a pool suit filling tasks very differently.',
+    ['pool'],
+)
 DROPPED_CALLS = prometheus_client.Counter(
     'portwharf_owner_dropped_calls',
     'Calls that were not begun, as their callers had stopped waiting.',
--- a/packages/testing/portwharf/testing/overload_day.py
+++ b/packages/testing/portwharf/testing/overload_day.py
@@ -3,9 +3,9 @@
 """Simulates days with more batch work than capacity.
 
 The production code orders, places, moves and paces tasks; VMs, run times and
-clients are simulated on a virtual clock without a network. Every VM has a
-server task that tolerates a limited press, the slowdown by filling tasks
-beside it (see ``decisions.tail_interference``). Wide jobs of filling tasks
+clients are simulated on a virtual clock without a network. Servers on
+the VMs tolerate a limited press, the slowdown by filling tasks beside them
+(see ``decisions.tail_interference``). Wide jobs of filling tasks
 arrive faster than they can be completed, beside small jobs that take
 precedence. Clients' estimates of run times are inaccurate. The result is the
 worth of the jobs whose last task ended within their objective.
@@ -14,6 +14,7 @@
 """
 
 import argparse
+import collections
 import dataclasses
 import random
 
@@ -22,27 +23,26 @@
 from portwharf.peers import messages
 from portwharf.scheduler import claim_updates
 from portwharf.scheduler.decisions import forecast
+from portwharf.scheduler.decisions import lasting_headroom
 from portwharf.scheduler.decisions import pass_inputs
 from portwharf.scheduler.decisions import precedence
 from portwharf.scheduler.decisions import tail_interference
 from portwharf.scheduler.decisions import task_moves
+from portwharf.scheduler.decisions import uneven_pools
 from portwharf.scheduler.decisions import vmview
 from portwharf.scheduler import events
 from portwharf.scheduler import jobs
 from portwharf.scheduler import reconcile
 from portwharf.scheduler import state
 from portwharf.testing import overload_load
+from portwharf.testing import overload_servers
 
 VMS = 20
 DURATION_SECONDS = 40.0
 STEP_SECONDS = 0.1
-# Press of light and heavy filling images, the share of heavy ones, and the
-# press that a server tolerates, which swings by this share in this period.
+# Press of light and heavy filling images, and the share of heavy ones.
 LIGHT_PRESS, HEAVY_PRESS = 0.6, 5.0
 HEAVY_SHARE = 0.65
-TOLERATED_PRESS = 0.9
-SWING_SHARE = 0.5
-SWING_SECONDS = 10.0
 # From a placement decision to the start, from a stop order to its report, and
 # for restoring a checkpoint; then the interval between checkpoints.
 START_DELAY_SECONDS = 0.06
@@ -55,14 +55,16 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Site:
-    """The VMs of a site, all alike, and the tasks of its wide jobs.
+    """The VMs of a site, all of one size, and the tasks of its wide jobs.
 
-    :param server_size: what the server task of each VM reserves
+    :param server_size: what the servers of a VM reserve
+    :param servers: class of the servers, from ``overload_servers``
     """
 
     capacity: data.Resources
     server_size: data.Resources
     wide: overload_load.WideShape
+    servers: type = overload_servers.EvenServers
 
 
 LARGE_VMS = Site(
@@ -141,7 +143,9 @@
         )
         self._press_model = tail_interference.TailInterferenceModel()
         self._presses = {}
-        self._phases = {}
+        self._servers = None
+        self._headrooms = lasting_headroom.HeadroomTracker()
+        self._uneven_pools = uneven_pools.UnevenPools()
         self._runs = {}
         self._links = [_Link(f'vm-{n:02d}') for n in range(VMS)]
         self._placed_at = {}
@@ -153,7 +157,6 @@
         self._submitted = {}
         self._saved_seconds = {}
         self._latencies = {}
-        self._views = []
         self._set_up()
 
     def run(self):
@@ -167,9 +170,7 @@
             self._submit_jobs()
             self._pace_all()
             self._advance_runs()
-            self._run_pass()
-            if number % 4 == 0:
-                self._move_stuck_tasks()
+            self._run_pass(with_moves=number % 4 == 0)
         return self._make_tallies()
 
     @property
@@ -200,8 +201,8 @@
             self._presses[name] = press
             measured.append(messages.Press('serve', name, press, 0.3))
         self._press_model.replace_estimates(measured)
-        for link in self._links:
-            self._phases[link.name] = rnd.uniform(0, SWING_SECONDS)
+        names = [link.name for link in self._links]
+        self._servers = self._site.servers(rnd, names)
 
     def _submit_jobs(self):
         for submitted in self._clients.submit_jobs(self.now, STEP_SECONDS):
@@ -213,14 +214,6 @@
 
     # Simulated VMs.
 
-    def _get_tolerated_press(self, name):
-        """Return the press that the server of a VM tolerates now."""
-        phase = (self.now + self._phases[name]) / SWING_SECONDS
-        swing = 1 if phase % 1 < 0.5 else -1
-        return TOLERATED_PRESS * (
-            1 + SWING_SHARE * swing * abs(2 * (phase % 0.5) - 0.5)
-        )
-
     def _pace_all(self):
         """Share out each server's headroom to filling tasks by precedence."""
         by_vm = {link.name: [] for link in self._links}
@@ -238,7 +231,8 @@
                 claim = self._claims[(name, record.id)]
                 rank = precedence.rank(claim.weigh(self._now_ms), press)
                 ranked.append((rank, run.task, press, run))
-        headroom, paced = self._get_tolerated_press(name), []
+        paced = []
+        headroom = self._servers.get_tolerated_press(name, self.now)
         for _, _, press, run in sorted(ranked, key=lambda row: row[:2]):
             full_press = press * self._share
             run.pace = max(0.03, min(1.0, headroom / full_press))
@@ -253,6 +247,9 @@
 
     def _advance_runs(self):
         for run in list(self._runs.values()):
+            if run.task not in self._runs:
+                # Its job has failed in this step.
+                continue
             if run.stopping:
                 if self.now >= run.ends_at:
                     self._finish_stop(run)
@@ -297,13 +294,15 @@
         if self._state.jobs[job].failed:
             self._state.apply(events.JobCancelled(job))
             for other in list(self._runs.values()):
+                if other.task not in self._runs:
+                    continue
                 if self._state.find_workload(other.task).workload.job == job:
                     del self._runs[other.task]
                     self._report(other, data.RunState.GONE)
 
     # The owner.
 
-    def _run_pass(self):
+    def _run_pass(self, with_moves):
         views = self._view_vms()
         weigher = precedence.Weigher(self._state, self._now_ms, self.run_times)
         self._update_claims(weigher)
@@ -314,6 +313,12 @@
         for demand in demands:
             demand.moved_from = origins
         self._patience.apply(demands, self.now)
+        uneven_pools.require_pace(demands, views)
+        stalled, moved = [], 0
+        if with_moves:
+            stalled = self._find_stalled_tasks(weigher)
+            first = task_moves.list_first(stalled, demands, views)
+            moved = self._move_stalled_tasks(first, views)
         planned = pass_inputs.plan(
             self._state, demands, views, {}, self._now_ms
         )
@@ -321,7 +326,7 @@
         self._patience.record_waits(waiting, self.now)
         for placement in planned.placements:
             self._place(placement, weigher)
-        self._views = views
+        self._move_stalled_tasks(stalled, views, moved)
 
     def _update_claims(self, weigher):
         updates = self._claim_notifier.make_due_updates(
@@ -366,11 +371,13 @@
         for number, link in enumerate(self._links):
             vm = data.Vm(link.name, availability_zone=f'zone-{number % 3}')
             reserved = self._state.reserved[link.name]
-            reserved = reserved.add(self._site.server_size)
             view = vmview.VmView(vm, self._site.capacity, reserved)
-            view.serving_milli = self._site.server_size.cpu_milli
+            has_server = self._servers.has_server(link.name)
+            if has_server:
+                view.reserved = reserved.add(self._site.server_size)
+                view.serving_milli = self._site.server_size.cpu_milli
             percent_by_task = {p.task: p.percent for p in link.paced}
-            headroom = self._get_tolerated_press(link.name)
+            headroom = self._servers.get_tolerated_press(link.name, self.now)
             for task in self._state.held[link.name].values():
                 record = self._state.find_workload(task.id)
                 view.add_usage(record.workload)
@@ -381,15 +388,25 @@
                 view.record_filling(record.workload, weight, percent / 100)
                 press = self._presses[record.workload.image]
                 headroom -= press * self._share * percent / 100
-            view.set_headrooms(
-                self._press_model,
-                [messages.Headroom('serve', max(0.0, headroom))],
-            )
+            told = [messages.Headroom('serve', max(0.0, headroom))]
+            told = told if has_server else []
+            view.set_headrooms(self._press_model, told)
+            # Sides report once a second.
+            heard = float(int(self.now))
+            self._headrooms.update(view, told, heard, link.name, self.now)
             views.append(view)
+        self._uneven_pools.update(views, self._count_filling, self.now)
         return views
 
-    def _move_stuck_tasks(self):
-        weigher = precedence.Weigher(self._state, self._now_ms, self.run_times)
+    def _count_filling(self, _):
+        sample = collections.Counter()
+        for run in self._runs.values():
+            workload = self._state.find_workload(run.task).workload
+            if workload.fills:
+                sample[(workload.image, workload.resources.cpu_milli)] += 1
+        return {'': sample}
+
+    def _find_stalled_tasks(self, weigher):
         stalled = task_moves.find_stalled_tasks(
             self._state,
             self._links,
@@ -397,14 +414,24 @@
             self.now,
             weigher,
         )
-        for task in task_moves.choose_moves(stalled, self._views):
-            run = self._runs.get(task.id)
-            if run is None or run.stopping:
-                continue
-            self._move_history.record_move(task.id, task.vm, self.now)
+        may_move = self._move_history.may_move
+        return [entry for entry in stalled if may_move(entry.task.id)]
+
+    def _move_stalled_tasks(self, stalled, views, moved=0):
+        placed = [
+            entry
+            for entry in stalled
+            if entry.task.state == data.TaskState.PLACED
+        ]
+        limit = task_moves.MAX_MOVES_PER_PASS - moved
+        chosen = task_moves.choose_moves(placed, views, limit)
+        for task in chosen:
+            run = self._runs[task.id]
+            self._move_history.record_stalled_move(task.id, task.vm, self.now)
             self._state.apply(events.TaskEvicting(task.id, task.attempt))
             run.stopping = True
             run.ends_at = self.now + STOP_DELAY_SECONDS
+        return len(chosen)
 
     def _make_tallies(self):
         """Return a map of queue to ``overload_load.Tally``."""
--- a/packages/testing/portwharf/testing/overload_load.py
+++ b/packages/testing/portwharf/testing/overload_load.py
@@ -105,6 +105,14 @@
             self.late += 1
             self.earned += LATE_WORTH_SHARE * submitted.worth
 
+    def add(self, other):
+        """Add the results of another day."""
+        self.jobs += other.jobs
+        self.in_time += other.in_time
+        self.late += other.late
+        self.owed += other.owed
+        self.earned += other.earned
+
 
 class Clients:
     """Submits jobs at random times."""
