--- a/packages/scheduler/portwharf/scheduler/decisions/task_moves.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/task_moves.py
@@ -79,6 +79,13 @@
         left = (100 - kept) / 100 / pace
         return MOVE_COST_MS + left * self.run_ms
 
+    @property
+    def loses_much(self):
+        """Whether a move would discard much of its work."""
+        return (
+            not self.workload.checkpointable and self.done >= MAX_LOST_PERCENT
+        )
+
     @property
     def precedence(self):
         """Its sort key: importance, then weight; the lowest goes first."""
@@ -215,7 +222,7 @@
     for entry in stalled:
         if len(chosen) >= limit:
             break
-        if not _is_worthwhile(entry, 1.0):
+        if entry.loses_much or not _is_worthwhile(entry, 1.0):
             continue
         name = ids.split_task_id(entry.task.id)
         if idle is None:
--- a/packages/scheduler/portwharf/scheduler/decisions/uneven_pools.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/uneven_pools.py
@@ -29,7 +29,7 @@
 GOOD_PACE = 0.8
 # Pace below which a VM counts as poor. It is well below the other, as the
 # estimates of two VMs that are alike differ by chance.
-POOR_PACE = 0.4
+POOR_PACE = 0.7
 # Least share of the VMs that are poor in an uneven pool.
 MIN_POOR_SHARE = 0.1
 # Interval between two assessments, which keeps their cost low.
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -201,9 +201,7 @@
         # until it knows its tasks again.
         place = (known.vm.address, known.vm.port)
         origin = (place, known.connection, known.life)
-        self._headrooms.update(
-            view, known.headrooms, known.heard, origin, now
-        )
+        self._headrooms.update(view, known.headrooms, known.heard, origin, now)
 
     def _count_filling(self, views):
         """Return Counters of the filling tasks of each pool.
