--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -83,6 +83,7 @@
         self._patience = pass_inputs.Patience()
         self._wait_log = decisionlog.WaitLog()
         self._move_history = task_moves.MoveHistory()
+        self._destinations = task_moves.ReservedDestinations()
         # When evictions in progress were first seen, by (VM name, task,
         # attempt).
         self._evicting_since = {}
@@ -479,11 +480,7 @@
         uneven_pools.require_pace(demands, views)
         stalled = self._find_stalled_tasks(now, weigher)
         self._timer.mark('demands')
-        first = task_moves.list_first(stalled, demands, views)
-        early = self._move_stalled_tasks(first, views, now, batch)
-        if early:
-            metrics.EARLY_MOVES.inc(early)
-            decisionlog.log_early_moves(early, len(first))
+        early = self._move_before_placement(stalled, demands, views, batch)
         self._timer.mark('move')
         done = pass_inputs.plan(
             self._state,
@@ -517,7 +514,8 @@
         for update in self._claims.make_due_updates(links, weigher, now):
             batch.send(*update)
         # Tasks that moved above are not placed any more.
-        self._move_stalled_tasks(stalled, views, now, batch, early)
+        limit = task_moves.MAX_MOVES_PER_PASS - early
+        self._move_stalled_tasks(stalled, views, limit, batch)
         self._move_hung_tasks(views, now, weigher, batch)
         self._timer.mark('move')
         self._evict_for_waiting(done, views, quotas, batch)
@@ -542,25 +540,46 @@
         may_move = self._move_history.may_move
         return [entry for entry in stalled if may_move(entry.task.id)]
 
-    def _move_stalled_tasks(self, stalled, views, now, batch, moved=0):
-        """Move filling tasks that make little progress to better VMs.
+    def _move_before_placement(self, stalled, demands, views, batch):
+        """Move stalled tasks that rank before all waiting filling tasks.
 
         :param stalled: list of ``task_moves.StalledTask``
-        :param moved: number of such moves in this pass so far
         :returns: number of moves
         """
+        now = self._env.clock.read_monotonic()
+        self._destinations.apply(views, now)
+        first = task_moves.list_first(stalled, demands, views)
+        if not first:
+            return 0
+        limit = task_moves.MAX_MOVES_PER_PASS
+        chosen = self._move_stalled_tasks(first, views, limit, batch)
+        for entry, vm in chosen:
+            self._destinations.record(entry, vm, now)
+        if chosen:
+            metrics.EARLY_MOVES.inc(len(chosen))
+            decisionlog.log_early_moves(len(chosen), len(first))
+        return len(chosen)
+
+    def _move_stalled_tasks(self, stalled, views, limit, batch):
+        """Move filling tasks that make little progress to better VMs.
+
+        :param stalled: list of ``task_moves.StalledTask``
+        :param limit: maximum number of moves
+        :returns: the moves, as ``task_moves.choose_moves`` returns them
+        """
+        now = self._env.clock.read_monotonic()
         now_ms = self._env.clock.read_unix_ms()
-        limit = task_moves.MAX_MOVES_PER_PASS - moved
         placed = [
             entry
             for entry in stalled
             if entry.task.state == data.TaskState.PLACED
         ]
         chosen = task_moves.choose_moves(placed, views, limit)
-        for task in chosen:
+        for entry, _ in chosen:
+            task = entry.task
             self._move_history.record_stalled_move(task.id, task.vm, now)
             self._evict_task(task, task_moves.REASON_STALLED, now_ms, batch)
-        return len(chosen)
+        return chosen
 
     def _move_hung_tasks(self, views, now, weigher, batch):
         """Move tasks that make no progress to other VMs."""
--- a/packages/scheduler/portwharf/scheduler/decisions/lasting_headroom_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/lasting_headroom_test.py
@@ -154,7 +154,8 @@
 
 def test_new_owner_and_restarted_side_use_the_current_headroom(case):
     made = cluster.Cluster(2)
-    fields = {'resources': data.Resources(400, 400), 'image': 'desk'}
+    names = {'program': 'desk', 'image': 'desk'}
+    fields = {'resources': data.Resources(400, 400), **names}
     made.submit(1, kind=data.Kind.STANDING, target_ms=20, **fields)
     made.run(4)
     (node,) = [node for node in made.nodes if node.worker.runs]
--- a/packages/scheduler/portwharf/scheduler/decisions/task_moves.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/task_moves.py
@@ -40,6 +40,8 @@
 # Moves of one stalled task until it ends. Each one discards work, or at least
 # the time of the move.
 MAX_MOVES = 3
+# Time for which the VM of a move is reserved while the task is being stopped.
+MAX_RESERVED_SECONDS = 3.0
 # Progress, in percent, from which a task without checkpoints stays.
 MAX_LOST_PERCENT = 25
 
@@ -206,13 +208,45 @@
     return first
 
 
+class ReservedDestinations:
+    """Reserves the VMs of moves that go before waiting tasks.
+
+    A task is placed on its new VM only once it has been stopped. Without a
+    reservation, the next pass would give that VM to a waiting task.
+    """
+
+    def __init__(self):
+        # (:class:`StalledTask`, VM name, end of the reservation) by task.
+        self._rows = {}
+
+    def record(self, entry, vm, now):
+        """Reserve a VM for a task that is being stopped."""
+        end = now + MAX_RESERVED_SECONDS
+        self._rows[entry.task.id] = (entry, vm, end)
+
+    def apply(self, views, now):
+        """Add the tasks that are still being stopped to their new VMs."""
+        self._rows = {
+            name: row
+            for name, row in self._rows.items()
+            if row[0].task.state == data.TaskState.EVICTING and now < row[2]
+        }
+        if not self._rows:
+            return
+        by_name = {view.vm.name: view for view in views}
+        for entry, vm, _ in self._rows.values():
+            if vm in by_name:
+                by_name[vm].add_task(entry.workload, entry.weight)
+
+
 def choose_moves(stalled, views, limit=MAX_MOVES_PER_PASS):
-    """Return the stalled tasks to move, as ``state`` tasks.
+    """Return the stalled tasks to move, and their new VMs.
 
     :param stalled: list of :class:`StalledTask`
     :param views: list of ``vmview.VmView`` of a pass; the chosen tasks are
         added to them
     :param limit: maximum number of moves
+    :returns: list of (:class:`StalledTask`, VM name)
     """
     chosen = []
     # Tasks of one workload have the same destinations, until a move changes
@@ -234,7 +268,7 @@
             destination.add_task(entry.workload, entry.weight)
             destinations.clear()
             idle = None
-            chosen.append(entry.task)
+            chosen.append((entry, destination.vm.name))
     return chosen
 
 
--- a/packages/scheduler/portwharf/scheduler/decisions/task_moves_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/task_moves_test.py
@@ -6,6 +6,7 @@
 
 from portwharf.core import data
 from portwharf.peers import messages
+from portwharf.scheduler.decisions import backlog
 from portwharf.scheduler.decisions import pass_inputs
 from portwharf.scheduler.decisions import tail_interference
 from portwharf.scheduler.decisions import task_moves
@@ -17,6 +18,8 @@
 ID = '5c0e7a21d94b36f8'
 TASK = f'{ID}.0.0.0'
 SIZE = data.Resources(4000, 1000)
+# Importance of a job without a rank.
+RANK = 900
 
 
 @dataclasses.dataclass(slots=True)
@@ -68,7 +71,7 @@
 
 def test_stuck_task_moves_to_a_vm_without_serving_tasks(case):
     moved = task_moves.choose_moves(find_stalled_tasks(3), [make_view()])
-    case.assertEqual([task.id for task in moved], [TASK])
+    case.assertEqual([entry.task.id for entry, _ in moved], [TASK])
 
 
 def test_task_with_a_good_pace_stays(case):
@@ -132,6 +135,63 @@
     case.assertEqual(len(task_moves.choose_moves(saved, views)), 1)
 
 
+def test_task_without_checkpoints_stays_once_it_has_done_much(case):
+    """A move discards its work, and others may make it move again."""
+    views = [make_view()]
+    early = find_stalled_tasks(3, done=24, run_ms=5000)
+    case.assertEqual(len(task_moves.choose_moves(early, views)), 1)
+    late = find_stalled_tasks(3, done=25, run_ms=5000)
+    case.assertEqual(task_moves.choose_moves(late, views), [])
+
+
+def test_moves_of_a_stalled_task_are_bounded_until_it_ends(case):
+    history = task_moves.MoveHistory()
+    for now in range(task_moves.MAX_MOVES):
+        case.assertTrue(history.may_move(TASK))
+        history.record_stalled_move(TASK, 'vm-1', float(now))
+    case.assertFalse(history.may_move(TASK))
+    history.forget({f'{ID}.0.0'})
+    case.assertFalse(history.may_move(TASK))
+    history.forget({})
+    case.assertTrue(history.may_move(TASK))
+
+
+def list_first(weight, demands, uneven=True, **fields):
+    """Return the stalled tasks that go before waiting ones.
+
+    :param weight: of the stalled task's job
+    :param demands: list of (importance, weight, whether it fills)
+    """
+    stalled = find_stalled_tasks(3, **fields)
+    for entry in stalled:
+        entry.weight = weight
+    waiting = [
+        backlog.Demand(
+            state.WorkloadRecord(
+                workload=data.Workload(importance=importance, fills=fills)
+            ),
+            weight=other,
+        )
+        for importance, other, fills in demands
+    ]
+    views = [make_view('vm-1', uneven=uneven), make_view()]
+    return task_moves.list_first(stalled, waiting, views)
+
+
+def test_stalled_task_goes_first_only_before_all_waiting_ones(case):
+    case.assertEqual(len(list_first(10.0, [(RANK, 11.0, True)] * 2)), 1)
+    both = [(RANK, 9.0, True), (RANK, 11.0, True)]
+    case.assertEqual(list_first(10.0, both), [])
+    case.assertEqual(list_first(10.0, [(RANK + 1, 11.0, True)]), [])
+    others = [(RANK, 11.0, True), (RANK + 1, 0.0, False)]
+    case.assertEqual(len(list_first(10.0, others)), 1)
+
+
+def test_stalled_tasks_of_an_even_pool_do_not_go_first(case):
+    waiting = [(RANK, 11.0, True)]
+    case.assertEqual(list_first(10.0, waiting, uneven=False), [])
+
+
 def find_two_stalled_tasks():
     """Return two stalled tasks of one step, on vm-1."""
     step = data.Workload(count=2, resources=SIZE, fills=True, image='plan')
--- a/packages/testing/portwharf/testing/overload_day.py
+++ b/packages/testing/portwharf/testing/overload_day.py
@@ -151,6 +151,7 @@
         self._placed_at = {}
         self._patience = pass_inputs.Patience()
         self._move_history = task_moves.MoveHistory()
+        self._destinations = task_moves.ReservedDestinations()
         # The claims that sides were told are kept by (VM name, step).
         self._claims = {}
         self._claim_notifier = claim_updates.ClaimNotifier(self._state)
@@ -314,11 +315,15 @@
             demand.moved_from = origins
         self._patience.apply(demands, self.now)
         uneven_pools.require_pace(demands, views)
+        self._destinations.apply(views, self.now)
         stalled, moved = [], 0
         if with_moves:
             stalled = self._find_stalled_tasks(weigher)
             first = task_moves.list_first(stalled, demands, views)
-            moved = self._move_stalled_tasks(first, views)
+            moves = self._move_stalled_tasks(first, views)
+            for move in moves:
+                self._destinations.record(*move, self.now)
+            moved = len(moves)
         planned = pass_inputs.plan(
             self._state, demands, views, {}, self._now_ms
         )
@@ -425,13 +430,14 @@
         ]
         limit = task_moves.MAX_MOVES_PER_PASS - moved
         chosen = task_moves.choose_moves(placed, views, limit)
-        for task in chosen:
+        for entry, _ in chosen:
+            task = entry.task
             run = self._runs[task.id]
             self._move_history.record_stalled_move(task.id, task.vm, self.now)
             self._state.apply(events.TaskEvicting(task.id, task.attempt))
             run.stopping = True
             run.ends_at = self.now + STOP_DELAY_SECONDS
-        return len(chosen)
+        return chosen
 
     def _make_tallies(self):
         """Return a map of queue to ``overload_load.Tally``."""
