--- a/packages/scheduler/portwharf/scheduler/decisions/lasting_headroom.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/lasting_headroom.py
@@ -25,6 +25,11 @@
 MAX_AGE_SECONDS = 3.0
 # Reports kept of one VM. Sides report once a second, and sometimes earlier.
 _MAX_REPORTS = 32
+# Filling images whose presses are kept of one VM and serving image.
+_MAX_IMAGES = 64
+# Relative change of a press from which earlier reports are computed again.
+# Each observation changes presses by less.
+_MIN_PRESS_CHANGE = 0.05
 
 
 @dataclasses.dataclass(slots=True)
@@ -33,11 +38,13 @@
 
     :param headrooms: headroom by serving image
     :param shares: share of the VM's processors in use by filling image
+    :param unfilled: headroom without filling tasks by serving image
     """
 
     heard: float = 0.0
     headrooms: dict = dataclasses.field(default_factory=dict)
     shares: dict = dataclasses.field(default_factory=dict)
+    unfilled: dict = dataclasses.field(default_factory=dict)
 
 
 class _VmHistory:
@@ -46,13 +53,16 @@
     :param origin: what the reports depend on; another one invalidates them
     """
 
-    __slots__ = ('_reports', 'least', 'origin')
+    __slots__ = ('_presses', '_reports', 'least', 'origin')
 
     def __init__(self, origin):
         self.origin = origin
         # By serving image, without the effect of filling tasks.
         self.least = {}
         self._reports = collections.deque(maxlen=_MAX_REPORTS)
+        # By serving image, the presses that its reports are computed with, by
+        # filling image.
+        self._presses = {}
 
     @property
     def heard(self):
@@ -60,45 +70,52 @@
         return self._reports[-1].heard if self._reports else None
 
     def add(self, report, pairs):
-        """Add a report, and compute the least headrooms again.
-
-        Earlier reports are weighed with the present presses, as an estimate
-        may have changed by several times since.
-        """
+        """Add a report, and compute the least headrooms again."""
         reports = self._reports
         reports.append(report)
         while report.heard - reports[0].heard > PERIOD_SECONDS:
             reports.popleft()
         self.least = {}
+        self._presses = {
+            serving: self._presses.get(serving, {})
+            for serving in report.headrooms
+        }
         for serving in report.headrooms:
-            presses = _PressTable(pairs, serving)
             rows = [one for one in reports if serving in one.headrooms]
+            self._compute(serving, rows, pairs)
             if report.heard - rows[0].heard >= MIN_SPAN_SECONDS:
                 self.least[serving] = min(
-                    one.headrooms[serving] + presses.sum_effect(one.shares)
-                    for one in rows
+                    one.unfilled[serving] for one in rows
                 )
 
+    def _compute(self, serving, rows, pairs):
+        """Compute the headrooms without filling tasks that are not known.
 
-class _PressTable(dict):
-    """The presses on one serving image, each looked up once."""
-
-    def __init__(self, pairs, serving):
-        super().__init__()
-        self._pairs = pairs
-        self._serving = serving
-
-    def __missing__(self, image):
-        press = self._pairs.get_press(self._serving, image)
-        self[image] = press
-        return press
-
-    def sum_effect(self, shares):
-        """Return the headroom that filling tasks take.
+        All are computed again if a press has changed: an estimate may change
+        by several times within the period.
 
-        :param shares: share of the VM's processors in use by filling image
+        :param rows: the reports on a serving image
         """
-        return sum(self[image] * share for image, share in shares.items())
+        presses = self._presses[serving]
+        if len(presses) > _MAX_IMAGES or any(
+            _has_changed(press, pairs.get_press(serving, image))
+            for image, press in presses.items()
+        ):
+            presses.clear()
+            todo = rows
+        else:
+            todo = [one for one in rows if serving not in one.unfilled]
+        for one in todo:
+            room = one.headrooms[serving]
+            for image, share in one.shares.items():
+                if image not in presses:
+                    presses[image] = pairs.get_press(serving, image)
+                room += presses[image] * share
+            one.unfilled[serving] = room
+
+
+def _has_changed(before, press):
+    return abs(press - before) > _MIN_PRESS_CHANGE * before
 
 
 class HeadroomTracker:
@@ -146,7 +163,10 @@
     for serving, least in view.lasting.items():
         current = view.headrooms.get(serving)
         if current is not None:
-            taken = _PressTable(view.pairs, serving).sum_effect(shares)
+            taken = sum(
+                view.pairs.get_press(serving, image) * share
+                for image, share in shares.items()
+            )
             view.headrooms[serving] = min(current, least - taken)
 
 
