--- a/packages/scheduler/portwharf/scheduler/decisions/uneven_pools.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/uneven_pools.py
@@ -84,7 +84,6 @@
         for view in views:
             by_pool[view.pool].append(view)
         for name in self._pools.keys() - by_pool.keys():
-            metrics.UNEVEN_POOLS.remove(name)
             del self._pools[name]
         for name, members in by_pool.items():
             pool = self._pools.setdefault(name, _Pool())
@@ -97,7 +96,8 @@
                 pool.uneven_at is not None
                 and now - pool.uneven_at < HOLD_SECONDS
             )
-            metrics.UNEVEN_POOLS.labels(name).set(pool.is_uneven)
+            if pool.is_uneven:
+                metrics.UNEVEN_ASSESSMENTS.labels(name).inc()
             if pool.is_uneven != was_uneven:
                 extra = logs.fields(
                     pool=name, good=good, poor=poor, count=total
--- a/packages/scheduler/portwharf/scheduler/metrics.py
+++ b/packages/scheduler/portwharf/scheduler/metrics.py
@@ -23,9 +23,9 @@
     'portwharf_owner_early_moves',
     'Stalled tasks that got a better VM before waiting tasks did.',
 )
-UNEVEN_POOLS = prometheus_client.Gauge(
-    'portwharf_owner_uneven_pool',
-    'Whether the VMs of a pool suit filling tasks very differently.',
+UNEVEN_ASSESSMENTS = prometheus_client.Counter(
+    'portwharf_owner_uneven_assessments',
+    'Assessments, one a second, by which a pool was uneven.',
     ['pool'],
 )
 DROPPED_CALLS = prometheus_client.Counter(
