--- a/packages/scheduler/portwharf/scheduler/decisions/task_moves.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/task_moves.py
@@ -37,6 +37,13 @@
 # Maximum number of moves in one pass. It is small, so that the effect of the
 # moves is seen before the next pass.
 MAX_MOVES_PER_PASS = 4
+# Moves of one stalled task until it ends. Each one discards work, or at least
+# the time of the move.
+MAX_MOVES = 3
+# Time for which the VM of a move is reserved while the task is being stopped.
+MAX_RESERVED_SECONDS = 3.0
+# Progress, in percent, from which a task without checkpoints stays.
+MAX_LOST_PERCENT = 25
 
 
 @dataclasses.dataclass(slots=True)
@@ -74,13 +81,45 @@
         left = (100 - kept) / 100 / pace
         return MOVE_COST_MS + left * self.run_ms
 
+    @property
+    def loses_much(self):
+        """Whether a move would discard much of its work."""
+        return (
+            not self.workload.checkpointable and self.done >= MAX_LOST_PERCENT
+        )
+
+    @property
+    def precedence(self):
+        """Its sort key: importance, then weight; the lowest goes first."""
+        return (-self.workload.importance, self.weight)
+
 
 class MoveHistory:
-    """Tracks the VMs that moved tasks must not return to yet."""
+    """Tracks the moves of tasks, and the VMs not to return to yet."""
 
     def __init__(self):
         # The time at which each avoidance ends is kept by (task, VM).
         self._ends = {}
+        # Number of moves of stalled tasks, by task.
+        self._counts = collections.Counter()
+
+    def record_stalled_move(self, task, vm, now):
+        """Record that a stalled task is moved away from a VM."""
+        self._counts[task] += 1
+        self.record_move(task, vm, now)
+
+    def may_move(self, task):
+        """Return whether a stalled task may move once more."""
+        return self._counts[task] < MAX_MOVES
+
+    def forget(self, live):
+        """Drop the number of moves of all tasks but the live ones.
+
+        :param live: ids of the workloads that may still run
+        """
+        for task in list(self._counts):
+            if ids.split_task_id(task) not in live:
+                del self._counts[task]
 
     def record_move(self, task, vm, now, seconds=AVOID_ORIGIN_SECONDS):
         """Record that a task is moved away from a VM.
@@ -138,12 +177,76 @@
     return found
 
 
-def choose_moves(stalled, views):
-    """Return the stalled tasks to move, as ``state`` tasks.
+def list_first(stalled, demands, views):
+    """Return the stalled tasks that get good VMs before waiting ones.
+
+    These are the tasks in uneven pools whose jobs rank before those of all
+    waiting filling tasks. Without any waiting, none needs to go before them.
+
+    :param stalled: list of :class:`StalledTask`
+    :param demands: list of ``backlog.Demand``
+    :param views: list of ``vmview.VmView``
+    :returns: list of :class:`StalledTask`, in the order of precedence
+    """
+    uneven = {view.vm.name for view in views if view.uneven}
+    if not uneven:
+        return []
+    waiting = [
+        (-demand.record.workload.importance, demand.weight)
+        for demand in demands
+        if demand.record.workload.fills
+    ]
+    if not waiting:
+        return []
+    limit = min(waiting)
+    first = [
+        entry
+        for entry in stalled
+        if entry.task.vm in uneven and entry.precedence < limit
+    ]
+    first.sort(key=lambda entry: entry.precedence)
+    return first
+
+
+class ReservedDestinations:
+    """Reserves the VMs of moves that go before waiting tasks.
+
+    A task is placed on its new VM only once it has been stopped. Without a
+    reservation, the next pass would give that VM to a waiting task.
+    """
+
+    def __init__(self):
+        # (:class:`StalledTask`, VM name, end of the reservation) by task.
+        self._rows = {}
+
+    def record(self, entry, vm, now):
+        """Reserve a VM for a task that is being stopped."""
+        end = now + MAX_RESERVED_SECONDS
+        self._rows[entry.task.id] = (entry, vm, end)
+
+    def apply(self, views, now):
+        """Add the tasks that are still being stopped to their new VMs."""
+        self._rows = {
+            name: row
+            for name, row in self._rows.items()
+            if row[0].task.state == data.TaskState.EVICTING and now < row[2]
+        }
+        if not self._rows:
+            return
+        by_name = {view.vm.name: view for view in views}
+        for entry, vm, _ in self._rows.values():
+            if vm in by_name:
+                by_name[vm].add_task(entry.workload, entry.weight)
+
+
+def choose_moves(stalled, views, limit=MAX_MOVES_PER_PASS):
+    """Return the stalled tasks to move, and their new VMs.
 
     :param stalled: list of :class:`StalledTask`
-    :param views: list of ``vmview.VmView`` after a pass; the chosen tasks are
+    :param views: list of ``vmview.VmView`` of a pass; the chosen tasks are
         added to them
+    :param limit: maximum number of moves
+    :returns: list of (:class:`StalledTask`, VM name)
     """
     chosen = []
     # Tasks of one workload have the same destinations, until a move changes
@@ -151,9 +254,9 @@
     destinations = {}
     idle = None
     for entry in stalled:
-        if len(chosen) >= MAX_MOVES_PER_PASS:
+        if len(chosen) >= limit:
             break
-        if not _is_worthwhile(entry, 1.0):
+        if entry.loses_much or not _is_worthwhile(entry, 1.0):
             continue
         name = ids.split_task_id(entry.task.id)
         if idle is None:
@@ -165,7 +268,7 @@
             destination.add_task(entry.workload, entry.weight)
             destinations.clear()
             idle = None
-            chosen.append(entry.task)
+            chosen.append((entry, destination.vm.name))
     return chosen
 
 
