--- a/packages/core/portwharf/core/data.py
+++ b/packages/core/portwharf/core/data.py
@@ -231,7 +231,7 @@
     :param rank: the rank of its queue; 0 has the highest precedence
     :param argument: passed to its tasks
     :param steps: a Workload for each step; ``after`` holds step numbers
-    :param objective_ms: completion objective, counted from acceptance
+    :param objective_ms: completion objective, counted from ``asked_ms``
     :param times: number of recurring runs; 0 for a single immediate run
     :param first_ms: wall time at which the first recurring run is due
     :param interval_ms: time between two recurring runs
@@ -239,6 +239,10 @@
         path to get the objective; 0 if only ``objective_ms``, which is
         derived from estimates, is known
     :param allowance_ms: added to the objective that ``stretch`` gives
+    :param asked_ms: wall time of its first submission, set by the owner if
+        earlier submissions were refused; 0 for the time of its acceptance
+    :param caller: address of the client that submitted it, or ''
+    :param zone: availability zone of the entry that took it, or ''
     """
 
     id: str = ''
@@ -252,6 +256,9 @@
     interval_ms: int = 0
     stretch: float = 0.0
     allowance_ms: int = 0
+    asked_ms: int = 0
+    caller: str = ''
+    zone: str = ''
 
 
 class JobState(enum.StrEnum):
@@ -318,6 +325,7 @@
     :param value: the invalid value as text, or ''
     :param text: what is wrong
     :param remedy: what the operator or caller can do
+    :param retry_after_ms: time after which a retry may help, 0 if none does
     """
 
     code: str = ''
@@ -325,6 +333,7 @@
     value: str = ''
     text: str = ''
     remedy: str = ''
+    retry_after_ms: int = 0
 
     def describe(self):
         """Return the problem as one line of readable text."""
--- a/packages/platform/portwharf/platform/job_api.py
+++ b/packages/platform/portwharf/platform/job_api.py
@@ -5,6 +5,7 @@
 import dataclasses
 import json
 import logging
+import math
 import re
 import threading
 
@@ -41,7 +42,9 @@
 PENDING_MAX_AGE_SECONDS = 0.8
 _JOB_ID = re.compile('[0-9a-fA-F]{16}')
 _SHARD = 0
+_TOO_MANY_REQUESTS = 429
 _STATUSES = {
+    owner_client.NO_ROOM: _TOO_MANY_REQUESTS,
     owner_client.NO_OWNER: 503,
     owner_client.NO_ANSWER: 504,
     owner_client.NOT_ACCEPTED: 503,
@@ -63,7 +66,7 @@
 class JobApi:
     """The WSGI application for the job calls of clients."""
 
-    def __init__(self, calls, keeper, clock, leaving):
+    def __init__(self, calls, keeper, clock, leaving, zone=''):
         """Set up the application.
 
         :param calls: ``owner_client.OwnerClient``
@@ -71,11 +74,13 @@
         :param leaving: a ``graceful_shutdown.GracefulShutdown``; after a
             stop request every response closes its connection, so that the
             client moves on
+        :param zone: availability zone of this entry
         """
         self._calls = calls
         self._keeper = keeper
         self._clock = clock
         self._shutdown = leaving
+        self._zone = zone
         self._lock = threading.Lock()
         self._pending_counts = {}
 
@@ -137,7 +142,12 @@
         parsed = decoding.parse_job(job_id, queue, value)
         if parsed.is_err():
             return _respond_error(respond, 400, parsed.err_value.describe())
-        submission = job_operations.JobSubmission(parsed.ok_value)
+        job = dataclasses.replace(
+            parsed.ok_value,
+            caller=environ.get('REMOTE_ADDR', ''),
+            zone=self._zone,
+        )
+        submission = job_operations.JobSubmission(job)
         started = self._clock.read_monotonic()
         seconds = _read_time_limit(environ)
         answer = self._call(
@@ -275,14 +285,19 @@
 def _respond_problem(respond, status, problems):
     """Respond to a call that has failed or has an unknown outcome."""
     text = problems[0].describe() if problems else 'no answer'
-    return _respond_error(respond, status, text)
+    is_short = status == _TOO_MANY_REQUESTS
+    retry_ms = problems[0].retry_after_ms if is_short else 0
+    retry_seconds = math.ceil(retry_ms / _MS_PER_SECOND)
+    return _respond_error(respond, status, text, retry_seconds)
 
 
-def _respond_error(respond, status, text):
+def _respond_error(respond, status, text, retry_seconds=0):
     """Respond with an error, and with when to retry if that may help."""
     headers = []
     if status in (503, 504):
-        headers.append(('Retry-After', str(RETRY_AFTER_SECONDS)))
+        retry_seconds = RETRY_AFTER_SECONDS
+    if retry_seconds > 0:
+        headers.append(('Retry-After', str(retry_seconds)))
 
     def respond_with_headers(status_line, answer_headers):
         return respond(status_line, answer_headers + headers)
--- a/packages/platform/portwharf/platform/programs.py
+++ b/packages/platform/portwharf/platform/programs.py
@@ -112,10 +112,16 @@
             )
         )
         calls = owner_client.OwnerClient(self._links, self._clock)
-        jobs = job_api.JobApi(calls, self._keeper, self._clock, self._shutdown)
+        vm = self._boot.vm
+        jobs = job_api.JobApi(
+            calls,
+            self._keeper,
+            self._clock,
+            self._shutdown,
+            vm.availability_zone,
+        )
         ready = job_api.ReadinessCheck(self._is_ready)
         pages = web.StatusPages(self._is_ready)
-        vm = self._boot.vm
         self._client_server = self._serve(
             self._boot.clients, jobs, CLIENT_THREADS
         )
--- a/packages/scheduler/portwharf/scheduler/decisions/forecast.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/forecast.py
@@ -203,7 +203,7 @@
         run_ms = [self._runtimes.predict(queue, step) for step in steps]
         chains = jobs.compute_path_ms(job.job.steps, run_ms)
         objective_ms = jobs.compute_objective_ms(job.job, max(chains))
-        begin_ms = steps[0].not_before_ms or job.unix_ms
+        begin_ms = steps[0].not_before_ms or job.asked_ms
         late_ms = begin_ms + jobs.LATE_FACTOR * objective_ms
         left = sum(
             (step.workload.count - step.succeeded)
--- a/packages/scheduler/portwharf/scheduler/operations.py
+++ b/packages/scheduler/portwharf/scheduler/operations.py
@@ -330,10 +330,13 @@
     return result.Ok(TaskList(tasks))
 
 
-def explain(state, query, waiting, now_ms):
+def explain(state, query, waiting, now_ms, find_refusal=None):
     """Return the decisions about a workload, a task or a refused submission.
 
     :param waiting: ``placement.UnplacedWorkload`` of waiting workloads, by id
+    :param find_refusal: function of a job's id that returns the
+        ``events.Decision`` by which the job was refused, or None; as
+        ``return_schedule.ReturnSchedule.explain``
     :returns: Ok(Explanation), or Err(Problem)
     """
     explanation = Explanation(query.id, decisions=state.history.find(query.id))
@@ -344,10 +347,13 @@
         record = state.find_workload(query.id)
         task = state.tasks.get(query.id)
         explanation.state = str(task.state if task else data.TaskState.WAITING)
-    elif explanation.decisions:
-        explanation.state = 'refused'
     else:
-        return result.Err(make_unknown_id(query.id))
+        refusal = find_refusal(query.id) if find_refusal else None
+        if refusal is not None:
+            explanation.decisions.append(refusal)
+        if not explanation.decisions:
+            return result.Err(make_unknown_id(query.id))
+        explanation.state = 'refused'
     wait = waiting.get(record.id) if record else None
     if wait is not None:
         explanation.decisions.append(placement.explain_wait(wait, now_ms))
--- a/packages/scheduler/portwharf/scheduler/state.py
+++ b/packages/scheduler/portwharf/scheduler/state.py
@@ -89,6 +89,14 @@
     cancelled: bool = False
     failed: bool = False
 
+    @property
+    def asked_ms(self):
+        """Wall time of its first submission, which may have been refused.
+
+        Its objective and late limit count from this time.
+        """
+        return self.job.asked_ms or self.unix_ms
+
 
 @dataclasses.dataclass(slots=True)
 class Snapshot:
