--- a/packages/platform/portwharf/platform/job_api_test.py
+++ b/packages/platform/portwharf/platform/job_api_test.py
@@ -83,7 +83,7 @@
     stop = graceful_shutdown.GracefulShutdown(now, 2.5, 4.5)
     if stopping:
         stop.request_stop()
-    app = job_api.JobApi(calls, keeper, now, stop)
+    app = job_api.JobApi(calls, keeper, now, stop, 'zone-1')
     keeper.update(5, json.dumps(CONFIG))
     return fixtures.WsgiPool(app), calls, now, keeper
 
@@ -152,6 +152,28 @@
         case.assertEqual(has_retry_after, status in (503, 504))
 
 
+def test_refusal_for_lack_of_room_says_when_to_retry(case):
+    pool, calls, _, _ = open_calls()
+    for retry_ms, seconds in ((0, None), (2000, '2'), (2001, '3')):
+        problem = data.Problem(owner_client.NO_ROOM, retry_after_ms=retry_ms)
+        calls.answers['submit-job'] = result.Err([problem])
+        answer = send(pool, 'POST', f'/a/{ID}', BODY)
+        case.assertEqual(answer.status, 429)
+        case.assertEqual(answer.headers.get('Retry-After'), seconds)
+
+
+def test_client_cannot_set_who_asked_and_when(case):
+    """Otherwise it could take other callers' shares or an older turn."""
+    pool, calls, _, _ = open_calls()
+    calls.answers['submit-job'] = result.Ok(operations.Accepted(ID, True))
+    pool.environ['REMOTE_ADDR'] = '10.0.0.9'
+    names = ('caller', 'zone', 'asked_ms', 'askedMs')
+    send(pool, 'POST', f'/a/{ID}', {**BODY, **dict.fromkeys(names, 7)})
+    job = calls.calls[0][1].job
+    found = (job.caller, job.zone, job.asked_ms)
+    case.assertEqual(found, ('10.0.0.9', 'zone-1', 0))
+
+
 def test_reason_is_logged_unless_a_call_succeeds(case):
     pool, calls, _, _ = open_calls()
     accepted = result.Ok(operations.Accepted(ID, True))
--- a/packages/scheduler/portwharf/scheduler/decisionlog_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisionlog_test.py
@@ -37,6 +37,13 @@
     case.assertEqual(logged, [('a.0.0', '3.1,5.2', 900)])
 
 
+def test_time_of_a_job_is_logged_since_its_acceptance(case):
+    record = state.JobRecord(5000, data.Job('a', asked_ms=1000))
+    with case.assertLogs(LOGGER) as watched:
+        decisionlog.log_job_end(record, data.JobState.COMPLETED, 7000)
+    case.assertEqual(watched.records[0].took_ms, 2000)
+
+
 def test_crashes_of_a_given_up_task_are_logged(case):
     task = state.TaskRecord('a.0.0.3', 3, attempt=3)
     task.crashes = [
--- a/packages/scheduler/portwharf/scheduler/decisions/forecast_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/forecast_test.py
@@ -157,6 +157,17 @@
     case.assertEqual(step_forecast.late_ms, NOW + 3 * 2000)
 
 
+def test_objective_counts_from_the_first_submission(case):
+    """A refused job that returns is as late as if it had been accepted."""
+    accepted = jobs_test.accept(asked_ms=NOW - 1500, caller='a', zone='b')
+    restored = state.ShardState.unpack(accepted.pack())
+    case.assertEqual(restored.jobs, accepted.jobs)
+    step_forecast = forecast.Forecast(restored).get_step_forecast(
+        restored.workloads[jobs_test.FIRST]
+    )
+    case.assertEqual(step_forecast.late_ms, NOW - 1500 + 3 * 2000)
+
+
 def test_runs_of_a_job_are_forecast_separately(case):
     shard_state = jobs_test.accept(
         jobs_test.make_step(2), times=2, first_ms=NOW, interval_ms=5000
--- a/packages/scheduler/portwharf/scheduler/decisions/return_schedule.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/return_schedule.py
@@ -80,46 +80,6 @@
     retry_after_ms: int = 0
 
 
-@dataclasses.dataclass(slots=True)
-class RefusedJob:
-    """A refused job; all times are monotonic, in seconds.
-
-    :param asked_at: time of its first submission
-    :param refused_at: time of its last refusal
-    :param refused_ms: wall time of its last refusal
-    :param due_at: begin of its slot; infinite without a slot
-    :param late_at: time after which it is of no use any more
-    :param useful: whether it was told to return
-    :param refusals: how often it was refused
-    """
-
-    id: str = ''
-    queue: str = ''
-    rank: int = 0
-    caller: str = ''
-    asked_at: float = 0.0
-    refused_at: float = 0.0
-    refused_ms: int = 0
-    due_at: float = math.inf
-    late_at: float = 0.0
-    useful: bool = False
-    refusals: int = 0
-    refusal: Refusal = None
-
-    @property
-    def work(self):
-        """Its work, in thousandths of a processor times ms."""
-        return self.refusal.work
-
-    def rank_wait(self, now):
-        """Return the sort key of who has waited longest for its chain.
-
-        Of jobs that have not waited yet, the shorter one goes first.
-        """
-        chain_ms = max(1.0, self.refusal.chain_ms)
-        return (self.asked_at - now) / chain_ms, chain_ms
-
-
 class ReturnSchedule:
     """The refused jobs of one owner and their slots; not thread-safe."""
 
@@ -135,7 +95,7 @@
         return len(self._entries)
 
     def find(self, job_id):
-        """Return the :class:`RefusedJob` of an id, or None."""
+        """Return the ``return_slots.RefusedJob`` of an id, or None."""
         self._expire()
         entry = self._entries.get(job_id)
         if entry is not None and self._read_now() > entry.late_at:
@@ -146,7 +106,8 @@
     def check(self, job_id, now_ms, is_short=True):
         """Return the refusal of an id that is not to be judged now, or None.
 
-        It is refused for the first 2 s after a refusal, as an older
+        A returned refusal has to be answered, as it is recorded. The id is
+        refused for the first 2 s after a refusal, as an older
         submission of it may be in progress. During a shortage it is also
         refused before its time, or if it was told that no retry helps. It
         keeps its slot.
@@ -229,9 +190,9 @@
         """Return the jobs whose turn has come or comes within a time.
 
         :param capacity: a capacity class
-        :returns: list of :class:`RefusedJob`: those that are due first, by
-            how long they have waited relative to their chains, and then the
-            others by their slots
+        :returns: list of ``return_slots.RefusedJob``: first those that are
+            due, by how long they have waited relative to their chains, and
+            then the others by their slots
         """
         self._expire()
         table = self._tables.get(capacity)
@@ -268,7 +229,7 @@
         else:
             advice = f'submit it again in {math.ceil(left_seconds)} s'
         detail = [entry.refusal.detail] if entry.refusal.detail else []
-        detail.append(f'refused {entry.refusals} times')
+        detail.append(f'refusals so far: {entry.refusals}')
         if entry.due_at < math.inf:
             table = self._tables[entry.refusal.capacity]
             before = len(table.list_until(entry.due_at)) - 1
@@ -298,7 +259,7 @@
         late_at = asked_at + limit_seconds
         if refusal.is_permanent:
             late_at = now + MIN_DELAY_SECONDS
-        entry = RefusedJob(
+        entry = return_slots.RefusedJob(
             job.id,
             job.queue,
             job.rank,
--- a/packages/scheduler/portwharf/scheduler/decisions/return_slots.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/return_slots.py
@@ -1,11 +1,53 @@
 # Copyright the portwharf authors.
 # SPDX-License-Identifier: Apache-2.0
-"""Slots and callers of refused jobs, for ``return_schedule``."""
+"""Refused jobs, their slots and callers, for ``return_schedule``."""
 
 import bisect
+import dataclasses
 import math
 
 
+@dataclasses.dataclass(slots=True)
+class RefusedJob:
+    """A refused job; all times are monotonic, in seconds.
+
+    :param asked_at: time of its first submission
+    :param refused_at: time of its last refusal
+    :param refused_ms: wall time of its last refusal
+    :param due_at: begin of its slot; infinite without a slot
+    :param late_at: time after which it is of no use any more
+    :param useful: whether it was told to return
+    :param refusals: how often it was refused
+    :param refusal: the last ``return_schedule.Refusal``
+    """
+
+    id: str = ''
+    queue: str = ''
+    rank: int = 0
+    caller: str = ''
+    asked_at: float = 0.0
+    refused_at: float = 0.0
+    refused_ms: int = 0
+    due_at: float = math.inf
+    late_at: float = 0.0
+    useful: bool = False
+    refusals: int = 0
+    refusal: object = None
+
+    @property
+    def work(self):
+        """Its work, in thousandths of a processor times ms."""
+        return self.refusal.work
+
+    def rank_wait(self, now):
+        """Return the sort key of who has waited longest for its chain.
+
+        Of jobs that have not waited yet, the shorter one goes first.
+        """
+        chain_ms = max(1.0, self.refusal.chain_ms)
+        return (self.asked_at - now) / chain_ms, chain_ms
+
+
 class SlotTable:
     """The slots of one capacity class, which do not overlap."""
 
@@ -48,7 +90,7 @@
         self._by_count = [{} for _ in range(max_jobs + 1)]
 
     def add(self, entry):
-        """Add a ``return_schedule.RefusedJob``."""
+        """Add a :class:`RefusedJob`."""
         entries = self._by_caller.setdefault(entry.caller, {})
         self._by_count[len(entries)].pop(entry.caller, None)
         entries[entry.id] = entry
--- a/packages/scheduler/portwharf/scheduler/operations_test.py
+++ b/packages/scheduler/portwharf/scheduler/operations_test.py
@@ -133,6 +133,18 @@
         case.assertEqual(len(listed.workloads), count)
 
 
+def test_refused_job_is_explained(case):
+    made = state.ShardState()
+    refusals = {'a': events.Decision(5, 'cannot-end-in-time', 'a')}
+    query = operations.Query('a')
+    found = operations.explain(made, query, {}, 9, refusals.get).ok_value
+    case.assertEqual(found.state, 'refused')
+    case.assertEqual(found.decisions, [refusals['a']])
+    other = operations.Query('b')
+    outcome = operations.explain(made, other, {}, 9, refusals.get)
+    case.assertEqual(outcome.err_value.code, 'unknown-id')
+
+
 def test_explain_includes_why_a_job_waits(case):
     made = state.ShardState()
     job = accept(made)
