--- a/packages/testing/portwharf/testing/overload_day.py
+++ b/packages/testing/portwharf/testing/overload_day.py
@@ -3,12 +3,12 @@
 """Simulates days with more batch work than capacity.
 
 The production code orders, places, moves and paces tasks; VMs, run times and
-clients are simulated on a virtual clock without a network. Servers on
-the VMs tolerate a limited press, the slowdown by filling tasks beside them
-(see ``decisions.tail_interference``). Wide jobs of filling tasks
-arrive faster than they can be completed, beside small jobs that take
-precedence. Clients' estimates of run times are inaccurate. The result is the
-worth of the jobs whose last task ended within their objective.
+clients are simulated on a virtual clock without a network. Servers on the VMs
+tolerate a limited press, the slowdown by filling tasks beside them (see
+``decisions.tail_interference``). Wide jobs of filling tasks arrive faster than
+they can be completed, beside small jobs that take precedence. Clients'
+estimates of run times are inaccurate. The result is the worth of the jobs
+whose last task ended within their objective.
 
 ``python -m portwharf.testing.overload_day`` prints results over some seeds.
 """
@@ -31,7 +31,6 @@
 from portwharf.scheduler.decisions import uneven_pools
 from portwharf.scheduler.decisions import vmview
 from portwharf.scheduler import events
-from portwharf.scheduler import jobs
 from portwharf.scheduler import reconcile
 from portwharf.scheduler import state
 from portwharf.testing import overload_load
@@ -100,6 +99,7 @@
     pace: float = 1.0
     ends_at: float = 0.0
     stopping: bool = False
+    checkpointable: bool = True
 
 
 class _Link:
@@ -208,7 +208,7 @@
     def _submit_jobs(self):
         for submitted in self._clients.submit_jobs(self.now, STEP_SECONDS):
             self._submitted[submitted.job.id] = submitted
-            if isinstance(self.run_times, Oracle):
+            if isinstance(self.run_times, overload_load.Oracle):
                 self.run_times.seconds[submitted.job.id] = submitted.seconds
             event = events.JobAccepted(self._now_ms, submitted.job)
             self._state.apply(event)
@@ -258,7 +258,9 @@
             if self.now < run.idle_until:
                 continue
             run.worked += run.pace * STEP_SECONDS
-            run.saved = run.worked - run.worked % CHECKPOINT_INTERVAL_SECONDS
+            if run.checkpointable:
+                interval = CHECKPOINT_INTERVAL_SECONDS
+                run.saved = run.worked - run.worked % interval
             if run.worked >= run.needs:
                 self._end_run(run)
 
@@ -367,6 +369,7 @@
             min(saved, needs),
             saved,
             self.now + delay_seconds,
+            checkpointable=record.workload.checkpointable,
         )
         self._placed_at[(placement.task, placement.attempt)] = self.now
 
@@ -452,26 +455,10 @@
         return tallies
 
 
-class Oracle(forecast.RunTimeModel):
-    """Predicts the true run times, as an upper limit of any learning."""
-
-    def __init__(self):
-        super().__init__()
-        self.seconds = {}
-
-    def record_run_time(self, queue, record, run_ms):
-        """Ignore a run time; the true ones are known."""
-
-    def predict(self, queue, record):
-        """Return the true run time of a step's task, in ms."""
-        job_id, _, number = jobs.split_step_id(record.id)
-        return int(1000 * self.seconds[job_id][number])
-
-
 PREDICTORS = {
     'estimates': forecast.ClientEstimates,
     'learnt': forecast.RunTimeModel,
-    'oracle': Oracle,
+    'oracle': overload_load.Oracle,
 }
 
 
--- a/packages/testing/portwharf/testing/overload_load.py
+++ b/packages/testing/portwharf/testing/overload_load.py
@@ -13,6 +13,8 @@
 import random
 
 from portwharf.core import data
+from portwharf.scheduler.decisions import forecast
+from portwharf.scheduler import jobs
 
 WIDE, SMALL = 'plans', 'checks'
 # Small jobs a second.
@@ -37,11 +39,13 @@
     :param cpu_milli: processors that a task asks for, in thousandths
     :param median_count: logarithm of the median number of tasks of a step
     :param median_seconds: logarithm of the median run time, in seconds
+    :param checkpoint_share: share of the steps whose tasks have checkpoints
     """
 
     cpu_milli: int
     median_count: float
     median_seconds: float
+    checkpoint_share: float = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -114,6 +118,22 @@
         self.earned += other.earned
 
 
+class Oracle(forecast.RunTimeModel):
+    """Predicts the true run times, as an upper limit of any learning."""
+
+    def __init__(self):
+        super().__init__()
+        self.seconds = {}
+
+    def record_run_time(self, queue, record, run_ms):
+        """Ignore a run time; the true ones are known."""
+
+    def predict(self, queue, record):
+        """Return the true run time of a step's task, in ms."""
+        job_id, _, number = jobs.split_step_id(record.id)
+        return int(1000 * self.seconds[job_id][number])
+
+
 class Clients:
     """Submits jobs at random times."""
 
@@ -196,6 +216,8 @@
         error = 1 + self._random.uniform(
             -self._estimates_off, self._estimates_off
         )
+        share = self._shape.checkpoint_share
+        has_checkpoints = share >= 1 or self._random.random() < share
         return data.Workload(
             count=count,
             resources=data.Resources(milli, 2 * milli),
@@ -203,7 +225,7 @@
             fills=bool(image),
             image=image,
             program=image,
-            checkpointable=bool(image),
+            checkpointable=bool(image) and has_checkpoints,
             after=[str(number - 1)] if number else [],
             max_failures=MAX_FAILURES,
         )
--- a/packages/testing/portwharf/testing/uneven_site.py
+++ b/packages/testing/portwharf/testing/uneven_site.py
@@ -18,7 +18,7 @@
 UNEVEN_VMS = overload_day.Site(
     data.Resources(64_000, 250_000),
     data.Resources(36_000, 80_000),
-    overload_load.WideShape(7000, 2.4, 1.0),
+    overload_load.WideShape(7000, 2.4, 1.0, checkpoint_share=0.85),
     overload_servers.UnevenServers,
 )
 # Wide jobs a second at which the site has two to three times the work that it
