--- a/packages/scheduler/portwharf/scheduler/decisions/placement.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/placement.py
@@ -239,6 +239,7 @@
         workload.pool,
         workload.label,
         demand.is_selective,
+        demand.min_pace,
         demand.is_starving,
     )
 
--- a/packages/scheduler/portwharf/scheduler/decisions/task_moves_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/task_moves_test.py
@@ -192,6 +192,29 @@
     case.assertEqual(list_first(10.0, waiting, uneven=False), [])
 
 
+def test_vm_of_a_move_is_reserved_while_the_task_is_being_stopped(case):
+    """Each pass until then would give it to a waiting task again."""
+    shard_state = make_state()
+    link = Link('vm-1', View([messages.PacedTask(TASK, 1, 3, 0)]))
+    (entry,) = task_moves.find_stalled_tasks(
+        shard_state, [link], lambda _: 0.0, 10.0
+    )
+    reserved = task_moves.ReservedDestinations()
+
+    def count(now):
+        view = make_view()
+        reserved.apply([view], now)
+        return len(view.fillings)
+
+    shard_state.apply(events.TaskEvicting(TASK, 1))
+    reserved.record(entry, 'vm-2', 10.0)
+    case.assertEqual(count(10.1), 1)
+    case.assertEqual(count(10.0 + task_moves.MAX_RESERVED_SECONDS), 0)
+    reserved.record(entry, 'vm-2', 20.0)
+    shard_state.apply(events.TaskRequeued(TASK, 1))
+    case.assertEqual(count(20.1), 0)
+
+
 def find_two_stalled_tasks():
     """Return two stalled tasks of one step, on vm-1."""
     step = data.Workload(count=2, resources=SIZE, fills=True, image='plan')
--- a/packages/scheduler/portwharf/scheduler/decisions/uneven_pools_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/uneven_pools_test.py
@@ -3,10 +3,12 @@
 """When a pool counts as uneven, and what waits for a good pace."""
 
 import collections
+from unittest import mock
 
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.scheduler.decisions import backlog
+from portwharf.scheduler.decisions import placement
 from portwharf.scheduler.decisions import tail_interference
 from portwharf.scheduler.decisions import uneven_pools
 from portwharf.scheduler.decisions import vmview
@@ -138,3 +140,20 @@
     uneven_pools.require_pace(demands, views)
     expected = [uneven_pools.GOOD_PACE] * 2 + [backlog.MIN_PACE] * 3
     case.assertEqual([one.min_pace for one in demands], expected)
+
+
+def test_workload_without_a_job_is_placed_after_a_step_that_waits(case):
+    """Both are of one shape, but only the step waits for a better VM."""
+    views = make_views(0.0, pool='a')
+    views[0].headrooms = {'desk': FULL / 2}
+    demands = [make_demand(resources=data.Resources(1600, 100))]
+    demands.append(
+        make_demand(job='', resources=data.Resources(1600, 100), urgent=False)
+    )
+    demands[0].min_pace = uneven_pools.GOOD_PACE
+    quotas = backlog.Quotas({}, {})
+    with mock.patch.object(
+        backlog, 'order_demands', autospec=True, return_value=demands
+    ):
+        done = placement.place_demands(demands, views, quotas, 1)
+    case.assertEqual(len(done.placements), 1)
--- a/packages/testing/portwharf/testing/uneven_site.py
+++ b/packages/testing/portwharf/testing/uneven_site.py
@@ -23,7 +23,7 @@
 )
 # Wide jobs a second at which the site has two to three times the work that it
 # can do in time.
-LOADS = (2.2, 3.0)
+LOADS = (1.5, 2.2)
 
 
 def simulate(seeds, load, with_part=True, site=UNEVEN_VMS):
