--- a/packages/core/portwharf/core/data.py
+++ b/packages/core/portwharf/core/data.py
@@ -318,6 +318,8 @@
     :param value: the invalid value as text, or ''
     :param text: what is wrong
     :param remedy: what the operator or caller can do
+    :param retry_after_ms: after how long a retry may help; 0 if it does not
+        help or if the time is not known
     """
 
     code: str = ''
@@ -325,6 +327,7 @@
     value: str = ''
     text: str = ''
     remedy: str = ''
+    retry_after_ms: int = 0
 
     def describe(self):
         """Return the problem as one line of readable text."""
--- a/packages/core/portwharf/core/logs.py
+++ b/packages/core/portwharf/core/logs.py
@@ -63,6 +63,10 @@
     'tail_percent',
     'worked_ms',
     'limit_ms',
+    'ahead_cpu_ms',
+    'rate_milli',
+    'end_in_ms',
+    'retry_ms',
 )
 _TEXT_FORMAT = '%(asctime)s %(levelname)s %(name)s: %(message)s'
 _JSON_FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
--- a/packages/entry/portwharf/entry/owner_client.py
+++ b/packages/entry/portwharf/entry/owner_client.py
@@ -23,6 +23,7 @@
 _MS_PER_SECOND = 1000
 
 NOT_ACCEPTED = 'not-accepted'
+NO_ROOM = 'no-room'
 OUTCOME_UNKNOWN = 'outcome-unknown'
 UNKNOWN_ID = 'unknown-id'
 # Codes of problems that an entry finds, where the others come from an owner.
@@ -128,10 +129,12 @@
 def _resolve_refusal(problems, shard, maybe_received):
     """Return the problems of a call that the owner refused.
 
-    If an earlier attempt got no answer, "not accepted" turns into "no answer":
-    this attempt changed nothing, but the earlier one may have.
+    If an earlier attempt got no answer, "not accepted" and "no room" turn into
+    "no answer": this attempt changed nothing, but the earlier one may have.
     """
-    refused = any(problem.code == NOT_ACCEPTED for problem in problems)
+    refused = any(
+        problem.code in (NOT_ACCEPTED, NO_ROOM) for problem in problems
+    )
     if maybe_received and refused:
         return [_make_unserved_problem(shard, True)]
     return problems
--- a/packages/scheduler/portwharf/scheduler/batches.py
+++ b/packages/scheduler/portwharf/scheduler/batches.py
@@ -55,10 +55,12 @@
 
     ``events`` holds the events that are not logged yet, ``before_commit`` and
     ``after_commit`` the functions to call before and after they are logged.
+    ``refusals`` holds the ``events.Decision`` of each job that was refused.
     """
 
     def __init__(self):
         self.events = []
+        self.refusals = []
         self.before_commit = []
         self.after_commit = []
 
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -9,6 +9,8 @@
 
 import logging
 
+import result
+
 from portwharf.core import data
 from portwharf.core import ids
 from portwharf.core import logs
@@ -20,9 +22,11 @@
 from portwharf.scheduler.decisions import forecast
 from portwharf.scheduler.decisions import gangs
 from portwharf.scheduler.decisions import hung_tasks
+from portwharf.scheduler.decisions import job_admission
 from portwharf.scheduler.decisions import pass_inputs
 from portwharf.scheduler.decisions import precedence
 from portwharf.scheduler.decisions import service_protection
+from portwharf.scheduler.decisions import shard_load
 from portwharf.scheduler.decisions import task_moves
 from portwharf.scheduler import events
 from portwharf.scheduler import job_operations
@@ -74,6 +78,10 @@
             state, began
         )
         self.runtimes = forecast.RunTimeModel()
+        self.load = shard_load.LoadTracker(began)
+        self.admission = job_admission.JobAdmission(
+            state, self.runtimes, self.load, began
+        )
         self.preparation = prepared_starts.PreparedStarts(state)
         self.rosters = rosters.RosterKeeper(state)
         self._claims = claim_updates.ClaimNotifier(state)
@@ -107,7 +115,7 @@
             None only triggers the pass
         :returns: a ``batches.Batch``
         """
-        batch = self.process_items(items)
+        batch = self._process_items(items)
         self._crashloops.resolve_suspects(
             batch, self._apply_event, self._handle_task_end
         )
@@ -124,6 +132,7 @@
         self._drop_expired(batch)
         if views is not None:
             self._update_roster(views, batch)
+        self._confirm_refusals(batch)
         self._timer.mark('finish')
         return batch
 
@@ -133,8 +142,14 @@
         :param items: as for :meth:`decide`, which must follow
         :returns: a ``batches.Batch``
         """
+        batch = self._process_items(items)
+        self._confirm_refusals(batch)
+        return batch
+
+    def _process_items(self, items):
         batch = batches.Batch()
         self._views = None
+        self.admission.start_pass(self._env.clock.read_monotonic())
         dropped = 0
         for item in items:
             if isinstance(item, batches.ReportsItem):
@@ -336,10 +351,7 @@
                 now_ms,
             )
         elif item.method == 'submit-job':
-            outcome = job_operations.submit_job(
-                self._state, item.arguments, now_ms
-            )
-            decisionlog.log_submission(outcome, item.arguments.job)
+            outcome = self._submit_job(item.arguments, now_ms, batch)
         elif item.method == 'cancel-job':
             job_id = item.arguments.id
             outcome = job_operations.cancel_job(self._state, job_id)
@@ -358,6 +370,37 @@
         batch.answer(item.fut, outcome.ok_value.answer)
         return True
 
+    def _submit_job(self, call, now_ms, batch):
+        """Accept or refuse a job; one that is in the log stays accepted.
+
+        :returns: Ok(CallOutcome), or Err(Problem)
+        """
+        job = call.job
+        if job_operations.needs_admission(self._state, job):
+            verdict, problem = self.admission.decide(job, now_ms)
+            if problem is not None:
+                metrics.REFUSED_JOBS.labels(verdict.reason).inc()
+                retry_ms = problem.retry_after_ms
+                decisionlog.log_refusal(job, verdict, now_ms, retry_ms)
+                batch.refusals.append(
+                    job_operations.explain_refusal(job, problem, now_ms)
+                )
+                return result.Err(problem)
+        outcome = job_operations.submit_job(self._state, call, now_ms)
+        decisionlog.log_submission(outcome, job)
+        if outcome.is_ok() and outcome.ok_value.answer.created:
+            self.admission.record_accepted(job, now_ms)
+        return outcome
+
+    def _confirm_refusals(self, batch):
+        """Have the batch appended if it refuses jobs.
+
+        Only an append proves that no other owner may have accepted them.
+        """
+        if batch.refusals and not batch.events:
+            event = events.DecisionMade(batch.refusals[-1])
+            self._apply_event(batch, event)
+
     def _update_members(self, batch):
         """Add or remove one member if the VM list has changed."""
         event = self._members.pop_member_change(
@@ -488,6 +531,8 @@
         self.waiting = {one.record.id: one for one in done.waiting}
         self._patience.record_waits(self.waiting, now)
         self._wait_log.update(self.waiting, now)
+        metrics.set_class_loads(self.load.list_loads(now))
+        self.load.update(self._state, views, self.waiting, weigher, now)
         decisionlog.log_placements(done.placements)
         for placed in done.placements:
             event = events.TaskPlaced(placed.task, placed.attempt, placed.vm)
--- a/packages/scheduler/portwharf/scheduler/decisionlog.py
+++ b/packages/scheduler/portwharf/scheduler/decisionlog.py
@@ -46,6 +46,26 @@
         LOG.info('job accepted', extra=extra)
 
 
+def log_refusal(job, verdict, now_ms, retry_ms):
+    """Log that a job was not admitted.
+
+    :param job: the ``data.Job`` that was submitted
+    :param verdict: the ``job_admission.Verdict``
+    :param retry_ms: after how long a retry may help, 0 if it does not
+    """
+    end_in_ms = int(verdict.end_ms - now_ms) if verdict.end_ms else None
+    extra = logs.fields(
+        request=job.id,
+        queue=job.queue,
+        reason=verdict.reason,
+        ahead_cpu_ms=int(verdict.ahead / 1000),
+        rate_milli=int(verdict.rate),
+        end_in_ms=end_in_ms,
+        retry_ms=retry_ms,
+    )
+    LOG.info('job refused', extra=extra)
+
+
 def log_cancellation(outcome, job_id):
     """Log a job's cancellation, the first time that it is executed.
 
--- a/packages/scheduler/portwharf/scheduler/decisions/backlog.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/backlog.py
@@ -223,6 +223,20 @@
     return sorted(demands, key=lambda demand: _rank(demand, now_ms))
 
 
+def find_late_start_ms(step_forecast):
+    """Return the wall time from which a step counts as late."""
+    tolerance_ms = _ESTIMATE_TOLERANCE * step_forecast.run_ms
+    return step_forecast.begin_ms + tolerance_ms
+
+
+def rank_lateness(step_forecast, now_ms):
+    """Return 0 for a step in time, 1 for a late one, 2 for a deferred one."""
+    overdue_ms = now_ms - step_forecast.late_ms
+    if 0 < overdue_ms < _LATE_DEFERRAL_MS:
+        return 2
+    return int(now_ms > find_late_start_ms(step_forecast))
+
+
 def get_interference_kind(workload):
     """Return the key by which a batch workload's interference is learnt."""
     return f'{workload.team}/{workload.program}'
@@ -244,22 +258,13 @@
         True,
         -workload.importance,
         not is_standing,
-        0 if is_standing else _rank_lateness(demand.step_forecast, now_ms),
+        0 if is_standing else rank_lateness(demand.step_forecast, now_ms),
         demand.step_forecast.left,
         demand.step_forecast.begin_ms,
         record.id,
     )
 
 
-def _rank_lateness(step_forecast, now_ms):
-    """Return 0 for a step in time, 1 for a late one, 2 for a deferred one."""
-    overdue_ms = now_ms - step_forecast.late_ms
-    if 0 < overdue_ms < _LATE_DEFERRAL_MS:
-        return 2
-    tolerance_ms = _ESTIMATE_TOLERANCE * step_forecast.run_ms
-    return int(now_ms > step_forecast.begin_ms + tolerance_ms)
-
-
 def _rank(demand, now_ms):
     """Return a demand's sort key; the lowest is served first."""
     record = demand.record
--- a/packages/scheduler/portwharf/scheduler/decisions/forecast.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/forecast.py
@@ -128,6 +128,16 @@
         estimate_ms = record.workload.run_ms
         return model.predict(estimate_ms) if model else estimate_ms
 
+    def get_usual_ms(self, queue):
+        """Return the usual run time of a queue's tasks, in ms.
+
+        :returns: None if too few steps of the queue were measured
+        """
+        model = self._queues.get(queue)
+        if model is None or model.times.count < MIN_MEASUREMENTS:
+            return None
+        return math.exp(model.times.mean)
+
     def get_measured_ms(self, workload):
         """Return the median measured run time of a step's tasks, in ms.
 
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/decisions/shard_load.py
@@ -0,0 +1,318 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Tells which capacity of a shard is short, and what work waits for it.
+
+Capacity is divided into classes: the processors of a pool's VMs that filling
+tasks use, and those that the other batch tasks of jobs reserve. A class is
+short once every pass of a second has left tasks without a VM for lack of
+capacity, or has found the filling tasks at less than half of their pace.
+
+Without a shortage only sums over VMs are computed. Rates are measured while a
+class lacks capacity, and the backlog is listed when it is first asked for.
+All of it is in the owner's memory; a new owner measures anew.
+"""
+
+import collections
+import dataclasses
+import math
+
+from portwharf.core import data
+from portwharf.scheduler.decisions import class_backlog
+from portwharf.scheduler.decisions import vm_choice
+
+# A new owner knows the rate, and calls a class short, after this time.
+MIN_OWNER_SECONDS = 2.0
+# Time for which all passes must have found a class without enough capacity.
+# Placement alone takes several passes to use free VMs after a burst.
+MIN_SHORT_SECONDS = 1.0
+# Time over which rates are smoothed.
+SMOOTHING_SECONDS = 2.0
+# What passes have found is not used for longer, as it may have changed.
+MAX_AGE_SECONDS = 2.0
+# Filling tasks that work at less than this share of what they request are
+# short of processors.
+MIN_FILLING_SHARE = 0.5
+# Least interval of the measurements of rates, which read all placed tasks.
+_RATE_INTERVAL_SECONDS = 0.25
+# Reasons against a VM that mean that it lacks capacity for a task.
+_CAPACITY_REASONS = frozenset(
+    (
+        'processors',
+        'memory',
+        'accelerators',
+        vm_choice.REFUSED_SLOWS_SERVICE,
+    )
+)
+# Reasons that lie in the task: the VM may have the capacity for it.
+_TASK_REASONS = frozenset(
+    (
+        'failed-there-lately',
+        'was-moved-away-from-there',
+        'enough-of-them-there',
+        vm_choice.REFUSED_POLICY,
+        vm_choice.REFUSED_SUSPECT,
+    )
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CapacityClass:
+    """A part of a shard's processors that some steps of jobs share.
+
+    :param pool: the pool of VMs, '' for all VMs
+    :param fills: the processors are those that filling tasks use
+    """
+
+    pool: str = ''
+    fills: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class ClassLoad:
+    """The load of a capacity class, for reports.
+
+    :param rate: thousandths of processors at work
+    :param left: the backlog, in thousandths of a processor times ms; None if
+        it was not needed in this pass
+    """
+
+    capacity_class: CapacityClass = CapacityClass()
+    rate: float = 0.0
+    is_short: bool = False
+    left: float = None
+
+
+class LoadTracker:
+    """The load of a shard's capacity classes; not thread-safe.
+
+    :ivar views: list of ``vmview.VmView`` as the last pass has left them
+    """
+
+    def __init__(self, began):
+        """Take when the owner began, on its monotonic clock in seconds."""
+        self._began = began
+        self.views = []
+        self._weigher = None
+        self._updated_at = None
+        self._short_since = {}
+        self._measured_at = None
+        # Smoothed and latest rates by class, while a class lacks capacity.
+        self._rates = {}
+        self._latest = {}
+        self._backlogs = None
+
+    def update(self, state, views, waiting, weigher, now):
+        """Record the result of a placement pass.
+
+        :param state: the ``state.ShardState``
+        :param views: list of ``vmview.VmView`` as the pass has left them
+        :param waiting: ``placement.UnplacedWorkload`` by workload id
+        :param weigher: the ``precedence.Weigher`` of the pass
+        :param now: on the owner's monotonic clock, in seconds
+        """
+        if not self.is_current(now):
+            self._short_since = {}
+            self._clear_rates()
+        self.views = views
+        self._weigher = weigher
+        self._updated_at = now
+        self._backlogs = None
+        filling, lacking = _sum_filling(views)
+        lacking.update(filter(None, map(_find_lacking, waiting.values())))
+        self._short_since = {
+            one: self._short_since.get(one, now) for one in lacking
+        }
+        if not lacking:
+            self._clear_rates()
+        elif (
+            self._measured_at is None
+            or now - self._measured_at >= _RATE_INTERVAL_SECONDS
+        ):
+            self._record_rates(_sum_reserved(state, views) | filling, now)
+
+    def forget_backlog(self):
+        """Drop the backlog, as the state may have changed."""
+        self._backlogs = None
+
+    def is_current(self, now):
+        """Return whether a pass was made lately."""
+        return (
+            self._updated_at is not None
+            and now - self._updated_at <= MAX_AGE_SECONDS
+        )
+
+    def is_short(self, capacity_class, now):
+        """Return whether a class is known to lack capacity."""
+        since = self._short_since.get(capacity_class)
+        return (
+            since is not None
+            and self.is_current(now)
+            and self._updated_at - since >= MIN_SHORT_SECONDS
+            and now - self._began >= MIN_OWNER_SECONDS
+        )
+
+    def get_rate(self, capacity_class):
+        """Return the thousandths of processors at work for a short class.
+
+        This is the larger of the smoothed and the latest rate: a rate that
+        rises must not lead to refusals.
+        """
+        return max(
+            self._rates.get(capacity_class, 0.0),
+            self._latest.get(capacity_class, 0.0),
+        )
+
+    def get_backlog(self, capacity_class, state, now_ms, is_owed=None):
+        """Return the ``class_backlog.ClassBacklog`` of a class.
+
+        :param is_owed: function of a ``state.WorkloadRecord`` that tells
+            whether its job is promoted during a shortage, or None
+        """
+        if self._backlogs is None:
+            self._backlogs = self._list_backlogs(state, now_ms, is_owed)
+        empty = class_backlog.ClassBacklog([])
+        return self._backlogs.setdefault(capacity_class, empty)
+
+    def add_step(self, workload, step):
+        """Add a step of a job that was accepted after the last pass.
+
+        :param step: a ``class_backlog.StepLoad``
+        """
+        for one in list_classes(workload.pool, workload.fills):
+            if self._backlogs is not None:
+                empty = class_backlog.ClassBacklog([])
+                self._backlogs.setdefault(one, empty).add(step)
+
+    def list_loads(self, now):
+        """Return the :class:`ClassLoad` of each class that lacks capacity."""
+        backlogs = self._backlogs or {}
+        return [
+            ClassLoad(
+                one,
+                self.get_rate(one),
+                self.is_short(one, now),
+                backlogs[one].left if one in backlogs else None,
+            )
+            for one in self._short_since
+        ]
+
+    def _list_backlogs(self, state, now_ms, is_owed):
+        """Return the ``class_backlog.ClassBacklog`` values by class."""
+        steps = collections.defaultdict(list)
+        for record in state.unended.values():
+            workload = record.workload
+            count = workload.count - record.succeeded
+            if (
+                not workload.job
+                or workload.kind != data.Kind.BATCH
+                or record.cancelled
+                or record.not_before_ms > now_ms
+                or count <= 0
+            ):
+                continue
+            found = self._weigher.get_step_forecast(record)
+            promoted = is_owed is not None and is_owed(record)
+            step = class_backlog.StepLoad(
+                class_backlog.make_order_key(
+                    workload, found, now_ms, promoted
+                ),
+                count * workload.resources.cpu_milli * found.run_ms,
+                found.late_ms,
+                workload.job,
+            )
+            for one in list_classes(workload.pool, workload.fills):
+                steps[one].append(step)
+        return {
+            one: class_backlog.ClassBacklog(rows)
+            for one, rows in steps.items()
+        }
+
+    def _record_rates(self, latest, now):
+        """Smooth newly measured rates."""
+        since = self._measured_at
+        self._measured_at = now
+        share = 1.0
+        if since is not None:
+            share = 1 - math.exp((since - now) / SMOOTHING_SECONDS)
+        for one in set(self._rates) | set(latest):
+            value = latest.get(one, 0.0)
+            # A class is smoothed from its first measurement on.
+            last = self._rates.get(one, value)
+            self._rates[one] = last + share * (value - last)
+        self._latest = latest
+
+    def _clear_rates(self):
+        self._rates = {}
+        self._latest = {}
+        self._measured_at = None
+
+
+def list_classes(pool, fills):
+    """Return the classes that a pool's processors belong to.
+
+    A step without a pool may run on all VMs, so that the work of all pools
+    counts in its class.
+    """
+    classes = [CapacityClass('', fills)]
+    if pool:
+        classes.append(CapacityClass(pool, fills))
+    return classes
+
+
+def _find_lacking(waiting):
+    """Return the class that an unplaced step lacks capacity of, or None."""
+    workload = waiting.record.workload
+    if not workload.job or waiting.choice is None:
+        return None
+    reasons = waiting.choice.refusals.keys()
+    if not reasons & _CAPACITY_REASONS or reasons & _TASK_REASONS:
+        return None
+    return CapacityClass(workload.pool, workload.fills)
+
+
+def _sum_filling(views):
+    """Return what filling tasks get, and the classes in which it is too low.
+
+    :returns: map of class to thousandths of processors, and a set of classes
+    """
+    used = collections.Counter()
+    asked = collections.Counter()
+    for view in views:
+        if not view.filling_milli:
+            continue
+        milli = sum(task.share for task in view.fillings)
+        # Tasks that their side does not throttle share the processors.
+        free_milli = view.capacity.cpu_milli + view.filling_milli
+        free_milli -= view.busy_milli
+        milli = min(milli * view.capacity.cpu_milli, max(0, free_milli))
+        for one in list_classes(view.pool, True):
+            used[one] += milli
+            asked[one] += view.filling_milli
+    low = {
+        one
+        for one, milli in asked.items()
+        if used[one] < MIN_FILLING_SHARE * milli
+    }
+    return dict(used), low
+
+
+def _sum_reserved(state, views):
+    """Return the processors of jobs' batch tasks that do not fill, by class.
+
+    :returns: map of class to thousandths of processors
+    """
+    used = collections.Counter()
+    for view in views:
+        milli = 0
+        for task in state.held[view.vm.name].values():
+            workload = state.find_workload(task.id).workload
+            if (
+                workload.job
+                and workload.kind == data.Kind.BATCH
+                and not workload.fills
+            ):
+                milli += workload.resources.cpu_milli
+        if milli:
+            for one in list_classes(view.pool, False):
+                used[one] += milli
+    return dict(used)
--- a/packages/scheduler/portwharf/scheduler/job_operations.py
+++ b/packages/scheduler/portwharf/scheduler/job_operations.py
@@ -41,6 +41,33 @@
     count: int = 0
 
 
+def needs_admission(state, job):
+    """Return whether a submission may be refused for want of capacity.
+
+    One that is in the log is accepted already. One whose cancellation came
+    first is accepted and cancelled.
+    """
+    return (
+        job.id not in state.jobs
+        and job.id not in state.withdrawn
+        and jobs.validate_job(job) is None
+    )
+
+
+def explain_refusal(job, problem, now_ms):
+    """Return the ``events.Decision`` to refuse a job.
+
+    :param problem: the ``data.Problem`` that its client gets
+    """
+    return events.Decision(
+        now_ms,
+        problem.code,
+        job.id,
+        detail=problem.text,
+        advice=problem.remedy,
+    )
+
+
 def submit_job(state, call, now_ms):
     """Accept a job; submitting the same id again changes nothing.
 
--- a/packages/scheduler/portwharf/scheduler/metrics.py
+++ b/packages/scheduler/portwharf/scheduler/metrics.py
@@ -27,6 +27,21 @@
     'portwharf_owner_refused_calls',
     'Calls that were refused at once, as a pass would outlast their callers.',
 )
+REFUSED_JOBS = prometheus_client.Counter(
+    'portwharf_owner_refused_jobs',
+    'Jobs that were refused, as they could not end in time or never run.',
+    ['reason'],
+)
+CLASS_BACKLOG = prometheus_client.Gauge(
+    'portwharf_owner_class_backlog_cpu_seconds',
+    'Work left of a short capacity class, when it was last computed.',
+    ['pool', 'fills'],
+)
+CLASS_RATE = prometheus_client.Gauge(
+    'portwharf_owner_class_rate_processors',
+    'Processors at work for a capacity class that lacks capacity.',
+    ['pool', 'fills'],
+)
 CALL_SECONDS = prometheus_client.Histogram(
     'portwharf_owner_call_seconds',
     'Time from the receipt of a queued call to its answer.',
@@ -46,3 +61,17 @@
     ['part'],
     buckets=(0.001, 0.004, 0.016, 0.064, 0.25, 1.0, 4.0),
 )
+
+
+def set_class_loads(loads):
+    """Set the gauges of the classes that lack capacity, and drop all others.
+
+    :param loads: list of ``shard_load.ClassLoad``
+    """
+    CLASS_RATE.clear()
+    CLASS_BACKLOG.clear()
+    for load in loads:
+        names = (load.capacity_class.pool, load.capacity_class.fills)
+        CLASS_RATE.labels(*names).set(load.rate / 1000)
+        if load.left is not None:
+            CLASS_BACKLOG.labels(*names).set(load.left / 1e6)
--- a/packages/scheduler/portwharf/scheduler/operator_api.py
+++ b/packages/scheduler/portwharf/scheduler/operator_api.py
@@ -20,6 +20,7 @@
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.scheduler import batches
+from portwharf.scheduler.decisions import job_admission
 from portwharf.scheduler.decisions import pass_inputs
 from portwharf.scheduler import job_operations
 from portwharf.scheduler import metrics
@@ -48,6 +49,8 @@
 # be in time.
 _MAX_WAIT_FACTOR = 1.5
 _MS_PER_SECOND = 1000
+# Problems by which a caller learns that its job will never run.
+_UNTAKEN_CODES = ('not-accepted', job_admission.CODE_NO_ROOM)
 
 
 class OperatorApi:
@@ -224,7 +227,7 @@
         """
         if (
             outcome.is_err()
-            and outcome.err_value.code == 'not-accepted'
+            and outcome.err_value.code in _UNTAKEN_CODES
             and self._may_run(called)
         ):
             return result.Err(pending_calls.make_unknown_problem())
