--- a/packages/scheduler/portwharf/scheduler/operator_api_test.py
+++ b/packages/scheduler/portwharf/scheduler/operator_api_test.py
@@ -9,7 +9,9 @@
 
 from portwharf.core import clock
 from portwharf.core import codec
+from portwharf.core import data
 from portwharf.peers import messages
+from portwharf.scheduler.decisions import job_admission
 from portwharf.scheduler import job_operations
 from portwharf.scheduler import jobs_test
 from portwharf.scheduler import operations
@@ -140,6 +142,21 @@
     case.assertEqual((busy.taken, results), (['submit-job'] * 2, []))
 
 
+def test_refusal_is_unknown_while_another_submission_is_pending(case):
+    """The other submission may still be accepted, and the job run."""
+    api, busy = make_api()
+    calls = []
+    busy.take_call = calls.append
+    results = []
+    for _ in range(2):
+        api.execute_operation(make_call('submit-job'), results.append)
+    for call in calls:
+        call.fut.set_result(data.Problem(job_admission.CODE_NO_ROOM))
+    statuses = [answer.status for answer in results]
+    case.assertEqual(statuses, ['unknown', 'refused'])
+    case.assertEqual(results[1].problems[0].code, 'no-room')
+
+
 def test_wait_of_a_call_begins_when_its_message_came(case):
     def read_sum():
         return prometheus_client.REGISTRY.get_sample_value(
