--- a/packages/scheduler/portwharf/scheduler/decisions/shard_load.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/shard_load.py
@@ -72,8 +72,8 @@
     """The load of a capacity class, for reports.
 
     :param rate: thousandths of processors at work
-    :param left: the backlog, in thousandths of a processor times ms; None if
-        it was not needed in this pass
+    :param left: the work of the backlog that has not begun, in thousandths of
+        a processor times ms; None if it was not needed in this pass
     """
 
     capacity_class: CapacityClass = CapacityClass()
@@ -201,7 +201,7 @@
         steps = collections.defaultdict(list)
         for record in state.unended.values():
             workload = record.workload
-            count = workload.count - record.succeeded
+            count = _count_left(record)
             if (
                 not workload.job
                 or workload.kind != data.Kind.BATCH
@@ -259,6 +259,18 @@
     return classes
 
 
+def _count_left(record):
+    """Return how many tasks of a step still need processors.
+
+    A job begins when the tasks before it have begun, so that placed tasks do
+    not count. Filling tasks are placed at once and wait on their VMs; half of
+    the work of a placed one is taken to be done.
+    """
+    placed = sum(1 for task in record.tasks if task.vm)
+    count = record.workload.count - record.succeeded - placed
+    return count + placed / 2 if record.workload.fills else count
+
+
 def _find_lacking(waiting):
     """Return the class that an unplaced step lacks capacity of, or None."""
     workload = waiting.record.workload
