--- a/packages/scheduler/portwharf/scheduler/decisions/job_admission.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/job_admission.py
@@ -328,7 +328,7 @@
 
 def _get_class(workload):
     """Return the capacity class that a step belongs to."""
-    return shard_load.CapacityClass(workload.pool, workload.fills)
+    return shard_load.list_classes(workload.pool, workload.fills)[-1]
 
 
 def _list_own_classes(job):
--- a/packages/scheduler/portwharf/scheduler/decisions/shard_load.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/shard_load.py
@@ -14,6 +14,7 @@
 
 import collections
 import dataclasses
+import functools
 import math
 
 from portwharf.core import data
@@ -118,7 +119,7 @@
         self._updated_at = now
         self._backlogs = None
         filling, lacking = _sum_filling(views)
-        lacking.update(filter(None, map(_find_lacking, waiting.values())))
+        _add_lacking(lacking, waiting.values())
         self._short_since = {
             one: self._short_since.get(one, now) for one in lacking
         }
@@ -247,16 +248,15 @@
         self._measured_at = None
 
 
+@functools.lru_cache(maxsize=256)
 def list_classes(pool, fills):
     """Return the classes that a pool's processors belong to.
 
     A step without a pool may run on all VMs, so that the work of all pools
-    counts in its class.
+    counts in its class. The narrowest class comes last.
     """
-    classes = [CapacityClass('', fills)]
-    if pool:
-        classes.append(CapacityClass(pool, fills))
-    return classes
+    every = CapacityClass('', fills)
+    return (every, CapacityClass(pool, fills)) if pool else (every,)
 
 
 def _count_left(record):
@@ -266,20 +266,25 @@
     not count. Filling tasks are placed at once and wait on their VMs; half of
     the work of a placed one is taken to be done.
     """
-    placed = sum(1 for task in record.tasks if task.vm)
+    placed = 0
+    if record.tasks:
+        placed = sum(1 for task in record.tasks if task.vm)
     count = record.workload.count - record.succeeded - placed
     return count + placed / 2 if record.workload.fills else count
 
 
-def _find_lacking(waiting):
-    """Return the class that an unplaced step lacks capacity of, or None."""
-    workload = waiting.record.workload
-    if not workload.job or waiting.choice is None:
-        return None
-    reasons = waiting.choice.refusals.keys()
-    if not reasons & _CAPACITY_REASONS or reasons & _TASK_REASONS:
-        return None
-    return CapacityClass(workload.pool, workload.fills)
+def _add_lacking(lacking, waiting):
+    """Add the classes that unplaced steps lack capacity of to a set."""
+    for one in waiting:
+        workload = one.record.workload
+        if one.choice is None or not workload.job:
+            continue
+        own = list_classes(workload.pool, workload.fills)[-1]
+        if own in lacking:
+            continue
+        reasons = one.choice.refusals.keys()
+        if reasons & _CAPACITY_REASONS and not reasons & _TASK_REASONS:
+            lacking.add(own)
 
 
 def _sum_filling(views):
