--- a/packages/testing/portwharf/testing/overload_day.py
+++ b/packages/testing/portwharf/testing/overload_day.py
@@ -253,6 +253,9 @@
 
     def _advance_runs(self):
         for run in list(self._runs.values()):
+            if self._runs.get(run.task) is not run:
+                # The failure of its job in this step has ended it.
+                continue
             if run.stopping:
                 if self.now >= run.ends_at:
                     self._finish_stop(run)
@@ -297,8 +300,10 @@
         if self._state.jobs[job].failed:
             self._state.apply(events.JobCancelled(job))
             for other in list(self._runs.values()):
-                if self._state.find_workload(other.task).workload.job == job:
-                    del self._runs[other.task]
+                if self._state.find_workload(other.task).workload.job != job:
+                    continue
+                # The report of another run may have ended this one already.
+                if self._runs.pop(other.task, None) is not None:
                     self._report(other, data.RunState.GONE)
 
     # The owner.
