--- a/packages/core/portwharf/core/data.py
+++ b/packages/core/portwharf/core/data.py
@@ -239,6 +239,10 @@
         path to get the objective; 0 if only ``objective_ms``, which is
         derived from estimates, is known
     :param allowance_ms: added to the objective that ``stretch`` gives
+    :param asked_ms: wall time of its first submission; 0 stands for the time
+        of its acceptance
+    :param caller: address of the client that submitted it, '' if unknown
+    :param zone: availability zone of the entry that it came through, or ''
     """
 
     id: str = ''
@@ -252,6 +256,9 @@
     interval_ms: int = 0
     stretch: float = 0.0
     allowance_ms: int = 0
+    asked_ms: int = 0
+    caller: str = ''
+    zone: str = ''
 
 
 class JobState(enum.StrEnum):
