--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -21,8 +21,10 @@
 from portwharf.scheduler.decisions import gangs
 from portwharf.scheduler.decisions import hung_tasks
 from portwharf.scheduler.decisions import pass_inputs
+from portwharf.scheduler.decisions import pass_shortage
 from portwharf.scheduler.decisions import precedence
 from portwharf.scheduler.decisions import service_protection
+from portwharf.scheduler.decisions import shortage_shares
 from portwharf.scheduler.decisions import task_moves
 from portwharf.scheduler import events
 from portwharf.scheduler import job_operations
@@ -79,6 +81,8 @@
         self._claims = claim_updates.ClaimNotifier(state)
         # ``placement.UnplacedWorkload`` of the last pass, by workload id.
         self.waiting = {}
+        self._shortage = pass_shortage.PassShortage()
+        self.shares = shortage_shares.ShortageShares(state)
         self._patience = pass_inputs.Patience()
         self._wait_log = decisionlog.WaitLog()
         self._move_history = task_moves.MoveHistory()
@@ -462,7 +466,16 @@
         if not self._may_place(now):
             return None
         now_ms = self._env.clock.read_unix_ms()
-        weigher = precedence.Weigher(self._state, now_ms, self.runtimes)
+        weigher = precedence.Weigher(
+            self._state, now_ms, self.runtimes, self.shares
+        )
+        self.shares.update(
+            weigher,
+            now,
+            now_ms,
+            self._shortage.is_short,
+            self._shortage.get_rate,
+        )
         views = self._members.view_vms(weigher)
         self._crashloops.mark_unstable(views)
         self._timer.mark('views')
@@ -485,6 +498,7 @@
             self.service_protection.remedies.predict_effect,
         )
         self._timer.mark('place')
+        self._shortage.record_pass(done.waiting, views, now)
         self.waiting = {one.record.id: one for one in done.waiting}
         self._patience.record_waits(self.waiting, now)
         self._wait_log.update(self.waiting, now)
--- a/packages/scheduler/portwharf/scheduler/decisions/backlog.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/backlog.py
@@ -40,8 +40,10 @@
         '_placed',
         '_tasks',
         'avoided',
-        'is_selective',
+        'has_waited_long',
         'held_tasks',
+        'is_owed',
+        'is_selective',
         'rack',
         'record',
         'moved_from',
@@ -67,6 +69,10 @@
         # Tells whether the workload waits for a VM that suits it instead of
         # accepting any VM with room.
         self.is_selective = True
+        # Whether its job is promoted, and whether it has waited for long
+        # during a shortage, by ``shortage_shares``.
+        self.is_owed = False
+        self.has_waited_long = False
         # The rack that its tasks should share, '' for any.
         self.rack = ''
         # The set of VMs that a task was moved away from, by task id.
@@ -233,8 +239,9 @@
 
     Within one importance, standing steps come first. Then steps that can
     still end in time come before late ones, and steps that have become too
-    late to matter come last, for a limited time. Ties go to the job with
-    the least work left: under overload, more jobs then end in time.
+    late to matter come last, for a limited time. During a shortage, jobs that
+    are promoted come next, then those that have waited long. Ties go to the
+    job with the least work left: under overload, more jobs then end in time.
     """
     record = demand.record
     workload = record.workload
@@ -245,6 +252,8 @@
         -workload.importance,
         not is_standing,
         0 if is_standing else _rank_lateness(demand.step_forecast, now_ms),
+        not demand.is_owed,
+        not demand.has_waited_long,
         demand.step_forecast.left,
         demand.step_forecast.begin_ms,
         record.id,
--- a/packages/scheduler/portwharf/scheduler/decisions/pass_inputs.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/pass_inputs.py
@@ -95,15 +95,18 @@
         and state.is_ready(record)
     ]
     weigher = weigher or precedence.Weigher(state, now_ms)
-    return [
-        backlog.Demand(
+    demands = []
+    for record in ready:
+        demand = backlog.Demand(
             record,
             list_avoided(record.id),
             weigher.get_step_forecast(record),
             weigher.weigh(record) if record.workload.fills else 0.0,
         )
-        for record in ready
-    ]
+        demand.is_owed = weigher.is_owed(record)
+        demand.has_waited_long = weigher.has_waited_long(record)
+        demands.append(demand)
+    return demands
 
 
 def sum_by_team(state):
--- a/packages/scheduler/portwharf/scheduler/decisions/precedence.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/precedence.py
@@ -22,6 +22,9 @@
 # Factors on the weight of a late job, and of one that is too late to matter.
 LATE_PENALTY = 7.0
 TOO_LATE_PENALTY = 50.0
+# Factor on the weight of a job that is promoted by ``shortage_shares``. It goes
+# before jobs with up to five times less work left.
+PROMOTED_FACTOR = 0.2
 # The weight that ranks after every other.
 LAST_WEIGHT = float('inf')
 # Smaller presses do not differ measurably.
@@ -60,13 +63,16 @@
 class Weigher:
     """Weighs steps of jobs at one moment, computing each of them once."""
 
-    def __init__(self, state, now_ms, runtimes=None):
+    def __init__(self, state, now_ms, runtimes=None, shares=None):
         """Take the shard's ``state.ShardState`` and the wall time.
 
         :param runtimes: a ``forecast.RunTimeModel``; None for the clients'
             estimates
+        :param shares: a ``shortage_shares.ShortageShares``; None promotes no
+            job
         """
         self._now_ms = now_ms
+        self._shares = shares
         self._forecast = forecast.Forecast(state, runtimes)
         self._weights = {}
 
@@ -76,13 +82,24 @@
             return forecast.StepForecast()
         return self._forecast.get_step_forecast(record)
 
+    def is_owed(self, record):
+        """Return whether a step's job is promoted."""
+        return self._shares is not None and self._shares.is_owed(record)
+
+    def has_waited_long(self, record):
+        """Return whether a step's job has waited long during a shortage."""
+        return self._shares is not None and self._shares.has_waited_long(
+            record
+        )
+
     def make_claim(self, record):
         """Return the :class:`Claim` of a step's tasks."""
         found = self.get_step_forecast(record)
         end_ms = int(found.begin_ms + found.run_ms)
-        return Claim(
-            found.left / _MILLI_MS_PER_CPU_SECOND, end_ms, int(found.late_ms)
-        )
+        left = found.left / _MILLI_MS_PER_CPU_SECOND
+        if self.is_owed(record):
+            left *= PROMOTED_FACTOR
+        return Claim(left, end_ms, int(found.late_ms))
 
     def weigh(self, record):
         """Return the weight of a step's job now; the lowest goes first."""
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/decisions/shortage_shares.py
@@ -0,0 +1,487 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Finds callers, zones and job sizes that a shortage serves too little.
+
+Within a queue, the least work left goes first. During a shortage, a caller
+that submits many small jobs can thereby displace all others. For each queue
+and dimension (caller, zone, size class), decaying sums of submitted and of
+done work tell which groups get less than half of what their share of the
+submitted work gives. Of each such group one job at a time is promoted, until
+it ends or is late, so that it is finished and not only begun.
+
+The sums live in the owner's memory. A new owner promotes no job until it has
+measured a group for as long as the mean objective of its queue.
+"""
+
+import collections
+import dataclasses
+import math
+
+from portwharf.core import data
+from portwharf.scheduler import jobs
+
+# Interval between two updates: each walks over the jobs that have not ended.
+UPDATE_INTERVAL_SECONDS = 0.5
+# Least share of a queue's submitted work of a group that may be owed, and the
+# share of its due that a group has to get. Both are requirements of callers.
+MIN_GROUP_SHARE = 0.05
+MIN_SERVED_SHARE = 0.5
+# The sums decay over the queue's mean objective, within these bounds.
+MIN_DECAY_SECONDS = 5.0
+MAX_DECAY_SECONDS = 60.0
+# Size classes are derived from this many jobs at most and at least.
+MAX_RECENT_JOBS = 200
+MIN_RECENT_JOBS = 20
+LARGEST, LARGE, OTHER = 'largest', 'large', 'other'
+# Positions, as shares of the recent jobs by work, of the size classes' limits.
+_LARGEST_FROM = 0.9
+_LARGE_FROM = 0.7
+# Groups below this share of their queue's work are forgotten. This bounds
+# their number, and is too little for them to be owed soon.
+_MIN_KEPT_SHARE = 0.001
+# Promotions outlast interruptions of a shortage up to this long.
+_RELEASE_SECONDS = 2.0
+# Relative error of estimated run times, as in ``backlog``.
+_ESTIMATE_TOLERANCE = 0.3
+# Share of the time that a job may wait after which it counts as waiting long.
+_LONG_WAIT_SHARE = 0.5
+_MS_PER_SECOND = 1000
+
+
+@dataclasses.dataclass(slots=True)
+class OwedGroup:
+    """A group of jobs that is owed capacity.
+
+    :param submitted: its share of the queue's submitted work
+    :param done: its share of the queue's done work
+    :param promoted: id of its promoted job
+    """
+
+    queue: str = ''
+    dimension: str = ''
+    name: str = ''
+    submitted: float = 0.0
+    done: float = 0.0
+    promoted: str = ''
+
+
+@dataclasses.dataclass(slots=True)
+class _Sums:
+    """Decaying sums of work, and when the first of it was submitted."""
+
+    submitted: float = 0.0
+    done: float = 0.0
+    since: float = 0.0
+
+    def decay(self, factor):
+        self.submitted *= factor
+        self.done *= factor
+
+
+class _Queue:
+    """The sums of one queue and of its groups, by (dimension, name)."""
+
+    def __init__(self, now):
+        self.total = _Sums(since=now)
+        self.groups = {}
+        self.recent = collections.deque(maxlen=MAX_RECENT_JOBS)
+        self._objectives_ms = collections.deque(maxlen=MAX_RECENT_JOBS)
+        self._limits = None
+
+    @property
+    def decay_seconds(self):
+        """The mean objective of recent jobs, limited, in seconds."""
+        if not self._objectives_ms:
+            return MIN_DECAY_SECONDS
+        mean_ms = sum(self._objectives_ms) / len(self._objectives_ms)
+        mean = mean_ms / _MS_PER_SECOND
+        return min(MAX_DECAY_SECONDS, max(MIN_DECAY_SECONDS, mean))
+
+    def decay(self, seconds):
+        """Decay all sums, and forget groups with hardly any work."""
+        factor = math.exp(-max(0.0, seconds) / self.decay_seconds)
+        self.total.decay(factor)
+        least = _MIN_KEPT_SHARE * self.total.submitted
+        for key, sums in list(self.groups.items()):
+            sums.decay(factor)
+            if sums.submitted <= least:
+                del self.groups[key]
+
+    def record_job(self, work, objective_ms):
+        """Record a submitted job for the mean objective and size classes."""
+        self.recent.append(work)
+        self._objectives_ms.append(objective_ms)
+        self._limits = None
+
+    def list_keys(self, job, work):
+        """Return the keys of the groups of a job with this much work."""
+        keys = []
+        if job.caller:
+            keys.append(('caller', job.caller))
+        if job.zone:
+            keys.append(('zone', job.zone))
+        if len(self.recent) >= MIN_RECENT_JOBS:
+            keys.append(('size', self._find_size_class(work)))
+        return keys
+
+    def _find_size_class(self, work):
+        if self._limits is None:
+            ranked = sorted(self.recent)
+            self._limits = [
+                ranked[int(share * len(ranked)) - 1]
+                for share in (_LARGEST_FROM, _LARGE_FROM)
+            ]
+        largest, large = self._limits
+        if work > largest:
+            return LARGEST
+        return LARGE if work > large else OTHER
+
+    def submit(self, keys, work, now):
+        """Count submitted work; a negative amount is withdrawn."""
+        for key in keys:
+            sums = self.groups.setdefault(key, _Sums(since=now))
+            sums.submitted = max(0.0, sums.submitted + work)
+        self.total.submitted = max(0.0, self.total.submitted + work)
+
+    def finish(self, keys, work):
+        """Count done work."""
+        for key in keys:
+            if key in self.groups:
+                self.groups[key].done += work
+        self.total.done += work
+
+    def list_underserved(self, now):
+        """Return the keys of groups that get too little of the done work."""
+        total = self.total
+        return [
+            key
+            for key, sums in self.groups.items()
+            if sums.submitted >= MIN_GROUP_SHARE * total.submitted
+            and now - sums.since >= self.decay_seconds
+            and sums.done * total.submitted
+            < MIN_SERVED_SHARE * sums.submitted * total.done
+        ]
+
+
+@dataclasses.dataclass(slots=True)
+class _TrackedJob:
+    """A job that has not ended.
+
+    :param record: its ``state.JobRecord``
+    :param keys: keys of its groups
+    :param task_work: work of one task, by step, as predicted at submission
+    :param work: work of all tasks
+    :param done: work of the tasks that have succeeded
+    :param idle_since: time since which none of its tasks has been placed
+    """
+
+    record: object = None
+    keys: list = dataclasses.field(default_factory=list)
+    task_work: list = dataclasses.field(default_factory=list)
+    work: float = 0.0
+    done: float = 0.0
+    idle_since: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Outlook:
+    """What a job needs to end in time, at one moment.
+
+    :param left: work left
+    :param due_ms: wall time of its objective
+    :param is_short: whether the capacity class of its next step is short
+    :param can_end: whether it would end in time with all of that capacity
+    :param may_wait: seconds that it may wait in all, and still be in time
+    """
+
+    left: float = 0.0
+    due_ms: float = 0.0
+    is_short: bool = False
+    can_end: bool = False
+    may_wait: float = 0.0
+
+
+class ShortageShares:
+    """Decides which jobs are promoted; not thread-safe."""
+
+    def __init__(self, state):
+        """Take the shard's ``state.ShardState``."""
+        self._state = state
+        self._updated = None
+        self._queues = {}
+        # ``_TrackedJob`` by id.
+        self._jobs = {}
+        # Monotonic time at which a promoted job is late, by job id, and when
+        # its capacity class was last short.
+        self._promoted = {}
+        self._last_short = {}
+        self._owed = []
+        self._long_waits = set()
+
+    def is_owed(self, record):
+        """Return whether a step's job is promoted.
+
+        :param record: a ``state.WorkloadRecord``
+        """
+        return record.workload.job in self._promoted
+
+    def has_waited_long(self, record):
+        """Return whether a step's job is about to miss its time unserved."""
+        return record.workload.job in self._long_waits
+
+    def list_owed(self):
+        """Return the :class:`OwedGroup` of each group owed capacity."""
+        return list(self._owed)
+
+    def get_owed_share(self, job, work):
+        """Return the share of its queue's capacity that a job's group is owed.
+
+        :param job: a ``data.Job`` that need not have been accepted
+        :param work: its predicted work
+        :returns: the largest share of its groups, 0.0 if none is owed
+        """
+        queue = self._queues.get(job.queue)
+        if queue is None:
+            return 0.0
+        keys = queue.list_keys(job, work)
+        return max(
+            (
+                group.submitted
+                for group in self._owed
+                if group.queue == job.queue
+                and (group.dimension, group.name) in keys
+            ),
+            default=0.0,
+        )
+
+    def update(self, weigher, now, now_ms, is_short, get_rate):
+        """Update sums and promotions, at most once each interval.
+
+        :param weigher: the ``precedence.Weigher`` of the pass
+        :param now: monotonic time
+        :param now_ms: wall time
+        :param is_short: function from (pool, fills) to whether that capacity
+            class is short
+        :param get_rate: function from (pool, fills) to the thousandths of
+            processors at work for that class, 0 if unknown
+        """
+        elapsed = now - self._updated if self._updated is not None else 0.0
+        if self._updated is not None and elapsed < UPDATE_INTERVAL_SECONDS:
+            return
+        self._updated = now
+        for queue in self._queues.values():
+            queue.decay(elapsed)
+        self._track_jobs(weigher, now)
+        outlooks = _Outlooks(self._state, weigher, now_ms, is_short, get_rate)
+        self._end_promotions(outlooks, now)
+        self._promote(outlooks, now, now_ms)
+        self._find_long_waits(outlooks, now)
+
+    def _track_jobs(self, weigher, now):
+        """Count what was submitted and done since the last update."""
+        unended = dict.fromkeys(
+            record.workload.job for record in self._state.unended.values()
+        )
+        for job_id in unended:
+            if job_id and job_id not in self._jobs:
+                record = self._state.jobs[job_id]
+                if _has_objective(record.job):
+                    self._jobs[job_id] = self._add_job(record, weigher, now)
+        for job_id, job in list(self._jobs.items()):
+            self._count_done(job, now)
+            if job_id in unended and not job.record.cancelled:
+                continue
+            del self._jobs[job_id]
+            if job.record.cancelled:
+                # The rest of it is not wanted any more.
+                queue = self._queues[job.record.job.queue]
+                queue.submit(job.keys, job.done - job.work, now)
+        used = {job.record.job.queue for job in self._jobs.values()}
+        self._queues = {
+            name: queue
+            for name, queue in self._queues.items()
+            if name in used or queue.total.submitted >= 1
+        }
+
+    def _add_job(self, record, weigher, now):
+        queue = self._queues.setdefault(record.job.queue, _Queue(now))
+        steps = [self._state.workloads[name] for name in record.steps]
+        found = [weigher.get_step_forecast(step) for step in steps]
+        task_work = [
+            step.workload.resources.cpu_milli * forecast.run_ms
+            for step, forecast in zip(steps, found, strict=True)
+        ]
+        work = sum(
+            step.workload.count * each
+            for step, each in zip(steps, task_work, strict=True)
+        )
+        begin_ms = record.job.asked_ms or record.unix_ms
+        objective_ms = (found[0].late_ms - begin_ms) / jobs.LATE_FACTOR
+        queue.record_job(work, objective_ms)
+        job = _TrackedJob(
+            record,
+            queue.list_keys(record.job, work),
+            task_work,
+            work,
+            idle_since=now,
+        )
+        job.done = self._sum_done(job)
+        queue.submit(job.keys, work - job.done, now)
+        return job
+
+    def _sum_done(self, job):
+        return sum(
+            self._state.workloads[name].succeeded * each
+            for name, each in zip(
+                job.record.steps, job.task_work, strict=True
+            )
+        )
+
+    def _count_done(self, job, now):
+        done = self._sum_done(job)
+        queue = self._queues[job.record.job.queue]
+        queue.finish(job.keys, done - job.done)
+        job.done = done
+        if self._has_placed(job):
+            job.idle_since = now
+
+    def _has_placed(self, job):
+        return any(
+            task.vm
+            for name in job.record.steps
+            if not self._state.is_done(self._state.workloads[name])
+            for task in self._state.workloads[name].tasks
+        )
+
+    def _end_promotions(self, outlooks, now):
+        for job_id, late_at in list(self._promoted.items()):
+            job = self._jobs.get(job_id)
+            if job is not None and outlooks.get(job).is_short:
+                self._last_short[job_id] = now
+            interrupted = now - self._last_short[job_id]
+            if job is None or now >= late_at or interrupted > _RELEASE_SECONDS:
+                del self._promoted[job_id]
+                del self._last_short[job_id]
+
+    def _promote(self, outlooks, now, now_ms):
+        """Promote a job of each group that is owed capacity."""
+        members = {
+            (name, key): []
+            for name, queue in self._queues.items()
+            for key in queue.list_underserved(now)
+        }
+        for job in self._jobs.values():
+            for key in job.keys:
+                found = members.get((job.record.job.queue, key))
+                if found is not None:
+                    found.append(job)
+        self._owed = []
+        for (name, key), group in members.items():
+            chosen = self._choose(group, outlooks)
+            if chosen is None:
+                continue
+            job_id = chosen.record.job.id
+            if job_id not in self._promoted:
+                left_ms = outlooks.get(chosen).due_ms - now_ms
+                self._promoted[job_id] = now + left_ms / _MS_PER_SECOND
+                self._last_short[job_id] = now
+            queue = self._queues[name]
+            sums = queue.groups[key]
+            self._owed.append(
+                OwedGroup(
+                    name,
+                    *key,
+                    sums.submitted / queue.total.submitted,
+                    sums.done / queue.total.done,
+                    job_id,
+                )
+            )
+
+    def _choose(self, group, outlooks):
+        """Return the promoted job of a group, a new one, or None."""
+        for job in group:
+            if job.record.job.id in self._promoted:
+                return job
+        found = [
+            (outlooks.get(job).left, job.record.job.id, job)
+            for job in group
+            if outlooks.get(job).is_short and outlooks.get(job).can_end
+        ]
+        return min(found)[-1] if found else None
+
+    def _find_long_waits(self, outlooks, now):
+        self._long_waits = {
+            job_id
+            for job_id, job in self._jobs.items()
+            if now - job.idle_since > 0
+            and outlooks.get(job).is_short
+            and outlooks.get(job).can_end
+            and now - job.idle_since
+            > _LONG_WAIT_SHARE * outlooks.get(job).may_wait
+        }
+
+
+class _Outlooks:
+    """The :class:`_Outlook` of jobs at one moment, computed on demand."""
+
+    def __init__(self, state, weigher, now_ms, is_short, get_rate):
+        self._state = state
+        self._weigher = weigher
+        self._now_ms = now_ms
+        self._is_short = is_short
+        self._get_rate = get_rate
+        self._found = {}
+
+    def get(self, job):
+        """Return the :class:`_Outlook` of a :class:`_TrackedJob`."""
+        job_id = job.record.job.id
+        if job_id not in self._found:
+            self._found[job_id] = self._compute(job.record)
+        return self._found[job_id]
+
+    def _compute(self, record):
+        steps = [self._state.workloads[name] for name in record.steps]
+        found = [self._weigher.get_step_forecast(step) for step in steps]
+        begin_ms = record.job.asked_ms or record.unix_ms
+        objective_ms = (found[0].late_ms - begin_ms) / jobs.LATE_FACTOR
+        run_ms = [forecast.run_ms for forecast in found]
+        chain_ms = max(jobs.compute_path_ms(record.job.steps, run_ms))
+        # Time that each step takes with the whole capacity of its class.
+        alone_ms = [
+            self._compute_alone_ms(step, ms)
+            for step, ms in zip(steps, run_ms, strict=True)
+        ]
+        left_ms = max(jobs.compute_path_ms(record.job.steps, alone_ms))
+        following = next(
+            (step for step in steps if not self._state.is_done(step)),
+            steps[-1],
+        ).workload
+        due_ms = begin_ms + objective_ms
+        return _Outlook(
+            found[0].left,
+            due_ms,
+            self._is_short(following.pool, following.fills),
+            self._now_ms + (1 - _ESTIMATE_TOLERANCE) * left_ms <= due_ms,
+            (objective_ms - chain_ms) / _MS_PER_SECOND,
+        )
+
+    def _compute_alone_ms(self, step, run_ms):
+        workload = step.workload
+        count = workload.count - step.succeeded
+        if count <= 0:
+            return 0.0
+        rate = self._get_rate(workload.pool, workload.fills)
+        if rate <= 0:
+            return run_ms
+        return max(
+            run_ms, count * workload.resources.cpu_milli * run_ms / rate
+        )
+
+
+def _has_objective(job):
+    """Return whether a job runs once, ends, and has an objective."""
+    return (
+        not job.times
+        and bool(job.stretch or job.objective_ms)
+        and all(step.kind == data.Kind.BATCH for step in job.steps)
+    )
--- a/packages/testing/portwharf/testing/overload_day.py
+++ b/packages/testing/portwharf/testing/overload_day.py
@@ -130,6 +130,7 @@
         :param site: the :class:`Site`
         """
         self._seed = seed
+        self._estimates_off = estimates_off
         self._site = site
         self._clients = overload_load.Clients(
             seed, load, estimates_off, site.wide
@@ -308,9 +309,12 @@
 
     # The owner.
 
+    def _make_weigher(self):
+        return precedence.Weigher(self._state, self._now_ms, self.run_times)
+
     def _run_pass(self):
         views = self._view_vms()
-        weigher = precedence.Weigher(self._state, self._now_ms, self.run_times)
+        weigher = self._make_weigher()
         self._update_claims(weigher)
         demands = pass_inputs.list_demands(
             self._state, lambda _: frozenset(), self._now_ms, weigher
@@ -324,10 +328,14 @@
         )
         waiting = {demand.record.id: demand for demand in planned.waiting}
         self._patience.record_waits(waiting, self.now)
+        self._record_pass(planned.waiting, views)
         for placement in planned.placements:
             self._place(placement, weigher)
         self._views = views
 
+    def _record_pass(self, waiting, views):
+        """Record what a placement pass has left; for derived days."""
+
     def _update_claims(self, weigher):
         updates = self._claim_notifier.make_due_updates(
             self._links, weigher, self.now
@@ -366,7 +374,7 @@
         self._placed_at[(placement.task, placement.attempt)] = self.now
 
     def _view_vms(self):
-        weigher = precedence.Weigher(self._state, self._now_ms, self.run_times)
+        weigher = self._make_weigher()
         views = []
         for number, link in enumerate(self._links):
             vm = data.Vm(link.name, availability_zone=f'zone-{number % 3}')
@@ -394,7 +402,7 @@
         return views
 
     def _move_stuck_tasks(self):
-        weigher = precedence.Weigher(self._state, self._now_ms, self.run_times)
+        weigher = self._make_weigher()
         stalled = task_moves.find_stalled_tasks(
             self._state,
             self._links,
--- a/packages/testing/portwharf/testing/overload_load.py
+++ b/packages/testing/portwharf/testing/overload_load.py
@@ -44,6 +44,28 @@
     median_seconds: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Crowd:
+    """Callers of the wide jobs, one of which submits most of them.
+
+    The greedy caller splits its work into small jobs. With the least work left
+    served first, these go before the jobs of its neighbours.
+
+    :param dimension: whether ``caller`` or ``zone`` tells them apart
+    :param greedy_share: share of the jobs that the greedy caller submits
+    :param greedy_scale: factor on the number of tasks of its jobs
+    :param neighbours: number of the other callers
+    """
+
+    dimension: str = 'caller'
+    greedy_share: float = 0.9
+    greedy_scale: float = 0.4
+    neighbours: int = 2
+
+
+GREEDY = 'greedy'
+
+
 @dataclasses.dataclass(slots=True)
 class SubmittedJob:
     """A submitted job with its true run times.
@@ -109,13 +131,17 @@
 class Clients:
     """Submits jobs at random times."""
 
-    def __init__(self, seed, rate, estimates_off, shape):
+    def __init__(self, seed, rate, estimates_off, shape, crowd=None):
         """Take a seed and the rate of wide jobs a second.
 
         :param estimates_off: maximum relative error of run time estimates
         :param shape: the :class:`WideShape` of the wide jobs
+        :param crowd: the :class:`Crowd` of their callers; None for one caller
         """
         self._shape = shape
+        self._crowd = crowd
+        # Separate, so that a crowd does not change the other random draws.
+        self._caller_random = random.Random(f'{seed} callers')
         self._random = random.Random(f'{seed} arrivals')
         self._rate = rate
         self._estimates_off = estimates_off
@@ -141,12 +167,26 @@
         steps = max(1, min(4, round(rnd.gauss(2.0, 0.8))))
         image = f'fill-{rnd.randrange(IMAGE_COUNT)}'
         rows = []
+        caller, scale = self._draw_caller()
         for _ in range(steps):
             median = self._shape.median_count
-            count = int(max(2, min(60, rnd.lognormvariate(median, 0.6))))
+            count = max(2, min(60, rnd.lognormvariate(median, 0.6)))
+            count = int(max(2, count * scale))
             seconds = rnd.lognormvariate(self._shape.median_seconds, 0.45)
             rows.append((count, self._shape.cpu_milli, seconds))
-        return self._make_job(WIDE, 2, rows, image, now)
+        submitted = self._make_job(WIDE, 2, rows, image, now)
+        if caller:
+            setattr(submitted.job, self._crowd.dimension, caller)
+        return submitted
+
+    def _draw_caller(self):
+        """Return the caller of a wide job and the scale of its steps."""
+        if self._crowd is None:
+            return '', 1.0
+        rnd = self._caller_random
+        if rnd.random() < self._crowd.greedy_share:
+            return GREEDY, self._crowd.greedy_scale
+        return f'neighbour-{rnd.randrange(self._crowd.neighbours)}', 1.0
 
     def _make_small(self, now):
         rnd = self._random
