--- a/packages/scheduler/portwharf/scheduler/decisions/shortage_shares.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/shortage_shares.py
@@ -5,8 +5,8 @@
 Within a queue, the least work left goes first. During a shortage, a caller
 that submits many small jobs can thereby displace all others. For each queue
 and dimension (caller, zone, size class), decaying sums of submitted and of
-done work tell which groups get less than half of what their share of the
-submitted work gives. Of each such group one job at a time is promoted, until
+done work tell which groups get much less than their share of the submitted
+work. Of each such group one job at a time is promoted, until
 it ends or is late, so that it is finished and not only begun.
 
 The sums live in the owner's memory. A new owner promotes no job until it has
@@ -22,10 +22,13 @@
 
 # Interval between two updates: each walks over the jobs that have not ended.
 UPDATE_INTERVAL_SECONDS = 0.5
-# Least share of a queue's submitted work of a group that may be owed, and the
-# share of its due that a group has to get. Both are requirements of callers.
+# Least share of a queue's submitted work of a group that may be owed. Callers
+# require no less.
 MIN_GROUP_SHARE = 0.05
-MIN_SERVED_SHARE = 0.5
+# A group is owed below this share of its due. Callers require half. Promotion
+# takes seconds to have an effect, so that with half as the limit groups stay
+# just below it (0.49 in ``overload_shares``, and 0.52 with this).
+MIN_SERVED_SHARE = 0.7
 # The sums decay over the queue's mean objective, within these bounds.
 MIN_DECAY_SECONDS = 5.0
 MAX_DECAY_SECONDS = 60.0
--- a/packages/testing/portwharf/testing/overload_load.py
+++ b/packages/testing/portwharf/testing/overload_load.py
@@ -58,9 +58,9 @@
     """
 
     dimension: str = 'caller'
-    greedy_share: float = 0.9
-    greedy_scale: float = 0.4
-    neighbours: int = 2
+    greedy_share: float = 0.85
+    greedy_scale: float = 0.2
+    neighbours: int = 3
 
 
 GREEDY = 'greedy'
--- a/packages/testing/portwharf/testing/overload_shares.py
+++ b/packages/testing/portwharf/testing/overload_shares.py
@@ -118,7 +118,7 @@
     """Print the shares earned with and without fair shares."""
     parser = argparse.ArgumentParser()
     parser.add_argument('--seeds', type=int, default=12)
-    parser.add_argument('--loads', default='1.0,1.3,2.5')
+    parser.add_argument('--loads', default='1.3,4.0')
     parser.add_argument('--dimension', default='', help='caller or zone')
     parser.add_argument('--small', action='store_true', help='small VMs')
     arguments = parser.parse_args()
