--- a/packages/scheduler/portwharf/scheduler/decisions/precedence.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/precedence.py
@@ -22,8 +22,8 @@
 # Factors on the weight of a late job, and of one that is too late to matter.
 LATE_PENALTY = 7.0
 TOO_LATE_PENALTY = 50.0
-# Factor on the weight of a job that is promoted by ``shortage_shares``. It goes
-# before jobs with up to five times less work left.
+# Factor on the weight of a job that ``shortage_shares`` promotes. It goes
+# before jobs that have up to five times less work left.
 PROMOTED_FACTOR = 0.2
 # The weight that ranks after every other.
 LAST_WEIGHT = float('inf')
--- a/packages/scheduler/portwharf/scheduler/decisions/shortage_shares.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/shortage_shares.py
@@ -6,49 +6,23 @@
 that submits many small jobs can thereby displace all others. For each queue
 and dimension (caller, zone, size class), decaying sums of submitted and of
 done work tell which groups get much less than their share of the submitted
-work. Of each such group one job at a time is promoted, until
-it ends or is late, so that it is finished and not only begun.
+work. Of each such group one job at a time is promoted, until it ends or is
+late, so that it is finished and not only begun.
 
 The sums live in the owner's memory. A new owner promotes no job until it has
 measured a group for half of the mean objective of its queue.
 """
 
-import collections
 import dataclasses
-import math
 
 from portwharf.core import data
-from portwharf.scheduler import jobs
+from portwharf.scheduler.decisions import job_outlook
+from portwharf.scheduler.decisions import queue_work
 
 # Interval between two updates: each walks over the jobs that have not ended.
 UPDATE_INTERVAL_SECONDS = 0.5
-# Least share of a queue's submitted work of a group that may be owed. Callers
-# require no less.
-MIN_GROUP_SHARE = 0.05
-# A group is owed below this share of its due. Callers require half. Promotion
-# takes seconds to have an effect, so that with half as the limit groups stay
-# just below it (0.49 in ``overload_shares``, and 0.52 with this).
-MIN_SERVED_SHARE = 0.7
-# The sums decay over the queue's mean objective, within these bounds.
-MIN_DECAY_SECONDS = 5.0
-MAX_DECAY_SECONDS = 60.0
-# A group is measured for this share of the mean objective before it can be
-# owed: until its first tasks end, it has no done work.
-_MEASURED_SHARE = 0.5
-# Size classes are derived from this many jobs at most and at least.
-MAX_RECENT_JOBS = 200
-MIN_RECENT_JOBS = 20
-LARGEST, LARGE, OTHER = 'largest', 'large', 'other'
-# Positions, as shares of the recent jobs by work, of the size classes' limits.
-_LARGEST_FROM = 0.9
-_LARGE_FROM = 0.7
-# Groups below this share of their queue's work are forgotten. This bounds
-# their number, and is too little for them to be owed soon.
-_MIN_KEPT_SHARE = 0.001
 # Promotions outlast interruptions of a shortage up to this long.
 _RELEASE_SECONDS = 2.0
-# Relative error of estimated run times, as in ``backlog``.
-_ESTIMATE_TOLERANCE = 0.3
 # Share of the time that a job may wait after which it counts as waiting long.
 _LONG_WAIT_SHARE = 0.5
 _MS_PER_SECOND = 1000
@@ -72,105 +46,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Sums:
-    """Decaying sums of work, and when the first of it was submitted."""
-
-    submitted: float = 0.0
-    done: float = 0.0
-    since: float = 0.0
-
-    def decay(self, factor):
-        self.submitted *= factor
-        self.done *= factor
-
-
-class _Queue:
-    """The sums of one queue and of its groups, by (dimension, name)."""
-
-    def __init__(self, now):
-        self.total = _Sums(since=now)
-        self.groups = {}
-        self.recent = collections.deque(maxlen=MAX_RECENT_JOBS)
-        self._objectives_ms = collections.deque(maxlen=MAX_RECENT_JOBS)
-        self._limits = None
-
-    @property
-    def decay_seconds(self):
-        """The mean objective of recent jobs, limited, in seconds."""
-        if not self._objectives_ms:
-            return MIN_DECAY_SECONDS
-        mean_ms = sum(self._objectives_ms) / len(self._objectives_ms)
-        mean = mean_ms / _MS_PER_SECOND
-        return min(MAX_DECAY_SECONDS, max(MIN_DECAY_SECONDS, mean))
-
-    def decay(self, seconds):
-        """Decay all sums, and forget groups with hardly any work."""
-        factor = math.exp(-max(0.0, seconds) / self.decay_seconds)
-        self.total.decay(factor)
-        least = _MIN_KEPT_SHARE * self.total.submitted
-        for key, sums in list(self.groups.items()):
-            sums.decay(factor)
-            if sums.submitted <= least:
-                del self.groups[key]
-
-    def record_job(self, work, objective_ms):
-        """Record a submitted job for the mean objective and size classes."""
-        self.recent.append(work)
-        self._objectives_ms.append(objective_ms)
-        self._limits = None
-
-    def list_keys(self, job, work):
-        """Return the keys of the groups of a job with this much work."""
-        keys = []
-        if job.caller:
-            keys.append(('caller', job.caller))
-        if job.zone:
-            keys.append(('zone', job.zone))
-        if len(self.recent) >= MIN_RECENT_JOBS:
-            keys.append(('size', self._find_size_class(work)))
-        return keys
-
-    def _find_size_class(self, work):
-        if self._limits is None:
-            ranked = sorted(self.recent)
-            self._limits = [
-                ranked[int(share * len(ranked)) - 1]
-                for share in (_LARGEST_FROM, _LARGE_FROM)
-            ]
-        largest, large = self._limits
-        if work > largest:
-            return LARGEST
-        return LARGE if work > large else OTHER
-
-    def submit(self, keys, work, now):
-        """Count submitted work; a negative amount is withdrawn."""
-        for key in keys:
-            sums = self.groups.setdefault(key, _Sums(since=now))
-            sums.submitted = max(0.0, sums.submitted + work)
-        self.total.submitted = max(0.0, self.total.submitted + work)
-
-    def finish(self, keys, work):
-        """Count done work."""
-        for key in keys:
-            if key in self.groups:
-                self.groups[key].done += work
-        self.total.done += work
-
-    def list_underserved(self, now):
-        """Return the keys of groups that get too little of the done work."""
-        total = self.total
-        return [
-            key
-            for key, sums in self.groups.items()
-            if sums.submitted >= MIN_GROUP_SHARE * total.submitted
-            and now - sums.since >= _MEASURED_SHARE * self.decay_seconds
-            and sums.done * total.submitted
-            < MIN_SERVED_SHARE * sums.submitted * total.done
-        ]
-
-
-@dataclasses.dataclass(slots=True)
-class _TrackedJob:
+class TrackedJob:
     """A job that has not ended.
 
     :param record: its ``state.JobRecord``
@@ -179,7 +55,9 @@
     :param work: work of all tasks
     :param done: work of the tasks that have succeeded
     :param began: monotonic time of its first submission
-    :param idle_since: time since which none of its tasks has been placed
+    :param fills: whether all of its steps are filling ones
+    :param idle_since: time since which none of its tasks has been placed;
+        kept for jobs that don't fill
     """
 
     record: object = None
@@ -188,27 +66,10 @@
     work: float = 0.0
     done: float = 0.0
     began: float = 0.0
+    fills: bool = False
     idle_since: float = 0.0
 
 
-@dataclasses.dataclass(slots=True)
-class _Outlook:
-    """What a job needs to end in time, at one moment.
-
-    :param left: work left
-    :param due_at: monotonic time of its objective
-    :param is_short: whether the capacity class of its next step is short
-    :param can_end: whether it would end in time with all of that capacity
-    :param may_wait: seconds that it may wait in all, and still be in time
-    """
-
-    left: float = 0.0
-    due_at: float = 0.0
-    is_short: bool = False
-    can_end: bool = False
-    may_wait: float = 0.0
-
-
 class ShortageShares:
     """Decides which jobs are promoted; not thread-safe."""
 
@@ -217,7 +78,7 @@
         self._state = state
         self._updated = None
         self._queues = {}
-        # ``_TrackedJob`` by id.
+        # ``TrackedJob`` by id.
         self._jobs = {}
         # Monotonic time at which a promoted job is late, by job id, and when
         # its capacity class was last short.
@@ -293,7 +154,9 @@
         for queue in self._queues.values():
             queue.decay(elapsed)
         self._track_jobs(weigher, now, now_ms)
-        outlooks = _Outlooks(self._state, weigher, now, is_short, get_rate)
+        outlooks = job_outlook.Outlooks(
+            self._state, weigher, now, is_short, get_rate
+        )
         self._end_promotions(outlooks, now)
         self._promote(outlooks, now)
         self._find_long_waits(outlooks, now)
@@ -327,7 +190,9 @@
         }
 
     def _add_job(self, record, weigher, now, now_ms):
-        queue = self._queues.setdefault(record.job.queue, _Queue(now))
+        queue = self._queues.setdefault(
+            record.job.queue, queue_work.QueueWork(now)
+        )
         steps = [self._state.workloads[name] for name in record.steps]
         found = [weigher.get_step_forecast(step) for step in steps]
         task_work = [
@@ -339,8 +204,10 @@
             for step, each in zip(steps, task_work, strict=True)
         )
         begin_ms = record.job.asked_ms or record.unix_ms
-        queue.record_job(work, _compute_objective_ms(record.job, found))
-        job = _TrackedJob(
+        queue.record_job(
+            work, job_outlook.compute_objective_ms(record.job, found)
+        )
+        job = TrackedJob(
             record,
             queue.list_keys(record.job, work),
             task_work,
@@ -348,6 +215,7 @@
             # Times are kept on the monotonic clock, as the wall clock may
             # jump.
             began=now - (now_ms - begin_ms) / _MS_PER_SECOND,
+            fills=all(step.workload.fills for step in steps),
             idle_since=now,
         )
         job.done = self._sum_done(job)
@@ -365,7 +233,7 @@
         queue = self._queues[job.record.job.queue]
         queue.finish(job.keys, done - job.done)
         job.done = done
-        if self._has_placed(job):
+        if not job.fills and self._has_placed(job):
             job.idle_since = now
 
     def _has_placed(self, job):
@@ -435,7 +303,8 @@
         self._long_waits = {
             job_id
             for job_id, job in self._jobs.items()
-            if now - job.idle_since > 0
+            if not job.fills
+            and now > job.idle_since
             and outlooks.get(job).is_short
             and outlooks.get(job).can_end
             and now - job.idle_since
@@ -443,72 +312,6 @@
         }
 
 
-class _Outlooks:
-    """The :class:`_Outlook` of jobs at one moment, computed on demand."""
-
-    def __init__(self, state, weigher, now, is_short, get_rate):
-        self._state = state
-        self._weigher = weigher
-        self._now = now
-        self._is_short = is_short
-        self._get_rate = get_rate
-        self._found = {}
-
-    def get(self, job):
-        """Return the :class:`_Outlook` of a :class:`_TrackedJob`."""
-        job_id = job.record.job.id
-        if job_id not in self._found:
-            self._found[job_id] = self._compute(job)
-        return self._found[job_id]
-
-    def _compute(self, job):
-        record = job.record
-        steps = [self._state.workloads[name] for name in record.steps]
-        found = [self._weigher.get_step_forecast(step) for step in steps]
-        objective_ms = _compute_objective_ms(record.job, found)
-        run_ms = [forecast.run_ms for forecast in found]
-        chain_ms = max(jobs.compute_path_ms(record.job.steps, run_ms))
-        # Time that each step takes with the whole capacity of its class.
-        alone_ms = [
-            self._compute_alone_ms(step, ms)
-            for step, ms in zip(steps, run_ms, strict=True)
-        ]
-        left_ms = max(jobs.compute_path_ms(record.job.steps, alone_ms))
-        following = next(
-            (step for step in steps if not self._state.is_done(step)),
-            steps[-1],
-        ).workload
-        due_at = job.began + objective_ms / _MS_PER_SECOND
-        least_ms = (1 - _ESTIMATE_TOLERANCE) * left_ms
-        return _Outlook(
-            found[0].left,
-            due_at,
-            self._is_short(following.pool, following.fills),
-            self._now + least_ms / _MS_PER_SECOND <= due_at,
-            (objective_ms - chain_ms) / _MS_PER_SECOND,
-        )
-
-    def _compute_alone_ms(self, step, run_ms):
-        workload = step.workload
-        count = workload.count - step.succeeded
-        if count <= 0:
-            return 0.0
-        rate = self._get_rate(workload.pool, workload.fills)
-        if rate <= 0:
-            return run_ms
-        return max(
-            run_ms, count * workload.resources.cpu_milli * run_ms / rate
-        )
-
-
-def _compute_objective_ms(job, forecasts):
-    """Return a job's objective by the ``StepForecast`` of its steps."""
-    chain_ms = max(
-        jobs.compute_path_ms(job.steps, [one.run_ms for one in forecasts])
-    )
-    return jobs.compute_objective_ms(job, chain_ms)
-
-
 def _has_objective(job):
     """Return whether a job runs once, ends, and has an objective."""
     return (
