--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -24,8 +24,9 @@
 from portwharf.scheduler.decisions import hung_tasks
 from portwharf.scheduler.decisions import job_admission
 from portwharf.scheduler.decisions import pass_inputs
-from portwharf.scheduler.decisions import pass_shortage
 from portwharf.scheduler.decisions import precedence
+from portwharf.scheduler.decisions import return_schedule
+from portwharf.scheduler.decisions import scheduled_returns
 from portwharf.scheduler.decisions import service_protection
 from portwharf.scheduler.decisions import shard_load
 from portwharf.scheduler.decisions import shortage_shares
@@ -82,16 +83,21 @@
         )
         self.runtimes = forecast.RunTimeModel()
         self.load = shard_load.LoadTracker(began)
+        self.shares = shortage_shares.ShortageShares(state)
+        self.returns = return_schedule.ReturnSchedule(env.clock)
         self.admission = job_admission.JobAdmission(
-            state, self.runtimes, self.load, began
+            state,
+            self.runtimes,
+            self.load,
+            began,
+            scheduled_returns.ScheduledReturns(self.returns, self._is_short),
+            self.shares,
         )
         self.preparation = prepared_starts.PreparedStarts(state)
         self.rosters = rosters.RosterKeeper(state)
         self._claims = claim_updates.ClaimNotifier(state)
         # ``placement.UnplacedWorkload`` of the last pass, by workload id.
         self.waiting = {}
-        self._shortage = pass_shortage.PassShortage()
-        self.shares = shortage_shares.ShortageShares(state)
         self._patience = pass_inputs.Patience()
         self._wait_log = decisionlog.WaitLog()
         self._move_history = task_moves.MoveHistory()
@@ -361,6 +367,7 @@
         elif item.method == 'cancel-job':
             job_id = item.arguments.id
             outcome = job_operations.cancel_job(self._state, job_id)
+            self.returns.cancel(job_id)
             decisionlog.log_cancellation(outcome, job_id)
         elif item.method == 'change':
             outcome = operations.change(self._state, item.arguments)
@@ -392,12 +399,17 @@
                     job_operations.explain_refusal(job, problem, now_ms)
                 )
                 return result.Err(problem)
+            job.asked_ms = self.returns.get_asked_ms(job.id, now_ms)
         outcome = job_operations.submit_job(self._state, call, now_ms)
         decisionlog.log_submission(outcome, job)
         if outcome.is_ok() and outcome.ok_value.answer.created:
             self.admission.record_accepted(job, now_ms)
         return outcome
 
+    def _is_short(self, capacity_class):
+        now = self._env.clock.read_monotonic()
+        return self.load.is_short(capacity_class, now)
+
     def _confirm_refusals(self, batch):
         """Have the batch appended if it refuses jobs.
 
@@ -518,8 +530,10 @@
             weigher,
             now,
             now_ms,
-            self._shortage.is_short,
-            self._shortage.get_rate,
+            lambda *names: self._is_short(shard_load.CapacityClass(*names)),
+            lambda *names: self.load.get_rate(
+                shard_load.CapacityClass(*names)
+            ),
         )
         views = self._members.view_vms(weigher)
         self._crashloops.mark_unstable(views)
@@ -547,7 +561,6 @@
             self.service_protection.remedies.predict_effect,
         )
         self._timer.mark('place')
-        self._shortage.record_pass(done.waiting, views, now)
         self.waiting = {one.record.id: one for one in done.waiting}
         self._patience.record_waits(self.waiting, now)
         self._wait_log.update(self.waiting, now)
--- a/packages/scheduler/portwharf/scheduler/decisions/admission_defaults.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/admission_defaults.py
@@ -39,8 +39,8 @@
         """Return the wall time of a job's first submission."""
         return now_ms
 
-    def list_due(self, now_ms):
-        """Return the jobs whose time to return has come.
+    def list_due(self, capacity_class):
+        """Return the jobs of a capacity class whose time to return has come.
 
         :returns: objects with ``id``, ``queue`` and ``work``
         """
@@ -69,9 +69,10 @@
         """Return whether the job of a workload record is promoted."""
         return False
 
-    def find_owed(self, job):
+    def find_owed(self, job, work):
         """Return the share of the rate that the job's group is owed.
 
+        :param work: its predicted work
         :returns: (share, 0 to 1, and the ids of the group's jobs that have
             not ended), or None if it is owed nothing
         """
--- a/packages/scheduler/portwharf/scheduler/decisions/job_admission.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/job_admission.py
@@ -259,14 +259,14 @@
         loads = self._tracker.get_backlog(
             capacity_class, self._state, now_ms, self._shares.is_owed
         )
-        due = self._sum_due_returns(job, now_ms)
+        due = self._sum_due_returns(job, capacity_class)
         own = [
             step
             for step in steps
             if _get_class(step.record.workload) == capacity_class
         ]
         work = sum(step.work for step in own)
-        owed = self._shares.find_owed(job)
+        owed = self._shares.find_owed(job, work)
         verdict = Verdict(
             late_ms=limit_ms,
             work=work,
@@ -301,11 +301,11 @@
             )
         return verdict
 
-    def _sum_due_returns(self, job, now_ms):
+    def _sum_due_returns(self, job, capacity_class):
         """Return the work of returning jobs that go before a new job."""
         due = [
             one
-            for one in self._returns.list_due(now_ms)
+            for one in self._returns.list_due(capacity_class)
             if one.queue == job.queue
         ]
         if any(one.id == job.id for one in due):
--- a/packages/scheduler/portwharf/scheduler/decisions/shortage_shares.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/shortage_shares.py
@@ -115,26 +115,34 @@
         """Return the number of groups of all queues."""
         return sum(len(queue.groups) for queue in self._queues.values())
 
-    def get_owed_share(self, job, work):
-        """Return the share of its queue's capacity that a job's group is owed.
+    def find_owed(self, job, work):
+        """Return the share of its queue's work that a job's group is owed.
 
         :param job: a ``data.Job`` that need not have been accepted
         :param work: its predicted work
-        :returns: the largest share of its groups, 0.0 if none is owed
+        :returns: the share, and the set of ids of the group's jobs that have
+            not ended; None if no group of the job is owed capacity
         """
         queue = self._queues.get(job.queue)
         if queue is None:
-            return 0.0
+            return None
         keys = queue.list_keys(job, work)
-        return max(
-            (
-                group.submitted
-                for group in self._owed
-                if group.queue == job.queue
-                and (group.dimension, group.name) in keys
-            ),
-            default=0.0,
-        )
+        groups = [
+            group
+            for group in self._owed
+            if group.queue == job.queue
+            and (group.dimension, group.name) in keys
+        ]
+        if not groups:
+            return None
+        best = max(groups, key=lambda group: group.submitted)
+        key = (best.dimension, best.name)
+        ids = {
+            job_id
+            for job_id, known in self._jobs.items()
+            if known.record.job.queue == job.queue and key in known.keys
+        }
+        return best.submitted, ids
 
     def update(self, weigher, now, now_ms, is_short, get_rate):
         """Update sums and promotions, at most once each interval.
--- a/packages/scheduler/portwharf/scheduler/decisions/shortage_shares_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/shortage_shares_test.py
@@ -111,7 +111,9 @@
     claim = world.weigher.make_claim(record)
     case.assertAlmostEqual(claim.left, 8 * precedence.PROMOTED_FACTOR)
     job = data.Job('new', 'plans', caller='modest')
-    case.assertEqual(world.shares.get_owed_share(job, 1e6), owed.submitted)
+    share, ids = world.shares.find_owed(job, 1e6)
+    case.assertEqual(share, owed.submitted)
+    case.assertIn(owed.promoted, ids)
 
 
 def test_without_a_shortage_the_order_is_the_same(case):
--- a/packages/scheduler/portwharf/scheduler/operator_api.py
+++ b/packages/scheduler/portwharf/scheduler/operator_api.py
@@ -163,7 +163,11 @@
             if method == 'explain':
                 now_ms = self._env.clock.read_unix_ms()
                 return operations.explain(
-                    self._state, query, self._decider.waiting, now_ms
+                    self._state,
+                    query,
+                    self._decider.waiting,
+                    now_ms,
+                    self._decider.returns.explain,
                 )
             return result.Ok(self._report_shard(views))
 
