--- a/packages/entry/portwharf/entry/cluster_commands.py
+++ b/packages/entry/portwharf/entry/cluster_commands.py
@@ -18,6 +18,18 @@
 from portwharf.entry import tables
 from portwharf.v1 import operators_pb as pb
 
+_LOAD_HEADERS = (
+    'SHARD',
+    'POOL',
+    'WORK',
+    'RATE',
+    'BACKLOG',
+    'SHORT',
+    'REFUSED',
+    'RETURNING',
+    'OWED',
+)
+
 
 @cappa.command(name='get')
 @dataclasses.dataclass
@@ -123,7 +135,7 @@
 @cappa.command(name='status')
 @dataclasses.dataclass
 class Status:
-    """Show shards with their owners, and VMs.
+    """Show shards with their owners, the load of pools, and VMs.
 
     Example: portwharf status
     """
@@ -149,6 +161,12 @@
             ],
         )
         print()
+        loads = [
+            _format_load(s, one) for s in got.shards for one in s.capacity
+        ]
+        if loads:
+            tables.print_table(_LOAD_HEADERS, loads)
+            print()
         tables.print_table(
             ('VM', 'ZONE', 'RACK', 'STATE', 'CAPACITY', 'RESERVED', 'TASKS'),
             [
@@ -214,6 +232,21 @@
     command: cappa.Subcommands[Burn | delay_commands.Delays]
 
 
+def _format_load(shard, capacity):
+    """Return the table row of a capacity class of a shard."""
+    return (
+        shard.shard,
+        capacity.pool,
+        'filling' if capacity.fills else 'other',
+        f'{capacity.rate_milli / 1000:g}cpu',
+        f'{capacity.backlog_seconds}cpu-s',
+        'yes' if capacity.is_short else 'no',
+        capacity.refused,
+        capacity.returning,
+        ', '.join(capacity.owed) or '-',
+    )
+
+
 def _list_windows(service):
     """Return a table row for each burn window of a service."""
     target = f'{service.target_ratio:.3%} in {service.target_ms} ms'
--- a/packages/entry/portwharf/entry/main_test.py
+++ b/packages/entry/portwharf/entry/main_test.py
@@ -14,6 +14,7 @@
 from portwharf.entry import charts
 from portwharf.entry import cli
 from portwharf.entry import main
+from portwharf.v1 import operators_pb as pb
 
 EXAMPLES = pathlib.Path(__file__).parents[4] / 'examples'
 
@@ -97,6 +98,38 @@
     case.assertIn('requirements-pictures.txt', drawn.err_value.remedy)
 
 
+def test_status_shows_the_load_of_pools_if_there_is_any(case):
+    """A shortage is shown; without reports the output is as before."""
+    shard = pb.ShardStatus(shard=4, owner='side-1')
+    answer = pb.ClusterStatusResponse(shards=[shard])
+    with mock.patch.object(
+        cli, 'call_entry', autospec=True, return_value=answer
+    ):
+        _, before, _ = run('status', '--entry', '127.0.0.1:1')
+        shard.capacity = [
+            pb.CapacityStatus(
+                pool='east',
+                fills=True,
+                rate_milli=2500,
+                backlog_seconds=90,
+                is_short=True,
+                refused=7,
+                returning=3,
+                owed=['queue-2 zone b', 'queue-2 large'],
+            ),
+            pb.CapacityStatus(pool='west'),
+        ]
+        code, out, _ = run('status', '--entry', '127.0.0.1:1')
+    case.assertEqual(code, 0)
+    case.assertNotIn('POOL', before)
+    rows = [line.split() for line in out.splitlines()]
+    owed = 'queue-2 zone b, queue-2 large'.split()
+    short = ['4', 'east', 'filling', '2.5cpu', '90cpu-s', 'yes', '7', '3']
+    case.assertIn([*short, *owed], rows)
+    idle = ['4', 'west', 'other', '0cpu', '0cpu-s', 'no', '0', '0', '-']
+    case.assertIn(idle, rows)
+
+
 def test_help_has_examples(case):
     for command in ('serve', 'submit', 'jobs', 'call', 'explain', 'cancel'):
         code, out, _ = run(command, '--help')
--- a/packages/operators/portwharf/operators/convert.py
+++ b/packages/operators/portwharf/operators/convert.py
@@ -139,6 +139,21 @@
         log_length=report.log_length,
         waiting=report.waiting,
         running=report.running,
+        capacity=[write_capacity(one) for one in report.capacity],
+    )
+
+
+def write_capacity(report):
+    """Return an ``operations.CapacityReport`` as a schema message."""
+    return pb.CapacityStatus(
+        pool=report.pool,
+        fills=report.fills,
+        rate_milli=report.rate_milli,
+        backlog_seconds=report.backlog_seconds,
+        is_short=report.is_short,
+        refused=report.refused,
+        returning=report.returning,
+        owed=report.owed,
     )
 
 
--- a/packages/operators/portwharf/operators/service_test.py
+++ b/packages/operators/portwharf/operators/service_test.py
@@ -30,6 +30,7 @@
 
     def __init__(self):
         self.submissions = []
+        self.shards = []
         self.problem = None
 
     def submit(self, submission):
@@ -55,7 +56,7 @@
         return result.Ok(operations.Explanation(subject, 'waiting'))
 
     def read_shards(self):
-        return result.Ok([])
+        return result.Ok(self.shards)
 
     def read_config(self):
         return operations.Accepted()
@@ -131,6 +132,29 @@
     case.assertEqual((status, answer['code']), (503, 'unavailable'))
 
 
+def test_status_shows_the_load_of_each_capacity_class(case):
+    """No field of a capacity class is lost on the way to the operator."""
+    backend = FakeBackend()
+    capacity = operations.CapacityReport(
+        'east', True, 2500, 90, True, 7, 3, ['queue-2 zone b']
+    )
+    backend.shards = [operations.ShardReport(4, capacity=[capacity])]
+    status, answer = post(backend, 'ClusterStatus', {})
+    case.assertEqual(status, 200)
+    (shown,) = answer['shards'][0]['capacity']
+    expected = {
+        'pool': 'east',
+        'fills': True,
+        'rateMilli': '2500',
+        'backlogSeconds': '90',
+        'isShort': True,
+        'refused': '7',
+        'returning': 3,
+        'owed': ['queue-2 zone b'],
+    }
+    case.assertEqual(shown, expected)
+
+
 def test_client_uses_the_binary_encoding(case):
     client = operators.Client([])
     client._pools = [make_pool(FakeBackend())]
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -92,6 +92,11 @@
         self._missing = {}
         # Ended jobs whose end is not logged yet and must not be shown.
         self.unlogged_job_ends = set()
+        # What operators are shown: a function that returns the list of
+        # ``operations.CapacityReport``, and one that returns the list of
+        # ``events.Decision`` about the id of a refused job.
+        self.capacity_reports = lambda: []
+        self.explain_refusal = lambda job_id: []
 
     def set_members(self, members):
         """Set the ``membership.Membership``, which depends on this object."""
--- a/packages/scheduler/portwharf/scheduler/operations.py
+++ b/packages/scheduler/portwharf/scheduler/operations.py
@@ -149,6 +149,29 @@
     )
 
 
+@dataclasses.dataclass(slots=True)
+class CapacityReport:
+    """The load of one capacity class: the filling or other work of a pool.
+
+    :param fills: whether it is the pool's filling work
+    :param rate_milli: processors at work for it, in thousandths
+    :param backlog_seconds: remaining work of its jobs, in processor seconds
+    :param is_short: whether there is less capacity than its ready work needs
+    :param refused: submissions refused by this owner for lack of capacity
+    :param returning: refused jobs that have a time to return at
+    :param owed: the groups that are owed capacity, such as ``queue-2 zone b``
+    """
+
+    pool: str = ''
+    fills: bool = False
+    rate_milli: int = 0
+    backlog_seconds: int = 0
+    is_short: bool = False
+    refused: int = 0
+    returning: int = 0
+    owed: list[str] = dataclasses.field(default_factory=list)
+
+
 @dataclasses.dataclass(slots=True)
 class ShardReport:
     """A shard as its owner sees it."""
@@ -162,6 +185,7 @@
     config_revision: int = 0
     vms: list[VmReport] = dataclasses.field(default_factory=list)
     teams: list[TeamUse] = dataclasses.field(default_factory=list)
+    capacity: list[CapacityReport] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
@@ -330,13 +354,16 @@
     return result.Ok(TaskList(tasks))
 
 
-def explain(state, query, waiting, now_ms):
+def explain(state, query, waiting, now_ms, refusals=()):
     """Return the decisions about a workload, a task or a refused submission.
 
     :param waiting: ``placement.UnplacedWorkload`` of waiting workloads, by id
+    :param refusals: ``events.Decision`` list of a refused job, which is not
+        in the log
     :returns: Ok(Explanation), or Err(Problem)
     """
-    explanation = Explanation(query.id, decisions=state.history.find(query.id))
+    decisions = [*state.history.find(query.id), *refusals]
+    explanation = Explanation(query.id, decisions=decisions)
     record = state.workloads.get(query.id)
     if record is not None:
         explanation.state = _describe_counts(state.count_states(record))
--- a/packages/scheduler/portwharf/scheduler/operator_api.py
+++ b/packages/scheduler/portwharf/scheduler/operator_api.py
@@ -160,7 +160,11 @@
             if method == 'explain':
                 now_ms = self._env.clock.read_unix_ms()
                 return operations.explain(
-                    self._state, query, self._decider.waiting, now_ms
+                    self._state,
+                    query,
+                    self._decider.waiting,
+                    now_ms,
+                    self._decider.explain_refusal(query.id),
                 )
             return result.Ok(self._report_shard(views))
 
@@ -241,6 +245,7 @@
             self._state.epoch,
             self._owner.log_length,
             config_revision=self._env.keeper.read().revision,
+            capacity=self._decider.capacity_reports(),
         )
         for record in self._state.workloads.values():
             counts = self._state.count_states(record)
--- a/packages/scheduler/portwharf/scheduler/operator_api_test.py
+++ b/packages/scheduler/portwharf/scheduler/operator_api_test.py
@@ -10,6 +10,7 @@
 from portwharf.core import clock
 from portwharf.core import codec
 from portwharf.peers import messages
+from portwharf.scheduler import events
 from portwharf.scheduler import job_operations
 from portwharf.scheduler import jobs_test
 from portwharf.scheduler import operations
@@ -61,9 +62,15 @@
     made.jobs.update((job, None) for job in jobs)
     busy = BusyOwner()
     env = types.SimpleNamespace(clock=clock.ManualClock())
-    deciding = types.SimpleNamespace(unlogged_job_ends=set())
+    deciding = types.SimpleNamespace(
+        unlogged_job_ends=set(),
+        waiting={},
+        capacity_reports=lambda: [],
+        explain_refusal=lambda job_id: [],
+    )
     lock = threading.RLock()
-    api = operator_api.OperatorApi(env, busy, lock, made, None, deciding)
+    members = types.SimpleNamespace(view_vms=lambda: [])
+    api = operator_api.OperatorApi(env, busy, lock, made, members, deciding)
     return api, busy
 
 
@@ -154,3 +161,32 @@
     api.execute_operation(make_call('cancel-job'), results.append, received_at)
     case.assertEqual(results[0].status, 'ok')
     case.assertAlmostEqual(read_sum() - before, 2.0)
+
+
+def test_status_has_the_load_of_each_capacity_class(case):
+    """The decider's reports reach the answer and survive its encoding."""
+    api, busy = make_api()
+    busy.log_length = 3
+    api._env.shard, api._env.name = 0, 'side-1'
+    api._env.keeper = types.SimpleNamespace(
+        read=lambda: types.SimpleNamespace(revision=2)
+    )
+    capacity = operations.CapacityReport(
+        'east', True, 2500, 90, True, 7, 3, ['queue-2 zone b', 'queue-2 large']
+    )
+    api._decider.capacity_reports = lambda: [capacity]
+    (answer,) = execute(api, make_call('status'))
+    report = codec.unpack(operations.ShardReport, answer.body)
+    case.assertEqual(report.capacity, [capacity])
+
+
+def test_refused_job_is_explained(case):
+    """A refused job is in no log; its id is unknown without the decider."""
+    api, _ = make_api()
+    (answer,) = execute(api, make_call('explain'))
+    case.assertEqual(answer.problems[0].code, 'unknown-id')
+    decision = events.Decision(9, 'cannot-end-in-time', detail='60 s ahead')
+    api._decider.explain_refusal = lambda job_id: [decision]
+    (answer,) = execute(api, make_call('explain'))
+    found = codec.unpack(operations.Explanation, answer.body)
+    case.assertEqual((found.state, found.decisions), ('refused', [decision]))
--- a/packages/schema/portwharf/v1/operators_pb.py
+++ b/packages/schema/portwharf/v1/operators_pb.py
@@ -1261,7 +1261,7 @@
         vms: list[VmStatus]
         shards: list[ShardStatus]
 
-_ShardStatusFields: TypeAlias = Literal["shard", "owner", "epoch", "log_length", "waiting", "running"]
+_ShardStatusFields: TypeAlias = Literal["shard", "owner", "epoch", "log_length", "waiting", "running", "capacity"]
 
 class ShardStatus(Message[_ShardStatusFields]):
     """
@@ -1294,9 +1294,13 @@
             ```proto
             uint32 running = 6;
             ```
+        capacity:
+            ```proto
+            repeated portwharf.v1.CapacityStatus capacity = 7;
+            ```
     """
 
-    __slots__ = ("shard", "owner", "epoch", "log_length", "waiting", "running")
+    __slots__ = ("shard", "owner", "epoch", "log_length", "waiting", "running", "capacity")
 
     if TYPE_CHECKING:
 
@@ -1309,6 +1313,7 @@
             log_length: int = 0,
             waiting: int = 0,
             running: int = 0,
+            capacity: list[CapacityStatus] | None = None,
         ) -> None:
             pass
 
@@ -1318,6 +1323,93 @@
         log_length: int
         waiting: int
         running: int
+        capacity: list[CapacityStatus]
+
+_CapacityStatusFields: TypeAlias = Literal["pool", "fills", "rate_milli", "backlog_seconds", "is_short", "refused", "returning", "owed"]
+
+class CapacityStatus(Message[_CapacityStatusFields]):
+    """
+    CapacityStatus is the load of the filling or other work of a pool.
+
+    ```proto
+    message portwharf.v1.CapacityStatus
+    ```
+
+    Attributes:
+        pool:
+            ```proto
+            string pool = 1;
+            ```
+        fills:
+            Filling work, which uses processors that serving tasks leave idle.
+
+            ```proto
+            bool fills = 2;
+            ```
+        rate_milli:
+            Processors at work for it, in thousandths.
+
+            ```proto
+            uint64 rate_milli = 3;
+            ```
+        backlog_seconds:
+            Remaining work of its jobs, in processor seconds.
+
+            ```proto
+            uint64 backlog_seconds = 4;
+            ```
+        is_short:
+            Whether there is less capacity than its ready work needs.
+
+            ```proto
+            bool is_short = 5;
+            ```
+        refused:
+            Submissions refused by this owner for lack of capacity.
+
+            ```proto
+            uint64 refused = 6;
+            ```
+        returning:
+            Refused jobs that have a time to return at.
+
+            ```proto
+            uint32 returning = 7;
+            ```
+        owed:
+            Groups that are owed capacity, as in "queue-2 zone b".
+
+            ```proto
+            repeated string owed = 8;
+            ```
+    """
+
+    __slots__ = ("pool", "fills", "rate_milli", "backlog_seconds", "is_short", "refused", "returning", "owed")
+
+    if TYPE_CHECKING:
+
+        def __init__(
+            self,
+            *,
+            pool: str = "",
+            fills: bool = False,
+            rate_milli: int = 0,
+            backlog_seconds: int = 0,
+            is_short: bool = False,
+            refused: int = 0,
+            returning: int = 0,
+            owed: list[str] | None = None,
+        ) -> None:
+            pass
+
+        pool: str
+        fills: bool
+        rate_milli: int
+        backlog_seconds: int
+        is_short: bool
+        refused: int
+        returning: int
+        owed: list[str]
 
 _BurnReportRequestFields: TypeAlias = NoReturn
 
@@ -1517,7 +1609,7 @@
 
 
 _DESC = file_desc(
-    b'\n\x1cportwharf/v1/operators.proto\x12\x0cportwharf.v1"i\n\tResources\x12\x1b\n\tcpu_milli\x18\x01 \x01(\rR\x08cpuMilli\x12\x1b\n\tmemory_mb\x18\x02 \x01(\rR\x08memoryMb\x12"\n\x0caccelerators\x18\x03 \x01(\rR\x0caccelerators"\xb2\x03\n\x08Workload\x12\x12\n\x04name\x18\x01 \x01(\tR\x04name\x12\x12\n\x04team\x18\x02 \x01(\tR\x04team\x12&\n\x04kind\x18\x03 \x01(\x0e2\x12.portwharf.v1.KindR\x04kind\x125\n\tresources\x18\x04 \x01(\x0b2\x17.portwharf.v1.ResourcesR\tresources\x12\x14\n\x05count\x18\x05 \x01(\rR\x05count\x12\x1e\n\nimportance\x18\x06 \x01(\rR\nimportance\x12\x1f\n\x0brun_seconds\x18\x07 \x01(\rR\nrunSeconds\x12)\n\x10deadline_seconds\x18\x08 \x01(\rR\x0fdeadlineSeconds\x12&\n\x0echeckpointable\x18\t \x01(\x08R\x0echeckpointable\x12\'\n\x0foverlap_allowed\x18\n \x01(\x08R\x0eoverlapAllowed\x12\x16\n\x06urgent\x18\x0b \x01(\x08R\x06urgent\x12\x18\n\x07program\x18\x0c \x01(\tR\x07program\x12\x1a\n\x08argument\x18\r \x01(\x0cR\x08argument"\xa8\x02\n\x0eWorkloadStatus\x12\x0e\n\x02id\x18\x01 \x01(\tR\x02id\x122\n\x08workload\x18\x02 \x01(\x0b2\x16.portwharf.v1.WorkloadR\x08workload\x12\x18\n\x07waiting\x18\x03 \x01(\rR\x07waiting\x12\x18\n\x07running\x18\x04 \x01(\rR\x07running\x12\x1c\n\tsucceeded\x18\x05 \x01(\rR\tsucceeded\x12\x16\n\x06failed\x18\x06 \x01(\rR\x06failed\x12\x1c\n\tcancelled\x18\x07 \x01(\rR\tcancelled\x12(\n\x10accepted_unix_ms\x18\x08 \x01(\x04R\x0eacceptedUnixMs\x12 \n\x0bunplaceable\x18\t \x01(\x08R\x0bunplaceable"\xcd\x01\n\x04Task\x12\x0e\n\x02id\x18\x01 \x01(\tR\x02id\x12\x1f\n\x0bworkload_id\x18\x02 \x01(\tR\nworkloadId\x12\x14\n\x05state\x18\x03 \x01(\tR\x05state\x12\x18\n\x07attempt\x18\x04 \x01(\rR\x07attempt\x12\x0e\n\x02vm\x18\x05 \x01(\tR\x02vm\x12\x1e\n\ncheckpoint\x18\x06 \x01(\tR\ncheckpoint\x12\x16\n\x06result\x18\x07 \x01(\x0cR\x06result\x12\x1c\n\tevictions\x18\x08 \x01(\rR\tevictions"k\n\x0bErrorDetail\x12\x14\n\x05field\x18\x01 \x01(\tR\x05field\x12\x14\n\x05value\x18\x02 \x01(\tR\x05value\x12\x18\n\x07problem\x18\x03 \x01(\tR\x07problem\x12\x16\n\x06remedy\x18\x04 \x01(\tR\x06remedy"]\n\x15CreateWorkloadRequest\x122\n\x08workload\x18\x01 \x01(\x0b2\x16.portwharf.v1.WorkloadR\x08workload\x12\x10\n\x03key\x18\x02 \x01(\tR\x03key"B\n\x16CreateWorkloadResponse\x12\x0e\n\x02id\x18\x01 \x01(\tR\x02id\x12\x18\n\x07created\x18\x02 \x01(\x08R\x07created"[\n\x15UpdateWorkloadRequest\x12\x0e\n\x02id\x18\x01 \x01(\tR\x02id\x122\n\x08workload\x18\x02 \x01(\x0b2\x16.portwharf.v1.WorkloadR\x08workload"\x18\n\x16UpdateWorkloadResponse"\'\n\x15CancelWorkloadRequest\x12\x0e\n\x02id\x18\x01 \x01(\tR\x02id"6\n\x16CancelWorkloadResponse\x12\x1c\n\tcancelled\x18\x01 \x01(\rR\tcancelled"R\n\x14ListWorkloadsRequest\x12&\n\x04kind\x18\x01 \x01(\x0e2\x12.portwharf.v1.KindR\x04kind\x12\x12\n\x04team\x18\x02 \x01(\tR\x04team"S\n\x15ListWorkloadsResponse\x12:\n\tworkloads\x18\x01 \x03(\x0b2\x1c.portwharf.v1.WorkloadStatusR\tworkloads"3\n\x10ListTasksRequest\x12\x1f\n\x0bworkload_id\x18\x01 \x01(\tR\nworkloadId"=\n\x11ListTasksResponse\x12(\n\x05tasks\x18\x01 \x03(\x0b2\x12.portwharf.v1.TaskR\x05tasks" \n\x0eExplainRequest\x12\x0e\n\x02id\x18\x01 \x01(\tR\x02id"@\n\x0cRefusalCount\x12\x16\n\x06reason\x18\x01 \x01(\tR\x06reason\x12\x18\n\x07workers\x18\x02 \x01(\rR\x07workers"5\n\tScorePart\x12\x12\n\x04name\x18\x01 \x01(\tR\x04name\x12\x14\n\x05value\x18\x02 \x01(\x01R\x05value"\xfc\x01\n\x08Decision\x12\x17\n\x07unix_ms\x18\x01 \x01(\x04R\x06unixMs\x12\x16\n\x06reason\x18\x02 \x01(\tR\x06reason\x12\x18\n\x07subject\x18\x03 \x01(\tR\x07subject\x12\x0e\n\x02vm\x18\x04 \x01(\tR\x02vm\x126\n\x08refusals\x18\x05 \x03(\x0b2\x1a.portwharf.v1.RefusalCountR\x08refusals\x12-\n\x05score\x18\x06 \x03(\x0b2\x17.portwharf.v1.ScorePartR\x05score\x12\x16\n\x06detail\x18\x07 \x01(\tR\x06detail\x12\x16\n\x06advice\x18\x08 \x01(\tR\x06advice"w\n\x0fExplainResponse\x12\x18\n\x07subject\x18\x01 \x01(\tR\x07subject\x12\x14\n\x05state\x18\x02 \x01(\tR\x05state\x124\n\tdecisions\x18\x03 \x03(\x0b2\x16.portwharf.v1.DecisionR\tdecisions"\x12\n\x10GetConfigRequest"C\n\x11GetConfigResponse\x12\x1a\n\x08revision\x18\x01 \x01(\x04R\x08revision\x12\x12\n\x04text\x18\x02 \x01(\tR\x04text"O\n\x14ProposeConfigRequest\x12#\n\rbase_revision\x18\x01 \x01(\x04R\x0cbaseRevision\x12\x12\n\x04text\x18\x02 \x01(\tR\x04text"3\n\x15ProposeConfigResponse\x12\x1a\n\x08revision\x18\x01 \x01(\x04R\x08revision"\x15\n\x13ConfigStatusRequest"E\n\rConfigInForce\x12\x18\n\x07process\x18\x01 \x01(\tR\x07process\x12\x1a\n\x08revision\x18\x02 \x01(\x04R\x08revision"m\n\x14ConfigStatusResponse\x12\x1a\n\x08revision\x18\x01 \x01(\x04R\x08revision\x129\n\tprocesses\x18\x02 \x03(\x0b2\x1b.portwharf.v1.ConfigInForceR\tprocesses"\x16\n\x14ClusterStatusRequest"\xf5\x01\n\x08VmStatus\x12\x12\n\x04name\x18\x01 \x01(\tR\x04name\x12+\n\x11availability_zone\x18\x02 \x01(\tR\x10availabilityZone\x12\x12\n\x04rack\x18\x03 \x01(\tR\x04rack\x12\x14\n\x05state\x18\x04 \x01(\tR\x05state\x123\n\x08capacity\x18\x05 \x01(\x0b2\x17.portwharf.v1.ResourcesR\x08capacity\x123\n\x08reserved\x18\x06 \x01(\x0b2\x17.portwharf.v1.ResourcesR\x08reserved\x12\x14\n\x05tasks\x18\x07 \x01(\rR\x05tasks"t\n\x15ClusterStatusResponse\x12(\n\x03vms\x18\x01 \x03(\x0b2\x16.portwharf.v1.VmStatusR\x03vms\x121\n\x06shards\x18\x02 \x03(\x0b2\x19.portwharf.v1.ShardStatusR\x06shards"\xa2\x01\n\x0bShardStatus\x12\x14\n\x05shard\x18\x01 \x01(\rR\x05shard\x12\x14\n\x05owner\x18\x02 \x01(\tR\x05owner\x12\x14\n\x05epoch\x18\x03 \x01(\x04R\x05epoch\x12\x1d\n\nlog_length\x18\x04 \x01(\x04R\tlogLength\x12\x18\n\x07waiting\x18\x05 \x01(\rR\x07waiting\x12\x18\n\x07running\x18\x06 \x01(\rR\x07running"\x13\n\x11BurnReportRequest"\x92\x01\n\nBurnWindow\x12%\n\x0ewindow_seconds\x18\x01 \x01(\rR\rwindowSeconds\x12\x1a\n\x08requests\x18\x02 \x01(\x04R\x08requests\x12$\n\x0elate_or_failed\x18\x03 \x01(\x04R\x0clateOrFailed\x12\x1b\n\tburn_rate\x18\x04 \x01(\x01R\x08burnRate"\xee\x01\n\x0bServiceBurn\x12\x18\n\x07service\x18\x01 \x01(\tR\x07service\x12!\n\x0ctarget_ratio\x18\x02 \x01(\x01R\x0btargetRatio\x12\x1b\n\ttarget_ms\x18\x03 \x01(\rR\x08targetMs\x122\n\x07windows\x18\x04 \x03(\x0b2\x18.portwharf.v1.BurnWindowR\x07windows\x12\x1f\n\x0bbudget_left\x18\x05 \x01(\x01R\nbudgetLeft\x120\n\x14exhausted_in_seconds\x18\x06 \x01(\x04R\x12exhaustedInSeconds"K\n\x12BurnReportResponse\x125\n\x08services\x18\x01 \x03(\x0b2\x19.portwharf.v1.ServiceBurnR\x08services*Q\n\x04Kind\x12\x14\n\x10KIND_UNSPECIFIED\x10\x00\x12\x10\n\x0cKIND_SERVICE\x10\x01\x12\x0e\n\nKIND_BATCH\x10\x02\x12\x11\n\rKIND_STANDING\x10\x032\xc2\x07\n\x0fOperatorService\x12[\n\x0eCreateWorkload\x12#.portwharf.v1.CreateWorkloadRequest\x1a$.portwharf.v1.CreateWorkloadResponse\x12[\n\x0eUpdateWorkload\x12#.portwharf.v1.UpdateWorkloadRequest\x1a$.portwharf.v1.UpdateWorkloadResponse\x12[\n\x0eCancelWorkload\x12#.portwharf.v1.CancelWorkloadRequest\x1a$.portwharf.v1.CancelWorkloadResponse\x12X\n\rListWorkloads\x12".portwharf.v1.ListWorkloadsRequest\x1a#.portwharf.v1.ListWorkloadsResponse\x12L\n\tListTasks\x12\x1e.portwharf.v1.ListTasksRequest\x1a\x1f.portwharf.v1.ListTasksResponse\x12F\n\x07Explain\x12\x1c.portwharf.v1.ExplainRequest\x1a\x1d.portwharf.v1.ExplainResponse\x12L\n\tGetConfig\x12\x1e.portwharf.v1.GetConfigRequest\x1a\x1f.portwharf.v1.GetConfigResponse\x12X\n\rProposeConfig\x12".portwharf.v1.ProposeConfigRequest\x1a#.portwharf.v1.ProposeConfigResponse\x12U\n\x0cConfigStatus\x12!.portwharf.v1.ConfigStatusRequest\x1a".portwharf.v1.ConfigStatusResponse\x12X\n\rClusterStatus\x12".portwharf.v1.ClusterStatusRequest\x1a#.portwharf.v1.ClusterStatusResponse\x12O\n\nBurnReport\x12\x1f.portwharf.v1.BurnReportRequest\x1a .portwharf.v1.BurnReportResponseb\x06proto3',
+    b'\n\x1cportwharf/v1/operators.proto\x12\x0cportwharf.v1"i\n\tResources\x12\x1b\n\tcpu_milli\x18\x01 \x01(\rR\x08cpuMilli\x12\x1b\n\tmemory_mb\x18\x02 \x01(\rR\x08memoryMb\x12"\n\x0caccelerators\x18\x03 \x01(\rR\x0caccelerators"\xb2\x03\n\x08Workload\x12\x12\n\x04name\x18\x01 \x01(\tR\x04name\x12\x12\n\x04team\x18\x02 \x01(\tR\x04team\x12&\n\x04kind\x18\x03 \x01(\x0e2\x12.portwharf.v1.KindR\x04kind\x125\n\tresources\x18\x04 \x01(\x0b2\x17.portwharf.v1.ResourcesR\tresources\x12\x14\n\x05count\x18\x05 \x01(\rR\x05count\x12\x1e\n\nimportance\x18\x06 \x01(\rR\nimportance\x12\x1f\n\x0brun_seconds\x18\x07 \x01(\rR\nrunSeconds\x12)\n\x10deadline_seconds\x18\x08 \x01(\rR\x0fdeadlineSeconds\x12&\n\x0echeckpointable\x18\t \x01(\x08R\x0echeckpointable\x12\'\n\x0foverlap_allowed\x18\n \x01(\x08R\x0eoverlapAllowed\x12\x16\n\x06urgent\x18\x0b \x01(\x08R\x06urgent\x12\x18\n\x07program\x18\x0c \x01(\tR\x07program\x12\x1a\n\x08argument\x18\r \x01(\x0cR\x08argument"\xa8\x02\n\x0eWorkloadStatus\x12\x0e\n\x02id\x18\x01 \x01(\tR\x02id\x122\n\x08workload\x18\x02 \x01(\x0b2\x16.portwharf.v1.WorkloadR\x08workload\x12\x18\n\x07waiting\x18\x03 \x01(\rR\x07waiting\x12\x18\n\x07running\x18\x04 \x01(\rR\x07running\x12\x1c\n\tsucceeded\x18\x05 \x01(\rR\tsucceeded\x12\x16\n\x06failed\x18\x06 \x01(\rR\x06failed\x12\x1c\n\tcancelled\x18\x07 \x01(\rR\tcancelled\x12(\n\x10accepted_unix_ms\x18\x08 \x01(\x04R\x0eacceptedUnixMs\x12 \n\x0bunplaceable\x18\t \x01(\x08R\x0bunplaceable"\xcd\x01\n\x04Task\x12\x0e\n\x02id\x18\x01 \x01(\tR\x02id\x12\x1f\n\x0bworkload_id\x18\x02 \x01(\tR\nworkloadId\x12\x14\n\x05state\x18\x03 \x01(\tR\x05state\x12\x18\n\x07attempt\x18\x04 \x01(\rR\x07attempt\x12\x0e\n\x02vm\x18\x05 \x01(\tR\x02vm\x12\x1e\n\ncheckpoint\x18\x06 \x01(\tR\ncheckpoint\x12\x16\n\x06result\x18\x07 \x01(\x0cR\x06result\x12\x1c\n\tevictions\x18\x08 \x01(\rR\tevictions"k\n\x0bErrorDetail\x12\x14\n\x05field\x18\x01 \x01(\tR\x05field\x12\x14\n\x05value\x18\x02 \x01(\tR\x05value\x12\x18\n\x07problem\x18\x03 \x01(\tR\x07problem\x12\x16\n\x06remedy\x18\x04 \x01(\tR\x06remedy"]\n\x15CreateWorkloadRequest\x122\n\x08workload\x18\x01 \x01(\x0b2\x16.portwharf.v1.WorkloadR\x08workload\x12\x10\n\x03key\x18\x02 \x01(\tR\x03key"B\n\x16CreateWorkloadResponse\x12\x0e\n\x02id\x18\x01 \x01(\tR\x02id\x12\x18\n\x07created\x18\x02 \x01(\x08R\x07created"[\n\x15UpdateWorkloadRequest\x12\x0e\n\x02id\x18\x01 \x01(\tR\x02id\x122\n\x08workload\x18\x02 \x01(\x0b2\x16.portwharf.v1.WorkloadR\x08workload"\x18\n\x16UpdateWorkloadResponse"\'\n\x15CancelWorkloadRequest\x12\x0e\n\x02id\x18\x01 \x01(\tR\x02id"6\n\x16CancelWorkloadResponse\x12\x1c\n\tcancelled\x18\x01 \x01(\rR\tcancelled"R\n\x14ListWorkloadsRequest\x12&\n\x04kind\x18\x01 \x01(\x0e2\x12.portwharf.v1.KindR\x04kind\x12\x12\n\x04team\x18\x02 \x01(\tR\x04team"S\n\x15ListWorkloadsResponse\x12:\n\tworkloads\x18\x01 \x03(\x0b2\x1c.portwharf.v1.WorkloadStatusR\tworkloads"3\n\x10ListTasksRequest\x12\x1f\n\x0bworkload_id\x18\x01 \x01(\tR\nworkloadId"=\n\x11ListTasksResponse\x12(\n\x05tasks\x18\x01 \x03(\x0b2\x12.portwharf.v1.TaskR\x05tasks" \n\x0eExplainRequest\x12\x0e\n\x02id\x18\x01 \x01(\tR\x02id"@\n\x0cRefusalCount\x12\x16\n\x06reason\x18\x01 \x01(\tR\x06reason\x12\x18\n\x07workers\x18\x02 \x01(\rR\x07workers"5\n\tScorePart\x12\x12\n\x04name\x18\x01 \x01(\tR\x04name\x12\x14\n\x05value\x18\x02 \x01(\x01R\x05value"\xfc\x01\n\x08Decision\x12\x17\n\x07unix_ms\x18\x01 \x01(\x04R\x06unixMs\x12\x16\n\x06reason\x18\x02 \x01(\tR\x06reason\x12\x18\n\x07subject\x18\x03 \x01(\tR\x07subject\x12\x0e\n\x02vm\x18\x04 \x01(\tR\x02vm\x126\n\x08refusals\x18\x05 \x03(\x0b2\x1a.portwharf.v1.RefusalCountR\x08refusals\x12-\n\x05score\x18\x06 \x03(\x0b2\x17.portwharf.v1.ScorePartR\x05score\x12\x16\n\x06detail\x18\x07 \x01(\tR\x06detail\x12\x16\n\x06advice\x18\x08 \x01(\tR\x06advice"w\n\x0fExplainResponse\x12\x18\n\x07subject\x18\x01 \x01(\tR\x07subject\x12\x14\n\x05state\x18\x02 \x01(\tR\x05state\x124\n\tdecisions\x18\x03 \x03(\x0b2\x16.portwharf.v1.DecisionR\tdecisions"\x12\n\x10GetConfigRequest"C\n\x11GetConfigResponse\x12\x1a\n\x08revision\x18\x01 \x01(\x04R\x08revision\x12\x12\n\x04text\x18\x02 \x01(\tR\x04text"O\n\x14ProposeConfigRequest\x12#\n\rbase_revision\x18\x01 \x01(\x04R\x0cbaseRevision\x12\x12\n\x04text\x18\x02 \x01(\tR\x04text"3\n\x15ProposeConfigResponse\x12\x1a\n\x08revision\x18\x01 \x01(\x04R\x08revision"\x15\n\x13ConfigStatusRequest"E\n\rConfigInForce\x12\x18\n\x07process\x18\x01 \x01(\tR\x07process\x12\x1a\n\x08revision\x18\x02 \x01(\x04R\x08revision"m\n\x14ConfigStatusResponse\x12\x1a\n\x08revision\x18\x01 \x01(\x04R\x08revision\x129\n\tprocesses\x18\x02 \x03(\x0b2\x1b.portwharf.v1.ConfigInForceR\tprocesses"\x16\n\x14ClusterStatusRequest"\xf5\x01\n\x08VmStatus\x12\x12\n\x04name\x18\x01 \x01(\tR\x04name\x12+\n\x11availability_zone\x18\x02 \x01(\tR\x10availabilityZone\x12\x12\n\x04rack\x18\x03 \x01(\tR\x04rack\x12\x14\n\x05state\x18\x04 \x01(\tR\x05state\x123\n\x08capacity\x18\x05 \x01(\x0b2\x17.portwharf.v1.ResourcesR\x08capacity\x123\n\x08reserved\x18\x06 \x01(\x0b2\x17.portwharf.v1.ResourcesR\x08reserved\x12\x14\n\x05tasks\x18\x07 \x01(\rR\x05tasks"t\n\x15ClusterStatusResponse\x12(\n\x03vms\x18\x01 \x03(\x0b2\x16.portwharf.v1.VmStatusR\x03vms\x121\n\x06shards\x18\x02 \x03(\x0b2\x19.portwharf.v1.ShardStatusR\x06shards"\xdc\x01\n\x0bShardStatus\x12\x14\n\x05shard\x18\x01 \x01(\rR\x05shard\x12\x14\n\x05owner\x18\x02 \x01(\tR\x05owner\x12\x14\n\x05epoch\x18\x03 \x01(\x04R\x05epoch\x12\x1d\n\nlog_length\x18\x04 \x01(\x04R\tlogLength\x12\x18\n\x07waiting\x18\x05 \x01(\rR\x07waiting\x12\x18\n\x07running\x18\x06 \x01(\rR\x07running\x128\n\x08capacity\x18\x07 \x03(\x0b2\x1c.portwharf.v1.CapacityStatusR\x08capacity"\xe9\x01\n\x0eCapacityStatus\x12\x12\n\x04pool\x18\x01 \x01(\tR\x04pool\x12\x14\n\x05fills\x18\x02 \x01(\x08R\x05fills\x12\x1d\n\nrate_milli\x18\x03 \x01(\x04R\trateMilli\x12\'\n\x0fbacklog_seconds\x18\x04 \x01(\x04R\x0ebacklogSeconds\x12\x19\n\x08is_short\x18\x05 \x01(\x08R\x07isShort\x12\x18\n\x07refused\x18\x06 \x01(\x04R\x07refused\x12\x1c\n\treturning\x18\x07 \x01(\rR\treturning\x12\x12\n\x04owed\x18\x08 \x03(\tR\x04owed"\x13\n\x11BurnReportRequest"\x92\x01\n\nBurnWindow\x12%\n\x0ewindow_seconds\x18\x01 \x01(\rR\rwindowSeconds\x12\x1a\n\x08requests\x18\x02 \x01(\x04R\x08requests\x12$\n\x0elate_or_failed\x18\x03 \x01(\x04R\x0clateOrFailed\x12\x1b\n\tburn_rate\x18\x04 \x01(\x01R\x08burnRate"\xee\x01\n\x0bServiceBurn\x12\x18\n\x07service\x18\x01 \x01(\tR\x07service\x12!\n\x0ctarget_ratio\x18\x02 \x01(\x01R\x0btargetRatio\x12\x1b\n\ttarget_ms\x18\x03 \x01(\rR\x08targetMs\x122\n\x07windows\x18\x04 \x03(\x0b2\x18.portwharf.v1.BurnWindowR\x07windows\x12\x1f\n\x0bbudget_left\x18\x05 \x01(\x01R\nbudgetLeft\x120\n\x14exhausted_in_seconds\x18\x06 \x01(\x04R\x12exhaustedInSeconds"K\n\x12BurnReportResponse\x125\n\x08services\x18\x01 \x03(\x0b2\x19.portwharf.v1.ServiceBurnR\x08services*Q\n\x04Kind\x12\x14\n\x10KIND_UNSPECIFIED\x10\x00\x12\x10\n\x0cKIND_SERVICE\x10\x01\x12\x0e\n\nKIND_BATCH\x10\x02\x12\x11\n\rKIND_STANDING\x10\x032\xc2\x07\n\x0fOperatorService\x12[\n\x0eCreateWorkload\x12#.portwharf.v1.CreateWorkloadRequest\x1a$.portwharf.v1.CreateWorkloadResponse\x12[\n\x0eUpdateWorkload\x12#.portwharf.v1.UpdateWorkloadRequest\x1a$.portwharf.v1.UpdateWorkloadResponse\x12[\n\x0eCancelWorkload\x12#.portwharf.v1.CancelWorkloadRequest\x1a$.portwharf.v1.CancelWorkloadResponse\x12X\n\rListWorkloads\x12".portwharf.v1.ListWorkloadsRequest\x1a#.portwharf.v1.ListWorkloadsResponse\x12L\n\tListTasks\x12\x1e.portwharf.v1.ListTasksRequest\x1a\x1f.portwharf.v1.ListTasksResponse\x12F\n\x07Explain\x12\x1c.portwharf.v1.ExplainRequest\x1a\x1d.portwharf.v1.ExplainResponse\x12L\n\tGetConfig\x12\x1e.portwharf.v1.GetConfigRequest\x1a\x1f.portwharf.v1.GetConfigResponse\x12X\n\rProposeConfig\x12".portwharf.v1.ProposeConfigRequest\x1a#.portwharf.v1.ProposeConfigResponse\x12U\n\x0cConfigStatus\x12!.portwharf.v1.ConfigStatusRequest\x1a".portwharf.v1.ConfigStatusResponse\x12X\n\rClusterStatus\x12".portwharf.v1.ClusterStatusRequest\x1a#.portwharf.v1.ClusterStatusResponse\x12O\n\nBurnReport\x12\x1f.portwharf.v1.BurnReportRequest\x1a .portwharf.v1.BurnReportResponseb\x06proto3',
     [],
     {
         "Resources": Resources,
@@ -1551,6 +1643,7 @@
         "VmStatus": VmStatus,
         "ClusterStatusResponse": ClusterStatusResponse,
         "ShardStatus": ShardStatus,
+        "CapacityStatus": CapacityStatus,
         "BurnReportRequest": BurnReportRequest,
         "BurnWindow": BurnWindow,
         "ServiceBurn": ServiceBurn,
--- a/packages/testing/portwharf/testing/soak.py
+++ b/packages/testing/portwharf/testing/soak.py
@@ -7,9 +7,10 @@
 back in one direction or both; open connections go silent for good. The store
 is down or slow, or loses answers, leases, keys or its history. Runners crash
 by themselves or because of a task, fall silent, change their capacity, carry
-out orders late, and send heartbeats of incarnations that are over. At the end
-all faults are healed, all jobs have to reach their final state, and the
-records of clients and runners are checked.
+out orders late, and send heartbeats of incarnations that are over. Jobs come
+in bursts of more work than the runners can do in that time. At the end all
+faults are healed, all jobs have to reach their final state, and the records of
+clients and runners are checked.
 """
 
 import argparse
@@ -24,8 +25,10 @@
 import time
 import tomllib
 
+from portwharf.testing import soak_bursts
 from portwharf.testing import soak_checks
 from portwharf.testing import soak_clients
+from portwharf.testing import soak_refusals
 from portwharf.testing import soak_runner
 from portwharf.testing import soak_targets
 from portwharf.testing import soak_world
@@ -36,6 +39,8 @@
 _SILENCE_SHARE = 0.15
 _SHRINK_SHARE = 0.25
 _ZONE_CLOSURE_SHARE = 0.2
+_BURST_SHARE = 0.2
+_MAX_BURSTS = 2
 _SETTLE_SECONDS = 90.0
 _SEEDS_PATH = pathlib.Path(__file__).parent / 'soak_seeds.toml'
 
@@ -54,8 +59,9 @@
     def __init__(self, world, seed, crashers=True):
         """Take a started ``soak_world.World`` and a seed.
 
-        :param crashers: some tasks crash runners, runners shrink and zones
-            close as well; False for kept seeds, which are older
+        :param crashers: some tasks crash runners, runners shrink, zones close
+            and jobs come in bursts as well; False for kept seeds, which are
+            older
         """
         self._world = world
         self._seed = seed
@@ -64,7 +70,11 @@
         self._silence_random = random.Random(-1 - seed)
         self._capacity_random = random.Random(-2 - seed) if crashers else None
         self._zone_random = random.Random(-3 - seed) if crashers else None
+        self._burst_random = random.Random(-4 - seed) if crashers else None
+        self._bursts = 0
         self._closures = []
+        # Periods without faults, as (began, ended).
+        self._calm = []
         self._recoveries = []
         self._busy = set()
         self._lock = threading.Lock()
@@ -99,16 +109,21 @@
             self._silence_connections()
             self._shrink_runner()
             self._close_zone()
+            self._start_burst()
         for client in self.clients:
             client.stop()
         self._run_due_recoveries(float('inf'))
         for client in self.clients:
             client.join()
+        # What is left of bursts would keep filling tasks from starting.
+        soak_bursts.wait_for_end(self.clients[CLIENTS:])
         if servers_accepted:
             self.problems += soak_targets.check_targets(
                 self._world, first_client, first_job_id + self._seed % 4 + 1
             )
-        self._wait_for_jobs()
+        settled_at = self._wait_for_jobs()
+        if settled_at is not None:
+            self._run_calm_jobs(settled_at)
         self._run_checks()
 
     # Faults.
@@ -257,6 +272,21 @@
 
         self._schedule_recovery(3.0, 12.0, reopen)
 
+    def _start_burst(self):
+        """At random, submit more work than the runners can do for a while."""
+        if (
+            self._burst_random is None
+            or self._burst_random.random() > _BURST_SHARE
+            or self._bursts == _MAX_BURSTS
+        ):
+            return
+        self._bursts += 1
+        self.faults += 1
+        print(f'  {time.monotonic():.1f} burst', flush=True)
+        self.clients += soak_bursts.start_burst(
+            self._world, self._burst_random
+        )
+
     def _disturb_store(self):
         faults = self._world.store.faults
         if faults.down or faults.lost or faults.slow_seconds:
@@ -339,7 +369,10 @@
     # Recovery and checks.
 
     def _wait_for_jobs(self):
-        """Wait until every accepted job has reached its final state."""
+        """Wait until every accepted job has reached its final state.
+
+        :returns: when all had, or None
+        """
         for client in self.clients:
             self._cancel_long_running(client)
         unfinished = [
@@ -353,8 +386,17 @@
             unfinished[:] = [row for row in unfinished if not _has_ended(*row)]
             return not unfinished
 
-        soak_world.wait_until(is_settled, _SETTLE_SECONDS)
+        settled = soak_world.wait_until(is_settled, _SETTLE_SECONDS)
+        settled_at = time.monotonic()
         time.sleep(soak_checks.CANCEL_DELAY_SECONDS)
+        return settled_at if settled else None
+
+    def _run_calm_jobs(self, settled_at):
+        """Run jobs on idle runners, which must not be refused."""
+        self.clients.append(
+            soak_bursts.submit_calm_jobs(self._world, -5 - self._seed)
+        )
+        self._calm.append((settled_at, time.monotonic()))
 
     def _cancel_long_running(self, client):
         """Cancel long-running jobs, to make room for all others."""
@@ -379,9 +421,15 @@
             for span in side.runner.record
         ]
         self.problems += soak_checks.check_zones(self._closures, spans_by_zone)
+        by_id = {job.id: job for job in jobs}
+        self.problems += soak_refusals.check_shortage(by_id, spans, self._calm)
         accepted = sum(1 for job in jobs if job.accepted)
+        refused = sum(
+            soak_clients.NO_ROOM_STATUS in job.statuses for job in jobs
+        )
         print(
             f'  {self.faults} faults, {len(jobs)} jobs, {accepted} accepted, '
+            f'{refused} refused for lack of room, '
             f'{len(spans)} runs, {len(soak_checks.list_checks())} checks',
             flush=True,
         )
--- a/packages/testing/portwharf/testing/soak_checks.py
+++ b/packages/testing/portwharf/testing/soak_checks.py
@@ -9,6 +9,8 @@
 import collections
 import dataclasses
 
+from portwharf.testing import soak_refusals
+from portwharf.testing import soak_runner
 from portwharf.testing import soak_world
 
 # Time after an acknowledgement in which earlier starts may still arrive.
@@ -70,6 +72,7 @@
         check_starts_after_cancellation,
         check_runs_after_cancellation,
         check_crashers,
+        *soak_refusals.list_checks(),
     )
 
 
@@ -121,11 +124,11 @@
     ended_at = collections.defaultdict(dict)
     for span in spans:
         if span.how == 'done':
-            job_id, step, number = _split_task_name(span.task)
+            job_id, step, number = soak_runner.split_task_name(span.task)
             ended_at[(job_id, step)][number] = span.ended
     problems = []
     for span in spans:
-        job_id, step, _ = _split_task_name(span.task)
+        job_id, step, _ = soak_runner.split_task_name(span.task)
         steps = jobs[job_id].steps if job_id in jobs else []
         if step >= len(steps) or 'watchRev' not in steps[step]:
             continue
@@ -163,7 +166,7 @@
     """Tasks run with a submitted spec, and resume from own checkpoints."""
     problems = []
     for span in spans:
-        job_id, step, _ = _split_task_name(span.task)
+        job_id, step, _ = soak_runner.split_task_name(span.task)
         if job_id not in jobs or jobs[job_id].spec != span.spec:
             problems.append(
                 f'{span.task}: spec is not one that a client submitted'
@@ -180,7 +183,7 @@
 
 def check_refused_jobs(jobs, spans):
     """A job does not run if every attempt to submit it was refused."""
-    started = {_split_task_name(span.task)[0] for span in spans}
+    started = {soak_runner.split_task_name(span.task)[0] for span in spans}
     return [
         f'{job.id}: ran although refused with {job.statuses}'
         for job in jobs.values()
@@ -195,7 +198,7 @@
     problems = []
     gangs = collections.defaultdict(list)
     for span in spans:
-        job_id, step, _ = _split_task_name(span.task)
+        job_id, step, _ = soak_runner.split_task_name(span.task)
         if job_id in jobs and jobs[job_id].steps[step]['gang']:
             gangs[(job_id, step)].append(span)
     for (job_id, _), members in gangs.items():
@@ -229,7 +232,7 @@
         f'{span.task}: still running although its job was cancelled'
         for span in spans
         if span.ended is None
-        and jobs[_split_task_name(span.task)[0]].cancelled
+        and jobs[soak_runner.split_task_name(span.task)[0]].cancelled
     ]
 
 
@@ -264,7 +267,7 @@
     """
     rows = []
     for span in spans:
-        job = jobs.get(_split_task_name(span.task)[0])
+        job = jobs.get(soak_runner.split_task_name(span.task)[0])
         moment = read_time(span)
         if job is not None and job.cancelled and moment is not None:
             rows.append((span, moment - job.cancelled))
@@ -275,7 +278,7 @@
     """A task that crashes its runners is given up after enough crashes."""
     problems = []
     for task, runs in _group_by_task(spans).items():
-        job_id, step, number = _split_task_name(task)
+        job_id, step, number = soak_runner.split_task_name(task)
         is_crasher = job_id in jobs and jobs[job_id].crashes
         if not is_crasher or (step, number) != (0, 0):
             continue
@@ -305,9 +308,3 @@
     for rows in runs.values():
         rows.sort(key=lambda span: span.began)
     return runs
-
-
-def _split_task_name(task):
-    """Split a task named ID.TIME.STEP.NUMBER into job id, step, number."""
-    job_id, _, step, number = task.split('.')
-    return job_id, int(step), int(number)
--- a/packages/testing/portwharf/testing/soak_checks_test.py
+++ b/packages/testing/portwharf/testing/soak_checks_test.py
@@ -6,6 +6,7 @@
 
 from portwharf.testing import soak_checks
 from portwharf.testing import soak_clients
+from portwharf.testing import soak_refusals
 from portwharf.testing import soak_runner
 
 JOB_ID = '5c0e7a21d94b36f8'
@@ -163,3 +164,83 @@
         ]
         found = soak_checks.check_zones([closure], spans_by_zone)
         case.assertEqual(len(found), count)
+
+
+def make_refused_job(*replies):
+    """Return a job with given replies, each (status, sent, retry_after)."""
+    rows = [
+        soak_clients.Reply(status, sent, sent + 0.1, retry_after)
+        for status, sent, retry_after in replies
+    ]
+    statuses = [row.status for row in rows]
+    accepted = 1.0 if 200 in statuses else None
+    states = ['completed'] if accepted else []
+    return make_job(
+        statuses=statuses, replies=rows, accepted=accepted, states=states
+    )
+
+
+def test_run_before_the_accepted_submission_is_found(case):
+    replies = [(429, 1.0, '2'), (503, 1.5, '1'), (200, 4.0, None)]
+    job = make_refused_job(*replies)
+    case.assertEqual(run_checks(job, make_span(began=4.01, ended=5.0)), [])
+    (problem,) = run_checks(job, make_span(began=3.9, ended=5.0))
+    case.assertIn('ran after nothing but refusals', problem)
+    # A submission without an answer may have been accepted.
+    job = make_refused_job((429, 1.0, '2'), (0, 3.5, None), (200, 4.0, None))
+    case.assertEqual(run_checks(job, make_span(began=3.9, ended=5.0)), [])
+
+
+def test_run_of_a_job_that_was_only_refused_for_room_is_found(case):
+    job = make_refused_job((429, 1.0, '2'), (429, 1.2, '2'))
+    case.assertEqual(run_checks(job), [])
+    problems = run_checks(job, make_span(began=9.0, ended=10.0))
+    case.assertTrue(any('ran although refused' in one for one in problems))
+
+
+def test_refusal_for_room_after_an_acceptance_is_found(case):
+    job = make_refused_job((429, 1.0, '2'), (200, 3.0, None), (504, 4.0, '1'))
+    case.assertEqual(run_checks(job, make_span(began=3.1, ended=4.0)), [])
+    job = make_refused_job((200, 3.0, None), (504, 4.0, '1'), (429, 5.0, '2'))
+    (problem,) = run_checks(job, make_span(began=3.1, ended=4.0))
+    case.assertIn('refused after it was accepted', problem)
+
+
+def test_invalid_retry_after_of_a_refusal_is_found(case):
+    for text in (None, '2', '30'):
+        case.assertEqual(run_checks(make_refused_job((429, 1.0, text))), [])
+    for text in ('1', '0', '-2', '2.5', '31', '', 'soon', '\u0662'):
+        (problem,) = run_checks(make_refused_job((429, 1.0, text)))
+        case.assertIn('refused with Retry-After', problem)
+    # The wait of other refusals is the entry's own.
+    case.assertEqual(run_checks(make_refused_job((503, 1.0, '1'))), [])
+
+
+def test_refusal_without_a_shortage_is_found(case):
+    job = make_refused_job((429, 10.0, '2'))
+    by_id = {job.id: job}
+    spec = json.dumps(
+        {'id': 'x', 'steps': [{'ms': 1, 'cpu': 1000, 'memory': 100}]}
+    )
+
+    def check(count, began, ended, calm=((5.0, 15.0),)):
+        spans = [
+            soak_runner.Span(f'x.0.0.{number}', 1, spec, began=at, ended=end)
+            for number, (at, end) in enumerate([(began, ended)] * count)
+        ]
+        return soak_refusals.check_shortage(by_id, spans, calm)
+
+    (problem,) = check(0, 0.0, 0.0)
+    case.assertIn('refused while runners held at most 0%', problem)
+    # The runners hold 16 processors; half of them are free.
+    case.assertEqual(len(check(8, 9.0, 11.0)), 1)
+    case.assertEqual(check(9, 9.0, 11.0), [])
+    case.assertEqual(check(9, 6.0, 7.5), [])
+    case.assertEqual(check(9, 9.0, None), [])
+    # Runs that ended before, or began after the reply, are no shortage.
+    case.assertEqual(len(check(16, 5.0, 6.9)), 1)
+    case.assertEqual(len(check(16, 10.2, None)), 1)
+    # With faults, free runners may be out of the owner's reach.
+    case.assertEqual(check(0, 0.0, 0.0, ()), [])
+    case.assertEqual(check(0, 0.0, 0.0, ((8.0, 15.0),)), [])
+    case.assertEqual(check(0, 0.0, 0.0, ((5.0, 10.05),)), [])
--- a/packages/testing/portwharf/testing/soak_clients.py
+++ b/packages/testing/portwharf/testing/soak_clients.py
@@ -27,7 +27,24 @@
 # crashes its runners.
 _FIRST_ORDINARY_SHAPE = 4
 _JOBS_PER_CRASHER = 10
-_REFUSAL_STATUSES = (429, 503)
+NO_ROOM_STATUS = 429
+REFUSAL_STATUSES = (NO_ROOM_STATUS, 503)
+
+
+@dataclasses.dataclass(slots=True)
+class Reply:
+    """The reply to one submission of a job.
+
+    :param status: its HTTP status; 0 without a complete answer
+    :param sent: when the submission was sent
+    :param received: when the reply was complete, or given up
+    :param retry_after: the value of its ``Retry-After``, or None
+    """
+
+    status: int = 0
+    sent: float = 0.0
+    received: float = 0.0
+    retry_after: str = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,6 +55,7 @@
     :param crashes: one of its tasks crashes the runners that start it
     :param statuses: HTTP status of each attempt to submit it; 0 without a
         complete answer
+    :param replies: the :class:`Reply` to each of these attempts
     :param accepted: when its acceptance was received, or None
     :param cancelled: when its cancellation was confirmed, or None
     :param cancel_sent: a cancellation was sent
@@ -50,6 +68,7 @@
     hopeless: bool = False
     crashes: bool = False
     statuses: list = dataclasses.field(default_factory=list)
+    replies: list = dataclasses.field(default_factory=list)
     accepted: float = None
     cancelled: float = None
     cancel_sent: bool = False
@@ -116,20 +135,32 @@
 
     def submit(self, job):
         """Submit a job; retries until it is accepted or attempts end."""
-        body = {'spec': job.spec, 'steps': job.steps}
-        path = soak_world.PREFIX + job.id
         for _ in range(_MAX_ATTEMPTS):
-            status, value = self._request('POST', path, body=body)
-            job.statuses.append(status)
-            if status == 200:
-                job.accepted = time.monotonic()
+            if self.send(job).status == 200:
                 return
-            if status in _REFUSAL_STATUSES and 'error' not in value:
-                self.problems.append(
-                    f'{job.id}: refusal without an error text'
-                )
             time.sleep(self._random.uniform(0.1, _MAX_RETRY_DELAY_SECONDS))
 
+    def send(self, job, entry=None):
+        """Submit a job once and record the reply.
+
+        :param entry: the entry to send it to, or None for a random one
+        :returns: the :class:`Reply`
+        """
+        body = {'spec': job.spec, 'steps': job.steps}
+        path = soak_world.PREFIX + job.id
+        reply = Reply(sent=time.monotonic())
+        reply.status, value, reply.retry_after = self._exchange(
+            'POST', path, entry, body
+        )
+        reply.received = time.monotonic()
+        job.statuses.append(reply.status)
+        job.replies.append(reply)
+        if reply.status == 200:
+            job.accepted = job.accepted or reply.received
+        if reply.status in REFUSAL_STATUSES and 'error' not in value:
+            self.problems.append(f'{job.id}: refusal without an error text')
+        return reply
+
     def wait_until_served(self):
         """Wait until every entry serves requests.
 
@@ -144,11 +175,20 @@
 
         return soak_world.wait_until(is_served, _READY_TIMEOUT_SECONDS)
 
-    def _request(self, method, path, entry=None, body=None):
+    def _request(self, method, path, entry=None):
+        """Send one request without a body.
+
+        :returns: the HTTP status and the decoded answer
+        """
+        status, value, _ = self._exchange(method, path, entry)
+        return status, value
+
+    def _exchange(self, method, path, entry=None, body=None):
         """Send one request on a persistent connection.
 
-        :returns: the HTTP status and the decoded answer; 0 and an empty map
-            without a complete answer
+        :returns: the HTTP status, the decoded answer, and the value of
+            ``Retry-After`` or None; 0 and an empty map without a complete
+            answer
         """
         entry = entry or self._random.choice(self._world.entries)
         conn = self._connections.get(entry.name)
@@ -167,15 +207,16 @@
         try:
             conn.request(method, path, encoded, headers)
             response = conn.getresponse()
-            return response.status, json.loads(response.read() or b'{}')
+            value = json.loads(response.read() or b'{}')
+            return response.status, value, response.getheader('Retry-After')
         except (OSError, http.client.HTTPException):
             # The entry is down, or closed the connection.
             conn.close()
             del self._connections[entry.name]
-            return 0, {}
+            return 0, {}, None
         except ValueError as exc:
             self.problems.append(f'{method} {path}: answer is not JSON: {exc}')
-            return 0, {}
+            return 0, {}, None
 
     def _make_job(self):
         """Return a job of a random shape with a new id."""
--- a/packages/testing/portwharf/testing/soak_runner.py
+++ b/packages/testing/portwharf/testing/soak_runner.py
@@ -80,9 +80,15 @@
     crashes: bool = False
 
 
+def split_task_name(task):
+    """Split a task named ID.TIME.STEP.NUMBER into job id, step, number."""
+    job_id, _, step, number = task.split('.')
+    return job_id, int(step), int(number)
+
+
 def read_work(spec, task):
-    """Return the :class:`Work` of a task named ID.TIME.STEP.NUMBER."""
-    step = int(task.split('.')[2])
+    """Return the :class:`Work` of a task."""
+    _, step, _ = split_task_name(task)
     return Work(**json.loads(spec)['steps'][step])
 
 
