--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -16,6 +16,7 @@
 from portwharf.core import logs
 from portwharf.peers import messages
 from portwharf.scheduler import batches
+from portwharf.scheduler import capacity_reports
 from portwharf.scheduler import claim_updates
 from portwharf.scheduler import crashloop
 from portwharf.scheduler import decisionlog
@@ -120,6 +121,28 @@
             self._env.clock, self._state, members
         )
 
+    def capacity_reports(self):
+        """Return the ``operations.CapacityReport`` values for operators."""
+        now = self._env.clock.read_monotonic()
+        now_ms = self._env.clock.read_unix_ms()
+        loads = self.load.list_loads(now)
+        for load in loads:
+            backlog = self.load.get_backlog(
+                load.capacity_class, self._state, now_ms, self.shares.is_owed
+            )
+            load.left = backlog.left
+        return capacity_reports.make_reports(
+            loads,
+            self.admission.refusals,
+            self.returns.count_waiting(),
+            self.shares.list_owed(),
+            self._env.keeper.read().queues,
+        )
+
+    def explain_refusal(self, job_id):
+        """Return the ``events.Decision`` that refused a job, or None."""
+        return self.returns.explain(job_id)
+
     def decide(self, items):
         """Process items from the inbox and make all decisions of a pass.
 
--- a/packages/scheduler/portwharf/scheduler/decisions/job_admission.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/job_admission.py
@@ -9,6 +9,7 @@
 times or the objective are not known well, a job is accepted.
 """
 
+import collections
 import dataclasses
 import math
 
@@ -100,6 +101,8 @@
         self._returns = returns or admission_defaults.NoReturns()
         self._shares = shares or admission_defaults.NoShares()
         self._now = began
+        # Number of refusals by capacity class.
+        self.refusals = collections.Counter()
 
     def start_pass(self, now):
         """Prepare for the submissions of one pass.
@@ -125,6 +128,8 @@
         verdict = self.assess(job, now_ms, asked_ms)
         if not verdict.reason:
             return verdict, None
+        if verdict.capacity_class is not None:
+            self.refusals[verdict.capacity_class] += 1
         offer = self._returns.offer(job, verdict, now_ms)
         if verdict.reason == placement.REASON_NEVER:
             offer = admission_defaults.ReturnOffer()
--- a/packages/scheduler/portwharf/scheduler/operator_api.py
+++ b/packages/scheduler/portwharf/scheduler/operator_api.py
@@ -167,7 +167,7 @@
                     query,
                     self._decider.waiting,
                     now_ms,
-                    self._decider.returns.explain,
+                    self._decider.explain_refusal,
                 )
             return result.Ok(self._report_shard(views))
 
@@ -248,6 +248,7 @@
             self._state.epoch,
             self._owner.log_length,
             config_revision=self._env.keeper.read().revision,
+            capacity=self._decider.capacity_reports(),
         )
         for record in self._state.workloads.values():
             counts = self._state.count_states(record)
