--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -553,10 +553,8 @@
             weigher,
             now,
             now_ms,
-            lambda *names: self._is_short(shard_load.CapacityClass(*names)),
-            lambda *names: self.load.get_rate(
-                shard_load.CapacityClass(*names)
-            ),
+            self._is_short,
+            self.load.get_rate,
         )
         views = self._members.view_vms(weigher)
         self._crashloops.mark_unstable(views)
--- a/packages/scheduler/portwharf/scheduler/decisions/admission_defaults.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/admission_defaults.py
@@ -69,10 +69,9 @@
         """Return whether the job of a workload record is promoted."""
         return False
 
-    def find_owed(self, job, work):
+    def find_owed(self, job):
         """Return the share of the rate that the job's group is owed.
 
-        :param work: its predicted work
         :returns: (share, 0 to 1, and the ids of the group's jobs that have
             not ended), or None if it is owed nothing
         """
--- a/packages/scheduler/portwharf/scheduler/decisions/job_admission.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/job_admission.py
@@ -271,7 +271,7 @@
             if _get_class(step.record.workload) == capacity_class
         ]
         work = sum(step.work for step in own)
-        owed = self._shares.find_owed(job, work)
+        owed = self._shares.find_owed(job)
         verdict = Verdict(
             late_ms=limit_ms,
             work=work,
--- a/packages/scheduler/portwharf/scheduler/decisions/job_admission_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/job_admission_test.py
@@ -214,7 +214,7 @@
     """A group with little work of its own must not wait for all others."""
     site = make_short_site()
     made = admission_site.make_arrival(990, site.now_ms)
-    site.admission._shares.find_owed = lambda job, _: (0.5, {job.id})
+    site.admission._shares.find_owed = lambda job: (0.5, {job.id})
     case.assertIsNone(site.submit(made))
 
 
--- a/packages/scheduler/portwharf/scheduler/decisions/job_outlook.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/job_outlook.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from portwharf.scheduler.decisions import shard_load
 from portwharf.scheduler import jobs
 
 # Relative error of estimated run times, as in ``backlog``.
@@ -73,7 +74,7 @@
         return Outlook(
             found[0].left,
             due_at,
-            self._is_short(following.pool, following.fills),
+            self._is_short(_get_class(following)),
             self._now + least_ms / _MS_PER_SECOND <= due_at,
             (objective_ms - chain_ms) / _MS_PER_SECOND,
         )
@@ -83,7 +84,7 @@
         count = workload.count - step.succeeded
         if count <= 0:
             return 0.0
-        rate = self._get_rate(workload.pool, workload.fills)
+        rate = self._get_rate(_get_class(workload))
         if rate <= 0:
             return run_ms
         return max(
@@ -97,3 +98,7 @@
         jobs.compute_path_ms(job.steps, [one.run_ms for one in forecasts])
     )
     return jobs.compute_objective_ms(job, chain_ms)
+
+
+def _get_class(workload):
+    return shard_load.CapacityClass(workload.pool, workload.fills)
--- a/packages/scheduler/portwharf/scheduler/decisions/queue_work.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/queue_work.py
@@ -2,8 +2,8 @@
 # SPDX-License-Identifier: Apache-2.0
 """Sums of a queue's submitted and done work, by groups of its jobs.
 
-Groups are callers, zones and size classes. The sums decay over the queue's
-mean objective, so that they describe the jobs that can still be in time.
+Groups are callers and zones. The sums decay over the queue's mean objective,
+so that they describe the jobs that can still be in time.
 """
 
 import collections
@@ -23,13 +23,8 @@
 # A group is measured for this share of the mean objective before it can be
 # owed: until its first tasks end, it has no done work.
 _MEASURED_SHARE = 0.5
-# Size classes are derived from this many jobs at most and at least.
+# Recent jobs of a queue whose mean objective is used.
 MAX_RECENT_JOBS = 200
-MIN_RECENT_JOBS = 20
-LARGEST, LARGE, OTHER = 'largest', 'large', 'other'
-# Positions, as shares of the recent jobs by work, of the size classes' limits.
-_LARGEST_FROM = 0.9
-_LARGE_FROM = 0.7
 # Groups below this share of their queue's work are forgotten. This bounds
 # their number, and is too little for them to be owed soon.
 _MIN_KEPT_SHARE = 0.001
@@ -50,6 +45,20 @@
         self.done *= factor
 
 
+def list_keys(job):
+    """Return the keys of the groups of a ``data.Job``.
+
+    Sizes of jobs are no groups: promoting the largest jobs costs their queue
+    work and does not bring more of them in time, as they are too wide.
+    """
+    keys = []
+    if job.caller:
+        keys.append(('caller', job.caller))
+    if job.zone:
+        keys.append(('zone', job.zone))
+    return keys
+
+
 class QueueWork:
     """The sums of one queue and of its groups, by (dimension, name)."""
 
@@ -57,9 +66,7 @@
         """Take the monotonic time."""
         self.total = Sums(since=now)
         self.groups = {}
-        self.recent = collections.deque(maxlen=MAX_RECENT_JOBS)
         self._objectives_ms = collections.deque(maxlen=MAX_RECENT_JOBS)
-        self._limits = None
 
     @property
     def decay_seconds(self):
@@ -80,34 +87,9 @@
             if sums.submitted <= least:
                 del self.groups[key]
 
-    def record_job(self, work, objective_ms):
-        """Record a submitted job for the mean objective and size classes."""
-        self.recent.append(work)
+    def record_job(self, objective_ms):
+        """Record the objective of a submitted job."""
         self._objectives_ms.append(objective_ms)
-        self._limits = None
-
-    def list_keys(self, job, work):
-        """Return the keys of the groups of a job with this much work."""
-        keys = []
-        if job.caller:
-            keys.append(('caller', job.caller))
-        if job.zone:
-            keys.append(('zone', job.zone))
-        if len(self.recent) >= MIN_RECENT_JOBS:
-            keys.append(('size', self._find_size_class(work)))
-        return keys
-
-    def _find_size_class(self, work):
-        if self._limits is None:
-            ranked = sorted(self.recent)
-            self._limits = [
-                ranked[int(share * len(ranked)) - 1]
-                for share in (_LARGEST_FROM, _LARGE_FROM)
-            ]
-        largest, large = self._limits
-        if work > largest:
-            return LARGEST
-        return LARGE if work > large else OTHER
 
     def submit(self, keys, work, now):
         """Count submitted work; a negative amount is withdrawn."""
--- a/packages/scheduler/portwharf/scheduler/decisions/shortage_shares.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/shortage_shares.py
@@ -1,10 +1,10 @@
 # Copyright the portwharf authors.
 # SPDX-License-Identifier: Apache-2.0
-"""Finds callers, zones and job sizes that a shortage serves too little.
+"""Finds callers and zones that a shortage serves too little.
 
 Within a queue, the least work left goes first. During a shortage, a caller
 that submits many small jobs can thereby displace all others. For each queue
-and dimension (caller, zone, size class), decaying sums of submitted and of
+and dimension (caller, zone), decaying sums of submitted and of
 done work tell which groups get much less than their share of the submitted
 work. Of each such group one job at a time is promoted, until it ends or is
 late, so that it is finished and not only begun.
@@ -115,18 +115,14 @@
         """Return the number of groups of all queues."""
         return sum(len(queue.groups) for queue in self._queues.values())
 
-    def find_owed(self, job, work):
+    def find_owed(self, job):
         """Return the share of its queue's work that a job's group is owed.
 
         :param job: a ``data.Job`` that need not have been accepted
-        :param work: its predicted work
         :returns: the share, and the set of ids of the group's jobs that have
             not ended; None if no group of the job is owed capacity
         """
-        queue = self._queues.get(job.queue)
-        if queue is None:
-            return None
-        keys = queue.list_keys(job, work)
+        keys = queue_work.list_keys(job)
         groups = [
             group
             for group in self._owed
@@ -150,10 +146,10 @@
         :param weigher: the ``precedence.Weigher`` of the pass
         :param now: monotonic time
         :param now_ms: wall time
-        :param is_short: function from (pool, fills) to whether that capacity
-            class is short
-        :param get_rate: function from (pool, fills) to the thousandths of
-            processors at work for that class, 0 if unknown
+        :param is_short: function from a ``shard_load.CapacityClass`` to
+            whether it is short
+        :param get_rate: function from a class to the thousandths of
+            processors at work for it, 0 if unknown
         """
         elapsed = now - self._updated if self._updated is not None else 0.0
         if self._updated is not None and elapsed < UPDATE_INTERVAL_SECONDS:
@@ -212,12 +208,10 @@
             for step, each in zip(steps, task_work, strict=True)
         )
         begin_ms = record.job.asked_ms or record.unix_ms
-        queue.record_job(
-            work, job_outlook.compute_objective_ms(record.job, found)
-        )
+        queue.record_job(job_outlook.compute_objective_ms(record.job, found))
         job = TrackedJob(
             record,
-            queue.list_keys(record.job, work),
+            queue_work.list_keys(record.job),
             task_work,
             work,
             # Times are kept on the monotonic clock, as the wall clock may
--- a/packages/scheduler/portwharf/scheduler/decisions/shortage_shares_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/shortage_shares_test.py
@@ -63,8 +63,8 @@
             self.weigher,
             self.now,
             self.wall_ms,
-            lambda pool, fills: self.short,
-            lambda pool, fills: RATE_MILLI,
+            lambda _: self.short,
+            lambda _: RATE_MILLI,
         )
 
     def order(self):
@@ -111,7 +111,7 @@
     claim = world.weigher.make_claim(record)
     case.assertAlmostEqual(claim.left, 8 * precedence.PROMOTED_FACTOR)
     job = data.Job('new', 'plans', caller='modest')
-    share, ids = world.shares.find_owed(job, 1e6)
+    share, ids = world.shares.find_owed(job)
     case.assertEqual(share, owed.submitted)
     case.assertIn(owed.promoted, ids)
 
--- a/packages/testing/portwharf/testing/overload_shares.py
+++ b/packages/testing/portwharf/testing/overload_shares.py
@@ -12,7 +12,7 @@
 import concurrent.futures
 import functools
 
-from portwharf.scheduler.decisions import pass_shortage
+from portwharf.scheduler.decisions import shard_load
 from portwharf.scheduler.decisions import precedence
 from portwharf.scheduler.decisions import shortage_shares
 from portwharf.testing import overload_day
@@ -38,7 +38,7 @@
         self._clients = overload_load.Clients(
             seed, load, self._estimates_off, self._site.wide, crowd
         )
-        self._shortage = pass_shortage.PassShortage()
+        self._load = shard_load.LoadTracker(0.0)
         self._shares = shares(self._state) if shares else None
         self.promoted = set()
 
@@ -60,7 +60,10 @@
         )
 
     def _record_pass(self, waiting, views):
-        self._shortage.record_pass(waiting, views, self.now)
+        by_id = {one.record.id: one for one in waiting}
+        self._load.update(
+            self._state, views, by_id, self._make_weigher(), self.now
+        )
 
     def _run_pass(self):
         if self._shares:
@@ -68,8 +71,8 @@
                 self._make_weigher(),
                 self.now,
                 self._now_ms,
-                self._shortage.is_short,
-                self._shortage.get_rate,
+                lambda one: self._load.is_short(one, self.now),
+                self._load.get_rate,
             )
             self.promoted |= {
                 group.promoted for group in self._shares.list_owed()
