--- a/packages/scheduler/portwharf/scheduler/decisions/shortage_shares_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/shortage_shares_test.py
@@ -246,7 +246,7 @@
             world.run_task(order[0])
             if step >= 120:
                 done[int(order[0].partition('-')[0])] += 1
-        # Each caller and each size class has one at most.
+        # Each caller has one at most.
         promoted = world.shares.list_promoted()
         assert len(promoted) <= len(callers) + 3, promoted
     whole, served = sum(submitted.values()), sum(done.values())
--- a/packages/testing/portwharf/testing/overload_shares.py
+++ b/packages/testing/portwharf/testing/overload_shares.py
@@ -12,8 +12,8 @@
 import concurrent.futures
 import functools
 
-from portwharf.scheduler.decisions import shard_load
 from portwharf.scheduler.decisions import precedence
+from portwharf.scheduler.decisions import shard_load
 from portwharf.scheduler.decisions import shortage_shares
 from portwharf.testing import overload_day
 from portwharf.testing import overload_load
@@ -65,7 +65,7 @@
             self._state, views, by_id, self._make_weigher(), self.now
         )
 
-    def _run_pass(self):
+    def _run_pass(self, with_moves):
         if self._shares:
             self._shares.update(
                 self._make_weigher(),
@@ -77,7 +77,7 @@
             self.promoted |= {
                 group.promoted for group in self._shares.list_owed()
             }
-        super()._run_pass()
+        super()._run_pass(with_moves)
 
 
 def simulate_day(seed, load, crowd=None, shares=None, site=None):
