--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -621,7 +621,7 @@
     def _find_stalled_tasks(self, now, weigher):
         """Return the filling tasks that make little progress.
 
-        :returns: list of ``task_moves.StalledTask`` that may move once more
+        :returns: list of ``task_moves.StalledTask``
         """
         stalled = task_moves.find_stalled_tasks(
             self._state,
@@ -630,8 +630,9 @@
             now,
             weigher,
         )
-        may_move = self._move_history.may_move
-        return [entry for entry in stalled if may_move(entry.task.id)]
+        for entry in stalled:
+            entry.moves = self._move_history.count_moves(entry.task.id)
+        return stalled
 
     def _move_before_placement(self, stalled, demands, views, batch):
         """Move stalled tasks that rank before all waiting filling tasks.
--- a/packages/scheduler/portwharf/scheduler/decisions/task_moves.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/task_moves.py
@@ -28,7 +28,9 @@
 # Duration of a move: the stop, the log entry, and the start from a checkpoint.
 MOVE_COST_MS = 1200
 # A move must cut the remaining time to less than this share, as the pace on
-# the present VM may recover within seconds.
+# the present VM may recover within seconds. Each earlier move of the task
+# halves the share: what did not help before must promise more, and the moves
+# of one task are bounded, by five at the least pace that sides set.
 MAX_TIME_SHARE = 0.6
 # Run time of a task without an estimate.
 DEFAULT_RUN_MS = 4500
@@ -37,13 +39,8 @@
 # Maximum number of moves in one pass. It is small, so that the effect of the
 # moves is seen before the next pass.
 MAX_MOVES_PER_PASS = 4
-# Moves of one stalled task until it ends. Each one discards work, or at least
-# the time of the move.
-MAX_MOVES = 3
 # Time for which the VM of a move is reserved while the task is being stopped.
 MAX_RESERVED_SECONDS = 3.0
-# Progress, in percent, from which a task without checkpoints stays.
-MAX_LOST_PERCENT = 25
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,6 +50,7 @@
     :param percent: the pace that its side allows it, in percent
     :param done: its progress, in percent
     :param weight: its job's weight, as ``precedence.Claim.weigh`` returns it
+    :param moves: how often it has moved as a stalled task
     """
 
     task: object = None
@@ -60,6 +58,7 @@
     percent: int = 0
     done: int = 0
     weight: float = precedence.LAST_WEIGHT
+    moves: int = 0
 
     @property
     def run_ms(self):
@@ -81,13 +80,6 @@
         left = (100 - kept) / 100 / pace
         return MOVE_COST_MS + left * self.run_ms
 
-    @property
-    def loses_much(self):
-        """Whether a move would discard much of its work."""
-        return (
-            not self.workload.checkpointable and self.done >= MAX_LOST_PERCENT
-        )
-
     @property
     def precedence(self):
         """Its sort key: importance, then weight; the lowest goes first."""
@@ -108,9 +100,9 @@
         self._counts[task] += 1
         self.record_move(task, vm, now)
 
-    def may_move(self, task):
-        """Return whether a stalled task may move once more."""
-        return self._counts[task] < MAX_MOVES
+    def count_moves(self, task):
+        """Return how often a stalled task has moved."""
+        return self._counts[task]
 
     def forget(self, live):
         """Drop the number of moves of all tasks but the live ones.
@@ -256,7 +248,7 @@
     for entry in stalled:
         if len(chosen) >= limit:
             break
-        if entry.loses_much or not _is_worthwhile(entry, 1.0):
+        if not _is_worthwhile(entry, 1.0):
             continue
         name = ids.split_task_id(entry.task.id)
         if idle is None:
@@ -317,7 +309,5 @@
 
 def _is_worthwhile(entry, pace):
     """Return whether a move makes a stalled task end sufficiently sooner."""
-    return (
-        entry.estimate_elsewhere_ms(pace)
-        < MAX_TIME_SHARE * entry.remaining_here_ms
-    )
+    most_ms = MAX_TIME_SHARE * entry.remaining_here_ms / 2**entry.moves
+    return entry.estimate_elsewhere_ms(pace) < most_ms
--- a/packages/testing/portwharf/testing/overload_day.py
+++ b/packages/testing/portwharf/testing/overload_day.py
@@ -430,8 +430,9 @@
             self.now,
             weigher,
         )
-        may_move = self._move_history.may_move
-        return [entry for entry in stalled if may_move(entry.task.id)]
+        for entry in stalled:
+            entry.moves = self._move_history.count_moves(entry.task.id)
+        return stalled
 
     def _move_stalled_tasks(self, stalled, views, moved=0):
         placed = [
