--- a/packages/scheduler/portwharf/scheduler/decisions/job_outlook.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/job_outlook.py
@@ -54,7 +54,7 @@
 
     def _compute(self, job):
         record = job.record
-        steps = [self._state.workloads[name] for name in record.steps]
+        steps = job.steps
         found = [self._weigher.get_step_forecast(step) for step in steps]
         objective_ms = compute_objective_ms(record.job, found)
         run_ms = [forecast.run_ms for forecast in found]
--- a/packages/scheduler/portwharf/scheduler/decisions/shortage_shares.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/shortage_shares.py
@@ -50,6 +50,8 @@
     """A job that has not ended.
 
     :param record: its ``state.JobRecord``
+    :param steps: ``state.WorkloadRecord`` of its steps; the state may have
+        dropped them
     :param keys: keys of its groups
     :param task_work: work of one task, by step, as predicted at submission
     :param work: work of all tasks
@@ -61,6 +63,7 @@
     """
 
     record: object = None
+    steps: list = dataclasses.field(default_factory=list)
     keys: list = dataclasses.field(default_factory=list)
     task_work: list = dataclasses.field(default_factory=list)
     work: float = 0.0
@@ -170,22 +173,26 @@
         unended = dict.fromkeys(
             record.workload.job for record in self._state.unended.values()
         )
-        for job_id in unended:
-            if job_id and job_id not in self._jobs:
-                record = self._state.jobs[job_id]
-                if _has_objective(record.job) and not record.cancelled:
-                    self._jobs[job_id] = self._add_job(
-                        record, weigher, now, now_ms
-                    )
         for job_id, job in list(self._jobs.items()):
             self._count_done(job, now)
-            if job_id in unended and not job.record.cancelled:
+            # An id may be accepted again after its job was dropped.
+            is_known = self._state.jobs.get(job_id) is job.record
+            if is_known and job_id in unended and not job.record.cancelled:
                 continue
             del self._jobs[job_id]
+            self._promoted.pop(job_id, None)
+            self._last_short.pop(job_id, None)
             if job.record.cancelled:
                 # The rest of it is not wanted any more.
                 queue = self._queues[job.record.job.queue]
                 queue.submit(job.keys, job.done - job.work, now)
+        for job_id in unended:
+            if job_id and job_id not in self._jobs:
+                record = self._state.jobs[job_id]
+                if _has_objective(record.job) and not record.cancelled:
+                    self._jobs[job_id] = self._add_job(
+                        record, weigher, now, now_ms
+                    )
         used = {job.record.job.queue for job in self._jobs.values()}
         self._queues = {
             name: queue
@@ -211,6 +218,7 @@
         queue.record_job(job_outlook.compute_objective_ms(record.job, found))
         job = TrackedJob(
             record,
+            steps,
             queue_work.list_keys(record.job),
             task_work,
             work,
@@ -220,18 +228,12 @@
             fills=all(step.workload.fills for step in steps),
             idle_since=now,
         )
-        job.done = self._sum_done(job)
+        job.done = _sum_done(job)
         queue.submit(job.keys, work - job.done, now)
         return job
 
-    def _sum_done(self, job):
-        return sum(
-            self._state.workloads[name].succeeded * each
-            for name, each in zip(job.record.steps, job.task_work, strict=True)
-        )
-
     def _count_done(self, job, now):
-        done = self._sum_done(job)
+        done = _sum_done(job)
         queue = self._queues[job.record.job.queue]
         queue.finish(job.keys, done - job.done)
         job.done = done
@@ -241,18 +243,17 @@
     def _has_placed(self, job):
         return any(
             task.vm
-            for name in job.record.steps
-            if not self._state.is_done(self._state.workloads[name])
-            for task in self._state.workloads[name].tasks
+            for step in job.steps
+            if not self._state.is_done(step)
+            for task in step.tasks
         )
 
     def _end_promotions(self, outlooks, now):
         for job_id, late_at in list(self._promoted.items()):
-            job = self._jobs.get(job_id)
-            if job is not None and outlooks.get(job).is_short:
+            if outlooks.get(self._jobs[job_id]).is_short:
                 self._last_short[job_id] = now
             interrupted = now - self._last_short[job_id]
-            if job is None or now >= late_at or interrupted > _RELEASE_SECONDS:
+            if now >= late_at or interrupted > _RELEASE_SECONDS:
                 del self._promoted[job_id]
                 del self._last_short[job_id]
 
@@ -321,3 +322,10 @@
         and bool(job.stretch or job.objective_ms)
         and all(step.kind == data.Kind.BATCH for step in job.steps)
     )
+
+
+def _sum_done(job):
+    return sum(
+        step.succeeded * each
+        for step, each in zip(job.steps, job.task_work, strict=True)
+    )
--- a/packages/scheduler/portwharf/scheduler/decisions/shortage_shares_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/shortage_shares_test.py
@@ -198,6 +198,37 @@
     case.assertEqual(world.shares.list_promoted(), [])
 
 
+def test_job_dropped_between_two_updates_counts_as_done(case):
+    """Guards against reading steps that the state has dropped.
+
+    An owner drops ended jobs in any pass, also in one without an update.
+    """
+    world = World()
+    world.submit('large-0', 'modest', 8)
+    for second in range(14):
+        name = f'small-{second}'
+        world.submit(name, 'greedy', 2)
+        world.advance(0.5)
+        world.run_task(name)
+        world.run_task(name)
+        world.state.apply(events.JobDropped(name))
+    world.advance(0.5)
+    (owed,) = world.shares.list_owed()
+    case.assertEqual((owed.name, owed.done), ('modest', 0.0))
+
+
+def test_id_that_is_accepted_again_is_a_new_job(case):
+    """Guards against the objective of a dropped job of the same id."""
+    world = World()
+    world.run_greedy(7)
+    case.assertTrue(world.is_owed('large-0'))
+    world.state.apply(events.JobDropped('large-0'))
+    world.submit('large-0', 'modest', 8)
+    # The dropped job would be late.
+    world.advance(4.0)
+    case.assertTrue(world.is_owed('large-0'))
+
+
 def test_step_that_has_waited_long_goes_before_others(case):
     """Guards against a job with much work left that never begins.
 
