--- a/packages/scheduler/portwharf/scheduler/decisions/queue_work.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/queue_work.py
@@ -60,12 +60,19 @@
 
 
 class QueueWork:
-    """The sums of one queue and of its groups, by (dimension, name)."""
+    """The sums of one queue and of its groups, by (dimension, name).
+
+    No sum of a group exceeds that of the queue.
+
+    :ivar decay_exponent: how far the sums have decayed since the start: work
+        counts exp(-n) of its amount once this has grown by n
+    """
 
     def __init__(self, now):
         """Take the monotonic time."""
         self.total = Sums(since=now)
         self.groups = {}
+        self.decay_exponent = 0.0
         self._objectives_ms = collections.deque(maxlen=MAX_RECENT_JOBS)
 
     @property
@@ -79,7 +86,9 @@
 
     def decay(self, seconds):
         """Decay all sums, and forget groups with hardly any work."""
-        factor = math.exp(-max(0.0, seconds) / self.decay_seconds)
+        exponent = max(0.0, seconds) / self.decay_seconds
+        self.decay_exponent += exponent
+        factor = math.exp(-exponent)
         self.total.decay(factor)
         least = _MIN_KEPT_SHARE * self.total.submitted
         for key, sums in list(self.groups.items()):
@@ -92,11 +101,28 @@
         self._objectives_ms.append(objective_ms)
 
     def submit(self, keys, work, now):
-        """Count submitted work; a negative amount is withdrawn."""
+        """Count submitted work."""
         for key in keys:
             sums = self.groups.setdefault(key, Sums(since=now))
-            sums.submitted = max(0.0, sums.submitted + work)
-        self.total.submitted = max(0.0, self.total.submitted + work)
+            sums.submitted += work
+        self.total.submitted += work
+
+    def withdraw(self, keys, work, decay_exponent):
+        """Subtract submitted work that is not wanted any more.
+
+        :param decay_exponent: its value when the work was submitted
+        """
+        work *= math.exp(decay_exponent - self.decay_exponent)
+        taken = min(work, self.total.submitted)
+        for key in keys:
+            # A group may have been forgotten since.
+            sums = self.groups.get(key, Sums())
+            taken = min(taken, sums.submitted)
+            sums.submitted = max(0.0, sums.submitted - work)
+        largest = max(
+            (sums.submitted for sums in self.groups.values()), default=0.0
+        )
+        self.total.submitted = max(largest, self.total.submitted - taken)
 
     def finish(self, keys, work):
         """Count done work."""
@@ -105,9 +131,20 @@
                 self.groups[key].done += work
         self.total.done += work
 
+    def get_shares(self, key):
+        """Return a group's shares of the queue's submitted and done work."""
+        sums = self.groups[key]
+        total = self.total
+        return (
+            sums.submitted / total.submitted if sums.submitted else 0.0,
+            sums.done / total.done if sums.done else 0.0,
+        )
+
     def list_underserved(self, now):
         """Return the keys of groups that get too little of the done work."""
         total = self.total
+        if total.submitted <= 0 or total.done <= 0:
+            return []
         return [
             key
             for key, sums in self.groups.items()
--- a/packages/scheduler/portwharf/scheduler/decisions/shortage_shares.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/shortage_shares.py
@@ -56,6 +56,8 @@
     :param task_work: work of one task, by step, as predicted at submission
     :param work: work of all tasks
     :param done: work of the tasks that have succeeded
+    :param decay_exponent: that of its ``queue_work.QueueWork`` when its work
+        was counted
     :param began: monotonic time of its first submission
     :param fills: whether all of its steps are filling ones
     :param idle_since: time since which none of its tasks has been placed;
@@ -68,6 +70,7 @@
     task_work: list = dataclasses.field(default_factory=list)
     work: float = 0.0
     done: float = 0.0
+    decay_exponent: float = 0.0
     began: float = 0.0
     fills: bool = False
     idle_since: float = 0.0
@@ -118,6 +121,14 @@
         """Return the number of groups of all queues."""
         return sum(len(queue.groups) for queue in self._queues.values())
 
+    def list_shares(self):
+        """Return each group's shares of submitted and of done work."""
+        return [
+            queue.get_shares(key)
+            for queue in self._queues.values()
+            for key in queue.groups
+        ]
+
     def find_owed(self, job):
         """Return the share of its queue's work that a job's group is owed.
 
@@ -185,7 +196,8 @@
             if job.record.cancelled:
                 # The rest of it is not wanted any more.
                 queue = self._queues[job.record.job.queue]
-                queue.submit(job.keys, job.done - job.work, now)
+                undone = job.work - job.done
+                queue.withdraw(job.keys, undone, job.decay_exponent)
         for job_id in unended:
             if job_id and job_id not in self._jobs:
                 record = self._state.jobs[job_id]
@@ -222,6 +234,7 @@
             queue_work.list_keys(record.job),
             task_work,
             work,
+            decay_exponent=queue.decay_exponent,
             # Times are kept on the monotonic clock, as the wall clock may
             # jump.
             began=now - (now_ms - begin_ms) / _MS_PER_SECOND,
@@ -278,17 +291,8 @@
             if job_id not in self._promoted:
                 self._promoted[job_id] = outlooks.get(chosen).due_at
                 self._last_short[job_id] = now
-            queue = self._queues[name]
-            sums = queue.groups[key]
-            self._owed.append(
-                OwedGroup(
-                    name,
-                    *key,
-                    sums.submitted / queue.total.submitted,
-                    sums.done / queue.total.done,
-                    job_id,
-                )
-            )
+            shares = self._queues[name].get_shares(key)
+            self._owed.append(OwedGroup(name, *key, *shares, job_id))
 
     def _choose(self, group, outlooks):
         """Return the promoted job of a group, a new one, or None."""
--- a/packages/scheduler/portwharf/scheduler/decisions/shortage_shares_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/shortage_shares_test.py
@@ -32,7 +32,7 @@
     def weigher(self):
         return precedence.Weigher(self.state, self.wall_ms, shares=self.shares)
 
-    def submit(self, name, caller, count, fills=True):
+    def submit(self, name, caller, count, fills=True, zone=''):
         """Submit a job of one step with tasks of one core-second."""
         step = data.Workload(
             count=count,
@@ -47,6 +47,7 @@
             steps=[step],
             stretch=self._stretch,
             caller=caller,
+            zone=zone,
         )
         self.state.apply(events.JobAccepted(self.wall_ms, job))
 
@@ -229,6 +230,97 @@
     case.assertTrue(world.is_owed('large-0'))
 
 
+def test_cancellation_withdraws_no_more_than_is_left(case):
+    """Guards against a division by zero after a cancellation.
+
+    The work of the cancelled job has decayed since it was submitted. Without
+    decay it would be more than the queue's whole sum.
+    """
+    world = World()
+    world.submit('old', 'other', 100)
+    world.run_greedy(7)
+    (before,) = world.shares.list_owed()
+    world.state.apply(events.JobCancelled('old'))
+    world.advance(0.5)
+    (after,) = world.shares.list_owed()
+    case.assertLess(before.submitted, after.submitted)
+    case.assertLess(after.submitted, 0.5)
+
+
+ACTIONS = strategies.one_of(
+    strategies.tuples(
+        strategies.just('submit'),
+        strategies.sampled_from(['', 'one', 'two']),
+        strategies.sampled_from(['', 'zone-1', 'zone-2']),
+        strategies.integers(1, 100),
+    ),
+    strategies.tuples(
+        strategies.sampled_from(['run', 'end', 'cancel', 'drop', 'again']),
+        strategies.integers(0, 9),
+    ),
+    strategies.tuples(
+        strategies.just('advance'),
+        strategies.sampled_from([0.5, 1.0, 3.0, 60.0]),
+    ),
+)
+
+
+def apply_action(world, action):
+    """Apply one of ``ACTIONS``; does nothing if it names no job."""
+    kind, *arguments = action
+    if kind == 'submit':
+        caller, zone, count = arguments
+        name = f'job-{len(world.state.jobs)}-{world.now}'
+        if name not in world.state.jobs:
+            world.submit(name, caller, count, zone=zone)
+        return
+    if kind == 'advance':
+        world.advance(*arguments)
+        return
+    names = list(world.state.jobs)
+    if not names:
+        return
+    name = names[arguments[0] % len(names)]
+    record = world.state.jobs[name]
+    (step,) = [world.state.workloads[one] for one in record.steps]
+    left = step.workload.count - step.begun
+    if kind in ('run', 'end') and not record.cancelled:
+        for _ in range(left if kind == 'end' else min(1, left)):
+            world.run_task(name)
+    elif kind == 'cancel':
+        world.state.apply(events.JobCancelled(name))
+    elif kind in ('drop', 'again'):
+        if world.state.has_ended(step):
+            world.state.apply(events.JobDropped(name))
+            if kind == 'again':
+                world.submit(name, record.job.caller, step.workload.count)
+
+
+@hypothesis.settings(max_examples=200, deadline=None)
+@hypothesis.given(
+    strategies.lists(ACTIONS, min_size=2, max_size=10),
+    strategies.lists(ACTIONS, max_size=40),
+)
+def check_shares_stay_between_0_and_1(before, after):
+    """Submit, run, end, cancel and drop jobs in any order.
+
+    A greedy caller in between leaves a group owed in most examples.
+    """
+    world = World()
+    for action in before:
+        apply_action(world, action)
+    world.run_greedy(7)
+    for action in after:
+        apply_action(world, action)
+        for shares in world.shares.list_shares():
+            assert all(0 <= share <= 1 for share in shares), shares
+
+
+def test_shares_stay_between_0_and_1(case):
+    """Guards against exceptions that end the owner, and against wrong sums."""
+    check_shares_stay_between_0_and_1()
+
+
 def test_step_that_has_waited_long_goes_before_others(case):
     """Guards against a job with much work left that never begins.
 
