--- a/packages/scheduler/portwharf/scheduler/decisions/shortage_shares_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/shortage_shares_test.py
@@ -32,12 +32,12 @@
     def weigher(self):
         return precedence.Weigher(self.state, self.wall_ms, shares=self.shares)
 
-    def submit(self, name, caller, count, fills=True, zone=''):
-        """Submit a job of one step with tasks of one core-second."""
+    def submit(self, name, caller, count, fills=True, zone='', run_ms=1000):
+        """Submit a job of one step with tasks of one core."""
         step = data.Workload(
             count=count,
             resources=data.Resources(1000, 100),
-            run_ms=1000,
+            run_ms=run_ms,
             fills=fills,
         )
         job = data.Job(
@@ -253,7 +253,10 @@
         strategies.sampled_from(['', 'one', 'two']),
         strategies.sampled_from(['', 'zone-1', 'zone-2']),
         strategies.integers(1, 100),
+        # 0 stands for a job without an estimate: it has no work.
+        strategies.sampled_from([1000, 0, 30_000]),
     ),
+    strategies.tuples(strategies.just('take over')),
     strategies.tuples(
         strategies.sampled_from(['run', 'end', 'cancel', 'drop', 'again']),
         strategies.integers(0, 9),
@@ -269,10 +272,13 @@
     """Apply one of ``ACTIONS``; does nothing if it names no job."""
     kind, *arguments = action
     if kind == 'submit':
-        caller, zone, count = arguments
+        caller, zone, count, run_ms = arguments
         name = f'job-{len(world.state.jobs)}-{world.now}'
         if name not in world.state.jobs:
-            world.submit(name, caller, count, zone=zone)
+            world.submit(name, caller, count, zone=zone, run_ms=run_ms)
+        return
+    if kind == 'take over':
+        world.shares = shortage_shares.ShortageShares(world.state)
         return
     if kind == 'advance':
         world.advance(*arguments)
