--- a/packages/scheduler/portwharf/scheduler/decisions/shortage_shares.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/shortage_shares.py
@@ -50,10 +50,14 @@
     """A job that has not ended.
 
     :param record: its ``state.JobRecord``
+    :param steps: ``state.WorkloadRecord`` of its steps; the state may have
+        dropped them
     :param keys: keys of its groups
     :param task_work: work of one task, by step, as predicted at submission
     :param work: work of all tasks
     :param done: work of the tasks that have succeeded
+    :param decay_exponent: that of its ``queue_work.QueueWork`` when its work
+        was counted
     :param began: monotonic time of its first submission
     :param fills: whether all of its steps are filling ones
     :param idle_since: time since which none of its tasks has been placed;
@@ -61,10 +65,12 @@
     """
 
     record: object = None
+    steps: list = dataclasses.field(default_factory=list)
     keys: list = dataclasses.field(default_factory=list)
     task_work: list = dataclasses.field(default_factory=list)
     work: float = 0.0
     done: float = 0.0
+    decay_exponent: float = 0.0
     began: float = 0.0
     fills: bool = False
     idle_since: float = 0.0
@@ -115,6 +121,14 @@
         """Return the number of groups of all queues."""
         return sum(len(queue.groups) for queue in self._queues.values())
 
+    def list_shares(self):
+        """Return each group's shares of submitted and of done work."""
+        return [
+            queue.get_shares(key)
+            for queue in self._queues.values()
+            for key in queue.groups
+        ]
+
     def find_owed(self, job):
         """Return the share of its queue's work that a job's group is owed.
 
@@ -170,22 +184,27 @@
         unended = dict.fromkeys(
             record.workload.job for record in self._state.unended.values()
         )
-        for job_id in unended:
-            if job_id and job_id not in self._jobs:
-                record = self._state.jobs[job_id]
-                if _has_objective(record.job) and not record.cancelled:
-                    self._jobs[job_id] = self._add_job(
-                        record, weigher, now, now_ms
-                    )
         for job_id, job in list(self._jobs.items()):
             self._count_done(job, now)
-            if job_id in unended and not job.record.cancelled:
+            # An id may be accepted again after its job was dropped.
+            is_known = self._state.jobs.get(job_id) is job.record
+            if is_known and job_id in unended and not job.record.cancelled:
                 continue
             del self._jobs[job_id]
+            self._promoted.pop(job_id, None)
+            self._last_short.pop(job_id, None)
             if job.record.cancelled:
                 # The rest of it is not wanted any more.
                 queue = self._queues[job.record.job.queue]
-                queue.submit(job.keys, job.done - job.work, now)
+                undone = job.work - job.done
+                queue.withdraw(job.keys, undone, job.decay_exponent)
+        for job_id in unended:
+            if job_id and job_id not in self._jobs:
+                record = self._state.jobs[job_id]
+                if _has_objective(record.job) and not record.cancelled:
+                    self._jobs[job_id] = self._add_job(
+                        record, weigher, now, now_ms
+                    )
         used = {job.record.job.queue for job in self._jobs.values()}
         self._queues = {
             name: queue
@@ -211,27 +230,23 @@
         queue.record_job(job_outlook.compute_objective_ms(record.job, found))
         job = TrackedJob(
             record,
+            steps,
             queue_work.list_keys(record.job),
             task_work,
             work,
+            decay_exponent=queue.decay_exponent,
             # Times are kept on the monotonic clock, as the wall clock may
             # jump.
             began=now - (now_ms - begin_ms) / _MS_PER_SECOND,
             fills=all(step.workload.fills for step in steps),
             idle_since=now,
         )
-        job.done = self._sum_done(job)
+        job.done = _sum_done(job)
         queue.submit(job.keys, work - job.done, now)
         return job
 
-    def _sum_done(self, job):
-        return sum(
-            self._state.workloads[name].succeeded * each
-            for name, each in zip(job.record.steps, job.task_work, strict=True)
-        )
-
     def _count_done(self, job, now):
-        done = self._sum_done(job)
+        done = _sum_done(job)
         queue = self._queues[job.record.job.queue]
         queue.finish(job.keys, done - job.done)
         job.done = done
@@ -241,18 +256,17 @@
     def _has_placed(self, job):
         return any(
             task.vm
-            for name in job.record.steps
-            if not self._state.is_done(self._state.workloads[name])
-            for task in self._state.workloads[name].tasks
+            for step in job.steps
+            if not self._state.is_done(step)
+            for task in step.tasks
         )
 
     def _end_promotions(self, outlooks, now):
         for job_id, late_at in list(self._promoted.items()):
-            job = self._jobs.get(job_id)
-            if job is not None and outlooks.get(job).is_short:
+            if outlooks.get(self._jobs[job_id]).is_short:
                 self._last_short[job_id] = now
             interrupted = now - self._last_short[job_id]
-            if job is None or now >= late_at or interrupted > _RELEASE_SECONDS:
+            if now >= late_at or interrupted > _RELEASE_SECONDS:
                 del self._promoted[job_id]
                 del self._last_short[job_id]
 
@@ -277,17 +291,8 @@
             if job_id not in self._promoted:
                 self._promoted[job_id] = outlooks.get(chosen).due_at
                 self._last_short[job_id] = now
-            queue = self._queues[name]
-            sums = queue.groups[key]
-            self._owed.append(
-                OwedGroup(
-                    name,
-                    *key,
-                    sums.submitted / queue.total.submitted,
-                    sums.done / queue.total.done,
-                    job_id,
-                )
-            )
+            shares = self._queues[name].get_shares(key)
+            self._owed.append(OwedGroup(name, *key, *shares, job_id))
 
     def _choose(self, group, outlooks):
         """Return the promoted job of a group, a new one, or None."""
@@ -321,3 +326,10 @@
         and bool(job.stretch or job.objective_ms)
         and all(step.kind == data.Kind.BATCH for step in job.steps)
     )
+
+
+def _sum_done(job):
+    return sum(
+        step.succeeded * each
+        for step, each in zip(job.steps, job.task_work, strict=True)
+    )
