--- a/packages/scheduler/portwharf/scheduler/decisionlog.py
+++ b/packages/scheduler/portwharf/scheduler/decisionlog.py
@@ -10,6 +10,7 @@
 
 import collections
 import logging
+import math
 
 from portwharf.core import data
 from portwharf.core import ids
@@ -53,7 +54,9 @@
     :param verdict: the ``job_admission.Verdict``
     :param retry_ms: after how long a retry may help, 0 if it does not
     """
-    end_in_ms = int(verdict.end_ms - now_ms) if verdict.end_ms else None
+    end_in_ms = None
+    if verdict.end_ms and math.isfinite(verdict.end_ms):
+        end_in_ms = int(verdict.end_ms - now_ms)
     extra = logs.fields(
         request=job.id,
         queue=job.queue,
--- a/packages/scheduler/portwharf/scheduler/decisionlog_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisionlog_test.py
@@ -2,8 +2,11 @@
 # SPDX-License-Identifier: Apache-2.0
 """The owner's log lines, which ``report delays`` parses."""
 
+import math
+
 from portwharf.core import data
 from portwharf.scheduler import decisionlog
+from portwharf.scheduler.decisions import job_admission
 from portwharf.scheduler.decisions import placement
 from portwharf.scheduler.decisions import vm_choice
 from portwharf.scheduler import events
@@ -44,6 +47,16 @@
     case.assertEqual(watched.records[0].took_ms, 2000)
 
 
+def test_refusal_without_a_finite_end_is_logged(case):
+    """Failure: the conversion raises, and the exception ends the owner."""
+    for end_ms, expected in ((math.inf, None), (7000.0, 2000), (0.0, None)):
+        verdict = job_admission.Verdict('late', end_ms=end_ms)
+        with case.assertLogs(LOGGER) as watched:
+            decisionlog.log_refusal(data.Job('a'), verdict, 5000, 0)
+        found = getattr(watched.records[0], 'end_in_ms', None)
+        case.assertEqual(found, expected)
+
+
 def test_crashes_of_a_given_up_task_are_logged(case):
     task = state.TaskRecord('a.0.0.3', 3, attempt=3)
     task.crashes = [
--- a/packages/scheduler/portwharf/scheduler/decisions/job_admission.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/job_admission.py
@@ -168,7 +168,7 @@
             one
             for one in _list_own_classes(job)
             if self._tracker.is_short(one, self._now)
-            and self._tracker.get_rate(one) > 0
+            and self._tracker.get_rate(one) >= shard_load.MIN_RATE
         ]
         if not short or self._has_free_workers(job):
             return Verdict()
--- a/packages/scheduler/portwharf/scheduler/decisions/job_admission_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/job_admission_test.py
@@ -65,6 +65,18 @@
         case.assertEqual(site.submit(small) is not None, is_refused)
 
 
+def test_rate_near_zero_refuses_nothing(case):
+    """Failure: the end overflows, and the exception ends the owner."""
+    site = make_short_site()
+    hopeless = admission_site.make_arrival(
+        990, site.now_ms, count=900, allowance_ms=0
+    )
+    for rate, is_refused in ((0.0, False), (1e-320, False), (1.0, True)):
+        site.load.get_rate = lambda _, rate=rate: rate
+        case.assertEqual(site.submit(hopeless) is not None, is_refused)
+        site.admission.start_pass(site.now)
+
+
 def test_estimate_that_is_too_low_does_not_shorten_the_late_limit(case):
     site = make_short_site()
     made = admission_site.make_arrival(990, site.now_ms, factor=0.1)
--- a/packages/scheduler/portwharf/scheduler/decisions/shard_load.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/shard_load.py
@@ -28,6 +28,9 @@
 MIN_SHORT_SECONDS = 1.0
 # Time over which rates are smoothed.
 SMOOTHING_SECONDS = 2.0
+# Lower rates, in thousandths of a processor, are dropped: a smoothed rate
+# decays without reaching 0, and work divided by it would have no finite end.
+MIN_RATE = 1.0
 # What passes have found is not used for longer, as it may have changed.
 MAX_AGE_SECONDS = 2.0
 # Filling tasks that work at less than this share of what they request are
@@ -239,7 +242,11 @@
             value = latest.get(one, 0.0)
             # A class is smoothed from its first measurement on.
             last = self._rates.get(one, value)
-            self._rates[one] = last + share * (value - last)
+            rate = last + share * (value - last)
+            if rate >= MIN_RATE:
+                self._rates[one] = rate
+            else:
+                self._rates.pop(one, None)
         self._latest = latest
 
     def _clear_rates(self):
--- a/packages/scheduler/portwharf/scheduler/decisions/shard_load_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/shard_load_test.py
@@ -116,6 +116,23 @@
     case.assertEqual(find_short_since(made, {}, [view]), 1.0)
 
 
+def test_rate_of_an_idle_class_decays_to_zero(case):
+    """Failure: work divided by a rate near 0 has no finite end."""
+    made, record = make_site()
+    task = f'{record.id}.0'
+    made.apply(events.TaskPlaced(task, 1, fixtures.make_vm(0).name))
+    tracker = shard_load.LoadTracker(-10.0)
+    waiting = make_waiting(record, 'processors')
+    update(tracker, made, 0.0, [make_view()], waiting)
+    case.assertEqual(tracker.get_rate(ALL), 1000)
+    made.apply(events.TaskEnded(task, 1, data.TaskState.SUCCEEDED))
+    for number in range(1, 200):
+        update(tracker, made, number / 2, [make_view()], waiting)
+        rate = tracker.get_rate(ALL)
+        case.assertTrue(rate == 0 or rate >= 1, rate)
+    case.assertEqual(tracker.get_rate(ALL), 0)
+
+
 def test_rate_and_backlog_are_those_of_the_class(case):
     made, record = make_site(pool='desk')
     for number in range(4):
