--- a/packages/scheduler/portwharf/scheduler/decisions/job_admission_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/job_admission_test.py
@@ -10,6 +10,7 @@
 from portwharf.core import data
 from portwharf.scheduler.decisions import job_admission
 from portwharf.scheduler.decisions import placement
+from portwharf.scheduler.decisions import precedence
 from portwharf.scheduler.decisions import shard_load
 from portwharf.scheduler.decisions import vmview
 from portwharf.testing import admission_site
@@ -65,6 +66,39 @@
         case.assertEqual(site.submit(small) is not None, is_refused)
 
 
+def test_dip_of_filling_capacity_refuses_no_job_that_ends_in_time(case):
+    """Failure: a peak of serving load of 3 s refuses useful work.
+
+    Ten VMs run filling tasks at their normal pace, and then at 0.03 of it.
+    The job takes 4 s of the normal rate, of its 6 s or so.
+    """
+    site = admission_site.Site()
+    for number in range(60):
+        site.now_ms += admission_site.STEP_MS
+        views = []
+        for index in range(10):
+            view = vmview.VmView(
+                fixtures.make_vm(index),
+                data.Resources(8000, 8000),
+                filling_milli=8000,
+                reserved=data.Resources(0, 8000),
+            )
+            share = 1.0 if number < 30 else 0.03
+            view.fillings = [vmview.FillingTask(share=share)]
+            views.append(view)
+        weigher = precedence.Weigher(site.state, site.now_ms, site.runtimes)
+        site.load.update(site.state, views, {}, weigher, site.now)
+    site.admission.start_pass(site.now)
+    filling = shard_load.CapacityClass('', True)
+    case.assertTrue(site.load.is_short(filling, site.now))
+    for count, is_refused in ((400, False), (4000, True)):
+        made = admission_site.make_arrival(990 + count, site.now_ms)
+        made.job.steps[0].count = count
+        made.job.steps[0].fills = True
+        made.job.allowance_ms = 1500
+        case.assertEqual(site.submit(made) is not None, is_refused)
+
+
 def test_rate_near_zero_refuses_nothing(case):
     """Failure: the end overflows, and the exception ends the owner."""
     site = make_short_site()
--- a/packages/scheduler/portwharf/scheduler/decisions/shard_load.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/shard_load.py
@@ -7,8 +7,9 @@
 short once every pass of a second has left tasks without a VM for lack of
 capacity, or has found the filling tasks at less than half of their pace.
 
-Without a shortage only sums over VMs are computed. Rates are measured while a
-class lacks capacity, and the backlog is listed when it is first asked for.
+Without a shortage only sums over VMs are computed, which give the rates of
+filling tasks. The other rates are measured while a class lacks capacity, and
+the backlog is listed when it is first asked for.
 All of it is in the owner's memory; a new owner measures anew.
 """
 
@@ -28,6 +29,12 @@
 MIN_SHORT_SECONDS = 1.0
 # Time over which rates are smoothed.
 SMOOTHING_SECONDS = 2.0
+# Time over which the largest smoothed rate counts. Serving load takes the
+# processors of filling tasks for some seconds at a time; 30 s is longer than
+# a burst of 3 to 6 s and a cycle of demand of 11 to 17 s.
+PEAK_SECONDS = 30.0
+# Peaks are kept for intervals of this length, to bound their number.
+_PEAK_INTERVAL_SECONDS = 1.0
 # Lower rates, in thousandths of a processor, are dropped: a smoothed rate
 # decays without reaching 0, and work divided by it would have no finite end.
 MIN_RATE = 1.0
@@ -99,10 +106,13 @@
         self._weigher = None
         self._updated_at = None
         self._short_since = {}
-        self._measured_at = None
-        # Smoothed and latest rates by class, while a class lacks capacity.
+        # When the rates were measured, by whether their classes fill.
+        self._measured_at = {}
+        # Smoothed and latest rates by class.
         self._rates = {}
         self._latest = {}
+        # (begin of an interval, map of class to its largest smoothed rate).
+        self._peaks = collections.deque()
         self._backlogs = None
 
     def update(self, state, views, waiting, weigher, now):
@@ -116,7 +126,6 @@
         """
         if not self.is_current(now):
             self._short_since = {}
-            self._clear_rates()
         self.views = views
         self._weigher = weigher
         self._updated_at = now
@@ -126,13 +135,11 @@
         self._short_since = {
             one: self._short_since.get(one, now) for one in lacking
         }
-        if not lacking:
-            self._clear_rates()
-        elif (
-            self._measured_at is None
-            or now - self._measured_at >= _RATE_INTERVAL_SECONDS
-        ):
-            self._record_rates(_sum_reserved(state, views) | filling, now)
+        self._record_rates(True, filling, now)
+        measured_at = self._measured_at.get(False, -math.inf)
+        if lacking and now - measured_at >= _RATE_INTERVAL_SECONDS:
+            self._record_rates(False, _sum_reserved(state, views), now)
+        self._record_peaks(now)
 
     def forget_backlog(self):
         """Drop the backlog, as the state may have changed."""
@@ -156,15 +163,14 @@
         )
 
     def get_rate(self, capacity_class):
-        """Return the thousandths of processors at work for a short class.
+        """Return the rate by which the end of work of a class is judged.
 
-        This is the larger of the smoothed and the latest rate: a rate that
-        rises must not lead to refusals.
+        This is the largest rate of the last ``PEAK_SECONDS``, in thousandths
+        of a processor: neither a rate that is low for some seconds nor one
+        that rises may lead to refusals.
         """
-        return max(
-            self._rates.get(capacity_class, 0.0),
-            self._latest.get(capacity_class, 0.0),
-        )
+        peaks = (rates.get(capacity_class, 0.0) for _, rates in self._peaks)
+        return max(self._get_current_rate(capacity_class), *peaks, 0.0)
 
     def get_backlog(self, capacity_class, state, now_ms, is_owed=None):
         """Return the ``class_backlog.ClassBacklog`` of a class.
@@ -193,7 +199,7 @@
         return [
             ClassLoad(
                 one,
-                self.get_rate(one),
+                self._get_current_rate(one),
                 self.is_short(one, now),
                 backlogs[one].left if one in backlogs else None,
             )
@@ -231,14 +237,26 @@
             for one, rows in steps.items()
         }
 
-    def _record_rates(self, latest, now):
-        """Smooth newly measured rates."""
-        since = self._measured_at
-        self._measured_at = now
+    def _get_current_rate(self, capacity_class):
+        """Return the larger of the smoothed and the latest rate."""
+        return max(
+            self._rates.get(capacity_class, 0.0),
+            self._latest.get(capacity_class, 0.0),
+        )
+
+    def _record_rates(self, fills, latest, now):
+        """Smooth newly measured rates.
+
+        :param fills: whether they are those of the classes that fill
+        :param latest: map of class to thousandths of processors
+        """
+        since = self._measured_at.get(fills)
+        self._measured_at[fills] = now
         share = 1.0
         if since is not None:
             share = 1 - math.exp((since - now) / SMOOTHING_SECONDS)
-        for one in set(self._rates) | set(latest):
+        known = {one for one in self._rates if one.fills == fills}
+        for one in known | set(latest):
             value = latest.get(one, 0.0)
             # A class is smoothed from its first measurement on.
             last = self._rates.get(one, value)
@@ -247,12 +265,26 @@
                 self._rates[one] = rate
             else:
                 self._rates.pop(one, None)
-        self._latest = latest
-
-    def _clear_rates(self):
-        self._rates = {}
-        self._latest = {}
-        self._measured_at = None
+        others = {
+            one: rate
+            for one, rate in self._latest.items()
+            if one.fills != fills
+        }
+        self._latest = others | latest
+
+    def _record_peaks(self, now):
+        """Add the smoothed rates to the largest ones of their interval."""
+        kept_seconds = PEAK_SECONDS + _PEAK_INTERVAL_SECONDS
+        while self._peaks and now - self._peaks[0][0] > kept_seconds:
+            self._peaks.popleft()
+        if (
+            not self._peaks
+            or now - self._peaks[-1][0] >= _PEAK_INTERVAL_SECONDS
+        ):
+            self._peaks.append((now, {}))
+        _, peaks = self._peaks[-1]
+        for one, rate in self._rates.items():
+            peaks[one] = max(rate, peaks.get(one, 0.0))
 
 
 @functools.lru_cache(maxsize=256)
--- a/packages/scheduler/portwharf/scheduler/decisions/shard_load_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/shard_load_test.py
@@ -116,6 +116,39 @@
     case.assertEqual(find_short_since(made, {}, [view]), 1.0)
 
 
+def make_paced_views(share):
+    """Return ten VMs whose filling tasks get a share of their request."""
+    views = []
+    for number in range(10):
+        view = vmview.VmView(
+            fixtures.make_vm(number),
+            data.Resources(8000, 8000),
+            filling_milli=8000,
+        )
+        view.fillings = [vmview.FillingTask(share=share)]
+        views.append(view)
+    return views
+
+
+def test_dip_of_filling_capacity_keeps_its_rate(case):
+    """Failure: a peak of serving load of some seconds refuses jobs.
+
+    The peak counts for 30 s, also where nothing lacked capacity before.
+    """
+    made, _ = make_site(fills=True)
+    filling = shard_load.CapacityClass('', True)
+    tracker = shard_load.LoadTracker(-10.0)
+    for number in range(500):
+        share = 0.8 if number < 30 else 0.03
+        update(tracker, made, number / 10, make_paced_views(share))
+        if number < 330:
+            case.assertAlmostEqual(tracker.get_rate(filling), 64_000)
+    case.assertAlmostEqual(tracker.get_rate(filling), 2400, delta=100)
+    case.assertTrue(tracker.is_short(filling, 49.9))
+    (load,) = tracker.list_loads(49.9)
+    case.assertAlmostEqual(load.rate, 2400, delta=1)
+
+
 def test_rate_of_an_idle_class_decays_to_zero(case):
     """Failure: work divided by a rate near 0 has no finite end."""
     made, record = make_site()
