--- a/packages/scheduler/portwharf/scheduler/decisions/admission_defaults.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/admission_defaults.py
@@ -32,8 +32,12 @@
     returns.
     """
 
-    def find_early(self, job, now_ms):
-        """Return the offer of a job that returns too early, or None."""
+    def find_early(self, job, now_ms, has_free_workers):
+        """Return the offer of a job that returns too early, or None.
+
+        :param has_free_workers: function of a job that tells whether one of
+            its tasks could begin at once
+        """
 
     def find_asked_ms(self, job, now_ms):
         """Return the wall time of a job's first submission."""
--- a/packages/scheduler/portwharf/scheduler/decisions/job_admission.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/job_admission.py
@@ -120,7 +120,9 @@
         :returns: the :class:`Verdict`, and the ``data.Problem`` to answer, or
             None if the job is accepted
         """
-        early = self._returns.find_early(job, now_ms)
+        early = self._returns.find_early(
+            job, now_ms, self._has_free_workers
+        )
         if early is not None:
             verdict = Verdict(REASON_LATE, 'it returns before its time')
             return verdict, _make_problem(job, verdict, early, now_ms)
--- a/packages/scheduler/portwharf/scheduler/decisions/return_schedule.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/return_schedule.py
@@ -107,8 +107,8 @@
         """Return the refusal of an id that is not to be judged now, or None.
 
         A returned refusal has to be answered, as it is recorded. The id is
-        refused for the first 2 s after a refusal, as an older
-        submission of it may be in progress. During a shortage it is also
+        refused for the first 2 s after a refusal by admission control, as an
+        older submission of it may be in progress. During a shortage it is also
         refused before its time, or if it was told that no retry helps. It
         keeps its slot.
 
@@ -125,7 +125,11 @@
         is_early = now < entry.due_at if has_slot else not entry.useful
         if not is_unsafe and not (is_short and is_early):
             return None
-        self._record_refusal(entry, now, now_ms)
+        # The 2 s protect against submissions that were sent before the
+        # refusal by admission control. Refusals of early retries do not renew
+        # them: a client that retries more often would never be judged again.
+        entry.refused_ms = now_ms
+        entry.refusals += 1
         return self._make_offer(entry, now, now_ms)
 
     def is_due(self, job_id):
@@ -265,20 +269,14 @@
             job.rank,
             job.caller,
             asked_at,
+            refused_at=now,
+            refused_ms=now_ms,
             late_at=late_at,
-            refusals=refusals,
+            refusals=refusals + 1,
             refusal=refusal,
         )
-        self._record_refusal(entry, now, now_ms)
         return entry
 
-    def _record_refusal(self, entry, now, now_ms):
-        entry.refused_at = now
-        entry.refused_ms = now_ms
-        entry.refusals += 1
-        if entry.refusal.is_permanent:
-            entry.late_at = now + MIN_DELAY_SECONDS
-
     def _schedule(self, entry, now, now_ms):
         """Give an entry a slot if that is of use, and return its offer."""
         refusal = entry.refusal
--- a/packages/scheduler/portwharf/scheduler/decisions/return_slots.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/return_slots.py
@@ -12,8 +12,8 @@
     """A refused job; all times are monotonic, in seconds.
 
     :param asked_at: time of its first submission
-    :param refused_at: time of its last refusal
-    :param refused_ms: wall time of its last refusal
+    :param refused_at: time of its last refusal by admission control
+    :param refused_ms: wall time of its last refusal, also of an early retry
     :param due_at: begin of its slot; infinite without a slot
     :param late_at: time after which it is of no use any more
     :param useful: whether it was told to return
--- a/packages/scheduler/portwharf/scheduler/decisions/scheduled_returns.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/scheduled_returns.py
@@ -29,12 +29,18 @@
         self._schedule = schedule
         self._is_short = is_short
 
-    def find_early(self, job, now_ms):
-        """Return the offer of a job that returns too early, or None."""
+    def find_early(self, job, now_ms, has_free_workers):
+        """Return the offer of a job that returns too early, or None.
+
+        A class may be short of capacity for large tasks while a small task
+        of the job could begin.
+        """
         known = self._schedule.find(job.id)
         if known is None:
             return None
-        is_short = self._is_short(known.refusal.capacity)
+        is_short = self._is_short(
+            known.refusal.capacity
+        ) and not has_free_workers(job)
         return self._schedule.check(job.id, now_ms, is_short)
 
     def find_asked_ms(self, job, now_ms):
