--- a/packages/scheduler/portwharf/scheduler/decisions/return_schedule.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/return_schedule.py
@@ -121,8 +121,7 @@
             return None
         now = self._read_now()
         is_unsafe = now < entry.refused_at + MIN_DELAY_SECONDS
-        has_slot = entry.due_at < math.inf
-        is_early = now < entry.due_at if has_slot else not entry.useful
+        is_early = now < entry.return_at or not entry.useful
         if not is_unsafe and not (is_short and is_early):
             return None
         # The 2 s protect against submissions that were sent before the
@@ -223,15 +222,15 @@
         entry = self.find(job_id)
         if entry is None:
             return None
-        left_seconds = max(0.0, entry.due_at - self._read_now())
+        left_seconds = max(0.0, entry.return_at - self._read_now())
         if not entry.useful:
             advice = 'a retry does not help'
+        elif left_seconds > 0:
+            advice = f'submit it again in {math.ceil(left_seconds)} s'
         elif entry.due_at == math.inf:
-            advice = 'submit it again; its slot has expired'
-        elif left_seconds == 0:
-            advice = 'submit it again now; it goes before new jobs'
+            advice = 'submit it again now; it has no slot'
         else:
-            advice = f'submit it again in {math.ceil(left_seconds)} s'
+            advice = 'submit it again now; it goes before new jobs'
         detail = [entry.refusal.detail] if entry.refusal.detail else []
         detail.append(f'refusals so far: {entry.refusals}')
         if entry.due_at < math.inf:
@@ -278,7 +277,12 @@
         return entry
 
     def _schedule(self, entry, now, now_ms):
-        """Give an entry a slot if that is of use, and return its offer."""
+        """Give an entry a slot if that is of use, and return its offer.
+
+        Slots begin within the longest delay, so that the time that is told is
+        that of the slot. Without a free one, the job is told the longest
+        delay and is then judged as a new job.
+        """
         refusal = entry.refusal
         if not refusal.is_permanent:
             wait_seconds = refusal.wait_ms / _MS_PER_SECOND
@@ -292,17 +296,20 @@
             begin = table.find_free(
                 now + max(MIN_DELAY_SECONDS, wait_seconds), seconds
             )
-            entry.useful = self._is_useful(entry, begin)
-            if entry.useful:
+            latest = now + MAX_DELAY_SECONDS
+            entry.return_at = min(begin, latest)
+            entry.useful = self._is_useful(entry, entry.return_at)
+            if entry.useful and begin <= latest:
                 entry.due_at = begin
                 self._tables[refusal.capacity] = table
                 table.add(begin, seconds, entry.id)
         self._keep(entry)
         if entry.id not in self._entries:
             # Without a slot, a flood of ids returns as spread as it came.
-            begin = now + MAX_DELAY_SECONDS
-            entry.due_at = begin
-            entry.useful = entry.useful and self._is_useful(entry, begin)
+            entry.return_at = now + MAX_DELAY_SECONDS
+            entry.useful = entry.useful and self._is_useful(
+                entry, entry.return_at
+            )
         return self._make_offer(entry, now, now_ms)
 
     def _is_useful(self, entry, begin):
@@ -317,10 +324,7 @@
     def _make_offer(self, entry, now, now_ms):
         if not entry.useful:
             return ReturnOffer()
-        # Without a slot, it may return as soon as it is safe.
-        due_at = entry.due_at if entry.due_at < math.inf else now
-        seconds = max(MIN_DELAY_SECONDS, due_at - now)
-        seconds = min(MAX_DELAY_SECONDS, seconds)
+        seconds = max(MIN_DELAY_SECONDS, entry.return_at - now)
         delay_ms = math.ceil(seconds * _MS_PER_SECOND)
         return ReturnOffer(now_ms + delay_ms, True, delay_ms)
 
--- a/packages/scheduler/portwharf/scheduler/decisions/return_slots.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/return_slots.py
@@ -15,6 +15,7 @@
     :param refused_at: time of its last refusal by admission control
     :param refused_ms: wall time of its last refusal, also of an early retry
     :param due_at: begin of its slot; infinite without a slot
+    :param return_at: time from which it may return, also without a slot
     :param late_at: time after which it is of no use any more
     :param useful: whether it was told to return
     :param refusals: how often it was refused
@@ -29,6 +30,7 @@
     refused_at: float = 0.0
     refused_ms: int = 0
     due_at: float = math.inf
+    return_at: float = 0.0
     late_at: float = 0.0
     useful: bool = False
     refusals: int = 0
