--- a/packages/scheduler/portwharf/scheduler/decisions/job_admission.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/job_admission.py
@@ -20,16 +20,13 @@
 from portwharf.scheduler.decisions import placement
 from portwharf.scheduler.decisions import precedence
 from portwharf.scheduler.decisions import shard_load
+from portwharf.scheduler.decisions import worker_sizes
 from portwharf.scheduler import jobs
 
 CODE_NO_ROOM = 'no-room'
 REASON_LATE = 'cannot-end-in-time'
 # Least pace, 0 to 1, at which a filling task is not short of processors.
 MIN_FREE_PACE = shard_load.MIN_FILLING_SHARE
-# A member that has reported nothing for this long after the owner began is
-# not waited for: until then it may be the one that can hold a task. It is
-# longer than the restart of a VM's processes takes.
-REPORT_WAIT_SECONDS = 10.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -97,10 +94,10 @@
         self._state = state
         self._runtimes = runtimes
         self._tracker = tracker
-        self._began = began
         self._returns = returns or admission_defaults.NoReturns()
         self._shares = shares or admission_defaults.NoShares()
         self._now = began
+        self._sizes = worker_sizes.WorkerSizes()
         # Number of refusals by capacity class.
         self.refusals = collections.Counter()
 
@@ -111,6 +108,7 @@
         """
         self._now = now
         self._tracker.forget_backlog()
+        self._sizes.update(self._tracker.views, now)
 
     def decide(self, job, now_ms):
         """Decide on a submission that is not in the log.
@@ -185,15 +183,16 @@
         """Return why no VM can ever hold one of a job's steps, or None."""
         views = self._tracker.views
         reported = [view for view in views if view.largest.cpu_milli > 0]
-        waited_seconds = self._now - self._began
-        if len(reported) < len(views) and waited_seconds < REPORT_WAIT_SECONDS:
+        if self._sizes.is_waiting(views, self._now):
             return None
         for step in job.steps:
             pool_views = [
                 view for view in reported if step.pool in ('', view.pool)
             ]
             problem = placement.check_placeable(step, pool_views)
-            if problem is not None:
+            if problem is not None and not self._sizes.has_held(
+                step.resources, step.pool
+            ):
                 return problem
         return None
 
--- a/packages/scheduler/portwharf/scheduler/decisions/job_admission_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/job_admission_test.py
@@ -13,6 +13,7 @@
 from portwharf.scheduler.decisions import precedence
 from portwharf.scheduler.decisions import shard_load
 from portwharf.scheduler.decisions import vmview
+from portwharf.scheduler.decisions import worker_sizes
 from portwharf.testing import admission_site
 from portwharf.testing import fixtures
 
@@ -243,17 +244,56 @@
     case.assertIsNone(site.submit(large))
 
 
-def test_new_owner_waits_for_vms_that_may_be_larger(case):
-    site = admission_site.Site(began=0.0)
-    large = admission_site.make_arrival(1, admission_site.START_MS)
+def make_large(number):
+    """Return the arrival of a job that is too large for a site's VMs."""
+    large = admission_site.make_arrival(number, admission_site.START_MS)
     large.job.steps[0].resources = data.Resources(
         admission_site.CORES * 1000 + 1, 10
     )
+    return large
+
+
+def test_vms_that_may_be_larger_are_waited_for(case):
+    """Failure: a VM that joins may hold a job that was refused for good.
+
+    It joins at the owner's begin or later, and also where another VM never
+    reports.
+    """
+    wait_seconds = worker_sizes.REPORT_WAIT_SECONDS
+    site = admission_site.Site(began=0.0)
     site.step()
-    site.load.views.append(vmview.VmView(fixtures.make_vm(9)))
-    case.assertIsNone(site.submit(large))
-    site.admission.start_pass(job_admission.REPORT_WAIT_SECONDS)
-    case.assertIsNotNone(site.submit(large))
+    for number, begin in enumerate((0.1, 300.0, 600.0)):
+        view = vmview.VmView(fixtures.make_vm(9 + number))
+        site.load.views.append(view)
+        case.assertIsNone(site.submit(make_large(number)))
+        site.admission.start_pass(begin)
+        site.admission.start_pass(begin + wait_seconds - 0.1)
+        case.assertIsNone(site.submit(make_large(10 + number)))
+        site.admission.start_pass(begin + wait_seconds)
+        case.assertIsNotNone(site.submit(make_large(20 + number)))
+
+
+def test_large_vm_that_left_is_remembered_for_minutes(case):
+    """Failure: the only VM that can hold a job restarts, and it is refused."""
+    for pool, is_held in (('', True), ('desk', True), ('other', False)):
+        site = admission_site.Site()
+        site.step()
+        size = data.Resources(2 * admission_site.CORES * 1000, 8000)
+        small = vmview.VmView(
+            fixtures.make_vm(8), site.load.views[0].capacity, pool='other'
+        )
+        large = vmview.VmView(fixtures.make_vm(9), size, pool='desk')
+        gone = vmview.VmView(
+            fixtures.make_vm(7), site.load.views[0].capacity, pool='desk'
+        )
+        site.load.views += [small, large, gone]
+        site.admission.start_pass(5.0)
+        site.load.views.remove(large)
+        for now, is_accepted in ((6.0, is_held), (304.0, is_held), (307.0, 0)):
+            site.admission.start_pass(now)
+            made = make_large(int(now))
+            made.job.steps[0].pool = pool
+            case.assertEqual(site.submit(made) is None, bool(is_accepted))
 
 
 def test_owed_group_is_judged_by_its_share(case):
