--- a/packages/scheduler/portwharf/scheduler/decisions/shard_load.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/shard_load.py
@@ -321,6 +321,9 @@
         own = list_classes(workload.pool, workload.fills)[-1]
         if own in lacking:
             continue
+        if one.choice.declined:
+            # The step could be placed, but waits for a VM with a better pace.
+            continue
         reasons = one.choice.refusals.keys()
         if reasons & _CAPACITY_REASONS and not reasons & _TASK_REASONS:
             lacking.add(own)
--- a/packages/scheduler/portwharf/scheduler/decisions/shard_load_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/shard_load_test.py
@@ -2,7 +2,10 @@
 # SPDX-License-Identifier: Apache-2.0
 """When a class of capacity counts as short, and its rate and backlog."""
 
+from unittest import mock
+
 from portwharf.core import data
+from portwharf.scheduler.decisions import backlog
 from portwharf.scheduler.decisions import placement
 from portwharf.scheduler.decisions import precedence
 from portwharf.scheduler.decisions import shard_load
@@ -77,6 +80,27 @@
         case.assertIsNone(find_short_since(made, waiting), waiting)
 
 
+def test_wait_for_a_better_pace_is_no_shortage(case):
+    """Failure: an uneven pool with room refuses jobs after a second.
+
+    Its good VM is full, and the step waits by choice for a pace of 0.8.
+    """
+    made, record = make_site(fills=True)
+    full = make_view(reserved=data.Resources(8000, 8000))
+    demand = backlog.Demand(record)
+    demand.min_pace = 0.8
+    for pace, expected in ((0.5, None), (0.2, 1.0)):
+        patch = mock.patch.object(
+            vmview.VmView, 'predict_pace', lambda *_, pace=pace: pace
+        )
+        with patch:
+            choice = vm_choice.choose_vm(demand, [full, make_view()], None)
+        case.assertIsNone(choice.view)
+        case.assertIn(vm_choice.REFUSED_SLOWS_SERVICE, choice.refusals)
+        one = placement.UnplacedWorkload(record, choice.reason, choice)
+        case.assertEqual(find_short_since(made, {record.id: one}), expected)
+
+
 def test_one_pass_with_room_ends_a_shortage(case):
     made, record = make_site()
     tracker = shard_load.LoadTracker(-10.0)
--- a/packages/scheduler/portwharf/scheduler/decisions/vm_choice.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vm_choice.py
@@ -34,6 +34,8 @@
     :param parts: addends of its score, as ``events.Part``
     :param refusals: number of refused VMs by reason
     :param weight: the weight of the task's job, for a filling task
+    :param declined: number of VMs that were refused only because the demand
+        waits for a better pace than the usual one (``Demand.min_pace``)
     """
 
     view: object = None
@@ -42,6 +44,7 @@
         default_factory=collections.Counter
     )
     weight: float = 0.0
+    declined: int = 0
 
     @property
     def reason(self):
@@ -84,6 +87,7 @@
         self._totals = [math.inf] * len(views)
         self._parts = [None] * len(views)
         self._reasons = [''] * len(views)
+        self._declined = [False] * len(views)
         self._outdated = range(len(views))
 
     def choose(self):
@@ -96,6 +100,7 @@
             self._outdated = ()
         choice = Choice(weight=self._demand.weight)
         choice.refusals.update(filter(None, self._reasons))
+        choice.declined = sum(self._declined)
         lowest = min(self._totals, default=math.inf)
         if lowest < math.inf:
             index = self._totals.index(lowest)
@@ -133,6 +138,11 @@
         parts = []
         self._pace = None
         reason = self._refuse(view)
+        self._declined[index] = (
+            reason == REFUSED_SLOWS_SERVICE
+            and self._pace is not None
+            and self._pace >= backlog.MIN_PACE
+        )
         if not reason:
             parts, reason = self._score(view, spread)
         self._reasons[index] = reason
