--- a/packages/scheduler/portwharf/scheduler/decisions/admission_defaults.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/admission_defaults.py
@@ -39,6 +39,12 @@
             its tasks could begin at once
         """
 
+    def find_refusal(self, job):
+        """Return the last refusal of a job, or None if it is not known.
+
+        :returns: an object with ``reason`` and ``detail``
+        """
+
     def find_asked_ms(self, job, now_ms):
         """Return the wall time of a job's first submission."""
         return now_ms
--- a/packages/scheduler/portwharf/scheduler/decisions/job_admission.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/job_admission.py
@@ -122,7 +122,9 @@
             job, now_ms, self._has_free_workers
         )
         if early is not None:
-            verdict = Verdict(REASON_LATE, 'it returns before its time')
+            known = self._returns.find_refusal(job)
+            detail = f'it returns before its time; {known.detail}'
+            verdict = Verdict(known.reason, detail)
             return verdict, _make_problem(job, verdict, early, now_ms)
         asked_ms = self._returns.find_asked_ms(job, now_ms)
         verdict = self.assess(job, now_ms, asked_ms)
--- a/packages/scheduler/portwharf/scheduler/decisions/scheduled_returns.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/scheduled_returns.py
@@ -43,6 +43,11 @@
         ) and not has_free_workers(job)
         return self._schedule.check(job.id, now_ms, is_short)
 
+    def find_refusal(self, job):
+        """Return the ``return_schedule.Refusal`` of a job, or None."""
+        known = self._schedule.find(job.id)
+        return known.refusal if known is not None else None
+
     def find_asked_ms(self, job, now_ms):
         """Return the wall time of a job's first submission."""
         return self._schedule.get_asked_ms(job.id, now_ms) or now_ms
--- a/packages/scheduler/portwharf/scheduler/decisions/scheduled_returns_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/scheduled_returns_test.py
@@ -4,6 +4,7 @@
 
 from portwharf.core import data
 from portwharf.scheduler.decisions import job_admission
+from portwharf.scheduler.decisions import placement
 from portwharf.scheduler.decisions import return_schedule
 from portwharf.scheduler.decisions import scheduled_returns
 from portwharf.testing import admission_site
@@ -57,6 +58,24 @@
     case.assertEqual(schedule.find(made.job.id).due_at, due_at)
 
 
+def test_early_retry_is_refused_for_the_known_reason(case):
+    """Failure: log and metrics report a shortage that does not exist."""
+    site, _ = make_site()
+    late = make_refused(990, site)
+    large = make_refused(991, site)
+    large.job.steps[0].resources = data.Resources(10**6, 10)
+    for made, reason in (
+        (large, placement.REASON_NEVER),
+        (late, job_admission.REASON_LATE),
+    ):
+        first, _ = site.admission.decide(made.job, site.now_ms)
+        case.assertEqual(first.reason, reason)
+        again, problem = site.admission.decide(made.job, site.now_ms)
+        case.assertEqual(again.reason, reason)
+        case.assertIn('it returns before its time; ', problem.text)
+        case.assertIn(first.detail, problem.text)
+
+
 def test_early_retry_is_judged_while_workers_are_free(case):
     """Failure: it is refused although one of its tasks could begin.
 
