--- a/packages/scheduler/portwharf/scheduler/decisions/job_admission.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/job_admission.py
@@ -118,9 +118,7 @@
         :returns: the :class:`Verdict`, and the ``data.Problem`` to answer, or
             None if the job is accepted
         """
-        early = self._returns.find_early(
-            job, now_ms, self._has_free_workers
-        )
+        early = self._returns.find_early(job, now_ms, self._has_free_workers)
         if early is not None:
             known = self._returns.find_refusal(job)
             detail = f'it returns before its time; {known.detail}'
