--- a/packages/scheduler/portwharf/scheduler/decisions/scheduled_returns.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/scheduled_returns.py
@@ -29,14 +29,25 @@
         self._schedule = schedule
         self._is_short = is_short
 
-    def find_early(self, job, now_ms):
-        """Return the offer of a job that returns too early, or None."""
+    def find_early(self, job, now_ms, has_free_workers):
+        """Return the offer of a job that returns too early, or None.
+
+        A class may be short of capacity for large tasks while a small task
+        of the job could begin.
+        """
         known = self._schedule.find(job.id)
         if known is None:
             return None
-        is_short = self._is_short(known.refusal.capacity)
+        is_short = self._is_short(
+            known.refusal.capacity
+        ) and not has_free_workers(job)
         return self._schedule.check(job.id, now_ms, is_short)
 
+    def find_refusal(self, job):
+        """Return the ``return_schedule.Refusal`` of a job, or None."""
+        known = self._schedule.find(job.id)
+        return known.refusal if known is not None else None
+
     def find_asked_ms(self, job, now_ms):
         """Return the wall time of a job's first submission."""
         return self._schedule.get_asked_ms(job.id, now_ms) or now_ms
--- a/packages/scheduler/portwharf/scheduler/decisions/shard_load_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/shard_load_test.py
@@ -2,7 +2,10 @@
 # SPDX-License-Identifier: Apache-2.0
 """When a class of capacity counts as short, and its rate and backlog."""
 
+from unittest import mock
+
 from portwharf.core import data
+from portwharf.scheduler.decisions import backlog
 from portwharf.scheduler.decisions import placement
 from portwharf.scheduler.decisions import precedence
 from portwharf.scheduler.decisions import shard_load
@@ -77,6 +80,27 @@
         case.assertIsNone(find_short_since(made, waiting), waiting)
 
 
+def test_wait_for_a_better_pace_is_no_shortage(case):
+    """Failure: an uneven pool with room refuses jobs after a second.
+
+    Its good VM is full, and the step waits by choice for a pace of 0.8.
+    """
+    made, record = make_site(fills=True)
+    full = make_view(reserved=data.Resources(8000, 8000))
+    demand = backlog.Demand(record)
+    demand.min_pace = 0.8
+    for pace, expected in ((0.5, None), (0.2, 1.0)):
+        patch = mock.patch.object(
+            vmview.VmView, 'predict_pace', lambda *_, pace=pace: pace
+        )
+        with patch:
+            choice = vm_choice.choose_vm(demand, [full, make_view()], None)
+        case.assertIsNone(choice.view)
+        case.assertIn(vm_choice.REFUSED_SLOWS_SERVICE, choice.refusals)
+        one = placement.UnplacedWorkload(record, choice.reason, choice)
+        case.assertEqual(find_short_since(made, {record.id: one}), expected)
+
+
 def test_one_pass_with_room_ends_a_shortage(case):
     made, record = make_site()
     tracker = shard_load.LoadTracker(-10.0)
@@ -116,6 +140,75 @@
     case.assertEqual(find_short_since(made, {}, [view]), 1.0)
 
 
+def make_paced_views(share):
+    """Return ten VMs whose filling tasks get a share of their request."""
+    views = []
+    for number in range(10):
+        view = vmview.VmView(
+            fixtures.make_vm(number),
+            data.Resources(8000, 8000),
+            filling_milli=8000,
+        )
+        view.fillings = [vmview.FillingTask(share=share)]
+        views.append(view)
+    return views
+
+
+def test_dip_of_filling_capacity_keeps_its_rate(case):
+    """Failure: a peak of serving load of some seconds refuses jobs.
+
+    The peak counts for 30 s, also where nothing lacked capacity before.
+    """
+    made, _ = make_site(fills=True)
+    filling = shard_load.CapacityClass('', True)
+    tracker = shard_load.LoadTracker(-10.0)
+    for number in range(500):
+        share = 0.8 if number < 30 else 0.03
+        update(tracker, made, number / 10, make_paced_views(share))
+        if number < 330:
+            case.assertAlmostEqual(tracker.get_rate(filling), 64_000)
+    case.assertAlmostEqual(tracker.get_rate(filling), 2400, delta=100)
+    case.assertTrue(tracker.is_short(filling, 49.9))
+    (load,) = tracker.list_loads(49.9)
+    case.assertAlmostEqual(load.rate, 2400, delta=1)
+
+
+def test_placed_tasks_are_read_once_a_second_during_a_shortage(case):
+    """Failure: reading 16,000 tasks in most passes takes 5% of a core.
+
+    A shortage of filling tasks alone does not need it.
+    """
+    for fills, passes, expected in ((False, 31, 4), (True, 31, 0)):
+        made, record = make_site(fills=fills)
+        waiting = make_waiting(record, 'processors')
+        tracker = shard_load.LoadTracker(-10.0)
+        with mock.patch.object(
+            shard_load, '_sum_reserved', autospec=True, return_value={}
+        ) as watched:
+            for number in range(passes):
+                update(tracker, made, number / 10, waiting=waiting)
+        case.assertEqual(watched.call_count, expected)
+        own = shard_load.CapacityClass('', fills)
+        case.assertTrue(tracker.is_short(own, 3.0))
+
+
+def test_rate_of_an_idle_class_decays_to_zero(case):
+    """Failure: work divided by a rate near 0 has no finite end."""
+    made, record = make_site()
+    task = f'{record.id}.0'
+    made.apply(events.TaskPlaced(task, 1, fixtures.make_vm(0).name))
+    tracker = shard_load.LoadTracker(-10.0)
+    waiting = make_waiting(record, 'processors')
+    update(tracker, made, 0.0, [make_view()], waiting)
+    case.assertEqual(tracker.get_rate(ALL), 1000)
+    made.apply(events.TaskEnded(task, 1, data.TaskState.SUCCEEDED))
+    for number in range(1, 200):
+        update(tracker, made, number / 2, [make_view()], waiting)
+        rate = tracker.get_rate(ALL)
+        case.assertTrue(rate == 0 or rate >= 1, rate)
+    case.assertEqual(tracker.get_rate(ALL), 0)
+
+
 def test_rate_and_backlog_are_those_of_the_class(case):
     made, record = make_site(pool='desk')
     for number in range(4):
