--- a/packages/core/portwharf/core/logs.py
+++ b/packages/core/portwharf/core/logs.py
@@ -67,6 +67,10 @@
     'good',
     'poor',
     'stalled',
+    'ahead_cpu_ms',
+    'rate_milli',
+    'end_in_ms',
+    'retry_ms',
 )
 _TEXT_FORMAT = '%(asctime)s %(levelname)s %(name)s: %(message)s'
 _JSON_FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -9,20 +9,28 @@
 
 import logging
 
+import result
+
 from portwharf.core import data
 from portwharf.core import ids
 from portwharf.core import logs
 from portwharf.peers import messages
 from portwharf.scheduler import batches
+from portwharf.scheduler import capacity_reports
 from portwharf.scheduler import claim_updates
 from portwharf.scheduler import crashloop
 from portwharf.scheduler import decisionlog
 from portwharf.scheduler.decisions import forecast
 from portwharf.scheduler.decisions import gangs
 from portwharf.scheduler.decisions import hung_tasks
+from portwharf.scheduler.decisions import job_admission
 from portwharf.scheduler.decisions import pass_inputs
 from portwharf.scheduler.decisions import precedence
+from portwharf.scheduler.decisions import return_schedule
+from portwharf.scheduler.decisions import scheduled_returns
 from portwharf.scheduler.decisions import service_protection
+from portwharf.scheduler.decisions import shard_load
+from portwharf.scheduler.decisions import shortage_shares
 from portwharf.scheduler.decisions import task_moves
 from portwharf.scheduler.decisions import uneven_pools
 from portwharf.scheduler import events
@@ -75,6 +83,17 @@
             state, began
         )
         self.runtimes = forecast.RunTimeModel()
+        self.load = shard_load.LoadTracker(began)
+        self.shares = shortage_shares.ShortageShares(state)
+        self.returns = return_schedule.ReturnSchedule(env.clock)
+        self.admission = job_admission.JobAdmission(
+            state,
+            self.runtimes,
+            self.load,
+            began,
+            scheduled_returns.ScheduledReturns(self.returns, self._is_short),
+            self.shares,
+        )
         self.preparation = prepared_starts.PreparedStarts(state)
         self.rosters = rosters.RosterKeeper(state)
         self._claims = claim_updates.ClaimNotifier(state)
@@ -102,6 +121,28 @@
             self._env.clock, self._state, members
         )
 
+    def capacity_reports(self):
+        """Return the ``operations.CapacityReport`` values for operators."""
+        now = self._env.clock.read_monotonic()
+        now_ms = self._env.clock.read_unix_ms()
+        loads = self.load.list_loads(now)
+        for load in loads:
+            backlog = self.load.get_backlog(
+                load.capacity_class, self._state, now_ms, self.shares.is_owed
+            )
+            load.left = backlog.left
+        return capacity_reports.make_reports(
+            loads,
+            self.admission.refusals,
+            self.returns.count_waiting(),
+            self.shares.list_owed(),
+            self._env.keeper.read().queues,
+        )
+
+    def explain_refusal(self, job_id):
+        """Return the ``events.Decision`` that refused a job, or None."""
+        return self.returns.explain(job_id)
+
     def decide(self, items):
         """Process items from the inbox and make all decisions of a pass.
 
@@ -109,7 +150,7 @@
             None only triggers the pass
         :returns: a ``batches.Batch``
         """
-        batch = self.process_items(items)
+        batch = self._process_items(items)
         self._crashloops.resolve_suspects(
             batch, self._apply_event, self._handle_task_end
         )
@@ -126,6 +167,7 @@
         self._drop_expired(batch)
         if views is not None:
             self._update_roster(views, batch)
+        self._confirm_refusals(batch)
         self._timer.mark('finish')
         return batch
 
@@ -135,8 +177,14 @@
         :param items: as for :meth:`decide`, which must follow
         :returns: a ``batches.Batch``
         """
+        batch = self._process_items(items)
+        self._confirm_refusals(batch)
+        return batch
+
+    def _process_items(self, items):
         batch = batches.Batch()
         self._views = None
+        self.admission.start_pass(self._env.clock.read_monotonic())
         dropped = 0
         for item in items:
             if isinstance(item, batches.ReportsItem):
@@ -338,13 +386,11 @@
                 now_ms,
             )
         elif item.method == 'submit-job':
-            outcome = job_operations.submit_job(
-                self._state, item.arguments, now_ms
-            )
-            decisionlog.log_submission(outcome, item.arguments.job)
+            outcome = self._submit_job(item.arguments, now_ms, batch)
         elif item.method == 'cancel-job':
             job_id = item.arguments.id
             outcome = job_operations.cancel_job(self._state, job_id)
+            self.returns.cancel(job_id)
             decisionlog.log_cancellation(outcome, job_id)
         elif item.method == 'change':
             outcome = operations.change(self._state, item.arguments)
@@ -360,6 +406,42 @@
         batch.answer(item.fut, outcome.ok_value.answer)
         return True
 
+    def _submit_job(self, call, now_ms, batch):
+        """Accept or refuse a job; one that is in the log stays accepted.
+
+        :returns: Ok(CallOutcome), or Err(Problem)
+        """
+        job = call.job
+        if job_operations.needs_admission(self._state, job):
+            verdict, problem = self.admission.decide(job, now_ms)
+            if problem is not None:
+                metrics.REFUSED_JOBS.labels(verdict.reason).inc()
+                retry_ms = problem.retry_after_ms
+                decisionlog.log_refusal(job, verdict, now_ms, retry_ms)
+                batch.refusals.append(
+                    job_operations.explain_refusal(job, problem, now_ms)
+                )
+                return result.Err(problem)
+            job.asked_ms = self.returns.get_asked_ms(job.id, now_ms)
+        outcome = job_operations.submit_job(self._state, call, now_ms)
+        decisionlog.log_submission(outcome, job)
+        if outcome.is_ok() and outcome.ok_value.answer.created:
+            self.admission.record_accepted(job, now_ms)
+        return outcome
+
+    def _is_short(self, capacity_class):
+        now = self._env.clock.read_monotonic()
+        return self.load.is_short(capacity_class, now)
+
+    def _confirm_refusals(self, batch):
+        """Have the batch appended if it refuses jobs.
+
+        Only an append proves that no other owner may have accepted them.
+        """
+        if batch.refusals and not batch.events:
+            event = events.DecisionMade(batch.refusals[-1])
+            self._apply_event(batch, event)
+
     def _update_members(self, batch):
         """Add or remove one member if the VM list has changed."""
         event = self._members.pop_member_change(
@@ -464,7 +546,16 @@
         if not self._may_place(now):
             return None
         now_ms = self._env.clock.read_unix_ms()
-        weigher = precedence.Weigher(self._state, now_ms, self.runtimes)
+        weigher = precedence.Weigher(
+            self._state, now_ms, self.runtimes, self.shares
+        )
+        self.shares.update(
+            weigher,
+            now,
+            now_ms,
+            self._is_short,
+            self.load.get_rate,
+        )
         views = self._members.view_vms(weigher)
         self._crashloops.mark_unstable(views)
         self._timer.mark('views')
@@ -494,6 +585,8 @@
         self.waiting = {one.record.id: one for one in done.waiting}
         self._patience.record_waits(self.waiting, now)
         self._wait_log.update(self.waiting, now)
+        metrics.set_class_loads(self.load.list_loads(now))
+        self.load.update(self._state, views, self.waiting, weigher, now)
         decisionlog.log_placements(done.placements)
         for placed in done.placements:
             event = events.TaskPlaced(placed.task, placed.attempt, placed.vm)
@@ -528,7 +621,7 @@
     def _find_stalled_tasks(self, now, weigher):
         """Return the filling tasks that make little progress.
 
-        :returns: list of ``task_moves.StalledTask`` that may move once more
+        :returns: list of ``task_moves.StalledTask``
         """
         stalled = task_moves.find_stalled_tasks(
             self._state,
@@ -537,8 +630,9 @@
             now,
             weigher,
         )
-        may_move = self._move_history.may_move
-        return [entry for entry in stalled if may_move(entry.task.id)]
+        for entry in stalled:
+            entry.moves = self._move_history.count_moves(entry.task.id)
+        return stalled
 
     def _move_before_placement(self, stalled, demands, views, batch):
         """Move stalled tasks that rank before all waiting filling tasks.
--- a/packages/scheduler/portwharf/scheduler/decisions/backlog.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/backlog.py
@@ -25,7 +25,7 @@
 # Time after a job has become too late to matter during which its steps are
 # served last.
 _LATE_DEFERRAL_MS = 30_000
-# Relative error of estimated run times.
+# Relative error of estimated run times: about a third, either way.
 _ESTIMATE_TOLERANCE = 0.3
 
 
@@ -42,8 +42,10 @@
         '_placed',
         '_tasks',
         'avoided',
-        'is_selective',
+        'has_waited_long',
         'held_tasks',
+        'is_owed',
+        'is_selective',
         'min_pace',
         'rack',
         'record',
@@ -72,6 +74,10 @@
         self.is_selective = True
         # Pace, 0 to 1, below which a VM does not suit a filling workload.
         self.min_pace = MIN_PACE
+        # Whether its job is promoted, and whether it has waited for long
+        # during a shortage, by ``shortage_shares``.
+        self.is_owed = False
+        self.has_waited_long = False
         # The rack that its tasks should share, '' for any.
         self.rack = ''
         # The set of VMs that a task was moved away from, by task id.
@@ -228,6 +234,20 @@
     return sorted(demands, key=lambda demand: _rank(demand, now_ms))
 
 
+def find_late_start_ms(step_forecast):
+    """Return the wall time from which a step counts as late."""
+    tolerance_ms = _ESTIMATE_TOLERANCE * step_forecast.run_ms
+    return step_forecast.begin_ms + tolerance_ms
+
+
+def rank_lateness(step_forecast, now_ms):
+    """Return 0 for a step in time, 1 for a late one, 2 for a deferred one."""
+    overdue_ms = now_ms - step_forecast.late_ms
+    if 0 < overdue_ms < _LATE_DEFERRAL_MS:
+        return 2
+    return int(now_ms > find_late_start_ms(step_forecast))
+
+
 def get_interference_kind(workload):
     """Return the key by which a batch workload's interference is learnt."""
     return f'{workload.team}/{workload.program}'
@@ -238,8 +258,9 @@
 
     Within one importance, standing steps come first. Then steps that can
     still end in time come before late ones, and steps that have become too
-    late to matter come last, for a limited time. Ties go to the job with
-    the least work left: under overload, more jobs then end in time.
+    late to matter come last, for a limited time. During a shortage, jobs that
+    are promoted come next, then those that have waited long. Ties go to the
+    job with the least work left: under overload, more jobs then end in time.
     """
     record = demand.record
     workload = record.workload
@@ -249,22 +270,15 @@
         True,
         -workload.importance,
         not is_standing,
-        0 if is_standing else _rank_lateness(demand.step_forecast, now_ms),
+        0 if is_standing else rank_lateness(demand.step_forecast, now_ms),
+        not demand.is_owed,
+        not demand.has_waited_long,
         demand.step_forecast.left,
         demand.step_forecast.begin_ms,
         record.id,
     )
 
 
-def _rank_lateness(step_forecast, now_ms):
-    """Return 0 for a step in time, 1 for a late one, 2 for a deferred one."""
-    overdue_ms = now_ms - step_forecast.late_ms
-    if 0 < overdue_ms < _LATE_DEFERRAL_MS:
-        return 2
-    tolerance_ms = _ESTIMATE_TOLERANCE * step_forecast.run_ms
-    return int(now_ms > step_forecast.begin_ms + tolerance_ms)
-
-
 def _rank(demand, now_ms):
     """Return a demand's sort key; the lowest is served first."""
     record = demand.record
--- a/packages/testing/portwharf/testing/overload_day.py
+++ b/packages/testing/portwharf/testing/overload_day.py
@@ -132,6 +132,7 @@
         :param site: the :class:`Site`
         """
         self._seed = seed
+        self._estimates_off = estimates_off
         self._site = site
         self._clients = overload_load.Clients(
             seed, load, estimates_off, site.wide
@@ -297,17 +298,20 @@
         if self._state.jobs[job].failed:
             self._state.apply(events.JobCancelled(job))
             for other in list(self._runs.values()):
-                if other.task not in self._runs:
+                if self._state.find_workload(other.task).workload.job != job:
                     continue
-                if self._state.find_workload(other.task).workload.job == job:
-                    del self._runs[other.task]
+                # The report of another run may have ended this one already.
+                if self._runs.pop(other.task, None) is not None:
                     self._report(other, data.RunState.GONE)
 
     # The owner.
 
+    def _make_weigher(self):
+        return precedence.Weigher(self._state, self._now_ms, self.run_times)
+
     def _run_pass(self, with_moves):
         views = self._view_vms()
-        weigher = precedence.Weigher(self._state, self._now_ms, self.run_times)
+        weigher = self._make_weigher()
         self._update_claims(weigher)
         demands = pass_inputs.list_demands(
             self._state, lambda _: frozenset(), self._now_ms, weigher
@@ -331,10 +335,14 @@
         )
         waiting = {demand.record.id: demand for demand in planned.waiting}
         self._patience.record_waits(waiting, self.now)
+        self._record_pass(planned.waiting, views)
         for placement in planned.placements:
             self._place(placement, weigher)
         self._move_stalled_tasks(stalled, views, moved)
 
+    def _record_pass(self, waiting, views):
+        """Record what a placement pass has left; for derived days."""
+
     def _update_claims(self, weigher):
         updates = self._claim_notifier.make_due_updates(
             self._links, weigher, self.now
@@ -374,7 +382,7 @@
         self._placed_at[(placement.task, placement.attempt)] = self.now
 
     def _view_vms(self):
-        weigher = precedence.Weigher(self._state, self._now_ms, self.run_times)
+        weigher = self._make_weigher()
         views = []
         for number, link in enumerate(self._links):
             vm = data.Vm(link.name, availability_zone=f'zone-{number % 3}')
@@ -422,8 +430,9 @@
             self.now,
             weigher,
         )
-        may_move = self._move_history.may_move
-        return [entry for entry in stalled if may_move(entry.task.id)]
+        for entry in stalled:
+            entry.moves = self._move_history.count_moves(entry.task.id)
+        return stalled
 
     def _move_stalled_tasks(self, stalled, views, moved=0):
         placed = [
