--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -121,7 +121,7 @@
             self._env.clock, self._state, members
         )
 
-    def capacity_reports(self):
+    def make_capacity_reports(self):
         """Return the ``operations.CapacityReport`` values for operators."""
         now = self._env.clock.read_monotonic()
         now_ms = self._env.clock.read_unix_ms()
@@ -550,11 +550,7 @@
             self._state, now_ms, self.runtimes, self.shares
         )
         self.shares.update(
-            weigher,
-            now,
-            now_ms,
-            self._is_short,
-            self.load.get_rate,
+            weigher, now, now_ms, self._is_short, self.load.get_rate
         )
         views = self._members.view_vms(weigher)
         self._crashloops.mark_unstable(views)
@@ -585,6 +581,7 @@
         self.waiting = {one.record.id: one for one in done.waiting}
         self._patience.record_waits(self.waiting, now)
         self._wait_log.update(self.waiting, now)
+        # Before the update, which drops the backlog of the last pass.
         metrics.set_class_loads(self.load.list_loads(now))
         self.load.update(self._state, views, self.waiting, weigher, now)
         decisionlog.log_placements(done.placements)
--- a/packages/scheduler/portwharf/scheduler/decisions/queue_work.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/queue_work.py
@@ -13,9 +13,9 @@
 # Least share of a queue's submitted work of a group that may be owed. Callers
 # require no less.
 MIN_GROUP_SHARE = 0.05
-# A group is owed below this share of its due. Callers require half. Promotion
-# takes seconds to have an effect, so that with half as the limit groups stay
-# just below it (0.49 in ``overload_shares``, and 0.52 with this).
+# A group is owed below this share of its due. Callers require half; promotion
+# takes seconds to have an effect, so that with half as the limit groups would
+# stay just below it.
 MIN_SERVED_SHARE = 0.7
 # The sums decay over the queue's mean objective, within these bounds.
 MIN_DECAY_SECONDS = 5.0
--- a/packages/scheduler/portwharf/scheduler/operator_api.py
+++ b/packages/scheduler/portwharf/scheduler/operator_api.py
@@ -248,7 +248,7 @@
             self._state.epoch,
             self._owner.log_length,
             config_revision=self._env.keeper.read().revision,
-            capacity=self._decider.capacity_reports(),
+            capacity=self._decider.make_capacity_reports(),
         )
         for record in self._state.workloads.values():
             counts = self._state.count_states(record)
--- a/packages/scheduler/portwharf/scheduler/operator_api_test.py
+++ b/packages/scheduler/portwharf/scheduler/operator_api_test.py
@@ -67,7 +67,7 @@
     deciding = types.SimpleNamespace(
         unlogged_job_ends=set(),
         waiting={},
-        capacity_reports=lambda: [],
+        make_capacity_reports=lambda: [],
         explain_refusal=lambda job_id: None,
     )
     lock = threading.RLock()
@@ -191,7 +191,7 @@
     capacity = operations.CapacityReport(
         'east', True, 2500, 90, True, 7, 3, ['queue-2 zone b', 'queue-2 large']
     )
-    api._decider.capacity_reports = lambda: [capacity]
+    api._decider.make_capacity_reports = lambda: [capacity]
     (answer,) = execute(api, make_call('status'))
     report = codec.unpack(operations.ShardReport, answer.body)
     case.assertEqual(report.capacity, [capacity])
