--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -620,16 +620,13 @@
 
         :returns: list of ``task_moves.StalledTask``
         """
-        stalled = task_moves.find_stalled_tasks(
+        return task_moves.find_stalled_tasks(
             self._state,
             self._members.list_links(),
             self.service_protection.get_placed_at,
             now,
             weigher,
         )
-        for entry in stalled:
-            entry.moves = self._move_history.count_moves(entry.task.id)
-        return stalled
 
     def _move_before_placement(self, stalled, demands, views, batch):
         """Move stalled tasks that rank before all waiting filling tasks.
@@ -668,7 +665,7 @@
         chosen = task_moves.choose_moves(placed, views, limit)
         for entry, _ in chosen:
             task = entry.task
-            self._move_history.record_stalled_move(task.id, task.vm, now)
+            self._move_history.record_move(task.id, task.vm, now)
             self._evict_task(task, task_moves.REASON_STALLED, now_ms, batch)
         return chosen
 
@@ -808,7 +805,6 @@
             self._apply_event(batch, events.JobDropped(job_id))
         self.runtimes.forget(self._state.unended)
         self._hung_tasks.forget(self._state.unended)
-        self._move_history.forget(self._state.unended)
 
     def _apply_event(self, batch, event):
         self._state.apply(event)
--- a/packages/scheduler/portwharf/scheduler/decisions/task_moves.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/task_moves.py
@@ -29,9 +29,7 @@
 # entry, and the start from a checkpoint (0.1 to 0.25 s).
 MOVE_COST_MS = 1200
 # A move must cut the remaining time to less than this share, as the pace on
-# the present VM may recover within seconds. Each earlier move of the task
-# halves the share: what did not help before must promise more, and the moves
-# of one task are bounded, by five at the least pace that sides set.
+# the present VM may recover within seconds.
 MAX_TIME_SHARE = 0.6
 # Run time of a task without an estimate: the mean of filling tasks on the
 # platforms known.
@@ -52,7 +50,6 @@
     :param percent: the pace that its side allows it, in percent
     :param done: its progress, in percent
     :param weight: its job's weight, as ``precedence.Claim.weigh`` returns it
-    :param moves: how often it has moved as a stalled task
     """
 
     task: object = None
@@ -60,7 +57,6 @@
     percent: int = 0
     done: int = 0
     weight: float = precedence.LAST_WEIGHT
-    moves: int = 0
 
     @property
     def run_ms(self):
@@ -89,31 +85,11 @@
 
 
 class MoveHistory:
-    """Tracks the moves of tasks, and the VMs not to return to yet."""
+    """Tracks the VMs that moved tasks must not return to yet."""
 
     def __init__(self):
         # The time at which each avoidance ends is kept by (task, VM).
         self._ends = {}
-        # Number of moves of stalled tasks, by task.
-        self._counts = collections.Counter()
-
-    def record_stalled_move(self, task, vm, now):
-        """Record that a stalled task is moved away from a VM."""
-        self._counts[task] += 1
-        self.record_move(task, vm, now)
-
-    def count_moves(self, task):
-        """Return how often a stalled task has moved."""
-        return self._counts[task]
-
-    def forget(self, live):
-        """Drop the number of moves of all tasks but the live ones.
-
-        :param live: ids of the workloads that may still run
-        """
-        for task in list(self._counts):
-            if ids.split_task_id(task) not in live:
-                del self._counts[task]
 
     def record_move(self, task, vm, now, seconds=AVOID_ORIGIN_SECONDS):
         """Record that a task is moved away from a VM.
@@ -311,5 +287,7 @@
 
 def _is_worthwhile(entry, pace):
     """Return whether a move makes a stalled task end sufficiently sooner."""
-    most_ms = MAX_TIME_SHARE * entry.remaining_here_ms / 2**entry.moves
-    return entry.estimate_elsewhere_ms(pace) < most_ms
+    return (
+        entry.estimate_elsewhere_ms(pace)
+        < MAX_TIME_SHARE * entry.remaining_here_ms
+    )
--- a/packages/testing/portwharf/testing/overload_day.py
+++ b/packages/testing/portwharf/testing/overload_day.py
@@ -423,16 +423,13 @@
         return {'': sample}
 
     def _find_stalled_tasks(self, weigher):
-        stalled = task_moves.find_stalled_tasks(
+        return task_moves.find_stalled_tasks(
             self._state,
             self._links,
             lambda name: self._placed_at.get(name, 0.0),
             self.now,
             weigher,
         )
-        for entry in stalled:
-            entry.moves = self._move_history.count_moves(entry.task.id)
-        return stalled
 
     def _move_stalled_tasks(self, stalled, views, moved=0):
         placed = [
@@ -445,7 +442,7 @@
         for entry, _ in chosen:
             task = entry.task
             run = self._runs[task.id]
-            self._move_history.record_stalled_move(task.id, task.vm, self.now)
+            self._move_history.record_move(task.id, task.vm, self.now)
             self._state.apply(events.TaskEvicting(task.id, task.attempt))
             run.stopping = True
             run.ends_at = self.now + STOP_DELAY_SECONDS
