--- a/packages/scheduler/portwharf/scheduler/early_moves_test.py
+++ b/packages/scheduler/portwharf/scheduler/early_moves_test.py
@@ -35,9 +35,12 @@
     ]
 
 
-def test_stalled_task_gets_a_free_vm_before_a_waiting_one(case):
-    """The waiting task would take it, and its job has more work left."""
-    made = cluster.Cluster(2)
+def play_free_vm(case, compares_vms=True):
+    """Free a VM while a task is stalled and one with more work waits.
+
+    :returns: how often tasks moved first, and what runs on that VM then
+    """
+    made = cluster.Cluster(2, compares_vms)
     serving = {'image': 'desk', 'program': 'desk'}
     size = data.Resources(400, 400)
     made.submit(
@@ -59,8 +62,18 @@
     with mock.patch.object(metrics.EARLY_MOVES, 'inc', autospec=True) as count:
         open_vm.worker.finish(blocker.attempt.task)
         made.run(6)
-    count.assert_called_once_with(1)
-    case.assertEqual(list_tasks(open_vm), [SHORT])
+    return count.call_count, list_tasks(open_vm)
+
+
+def test_stalled_task_gets_a_free_vm_before_a_waiting_one(case):
+    """The waiting task would take it, and its job has more work left."""
+    case.assertEqual(play_free_vm(case), (1, [SHORT]))
+
+
+def test_no_task_moves_first_where_vms_are_not_compared(case):
+    """Guards deployments that do not ask for it."""
+    moves, _ = play_free_vm(case, compares_vms=False)
+    case.assertEqual(moves, 0)
 
 
 def test_waiting_task_that_goes_first_is_caught(case):
--- a/packages/scheduler/portwharf/scheduler/environment.py
+++ b/packages/scheduler/portwharf/scheduler/environment.py
@@ -26,6 +26,8 @@
     :param config_key: the store key of the configuration
     :param policy: the ``policy.Policy`` that governs queues, or None
     :param zones: the ``zones.ZoneKeeper`` of this process
+    :param compares_vms: placement treats pools whose VMs differ as uneven
+        (``uneven_pools``)
     """
 
     name: str = ''
@@ -42,3 +44,4 @@
     config_key: str = configuration.KEY
     policy: object = None
     zones: object = None
+    compares_vms: bool = False
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -178,7 +178,8 @@
             view.life = link.view.life
             view.set_headrooms(self._pairs, link.view.headrooms)
             unmeasured += self._add_fill(link, view, weigher)
-            self._track_headroom(link, view, now)
+            if self._env.compares_vms:
+                self._track_headroom(link, view, now)
             self._add_suspects(view)
             view.closed = self._find_closed_reason(
                 name, link, now
@@ -188,7 +189,8 @@
                 view.probe = self._health.awaits_probe(name, now)
             views.append(view)
         self._headrooms.forget(self._links.keys())
-        self._uneven_pools.update(views, self._count_filling, now)
+        if self._env.compares_vms:
+            self._uneven_pools.update(views, self._count_filling, now)
         for view, workload, weight in unmeasured:
             view.reserve_headroom(workload, weight)
         self._service_protection.fill_views(views, now)
--- a/packages/side/portwharf/side/process.py
+++ b/packages/side/portwharf/side/process.py
@@ -152,6 +152,7 @@
             config_key=self._outside.config_key,
             policy=self._open_policy(),
             zones=self._zones,
+            compares_vms=cfg.compares_vms,
         )
         return takeover.OwnerWatcher(env, self._guard, kv)
 
--- a/packages/side/portwharf/side/settings.py
+++ b/packages/side/portwharf/side/settings.py
@@ -56,6 +56,9 @@
                 'store_writes_per_second', default=STORE_WRITES
             ): settings.integer(1, 100_000),
         },
+        voluptuous.Optional('placement', default=dict): {
+            voluptuous.Optional('compare_vms', default=False): bool,
+        },
         voluptuous.Required('tls'): settings.TLS,
         voluptuous.Optional('log', default=dict): settings.LOG,
     }
@@ -87,6 +90,7 @@
     :param runner: RunnerSettings or None
     :param append_interval: seconds between two appends of an owner
     :param tls: TlsFiles, or None for plain text
+    :param compares_vms: placement treats pools whose VMs differ as uneven
     """
 
     vm: data.Vm = None
@@ -100,6 +104,7 @@
     tls: 'tls.TlsFiles' = None
     log_style: str = 'json'
     log_level: str = 'INFO'
+    compares_vms: bool = False
 
 
 def read_settings(path):
@@ -156,6 +161,7 @@
         tls=tls.read_tls_files(values['tls']),
         log_style=values['log']['style'],
         log_level=values['log']['level'],
+        compares_vms=values['placement']['compare_vms'],
     )
     cfg.limits = limits.Limits(
         **{
--- a/packages/side/portwharf/side/settings_test.py
+++ b/packages/side/portwharf/side/settings_test.py
@@ -55,3 +55,9 @@
     head, _, rest = GOOD.partition('[worker]')
     text = head + '[tls]' + rest.partition('[tls]')[2]
     case.assertEqual(list_fields(case, text), {''})
+
+
+def test_vms_are_compared_only_if_asked_for(case):
+    case.assertFalse(read(case, GOOD).ok_value.compares_vms)
+    text = GOOD + '[placement]\ncompare_vms = true\n'
+    case.assertTrue(read(case, text).ok_value.compares_vms)
--- a/packages/testing/portwharf/testing/cluster.py
+++ b/packages/testing/portwharf/testing/cluster.py
@@ -125,6 +125,7 @@
             make_link=cluster_fakes.ManualLink,
             kv=self.kv,
             zones=self.zones,
+            compares_vms=self.cluster.compares_vms,
         )
 
     def step(self):
@@ -175,10 +176,11 @@
     :ivar stale_pipes: closed pipes that may hold messages, and their nodes
     """
 
-    def __init__(self, size=3):
+    def __init__(self, size=3, compares_vms=True):
         self.time = clock.ManualClock()
         self.fake = fake_store.FakeStore()
         vms = [fixtures.make_vm(number) for number in range(size)]
+        self.compares_vms = compares_vms
         self.listing = cluster_fakes.FakeVmList(vms)
         self.nodes = [
             Node(self, vm, CLOCK_SPEEDS[number % len(CLOCK_SPEEDS)])
