Revoke starts that the worker leaves unanswered with their stops

A task whose start and stops got no answer, from a worker that answers everything else, was never placed again. Its job did not end, and its capacity stayed taken.

Cause: the wait ended only with an answered stop, an absent worker, or the end of all leases on a silent worker. Each needs what this fault withholds.

Ruled out: an end that renewals postpone.

Change: once the lease has run out on the worker's clock, the side goes over to a higher fencing token and reads the listing under it. A worker does nothing for a token lower than one that it has seen, so a start that this listing does not show never runs. The lease alone is no reason: the platform's page does not say that a start is refused after its own untilMs.

Two fakes gain the new method of the interface; runner_test uses the renamed constant.

--- a/packages/platform/portwharf/platform/runner.py
+++ b/packages/platform/portwharf/platform/runner.py
@@ -92,6 +92,8 @@
         # lease, in ms on its clock.
         self._ends = ended_attempts.EndedAttempts()
         self._lease_until_ms = 0
+        # The fencing token of the latest start.
+        self._start_token = 0
         # The incarnation that sent the latest list. Orders are based on that
         # list and go to this incarnation only. The current incarnation may be
         # a later one whose list was lost.
@@ -171,6 +173,7 @@
             body['ticket'] = start.ticket
         self._starts.put((start.task, start.attempt), start)
         answer = self._order_conn.order('/portwharf/run-start', body)
+        self._start_token = self._fence.read()
         if answer.is_err():
             return answer.map_err(_get_error_text)
         reply = answer.ok_value
@@ -187,6 +190,11 @@
         # Any other status leaves open whether the attempt has started.
         return result.Err(f'runner: HTTP status {reply.status}')
 
+    def revoke_expired_starts(self):
+        if not self._fence.advance_beyond(self._start_token):
+            return result.Err('no higher fencing token is left')
+        return self.read_listing()
+
     def stop(self, task, attempt, checkpoint):
         body = {'task': task, 'run': attempt}
         return self._send_command('/portwharf/run-stop', body)
--- a/packages/platform/portwharf/platform/runner_connection.py
+++ b/packages/platform/portwharf/platform/runner_connection.py
@@ -23,25 +23,25 @@
 # A runner answers within a millisecond; one that leaves an order
 # unanswered must not delay the other orders for long.
 CALL_SECONDS = 0.4
-# A side's own token, a revision of the store, is multiplied by this, so that
-# each incarnation of its runner gets a higher token. The product stays an
-# exact JSON integer (below 2^53).
-LIVES_PER_TOKEN = 1024
+# A side's own token, a revision of the store, is multiplied by this to get the
+# first of the tokens that it may send. The product stays an exact JSON integer
+# (below 2^53).
+TOKENS_PER_REVISION = 1024
 _OK = 200
 # 421 Misdirected Request: the order named another instance id.
 _MISDIRECTED = 421
 
 
 class FencingTokens:
-    """The fencing tokens of one side, increasing with each runner incarnation.
+    """The fencing tokens of one side, in increasing order.
 
-    A runner may carry an order out seconds late. If an order for a former
-    incarnation is carried out by the next incarnation, which has the same id,
-    that incarnation refuses the lower token once it has seen a token of this
-    side for itself.
+    A runner may carry an order out seconds late, but ignores it once it has
+    seen a higher token. Each incarnation of the runner gets a higher token, so
+    that it ignores orders for a former incarnation with the same id. A higher
+    token also revokes earlier orders to the same incarnation.
     """
 
-    __slots__ = ('_read_token', '_life_count')
+    __slots__ = ('_read_token', '_advances')
 
     def __init__(self, read_token):
         """Set up the tokens.
@@ -49,16 +49,26 @@
         :param read_token: returns the side's own token, 0 if it has none yet
         """
         self._read_token = read_token
-        self._life_count = 0
+        self._advances = 0
 
     def read(self):
-        """Return the token for the current incarnation, or 0."""
+        """Return the current token, or 0."""
         token = self._read_token()
-        return token * LIVES_PER_TOKEN + self._life_count if token else 0
+        return token * TOKENS_PER_REVISION + self._advances if token else 0
 
     def advance(self):
-        """Move on to the next token, for the new current incarnation."""
-        self._life_count = min(self._life_count + 1, LIVES_PER_TOKEN - 1)
+        """Move on to the next token, or keep the last one."""
+        self._advances = min(self._advances + 1, TOKENS_PER_REVISION - 1)
+
+    def advance_beyond(self, token):
+        """Move on to the next token if the current one is not yet higher.
+
+        :param token: a token that was read before
+        :returns: whether the current token is higher now
+        """
+        if self.read() <= token:
+            self.advance()
+        return self.read() > token
 
 
 class RunnerConnection:
--- a/packages/platform/portwharf/platform/runner_test.py
+++ b/packages/platform/portwharf/platform/runner_test.py
@@ -104,7 +104,7 @@
 
 def test_former_side_is_refused(case):
     client, fake = open_runner(case)
-    fake.fence = 8 * runner_connection.LIVES_PER_TOKEN
+    fake.fence = 8 * runner_connection.TOKENS_PER_REVISION
     case.assertEqual(start(client).ok_value, workers.REFUSED_FENCE)
 
 
@@ -314,3 +314,50 @@
     client.record_heartbeat(make_life('i-1'))
     (attempt,) = client.read_listing().ok_value.attempts
     case.assertEqual(attempt.resources, SIZE)
+
+
+def lose_start(client, fake):
+    """Send a start that is neither answered nor carried out.
+
+    :returns: the body of the order
+    """
+    start_run = fake._start
+    fake._start = lambda body: (500, {})
+    start(client)
+    fake._start = start_run
+    return fake.orders[-1][1]
+
+
+def test_delayed_start_is_carried_out_unless_it_is_revoked(case):
+    client, fake = open_runner(case)
+    case.assertEqual(
+        fake.carry_out('run-start', lose_start(client, fake)), 200
+    )
+
+
+def test_delayed_start_is_refused_after_its_revocation(case):
+    """A higher fencing token has been answered since it was sent."""
+    client, fake = open_runner(case)
+    body = lose_start(client, fake)
+    case.assertEqual(client.revoke_expired_starts().ok_value.attempts, [])
+    case.assertEqual(fake.carry_out('run-start', body), 409)
+    case.assertEqual(fake.running, {})
+
+
+def test_unanswered_revocations_use_one_token(case):
+    client, fake = open_runner(case)
+    lose_start(client, fake)
+    fake.unhealthy = 2
+    for _ in range(2):
+        case.assertTrue(client.revoke_expired_starts().is_err())
+    before = fake.fence
+    client.revoke_expired_starts()
+    case.assertEqual(fake.fence, before + 1)
+
+
+def test_no_start_is_revoked_without_a_higher_token(case):
+    client, fake = open_runner(case)
+    for _ in range(runner_connection.TOKENS_PER_REVISION):
+        client._fence.advance()
+    lose_start(client, fake)
+    case.assertTrue(client.revoke_expired_starts().is_err())
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -329,7 +329,11 @@
         )
         if unclear:
             self._unconfirmed.add_start(
-                start.task, start.attempt, start.resources
+                start.task,
+                start.attempt,
+                start.resources,
+                start.lease_until_ms,
+                start.life,
             )
             return
         sound = answer.ok_value in workers.EXPECTED_REFUSALS
@@ -531,6 +535,10 @@
         self._unconfirmed.resend_stops(self._worker, self._listing, now)
         gone = self._unconfirmed.settle_starts(self._worker, self._listing)
         self._losses.report_gone(gone, loss_reporter.GONE_STOPPED)
+        revoked = self._unconfirmed.revoke_expired_starts(
+            self._worker, self._listing
+        )
+        self._losses.report_gone(revoked, loss_reporter.GONE_REVOKED)
 
     def _update_services(self):
         running = frozenset(
--- a/packages/side/portwharf/side/loss_reporter.py
+++ b/packages/side/portwharf/side/loss_reporter.py
@@ -19,6 +19,7 @@
 
 GONE_UNLISTED = 'not-listed-any-more'
 GONE_LAPSED = 'the-lease-is-over'
+GONE_REVOKED = 'revoked-before-it-was-known'
 GONE_STOPPED = 'stopped-before-it-was-known'
 GONE_UNKNOWN = 'not-known-here'
 
--- a/packages/side/portwharf/side/unconfirmed.py
+++ b/packages/side/portwharf/side/unconfirmed.py
@@ -6,11 +6,13 @@
 The side therefore sends a stop of the same attempt: once the worker has
 confirmed the stop, the attempt does not run, and a delayed start of it is
 refused. Only then is the owner told that the attempt is gone. If the worker
-does not answer stops either, the owner is told once every lease has expired or
-the worker is known to be absent. A stop is sent again until the listing shows
-that the attempt has ended.
+does not answer stops either, the start is revoked after the end of its lease.
+The owner is also told once every lease has expired or the worker is known to
+be absent. A stop is sent again until the listing shows that the attempt has
+ended.
 """
 
+import dataclasses
 import logging
 
 from portwharf.core import bounded_cache
@@ -25,12 +27,33 @@
 STOP_RETRY_SECONDS = 0.6
 
 
+@dataclasses.dataclass(slots=True)
+class UnconfirmedStart:
+    """A start that the worker has not confirmed.
+
+    :param size: the resources that the attempt uses if it runs
+    :param lease_until_ms: end of its lease on the worker's clock, 0 for no
+        lease
+    :param life: the incarnation of the worker that it was sent to
+    """
+
+    size: data.Resources
+    lease_until_ms: int = 0
+    life: data.IncarnationId = data.IncarnationId()
+
+    def has_expired(self, listing):
+        """Tell whether the worker that sent a listing may not begin it."""
+        if listing.life != self.life:
+            return True
+        return 0 < self.lease_until_ms < listing.now_ms
+
+
 class UnconfirmedCommands:
     """Starts and stops that the worker has not confirmed yet."""
 
     def __init__(self):
-        # The ``data.Resources`` of each unconfirmed start, by (task, attempt),
-        # in the order in which stops are sent.
+        # The :class:`UnconfirmedStart` by (task, attempt), in the order in
+        # which stops are sent.
         self._starts = {}
         # Attempts to stop, by (task, attempt): whether to checkpoint the
         # attempt, and the time at which the stop was last sent, or None.
@@ -46,12 +69,15 @@
         """Tell whether an attempt, or a later one, may have started here."""
         return attempt <= self._started.get(task, 0)
 
-    def add_start(self, task, attempt, size):
+    def add_start(
+        self, task, attempt, size, lease_until_ms=0, life=data.IncarnationId()
+    ):
         """Record a start that the worker has not confirmed.
 
-        :param size: the ``data.Resources`` that the attempt uses if it runs
+        The parameters are those of :class:`UnconfirmedStart`.
         """
-        self._starts[(task, attempt)] = size
+        start = UnconfirmedStart(size, lease_until_ms, life)
+        self._starts[(task, attempt)] = start
         extra = logs.fields(task=task, attempt=attempt)
         LOG.warning('start not confirmed by the worker', extra=extra)
 
@@ -70,8 +96,8 @@
     def sum_resources(self):
         """Return the resources that all unconfirmed starts may use."""
         used = data.Resources()
-        for size in self._starts.values():
-            used = used.add(size)
+        for start in self._starts.values():
+            used = used.add(start.size)
         return used
 
     def settle_starts(self, worker, listing):
@@ -97,6 +123,32 @@
             del self._starts[name]
         return gone
 
+    def revoke_expired_starts(self, worker, listing):
+        """Revoke the unconfirmed starts whose leases have expired.
+
+        :param listing: the latest ``workers.Listing``
+        :returns: names of attempts that will never run, as a list of (task,
+            attempt)
+        """
+        expired = [
+            name
+            for name, start in self._starts.items()
+            if start.has_expired(listing)
+        ]
+        if not expired:
+            return []
+        revoked = worker.revoke_expired_starts()
+        if revoked.is_err():
+            LOG.warning('expired starts not revoked: %s', revoked.err_value)
+            return []
+        self._drop_listed(revoked.ok_value)
+        gone = [name for name in expired if name in self._starts]
+        for name in gone:
+            del self._starts[name]
+            extra = logs.fields(task=name[0], attempt=name[1])
+            LOG.warning('expired start revoked', extra=extra)
+        return gone
+
     def _drop_listed(self, listing):
         for attempt in listing.attempts:
             self._starts.pop((attempt.task, attempt.attempt), None)
--- a/packages/side/portwharf/side/unconfirmed_test.py
+++ b/packages/side/portwharf/side/unconfirmed_test.py
@@ -9,6 +9,7 @@
 
 import result
 
+from portwharf.core import data
 from portwharf.side import reports
 from portwharf.side import unconfirmed
 from portwharf.testing import agent_harness
@@ -113,3 +114,42 @@
 
 def test_start_is_not_given_up_before_its_lease_has_expired(case):
     case.assertEqual(list_gone_after(-1), [])
+
+
+def revoke_start(listing, revoked):
+    """Revoke a start with a lease until 1000 ms.
+
+    :param listing: the listing by which the lease may have expired
+    :param revoked: the worker's answer to the revocation
+    :returns: the attempts that will never run
+    """
+    orders, worker = unconfirmed.UnconfirmedCommands(), UnresponsiveWorker()
+    orders.add_start('w.0', 1, agent_harness.SIZE, 1000)
+    worker.revoke_expired_starts = lambda: revoked
+    return orders.revoke_expired_starts(worker, listing)
+
+
+def test_start_within_its_lease_is_not_revoked(case):
+    answer = result.Ok(workers.Listing(1000))
+    case.assertEqual(revoke_start(workers.Listing(1000), answer), [])
+    case.assertEqual(revoke_start(workers.Listing(1001), answer), [('w.0', 1)])
+
+
+def test_start_that_runs_after_all_is_not_given_up(case):
+    """It was carried out just before the revocation."""
+    start = workers.Start('w.0', 1, resources=agent_harness.SIZE)
+    listed = workers.Listing(1002, attempts=[reports.make_attempt(start)])
+    gone = revoke_start(workers.Listing(1001), result.Ok(listed))
+    case.assertEqual(gone, [])
+
+
+def test_unanswered_revocation_gives_no_start_up(case):
+    gone = revoke_start(workers.Listing(1001), result.Err('timed out'))
+    case.assertEqual(gone, [])
+
+
+def test_start_sent_to_a_former_incarnation_is_revoked(case):
+    """The clock of the next incarnation says nothing about its lease."""
+    listing = workers.Listing(0, life=data.IncarnationId('i-2', 1))
+    gone = revoke_start(listing, result.Ok(listing))
+    case.assertEqual(gone, [('w.0', 1)])
--- a/packages/testing/portwharf/testing/agent_harness.py
+++ b/packages/testing/portwharf/testing/agent_harness.py
@@ -38,6 +38,10 @@
         self.listing.attempts.append(reports.make_attempt(start))
         return result.Ok('')
 
+    def revoke_expired_starts(self):
+        self.calls.append(('revoke',))
+        return self.read_listing()
+
     def stop(self, task, attempt, checkpoint):
         self.calls.append(('stop', task, attempt))
         return result.Ok(None)
--- a/packages/testing/portwharf/testing/cluster_fakes.py
+++ b/packages/testing/portwharf/testing/cluster_fakes.py
@@ -260,6 +260,9 @@
             return result.Ok('') if self.answers_crashers else _NO_ANSWER
         return result.Ok('')
 
+    def revoke_expired_starts(self):
+        return self.read_listing()
+
     def stop(self, task, attempt, checkpoint):
         if self.is_unreachable:
             return _NO_ANSWER
--- a/packages/workers/portwharf/workers/base.py
+++ b/packages/workers/portwharf/workers/base.py
@@ -143,6 +143,16 @@
             after an Err the attempt may run, now or later
         """
 
+    @abc.abstractmethod
+    def revoke_expired_starts(self):
+        """Ensure that the worker no longer accepts starts with expired leases.
+
+        Such a start may have been delayed on its way to the worker.
+
+        :returns: Ok(Listing), read afterwards: an attempt with an expired
+            lease that it does not list never runs
+        """
+
     def restore_start(self, start):
         """Restore the :class:`Start` of an attempt.
 
--- a/packages/workers/portwharf/workers/http.py
+++ b/packages/workers/portwharf/workers/http.py
@@ -48,6 +48,10 @@
         answer = self._call('POST', '/tasks', body)
         return answer.map(lambda value: value.get('refused', ''))
 
+    def revoke_expired_starts(self):
+        # The worker itself refuses a start after the end of its lease.
+        return self.read_listing()
+
     def stop(self, task, attempt, checkpoint):
         return self._post('/tasks/stop', task, attempt, checkpoint=checkpoint)
 
