Count a worker's crash only against tasks that may have caused it

Cause: a crash was evidence against each task that was at most 3 s old when its side noticed the crash. Four were conclusive in any case, also where the task had run on after its start, or where a task of another job had just begun there. Two in calm were conclusive without a trial, and suspects were compared only under the last crash.

Change: a side also tells how long after its start a listing still showed the attempt, as a crash may be noticed a second late. A crash after a start that the task survived is no evidence; a verdict on fewer than four needs a trial; and a crash that another job's task may have caused is conclusive for neither until that one is cleared. Five end a task, as users allow no more.

Tests: crashloop_test's new two fail on the code before (job failed where it runs).

--- a/packages/core/portwharf/core/logs.py
+++ b/packages/core/portwharf/core/logs.py
@@ -45,6 +45,7 @@
     'bytes',
     'life',
     'ran_ms',
+    'listed_ms',
     'born_ms',
     'acked',
     'zones',
--- a/packages/peers/portwharf/peers/messages.py
+++ b/packages/peers/portwharf/peers/messages.py
@@ -55,10 +55,11 @@
     # The worker itself refused to start the attempt, as the side reports.
     at_worker: bool = False
     # The crash of the VM's worker in which the attempt was lost, or '', and
-    # the time from the attempt's start to the crash, in ms, or -1 if that is
-    # unknown.
+    # the times from the attempt's start to the detection of the crash and to
+    # the last listing before it, in ms, or -1 if that is unknown.
     crash: str = ''
     ran_ms: int = 0
+    listed_ms: int = -1
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/scheduler/portwharf/scheduler/crashloop.py
+++ b/packages/scheduler/portwharf/scheduler/crashloop.py
@@ -41,7 +41,9 @@
         """Process a ``messages.TaskReport``, after the state has."""
         now = self._clock.read_monotonic()
         if report.crash:
-            self._times.record(suspects.make_crash_name(vm, report.crash), now)
+            self._record_crash(vm, report, now)
+        elif report.state == data.RunState.SUCCEEDED:
+            self._times.clear_task(report.task)
         if report.task not in self._state.suspects:
             return
         if report.crash:
@@ -50,6 +52,17 @@
             name = (report.task, report.attempt)
             self._running_since.setdefault(name, now)
 
+    def _record_crash(self, vm, report, now):
+        """Record a worker's crash and the task if it may have caused it."""
+        name = suspects.make_crash_name(vm, report.crash)
+        self._times.record(name, now)
+        task = self._state.tasks.get(report.task)
+        if task is not None and suspects.is_possible_cause(
+            report.ran_ms, report.listed_ms
+        ):
+            unit = suspects.find_failure_unit(self._state, task)
+            self._times.record_cause(name, task.id, unit)
+
     def resolve_suspects(self, batch, add, note_ended):
         """Give up or clear suspects.
 
@@ -70,6 +83,7 @@
                 note_ended(ended, batch)
         for task in self._list_cleared():
             decisionlog.log_cleared(task)
+            self._times.clear_task(task.id)
             add(batch, events.TaskCleared(task.id))
         metrics.SUSPECTS.set(len(self._state.suspects))
 
--- a/packages/scheduler/portwharf/scheduler/crashloop_test.py
+++ b/packages/scheduler/portwharf/scheduler/crashloop_test.py
@@ -30,6 +30,7 @@
 from portwharf.scheduler import events
 from portwharf.scheduler import jobs_test
 from portwharf.scheduler import reconcile
+from portwharf.scheduler import suspects
 from portwharf.testing import cluster
 
 CRASHER = f'{jobs_test.FIRST}.0'
@@ -213,3 +214,50 @@
     scenario.report('vm-4', scenario.TASK, 3, gone, crash='life', ran_ms=20)
     scenario.clock.advance(5.0)
     case.assertEqual(scenario.resolve(), data.JobState.FAILED)
+
+
+def find_runs(made, task):
+    """Return the nodes whose workers run a task."""
+    return [
+        node
+        for node in made.nodes
+        for run in node.worker.runs
+        if run.running and run.attempt.task == task
+    ]
+
+
+def test_sound_task_is_not_given_up_as_its_workers_crash(case):
+    """Four workers crash under it by themselves, well after its start.
+
+    It was given up after the fourth, and its job shown as failed.
+    """
+    made = cluster.Cluster(5)
+    made.run(3)
+    submit(made, jobs_test.make_step(1))
+    for _ in range(suspects.GIVE_UP_CRASHES):
+        while not find_runs(made, CRASHER):
+            made.tick(0.1)
+        made.run(1.0)
+        (node,) = find_runs(made, CRASHER)
+        node.worker.crash()
+    made.run(30)
+    case.assertEqual(find_state(made), data.JobState.RUNNING)
+    made.settle()
+    case.assertEqual(find_state(made), data.JobState.COMPLETED)
+
+
+def test_task_beside_a_cancelled_crasher_is_not_given_up(case):
+    """The crasher is no suspect any more, but may have caused the crash."""
+    scenario = TrialScenario()
+    scenario.place_trial()
+    step = jobs_test.make_step()
+    other = data.Job('e' * 16, 'plans', 1, b'', [step], 2000)
+    scenario.state.apply(events.JobAccepted(jobs_test.NOW, other))
+    crasher = f'{other.id}.0.0.0'
+    scenario.state.apply(events.TaskPlaced(crasher, 1, 'vm-4'))
+    scenario.state.apply(events.JobCancelled(other.id))
+    gone = data.RunState.GONE
+    for task, attempt in ((scenario.TASK, 3), (crasher, 1)):
+        scenario.report('vm-4', task, attempt, gone, crash='life', ran_ms=20)
+    scenario.clock.advance(5.0)
+    case.assertEqual(scenario.resolve(), data.JobState.RUNNING)
--- a/packages/scheduler/portwharf/scheduler/decisionlog.py
+++ b/packages/scheduler/portwharf/scheduler/decisionlog.py
@@ -153,6 +153,7 @@
         reason=report.reason,
         life=report.crash or None,
         ran_ms=report.ran_ms if report.crash else None,
+        listed_ms=report.listed_ms if report.crash else None,
     )
     LOG.info('attempt ended', extra=extra)
 
@@ -220,10 +221,7 @@
 
     :param in_trial: whether its last crash came in a trial
     """
-    crashes = [
-        f'{one.name} at its start' if one.close else one.name
-        for one in task.crashes
-    ]
+    crashes = [_describe_crash(crash) for crash in task.crashes]
     kind = 'trial' if in_trial else 'no trial'
     extra = logs.fields(
         task=task.id,
@@ -234,6 +232,13 @@
     LOG.warning('task given up: crashes its workers', extra=extra)
 
 
+def _describe_crash(crash):
+    """Return a ``suspects.CrashRecord`` as text."""
+    if crash.close:
+        return f'{crash.name} at its start'
+    return f'{crash.name} as it ran' if crash.survived else crash.name
+
+
 class WaitLog:
     """Logs workloads that wait for long, once for each wait."""
 
--- a/packages/scheduler/portwharf/scheduler/events.py
+++ b/packages/scheduler/portwharf/scheduler/events.py
@@ -193,7 +193,10 @@
         checkpoint
     :param failed: the attempt failed, which counts against the task
     :param crash: the name of the worker crash that ended it, or ''
-    :param ran_ms: the time from its start to that crash; -1 if unknown
+    :param ran_ms: the time from its start to the detection of that crash; -1
+        if unknown
+    :param listed_ms: the time from its start to the last listing before that
+        crash; -1 if unknown
     """
 
     task: str = ''
@@ -203,6 +206,7 @@
     failed: bool = False
     crash: str = ''
     ran_ms: int = 0
+    listed_ms: int = -1
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/scheduler/portwharf/scheduler/reconcile.py
+++ b/packages/scheduler/portwharf/scheduler/reconcile.py
@@ -243,6 +243,7 @@
         has_failed,
         crash,
         report.ran_ms,
+        report.listed_ms,
     )
 
 
--- a/packages/scheduler/portwharf/scheduler/state.py
+++ b/packages/scheduler/portwharf/scheduler/state.py
@@ -467,8 +467,11 @@
         if not suspects.is_in_startup(event.ran_ms):
             self._clear_suspect(event)
             return
-        close = suspects.is_close_to_start(event.ran_ms)
-        task.crashes.append(suspects.CrashRecord(event.crash, close))
+        task.crashes.append(
+            suspects.make_crash_record(
+                event.crash, event.ran_ms, event.listed_ms
+            )
+        )
         self.suspects[task.id] = task
 
     def _clear_suspect(self, event):
--- a/packages/scheduler/portwharf/scheduler/suspects.py
+++ b/packages/scheduler/portwharf/scheduler/suspects.py
@@ -10,15 +10,18 @@
 its crashes equally well. Its crashes are then removed from the other
 suspects.
 
-Infrastructure failures may explain them as well: racks and zones fail,
-workers are restarted one after another, and a task may be placed just before
-such failures more than once. So after its second crash a task is held back
-until workers have stopped crashing. Two crashes right after its start, with
-no other crash near them, are conclusive. Otherwise the task is started once
-more as a trial, in a quiet period and away from other suspects. If only that
-worker crashes, that is conclusive. Four crashes are conclusive in any case,
-because users allow five. Each further crash costs everything that runs on a
-VM, and giving up too early fails a healthy job. A worker that has crashed
+Infrastructure failures may explain them as well: racks and zones fail, workers
+are restarted one after another, and a task may be placed just before such
+failures more than once. So after its second crash a task is held back until
+workers have stopped crashing. Then it is started once more as a trial, in a
+quiet period and away from other suspects. The verdict rests on the trial: its
+crash is conclusive if it came right after the start, no other worker crashed
+near it, and nothing else that had just started there may have caused it. A
+task of another job that had is ruled out once it has run past its startup, but
+not if it was cancelled before. Each further crash costs everything that runs
+on a VM, and giving up too early fails a healthy job. So four crashes are
+conclusive if the task is not known to have run on after one of these starts,
+and five in any case, because users allow no more. A worker that has crashed
 recently, under no task that was given up, may be faulty itself: its crash
 proves little, and no trial runs there.
 
@@ -27,6 +30,7 @@
 module only assesses them and changes no state.
 """
 
+import collections
 import dataclasses
 import enum
 import itertools
@@ -35,15 +39,17 @@
 
 # A crash this soon after a task's start was likely caused by the task. The
 # value leaves room for the time that a side takes to notice the crash: sides
-# were seen to notice one 15 to 130 ms after the start was sent.
+# were seen to notice one 15 to 130 ms after the start was sent. A loaded side
+# takes longer, so a listing that shows the task later decides where there is
+# one.
 CLOSE_TO_START_MS = 250
 # A task that has run for longer did not cause its worker's crash: tasks that
 # crash their workers do so at the start.
 STARTUP_MS = 3000
 # From this number of crashes on, a task is held back and assessed.
 SUSPECT_CRASHES = 2
-# Number of crashes from which on a task is given up, unless a task of another
-# job was under as many of them.
+# A task is given up from this number of crashes on, not counting those after
+# starts that it survived, unless one of another job was under as many of them.
 GIVE_UP_CRASHES = 4
 MAX_CRASHES = 5
 # A quiet period is at least this long, and at least this many times the
@@ -56,6 +62,9 @@
 RECENT_GAPS = 3
 # Crashes further apart than this are not one series.
 MAX_SERIES_GAP_SECONDS = 5.0
+# Time after a crash in which tasks that were started again at once run past
+# their startup, with one second for the placement and the start.
+CLEARING_SECONDS = STARTUP_MS / 1000 + 1.0
 # Time since a suspect's last crash after which its trial starts even if other
 # workers go on crashing.
 MAX_HOLD_SECONDS = 20.0
@@ -83,28 +92,55 @@
 
     :param name: the crash's name, as made by :func:`make_crash_name`
     :param close: whether it came right after the task's start
+    :param survived: whether the task is known to have run on after its start
     """
 
     name: str = ''
     close: bool = False
+    survived: bool = False
 
 
 class CrashHistory:
-    """When workers crashed, as observed by one owner."""
+    """When workers crashed and what may have caused it, as one owner saw it.
+
+    Unlike the log, it remembers suspects that were cancelled.
+    """
 
     def __init__(self, observed_from):
         """Take the time from which on crashes are reported to it."""
         self._observed_from = observed_from
         self._times = {}
+        # By name of a crash: the failure unit of each task that may have
+        # caused it, by task id.
+        self._causes = collections.defaultdict(dict)
 
     def record(self, name, now):
         """Record a crash, once, and drop expired ones."""
         self._times.setdefault(name, now)
-        self._times = {
-            one: at
+        expired = [
+            one
             for one, at in self._times.items()
-            if now - at < RETENTION_SECONDS
-        }
+            if now - at >= RETENTION_SECONDS
+        ]
+        self.forget(expired)
+
+    def record_cause(self, name, task, unit):
+        """Record that a task may have caused a crash.
+
+        :param task: the task's id
+        :param unit: its failure unit
+        """
+        self._causes[name][task] = unit
+
+    def clear_task(self, task):
+        """Record that a task has caused none of the crashes."""
+        for causes in self._causes.values():
+            causes.pop(task, None)
+
+    def has_other_cause(self, name, unit):
+        """Return whether a task of another unit may have caused a crash."""
+        causes = self._causes.get(name, {})
+        return any(other != unit for other in causes.values())
 
     def find_time(self, name):
         """Return when a crash was first reported.
@@ -158,6 +194,7 @@
         """Remove crashes that were caused by a task that is given up."""
         for name in names:
             self._times.pop(name, None)
+            self._causes.pop(name, None)
 
 
 def make_crash_name(vm, crash):
@@ -181,9 +218,28 @@
     return ran_ms <= STARTUP_MS
 
 
-def is_close_to_start(ran_ms):
-    """Return whether a crash came right after a task's start."""
-    return 0 <= ran_ms <= CLOSE_TO_START_MS
+def make_crash_record(name, ran_ms, listed_ms):
+    """Return the :class:`CrashRecord` of a task that was lost in a crash.
+
+    :param ran_ms: time from its start to the detection of the crash, in ms;
+        below 0 if it is not known
+    :param listed_ms: time from its start to the last listing before the
+        crash, in ms; below 0 if it is not known
+    """
+    survived = not is_possible_cause(ran_ms, listed_ms)
+    close = ran_ms >= 0 and not survived
+    return CrashRecord(name, close, survived)
+
+
+def is_possible_cause(ran_ms, listed_ms):
+    """Return whether a task may have caused a crash by its start.
+
+    It may not if it is known to have run on after its start. The detection of
+    a crash may take long, so a listing that still shows the task tells more
+    about that. The parameters are those of :func:`make_crash_record`.
+    """
+    known_ms = ran_ms if listed_ms < 0 else listed_ms
+    return known_ms <= CLOSE_TO_START_MS
 
 
 def assess(state, task, times, is_trial, now):
@@ -200,39 +256,41 @@
     count = len(task.crashes)
     if task.state != data.TaskState.WAITING or count < SUSPECT_CRASHES:
         return Verdict.PLACE
+    unit = find_failure_unit(state, task)
+    possible = sum(not one.survived for one in task.crashes)
+    is_shared = times.has_other_cause(task.crashes[-1].name, unit)
     if count >= MAX_CRASHES or (
-        count >= GIVE_UP_CRASHES and _is_prime_suspect(state, task)
+        possible >= GIVE_UP_CRASHES
+        and not is_shared
+        and _is_prime_suspect(state, task)
     ):
         return Verdict.GIVE_UP
     since_last = now - times.find_time(task.crashes[-1].name)
     quiet_seconds = times.measure_quiet_seconds()
     if since_last < quiet_seconds:
         return Verdict.HOLD
-    if _is_conclusive(
-        task, times, is_trial, quiet_seconds
-    ) and _is_prime_suspect(state, task):
-        return Verdict.GIVE_UP
+    if (
+        is_trial
+        and _is_conclusive(task, times)
+        and _is_prime_suspect(state, task)
+    ):
+        if not is_shared:
+            return Verdict.GIVE_UP
+        if since_last < CLEARING_SECONDS:
+            return Verdict.HOLD
     if times.is_quiet(now - quiet_seconds) or since_last >= MAX_HOLD_SECONDS:
         return Verdict.TRY
     return Verdict.HOLD
 
 
-def _is_conclusive(task, times, is_trial, quiet_seconds):
-    """Return whether only the task itself explains its crashes.
-
-    :param quiet_seconds: how long before its crashes no other worker may
-        have crashed, unless the last attempt was a trial
-    """
-    names = {one.name for one in task.crashes}
-    evidence = task.crashes[-1:] if is_trial else task.crashes
-    if not all(
-        one.close and times.was_worker_stable(one.name) for one in evidence
-    ):
+def _is_conclusive(task, times):
+    """Return whether no failure of VMs explains the crash in a trial."""
+    crash = task.crashes[-1]
+    if not crash.close or not times.was_worker_stable(crash.name):
         return False
-    first = times.find_time(evidence[0].name)
-    # A trial starts only after a quiet period of its own.
-    before = MIN_QUIET_SECONDS if is_trial else quiet_seconds
-    return times.is_quiet(first - before, names)
+    names = {one.name for one in task.crashes}
+    began = times.find_time(crash.name) - MIN_QUIET_SECONDS
+    return times.is_quiet(began, names)
 
 
 def _is_prime_suspect(state, task):
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -458,14 +458,17 @@
             self._handle_silence(polled.err_value)
             return
         self._monitor.record_response()
-        previous = self._listing
+        previous, previous_at = self._listing, self._listed_at
         self._listing = polled.ok_value
         self._listed_at = self._clock.read_monotonic()
         if self._listing.absent or self._listing.life != previous.life:
             self._leases.reset()
         self._report_capacity(previous)
         self._losses.check_for_crash(
-            previous, self._listing, self._unconfirmed.list_starts()
+            previous,
+            previous_at,
+            self._listing,
+            self._unconfirmed.list_starts(),
         )
         self._report_vanished(previous, loss_reporter.GONE_UNLISTED)
         self._leases.update_listing(self._listing, self._listed_at)
--- a/packages/side/portwharf/side/crashes.py
+++ b/packages/side/portwharf/side/crashes.py
@@ -26,10 +26,13 @@
     :param name: identifies the crash among those of this VM
     :param ran_ms: time from the confirmed start of the attempt to the
         detection of the crash, in ms, or ``UNKNOWN``
+    :param listed_ms: time from that start to the last listing before the
+        crash, 0 if there was none in between, or ``UNKNOWN``
     """
 
     name: str = ''
     ran_ms: int = UNKNOWN
+    listed_ms: int = UNKNOWN
 
 
 class CrashTracker:
@@ -65,22 +68,23 @@
             and not was_draining
         )
 
-    def record_crash(self, life, names, now):
+    def record_crash(self, life, names, listed_at, now):
         """Record the attempts that may have run when the worker crashed.
 
         :param life: the ``data.IncarnationId`` of the crashed incarnation
         :param names: attempts as (task, attempt)
+        :param listed_at: time of the last listing before the crash
         :returns: the crash's name
         """
         crash = life.name or str(int(now * _MS_PER_SECOND))
         for name in names:
             started_at = self._starts.get(name)
-            ran_ms = (
-                UNKNOWN
-                if started_at is None
-                else int((now - started_at) * _MS_PER_SECOND)
-            )
-            self._crashes.put(name, Crash(crash, ran_ms))
+            lost = Crash(crash)
+            if started_at is not None:
+                lost.ran_ms = int((now - started_at) * _MS_PER_SECOND)
+                listed_seconds = max(0.0, listed_at - started_at)
+                lost.listed_ms = int(listed_seconds * _MS_PER_SECOND)
+            self._crashes.put(name, lost)
         return crash
 
     def find(self, name):
--- a/packages/side/portwharf/side/crashes_test.py
+++ b/packages/side/portwharf/side/crashes_test.py
@@ -159,3 +159,19 @@
     case.assertFalse(watch.detect_crash(workers.Listing(absent=True)))
     listing.life = SECOND
     case.assertFalse(watch.detect_crash(listing))
+
+
+def test_crash_report_has_the_time_of_the_last_listing(case):
+    """It tells how long the attempt is known to have run."""
+    bench = make_bench()
+    bench.start()
+    bench.step(0.5)
+    bench.worker.crash()
+    bench.step(0.7)
+    (report,) = [
+        report
+        for message in bench.conn.take(messages.Reports)
+        for report in message.reports
+        if report.state == 'gone'
+    ]
+    case.assertEqual((report.ran_ms, report.listed_ms), (1200, 500))
--- a/packages/side/portwharf/side/loss_reporter.py
+++ b/packages/side/portwharf/side/loss_reporter.py
@@ -38,10 +38,11 @@
         now = self._clock.read_monotonic()
         self._crashes.record_start((task, attempt), now)
 
-    def check_for_crash(self, previous, listing, unconfirmed):
+    def check_for_crash(self, previous, listed_at, listing, unconfirmed):
         """Record a crash of the worker, if the listing shows one.
 
         :param previous: the previous ``workers.Listing``
+        :param listed_at: when that was read
         :param listing: the latest one
         :param unconfirmed: unconfirmed starts, as (task, attempt)
         """
@@ -51,7 +52,9 @@
         names = [(one.task, one.attempt) for one in vanished]
         names += unconfirmed
         now = self._clock.read_monotonic()
-        crash = self._crashes.record_crash(previous.life, names, now)
+        crash = self._crashes.record_crash(
+            previous.life, names, listed_at, now
+        )
         metrics.CRASHES.inc()
         extra = logs.fields(life=crash, count=len(names))
         LOG.warning('worker crashed', extra=extra)
--- a/packages/side/portwharf/side/reports.py
+++ b/packages/side/portwharf/side/reports.py
@@ -87,4 +87,5 @@
         report.reason = REASON_CRASHED
         report.crash = crash.name
         report.ran_ms = crash.ran_ms
+        report.listed_ms = crash.listed_ms
     return report
--- a/packages/testing/portwharf/testing/crash_day.py
+++ b/packages/testing/portwharf/testing/crash_day.py
@@ -37,6 +37,8 @@
 START_DELAY_SECONDS = (0.015, 0.06)
 # Range of the delay from a crash to its report to the owner.
 NOTICE_DELAY_SECONDS = (0.005, 0.08)
+# Interval at which sides read their workers' listings.
+LISTING_SECONDS = 0.4
 # Range of the delay from the start of a crasher to the crash of its worker.
 CRASH_DELAY_SECONDS = (0.004, 0.03)
 RESTART_SECONDS = 3.3
@@ -106,6 +108,8 @@
 
     def __init__(self, seed, kind, with_detection=True):
         self._random = random.Random(f'{seed} {kind}')
+        # A separate generator, so that known seeds keep their days.
+        self._listing_random = random.Random(f'{seed} {kind} listings')
         self._kind = kind
         self._with_detection = with_detection
         self._clock = clock.ManualClock(0.0)
@@ -266,12 +270,16 @@
         self._back_at[name] = self._now + seconds
         self._incarnations[name] += 1
         incarnation = f'life-{self._incarnations[name]}'
+        listed_at = self._now - self._listing_random.uniform(
+            0.0, LISTING_SECONDS
+        )
         self._schedule_in(
             NOTICE_DELAY_SECONDS,
             self._notify_crash,
             name,
             incarnation,
             list(runs.values()),
+            listed_at,
         )
         if crasher:
             self._count_lost(runs, crasher)
@@ -291,23 +299,25 @@
 
     # Reports to the owner, and its decisions.
 
-    def _notify_crash(self, name, incarnation, runs):
+    def _notify_crash(self, name, incarnation, runs, listed_at):
         self._known_away_until[name] = self._back_at[name]
         for run in runs:
             self._lost_at.setdefault(run.task, self._now)
-            self._report_crash(name, incarnation, run)
+            self._report_crash(name, incarnation, run, listed_at)
         self._detect_crash_loops()
 
-    def _report_crash(self, name, incarnation, run):
+    def _report_crash(self, name, incarnation, run, listed_at):
         ran_ms = int((self._now - run.began) * 1000)
+        listed_ms = int(max(0.0, listed_at - run.began) * 1000)
         if run.task in self._crashers and not self._starts_answered:
-            ran_ms = -1
+            ran_ms = listed_ms = -1
         report = messages.TaskReport(
             run.task,
             run.attempt,
             data.RunState.GONE,
             crash=incarnation,
             ran_ms=ran_ms,
+            listed_ms=listed_ms,
         )
         self._report(name, report)
 
