--- a/packages/scheduler/portwharf/scheduler/decisions/service_protection_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/service_protection_test.py
@@ -233,6 +233,21 @@
     case.assertEqual(list_throttled(sim), [])
 
 
+def test_throttle_of_a_former_owner_is_released_without_its_service(case):
+    """A new owner has no measurements of a service that has ended.
+
+    Order of events: a service is late, its neighbour is throttled; the service
+    ends, then the owner's process.
+    """
+    sim = cluster.Cluster(3)
+    throttle_neighbour(sim)
+    sim.restart_side(sim.nodes[0])
+    sim.run(1)
+    sim.nodes[2].claim()
+    sim.run(service_protection.STALE_SECONDS + 30, 1.0)
+    case.assertEqual(list_throttled(sim), [])
+
+
 def test_neighbours_are_not_listed_without_services(case):
     sim = cluster.Cluster(3)
     fill_with_batch_work(sim)
