Soak: runners that ignore starts and stops for longer than a lease

For 6 to 11 s a runner answers lists and renewals but neither starts nor stops, and carries the starts out 12 s late, under the lease that it has by then.

--- a/packages/testing/portwharf/testing/soak.py
+++ b/packages/testing/portwharf/testing/soak.py
@@ -7,7 +7,8 @@
 back in one direction or both; open connections go silent for good. The store
 is down or slow, or loses answers, leases, keys or its history. Runners crash
 by themselves or because of a task, fall silent, change their capacity, carry
-out orders late, and send heartbeats of incarnations that are over. Jobs come
+out orders late or ignore them, and send heartbeats of incarnations that are
+over. Jobs come
 in bursts of more work than the runners can do in that time. At the end all
 faults are healed, all jobs have to reach their final state, and the records of
 clients and runners are checked.
@@ -40,6 +41,7 @@
 _SHRINK_SHARE = 0.25
 _ZONE_CLOSURE_SHARE = 0.2
 _BURST_SHARE = 0.2
+_IGNORED_ORDERS_SHARE = 0.1
 _MAX_BURSTS = 2
 _SETTLE_SECONDS = 90.0
 _SEEDS_PATH = pathlib.Path(__file__).parent / 'soak_seeds.toml'
@@ -59,9 +61,9 @@
     def __init__(self, world, seed, crashers=True):
         """Take a started ``soak_world.World`` and a seed.
 
-        :param crashers: some tasks crash runners, runners shrink, zones close
-            and jobs come in bursts as well; False for kept seeds, which are
-            older
+        :param crashers: some tasks crash runners, runners shrink or ignore
+            orders, zones close and jobs come in bursts as well; False for kept
+            seeds, which are older
         """
         self._world = world
         self._seed = seed
@@ -71,6 +73,7 @@
         self._capacity_random = random.Random(-2 - seed) if crashers else None
         self._zone_random = random.Random(-3 - seed) if crashers else None
         self._burst_random = random.Random(-4 - seed) if crashers else None
+        self._order_random = random.Random(-6 - seed) if crashers else None
         self._bursts = 0
         # Ids of long-running jobs that were cancelled to let bursts end.
         self._cancelled_early = set()
@@ -111,6 +114,7 @@
             self._silence_connections()
             self._shrink_runner()
             self._close_zone()
+            self._ignore_orders()
             self._start_burst()
         for client in self.clients:
             client.stop()
@@ -273,6 +277,18 @@
 
         self._schedule_recovery(3.0, 12.0, reopen)
 
+    def _ignore_orders(self):
+        """At random, have a runner ignore starts and stops for a while."""
+        if (
+            self._order_random is None
+            or self._order_random.random() > _IGNORED_ORDERS_SHARE
+        ):
+            return
+        runner = self._order_random.choice(self._world.sides).runner
+        runner.ignore_orders(self._order_random.uniform(6.0, 11.0))
+        self.faults += 1
+        print(f'  {time.monotonic():.1f} ignore orders', flush=True)
+
     def _start_burst(self):
         """At random, submit more work than the runners can do for a while."""
         if (
--- a/packages/testing/portwharf/testing/soak_runner.py
+++ b/packages/testing/portwharf/testing/soak_runner.py
@@ -30,6 +30,10 @@
 # Time after which a late start is answered with status 500; longer than a side
 # waits for an answer.
 _UNANSWERED_SECONDS = 0.6
+_LATE_START_SECONDS = 2.5
+# Delay of a start in a period in which starts and stops are ignored, longer
+# than its lease.
+_IGNORED_START_SECONDS = 12.0
 # Time from the start of a crasher to the crash of its runner.
 _CRASH_DELAY_SECONDS = 0.02
 
@@ -119,6 +123,8 @@
         # Number of next starts that get no answer and are carried out late.
         self.late_starts = 0
         self._delayed_starts = []
+        # Until when starts and stops get no answer.
+        self._ignores_until = 0.0
         self._lapsed_at = 0.0
         # Current capacity; the soak shrinks it for a while.
         self.cpu_milli = CPU_MILLI
@@ -147,6 +153,11 @@
             self.numbered_ends = {}
         self.restart(f'{self._name}-{self._life_count // 2}')
 
+    def ignore_orders(self, seconds):
+        """Leave starts and stops unanswered; carry starts out very late."""
+        with self._lock:
+            self._ignores_until = time.monotonic() + seconds
+
     def read_ms(self):
         """Return the time by the runner's own clock, in ms."""
         return int(time.monotonic() * 1000 * self._speed)
@@ -159,14 +170,25 @@
         return super().__call__(environ, start_response)
 
     def _start(self, body):
+        if time.monotonic() < self._ignores_until:
+            return self._delay_start(body, _IGNORED_START_SECONDS)
         if self.late_starts > 0:
             self.late_starts -= 1
-            self._delayed_starts.append(
-                (time.monotonic() + 2.5, self.instance, body)
-            )
+            return self._delay_start(body, _LATE_START_SECONDS)
+        return self._start_run(body)
+
+    def _delay_start(self, body, seconds):
+        """Carry a start out after some seconds, without an answer."""
+        due = time.monotonic() + seconds
+        self._delayed_starts.append((due, self.instance, body))
+        self._lock.wait(_UNANSWERED_SECONDS)
+        return 500, {}
+
+    def _stop(self, body):
+        if time.monotonic() < self._ignores_until:
             self._lock.wait(_UNANSWERED_SECONDS)
             return 500, {}
-        return self._start_run(body)
+        return super()._stop(body)
 
     def _start_run(self, body):
         task, run = body['task'], body['run']
@@ -321,7 +343,9 @@
         ]
         for _, life, body in due:
             if life == self.instance and body['fence'] >= self.fence:
-                self._start_run(body)
+                # Renewals since may have moved the lease on.
+                until_ms = max(body['untilMs'], self._until_ms)
+                self._start_run({**body, 'untilMs': until_ms})
 
     def _end_if_done(self, span):
         work = read_work(span.spec, span.task)
