--- a/packages/testing/portwharf/testing/soak.py
+++ b/packages/testing/portwharf/testing/soak.py
@@ -101,7 +101,7 @@
         first_client = self.clients[0]
         first_job_id = self._seed * soak_targets.JOB_IDS_PER_SEED
         servers_accepted = soak_targets.make_job(
-            first_client, first_job_id, False
+            first_client, first_job_id, len(self._world.sides), False
         ).accepted
         for client in self.clients:
             client.start()
@@ -453,7 +453,9 @@
         ]
         self.problems += soak_checks.check_zones(self._closures, spans_by_zone)
         by_id = {job.id: job for job in jobs}
-        self.problems += soak_refusals.check_shortage(by_id, spans, self._calm)
+        self.problems += soak_refusals.check_shortage(
+            by_id, spans, self._calm, len(self._world.sides)
+        )
         accepted = sum(1 for job in jobs if job.accepted)
         refused = sum(
             soak_clients.NO_ROOM_STATUS in job.statuses for job in jobs
@@ -494,10 +496,13 @@
     return client.query_state(job)[1] in ('completed', 'failed')
 
 
-def run_seed(seed, seconds, folder, network, crashers=True):
-    """Run one seed; returns the list of violations."""
+def run_seed(seed, seconds, world, crashers=True):
+    """Run one seed; returns the list of violations.
+
+    :param world: the ``soak_world.World`` to start and use
+    """
     print(f'seed {seed}', flush=True)
-    with soak_world.World(folder, network) as world:
+    with world:
         soak = Soak(world, seed, crashers)
         soak.run(seconds)
     for problem in soak.problems:
@@ -530,6 +535,8 @@
     parser.add_argument('--count', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=DURATION_SECONDS)
     parser.add_argument('--network', type=int, default=77)
+    parser.add_argument('--sides', type=int, default=soak_world.SIDE_COUNT)
+    parser.add_argument('--entries', type=int, default=soak_world.ENTRY_COUNT)
     parser.add_argument('--keep', default='', help='folder to keep logs in')
     arguments = parser.parse_args()
     # Ends the started processes when this one is terminated.
@@ -542,9 +549,10 @@
     failed = []
     for seed in seeds:
         folder = make_folder(arguments.keep, seed)
-        problems = run_seed(
-            seed, arguments.seconds, folder, arguments.network, crashers
+        world = soak_world.World(
+            folder, arguments.network, arguments.sides, arguments.entries
         )
+        problems = run_seed(seed, arguments.seconds, world, crashers)
         if problems:
             failed.append(seed)
             print(f'  logs of seed {seed} are in {folder}', flush=True)
--- a/packages/testing/portwharf/testing/soak_bursts.py
+++ b/packages/testing/portwharf/testing/soak_bursts.py
@@ -91,7 +91,7 @@
     :returns: list of its clients, which run
     """
     seconds = rnd.uniform(_MIN_SECONDS, _MAX_SECONDS)
-    processors = soak_world.SIDE_COUNT * soak_runner.CPU_MILLI / 1000
+    processors = len(world.sides) * soak_runner.CPU_MILLI / 1000
     work_seconds = rnd.uniform(_MIN_FACTOR, _MAX_FACTOR) * processors * seconds
     clients = [
         BurstClient(
--- a/packages/testing/portwharf/testing/soak_refusals.py
+++ b/packages/testing/portwharf/testing/soak_refusals.py
@@ -73,7 +73,7 @@
     ]
 
 
-def check_shortage(jobs, spans, calm):
+def check_shortage(jobs, spans, calm, runner_count=soak_world.SIDE_COUNT):
     """Nothing is refused for lack of room while half of it is free.
 
     :param calm: list of (began, ended): periods without faults. With a fault,
@@ -87,7 +87,8 @@
         )
         if not is_calm:
             continue
-        share = find_peak_share(spans, began, reply.received)
+        peak = find_peak_use(spans, began, reply.received)
+        share = peak / runner_count
         if share <= _FREE_SHARE:
             problems.append(
                 f'{job.id}: refused while runners held at most {share:.0%}'
@@ -95,10 +96,10 @@
     return problems
 
 
-def find_peak_share(spans, began, ended):
-    """Return the largest share of all runners' resources held in a period.
+def find_peak_use(spans, began, ended):
+    """Return the largest amount of resources held in a period.
 
-    :returns: the share of processors or of memory, whichever is larger
+    :returns: in runners' worth of processors or of memory, whichever is larger
     """
     rows = [
         (span, soak_runner.read_work(span.spec, span.task))
@@ -117,7 +118,7 @@
         cpu = sum(work.cpu for work in held) / soak_runner.CPU_MILLI
         memory = sum(work.memory for work in held) / soak_runner.MEMORY_MB
         peak = max(peak, cpu, memory)
-    return peak / soak_world.SIDE_COUNT
+    return peak
 
 
 def _list_refusals(jobs):
--- a/packages/testing/portwharf/testing/soak_targets.py
+++ b/packages/testing/portwharf/testing/soak_targets.py
@@ -26,7 +26,7 @@
 JOB_IDS_PER_SEED = 256
 
 
-def make_job(client, job_number, fills):
+def make_job(client, job_number, runner_count, fills):
     """Submit a job with a server or filling task for each runner.
 
     :param fills: make filling tasks, not servers
@@ -34,7 +34,7 @@
     """
     step_spec = {'ms': _FILL_MS, 'memory': 100, 'lasts': not fills}
     step = {
-        'count': soak_world.SIDE_COUNT,
+        'count': runner_count,
         'memMb': 100,
         'image': 'plan' if fills else 'desk',
         'antiAffinity': 1,
@@ -66,7 +66,7 @@
     restarted = world.sides[job_number % len(world.sides)]
     world.kill(restarted)
     world.start(restarted)
-    job = make_job(client, job_number, True)
+    job = make_job(client, job_number, len(world.sides), True)
 
     def all_run():
         return all(side.runner.list_fill_paces() for side in world.sides)
--- a/packages/testing/portwharf/testing/soak_world.py
+++ b/packages/testing/portwharf/testing/soak_world.py
@@ -36,6 +36,10 @@
 ZONE_COUNT = 3
 POOL = 'soak-pool'
 MAX_FAILURES = 3
+# Last byte of the addresses of the first side, and of the first entry if the
+# sides leave it free.
+_FIRST_SIDE = 10
+_FIRST_ENTRY = 50
 _ROOT = pathlib.Path(__file__).parents[4]
 _PEER_PORT = 7720
 _RELAY_PORT = 7730
@@ -83,11 +87,15 @@
 class World:
     """All processes, relays and fakes, as a context manager."""
 
-    def __init__(self, folder, network):
+    def __init__(
+        self, folder, network, side_count=SIDE_COUNT, entry_count=ENTRY_COUNT
+    ):
         """Take a folder for logs and settings, and a network number.
 
         :param network: the third byte of all loopback addresses
         """
+        self._side_count = side_count
+        self._entry_count = entry_count
         self._folder = pathlib.Path(folder)
         self._network = network
         self._stack = contextlib.ExitStack()
@@ -198,10 +206,11 @@
             store_address, _STORE_PORT, self.store, _STORE_THREADS
         )
         self.configure(1, [PREFIX])
-        for number in range(SIDE_COUNT):
-            self._prepare(f'side-{number}', 'side', 10 + number)
-        for number in range(ENTRY_COUNT):
-            self._prepare(f'entry-{number}', 'entry', 50 + number)
+        for number in range(self._side_count):
+            self._prepare(f'side-{number}', 'side', _FIRST_SIDE + number)
+        first_entry = max(_FIRST_ENTRY, _FIRST_SIDE + self._side_count)
+        for number in range(self._entry_count):
+            self._prepare(f'entry-{number}', 'entry', first_entry + number)
         for program in self.programs.values():
             self.start(program)
 
