Fake runner: ignore an order whose body was cut

Cause: the soak silences or cuts a connection between the head of an order and its body; the fake reads fewer bytes than the head says and decodes them.

The test fails without the fix with that error.

--- a/packages/platform/portwharf/platform/runner_test.py
+++ b/packages/platform/portwharf/platform/runner_test.py
@@ -2,6 +2,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """The runner's client fulfils the contract of ``workers.Worker``."""
 
+import io
 import threading
 import time
 
@@ -361,3 +362,18 @@
         client._fence.advance()
     lose_start(client, fake)
     case.assertTrue(client.revoke_expired_starts().is_err())
+
+
+def test_fake_runner_ignores_an_order_whose_body_was_cut(case):
+    """It logged an error where a connection was cut during a request."""
+    fake = platform_runner.FakePlatformRunner()
+    statuses = []
+    body = b'{"task": "j.0.0.1"'
+    environ = {
+        'PATH_INFO': '/portwharf/run-stop',
+        'CONTENT_LENGTH': str(len(body) + 1),
+        'wsgi.input': io.BytesIO(body),
+    }
+    fake(environ, lambda status, headers: statuses.append(status))
+    case.assertTrue(statuses[0].startswith('400'))
+    case.assertEqual(fake.orders, [])
--- a/packages/testing/portwharf/testing/platform_runner.py
+++ b/packages/testing/portwharf/testing/platform_runner.py
@@ -145,7 +145,11 @@
 
     def __call__(self, environ, start_response):
         size = int(environ.get('CONTENT_LENGTH') or 0)
-        body = json.loads(environ['wsgi.input'].read(size))
+        payload = environ['wsgi.input'].read(size)
+        if len(payload) < size:
+            # The connection was cut; nobody reads the answer.
+            return platform_store.answer(start_response, 400, {})
+        body = json.loads(payload)
         order = environ['PATH_INFO'].removeprefix('/portwharf/')
         target_instance = environ.get(
             'HTTP_PORTWHARF_TARGET_INSTANCE', self.instance
