Soak: count a cancelled run from when its runner answers stops again

The check counts from the end of such a period for runs in it alone, and is unchanged for all others; a test has both sides of the bound.

--- a/packages/testing/portwharf/testing/soak_checks.py
+++ b/packages/testing/portwharf/testing/soak_checks.py
@@ -248,13 +248,17 @@
 
 
 def check_runs_after_cancellation(jobs, spans):
-    """No task outlasts the confirmation of its cancellation by a lease."""
+    """No task outlasts the confirmation of its cancellation by a lease.
+
+    Where its runner ignored stops, the time counts from the end of that: other
+    tasks keep the runner's lease renewed.
+    """
     limit = LONGEST_LEASE_SECONDS + LATE_START_SECONDS
     return [
         f'{span.task}: ran on for {late:.1f} s after its cancellation: '
         f'{format_runs([span])}'
         for span, late in _list_cancelled(jobs, spans, lambda one: one.ended)
-        if late > limit
+        if min(late, span.ended - span.ignored_until) > limit
     ]
 
 
--- a/packages/testing/portwharf/testing/soak_checks_test.py
+++ b/packages/testing/portwharf/testing/soak_checks_test.py
@@ -136,6 +136,21 @@
     case.assertIn('ran on for', problem)
 
 
+def test_run_that_outlasts_ignored_stops_by_a_lease_is_found(case):
+    """A runner that ignores stops may go on only until it answers again."""
+    job = make_job(cancelled=2.0, cancel_sent=True)
+    limit = (
+        20.0
+        + soak_checks.LONGEST_LEASE_SECONDS
+        + soak_checks.LATE_START_SECONDS
+    )
+    in_time = make_span(ended=limit - 0.1, how='stopped', ignored_until=20.0)
+    case.assertEqual(run_checks(job, in_time), [])
+    late = make_span(ended=limit + 0.1, how='stopped', ignored_until=20.0)
+    (problem,) = run_checks(job, late)
+    case.assertIn('ran on for', problem)
+
+
 def test_too_many_crashes_of_a_crasher_are_found(case):
     job = make_job(crashes=True, states=['failed'])
     runs = [
--- a/packages/testing/portwharf/testing/soak_runner.py
+++ b/packages/testing/portwharf/testing/soak_runner.py
@@ -27,12 +27,10 @@
 _TICK_INTERVAL_SECONDS = 0.02
 # Delay of a heartbeat that arrives after the end of its incarnation.
 _LATE_HEARTBEAT_SECONDS = 1.7
-# Time after which a late start is answered with status 500; longer than a side
-# waits for an answer.
+# Time after which a late start is answered by 500; a side waits for less.
 _UNANSWERED_SECONDS = 0.6
 _LATE_START_SECONDS = 2.5
-# Delay of a start in a period in which starts and stops are ignored, longer
-# than its lease.
+# Delay of a start that is ignored, longer than its lease.
 _IGNORED_START_SECONDS = 12.0
 # Time from the start of a crasher to the crash of its runner.
 _CRASH_DELAY_SECONDS = 0.02
@@ -48,6 +46,7 @@
     :param ended: None while it runs
     :param how: ``done``, ``failed``, ``stopped``, ``lapsed`` or ``crashed``
     :param acked: when its end was acknowledged, or None
+    :param ignored_until: until when the runner ignored stops as it ran, or 0
     """
 
     task: str = ''
@@ -59,6 +58,7 @@
     ended: float = None
     how: str = ''
     acked: float = None
+    ignored_until: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -299,6 +299,8 @@
     def _end_span(self, span, how):
         span.ended = time.monotonic()
         span.how = how
+        if self._ignores_until > span.began:
+            span.ignored_until = min(self._ignores_until, span.ended)
 
     def _record_end(self, task, run, how, saved):
         span = self._find_running(task, run)
