Tests: requests that arrive as a server ends are cut

An entry that ends resets requests which callers have sent to it: on connections just accepted, and in the listen backlog.

--- a/packages/core/portwharf/core/web_test.py
+++ b/packages/core/portwharf/core/web_test.py
@@ -13,6 +13,8 @@
 from portwharf.core import web
 from portwharf.testing import fixtures
 
+REQUEST = b'GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n'
+
 
 def get(port, path):
     """Return status and text of a page."""
@@ -98,3 +100,41 @@
     conn.settimeout(8)
     conn.sendall(b'GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n')
     case.assertIn(b'200 OK', conn.recv(100))
+
+
+def read_status(conn):
+    """Return the first line of the answer on a socket."""
+    return conn.recv(100).partition(b'\r\n')[0]
+
+
+def wait_until_refused(address):
+    """Connect to an address until the connection is refused."""
+    while True:
+        try:
+            socket.create_connection(address, timeout=8).close()
+        except ConnectionRefusedError:
+            return
+
+
+def test_request_of_an_accepted_connection_is_not_cut_by_the_end(case):
+    app = web.StatusPages(lambda: True)
+    server = case.enterContext(web.Server('127.0.0.1', 0, app))
+    address = ('127.0.0.1', server.port)
+    conn = case.enterContext(socket.create_connection(address, timeout=8))
+    pool = case.enterContext(concurrent.futures.ThreadPoolExecutor(1))
+    fut = pool.submit(server.finish, 8)
+    wait_until_refused(address)
+    conn.sendall(REQUEST)
+    case.assertEqual(read_status(conn), b'HTTP/1.1 200 OK')
+    case.assertTrue(fut.result(20))
+
+
+def test_request_in_the_listen_backlog_is_not_cut_by_the_end(case):
+    app = web.StatusPages(lambda: True)
+    # Nothing is accepted before the server is entered.
+    server = web.Server('127.0.0.1', 0, app)
+    address = ('127.0.0.1', server.port)
+    conn = case.enterContext(socket.create_connection(address, timeout=8))
+    conn.sendall(REQUEST)
+    case.assertTrue(server.finish(8))
+    case.assertEqual(read_status(conn), b'HTTP/1.1 200 OK')
