Answer requests that arrive while the HTTP server closes

Callers saw: a connection that an entry had accepted, or that the kernel had queued for it, was reset as the entry ended, without an answer.

Cause: when cheroot stops it leaves its selector loop, closes the listening socket and then every connection that no thread works on, whether or not a request is on its way or has arrived there. A connection accepted in the last turn of the loop was always lost, as a new one waits in the selector for its first request.

Tests, failed before: b'' != b'HTTP/1.1 200 OK', and ConnectionResetError.

Change: the server accepts the backlog, closes the listening socket, and serves the connections it has until each has had a request, for 0.3 s at most. A thread that returns a connection after the end closes it; registering it with the closed selector raised, which ends the process and cuts all other calls.

Ruled out: a call that outlasts its limit by the pause of a retry is answered all the same, as the server waits for its threads.

--- a/packages/core/portwharf/core/web.py
+++ b/packages/core/portwharf/core/web.py
@@ -9,11 +9,11 @@
 import json
 import threading
 
-from cheroot import server
 from cheroot import wsgi
 import prometheus_client
 
 from portwharf.core import clock
+from portwharf.core import web_connections
 
 # Key of a WSGI environment: for how many seconds the request has waited for a
 # thread. Absent if the application is not called by a ``Server``.
@@ -53,18 +53,6 @@
         return send_text(start_response, 404, 'no such page\n')
 
 
-class _Connection(server.HTTPConnection):
-    """A connection that measures how long its requests wait for a thread."""
-
-    queued_at = 0.0
-    queued_seconds = 0.0
-
-    def communicate(self):
-        now = self.server.clock.read_monotonic()
-        self.queued_seconds = now - self.queued_at
-        return super().communicate()
-
-
 class _Gateway(wsgi.Gateway_10):
     """Tells the application how long a request has waited."""
 
@@ -75,9 +63,14 @@
 
 
 class _Server(wsgi.Server):
-    ConnectionClass = _Connection
+    ConnectionClass = web_connections.Connection
     clock = clock.SystemClock()
 
+    def prepare(self):
+        super().prepare()
+        self._connections.close()
+        self._connections = web_connections.ConnectionManager(self)
+
     def process_conn(self, conn):
         if conn.last_used is None:
             # A new connection gets a thread once it has sent something.
@@ -136,10 +129,10 @@
         self._server.timeout = seconds
 
     def finish(self, seconds):
-        """Stop accepting requests and wait for those in progress.
+        """Stop listening, and answer all requests that have arrived.
 
         :param seconds: the longest time to wait
-        :returns: whether all requests in progress were answered
+        :returns: whether all of them were answered
         """
         stop_thread = threading.Thread(target=self._server.stop, daemon=True)
         stop_thread.start()
--- a/packages/core/portwharf/core/web_test.py
+++ b/packages/core/portwharf/core/web_test.py
@@ -6,11 +6,13 @@
 import http.client
 import socket
 import threading
+from unittest import mock
 
 import urllib3
 
 from portwharf.core import clock
 from portwharf.core import web
+from portwharf.core import web_connections
 from portwharf.testing import fixtures
 
 REQUEST = b'GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n'
@@ -109,20 +111,25 @@
 
 def wait_until_refused(address):
     """Connect to an address until the connection is refused."""
+    pause = threading.Event()
     while True:
         try:
             socket.create_connection(address, timeout=8).close()
         except ConnectionRefusedError:
             return
+        # Connections in quick succession would overflow the backlog.
+        pause.wait(0.01)
 
 
 def test_request_of_an_accepted_connection_is_not_cut_by_the_end(case):
+    limit = 'FIRST_REQUEST_SECONDS'
+    case.enterContext(mock.patch.object(web_connections, limit, 20))
     app = web.StatusPages(lambda: True)
     server = case.enterContext(web.Server('127.0.0.1', 0, app))
     address = ('127.0.0.1', server.port)
     conn = case.enterContext(socket.create_connection(address, timeout=8))
     pool = case.enterContext(concurrent.futures.ThreadPoolExecutor(1))
-    fut = pool.submit(server.finish, 8)
+    fut = pool.submit(server.finish, 20)
     wait_until_refused(address)
     conn.sendall(REQUEST)
     case.assertEqual(read_status(conn), b'HTTP/1.1 200 OK')
@@ -138,3 +145,25 @@
     conn.sendall(REQUEST)
     case.assertTrue(server.finish(8))
     case.assertEqual(read_status(conn), b'HTTP/1.1 200 OK')
+
+
+def test_silent_connection_does_not_delay_the_end(case):
+    limit = 'FIRST_REQUEST_SECONDS'
+    case.enterContext(mock.patch.object(web_connections, limit, 0))
+    app = web.StatusPages(lambda: True)
+    server = case.enterContext(web.Server('127.0.0.1', 0, app))
+    address = ('127.0.0.1', server.port)
+    conn = case.enterContext(socket.create_connection(address, timeout=8))
+    case.assertTrue(server.finish(20))
+    case.assertEqual(conn.recv(1), b'')
+
+
+def test_connection_kept_open_after_the_end_is_closed_not_an_error(case):
+    app = web.StatusPages(lambda: True)
+    server = web.Server('127.0.0.1', 0, app)
+    client, accepted = socket.socketpair()
+    case.enterContext(client)
+    conn = web_connections.Connection(server._server, accepted)
+    case.assertTrue(server.finish(20))
+    server._server._connections.put(conn)
+    case.assertEqual(client.recv(1), b'')
