Wait for the last calls of an entry as long as their time limits allow

Callers could see a call cut: an entry that has ended because no call came for half a second still takes the calls that arrive until its port is closed, and gives them the time that is left until answers are due, up to 2 s. The process then waited for 1 s from the end of the quiet, whatever it had promised.

Cause: two deadlines for one thing, one from the request to stop and one from when nobody called.

Change: the server's end waits until answers are due, plus the margin.

--- a/packages/entry/portwharf/entry/graceful_shutdown.py
+++ b/packages/entry/portwharf/entry/graceful_shutdown.py
@@ -69,24 +69,33 @@
 
         :param seconds: the limit while no stop was requested
         """
-        asked = self._requested_at
-        if asked is None:
+        if self._requested_at is None:
             return seconds
-        due = asked + self._answer_seconds
-        left = due - self._clock.read_monotonic()
-        return max(MIN_CALL_SECONDS, min(seconds, left))
+        return max(MIN_CALL_SECONDS, min(seconds, self.measure_time_left()))
+
+    def measure_time_left(self):
+        """Return the time until all calls must have been answered, in seconds.
+
+        Only after a stop was requested; not below 0.
+        """
+        due = self._requested_at + self._answer_seconds
+        return max(0.0, due - self._clock.read_monotonic())
 
     def is_done(self):
         """Whether the entry may exit now; only after a stop was requested."""
-        now = self._clock.read_monotonic()
-        if now >= self._requested_at + self._answer_seconds:
+        if not self.measure_time_left():
             return True
+        now = self._clock.read_monotonic()
         unready = now >= self._requested_at + self._unready_seconds
         quiet = now >= self._last_call + QUIET_SECONDS
         return self._active_calls == 0 and unready and quiet
 
     def wait_until_done(self):
-        """Wait until the entry may exit."""
+        """Wait until the entry may exit.
+
+        :returns: how many calls are in progress
+        """
         with self._changed:
             while not self.is_done():
                 self._changed.wait(_POLL_SECONDS)
+            return self._active_calls
--- a/packages/entry/portwharf/entry/graceful_shutdown_test.py
+++ b/packages/entry/portwharf/entry/graceful_shutdown_test.py
@@ -88,3 +88,14 @@
         case.assertFalse(stop.is_done())
         now.advance(0.2)
         case.assertTrue(stop.is_done())
+
+
+def test_call_taken_as_an_idle_entry_ends_keeps_its_time_limit(case):
+    stop, now = make_shutdown()
+    stop.request_stop()
+    now.advance(UNREADY_SECONDS + 0.1)
+    case.assertEqual(stop.wait_until_done(), 0)
+    # What the entry waits for its last calls covers the limit of each.
+    case.assertEqual(stop.limit_seconds(10.0), stop.measure_time_left())
+    now.advance(10.0)
+    case.assertEqual(stop.measure_time_left(), 0.0)
--- a/packages/platform/portwharf/platform/programs.py
+++ b/packages/platform/portwharf/platform/programs.py
@@ -66,10 +66,14 @@
     def __exit__(self, *exc_info):
         LOG.info('entry stopping')
         self._client_server.drain(IDLE_CONNECTION_SECONDS)
-        self._shutdown.wait_until_done()
+        active_calls = self._shutdown.wait_until_done()
+        left = self._shutdown.measure_time_left()
+        reason = 'no-calls' if left else 'time-is-up'
+        extra = logs.fields(reason=reason, count=active_calls)
+        LOG.info('entry stops listening', extra=extra)
         # The other components end with the process.
         all_answered = self._client_server.finish(
-            ANSWER_MARGIN_SECONDS - END_MARGIN_SECONDS
+            left + ANSWER_MARGIN_SECONDS - END_MARGIN_SECONDS
         )
         if not all_answered:
             LOG.warning('entry stopped with unanswered calls')
--- a/packages/platform/portwharf/platform/programs_test.py
+++ b/packages/platform/portwharf/platform/programs_test.py
@@ -3,6 +3,7 @@
 """A stopping entry answers all calls before its grace time is over."""
 
 import base64
+import concurrent.futures
 import contextlib
 import http.client
 import json
@@ -39,6 +40,7 @@
 GRACE_SECONDS = 2
 LIMIT_SECONDS = 20
 CLIENT_PORT = 7701
+CLIENTS = 8
 STARTED = (b'in force', b'entry begins')
 
 
@@ -154,6 +156,23 @@
     return http.client.HTTPConnection(address, CLIENT_PORT, LIMIT_SECONDS)
 
 
+def call_until_refused(address):
+    """Call an entry, each time on a new connection.
+
+    :returns: set of the statuses of all answers
+    """
+    statuses = set()
+    while True:
+        conn = open_connection(address)
+        try:
+            conn.connect()
+        except ConnectionRefusedError:
+            return statuses
+        with contextlib.closing(conn):
+            conn.request('GET', PATH, headers=HEADERS)
+            statuses.add(conn.getresponse().status)
+
+
 def test_wait_for_output_ends_with_the_program(case):
     with start_program([sys.executable, '-c', 'print(1 / 0)']) as (_, output):
         with case.assertRaisesRegex(AssertionError, 'ZeroDivisionError'):
@@ -192,3 +211,18 @@
         program.send_signal(signal.SIGTERM)
         case.assertEqual(conn.sock.recv(1), b'')
         case.assertEqual(program.wait(LIMIT_SECONDS), 0)
+
+
+def test_calls_that_keep_coming_during_a_stop_are_not_cut(case):
+    with start_entry(case) as (program, address):
+        pool = case.enterContext(
+            concurrent.futures.ThreadPoolExecutor(CLIENTS)
+        )
+        clients = [
+            pool.submit(call_until_refused, address) for _ in range(CLIENTS)
+        ]
+        program.send_signal(signal.SIGTERM)
+        # A call that is cut raises here.
+        for client in clients:
+            case.assertEqual(client.result(LIMIT_SECONDS), {503})
+        case.assertEqual(program.wait(LIMIT_SECONDS), 0)
