HTTP server: accept connections without blocking

A connection that is aborted between the selector's report and accept() may block the selector's thread for the socket's time-out of 1 s, and with it every request on other connections. Linux keeps such a connection in its queue, so this was not seen; other kernels and proxies need not. Also saves the change of mode when the backlog is accepted.

--- a/packages/core/portwharf/core/web.py
+++ b/packages/core/portwharf/core/web.py
@@ -68,6 +68,9 @@
 
     def prepare(self):
         super().prepare()
+        # A connection that was aborted before it is accepted must not block
+        # the selector's thread.
+        self.socket.setblocking(False)
         self._connections.close()
         self._connections = web_connections.ConnectionManager(self)
 
--- a/packages/core/portwharf/core/web_connections.py
+++ b/packages/core/portwharf/core/web_connections.py
@@ -75,7 +75,6 @@
     def _accept_backlog(self):
         """Accept what the kernel has queued, and close the listener."""
         listener, self.server.socket = self.server.socket, None
-        listener.setblocking(False)
         while (conn := self._from_server_socket(listener)) is not None:
             self.server.process_conn(conn)
         self._selector.unregister(listener.fileno())
