Entry: do not hold an answer back after the time of a call is over

Callers got the answer to a call without an owner's answer up to 0.1 s after its time limit: the pause before the next attempt was bounded by the time that was left before the last one.

The test records the pause after an attempt that has used the whole limit: 0.05 before (AssertionError), 0.0 now.

--- a/packages/entry/portwharf/entry/owner_client.py
+++ b/packages/entry/portwharf/entry/owner_client.py
@@ -82,7 +82,8 @@
             maybe_received = maybe_received or (
                 exchange is not None and answer is None
             )
-            self._pause.wait(min(left, _RETRY_DELAY_SECONDS))
+            left = deadline - self._clock.read_monotonic()
+            self._pause.wait(max(0.0, min(left, _RETRY_DELAY_SECONDS)))
 
     def find_owner(self, shard):
         """Return the link to a shard's owner, or None."""
--- a/packages/entry/portwharf/entry/owner_client_test.py
+++ b/packages/entry/portwharf/entry/owner_client_test.py
@@ -2,6 +2,8 @@
 # SPDX-License-Identifier: Apache-2.0
 """Calls of an entry to the owner of a shard."""
 
+from unittest import mock
+
 from portwharf.core import clock
 from portwharf.core import codec
 from portwharf.core import data
@@ -90,6 +92,13 @@
     check_nothing_pending(case, link)
 
 
+def test_answer_is_not_held_back_once_the_time_of_a_call_is_over(case):
+    client, _, _ = open_client(lambda operation: None)
+    pause = client._pause = mock.Mock()
+    call(client, 0.05)
+    case.assertEqual(pause.wait.mock_calls, [mock.call(0.0)])
+
+
 def test_call_to_a_former_owner_is_forgotten(case):
     def lose_owner(operation):
         link.view.state = messages.SideState(owner='vm-2', epoch=2)
