Soak: stop entries in series while clients call, and check that none is cut

Now entries are also restarted in series that overlap, and a call on a new connection to an entry that stops has to be answered unless it is refused.

--- a/packages/testing/portwharf/testing/soak.py
+++ b/packages/testing/portwharf/testing/soak.py
@@ -3,15 +3,15 @@
 """Soak test with fault injection on real processes (``make soak``).
 
 The seed determines a schedule of faults, which overlap. Processes are killed,
-paused, stopped and started. Relays cut connections, delay data, or hold it
-back in one direction or both; open connections go silent for good. The store
-is down or slow, or loses answers, leases, keys or its history. Runners crash
-by themselves or because of a task, fall silent, change their capacity, carry
-out orders late or ignore them, and send heartbeats of incarnations that are
-over. Jobs come
-in bursts of more work than the runners can do in that time. At the end all
-faults are healed, all jobs have to reach their final state, and the records of
-clients and runners are checked.
+paused, stopped and started; entries are also stopped in series while clients
+go on calling. Relays cut connections, delay data, or hold it back in one
+direction or both; open connections go silent for good. The store is down or
+slow, or loses answers, leases, keys or its history. Runners crash by
+themselves or because of a task, fall silent, change their capacity, carry out
+orders late or ignore them, and send heartbeats of incarnations that are over.
+Jobs come in bursts of more work than the runners can do in that time. At the
+end all faults are healed, all jobs have to reach their final state, and the
+records of clients and runners are checked.
 """
 
 import argparse
@@ -42,6 +42,8 @@
 _ZONE_CLOSURE_SHARE = 0.2
 _BURST_SHARE = 0.2
 _IGNORED_ORDERS_SHARE = 0.1
+_ROLLING_STOP_SHARE = 0.15
+_MAX_STOP_INTERVAL_SECONDS = 0.8
 _MAX_BURSTS = 2
 _SETTLE_SECONDS = 90.0
 _SEEDS_PATH = pathlib.Path(__file__).parent / 'soak_seeds.toml'
@@ -62,8 +64,8 @@
         """Take a started ``soak_world.World`` and a seed.
 
         :param crashers: some tasks crash runners, runners shrink or ignore
-            orders, zones close and jobs come in bursts as well; False for kept
-            seeds, which are older
+            orders, zones close, jobs come in bursts and entries stop in
+            series as well; False for kept seeds, which are older
         """
         self._world = world
         self._seed = seed
@@ -74,6 +76,8 @@
         self._zone_random = random.Random(-3 - seed) if crashers else None
         self._burst_random = random.Random(-4 - seed) if crashers else None
         self._order_random = random.Random(-6 - seed) if crashers else None
+        self._stop_random = random.Random(-7 - seed) if crashers else None
+        self._stop_threads = []
         self._bursts = 0
         # Ids of long-running jobs that were cancelled to let bursts end.
         self._cancelled_early = set()
@@ -116,8 +120,11 @@
             self._close_zone()
             self._ignore_orders()
             self._start_burst()
+            self._stop_entries()
         for client in self.clients:
             client.stop()
+        for thread in self._stop_threads:
+            thread.join()
         self._run_due_recoveries(float('inf'))
         for client in self.clients:
             client.join()
@@ -177,6 +184,34 @@
             program, 0.1, 0.5, lambda: self._world.start(program)
         )
 
+    def _stop_entries(self):
+        """At random, restart all undisturbed entries one after the other."""
+        if (
+            self._stop_random is None
+            or self._stop_random.random() > _ROLLING_STOP_SHARE
+        ):
+            return
+        delay = 0.0
+        for program in self._world.entries:
+            if program.name in self._busy:
+                continue
+            self._busy.add(program.name)
+            thread = threading.Timer(delay, self._restart, [program])
+            thread.start()
+            self._stop_threads.append(thread)
+            delay += self._stop_random.uniform(0, _MAX_STOP_INTERVAL_SECONDS)
+        self.faults += 1
+        print(f'  {time.monotonic():.1f} stop entries', flush=True)
+
+    def _restart(self, program):
+        """Stop a program and start it again."""
+        if not self._world.stop(program):
+            self.problems.append(
+                f'{program.name} did not stop within its grace period'
+            )
+        self._world.start(program)
+        self._busy.discard(program.name)
+
     def _pause(self):
         program = self._pick_undisturbed(self._world.programs.values())
         if program is None:
--- a/packages/testing/portwharf/testing/soak_clients.py
+++ b/packages/testing/portwharf/testing/soak_clients.py
@@ -192,7 +192,8 @@
         """
         entry = entry or self._random.choice(self._world.entries)
         conn = self._connections.get(entry.name)
-        if conn is None:
+        is_new, was_stopping = conn is None, entry.stopping
+        if is_new:
             endpoint = self._world.find_client_place(entry)
             conn = http.client.HTTPConnection(
                 *endpoint, timeout=_REQUEST_TIMEOUT_SECONDS
@@ -209,10 +210,18 @@
             response = conn.getresponse()
             value = json.loads(response.read() or b'{}')
             return response.status, value, response.getheader('Retry-After')
-        except (OSError, http.client.HTTPException):
+        except (OSError, http.client.HTTPException) as exc:
             # The entry is down, or closed the connection.
             conn.close()
             del self._connections[entry.name]
+            was_accepted = is_new and not isinstance(
+                exc, ConnectionRefusedError
+            )
+            if was_accepted and (was_stopping or entry.stopping):
+                self.problems.append(
+                    f'{method} {path}: cut by {entry.name}, which stops: '
+                    f'{exc!r}'
+                )
             return 0, {}, None
         except ValueError as exc:
             self.problems.append(f'{method} {path}: answer is not JSON: {exc}')
--- a/packages/testing/portwharf/testing/soak_world.py
+++ b/packages/testing/portwharf/testing/soak_world.py
@@ -62,6 +62,7 @@
     """One process of portwharf, with its relays and its runner.
 
     :param handle: the process, or None before the first start
+    :param stopping: it was asked to stop and has not ended yet
     :param store: relay from the process to the store
     :param peers: relay from peers to a side, else None
     :param orders: relay from a side to its runner, else None
@@ -72,6 +73,7 @@
     address: str = ''
     zone: str = ''
     handle: subprocess.Popen = None
+    stopping: bool = False
     store: relay.Relay = None
     peers: relay.Relay = None
     orders: relay.Relay = None
@@ -187,12 +189,16 @@
 
         :returns: whether it ended within the grace period
         """
+        program.stopping = True
         program.handle.send_signal(signal.SIGTERM)
-        with contextlib.suppress(subprocess.TimeoutExpired):
+        try:
             program.handle.wait(_GRACE_SECONDS)
             return True
-        self.kill(program)
-        return False
+        except subprocess.TimeoutExpired:
+            self.kill(program)
+            return False
+        finally:
+            program.stopping = False
 
     def pause(self, program, paused):
         """Pause a process, or resume it."""
