Release a throttle whose owner and service are gone

A batch task that an owner throttled for a late service stayed at 50% until it ended, if the service ended and another owner took over before the release. Not on the users' platform, where sides protect what serves.

Cause: what is throttled was kept in the owner's memory. A new owner released attempts of unknown share only beside a measured service, as commands for all of them would be a flood, and a service that has ended is never measured.

Throttling is an event of the log now, and the state keeps the attempts until they end. That works because the log outlives both the owner and the side, and names the attempts that were told to slow down and no others. A release is not logged, because its message may be lost with the owner.

New tests for the wait, for commands to other attempts, and for a release lost with its owner failed with the rule in question taken out. A test of the same fault on the side (a filling task whose server ended while the side restarted) passed as it was.

--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -520,6 +520,11 @@
             return
         decision = pass_inputs.explain_throttling(task, action, now_ms)
         self._apply_event(batch, events.DecisionMade(decision))
+        if action.percent < 100:
+            self._apply_event(
+                batch,
+                events.TaskThrottled(task.id, task.attempt, action.percent),
+            )
         batch.send(
             self._members.get_link(task.vm),
             messages.ThrottleTask(
--- a/packages/scheduler/portwharf/scheduler/decisions/remedies.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/remedies.py
@@ -234,7 +234,7 @@
         throttled = [
             neighbour
             for neighbour in neighbours
-            if neighbour.throttled or (neighbour.unsure and services)
+            if neighbour.throttled or neighbour.unsure
         ]
         if not throttled:
             return None
--- a/packages/scheduler/portwharf/scheduler/decisions/service_protection.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/service_protection.py
@@ -5,7 +5,9 @@
 Feeds the sides' measurements into the interference model, applies the remedies
 that it calls for, and selects the tasks to evict for waiting work that is more
 important. The state lives in the owner's memory: a new owner learns it anew
-within minutes, and is cautious until then.
+within minutes, and is cautious until then. Only which attempts were throttled
+is in the log, because they have to be released even if their services have
+ended.
 """
 
 import collections
@@ -171,12 +173,21 @@
     def find_actions(self, now):
         """Return the remedies that are due, as ``remedies.Action``."""
         actions = []
-        for vm in list(self._service_views):
+        logged = self._state.throttled
+        throttled_vms = dict.fromkeys(task.vm for task in logged.values())
+        for vm in [*(self._service_views | throttled_vms)]:
             services = self._list_services(vm, now)
-            if not services and not self._throttled:
+            if not services and vm not in throttled_vms:
                 # There is nothing to protect and nothing to release.
                 continue
+            if not services and now - self._began < STALE_SECONDS:
+                # Its services may not have been measured under this owner yet.
+                continue
             neighbours = self.list_neighbours(vm, now)
+            if not services:
+                # A release for each attempt of unknown share would be a flood
+                # after every change of owner.
+                neighbours = [one for one in neighbours if one.task in logged]
             action = self.remedies.find_action(
                 vm, services, neighbours, now
             ) or self.remedies.find_release(vm, services, neighbours, now)
--- a/packages/scheduler/portwharf/scheduler/decisions/service_protection_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/service_protection_test.py
@@ -248,6 +248,65 @@
     case.assertEqual(list_throttled(sim), [])
 
 
+def count_paces(sim):
+    """Return the number of attempts whose share was ever set."""
+    return sum(len(node.worker.paces) for node in sim.nodes)
+
+
+def test_throttle_is_kept_until_a_new_owner_can_know_the_service(case):
+    """A new owner has no measurements yet of a service that is still late."""
+    sim = cluster.Cluster(3)
+    name = throttle_neighbour(sim)
+    sim.restart_side(sim.nodes[0])
+    sim.run(1)
+    sim.nodes[2].claim()
+    sim.run(service_protection.STALE_SECONDS - 10, 1.0)
+    case.assertEqual(list_throttled(sim), [name])
+
+
+def test_new_owner_releases_only_throttled_tasks(case):
+    """Without services, commands to all attempts would be a flood."""
+    sim = cluster.Cluster(3)
+    throttle_neighbour(sim)
+    case.assertEqual(count_paces(sim), 1)
+    sim.restart_side(sim.nodes[0])
+    sim.run(1)
+    sim.nodes[2].claim()
+    sim.run(service_protection.STALE_SECONDS + 90, 1.0)
+    case.assertEqual(list_throttled(sim), [])
+    case.assertEqual(count_paces(sim), 1)
+
+
+def test_release_lost_with_its_owner_is_repeated(case):
+    """A release that is in the log may never have been sent.
+
+    Order of events: the service ends; the owner's process ends as it sends the
+    release, and another VM takes over.
+    """
+    sim = cluster.Cluster(3)
+    throttle_neighbour(sim)
+    link = sim.nodes[0].owner._members.get_link('vm-01')
+    send, lost = link.send, []
+
+    def lose(message):
+        if not isinstance(message, messages.ThrottleTask):
+            return send(message)
+        if message.percent < 100:
+            return send(message)
+        lost.append((message.task, message.attempt))
+        return True
+
+    link.send = lose
+    sim.run(service_protection.STALE_SECONDS + 30, 1.0)
+    sim.restart_side(sim.nodes[0])
+    sim.run(1)
+    case.assertTrue(lost)
+    case.assertIn(lost[0], list_throttled(sim))
+    sim.nodes[2].claim()
+    sim.run(service_protection.STALE_SECONDS + 60, 1.0)
+    case.assertEqual(list_throttled(sim), [])
+
+
 def test_neighbours_are_not_listed_without_services(case):
     sim = cluster.Cluster(3)
     fill_with_batch_work(sim)
--- a/packages/scheduler/portwharf/scheduler/events.py
+++ b/packages/scheduler/portwharf/scheduler/events.py
@@ -176,6 +176,21 @@
     checkpoint: str = ''
 
 
+@dataclasses.dataclass(slots=True)
+class TaskThrottled:
+    """An attempt is to be throttled.
+
+    Its release is not logged, because its message may be lost: the attempt
+    counts as possibly throttled until it ends.
+
+    :param percent: the share of its processors that it may use
+    """
+
+    task: str = ''
+    attempt: int = 0
+    percent: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class TaskEvicting:
     """An attempt is to be stopped and its task requeued."""
@@ -260,6 +275,7 @@
     'place': TaskPlaced,
     'prepare': TaskPrepared,
     'saved': TaskSaved,
+    'throttled': TaskThrottled,
     'evicting': TaskEvicting,
     'requeue': TaskRequeued,
     'cleared': TaskCleared,
--- a/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
@@ -25,9 +25,11 @@
 from portwharf.scheduler import decider
 from portwharf.scheduler.decisions import backlog
 from portwharf.scheduler.decisions import pass_inputs
+from portwharf.scheduler.decisions import service_protection_test
 from portwharf.scheduler.decisions import task_moves
 from portwharf.scheduler.decisions import task_moves_test
 from portwharf.scheduler.decisions import vmview
+from portwharf.scheduler import events
 from portwharf.scheduler import faults_test
 from portwharf.scheduler import jobs_test
 from portwharf.scheduler import prepared_starts
@@ -347,6 +349,17 @@
     )
 
 
+def test_throttle_missing_in_the_log_is_caught(case):
+    appliers = {**state._APPLIERS, events.TaskThrottled: lambda *_: None}
+    check_fault_detected(
+        case,
+        service_protection_test.test_new_owner_releases_only_throttled_tasks,
+        state,
+        '_APPLIERS',
+        appliers,
+    )
+
+
 def test_dropped_running_task_is_caught(case):
     check_fault_detected(
         case,
--- a/packages/scheduler/portwharf/scheduler/state.py
+++ b/packages/scheduler/portwharf/scheduler/state.py
@@ -33,6 +33,8 @@
     """One task that has been placed at least once.
 
     :param crashes: crashes of its workers since it last ran past its startup
+    :param throttle_percent: the share that an owner has set for its current
+        attempt, which may have been released since; 0 for none
     """
 
     id: str = ''
@@ -47,6 +49,7 @@
     crashes: list[suspects.CrashRecord] = dataclasses.field(
         default_factory=list
     )
+    throttle_percent: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -138,6 +141,8 @@
         self.rosters = []
         # Tasks whose workers crashed and that are not cleared, by id.
         self.suspects = {}
+        # Placed tasks whose current attempt was throttled by an owner, by id.
+        self.throttled = {}
         # Ids of jobs that were cancelled before they were submitted, the
         # oldest first.
         self.withdrawn = {}
@@ -284,6 +289,8 @@
                 state.tasks[task.id] = task
                 if task.crashes:
                     state.suspects[task.id] = task
+                if task.throttle_percent:
+                    state.throttled[task.id] = task
                 if task.state in data.RESERVING_STATES:
                     state._reserve(record, task)
                 elif task.state == data.TaskState.PREPARED:
@@ -308,6 +315,8 @@
         size = record.workload.reserved
         self.reserved[task.vm] = self.reserved[task.vm].subtract(size)
         task.vm = ''
+        task.throttle_percent = 0
+        self.throttled.pop(task.id, None)
 
     def _change_owner(self, event):
         self.epoch = event.epoch
@@ -433,6 +442,11 @@
         if record.workload.gang:
             record.checkpoint = event.checkpoint
 
+    def _throttle_task(self, event):
+        task = self.tasks[event.task]
+        task.throttle_percent = event.percent
+        self.throttled[task.id] = task
+
     def _evict_task(self, event):
         task = self.tasks[event.task]
         task.state = data.TaskState.EVICTING
@@ -531,6 +545,7 @@
     events.TaskPlaced: ShardState._place_task,
     events.TaskPrepared: ShardState._prepare_task,
     events.TaskSaved: ShardState._save_checkpoint,
+    events.TaskThrottled: ShardState._throttle_task,
     events.TaskEvicting: ShardState._evict_task,
     events.TaskRequeued: ShardState._requeue_task,
     events.TaskCleared: ShardState._clear_suspect,
--- a/packages/scheduler/portwharf/scheduler/state_test.py
+++ b/packages/scheduler/portwharf/scheduler/state_test.py
@@ -70,6 +70,19 @@
     case.assertEqual(made.tasks[task].checkpoint, 'step-7')
 
 
+def test_throttle_is_restored_and_ends_with_its_attempt(case):
+    made = make_state()
+    task = place(made, 0)
+    made.apply(events.TaskThrottled(task, 1, 50))
+    restored = state.ShardState.unpack(made.pack())
+    case.assertEqual(restored.throttled, {task: restored.tasks[task]})
+    case.assertEqual(restored.tasks[task].throttle_percent, 50)
+    restored.apply(events.TaskRequeued(task, 1))
+    place(restored, 0, 2, 'vm-2')
+    case.assertEqual(restored.throttled, {})
+    case.assertEqual(restored.tasks[task].throttle_percent, 0)
+
+
 def test_placing_a_placed_task_is_an_error(case):
     made = make_state()
     place(made, 0)
--- a/packages/side/portwharf/side/task_traits_test.py
+++ b/packages/side/portwharf/side/task_traits_test.py
@@ -97,6 +97,22 @@
     case.assertEqual(find_share(node), pacing.FULL)
 
 
+def test_restarted_side_releases_a_throttle_whose_server_has_ended(case):
+    deployment = make_cluster()
+    node = deployment.nodes[2]
+    place_filling_tasks(deployment)
+    set_tails(deployment, TARGET_MS + 10)
+    deployment.run(4)
+    filling = find_filling(node)
+    case.assertLessEqual(find_share(node), pacing.LEAST)
+    deployment.restart_side(node)
+    node.worker.runs = [
+        run for run in node.worker.runs if run.attempt.task.startswith(filling)
+    ]
+    deployment.run(8)
+    case.assertEqual(find_share(node), pacing.FULL)
+
+
 def test_restarted_side_knows_tasks_started_in_a_store_outage(case):
     """A task that was started during a store outage is described as well.
 
