Let standing tasks accept any VM with room after the shorter wait

What callers would see: on a site that is nearly full, a standing task does not run for up to eight seconds after the last fault, though a VM with room is heard, while other tasks of its step run.

Cause: the tasks that are left of a partly placed step wait eight seconds for a VM that suits them; the reason is that a task on a slow VM would delay its step. So refusals of a fault (silent worker, no room, broken worker), moves, suspects and workers that crashed lately kept a standing task from the only VMs with room for that long.

Evidence: test_earlier_refusals_do_not_keep_a_standing_task_waiting has two VMs, a step with one task on each, and one VM that refuses starts for 6.6 s.

Change: the tasks of a standing step wait 1.5 s, as those of a step with none placed do. A standing step has no end to delay, and VMs that suit it are still preferred as long as one has room.

--- a/packages/scheduler/portwharf/scheduler/decisions/pass_inputs.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/pass_inputs.py
@@ -27,7 +27,7 @@
 FIRST_PATIENCE_SECONDS = 1.5
 # Time that the remaining tasks of a partly placed step wait for such a VM. It
 # is longer, as a task on a slow VM would delay the step for longer than the
-# wait.
+# wait. Standing tasks delay no step, and each serves from its start on.
 REMAINING_PATIENCE_SECONDS = 8.0
 _MS_PER_SECOND = 1000
 
@@ -51,13 +51,12 @@
         """Let demands that have waited long enough accept any VM with room."""
         for demand in demands:
             waited = now - self._since.get(demand.record.id, now)
-            if waited <= FIRST_PATIENCE_SECONDS:
+            if waited <= _get_patience_seconds(demand):
                 continue
-            if not demand.placed or waited > REMAINING_PATIENCE_SECONDS:
-                if demand.record.workload.job:
-                    demand.accept_any_vm()
-                else:
-                    demand.avoided = frozenset()
+            if demand.record.workload.job:
+                demand.accept_any_vm()
+            else:
+                demand.avoided = frozenset()
 
 
 def plan(state, demands, views, quotas, now_ms, predict_effect=None):
@@ -228,6 +227,14 @@
     return (one.address, one.port) == (other.address, other.port)
 
 
+def _get_patience_seconds(demand):
+    """Return how long a demand waits for a VM that suits it."""
+    is_standing = demand.record.workload.kind == data.Kind.STANDING
+    if is_standing or not demand.placed:
+        return FIRST_PATIENCE_SECONDS
+    return REMAINING_PATIENCE_SECONDS
+
+
 def _has_waiting(record):
     """Return whether a workload has tasks that wait to be placed."""
     if record.cancelled:
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/standing_tasks_test.py
@@ -0,0 +1,72 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Standing tasks that wait although VMs that are heard have room for them.
+
+Callers expect one that has ended to run again within seconds once faults are
+over. What an owner concluded from the faults may keep it waiting for longer.
+"""
+
+from portwharf.core import data
+from portwharf.scheduler import jobs_test
+from portwharf.testing import cluster
+
+# Longest time from the end of the faults until every standing task runs.
+MAX_WAIT_SECONDS = 4.0
+_STEP_SECONDS = 0.1
+
+
+def submit(made, number, count=1, size=1000, **fields):
+    """Submit a job of standing tasks; returns the id of the first one."""
+    step = jobs_test.make_step(
+        count,
+        kind=data.Kind.STANDING,
+        resources=data.Resources(size, size),
+        **fields,
+    )
+    job = data.Job(f'{number:016x}', 'watch', 1, b'', [step], 2000)
+    made.submit_job(job)
+    return f'{job.id}.0.0.0'
+
+
+def find_running(made):
+    """Return the node that runs each task, by task id."""
+    return {
+        run.attempt.task: node
+        for node in made.nodes
+        for run in node.worker.runs
+        if run.running
+    }
+
+
+def fail_all(worker):
+    """Let all running tasks of a worker fail."""
+    for run in list(worker.runs):
+        if run.running:
+            worker.finish(run.attempt.task, data.RunState.FAILED)
+
+
+def measure_wait(made, count):
+    """Run the cluster until some number of tasks run.
+
+    :returns: how long that took, in seconds, at most 30
+    """
+    began = made.time.read_monotonic()
+    while len(find_running(made)) < count:
+        made.tick(_STEP_SECONDS)
+        if made.time.read_monotonic() - began > 30:
+            break
+    return made.time.read_monotonic() - began
+
+
+def test_earlier_refusals_do_not_keep_a_standing_task_waiting(case):
+    """The only VM with room refused it three times, until just now."""
+    made = cluster.Cluster(2)
+    made.run(3)
+    submit(made, 1, 2, 1500)
+    made.run(2)
+    worker = made.nodes[1].worker
+    worker.broken = True
+    fail_all(worker)
+    made.run(6.6, _STEP_SECONDS)
+    worker.broken = False
+    case.assertLessEqual(measure_wait(made, 2), MAX_WAIT_SECONDS)
