Clear a quarantined worker whose standing probe stays at work

What callers would see: a worker that has failed several jobs' tasks has recovered, and is the only one with room. Of the standing tasks that wait, one begins every four seconds.

Cause: a worker past its quarantine takes one task as a probe, and the others once that has succeeded. A standing task never succeeds, so that each is followed by the next one only after PROBE_TIMEOUT_SECONDS. Standing steps are placed first within their importance, so that the probe is one of them whenever one waits.

Evidence: test_standing_probe_that_works_lets_others_follow has eight standing tasks on two VMs, of which one was quarantined.

Change: a standing task that is the probe clears its worker once it has been reported as running for 1.5 s and has not ended. Only the attempt that was placed as the probe counts, as a side reports all that runs again on each connection.

Test changed: health_test passes the attempt to record_placement.

--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -351,6 +351,12 @@
         record = self._state.find_workload(task.id)
         workload = record.id
         now = self._env.clock.read_monotonic()
+        attempt = (task.id, task.attempt)
+        if report.state == data.RunState.RUNNING:
+            if record.workload.kind == data.Kind.STANDING:
+                self._health.record_running(vm, attempt, now)
+            return
+        self._health.record_end(vm, attempt)
         if report.state == data.RunState.SUCCEEDED:
             self._health.record_success(vm)
         elif report.state == data.RunState.FAILED or report.at_worker:
@@ -589,12 +595,11 @@
             event = events.TaskPlaced(placed.task, placed.attempt, placed.vm)
             self._apply_event(batch, event)
             self._apply_event(batch, events.DecisionMade(placed.decision))
-            self._health.record_placement(placed.vm, now)
             task = self._state.tasks[placed.task]
+            attempt = (task.id, task.attempt)
+            self._health.record_placement(placed.vm, attempt, now)
             self._crashloops.record_placement(task)
-            self.service_protection.record_placement(
-                (task.id, task.attempt), now
-            )
+            self.service_protection.record_placement(attempt, now)
             command = reconcile.make_start(
                 self._state, task, placed.ticket, weigher
             )
--- a/packages/scheduler/portwharf/scheduler/decisions/health.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/health.py
@@ -5,8 +5,9 @@
 A worker is quarantined when attempts of several different workloads failed on
 it in a row, with no success between them, which a single bad job cannot cause.
 It then gets no tasks for a while, after that one task as a probe, and a longer
-quarantine if the probe fails. A success clears it. Several bad jobs can cause
-it everywhere, so that only half of the workers are held to it.
+quarantine if the probe fails. A success clears it, and so does a standing task
+that stays at work, as it never succeeds. Several bad jobs can cause it
+everywhere, so that only half of the workers are held to it.
 
 Apart from that, a workload avoids a worker that it failed on for some seconds,
 so that its retries go elsewhere.
@@ -29,6 +30,9 @@
 # Time after which a probe without a result is followed by another one, as a
 # task may run for any time.
 PROBE_TIMEOUT_SECONDS = 4.0
+# Time at work after which a standing task that is a probe clears the worker,
+# longer than such tasks take to start.
+MIN_WORK_SECONDS = 1.5
 # First and longest time that a workload avoids a worker that it failed on.
 # Each later failure there doubles the time, except a failure while the worker
 # is already avoided. After a long time without failures it starts anew.
@@ -47,6 +51,8 @@
     :param until: end of its quarantine, 0 if there is none
     :param seconds: length of its last quarantine
     :param probed: when the last probe was placed there
+    :param probe: (task, attempt) of the last probe until it ends, or None
+    :param works_since: when that one was reported as running, or None
     """
 
     failures: collections.Counter = dataclasses.field(
@@ -58,6 +64,8 @@
     until: float = 0.0
     seconds: float = 0.0
     probed: float = float('-inf')
+    probe: tuple = None
+    works_since: float = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -136,10 +144,41 @@
         record.hung.clear()
         return self._quarantine(record, now)
 
-    def record_placement(self, vm, now):
-        """Record that a task was placed on a worker."""
+    def record_placement(self, vm, attempt, now):
+        """Record that a task was placed on a worker.
+
+        :param attempt: (task id, attempt number)
+        """
         if self.awaits_probe(vm, now):
-            self._records[vm].probed = now
+            record = self._records[vm]
+            record.probed = now
+            record.probe = attempt
+            record.works_since = None
+
+    def record_running(self, vm, attempt, now):
+        """Record that an attempt of a standing task was reported as running.
+
+        :param attempt: (task id, attempt number)
+        """
+        record = self._records.get(vm)
+        if record is not None and record.probe == attempt:
+            record.works_since = record.works_since or now
+
+    def record_end(self, vm, attempt):
+        """Record that an attempt has ended, in whatever way.
+
+        :param attempt: (task id, attempt number)
+        """
+        record = self._records.get(vm)
+        if record is not None and record.probe == attempt:
+            record.probe = record.works_since = None
+
+    def clear_working(self, now):
+        """Clear the workers whose probes have stayed at work."""
+        for vm, record in list(self._records.items()):
+            since = record.works_since
+            if since is not None and now - since >= MIN_WORK_SECONDS:
+                self.record_success(vm)
 
     def is_probing(self, vm, now):
         """Return whether a probe of a worker is under way."""
--- a/packages/scheduler/portwharf/scheduler/decisions/health_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/health_test.py
@@ -71,13 +71,52 @@
     record_failures(tracker, ['a', 'a', 'b', 'b'])
     end = health.MIN_QUARANTINE_SECONDS
     case.assertFalse(tracker.is_probing(VM, end))
-    tracker.record_placement(VM, end)
+    tracker.record_placement(VM, ('c.0', 1), end)
     case.assertTrue(tracker.is_probing(VM, end + 1))
     later = end + health.PROBE_TIMEOUT_SECONDS
     case.assertFalse(tracker.is_probing(VM, later))
     case.assertTrue(tracker.awaits_probe(VM, later))
 
 
+def start_probe(tracker):
+    """Quarantine a worker and start a standing task there as the probe.
+
+    :returns: when it was reported as running
+    """
+    record_failures(tracker, ['a', 'a', 'b', 'b'])
+    end = health.MIN_QUARANTINE_SECONDS
+    tracker.record_placement(VM, ('c.0', 1), end)
+    tracker.record_running(VM, ('c.0', 1), end + 0.1)
+    return end + 0.1
+
+
+def test_standing_probe_that_stays_at_work_ends_the_quarantine(case):
+    tracker = health.WorkerHealthTracker()
+    since = start_probe(tracker)
+    tracker.clear_working(since + health.MIN_WORK_SECONDS - 0.1)
+    case.assertTrue(tracker.is_probing(VM, since + 0.1))
+    tracker.clear_working(since + health.MIN_WORK_SECONDS)
+    case.assertFalse(tracker.awaits_probe(VM, 100.0))
+
+
+def test_standing_probe_that_ends_does_not_end_the_quarantine(case):
+    tracker = health.WorkerHealthTracker()
+    since = start_probe(tracker)
+    tracker.record_end(VM, ('c.0', 1))
+    tracker.clear_working(since + health.MIN_WORK_SECONDS)
+    case.assertTrue(tracker.awaits_probe(VM, 100.0))
+
+
+def test_task_from_before_the_quarantine_does_not_end_it(case):
+    """A side reports all that runs again on a new connection."""
+    tracker = health.WorkerHealthTracker()
+    since = start_probe(tracker)
+    tracker.record_end(VM, ('c.0', 1))
+    tracker.record_running(VM, ('d.0', 1), since)
+    tracker.clear_working(since + health.MIN_WORK_SECONDS)
+    case.assertTrue(tracker.awaits_probe(VM, 100.0))
+
+
 def test_success_resets_failures(case):
     tracker = health.WorkerHealthTracker()
     record_failures(tracker, ['a', 'b', 'c'])
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -164,6 +164,7 @@
         weigher = weigher or precedence.Weigher(
             self._state, self._env.clock.read_unix_ms(), self._runtimes
         )
+        self._health.clear_working(now)
         restricted = self._list_restricted(now)
         views = []
         unmeasured = []
--- a/packages/scheduler/portwharf/scheduler/standing_tasks_test.py
+++ b/packages/scheduler/portwharf/scheduler/standing_tasks_test.py
@@ -70,3 +70,25 @@
     made.run(6.6, _STEP_SECONDS)
     worker.broken = False
     case.assertLessEqual(measure_wait(made, 2), MAX_WAIT_SECONDS)
+
+
+def test_standing_probe_that_works_lets_others_follow(case):
+    """The only worker with room was quarantined, and works since.
+
+    A standing task never succeeds. Each was followed by the next one only
+    after the time that a probe without a result takes.
+    """
+    made = cluster.Cluster(2)
+    made.run(3)
+    for number in range(8):
+        submit(made, number, size=500)
+    made.run(2)
+    worker = made.nodes[1].worker
+    for _ in range(2):
+        fail_all(worker)
+        made.run(0.4, _STEP_SECONDS)
+    while made.nodes[0].owner._members._health.is_quarantined(
+        made.nodes[1].vm.name, made.nodes[0].clock.read_monotonic()
+    ):
+        made.tick(_STEP_SECONDS)
+    case.assertLessEqual(measure_wait(made, 8), MAX_WAIT_SECONDS)
