Probe a quarantined worker early with standing tasks that fit nowhere else

What callers would see: workers that failed all that they were given have recovered, and all other room is taken or in a closed zone. Standing tasks do not run for up to the rest of the quarantine, 10 s after a second failed probe and 60 s at most, though these workers have room for them.

Cause: a quarantine is to spare a worker work that it would fail, and is held against what waits however long that is. The placements that the other workers cannot take were not weighed.

Evidence: test_quarantined_worker_that_has_recovered_takes_standing_tasks, where one of two workers fails all for 1 to 11 s.

Batch tasks wait as before: each of their failures counts against their job.

Tests: besides the one above, vm_choice_test has that such a worker comes last, takes one task, and takes no batch task; its views with kept assessments are quarantined at random too.

--- a/packages/scheduler/portwharf/scheduler/decisions/health.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/health.py
@@ -7,7 +7,8 @@
 It then gets no tasks for a while, after that one task as a probe, and a longer
 quarantine if the probe fails. A success clears it, and so does a standing task
 that stays at work, as it never succeeds. Several bad jobs can cause it
-everywhere, so that only half of the workers are held to it.
+everywhere, so that only half of the workers are held to it. A standing task
+that fits nowhere else may be the probe of a worker before its quarantine ends.
 
 Apart from that, a workload avoids a worker that it failed on for some seconds,
 so that its retries go elsewhere.
@@ -149,8 +150,8 @@
 
         :param attempt: (task id, attempt number)
         """
-        if self.awaits_probe(vm, now):
-            record = self._records[vm]
+        record = self._records.get(vm)
+        if record is not None and record.until:
             record.probed = now
             record.probe = attempt
             record.works_since = None
@@ -182,9 +183,10 @@
 
     def is_probing(self, vm, now):
         """Return whether a probe of a worker is under way."""
-        if not self.awaits_probe(vm, now):
-            return False
-        return now - self._records[vm].probed < PROBE_TIMEOUT_SECONDS
+        record = self._records.get(vm)
+        return (
+            record is not None and now - record.probed < PROBE_TIMEOUT_SECONDS
+        )
 
     def is_quarantined(self, vm, now):
         """Return whether a worker gets no tasks now."""
--- a/packages/scheduler/portwharf/scheduler/decisions/vm_choice.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vm_choice.py
@@ -22,6 +22,8 @@
 REFUSED_SUSPECT = 'beside-a-suspect'
 REASON_NO_ROOM = 'no-worker-has-room-now'
 REASON_NO_WORKERS = 'no-worker-is-known'
+# Penalty for a worker that is quarantined; it outweighs all other addends.
+_QUARANTINE_PENALTY = 100.0
 # Weight of interference with services against the fill of a VM.
 _INTERFERENCE_WEIGHT = 6.0
 
@@ -156,6 +158,8 @@
         demand = self._demand
         moved_from_vms, crash_count, _ = self._properties
         workload = demand.record.workload
+        if view.closed and not _may_probe_early(demand, view):
+            return view.closed
         reason = _refuse(self._size, view) or _refuse_step(demand, view)
         if reason:
             return reason
@@ -191,6 +195,8 @@
         pace = self._predict_pace(view) if is_paced else 1.0
         parts = scoring.score_vm(demand, view, spread, pace)
         parts += scoring.score_crash_risk(demand, crash_count, view)
+        if view.closed:
+            parts.append(events.Part('quarantined', _QUARANTINE_PENALTY))
         if (
             workload.kind != data.Kind.BATCH
             or self._predict_effect is None
@@ -224,8 +230,9 @@
     if demand.crash_count:
         view.record_suspect(demand.unit, demand.crash_count)
     view.add_task(workload, demand.weight)
-    if view.probe:
+    if view.probe or view.early_probe:
         view.closed = REFUSED_QUARANTINED
+        view.early_probe = False
     demand.placed[view.vm.name] += 1
 
 
@@ -254,10 +261,18 @@
     return demand.is_selective and (crash_count > 0 or is_serving)
 
 
+def _may_probe_early(demand, view):
+    """Return whether a task may be the probe of a quarantined worker.
+
+    A standing task that has waited for a while may: it is better started
+    where it may fail than not at all.
+    """
+    is_standing = demand.record.workload.kind == data.Kind.STANDING
+    return view.early_probe and is_standing and not demand.is_selective
+
+
 def _refuse(size, view):
-    """Return why a VM cannot take a task of a size, or ''."""
-    if view.closed:
-        return view.closed
+    """Return why a VM has no room for a task of a size, or ''."""
     capacity, reserved = view.capacity, view.reserved
     if size.cpu_milli > capacity.cpu_milli - reserved.cpu_milli:
         return 'processors'
--- a/packages/scheduler/portwharf/scheduler/decisions/vm_choice_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vm_choice_test.py
@@ -52,6 +52,9 @@
     view.unsteady = rnd.random() < 0.2
     view.probe = rnd.random() < 0.2
     view.closed = rnd.choice(('', '', '', 'leaving'))
+    if not view.closed and rnd.random() < 0.2:
+        view.closed = vm_choice.REFUSED_QUARANTINED
+        view.early_probe = True
     return view
 
 
@@ -190,3 +193,42 @@
     free_milli = 16_000 - 8000 * vmview.SERVING_UTILIZATION
     most = vmview.MAX_FILLING_FACTOR * free_milli // 1800
     case.assertEqual(len([name for name, *_ in placed if name]), most)
+
+
+def make_quarantined_view(number):
+    """Return the view of an empty VM that is quarantined."""
+    size = data.Resources(16_000, 64_000)
+    view = vmview.VmView(fixtures.make_vm(number), size)
+    view.closed = vm_choice.REFUSED_QUARANTINED
+    view.early_probe = True
+    return view
+
+
+def place_on_quarantined(views, kind=data.Kind.STANDING):
+    """Place two tasks that have waited; returns the names of their VMs."""
+    workload = fixtures.make_workload(
+        count=2, kind=kind, job='a', resources=data.Resources(9000, 9000)
+    )
+    record = state.WorkloadRecord('a.0.0', workload.key, 5, workload)
+    demand = backlog.Demand(record)
+    demand.accept_any_vm()
+    return [name for name, *_ in place_all(demand, views, None, None)]
+
+
+def test_standing_task_goes_to_a_quarantined_worker_only_as_a_last_resort(
+    case,
+):
+    quarantined = make_quarantined_view(0)
+    full = vmview.VmView(fixtures.make_vm(1), data.Resources(10_000, 64_000))
+    full.reserved = data.Resources(1000, 60_000)
+    placed = place_on_quarantined([quarantined, full])
+    case.assertEqual(placed, ['vm-00', ''])
+    quarantined = make_quarantined_view(0)
+    full.reserved = data.Resources(1000, 50_000)
+    placed = place_on_quarantined([quarantined, full])
+    case.assertEqual(placed, ['vm-01', 'vm-00'])
+
+
+def test_batch_task_does_not_go_to_a_quarantined_worker(case):
+    placed = place_on_quarantined([make_quarantined_view(0)], data.Kind.BATCH)
+    case.assertEqual(placed, [''])
--- a/packages/scheduler/portwharf/scheduler/decisions/vmview.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vmview.py
@@ -42,6 +42,8 @@
     :param reserved: the resources that its tasks reserve
     :param closed: why it gets no new tasks, or ''
     :param probe: it gets one task, to check whether it works again
+    :param early_probe: it is quarantined, but gets one standing task that fits
+        nowhere else, to check whether it works again
     :param services: list of ``remedies.ServiceView``
     :param kinds: number of batch tasks by kind; throttled ones count less
     :param filling_milli: processors requested by filling tasks, in thousandths
@@ -71,6 +73,7 @@
     )
     closed: str = ''
     probe: bool = False
+    early_probe: bool = False
     services: list = dataclasses.field(default_factory=list)
     kinds: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -186,8 +186,12 @@
                 name, link, now
             ) or self._find_zone_closed_reason(link)
             if name in restricted:
+                is_open = not view.closed
                 view.closed = view.closed or self._find_quarantine(name, now)
                 view.probe = self._health.awaits_probe(name, now)
+                view.early_probe = is_open and not (
+                    view.probe or self._health.is_probing(name, now)
+                )
             views.append(view)
         self._headrooms.forget(self._links.keys())
         if self._env.compares_vms:
--- a/packages/scheduler/portwharf/scheduler/standing_tasks_test.py
+++ b/packages/scheduler/portwharf/scheduler/standing_tasks_test.py
@@ -12,6 +12,8 @@
 
 # Longest time from the end of the faults until every standing task runs.
 MAX_WAIT_SECONDS = 4.0
+# The same if the only workers with room had failed all that they were given.
+MAX_RECOVERY_SECONDS = 6.0
 _STEP_SECONDS = 0.1
 
 
@@ -92,3 +94,19 @@
     ):
         made.tick(_STEP_SECONDS)
     case.assertLessEqual(measure_wait(made, 8), MAX_WAIT_SECONDS)
+
+
+def test_quarantined_worker_that_has_recovered_takes_standing_tasks(case):
+    """It is the only one with room, and failed all until just now."""
+    for seconds in (1.0, 3.0, 5.5, 7.0, 11.0):
+        with case.subTest(seconds=seconds):
+            made = cluster.Cluster(2)
+            made.run(3)
+            for number in range(4):
+                submit(made, number)
+            made.run(2)
+            worker = made.nodes[1].worker
+            for _ in range(round(seconds / _STEP_SECONDS / 2)):
+                fail_all(worker)
+                made.run(2 * _STEP_SECONDS, _STEP_SECONDS)
+            case.assertLessEqual(measure_wait(made, 4), MAX_RECOVERY_SECONDS)
