Hold a standing crash suspect back for five seconds at most

What callers would see: workers crash a few seconds apart (flapping workers, a zone, restarts), two of them soon after a standing task began there. The task then does not run for up to 10 s after the last crash, and for up to 20 s while other workers go on crashing, though workers have room for it.

Cause: a suspect waits for a quiet period of twice the longest of the recent gaps between crashes, 10 s at most, so that its trial is not part of a series. Several disruptions at once are what makes such gaps. A batch task loses only time by it; a standing task has users meanwhile.

Evidence: test_crashes_do_not_keep_a_standing_task_waiting.

Change: a trial of a standing task starts 5 s after its last crash at the latest.

--- a/packages/scheduler/portwharf/scheduler/standing_tasks_test.py
+++ b/packages/scheduler/portwharf/scheduler/standing_tasks_test.py
@@ -14,6 +14,8 @@
 MAX_WAIT_SECONDS = 4.0
 # The same if the only workers with room had failed all that they were given.
 MAX_RECOVERY_SECONDS = 6.0
+# Longest time without a run that callers accept while there is room.
+MAX_AWAY_SECONDS = 9.0
 _STEP_SECONDS = 0.1
 
 
@@ -110,3 +112,36 @@
                 fail_all(worker)
                 made.run(2 * _STEP_SECONDS, _STEP_SECONDS)
             case.assertLessEqual(measure_wait(made, 4), MAX_RECOVERY_SECONDS)
+
+
+def advance(made, seconds):
+    """Run the cluster while all running tasks are at work."""
+    for _ in range(round(seconds / _STEP_SECONDS)):
+        made.tick(_STEP_SECONDS)
+        for node in made.nodes:
+            for run in node.worker.runs:
+                run.attempt.percent = 100
+
+
+def crash_under(made, task):
+    """Crash the worker that runs a task."""
+    find_running(made)[task].worker.crash()
+
+
+def test_crashes_do_not_keep_a_standing_task_waiting(case):
+    """Two workers crash under it soon after another one had."""
+    made = cluster.Cluster(4)
+    advance(made, 3)
+    task, other = submit(made, 1), submit(made, 2, size=1500)
+    advance(made, 5)
+    crash_under(made, other)
+    advance(made, 4.5)
+    for _ in range(2):
+        crash_under(made, task)
+        advance(made, 0.8)
+    crash_under(made, task)
+    began = made.time.read_monotonic()
+    while task not in find_running(made):
+        advance(made, _STEP_SECONDS)
+    away = made.time.read_monotonic() - began
+    case.assertLessEqual(away, MAX_AWAY_SECONDS)
--- a/packages/scheduler/portwharf/scheduler/suspects.py
+++ b/packages/scheduler/portwharf/scheduler/suspects.py
@@ -34,6 +34,7 @@
 import dataclasses
 import enum
 import itertools
+import math
 
 from portwharf.core import data
 
@@ -66,8 +67,10 @@
 # their startup, with one second for the placement and the start.
 CLEARING_SECONDS = STARTUP_MS / 1000 + 1.0
 # Time since a suspect's last crash after which its trial starts even if other
-# workers go on crashing.
+# workers go on crashing. It is shorter for a standing task, which has users of
+# its own. The crash of such a trial is not conclusive.
 MAX_HOLD_SECONDS = 20.0
+MAX_STANDING_HOLD_SECONDS = MAX_SERIES_GAP_SECONDS
 # A worker counts as unstable for this long after a crash.
 UNSTABLE_SECONDS = 30.0
 # Time that crashes are remembered, longer than any of the intervals above.
@@ -163,9 +166,13 @@
             if name not in names
         )
 
-    def measure_quiet_seconds(self):
-        """Return how long no worker may crash before a trial starts."""
-        times = sorted(self._times.values())[-RECENT_GAPS - 1 :]
+    def measure_quiet_seconds(self, before=math.inf):
+        """Return how long no worker may crash before a trial starts.
+
+        :param before: crashes from this time on are ignored
+        """
+        known = sorted(at for at in self._times.values() if at < before)
+        times = known[-RECENT_GAPS - 1 :]
         gaps = [two - one for one, two in itertools.pairwise(times)]
         series = [gap for gap in gaps if gap < MAX_SERIES_GAP_SECONDS]
         return max(
@@ -266,7 +273,8 @@
     ):
         return Verdict.GIVE_UP
     since_last = now - times.find_time(task.crashes[-1].name)
-    quiet_seconds = times.measure_quiet_seconds()
+    max_hold_seconds = _get_max_hold_seconds(state, task)
+    quiet_seconds = min(times.measure_quiet_seconds(), max_hold_seconds)
     if since_last < quiet_seconds:
         return Verdict.HOLD
     if (
@@ -278,19 +286,29 @@
             return Verdict.GIVE_UP
         if since_last < CLEARING_SECONDS:
             return Verdict.HOLD
-    if times.is_quiet(now - quiet_seconds) or since_last >= MAX_HOLD_SECONDS:
+    if times.is_quiet(now - quiet_seconds) or since_last >= max_hold_seconds:
         return Verdict.TRY
     return Verdict.HOLD
 
 
+def _get_max_hold_seconds(state, task):
+    """Return how long a task is held back at most after its last crash."""
+    workload = state.find_workload(task.id).workload
+    if workload.kind == data.Kind.STANDING:
+        return MAX_STANDING_HOLD_SECONDS
+    return MAX_HOLD_SECONDS
+
+
 def _is_conclusive(task, times):
     """Return whether no failure of VMs explains the crash in a trial."""
     crash = task.crashes[-1]
     if not crash.close or not times.was_worker_stable(crash.name):
         return False
     names = {one.name for one in task.crashes}
-    began = times.find_time(crash.name) - MIN_QUIET_SECONDS
-    return times.is_quiet(began, names)
+    crashed_at = times.find_time(crash.name)
+    # A trial that could not wait for a quiet period may be part of a series.
+    quiet_seconds = times.measure_quiet_seconds(crashed_at)
+    return times.is_quiet(crashed_at - quiet_seconds, names)
 
 
 def _is_prime_suspect(state, task):
--- a/packages/scheduler/portwharf/scheduler/suspects_test.py
+++ b/packages/scheduler/portwharf/scheduler/suspects_test.py
@@ -23,8 +23,9 @@
 class Scenario:
     """A state with two jobs of one task each, and the observed crashes."""
 
-    def __init__(self):
-        self.state = jobs_test.accept(jobs_test.make_step())
+    def __init__(self, **fields):
+        """Take fields of the first job's step."""
+        self.state = jobs_test.accept(jobs_test.make_step(**fields))
         step = jobs_test.make_step()
         other = data.Job(OTHER, 'plans', 1, b'', [step], 2000)
         self.state.apply(events.JobAccepted(jobs_test.NOW, other))
@@ -142,6 +143,28 @@
     case.assertIs(scenario.assess(64.1), TRY)
 
 
+def test_standing_task_is_held_for_a_few_seconds_at_most(case):
+    """Other workers go on crashing, with up to 4.8 s in between."""
+    scenario = Scenario(kind=data.Kind.STANDING)
+    scenario.crash(45.2, 'vm-3', tasks=())
+    scenario.crash(50.0, 'vm-1', ran_ms=1900)
+    scenario.crash(52.0, 'vm-2', ran_ms=1900)
+    scenario.crash(54.5, 'vm-4', tasks=())
+    limit = 52.0 + suspects.MAX_STANDING_HOLD_SECONDS
+    case.assertIs(scenario.assess(limit - 0.1), HOLD)
+    case.assertIs(scenario.assess(limit), TRY)
+
+
+def test_trial_of_a_standing_task_in_a_series_is_inconclusive(case):
+    scenario = Scenario(kind=data.Kind.STANDING)
+    for turn in range(4):
+        scenario.crash(33.0 + 4.9 * turn, f'vm-{turn}', tasks=())
+    scenario.crash_twice()
+    scenario.crash(55.1, 'vm-5')
+    limit = 55.1 + suspects.MAX_STANDING_HOLD_SECONDS
+    case.assertIs(scenario.assess(limit, is_trial=True), TRY)
+
+
 def test_crash_of_an_unstable_worker_is_not_conclusive(case):
     scenario = Scenario()
     scenario.crash(40.0, 'vm-1', tasks=())
--- a/packages/testing/portwharf/testing/crash_day_test.py
+++ b/packages/testing/portwharf/testing/crash_day_test.py
@@ -6,7 +6,8 @@
 gave up healthy jobs. Two crashes alone were enough for it (racks, zones, all
 workers, with tasks placed ahead of the wave), or a trial began after one
 second without a crash (crashes 1.3 s apart), or after two seconds (crashes
-2.1 to 2.4 s apart).
+2.1 to 2.4 s apart), or that of a standing task began in a slow series and was
+conclusive all the same (series 1063).
 """
 
 from portwharf.scheduler import faults_test
@@ -22,6 +23,7 @@
     ('series', 49),
     ('series', 103),
     ('series', 128),
+    ('series', 1063),
     ('crasher-in-series', 28),
     ('crasher-in-series', 154),
 )
