Count the hold of a standing suspect as waiting

What callers would see: a worker flaps, and is the only one with room for a standing task. Once the task's hold is over, it does not run for another 1.5 s.

Cause: a demand waits from the first pass that finds no room for it. One whose tasks are all held back is in no pass, so that its wait for a worker that has not crashed lately begins only when the hold ends.

Evidence: test_hold_of_a_suspect_is_not_followed_by_a_wait_for_a_better_vm.

Change: a workload with held standing tasks waits as well. As its trial may then go to any worker at once, one that crashed lately gets a penalty in the score, so that a steady one with room still comes first.

--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -585,7 +585,7 @@
         )
         self._timer.mark('place')
         self.waiting = {one.record.id: one for one in done.waiting}
-        self._patience.record_waits(self.waiting, now)
+        self._patience.record_waits(self.waiting, now, demands)
         self._wait_log.update(self.waiting, now)
         # Before the update, which drops the backlog of the last pass.
         metrics.set_class_loads(self.load.list_loads(now))
--- a/packages/scheduler/portwharf/scheduler/decisions/pass_inputs.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/pass_inputs.py
@@ -43,9 +43,15 @@
     def __init__(self):
         self._since = {}
 
-    def record_waits(self, waiting, now):
-        """Record the ids of the workloads that wait after a pass."""
-        self._since = {name: self._since.get(name, now) for name in waiting}
+    def record_waits(self, waiting, now, demands=()):
+        """Record which workloads wait after a pass.
+
+        :param waiting: ids of those that had too little room
+        :param demands: list of ``backlog.Demand``; standing tasks among them
+            that are held back wait as well
+        """
+        names = {*waiting, *(d.record.id for d in demands if _is_held(d))}
+        self._since = {name: self._since.get(name, now) for name in names}
 
     def apply(self, demands, now):
         """Let demands that have waited long enough accept any VM with room."""
@@ -235,6 +241,14 @@
     return REMAINING_PATIENCE_SECONDS
 
 
+def _is_held(demand):
+    """Return whether a standing task of a demand is held back."""
+    record = demand.record
+    return record.workload.kind == data.Kind.STANDING and any(
+        task.id in demand.held_tasks for task in record.tasks
+    )
+
+
 def _has_waiting(record):
     """Return whether a workload has tasks that wait to be placed."""
     if record.cancelled:
--- a/packages/scheduler/portwharf/scheduler/decisions/scoring.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/scoring.py
@@ -13,6 +13,7 @@
 
 from portwharf.core import data
 from portwharf.scheduler import events
+from portwharf.scheduler import suspects
 
 # Weights and penalties, relative to the fill of a VM, which counts 0 to 1.
 _BUSY_WEIGHT = 1.0
@@ -98,11 +99,15 @@
 
     :param crash_count: number of workers that crashed under the task
     """
+    parts = []
     if crash_count and view.serving_milli:
-        return [events.Part('suspect', _SUSPECT_PENALTY)]
-    if any(unit != demand.unit for unit in view.suspects):
-        return [events.Part('beside-suspect', _SUSPECT_PENALTY)]
-    return []
+        parts.append(events.Part('suspect', _SUSPECT_PENALTY))
+    elif any(unit != demand.unit for unit in view.suspects):
+        parts.append(events.Part('beside-suspect', _SUSPECT_PENALTY))
+    if crash_count >= suspects.SUSPECT_CRASHES and view.unsteady:
+        # A trial there would prove little.
+        parts.append(events.Part('unsteady', _SUSPECT_PENALTY))
+    return parts
 
 
 def _score_serving_task(view, after):
--- a/packages/scheduler/portwharf/scheduler/standing_tasks_test.py
+++ b/packages/scheduler/portwharf/scheduler/standing_tasks_test.py
@@ -16,6 +16,9 @@
 MAX_RECOVERY_SECONDS = 6.0
 # Longest time without a run that callers accept while there is room.
 MAX_AWAY_SECONDS = 9.0
+# The same for a suspect whose worker has crashed three times, 1 s apart: twice
+# as long without a crash, and the time until it is noticed and placed.
+MAX_HOLD_WAIT_SECONDS = 3.0
 _STEP_SECONDS = 0.1
 
 
@@ -145,3 +148,18 @@
         advance(made, _STEP_SECONDS)
     away = made.time.read_monotonic() - began
     case.assertLessEqual(away, MAX_AWAY_SECONDS)
+
+
+def test_hold_of_a_suspect_is_not_followed_by_a_wait_for_a_better_vm(case):
+    """Only its worker, which flaps, has room for it."""
+    made = cluster.Cluster(2)
+    advance(made, 3)
+    for number in range(2):
+        submit(made, number, size=2000)
+    advance(made, 5)
+    worker = made.nodes[1].worker
+    for _ in range(2):
+        worker.crash(0.2)
+        advance(made, 1.0)
+    worker.crash(0.2)
+    case.assertLessEqual(measure_wait(made, 2), MAX_HOLD_WAIT_SECONDS)
--- a/packages/scheduler/portwharf/scheduler/suspects_test.py
+++ b/packages/scheduler/portwharf/scheduler/suspects_test.py
@@ -313,6 +313,20 @@
     case.assertEqual(choose(0, 2), 'vm-1')
 
 
+def test_suspect_that_has_waited_prefers_a_steady_worker(case):
+    """A trial on a worker that crashed lately proves little."""
+    scenario = Scenario()
+    scenario.crash_twice()
+    demand = backlog.Demand(scenario.state.workloads[jobs_test.FIRST])
+    demand.accept_any_vm()
+    views = gangs_test.make_views(8, 4)
+    views[0].unsteady = True
+    choice = vm_choice.choose_vm(demand, views, None)
+    case.assertEqual(choice.view.vm.name, 'vm-1')
+    choice = vm_choice.choose_vm(demand, views[:1], None)
+    case.assertEqual(choice.view.vm.name, 'vm-0')
+
+
 def test_suspects_come_last_in_their_step(case):
     made = jobs_test.accept(jobs_test.make_step(3))
     made.apply(events.TaskPlaced(TASK, 1, 'vm-1'))
