Let a standing suspect start beside one that runs on already

What callers would see: a worker flaps twice under standing tasks of four jobs, and is the only one with room for them.

Cause: suspects of different jobs are kept apart, after the second crash in any case, until each is cleared by 3 s at work. That is so that a crash tells which of them has caused it. But a crash counts only against tasks that are not known to have run on after their start, so that one which has run on for a while would not be blamed for it.

Evidence: test_crashes_of_one_worker_do_not_keep_its_standing_tasks_apart.

Change: a standing task that has waited for 1.5 s is kept only from suspects that have not been reported as running for a second.

--- a/packages/scheduler/portwharf/scheduler/crashloop.py
+++ b/packages/scheduler/portwharf/scheduler/crashloop.py
@@ -105,6 +105,23 @@
         for view in views:
             view.unsteady = view.vm.name in unstable
 
+    def mark_suspects(self, views):
+        """Mark the VMs that run suspects.
+
+        :param views: list of ``vmview.VmView``
+        """
+        if not self._state.suspects:
+            return
+        settled_by = self._clock.read_monotonic() - suspects.SETTLED_SECONDS
+        for view in views:
+            for task in self._state.held[view.vm.name].values():
+                if not task.crashes:
+                    continue
+                unit = suspects.find_failure_unit(self._state, task)
+                since = self._running_since.get((task.id, task.attempt))
+                is_starting = since is None or since > settled_by
+                view.record_suspect(unit, len(task.crashes), is_starting)
+
     def record_placement(self, task):
         """Record the placement of a task, as a trial if it is a suspect."""
         if len(task.crashes) >= suspects.SUSPECT_CRASHES:
--- a/packages/scheduler/portwharf/scheduler/crashloop_test.py
+++ b/packages/scheduler/portwharf/scheduler/crashloop_test.py
@@ -27,6 +27,7 @@
 from portwharf.peers import messages
 from portwharf.scheduler import batches
 from portwharf.scheduler import crashloop
+from portwharf.scheduler.decisions import vmview
 from portwharf.scheduler import events
 from portwharf.scheduler import jobs_test
 from portwharf.scheduler import reconcile
@@ -261,3 +262,18 @@
         scenario.report('vm-4', task, attempt, gone, crash='life', ran_ms=20)
     scenario.clock.advance(5.0)
     case.assertEqual(scenario.resolve(), data.JobState.RUNNING)
+
+
+def test_suspect_that_runs_on_is_not_about_to_crash_its_worker(case):
+    """Until then a crash would not tell which task has caused it."""
+    scenario = TrialScenario()
+    scenario.place_trial()
+    scenario.report('vm-4', scenario.TASK, 3, data.RunState.RUNNING)
+    marked = []
+    for seconds in (0.0, suspects.SETTLED_SECONDS - 0.1, 0.1):
+        scenario.clock.advance(seconds)
+        view = vmview.VmView(data.Vm('vm-4'))
+        scenario.detector.mark_suspects([view])
+        case.assertEqual(view.suspects, {jobs_test.ID: 2})
+        marked.append(view.starting_suspects)
+    case.assertEqual(marked, [{jobs_test.ID: 2}, {jobs_test.ID: 2}, {}])
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -560,6 +560,7 @@
         )
         views = self._members.view_vms(weigher)
         self._crashloops.mark_unstable(views)
+        self._crashloops.mark_suspects(views)
         self._timer.mark('views')
         self._resolve_prepared_tasks(batch, views, now)
         if not self._members.has_recent_zones(now):
--- a/packages/scheduler/portwharf/scheduler/decisions/vm_choice.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vm_choice.py
@@ -247,11 +247,16 @@
     Crash suspects are placed on different VMs, as a crash under two of them
     would not tell which one caused it. Only while the demand is selective, a
     task with a single crash and a serving task are kept away from suspects,
-    and a suspect from workers that crashed lately.
+    and a suspect from workers that crashed lately. A standing task that has
+    waited is kept only from suspects that have just started.
 
     :param crash_count: number of workers that crashed under the task
     """
-    others = [n for unit, n in view.suspects.items() if unit != demand.unit]
+    known = view.suspects
+    is_standing = demand.record.workload.kind == data.Kind.STANDING
+    if is_standing and not demand.is_selective:
+        known = view.starting_suspects
+    others = [n for unit, n in known.items() if unit != demand.unit]
     is_suspect = crash_count >= suspects.SUSPECT_CRASHES
     if not others:
         return is_suspect and view.unsteady and demand.is_selective
--- a/packages/scheduler/portwharf/scheduler/decisions/vmview.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vmview.py
@@ -57,6 +57,8 @@
     :param life: the ``data.IncarnationId`` of its worker
     :param suspects: number of worker crashes of uncleared tasks on it, by job
         or workload
+    :param starting_suspects: those of them that have not run for long enough
+        to be ruled out as the cause of a crash of its worker
     :param unsteady: its worker has crashed lately
     :param largest: the largest capacity that its worker has reported
     :param lasting: by serving image, the least headroom of the last seconds
@@ -89,6 +91,7 @@
     rack: str = ''
     life: data.IncarnationId = data.IncarnationId()
     suspects: dict = dataclasses.field(default_factory=dict)
+    starting_suspects: dict = dataclasses.field(default_factory=dict)
     unsteady: bool = False
     largest: data.Resources = dataclasses.field(default_factory=data.Resources)
     lasting: dict = dataclasses.field(default_factory=dict)
@@ -106,6 +109,7 @@
             headrooms=dict(self.headrooms),
             fillings=list(self.fillings),
             suspects=dict(self.suspects),
+            starting_suspects=dict(self.starting_suspects),
         )
 
     @property
@@ -160,13 +164,18 @@
             headroom.serving: headroom.room for headroom in headrooms
         }
 
-    def record_suspect(self, unit, crashes):
+    def record_suspect(self, unit, crashes, is_starting=True):
         """Record a crash suspect on the VM.
 
         :param unit: its job or workload
         :param crashes: number of workers that crashed while running it
+        :param is_starting: it may be about to crash the worker
         """
         self.suspects[unit] = max(crashes, self.suspects.get(unit, 0))
+        if is_starting:
+            self.starting_suspects[unit] = max(
+                crashes, self.starting_suspects.get(unit, 0)
+            )
 
     def suits(self, workload):
         """Return whether the VM has a step's pool and label."""
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -17,7 +17,6 @@
 from portwharf.scheduler.decisions import uneven_pools
 from portwharf.scheduler.decisions import vmview
 from portwharf.scheduler import events
-from portwharf.scheduler import suspects
 from portwharf.scheduler import zones
 
 # Longest time that a new owner waits for the reports of its members.
@@ -181,7 +180,6 @@
             unmeasured += self._add_fill(link, view, weigher)
             if self._env.compares_vms:
                 self._track_headroom(link, view, now)
-            self._add_suspects(view)
             view.closed = self._find_closed_reason(
                 name, link, now
             ) or self._find_zone_closed_reason(link)
@@ -278,15 +276,6 @@
         placed_at = self._service_protection.get_placed_at(attempt)
         return heard is not None and heard - placed_at >= MEASURE_SECONDS
 
-    def _add_suspects(self, view):
-        """Add the tasks that may crash the worker of a VM to its view."""
-        if not self._state.suspects:
-            return
-        for task in self._state.held[view.vm.name].values():
-            if task.crashes:
-                unit = suspects.find_failure_unit(self._state, task)
-                view.record_suspect(unit, len(task.crashes))
-
     def pick_successor(self, now):
         """Return the name of a member that can take over, or ''."""
         return next(iter(self.list_successor_candidates(now)), '')
--- a/packages/scheduler/portwharf/scheduler/standing_tasks_test.py
+++ b/packages/scheduler/portwharf/scheduler/standing_tasks_test.py
@@ -163,3 +163,18 @@
         advance(made, 1.0)
     worker.crash(0.2)
     case.assertLessEqual(measure_wait(made, 2), MAX_HOLD_WAIT_SECONDS)
+
+
+def test_crashes_of_one_worker_do_not_keep_its_standing_tasks_apart(case):
+    """It flaps, and is the only one with room for tasks of four jobs."""
+    made = cluster.Cluster(3)
+    advance(made, 3)
+    tasks = {submit(made, number, size=500) for number in range(12)}
+    advance(made, 5)
+    case.assertEqual(find_running(made).keys(), tasks)
+    worker = made.nodes[2].worker
+    for _ in range(2):
+        worker.crash(1.4)
+        advance(made, 2.8)
+    worker.crash(1.4)
+    case.assertLessEqual(measure_wait(made, 12), MAX_AWAY_SECONDS)
--- a/packages/scheduler/portwharf/scheduler/suspects.py
+++ b/packages/scheduler/portwharf/scheduler/suspects.py
@@ -47,6 +47,10 @@
 # A task that has run for longer did not cause its worker's crash: tasks that
 # crash their workers do so at the start.
 STARTUP_MS = 3000
+# Time after the first report of an attempt as running from which a crash of
+# its worker is not taken for its doing: a listing has shown it well after its
+# start by then, also on a loaded side.
+SETTLED_SECONDS = 1.0
 # From this number of crashes on, a task is held back and assessed.
 SUSPECT_CRASHES = 2
 # A task is given up from this number of crashes on, not counting those after
--- a/packages/scheduler/portwharf/scheduler/suspects_test.py
+++ b/packages/scheduler/portwharf/scheduler/suspects_test.py
@@ -313,6 +313,24 @@
     case.assertEqual(choose(0, 2), 'vm-1')
 
 
+def choose_beside_settled(is_selective, **fields):
+    """Return the VM for a suspect; the only one runs a settled suspect."""
+    scenario = Scenario(**fields)
+    scenario.crash_twice()
+    demand = backlog.Demand(scenario.state.workloads[jobs_test.FIRST])
+    demand.is_selective = is_selective
+    views = gangs_test.make_views(8)
+    views[0].record_suspect('another', 2, is_starting=False)
+    return vm_choice.choose_vm(demand, views, None).view
+
+
+def test_standing_suspect_that_has_waited_may_join_one_that_runs_on(case):
+    standing = data.Kind.STANDING
+    case.assertIsNotNone(choose_beside_settled(False, kind=standing))
+    case.assertIsNone(choose_beside_settled(True, kind=standing))
+    case.assertIsNone(choose_beside_settled(False))
+
+
 def test_suspect_that_has_waited_prefers_a_steady_worker(case):
     """A trial on a worker that crashed lately proves little."""
     scenario = Scenario()
--- a/packages/testing/portwharf/testing/crash_day.py
+++ b/packages/testing/portwharf/testing/crash_day.py
@@ -27,7 +27,6 @@
 from portwharf.scheduler import events
 from portwharf.scheduler import reconcile
 from portwharf.scheduler import state
-from portwharf.scheduler import suspects
 
 VMS = 11
 VMS_PER_RACK = 3
@@ -363,6 +362,7 @@
         views = [self._make_view(name) for name in self._runs]
         if self._with_detection:
             self._crash_loops.mark_unstable(views)
+            self._crash_loops.mark_suspects(views)
         planned = pass_inputs.plan(self._state, demands, views, {}, now_ms)
         for placed in planned.placements:
             event = events.TaskPlaced(placed.task, placed.attempt, placed.vm)
@@ -385,9 +385,6 @@
         for task in self._state.held[name].values():
             record = self._state.find_workload(task.id)
             view.add_usage(record.workload)
-            if task.crashes:
-                unit = suspects.find_failure_unit(self._state, task)
-                view.record_suspect(unit, len(task.crashes))
         return view
 
     def _start(self, name, run):
