--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -351,6 +351,12 @@
         record = self._state.find_workload(task.id)
         workload = record.id
         now = self._env.clock.read_monotonic()
+        attempt = (task.id, task.attempt)
+        if report.state == data.RunState.RUNNING:
+            if record.workload.kind == data.Kind.STANDING:
+                self._health.record_running(vm, attempt, now)
+            return
+        self._health.record_end(vm, attempt)
         if report.state == data.RunState.SUCCEEDED:
             self._health.record_success(vm)
         elif report.state == data.RunState.FAILED or report.at_worker:
@@ -559,6 +565,7 @@
         )
         views = self._members.view_vms(weigher)
         self._crashloops.mark_unstable(views)
+        self._crashloops.mark_suspects(views)
         self._timer.mark('views')
         self._resolve_prepared_tasks(batch, views, now)
         if not self._members.has_recent_zones(now):
@@ -584,7 +591,7 @@
         )
         self._timer.mark('place')
         self.waiting = {one.record.id: one for one in done.waiting}
-        self._patience.record_waits(self.waiting, now)
+        self._patience.record_waits(self.waiting, now, demands)
         self._wait_log.update(self.waiting, now)
         # Before the update, which drops the backlog of the last pass.
         metrics.set_class_loads(self.load.list_loads(now))
@@ -594,12 +601,11 @@
             event = events.TaskPlaced(placed.task, placed.attempt, placed.vm)
             self._apply_event(batch, event)
             self._apply_event(batch, events.DecisionMade(placed.decision))
-            self._health.record_placement(placed.vm, now)
             task = self._state.tasks[placed.task]
+            attempt = (task.id, task.attempt)
+            self._health.record_placement(placed.vm, attempt, now)
             self._crashloops.record_placement(task)
-            self.service_protection.record_placement(
-                (task.id, task.attempt), now
-            )
+            self.service_protection.record_placement(attempt, now)
             command = reconcile.make_start(
                 self._state, task, placed.ticket, weigher
             )
--- a/packages/scheduler/portwharf/scheduler/suspects_test.py
+++ b/packages/scheduler/portwharf/scheduler/suspects_test.py
@@ -23,8 +23,9 @@
 class Scenario:
     """A state with two jobs of one task each, and the observed crashes."""
 
-    def __init__(self):
-        self.state = jobs_test.accept(jobs_test.make_step())
+    def __init__(self, **fields):
+        """Take fields of the first job's step."""
+        self.state = jobs_test.accept(jobs_test.make_step(**fields))
         step = jobs_test.make_step()
         other = data.Job(OTHER, 'plans', 1, b'', [step], 2000)
         self.state.apply(events.JobAccepted(jobs_test.NOW, other))
@@ -142,6 +143,28 @@
     case.assertIs(scenario.assess(64.1), TRY)
 
 
+def test_standing_task_is_held_for_a_few_seconds_at_most(case):
+    """Other workers go on crashing, with up to 4.8 s in between."""
+    scenario = Scenario(kind=data.Kind.STANDING)
+    scenario.crash(45.2, 'vm-3', tasks=())
+    scenario.crash(50.0, 'vm-1', ran_ms=1900)
+    scenario.crash(52.0, 'vm-2', ran_ms=1900)
+    scenario.crash(54.5, 'vm-4', tasks=())
+    limit = 52.0 + suspects.MAX_STANDING_HOLD_SECONDS
+    case.assertIs(scenario.assess(limit - 0.1), HOLD)
+    case.assertIs(scenario.assess(limit), TRY)
+
+
+def test_trial_of_a_standing_task_in_a_series_is_inconclusive(case):
+    scenario = Scenario(kind=data.Kind.STANDING)
+    for turn in range(4):
+        scenario.crash(33.0 + 4.9 * turn, f'vm-{turn}', tasks=())
+    scenario.crash_twice()
+    scenario.crash(55.1, 'vm-5')
+    limit = 55.1 + suspects.MAX_STANDING_HOLD_SECONDS
+    case.assertIs(scenario.assess(limit, is_trial=True), TRY)
+
+
 def test_crash_of_an_unstable_worker_is_not_conclusive(case):
     scenario = Scenario()
     scenario.crash(40.0, 'vm-1', tasks=())
@@ -290,6 +313,38 @@
     case.assertEqual(choose(0, 2), 'vm-1')
 
 
+def choose_beside_settled(is_selective, **fields):
+    """Return the VM for a suspect; the only one runs a settled suspect."""
+    scenario = Scenario(**fields)
+    scenario.crash_twice()
+    demand = backlog.Demand(scenario.state.workloads[jobs_test.FIRST])
+    demand.is_selective = is_selective
+    views = gangs_test.make_views(8)
+    views[0].record_suspect('another', 2, is_starting=False)
+    return vm_choice.choose_vm(demand, views, None).view
+
+
+def test_standing_suspect_that_has_waited_may_join_one_that_runs_on(case):
+    standing = data.Kind.STANDING
+    case.assertIsNotNone(choose_beside_settled(False, kind=standing))
+    case.assertIsNone(choose_beside_settled(True, kind=standing))
+    case.assertIsNone(choose_beside_settled(False))
+
+
+def test_suspect_that_has_waited_prefers_a_steady_worker(case):
+    """A trial on a worker that crashed lately proves little."""
+    scenario = Scenario()
+    scenario.crash_twice()
+    demand = backlog.Demand(scenario.state.workloads[jobs_test.FIRST])
+    demand.accept_any_vm()
+    views = gangs_test.make_views(8, 4)
+    views[0].unsteady = True
+    choice = vm_choice.choose_vm(demand, views, None)
+    case.assertEqual(choice.view.vm.name, 'vm-1')
+    choice = vm_choice.choose_vm(demand, views[:1], None)
+    case.assertEqual(choice.view.vm.name, 'vm-0')
+
+
 def test_suspects_come_last_in_their_step(case):
     made = jobs_test.accept(jobs_test.make_step(3))
     made.apply(events.TaskPlaced(TASK, 1, 'vm-1'))
