Log why a side takes a shard over

In a soak of 40 sides owners deposed each other up to epoch 27. The logs named only who took over, not on whose word: whether members were asked, how many heard the owner, and whether the side that claimed was a member at all.

'claiming shard' tells the reason, the silence and the answers; 'took over shard' the number of members; a claim that came too late has a line of its own.

--- a/packages/core/portwharf/core/logs.py
+++ b/packages/core/portwharf/core/logs.py
@@ -72,6 +72,12 @@
     'rate_milli',
     'end_in_ms',
     'retry_ms',
+    'silence_ms',
+    'members',
+    'is_member',
+    'hearing',
+    'not_hearing',
+    'unheard',
 )
 _TEXT_FORMAT = '%(asctime)s %(levelname)s %(name)s: %(message)s'
 _JSON_FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
--- a/packages/scheduler/portwharf/scheduler/takeover.py
+++ b/packages/scheduler/portwharf/scheduler/takeover.py
@@ -180,7 +180,7 @@
             elif self._guard.epoch_unknown or not self._members:
                 self._load_members()
             elif self._guard.take_takeover_request():
-                self._claim()
+                self._claim('requested')
             elif self._is_our_turn():
                 self._take_over()
             elif self._is_first_after_restart():
@@ -314,7 +314,7 @@
         if tally.unheard + 1 < len(self._members):
             return
         if self._guard.epoch == epoch and not self._guard.has_seen_owner:
-            self._claim()
+            self._claim('restarted', tally)
 
     def _take_over(self):
         epoch = self._guard.epoch
@@ -323,14 +323,34 @@
         needed = len(self._members) // 2 + 1
         tally = self._query_members(needed - 1)
         isolated = tally.hearing == 0 and silence >= isolated_wait
-        if tally.not_hearing + 1 < needed and not isolated:
+        silent = tally.not_hearing + 1 >= needed
+        if not silent and not isolated:
             return
         if self._guard.epoch != epoch or not self._is_our_turn():
             # An owner may have been heard while the members were queried.
             return
-        self._claim()
+        self._claim('silent' if silent else 'isolated', tally)
 
-    def _claim(self):
+    def _claim(self, reason, tally=None):
+        """Claim the shard, and log why.
+
+        :param reason: 'requested' by the owner, all members have 'restarted',
+            or the owner is 'silent' to a majority or to an 'isolated' side
+        :param tally: the ``_QueryTally`` that it is based on, or None
+        """
+        tally = tally or _QueryTally()
+        extra = logs.fields(
+            shard=self._env.shard,
+            epoch=self._guard.epoch,
+            reason=reason,
+            silence_ms=int(self._guard.measure_silence() * _MS_PER_SECOND),
+            members=len(self._members),
+            is_member=self._env.name in self._members,
+            hearing=tally.hearing,
+            not_hearing=tally.not_hearing,
+            unheard=tally.unheard,
+        )
+        LOG.info('claiming shard', extra=extra)
         self._start_owner(
             claim_shard(
                 self._kv, self._env.shard, self._env.name, self._guard.epoch
@@ -342,7 +362,10 @@
         if claimed.is_err():
             if isinstance(claimed.err_value, OwnedByOther):
                 # Another side took over first and will dial this one.
-                self._guard.learn_epoch(claimed.err_value.epoch)
+                taken = claimed.err_value.epoch
+                extra = logs.fields(shard=self._env.shard, epoch=taken)
+                LOG.info('shard claimed by another side', extra=extra)
+                self._guard.learn_epoch(taken)
                 self._guard.restart_wait()
             else:
                 self._back_off()
@@ -350,7 +373,11 @@
         self._failures = 0
         claim = claimed.ok_value
         self._members = dict(claim.state.members)
-        extra = logs.fields(shard=self._env.shard, epoch=claim.state.epoch)
+        extra = logs.fields(
+            shard=self._env.shard,
+            epoch=claim.state.epoch,
+            members=len(claim.state.members),
+        )
         LOG.info('took over shard', extra=extra)
         role = owner.Owner(self._env, claim.log, claim.state)
         role.__enter__()
