A side that is no member has no vote on the owner

Callers saw nothing served for 40 s after a start of 40 sides: owners deposed each other, each after about a second.

A side reads the members from the log when it starts, and never again. If the founder is listed alone, all later sides know one member, of whom a majority is one; each counted itself as that one. An owner adds members one by one, so most sides have not heard it a second after they started, and each took the shard over, although the only member had answered that it hears the owner:

claiming shard, epoch 1, reason silent, members 1, is_member false, hearing 1, not_hearing 0

(founder started 0.3 s before 39 others: epoch 23 with one member, not served after 43 s, 8381 calls to the store.) The new tests fail on the code before:

test_side_that_is_not_added_yet_leaves_the_owner_alone AssertionError: True is not false

Now only members count, in both kinds of takeover. The known members are read from the log again if the known ones do not show that the owner lives, and a claim gives up if the log has other members than those that were asked. A side that has started early would otherwise wait for members that are long gone.

--- a/packages/scheduler/portwharf/scheduler/takeover.py
+++ b/packages/scheduler/portwharf/scheduler/takeover.py
@@ -92,13 +92,16 @@
     return append_claim(log, state.ShardState(), name, members)
 
 
-def claim_shard(kv, shard, name, max_epoch=None):
+def claim_shard(kv, shard, name, max_epoch=None, members=None):
     """Try once to become a shard's owner, by one append to its log.
 
     Safe at any time, as only the log decides who is the owner.
 
     :param max_epoch: give up if the log shows a higher epoch than this
-    :returns: Ok(Claim), Err(StoreError), or Err(OwnedByOther)
+    :param members: give up if the log shows other members than these, a map
+        of ``data.Vm`` by name; None to accept any
+    :returns: Ok(Claim), Err(StoreError), Err(OwnedByOther), or
+        Err(MembersChanged)
     """
     log = shardlog.ShardLog(kv, shard)
     contents = log.read()
@@ -107,6 +110,8 @@
     restored = state.restore_state(contents.ok_value)
     if max_epoch is not None and restored.epoch > max_epoch:
         return result.Err(OwnedByOther(restored.epoch))
+    if members is not None and restored.members != members:
+        return result.Err(MembersChanged(restored))
     return append_claim(log, restored, name, [])
 
 
@@ -117,6 +122,16 @@
     epoch: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class MembersChanged:
+    """The members that a claim is based on are not those in the log.
+
+    :param state: the state at the end of the log
+    """
+
+    state: 'state.ShardState' = None
+
+
 def append_claim(log, restored, name, members):
     """Append the entry that makes a process the owner of a shard.
 
@@ -148,6 +163,7 @@
         self._members = {}
         # The VM of the owner that the log showed when it was read.
         self._last_owner = ''
+        self._next_members_read = 0.0
         self._failures = 0
         self._next_attempt = 0.0
         self._stop = threading.Event()
@@ -225,9 +241,28 @@
             self._create_shard()
             return
         restored = state.restore_state(contents.ok_value)
+        self._take_members(restored)
+        self._guard.learn_epoch(restored.epoch)
+
+    def _take_members(self, restored):
         self._members = dict(restored.members)
         self._last_owner = restored.owner
-        self._guard.learn_epoch(restored.epoch)
+
+    def _reload_members(self):
+        """Read the members from the log again, at intervals.
+
+        The owner may have added many since, and those that were known may be
+        gone.
+        """
+        now = self._env.clock.read_monotonic()
+        if now < self._next_members_read:
+            return
+        self._next_members_read = now + self._env.limits.takeover
+        log = shardlog.ShardLog(self._kv, self._env.shard)
+        contents = log.read(whole=False)
+        self._log_read(contents, now)
+        if contents.is_ok():
+            self._take_members(state.restore_state(contents.ok_value))
 
     def _log_read(self, contents, began):
         """Write a log line about a read of the shard's log."""
@@ -311,7 +346,7 @@
             if not _has_heard_no_owner(self._query_member(last_owner)):
                 return
         tally = self._query_members(len(self._members))
-        if tally.unheard + 1 < len(self._members):
+        if tally.unheard + self._count_own_vote() < len(self._members):
             return
         if self._guard.epoch == epoch and not self._guard.has_seen_owner:
             self._claim('restarted', tally)
@@ -321,23 +356,38 @@
         silence = self._guard.measure_silence()
         isolated_wait = self._env.limits.takeover * ISOLATED_FACTOR
         needed = len(self._members) // 2 + 1
-        tally = self._query_members(needed - 1)
+        own_vote = self._count_own_vote()
+        tally = self._query_members(needed - own_vote)
         isolated = tally.hearing == 0 and silence >= isolated_wait
-        silent = tally.not_hearing + 1 >= needed
+        silent = tally.not_hearing + own_vote >= needed
         if not silent and not isolated:
+            if tally.hearing < needed:
+                self._reload_members()
             return
         if self._guard.epoch != epoch or not self._is_our_turn():
             # An owner may have been heard while the members were queried.
             return
         self._claim('silent' if silent else 'isolated', tally)
 
+    def _count_own_vote(self):
+        """Return 1 if this side is a member and 0 if not.
+
+        An owner adds members one by one, so it greets a new side late. Such a
+        side does not hear the owner, which is not the owner's fault.
+        """
+        return 1 if self._env.name in self._members else 0
+
     def _claim(self, reason, tally=None):
         """Claim the shard, and log why.
 
+        If the members have changed since they were asked, only takes note of
+        that.
+
         :param reason: 'requested' by the owner, all members have 'restarted',
             or the owner is 'silent' to a majority or to an 'isolated' side
         :param tally: the ``_QueryTally`` that it is based on, or None
         """
+        members = None if tally is None else self._members
         tally = tally or _QueryTally()
         extra = logs.fields(
             shard=self._env.shard,
@@ -351,11 +401,19 @@
             unheard=tally.unheard,
         )
         LOG.info('claiming shard', extra=extra)
-        self._start_owner(
-            claim_shard(
-                self._kv, self._env.shard, self._env.name, self._guard.epoch
-            )
+        claimed = claim_shard(
+            self._kv,
+            self._env.shard,
+            self._env.name,
+            self._guard.epoch,
+            members,
         )
+        if claimed.is_err() and isinstance(
+            claimed.err_value, MembersChanged
+        ):
+            self._take_members(claimed.err_value.state)
+            return
+        self._start_owner(claimed)
 
     def _start_owner(self, claimed):
         """Start the owner role if a claim succeeded, else wait."""
--- a/packages/scheduler/portwharf/scheduler/takeover_test.py
+++ b/packages/scheduler/portwharf/scheduler/takeover_test.py
@@ -10,6 +10,7 @@
 from portwharf.peers import streams
 from portwharf.scheduler import configuration
 from portwharf.scheduler import environment
+from portwharf.scheduler import events
 from portwharf.scheduler import guard
 from portwharf.scheduler import limits
 from portwharf.scheduler import takeover
@@ -96,6 +97,26 @@
         return bool(self.claims)
 
 
+class LateWatcherBench(WatcherBench):
+    """A watcher on a VM that started after the log's members were read."""
+
+    def __init__(self, answers, members=1):
+        """Take the answers, and how many members the watcher has read."""
+        super().__init__(answers)
+        self.kv, _ = fixtures.make_store()
+        claim = takeover.create_shard(self.kv, 0, 'vm-00', VMS[:members])
+        self.log = claim.ok_value.log
+        self.watcher._kv = self.kv
+        self.guard = guard.GrantGuard(self.clock, LIMITS)
+        self.watcher._guard = self.guard
+        self.watcher._load_members()
+
+    def add_members(self, first):
+        """Have the owner add the other VMs, from a number on."""
+        added = [events.MemberAdded(vm) for vm in VMS[first:]]
+        self.log.append(added)
+
+
 def make_answer(hears):
     """Return a member's answer."""
     return messages.OwnerAnswer(1, hears)
@@ -264,3 +285,51 @@
 
     threading.Thread(target=poll, daemon=True).start()
     case.assertTrue(claimed.wait(8))
+
+
+def test_side_that_is_not_added_yet_leaves_the_owner_alone(case):
+    """Else all sides that start after the first depose each other in turn."""
+    bench = LateWatcherBench({'vm-00': make_answer(True)})
+    for _ in range(10):
+        case.assertFalse(bench.poll_after(LIMITS.takeover))
+
+
+def test_side_that_is_not_added_yet_has_no_vote(case):
+    answers = {'vm-00': make_answer(False), 'vm-01': make_answer(True)}
+    bench = LateWatcherBench(answers, members=2)
+    case.assertFalse(bench.poll_after(LIMITS.takeover * 2))
+
+
+def test_side_that_is_not_added_yet_is_no_member_that_restarted(case):
+    for answers in ({}, {'vm-00': make_answer(False)}):
+        bench = LateWatcherBench(answers)
+        bench.watcher._last_owner = 'vm-03'
+        bench.watcher._take_over_all_restarted()
+        case.assertEqual(bench.claims, [])
+
+
+def test_members_added_since_the_start_of_a_side_are_asked(case):
+    """The members that it knew may be gone by the time the owner ends."""
+    bench = LateWatcherBench(make_answers(False))
+    bench.add_members(1)
+    bench.guard.accept_owner(1, 'vm-00')
+    bench.poll_after(LIMITS.takeover + 0.1)
+    case.assertTrue(bench.poll_after(0.1))
+    case.assertTrue(bench.claims[0].is_ok())
+
+
+def test_vote_of_members_that_were_since_outnumbered_does_not_count(case):
+    bench = LateWatcherBench(
+        make_answers(True) | {'vm-00': make_answer(False)}
+    )
+    bench.add_members(1)
+    for _ in range(3):
+        case.assertFalse(bench.poll_after(LIMITS.takeover))
+    case.assertEqual(len(bench.watcher._members), len(VMS))
+
+
+def test_log_is_not_read_again_while_a_majority_hears_the_owner(case):
+    bench = LateWatcherBench({'vm-00': make_answer(True)})
+    bench.watcher._kv = None
+    for _ in range(3):
+        case.assertFalse(bench.poll_after(LIMITS.takeover))
