Ask less often about an owner that lives, and leave one that writes

Callers saw nothing served after a start of 40 sides although one owner stayed for 19 s. 39 sides that it had not added yet asked its one member ten times a second each, until no answer came within the 0.5 s of a query; after eight times the takeover silence each then counted as isolated, and took the shard over from an owner that was adding members meanwhile:

claiming shard, reason isolated, silence_ms 12611, members 3, is_member false, hearing 0, not_hearing 0

Failed before:

test_owner_that_writes_is_not_replaced_by_a_side_that_hears_nobody: True is not false test_side_that_is_not_added_yet_asks_less_and_less_often: 50 not less than 25

A side now asks again after a fifth of the silence beyond its own wait, a second at most: at once while the members may differ by a heartbeat, seldom when the silence lasts. It counts as isolated only if the log has not grown for as long.

--- a/packages/scheduler/portwharf/scheduler/takeover.py
+++ b/packages/scheduler/portwharf/scheduler/takeover.py
@@ -35,6 +35,10 @@
 ISOLATED_FACTOR = 8
 _POLL_SECONDS = 0.1
 _FOUND_RETRY_SECONDS = 0.4
+# The wait until the members are asked again, as a share of the silence beyond
+# the one that starts a takeover, and its limit.
+_ASK_AGAIN_SHARE = 0.2
+_MAX_ASK_AGAIN_SECONDS = 1.0
 # Share of the usual wait for a side that has heard no owner since its start:
 # all sides may have restarted, with no owner to wait for.
 RESTARTED_WAIT_SHARE = 0.5
@@ -164,6 +168,12 @@
         # The VM of the owner that the log showed when it was read.
         self._last_owner = ''
         self._next_members_read = 0.0
+        self._next_query = 0.0
+        # The last entry that was read and when, and until when the log is
+        # known to have grown.
+        self._log_end = -1
+        self._log_end_read_at = 0.0
+        self._log_grew_at = 0.0
         self._failures = 0
         self._next_attempt = 0.0
         self._stop = threading.Event()
@@ -240,6 +250,7 @@
         if contents.ok_value.empty:
             self._create_shard()
             return
+        self._record_log_end(contents.ok_value.seq, began)
         restored = state.restore_state(contents.ok_value)
         self._take_members(restored)
         self._guard.learn_epoch(restored.epoch)
@@ -248,6 +259,13 @@
         self._members = dict(restored.members)
         self._last_owner = restored.owner
 
+    def _record_log_end(self, seq, read_at):
+        if seq != self._log_end:
+            # Grew at some time since the last reading.
+            self._log_grew_at = self._log_end_read_at
+        self._log_end = seq
+        self._log_end_read_at = read_at
+
     def _reload_members(self):
         """Read the members from the log again, at intervals.
 
@@ -262,6 +280,7 @@
         contents = log.read(whole=False)
         self._log_read(contents, now)
         if contents.is_ok():
+            self._record_log_end(contents.ok_value.seq, now)
             self._take_members(state.restore_state(contents.ok_value))
 
     def _log_read(self, contents, began):
@@ -309,6 +328,10 @@
         )
 
     def _is_our_turn(self):
+        return self._guard.measure_silence() >= self._find_own_wait()
+
+    def _find_own_wait(self):
+        """Return the silence, in seconds, after which this side acts."""
         names = [n for n in self._members if n != self._guard.owner]
         if self._env.name not in names:
             names.append(self._env.name)
@@ -320,7 +343,7 @@
             # A live owner redials at once, even after all sides have
             # restarted.
             wait *= RESTARTED_WAIT_SHARE
-        return self._guard.measure_silence() >= wait
+        return wait
 
     def _is_first_after_restart(self):
         """Tell whether to ask now whether all members have restarted.
@@ -352,23 +375,36 @@
             self._claim('restarted', tally)
 
     def _take_over(self):
+        now = self._env.clock.read_monotonic()
+        if now < self._next_query:
+            return
         epoch = self._guard.epoch
         silence = self._guard.measure_silence()
-        isolated_wait = self._env.limits.takeover * ISOLATED_FACTOR
         needed = len(self._members) // 2 + 1
         own_vote = self._count_own_vote()
         tally = self._query_members(needed - own_vote)
-        isolated = tally.hearing == 0 and silence >= isolated_wait
+        isolated = tally.hearing == 0 and self._is_isolated(silence, now)
         silent = tally.not_hearing + own_vote >= needed
         if not silent and not isolated:
             if tally.hearing < needed:
                 self._reload_members()
+            wait = _ASK_AGAIN_SHARE * (silence - self._find_own_wait())
+            wait = min(wait, _MAX_ASK_AGAIN_SECONDS)
+            self._next_query = self._env.clock.read_monotonic() + wait
             return
         if self._guard.epoch != epoch or not self._is_our_turn():
             # An owner may have been heard while the members were queried.
             return
         self._claim('silent' if silent else 'isolated', tally)
 
+    def _is_isolated(self, silence, now):
+        """Tell whether to take over without an answer of any member.
+
+        Not while the log grows, as its owner is at work then.
+        """
+        wait = self._env.limits.takeover * ISOLATED_FACTOR
+        return silence >= wait and now - self._log_grew_at >= wait
+
     def _count_own_vote(self):
         """Return 1 if this side is a member and 0 if not.
 
@@ -408,9 +444,7 @@
             self._guard.epoch,
             members,
         )
-        if claimed.is_err() and isinstance(
-            claimed.err_value, MembersChanged
-        ):
+        if claimed.is_err() and isinstance(claimed.err_value, MembersChanged):
             self._take_members(claimed.err_value.state)
             return
         self._start_owner(claimed)
--- a/packages/scheduler/portwharf/scheduler/takeover_test.py
+++ b/packages/scheduler/portwharf/scheduler/takeover_test.py
@@ -333,3 +333,36 @@
     bench.watcher._kv = None
     for _ in range(3):
         case.assertFalse(bench.poll_after(LIMITS.takeover))
+
+
+def test_owner_that_writes_is_not_replaced_by_a_side_that_hears_nobody(case):
+    """Its queries may time out because many sides ask at the same time."""
+    bench = LateWatcherBench({})
+    for number in range(1, len(VMS)):
+        bench.log.append([events.MemberAdded(VMS[number])])
+        for _ in range(takeover.ISOLATED_FACTOR // 2):
+            case.assertFalse(bench.poll_after(LIMITS.takeover))
+    isolated_wait = LIMITS.takeover * takeover.ISOLATED_FACTOR
+    case.assertTrue(bench.poll_after(isolated_wait))
+
+
+def test_side_that_is_not_added_yet_asks_less_and_less_often(case):
+    """A hundred of them would keep the members from following their owner."""
+    bench = LateWatcherBench({'vm-00': make_answer(True)})
+    bench.clock.advance(LIMITS.takeover)
+    asked = []
+    for _ in range(2):
+        bench.conns.clear()
+        for _ in range(50):
+            bench.poll_after(0.1)
+        asked.append(len(bench.conns))
+    case.assertLess(asked[0], 25)
+    case.assertLess(asked[1], 10)
+
+
+def test_side_asks_again_at_once_after_the_first_refusal(case):
+    """Members that heard the owner last may do so a moment longer."""
+    bench = WatcherBench(make_answers(True))
+    case.assertFalse(bench.poll_after(LIMITS.takeover + 0.05))
+    bench.answers = make_answers(False)
+    case.assertTrue(bench.poll_after(0.1))
