Add the VMs of one list without reading it for each

An owner with one member took 15 s to add 39 that had started after it, and longer on a loaded machine; until then their VMs got no work, and nothing was served. A reading that came while no majority had acknowledged the owner yet was dropped, and the next came 5 s later. Failed before:

test_vms_of_one_list_are_added_without_reading_it_for_each: 4 != 1 test_vms_that_wait_for_a_majority_are_added_once_there_is_one: 3 != 4 test_owner_does_not_wait_for_input_while_it_adds_members: None not found

The members still change by one an entry under a majority, as the proof needs, but in passes that follow each other at once, by the list that was read last.

--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -56,7 +56,14 @@
     """Makes the decisions of one owner."""
 
     def __init__(
-        self, env, state, grant_table, health, advisor=None, timer=None
+        self,
+        env,
+        state,
+        grant_table,
+        health,
+        advisor=None,
+        timer=None,
+        wake=None,
     ):
         """Take the owner's environment and state.
 
@@ -66,7 +73,9 @@
         :param health: a ``health.WorkerHealthTracker``
         :param advisor: a ``policy.TicketCache``, or None
         :param timer: a ``pass_timing.PassTimer``, or None
+        :param wake: function that has the next pass begin at once, or None
         """
+        self._wake = wake or (lambda: None)
         self._timer = timer or pass_timing.PassTimer(env.clock)
         self._advisor = advisor
         self._env = env
@@ -450,6 +459,8 @@
         if event is not None:
             self._apply_event(batch, event)
             self._grants.set_members(self._state.members)
+            # The next pass may change another member.
+            batch.after_commit.append(self._wake)
 
     def _requeue_lost_tasks(self, batch):
         """Requeue the tasks of lost VMs.
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -78,6 +78,8 @@
         # This shard's VMs as last read from the VM list and not yet processed,
         # or None.
         self._unprocessed_vms = None
+        # The same, from the processing on until the members match, or None.
+        self._wanted_vms = None
         self._began = env.clock.read_monotonic()
 
     def close(self):
@@ -311,22 +313,24 @@
             )
 
     def pop_member_change(self, now):
-        """Process the VM list that was read last.
+        """Compare the members with the VM list that was read last.
+
+        The members change by one an entry, so a list may take many passes.
 
         :returns: an event that adds or removes one member, or None
         """
         shard_vms, self._unprocessed_vms = self._unprocessed_vms, None
-        if shard_vms is None:
-            return None
-        self._listed = {vm.name: vm for vm in shard_vms}
-        self._listed_at.update((vm.name, now) for vm in shard_vms)
-        if not self._grants.has_majority(now):
+        if shard_vms is not None:
+            self._listed = {vm.name: vm for vm in shard_vms}
+            self._listed_at.update((vm.name, now) for vm in shard_vms)
+            self._wanted_vms = shard_vms
+        if self._wanted_vms is None or not self._grants.has_majority(now):
             # Only an owner that a majority has confirmed may change the list,
             # so that the majorities of two owners always overlap.
             return None
-        event = self._find_change(shard_vms, now)
-        if event is not None:
-            self._next_list_read = now
+        event = self._find_change(self._wanted_vms, now)
+        if event is None:
+            self._wanted_vms = None
         return event
 
     def _find_change(self, shard_vms, now):
--- a/packages/scheduler/portwharf/scheduler/membership_test.py
+++ b/packages/scheduler/portwharf/scheduler/membership_test.py
@@ -11,6 +11,7 @@
 from portwharf.scheduler import members
 from portwharf.scheduler import membership
 from portwharf.testing import cluster
+from portwharf.testing import fixtures
 
 SMALL = data.Resources(400, 400)
 
@@ -202,3 +203,73 @@
     (view,) = node.owner._members.view_vms()
     (told,) = node.owner.list_links()[0].view.headrooms
     case.assertEqual(view.headrooms, {'desk': told.room})
+
+
+def add_vms_to_list(made, count):
+    """Start sides on new VMs of the VM list.
+
+    :returns: function that runs the cluster until the owner has read it, and
+        list with an element for each reading
+    """
+    for number in range(len(made.nodes), len(made.nodes) + count):
+        vm = fixtures.make_vm(number)
+        made.listing.vms.append(vm)
+        made.nodes.append(cluster.Node(made, vm, 1.0))
+    reads = []
+    read_list = made.listing.read
+
+    def read():
+        reads.append(1)
+        return read_list()
+
+    def run_until_read():
+        while not reads:
+            made.tick(0.1)
+
+    made.listing.read = read
+    return run_until_read, reads
+
+
+def test_vms_of_one_list_are_added_without_reading_it_for_each(case):
+    """A hundred new VMs would cost as many readings, and their time."""
+    made = cluster.Cluster(5)
+    made.run(4)
+    run_until_read, reads = add_vms_to_list(made, 3)
+    owner = made.nodes[0].owner
+    run_until_read()
+    made.run(0.5, step=0.1)
+    case.assertEqual(len(owner._state.members), 8)
+    case.assertEqual(len(reads), 1)
+
+
+def test_owner_does_not_wait_for_input_while_it_adds_members(case):
+    made = cluster.Cluster(5)
+    made.run(4)
+    run_until_read, _ = add_vms_to_list(made, 1)
+    owner = made.nodes[0].owner
+    take_items, taken = owner.take_items, []
+
+    def take_and_record():
+        taken.extend(take_items())
+        return []
+
+    owner.take_items = take_and_record
+    run_until_read()
+    case.assertEqual(len(owner._state.members), 6)
+    case.assertIn(None, taken)
+
+
+def test_vms_that_wait_for_a_majority_are_added_once_there_is_one(case):
+    """Not only after the list is read again, five seconds later."""
+    made = cluster.Cluster(3)
+    made.run(4)
+    run_until_read, reads = add_vms_to_list(made, 1)
+    owner = made.nodes[0].owner
+    has_majority = owner._grants.has_majority
+    owner._grants.has_majority = lambda now: False
+    run_until_read()
+    case.assertEqual(len(owner._state.members), 3)
+    owner._grants.has_majority = has_majority
+    made.run(0.5, step=0.1)
+    case.assertEqual(len(owner._state.members), 4)
+    case.assertEqual(len(reads), 1)
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -90,9 +90,7 @@
         self._snapshot_seq = log.next_seq
         worker_health = health.WorkerHealthTracker()
         self._grants = grants.GrantTable(state.members, env.limits)
-        self._advisor = policy.TicketCache(
-            env.policy, env.clock, lambda: self._inbox.put(None)
-        )
+        self._advisor = policy.TicketCache(env.policy, env.clock, self._wake)
         self._timer = pass_timing.PassTimer(env.clock)
         self._decider = decider.Decider(
             env,
@@ -101,6 +99,7 @@
             worker_health,
             self._advisor,
             self._timer,
+            self._wake,
         )
         self._interference = interference_updates.InterferenceTracker()
         self._members = membership.Membership(
@@ -310,6 +309,10 @@
         """Queue a changing call of an operator."""
         self._inbox.put(call)
 
+    def _wake(self):
+        """Have the deciding thread begin a pass without other input."""
+        self._inbox.put(None)
+
     # The deciding thread.
 
     def _run(self):
