A side hears the owner that greets it before it has read its epoch

Callers saw nothing served for 40 s after a start of 40 sides: a new owner was deposed within a second, although all its 18 members followed it 0.1 s after it had taken the shard over:

21:07:39.759 took over shard, epoch 1, members 18 21:07:39.877 the last of 18 'following owner', epoch 1 21:07:40.806 claiming shard, reason silent, not_hearing 10, hearing 0

Reading the log took these sides 0.7 to 1.6 s, or failed. Until then a side obeys no owner, as it may have known a newer one before its start, and it also said that it did not hear the one that had greeted it. Failed before:

test_side_that_has_not_read_its_epoch_hears_who_greets_it AssertionError: False is not true

It is asked whether the owner lives, and that it can tell. It still obeys and acknowledges nothing, so the owner has no majority of such sides.

--- a/packages/scheduler/portwharf/scheduler/grants_test.py
+++ b/packages/scheduler/portwharf/scheduler/grants_test.py
@@ -138,6 +138,17 @@
     case.assertFalse(made.accept_owner(4, 'vm-1'))
 
 
+def test_side_that_has_not_read_its_epoch_hears_who_greets_it(case):
+    """Else members that have just started vote against a new owner."""
+    made, now = make_guard(epoch=None)
+    case.assertFalse(made.is_owner_alive(0))
+    made.accept_owner(4, 'vm-1')
+    case.assertTrue(made.is_owner_alive(4))
+    case.assertFalse(made.is_owner_alive(5))
+    now.advance(LIMITS.takeover)
+    case.assertFalse(made.is_owner_alive(4))
+
+
 def test_owner_is_heard_until_the_takeover_limit(case):
     made, now = make_guard()
     case.assertFalse(made.is_owner_alive(3))
--- a/packages/scheduler/portwharf/scheduler/guard.py
+++ b/packages/scheduler/portwharf/scheduler/guard.py
@@ -119,9 +119,12 @@
             self._last_heard = min(self._last_heard, heard)
 
     def is_owner_alive(self, epoch):
-        """Tell whether the owner of an epoch, or a newer one, is heard."""
+        """Tell whether the owner of an epoch, or a newer one, is heard.
+
+        It may be before this side has read its epoch, and so does not obey it.
+        """
         with self._lock:
-            if self._forgetful or self._epoch < epoch:
+            if self._epoch < epoch:
                 return False
             if self._last_heard is None:
                 return False
--- a/packages/scheduler/portwharf/scheduler/takeover.py
+++ b/packages/scheduler/portwharf/scheduler/takeover.py
@@ -537,7 +537,8 @@
     def count(self, answer):
         """Count an answer; a missing answer counts for neither side.
 
-        A member that has restarted does not hear the owner.
+        A member that has restarted does not hear the owner until it has been
+        greeted again.
         """
         if not isinstance(answer, messages.OwnerAnswer):
             return
