Give an owner its time from when a side knows of it

In the same soak a side that had read the log at last, 3.9 s after its start, claimed the shard 0.3 s after another had taken it over:

21:07:41.132 took over shard, epoch 2 21:07:41.424 claiming shard, epoch 2, reason silent, silence_ms 3853

It counted the silence from its own start. Where members need longer than the wait to follow, each candidate in turn found that none did. Failed before:

test_owner_gets_the_whole_wait_once_a_side_knows_of_it: True is not false test_owners_that_were_never_heard_get_more_and_more_time: [2.2, 2.2, 2.2, 2.2, 2.2] != [2.2, 4.4, 8.8, 8.8, 8.8]

The wait begins again whenever a side reads of an owner, and doubles, twice at the most, with each further owner in a row that it has not heard. The first owner after one that was heard is waited for as before, so a dead owner is replaced as soon.

--- a/packages/scheduler/portwharf/scheduler/takeover.py
+++ b/packages/scheduler/portwharf/scheduler/takeover.py
@@ -42,6 +42,9 @@
 # Share of the usual wait for a side that has heard no owner since its start:
 # all sides may have restarted, with no owner to wait for.
 RESTARTED_WAIT_SHARE = 0.5
+# Limit of the factor on the wait for an owner after several that were not
+# heard.
+MAX_UNHEARD_FACTOR = 4
 _MAX_CLAIM_ATTEMPTS = 3
 _QUERY_THREADS = 16
 # Timeout of a query to one member.
@@ -168,6 +171,8 @@
         # The VM of the owner that the log showed when it was read.
         self._last_owner = ''
         self._next_members_read = 0.0
+        # Owners in a row that this side knows of from the log alone.
+        self._unheard_owners = 0
         self._next_query = 0.0
         # The last entry that was read and when, and until when the log is
         # known to have grown.
@@ -254,6 +259,7 @@
         restored = state.restore_state(contents.ok_value)
         self._take_members(restored)
         self._guard.learn_epoch(restored.epoch)
+        self._guard.restart_wait()
 
     def _take_members(self, restored):
         self._members = dict(restored.members)
@@ -281,7 +287,18 @@
         self._log_read(contents, now)
         if contents.is_ok():
             self._record_log_end(contents.ok_value.seq, now)
-            self._take_members(state.restore_state(contents.ok_value))
+            restored = state.restore_state(contents.ok_value)
+            self._take_members(restored)
+            if restored.epoch > self._guard.epoch:
+                self._follow_log(restored.epoch)
+
+    def _follow_log(self, epoch):
+        """Wait for the owner of a newer epoch, which will dial this side."""
+        self._unheard_owners += 1
+        if self._guard.owner:
+            self._unheard_owners = 0
+        self._guard.learn_epoch(epoch)
+        self._guard.restart_wait()
 
     def _log_read(self, contents, began):
         """Write a log line about a read of the shard's log."""
@@ -343,6 +360,8 @@
             # A live owner redials at once, even after all sides have
             # restarted.
             wait *= RESTARTED_WAIT_SHARE
+        if not self._guard.owner:
+            wait *= min(2**self._unheard_owners, MAX_UNHEARD_FACTOR)
         return wait
 
     def _is_first_after_restart(self):
@@ -453,12 +472,10 @@
         """Start the owner role if a claim succeeded, else wait."""
         if claimed.is_err():
             if isinstance(claimed.err_value, OwnedByOther):
-                # Another side took over first and will dial this one.
                 taken = claimed.err_value.epoch
                 extra = logs.fields(shard=self._env.shard, epoch=taken)
                 LOG.info('shard claimed by another side', extra=extra)
-                self._guard.learn_epoch(taken)
-                self._guard.restart_wait()
+                self._follow_log(taken)
             else:
                 self._back_off()
             return
--- a/packages/scheduler/portwharf/scheduler/takeover_test.py
+++ b/packages/scheduler/portwharf/scheduler/takeover_test.py
@@ -4,6 +4,8 @@
 
 import threading
 
+import result
+
 from portwharf.core import clock
 from portwharf.core import ids
 from portwharf.peers import messages
@@ -366,3 +368,30 @@
     case.assertFalse(bench.poll_after(LIMITS.takeover + 0.05))
     bench.answers = make_answers(False)
     case.assertTrue(bench.poll_after(0.1))
+
+
+def test_owner_gets_the_whole_wait_once_a_side_knows_of_it(case):
+    """A side may read the log long after its start, or after it ended."""
+    bench = LateWatcherBench(make_answers(False), members=len(VMS))
+    for _ in range(2):
+        bench.clock.advance(10 * LIMITS.takeover)
+        bench.watcher._load_members()
+        case.assertFalse(bench.poll_after(0))
+
+
+def test_owners_that_were_never_heard_get_more_and_more_time(case):
+    """Their members may need longer than that to follow them."""
+    bench = LateWatcherBench(make_answers(False), members=len(VMS))
+    bench.guard.accept_owner(1, 'vm-00')
+    start_owner = takeover.OwnerWatcher._start_owner
+    waits = []
+    for epoch in range(2, 7):
+        lost = result.Err(takeover.OwnedByOther(epoch))
+        start_owner(bench.watcher, lost)
+        waits.append(bench.watcher._find_own_wait())
+    first = waits[0]
+    case.assertEqual(
+        waits, [first, 2 * first, 4 * first, 4 * first, 4 * first]
+    )
+    bench.guard.accept_owner(6, 'vm-03')
+    case.assertEqual(bench.watcher._find_own_wait(), first)
