Keep the members that a side knows up to date

After all connections of a soak of 40 sides had gone silent, it took 10 s until one side had taken the shard over. Each still had the members that it had read at its start, 4 or 7 of 40, so nearly all ranked themselves among the first in line. They claimed together, each reading the whole log, which took up to 6.5 s:

21:12:13.7 the owner is last heard 21:12:15.045 to 16.395 29 times 'claiming shard', members 4 to 7 21:12:23.307 took over shard, epoch 2, members 40

A grant now carries a hash of the members as the owner knows them. A side whose own list has another reads the log again, at a random time within 5 s, as all sides see the change at once. Without the hash, from an owner of an older version, a side does as before. New tests: test_side_reads_the_members_again_once_the_owner_has_others, test_grants_tell_sides_that_the_members_have_changed.

--- a/packages/peers/portwharf/peers/messages.py
+++ b/packages/peers/portwharf/peers/messages.py
@@ -237,12 +237,14 @@
     :param side_ms: copied from the heartbeat
     :param owner_ms: the owner's clock when this was sent
     :param valid: the owner may grant, and the side's tasks may go on
+    :param members_hash: hash of the shard's members, as the owner knows them
     """
 
     side_ms: int = 0
     owner_ms: int = 0
     epoch: int = 0
     valid: bool = False
+    members_hash: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -63,7 +63,7 @@
         health,
         advisor=None,
         timer=None,
-        wake=None,
+        on_member_change=None,
     ):
         """Take the owner's environment and state.
 
@@ -73,9 +73,10 @@
         :param health: a ``health.WorkerHealthTracker``
         :param advisor: a ``policy.TicketCache``, or None
         :param timer: a ``pass_timing.PassTimer``, or None
-        :param wake: function that has the next pass begin at once, or None
+        :param on_member_change: function called after a member was added or
+            removed, or None
         """
-        self._wake = wake or (lambda: None)
+        self._on_member_change = on_member_change or (lambda: None)
         self._timer = timer or pass_timing.PassTimer(env.clock)
         self._advisor = advisor
         self._env = env
@@ -459,8 +460,7 @@
         if event is not None:
             self._apply_event(batch, event)
             self._grants.set_members(self._state.members)
-            # The next pass may change another member.
-            batch.after_commit.append(self._wake)
+            batch.after_commit.append(self._on_member_change)
 
     def _requeue_lost_tasks(self, batch):
         """Requeue the tasks of lost VMs.
--- a/packages/scheduler/portwharf/scheduler/guard.py
+++ b/packages/scheduler/portwharf/scheduler/guard.py
@@ -29,6 +29,7 @@
         self._granted_until = 0.0
         self._last_heard = None
         self._requested_epoch = 0
+        self._members_hash = 0
         self._wait_began = clock.read_monotonic()
 
     @property
@@ -41,6 +42,11 @@
         """The VM of the owner in that epoch, or ''."""
         return self._owner
 
+    @property
+    def members_hash(self):
+        """Hash of the members as the owner last told it, or 0."""
+        return self._members_hash
+
     @property
     def epoch_unknown(self):
         """Whether the side has restarted and not yet read its epoch.
@@ -69,15 +75,17 @@
             self._last_heard = self._clock.read_monotonic()
             return True
 
-    def accept_grant(self, epoch, sent_at, valid):
+    def accept_grant(self, epoch, sent_at, valid, members_hash=0):
         """Record the answer to a heartbeat.
 
         :param sent_at: the clock of the side when the heartbeat was sent
         :param valid: whether exclusive tasks may go on because of it
+        :param members_hash: hash of the members that the owner knows
         """
         with self._lock:
             if epoch != self._epoch:
                 return
+            self._members_hash = members_hash
             self._last_heard = self._clock.read_monotonic()
             if valid and not self._forgetful:
                 until = sent_at + self._limits.guard
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -8,6 +8,8 @@
 
 import collections
 
+import xxhash
+
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.peers import streams
@@ -40,6 +42,15 @@
 CLOSED_ZONE = messages.REFUSED_ZONE
 
 
+def hash_members(members):
+    """Return a number that tells lists of members apart.
+
+    :param members: map of ``data.Vm`` by name
+    """
+    rows = [f'{vm.name} {vm.address} {vm.port}' for vm in members.values()]
+    return xxhash.xxh32_intdigest('\n'.join(sorted(rows)).encode())
+
+
 class Membership:
     """The members of one shard, as seen by its owner."""
 
--- a/packages/scheduler/portwharf/scheduler/membership_test.py
+++ b/packages/scheduler/portwharf/scheduler/membership_test.py
@@ -291,3 +291,18 @@
     made.run(membership.VM_LIST_RETRY_SECONDS + 0.2, step=0.1)
     case.assertEqual(len(reads), 2)
     case.assertEqual(len(made.nodes[0].owner._state.members), 4)
+
+
+def test_grants_tell_sides_that_the_members_have_changed(case):
+    made = cluster.Cluster(3)
+    made.run(4)
+    owner = made.nodes[0].owner
+    before = owner.make_grant('vm-00', 0).members_hash
+    case.assertEqual(owner.make_grant('vm-01', 0).members_hash, before)
+    run_until_read, _ = add_vms_to_list(made, 1)
+    run_until_read()
+    made.run(1, step=0.1)
+    told = owner.make_grant('vm-00', 0).members_hash
+    case.assertNotEqual(told, before)
+    case.assertEqual(made.nodes[1].guard.members_hash, told)
+    case.assertEqual(told, membership.hash_members(owner._state.members))
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -88,6 +88,7 @@
         self._next_append = 0.0
         self._next_store_check = 0.0
         self._snapshot_seq = log.next_seq
+        self._members_hash = membership.hash_members(state.members)
         worker_health = health.WorkerHealthTracker()
         self._grants = grants.GrantTable(state.members, env.limits)
         self._advisor = policy.TicketCache(env.policy, env.clock, self._wake)
@@ -99,7 +100,7 @@
             worker_health,
             self._advisor,
             self._timer,
-            self._wake,
+            self._handle_member_change,
         )
         self._interference = interference_updates.InterferenceTracker()
         self._members = membership.Membership(
@@ -208,7 +209,11 @@
         valid = side_ms > 0 and not self.deposed.is_set()
         valid = valid and self._grants.grant(member, now)
         return messages.Grant(
-            side_ms, int(now * _MS_PER_SECOND), self.epoch, valid
+            side_ms,
+            int(now * _MS_PER_SECOND),
+            self.epoch,
+            valid,
+            self._members_hash,
         )
 
     def make_zones(self):
@@ -313,6 +318,11 @@
         """Have the deciding thread begin a pass without other input."""
         self._inbox.put(None)
 
+    def _handle_member_change(self):
+        self._members_hash = membership.hash_members(self._state.members)
+        # The next pass may change another member.
+        self._wake()
+
     # The deciding thread.
 
     def _run(self):
--- a/packages/scheduler/portwharf/scheduler/takeover.py
+++ b/packages/scheduler/portwharf/scheduler/takeover.py
@@ -24,6 +24,7 @@
 from portwharf.peers import streams
 from portwharf.scheduler.decisions import pass_inputs
 from portwharf.scheduler import events
+from portwharf.scheduler import membership
 from portwharf.scheduler import owner
 from portwharf.scheduler import shardlog
 from portwharf.scheduler import state
@@ -45,6 +46,10 @@
 # Limit of the factor on the wait for an owner after several that were not
 # heard.
 MAX_UNHEARD_FACTOR = 4
+# Range of the random delay before a side reads the members again, as all sides
+# learn of a change at the same time.
+_MIN_REFRESH_SECONDS = 1.0
+_MAX_REFRESH_SECONDS = 5.0
 _MAX_CLAIM_ATTEMPTS = 3
 _QUERY_THREADS = 16
 # Timeout of a query to one member.
@@ -170,6 +175,9 @@
         self._members = {}
         # The VM of the owner that the log showed when it was read.
         self._last_owner = ''
+        self._members_hash = 0
+        # When the members are read again as the owner has others, or None.
+        self._refresh_at = None
         self._next_members_read = 0.0
         # Owners in a row that this side knows of from the log alone.
         self._unheard_owners = 0
@@ -214,6 +222,8 @@
                 self._claim('requested')
             elif self._is_our_turn():
                 self._take_over()
+            elif self._is_refresh_due():
+                self._reload_members()
             elif self._is_first_after_restart():
                 self._take_over_all_restarted()
         self._stop_owner()
@@ -263,8 +273,28 @@
 
     def _take_members(self, restored):
         self._members = dict(restored.members)
+        self._members_hash = membership.hash_members(self._members)
         self._last_owner = restored.owner
 
+    def _is_refresh_due(self):
+        """Tell whether to read the members again, as the owner has others.
+
+        A side that ranks itself among former members would act too early or
+        too late once the owner ends.
+        """
+        now = self._env.clock.read_monotonic()
+        if self._guard.members_hash in (0, self._members_hash):
+            self._refresh_at = None
+            return False
+        if self._refresh_at is None:
+            self._refresh_at = now + random.uniform(
+                _MIN_REFRESH_SECONDS, _MAX_REFRESH_SECONDS
+            )
+        if now < self._refresh_at:
+            return False
+        self._refresh_at = None
+        return True
+
     def _record_log_end(self, seq, read_at):
         if seq != self._log_end:
             # Grew at some time since the last reading.
@@ -481,7 +511,7 @@
             return
         self._failures = 0
         claim = claimed.ok_value
-        self._members = dict(claim.state.members)
+        self._take_members(claim.state)
         extra = logs.fields(
             shard=self._env.shard,
             epoch=claim.state.epoch,
--- a/packages/scheduler/portwharf/scheduler/takeover_test.py
+++ b/packages/scheduler/portwharf/scheduler/takeover_test.py
@@ -15,6 +15,7 @@
 from portwharf.scheduler import events
 from portwharf.scheduler import guard
 from portwharf.scheduler import limits
+from portwharf.scheduler import membership
 from portwharf.scheduler import takeover
 from portwharf.scheduler import zones
 from portwharf.testing import fixtures
@@ -395,3 +396,20 @@
     )
     bench.guard.accept_owner(6, 'vm-03')
     case.assertEqual(bench.watcher._find_own_wait(), first)
+
+
+def test_side_reads_the_members_again_once_the_owner_has_others(case):
+    """With a short list, all sides count as first in line for a takeover."""
+    bench = LateWatcherBench({})
+    bench.add_members(1)
+    bench.guard.accept_owner(1, 'vm-00')
+    told = membership.hash_members({vm.name: vm for vm in VMS})
+    due = []
+    for _ in range(60):
+        bench.clock.advance(0.1)
+        bench.guard.accept_grant(1, 0.0, True, told)
+        if bench.watcher._is_refresh_due():
+            due.append(1)
+            bench.watcher._reload_members()
+    case.assertEqual(len(due), 1)
+    case.assertEqual(len(bench.watcher._members), len(VMS))
--- a/packages/side/portwharf/side/server.py
+++ b/packages/side/portwharf/side/server.py
@@ -158,7 +158,10 @@
                     'epoch of the grant differs from that of the greeting'
                 )
             self._guard.accept_grant(
-                message.epoch, message.side_ms / _MS_PER_SECOND, message.valid
+                message.epoch,
+                message.side_ms / _MS_PER_SECOND,
+                message.valid,
+                message.members_hash,
             )
             self.agent.take_grant(message)
         elif isinstance(message, messages.Resignation):
