Soak: let the pages of the store grow with the sides

After the owner of a soak of 40 sides was lost, none took over for 80 s: the log had 48 entries, which the fake store returns three a page. A reading took 5 to 9 s or failed, as one of its calls exceeded 0.8 s, and all sides read at once (load 50 on 16 cores; the run was ended). The platform's pages have about 500.

The store itself takes 1 to 2 ms a call, 47 ms at worst of 99%, but its process also has the relays and the runners, 1400 threads under one interpreter lock. Worlds of up to seven sides keep pages of three.

--- a/packages/testing/portwharf/testing/platform_store.py
+++ b/packages/testing/portwharf/testing/platform_store.py
@@ -40,8 +40,13 @@
     :ivar rewrite: function of key and value that returns the value to store
     """
 
-    def __init__(self):
+    def __init__(self, page_items=PAGE_ITEMS):
+        """Create an empty store.
+
+        :param page_items: how many items a range request returns at most
+        """
         self.faults = Faults()
+        self._page_items = page_items
         self.calls = []
         self.rewrite = lambda key, value: value
         self._condition = threading.Condition()
@@ -105,8 +110,8 @@
             for key in self._items
             if key.startswith(query['pathPrefix']) and key >= start
         )
-        items = [self._items[key] for key in keys[:PAGE_ITEMS]]
-        more = len(keys) > PAGE_ITEMS
+        items = [self._items[key] for key in keys[: self._page_items]]
+        more = len(keys) > self._page_items
         return 200, {'items': items, 'more': more, 'at': self._revision}
 
     def _kv_txn(self, query, body, path_argument):
--- a/packages/testing/portwharf/testing/soak_world.py
+++ b/packages/testing/portwharf/testing/soak_world.py
@@ -99,7 +99,10 @@
         self._folder = pathlib.Path(folder)
         self._network = network
         self._stack = contextlib.ExitStack()
-        self.store = platform_store.FakePlatformStore()
+        # Pages of three items let a reading of the log of many sides take
+        # seconds, which the platform's pages of 500 do not.
+        page_items = max(platform_store.PAGE_ITEMS, side_count // 2)
+        self.store = platform_store.FakePlatformStore(page_items)
         self.store.rewrite = self._replace_port
         self.programs = {}
 
