--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -8,6 +8,8 @@
 
 import collections
 
+import xxhash
+
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.peers import streams
@@ -29,6 +31,8 @@
 # start, and the half second over which a worker measures.
 MEASURE_SECONDS = 0.8
 VM_LIST_INTERVAL_SECONDS = 5.0
+# The same after a reading that failed.
+VM_LIST_RETRY_SECONDS = 1.0
 
 CLOSED_UNREACHABLE = 'unreachable'
 CLOSED_NOT_READY = 'not-ready-yet'
@@ -37,6 +41,15 @@
 CLOSED_ZONE = messages.REFUSED_ZONE
 
 
+def hash_members(members):
+    """Return a number that tells lists of members apart.
+
+    :param members: map of ``data.Vm`` by name
+    """
+    rows = [f'{vm.name} {vm.address} {vm.port}' for vm in members.values()]
+    return xxhash.xxh32_intdigest('\n'.join(sorted(rows)).encode())
+
+
 class Membership:
     """The members of one shard, as seen by its owner."""
 
@@ -77,6 +90,8 @@
         # This shard's VMs as last read from the VM list and not yet processed,
         # or None.
         self._unprocessed_vms = None
+        # The same, from the processing on until the members match, or None.
+        self._wanted_vms = None
         self._began = env.clock.read_monotonic()
 
     def close(self):
@@ -297,30 +312,34 @@
         """
         if now < self._next_list_read:
             return
-        self._next_list_read = now + VM_LIST_INTERVAL_SECONDS
         answer = self._env.vmlist.read()
-        if answer.is_ok():
-            self._unprocessed_vms = pass_inputs.list_endpoint_vms(
-                answer.ok_value, self._env.shard
-            )
+        if answer.is_err():
+            self._next_list_read = now + VM_LIST_RETRY_SECONDS
+            return
+        self._next_list_read = now + VM_LIST_INTERVAL_SECONDS
+        self._unprocessed_vms = pass_inputs.list_endpoint_vms(
+            answer.ok_value, self._env.shard
+        )
 
     def pop_member_change(self, now):
-        """Process the VM list that was read last.
+        """Compare the members with the VM list that was read last.
+
+        The members change by one an entry, so a list may take many passes.
 
         :returns: an event that adds or removes one member, or None
         """
         shard_vms, self._unprocessed_vms = self._unprocessed_vms, None
-        if shard_vms is None:
-            return None
-        self._listed = {vm.name: vm for vm in shard_vms}
-        self._listed_at.update((vm.name, now) for vm in shard_vms)
-        if not self._grants.has_majority(now):
+        if shard_vms is not None:
+            self._listed = {vm.name: vm for vm in shard_vms}
+            self._listed_at.update((vm.name, now) for vm in shard_vms)
+            self._wanted_vms = shard_vms
+        if self._wanted_vms is None or not self._grants.has_majority(now):
             # Only an owner that a majority has confirmed may change the list,
             # so that the majorities of two owners always overlap.
             return None
-        event = self._find_change(shard_vms, now)
-        if event is not None:
-            self._next_list_read = now
+        event = self._find_change(self._wanted_vms, now)
+        if event is None:
+            self._wanted_vms = None
         return event
 
     def _find_change(self, shard_vms, now):
--- a/packages/scheduler/portwharf/scheduler/takeover.py
+++ b/packages/scheduler/portwharf/scheduler/takeover.py
@@ -24,6 +24,7 @@
 from portwharf.peers import streams
 from portwharf.scheduler.decisions import pass_inputs
 from portwharf.scheduler import events
+from portwharf.scheduler import membership
 from portwharf.scheduler import owner
 from portwharf.scheduler import shardlog
 from portwharf.scheduler import state
@@ -35,9 +36,20 @@
 ISOLATED_FACTOR = 8
 _POLL_SECONDS = 0.1
 _FOUND_RETRY_SECONDS = 0.4
+# The wait until the members are asked again, as a share of the silence beyond
+# the one that starts a takeover, and its limit.
+_ASK_AGAIN_SHARE = 0.2
+_MAX_ASK_AGAIN_SECONDS = 1.0
 # Share of the usual wait for a side that has heard no owner since its start:
 # all sides may have restarted, with no owner to wait for.
 RESTARTED_WAIT_SHARE = 0.5
+# Limit of the factor on the wait for an owner after several that were not
+# heard.
+MAX_UNHEARD_FACTOR = 4
+# Range of the random delay before a side reads the members again, as all sides
+# learn of a change at the same time.
+_MIN_REFRESH_SECONDS = 1.0
+_MAX_REFRESH_SECONDS = 5.0
 _MAX_CLAIM_ATTEMPTS = 3
 _QUERY_THREADS = 16
 # Timeout of a query to one member.
@@ -92,13 +104,16 @@
     return append_claim(log, state.ShardState(), name, members)
 
 
-def claim_shard(kv, shard, name, max_epoch=None):
+def claim_shard(kv, shard, name, max_epoch=None, members=None):
     """Try once to become a shard's owner, by one append to its log.
 
     Safe at any time, as only the log decides who is the owner.
 
     :param max_epoch: give up if the log shows a higher epoch than this
-    :returns: Ok(Claim), Err(StoreError), or Err(OwnedByOther)
+    :param members: give up if the log shows other members than these, a map
+        of ``data.Vm`` by name; None to accept any
+    :returns: Ok(Claim), Err(StoreError), Err(OwnedByOther), or
+        Err(MembersChanged)
     """
     log = shardlog.ShardLog(kv, shard)
     contents = log.read()
@@ -107,6 +122,8 @@
     restored = state.restore_state(contents.ok_value)
     if max_epoch is not None and restored.epoch > max_epoch:
         return result.Err(OwnedByOther(restored.epoch))
+    if members is not None and restored.members != members:
+        return result.Err(MembersChanged(restored))
     return append_claim(log, restored, name, [])
 
 
@@ -117,6 +134,16 @@
     epoch: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class MembersChanged:
+    """The members that a claim is based on are not those in the log.
+
+    :param state: the state at the end of the log
+    """
+
+    state: 'state.ShardState' = None
+
+
 def append_claim(log, restored, name, members):
     """Append the entry that makes a process the owner of a shard.
 
@@ -148,6 +175,18 @@
         self._members = {}
         # The VM of the owner that the log showed when it was read.
         self._last_owner = ''
+        self._members_hash = 0
+        # When the members are read again as the owner has others, or None.
+        self._refresh_at = None
+        self._next_members_read = 0.0
+        # Owners in a row that this side knows of from the log alone.
+        self._unheard_owners = 0
+        self._next_query = 0.0
+        # The last entry that was read and when, and until when the log is
+        # known to have grown.
+        self._log_end = -1
+        self._log_end_read_at = 0.0
+        self._log_grew_at = 0.0
         self._failures = 0
         self._next_attempt = 0.0
         self._stop = threading.Event()
@@ -180,9 +219,11 @@
             elif self._guard.epoch_unknown or not self._members:
                 self._load_members()
             elif self._guard.take_takeover_request():
-                self._claim()
+                self._claim('requested')
             elif self._is_our_turn():
                 self._take_over()
+            elif self._is_refresh_due():
+                self._reload_members()
             elif self._is_first_after_restart():
                 self._take_over_all_restarted()
         self._stop_owner()
@@ -224,10 +265,70 @@
         if contents.ok_value.empty:
             self._create_shard()
             return
+        self._record_log_end(contents.ok_value.seq, began)
         restored = state.restore_state(contents.ok_value)
+        self._take_members(restored)
+        self._guard.learn_epoch(restored.epoch)
+        self._guard.restart_wait()
+
+    def _take_members(self, restored):
         self._members = dict(restored.members)
+        self._members_hash = membership.hash_members(self._members)
         self._last_owner = restored.owner
-        self._guard.learn_epoch(restored.epoch)
+
+    def _is_refresh_due(self):
+        """Tell whether to read the members again, as the owner has others.
+
+        A side that ranks itself among former members would act too early or
+        too late once the owner ends.
+        """
+        now = self._env.clock.read_monotonic()
+        if self._guard.members_hash in (0, self._members_hash):
+            self._refresh_at = None
+            return False
+        if self._refresh_at is None:
+            self._refresh_at = now + random.uniform(
+                _MIN_REFRESH_SECONDS, _MAX_REFRESH_SECONDS
+            )
+        if now < self._refresh_at:
+            return False
+        self._refresh_at = None
+        return True
+
+    def _record_log_end(self, seq, read_at):
+        if seq != self._log_end:
+            # Grew at some time since the last reading.
+            self._log_grew_at = self._log_end_read_at
+        self._log_end = seq
+        self._log_end_read_at = read_at
+
+    def _reload_members(self):
+        """Read the members from the log again, at intervals.
+
+        The owner may have added many since, and those that were known may be
+        gone.
+        """
+        now = self._env.clock.read_monotonic()
+        if now < self._next_members_read:
+            return
+        self._next_members_read = now + self._env.limits.takeover
+        log = shardlog.ShardLog(self._kv, self._env.shard)
+        contents = log.read(whole=False)
+        self._log_read(contents, now)
+        if contents.is_ok():
+            self._record_log_end(contents.ok_value.seq, now)
+            restored = state.restore_state(contents.ok_value)
+            self._take_members(restored)
+            if restored.epoch > self._guard.epoch:
+                self._follow_log(restored.epoch)
+
+    def _follow_log(self, epoch):
+        """Wait for the owner of a newer epoch, which will dial this side."""
+        self._unheard_owners += 1
+        if self._guard.owner:
+            self._unheard_owners = 0
+        self._guard.learn_epoch(epoch)
+        self._guard.restart_wait()
 
     def _log_read(self, contents, began):
         """Write a log line about a read of the shard's log."""
@@ -274,6 +375,10 @@
         )
 
     def _is_our_turn(self):
+        return self._guard.measure_silence() >= self._find_own_wait()
+
+    def _find_own_wait(self):
+        """Return the silence, in seconds, after which this side acts."""
         names = [n for n in self._members if n != self._guard.owner]
         if self._env.name not in names:
             names.append(self._env.name)
@@ -285,7 +390,9 @@
             # A live owner redials at once, even after all sides have
             # restarted.
             wait *= RESTARTED_WAIT_SHARE
-        return self._guard.measure_silence() >= wait
+        if not self._guard.owner:
+            wait *= min(2**self._unheard_owners, MAX_UNHEARD_FACTOR)
+        return wait
 
     def _is_first_after_restart(self):
         """Tell whether to ask now whether all members have restarted.
@@ -311,46 +418,105 @@
             if not _has_heard_no_owner(self._query_member(last_owner)):
                 return
         tally = self._query_members(len(self._members))
-        if tally.unheard + 1 < len(self._members):
+        if tally.unheard + self._count_own_vote() < len(self._members):
             return
         if self._guard.epoch == epoch and not self._guard.has_seen_owner:
-            self._claim()
+            self._claim('restarted', tally)
 
     def _take_over(self):
+        now = self._env.clock.read_monotonic()
+        if now < self._next_query:
+            return
         epoch = self._guard.epoch
         silence = self._guard.measure_silence()
-        isolated_wait = self._env.limits.takeover * ISOLATED_FACTOR
         needed = len(self._members) // 2 + 1
-        tally = self._query_members(needed - 1)
-        isolated = tally.hearing == 0 and silence >= isolated_wait
-        if tally.not_hearing + 1 < needed and not isolated:
+        own_vote = self._count_own_vote()
+        tally = self._query_members(needed - own_vote)
+        isolated = tally.hearing == 0 and self._is_isolated(silence, now)
+        silent = tally.not_hearing + own_vote >= needed
+        if not silent and not isolated:
+            if tally.hearing < needed:
+                self._reload_members()
+            wait = _ASK_AGAIN_SHARE * (silence - self._find_own_wait())
+            wait = min(wait, _MAX_ASK_AGAIN_SECONDS)
+            self._next_query = self._env.clock.read_monotonic() + wait
             return
         if self._guard.epoch != epoch or not self._is_our_turn():
             # An owner may have been heard while the members were queried.
             return
-        self._claim()
+        self._claim('silent' if silent else 'isolated', tally)
 
-    def _claim(self):
-        self._start_owner(
-            claim_shard(
-                self._kv, self._env.shard, self._env.name, self._guard.epoch
-            )
+    def _is_isolated(self, silence, now):
+        """Tell whether to take over without an answer of any member.
+
+        Not while the log grows, as its owner is at work then.
+        """
+        wait = self._env.limits.takeover * ISOLATED_FACTOR
+        return silence >= wait and now - self._log_grew_at >= wait
+
+    def _count_own_vote(self):
+        """Return 1 if this side is a member and 0 if not.
+
+        An owner adds members one by one, so it greets a new side late. Such a
+        side does not hear the owner, which is not the owner's fault.
+        """
+        return 1 if self._env.name in self._members else 0
+
+    def _claim(self, reason, tally=None):
+        """Claim the shard, and log why.
+
+        If the members have changed since they were asked, only takes note of
+        that.
+
+        :param reason: 'requested' by the owner, all members have 'restarted',
+            or the owner is 'silent' to a majority or to an 'isolated' side
+        :param tally: the ``_QueryTally`` that it is based on, or None
+        """
+        members = None if tally is None else self._members
+        tally = tally or _QueryTally()
+        extra = logs.fields(
+            shard=self._env.shard,
+            epoch=self._guard.epoch,
+            reason=reason,
+            silence_ms=int(self._guard.measure_silence() * _MS_PER_SECOND),
+            members=len(self._members),
+            is_member=self._env.name in self._members,
+            hearing=tally.hearing,
+            not_hearing=tally.not_hearing,
+            unheard=tally.unheard,
         )
+        LOG.info('claiming shard', extra=extra)
+        claimed = claim_shard(
+            self._kv,
+            self._env.shard,
+            self._env.name,
+            self._guard.epoch,
+            members,
+        )
+        if claimed.is_err() and isinstance(claimed.err_value, MembersChanged):
+            self._take_members(claimed.err_value.state)
+            return
+        self._start_owner(claimed)
 
     def _start_owner(self, claimed):
         """Start the owner role if a claim succeeded, else wait."""
         if claimed.is_err():
             if isinstance(claimed.err_value, OwnedByOther):
-                # Another side took over first and will dial this one.
-                self._guard.learn_epoch(claimed.err_value.epoch)
-                self._guard.restart_wait()
+                taken = claimed.err_value.epoch
+                extra = logs.fields(shard=self._env.shard, epoch=taken)
+                LOG.info('shard claimed by another side', extra=extra)
+                self._follow_log(taken)
             else:
                 self._back_off()
             return
         self._failures = 0
         claim = claimed.ok_value
-        self._members = dict(claim.state.members)
-        extra = logs.fields(shard=self._env.shard, epoch=claim.state.epoch)
+        self._take_members(claim.state)
+        extra = logs.fields(
+            shard=self._env.shard,
+            epoch=claim.state.epoch,
+            members=len(claim.state.members),
+        )
         LOG.info('took over shard', extra=extra)
         role = owner.Owner(self._env, claim.log, claim.state)
         role.__enter__()
@@ -418,7 +584,8 @@
     def count(self, answer):
         """Count an answer; a missing answer counts for neither side.
 
-        A member that has restarted does not hear the owner.
+        A member that has restarted does not hear the owner until it has been
+        greeted again.
         """
         if not isinstance(answer, messages.OwnerAnswer):
             return
--- a/packages/scheduler/portwharf/scheduler/takeover_test.py
+++ b/packages/scheduler/portwharf/scheduler/takeover_test.py
@@ -4,14 +4,18 @@
 
 import threading
 
+import result
+
 from portwharf.core import clock
 from portwharf.core import ids
 from portwharf.peers import messages
 from portwharf.peers import streams
 from portwharf.scheduler import configuration
 from portwharf.scheduler import environment
+from portwharf.scheduler import events
 from portwharf.scheduler import guard
 from portwharf.scheduler import limits
+from portwharf.scheduler import membership
 from portwharf.scheduler import takeover
 from portwharf.scheduler import zones
 from portwharf.testing import fixtures
@@ -96,6 +100,26 @@
         return bool(self.claims)
 
 
+class LateWatcherBench(WatcherBench):
+    """A watcher on a VM that started after the log's members were read."""
+
+    def __init__(self, answers, members=1):
+        """Take the answers, and how many members the watcher has read."""
+        super().__init__(answers)
+        self.kv, _ = fixtures.make_store()
+        claim = takeover.create_shard(self.kv, 0, 'vm-00', VMS[:members])
+        self.log = claim.ok_value.log
+        self.watcher._kv = self.kv
+        self.guard = guard.GrantGuard(self.clock, LIMITS)
+        self.watcher._guard = self.guard
+        self.watcher._load_members()
+
+    def add_members(self, first):
+        """Have the owner add the other VMs, from a number on."""
+        added = [events.MemberAdded(vm) for vm in VMS[first:]]
+        self.log.append(added)
+
+
 def make_answer(hears):
     """Return a member's answer."""
     return messages.OwnerAnswer(1, hears)
@@ -264,3 +288,128 @@
 
     threading.Thread(target=poll, daemon=True).start()
     case.assertTrue(claimed.wait(8))
+
+
+def test_side_that_is_not_added_yet_leaves_the_owner_alone(case):
+    """Else all sides that start after the first depose each other in turn."""
+    bench = LateWatcherBench({'vm-00': make_answer(True)})
+    for _ in range(10):
+        case.assertFalse(bench.poll_after(LIMITS.takeover))
+
+
+def test_side_that_is_not_added_yet_has_no_vote(case):
+    answers = {'vm-00': make_answer(False), 'vm-01': make_answer(True)}
+    bench = LateWatcherBench(answers, members=2)
+    case.assertFalse(bench.poll_after(LIMITS.takeover * 2))
+
+
+def test_side_that_is_not_added_yet_is_no_member_that_restarted(case):
+    for answers in ({}, {'vm-00': make_answer(False)}):
+        bench = LateWatcherBench(answers)
+        bench.watcher._last_owner = 'vm-03'
+        bench.watcher._take_over_all_restarted()
+        case.assertEqual(bench.claims, [])
+
+
+def test_members_added_since_the_start_of_a_side_are_asked(case):
+    """The members that it knew may be gone by the time the owner ends."""
+    bench = LateWatcherBench(make_answers(False))
+    bench.add_members(1)
+    bench.guard.accept_owner(1, 'vm-00')
+    bench.poll_after(LIMITS.takeover + 0.1)
+    case.assertTrue(bench.poll_after(0.1))
+    case.assertTrue(bench.claims[0].is_ok())
+
+
+def test_vote_of_members_that_were_since_outnumbered_does_not_count(case):
+    bench = LateWatcherBench(
+        make_answers(True) | {'vm-00': make_answer(False)}
+    )
+    bench.add_members(1)
+    for _ in range(3):
+        case.assertFalse(bench.poll_after(LIMITS.takeover))
+    case.assertEqual(len(bench.watcher._members), len(VMS))
+
+
+def test_log_is_not_read_again_while_a_majority_hears_the_owner(case):
+    bench = LateWatcherBench({'vm-00': make_answer(True)})
+    bench.watcher._kv = None
+    for _ in range(3):
+        case.assertFalse(bench.poll_after(LIMITS.takeover))
+
+
+def test_owner_that_writes_is_not_replaced_by_a_side_that_hears_nobody(case):
+    """Its queries may time out because many sides ask at the same time."""
+    bench = LateWatcherBench({})
+    for number in range(1, len(VMS)):
+        bench.log.append([events.MemberAdded(VMS[number])])
+        for _ in range(takeover.ISOLATED_FACTOR // 2):
+            case.assertFalse(bench.poll_after(LIMITS.takeover))
+    isolated_wait = LIMITS.takeover * takeover.ISOLATED_FACTOR
+    case.assertTrue(bench.poll_after(isolated_wait))
+
+
+def test_side_that_is_not_added_yet_asks_less_and_less_often(case):
+    """A hundred of them would keep the members from following their owner."""
+    bench = LateWatcherBench({'vm-00': make_answer(True)})
+    bench.clock.advance(LIMITS.takeover)
+    asked = []
+    for _ in range(2):
+        bench.conns.clear()
+        for _ in range(50):
+            bench.poll_after(0.1)
+        asked.append(len(bench.conns))
+    case.assertLess(asked[0], 25)
+    case.assertLess(asked[1], 10)
+
+
+def test_side_asks_again_at_once_after_the_first_refusal(case):
+    """Members that heard the owner last may do so a moment longer."""
+    bench = WatcherBench(make_answers(True))
+    case.assertFalse(bench.poll_after(LIMITS.takeover + 0.05))
+    bench.answers = make_answers(False)
+    case.assertTrue(bench.poll_after(0.1))
+
+
+def test_owner_gets_the_whole_wait_once_a_side_knows_of_it(case):
+    """A side may read the log long after its start, or after it ended."""
+    bench = LateWatcherBench(make_answers(False), members=len(VMS))
+    for _ in range(2):
+        bench.clock.advance(10 * LIMITS.takeover)
+        bench.watcher._load_members()
+        case.assertFalse(bench.poll_after(0))
+
+
+def test_owners_that_were_never_heard_get_more_and_more_time(case):
+    """Their members may need longer than that to follow them."""
+    bench = LateWatcherBench(make_answers(False), members=len(VMS))
+    bench.guard.accept_owner(1, 'vm-00')
+    start_owner = takeover.OwnerWatcher._start_owner
+    waits = []
+    for epoch in range(2, 7):
+        lost = result.Err(takeover.OwnedByOther(epoch))
+        start_owner(bench.watcher, lost)
+        waits.append(bench.watcher._find_own_wait())
+    first = waits[0]
+    case.assertEqual(
+        waits, [first, 2 * first, 4 * first, 4 * first, 4 * first]
+    )
+    bench.guard.accept_owner(6, 'vm-03')
+    case.assertEqual(bench.watcher._find_own_wait(), first)
+
+
+def test_side_reads_the_members_again_once_the_owner_has_others(case):
+    """With a short list, all sides count as first in line for a takeover."""
+    bench = LateWatcherBench({})
+    bench.add_members(1)
+    bench.guard.accept_owner(1, 'vm-00')
+    told = membership.hash_members({vm.name: vm for vm in VMS})
+    due = []
+    for _ in range(60):
+        bench.clock.advance(0.1)
+        bench.guard.accept_grant(1, 0.0, True, told)
+        if bench.watcher._is_refresh_due():
+            due.append(1)
+            bench.watcher._reload_members()
+    case.assertEqual(len(due), 1)
+    case.assertEqual(len(bench.watcher._members), len(VMS))
