Logs: write the reason of an exit before the process ends

A process on the users' platform that ends because a thread failed, or because its shutdown timed out, left no word of it: its log is written by a thread, and the process ended before that thread had run.

The new test fails before (b'ZeroDivisionError' not found in b'').

--- a/packages/core/portwharf/core/logs.py
+++ b/packages/core/portwharf/core/logs.py
@@ -20,6 +20,8 @@
 LOG = logging.getLogger(__name__)
 
 CRASH_EXIT_STATUS = 70
+# Time limit for writing the last lines of the log.
+FLUSH_SECONDS = 0.2
 # Holds a few seconds of a busy owner's log.
 MAX_QUEUED_LINES = 5000
 FIELD_NAMES = (
@@ -111,12 +113,21 @@
     def handle(args):
         exc_info = (args.exc_type, args.exc_value, args.exc_traceback)
         LOG.critical('thread %s failed', args.thread, exc_info=exc_info)
-        logging.shutdown()
-        os._exit(CRASH_EXIT_STATUS)
+        exit_process(CRASH_EXIT_STATUS)
 
     threading.excepthook = handle
 
 
+def exit_process(status):
+    """Exit without waiting for other threads, once the log is written."""
+    logging.shutdown()
+    for handler in logging.getLogger().handlers:
+        stream = getattr(handler, 'stream', None)
+        if isinstance(stream, NonBlockingStream):
+            stream.flush_queue(FLUSH_SECONDS)
+    os._exit(status)
+
+
 class NonBlockingStream:
     """A stream whose ``write`` never blocks.
 
--- a/packages/core/portwharf/core/logs_test.py
+++ b/packages/core/portwharf/core/logs_test.py
@@ -23,6 +23,20 @@
 threading.Event().wait(30)
 """
 
+QUEUED = """
+import sys
+import threading
+from portwharf.core import logs
+from portwharf.core import shutdown
+logs.set_up('json', 'INFO', logs.NonBlockingStream(sys.stdout))
+logs.exit_on_thread_exception()
+if 'hangs' in sys.argv:
+    shutdown.exit_after(0.1)
+else:
+    threading.Thread(target=lambda: 1 / 0).start()
+threading.Event().wait(30)
+"""
+
 
 def write_line(case, style):
     """Return the output of a style for one line with fields."""
@@ -64,6 +78,16 @@
     case.assertIn(b'ZeroDivisionError', done.stderr)
 
 
+def test_reason_of_an_exit_is_not_lost_in_the_queue(case):
+    for name, reason in (
+        ('fails', b'ZeroDivisionError'),
+        ('hangs', b'shutdown timed out'),
+    ):
+        argv = [sys.executable, '-c', QUEUED, name]
+        done = subprocess.run(argv, capture_output=True, check=False)
+        case.assertIn(reason, done.stdout)
+
+
 class BlockedStream:
     """A stream whose ``write`` blocks until it is released."""
 
--- a/packages/core/portwharf/core/shutdown.py
+++ b/packages/core/portwharf/core/shutdown.py
@@ -8,9 +8,10 @@
 """
 
 import logging
-import os
 import threading
 
+from portwharf.core import logs
+
 LOG = logging.getLogger(__name__)
 
 # The longest time by which a shutdown request may be noticed late; the
@@ -37,4 +38,4 @@
 
 def _exit():
     LOG.error('shutdown timed out, exiting')
-    os._exit(0)
+    logs.exit_process(0)
--- a/packages/platform/portwharf/platform/programs.py
+++ b/packages/platform/portwharf/platform/programs.py
@@ -4,7 +4,6 @@
 
 import contextlib
 import logging
-import os
 import signal
 import sys
 import threading
@@ -35,8 +34,6 @@
 END_MARGIN_SECONDS = 0.5
 # During a stop, connections that have been idle for so long are closed.
 IDLE_CONNECTION_SECONDS = 1.0
-# Time limit for printing the last lines of the log.
-LOG_FLUSH_SECONDS = 0.2
 
 
 class EntryProgram:
@@ -182,8 +179,7 @@
         for problem in loaded.err_value:
             print(problem.describe(), file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    printer = logs.NonBlockingStream(sys.stdout)
-    logs.set_up('json', 'INFO', printer)
+    logs.set_up('json', 'INFO', logs.NonBlockingStream(sys.stdout))
     logs.exit_on_thread_exception()
     make = EntryProgram if role == 'entry' else make_side
     program = make(loaded.ok_value)
@@ -199,7 +195,5 @@
     with program:
         program.wait()
     LOG.info('%s stopped', role)
-    logging.shutdown()
-    printer.flush_queue(LOG_FLUSH_SECONDS)
     # Threads that wait for a silent peer would delay the exit.
-    os._exit(0)
+    logs.exit_process(0)
