Soak: see cuts of connections that were opened again

An entry that stops ends each answer with `Connection: close`, and the client's connection object opens a new connection for its next call. The soak took that one for an old one, and a cut there for an entry that is down. So it hardly saw what it was extended for.

--- a/packages/testing/portwharf/testing/soak_clients.py
+++ b/packages/testing/portwharf/testing/soak_clients.py
@@ -192,8 +192,10 @@
         """
         entry = entry or self._random.choice(self._world.entries)
         conn = self._connections.get(entry.name)
-        is_new, was_stopping = conn is None, entry.stopping
-        if is_new:
+        # An answer that asks for it has closed the connection.
+        is_new = conn is None or conn.sock is None
+        was_stopping = entry.stopping
+        if conn is None:
             endpoint = self._world.find_client_place(entry)
             conn = http.client.HTTPConnection(
                 *endpoint, timeout=_REQUEST_TIMEOUT_SECONDS
