--- a/packages/testing/portwharf/testing/cluster.py
+++ b/packages/testing/portwharf/testing/cluster.py
@@ -63,7 +63,7 @@
         self.keeper = configuration.ConfigKeeper()
         self.zones = zones.ZoneKeeper(self.clock)
         self.zones.add_listener(self._publish_zones)
-        self.guard = guard.GrantGuard(self.clock, LIMITS)
+        self.guard = guard.GrantGuard(self.clock, self.cluster.limits)
         cfg = settings.SideSettings(vm=self.vm)
         self.server = server.SideServer(
             cfg,
@@ -74,7 +74,11 @@
             self.zones,
         )
         self.server.agent = agent.Agent(
-            self.worker, self.guard, LIMITS, self.clock, lambda: None
+            self.worker,
+            self.guard,
+            self.cluster.limits,
+            self.clock,
+            lambda: None,
         )
         self.server.agent.read_roster_seq = lambda: (
             self.server.at_most_once.seq
@@ -118,7 +122,7 @@
         return environment.Environment(
             name=self.vm.name,
             clock=self.clock,
-            limits=LIMITS,
+            limits=self.cluster.limits,
             vmlist=self.cluster.listing,
             keeper=self.keeper,
             append_interval=0.0,
@@ -166,6 +170,7 @@
     """Nodes, a fake store and the operator calls.
 
     :ivar time: clock of the true time
+    :ivar limits: the ``limits.Limits`` of all nodes
     :ivar cuts: pairs of names of VMs that cannot reach each other
     :ivar calls: operator calls that were made
     :ivar closed: true time at which each closed zone was closed, by name
@@ -176,7 +181,8 @@
     :ivar stale_pipes: closed pipes that may hold messages, and their nodes
     """
 
-    def __init__(self, size=3, compares_vms=True):
+    def __init__(self, size=3, compares_vms=True, cluster_limits=LIMITS):
+        self.limits = cluster_limits
         self.time = clock.ManualClock()
         self.fake = fake_store.FakeStore()
         vms = [fixtures.make_vm(number) for number in range(size)]
