Do not clear a worker whose tasks hang by a standing probe

What callers would see: standing tasks are placed again on a worker that lists them as running without progress, 1.5 s after the first one.

Evidence: test_standing_probe_does_not_clear_a_worker_where_tasks_hang. Before: AssertionError: False is not true.

--- a/packages/scheduler/portwharf/scheduler/decisions/health.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/health.py
@@ -49,6 +49,7 @@
 
     :param failures: failures in a row, by job or workload
     :param hung: tasks that hung there since, by job or workload
+    :param hangs: it was quarantined because tasks hung there
     :param until: end of its quarantine, 0 if there is none
     :param seconds: length of its last quarantine
     :param probed: when the last probe was placed there
@@ -62,6 +63,7 @@
     hung: dict = dataclasses.field(
         default_factory=lambda: collections.defaultdict(set)
     )
+    hangs: bool = False
     until: float = 0.0
     seconds: float = 0.0
     probed: float = float('-inf')
@@ -143,6 +145,7 @@
         ):
             return False
         record.hung.clear()
+        record.hangs = True
         return self._quarantine(record, now)
 
     def record_placement(self, vm, attempt, now):
@@ -175,9 +178,12 @@
             record.probe = record.works_since = None
 
     def clear_working(self, now):
-        """Clear the workers whose probes have stayed at work."""
+        """Clear the workers whose probes have stayed at work.
+
+        Where tasks hang, a worker lists them as running all the same.
+        """
         for vm, record in list(self._records.items()):
-            since = record.works_since
+            since = None if record.hangs else record.works_since
             if since is not None and now - since >= MIN_WORK_SECONDS:
                 self.record_success(vm)
 
--- a/packages/scheduler/portwharf/scheduler/decisions/health_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/health_test.py
@@ -117,6 +117,17 @@
     case.assertTrue(tracker.awaits_probe(VM, 100.0))
 
 
+def test_standing_probe_does_not_clear_a_worker_where_tasks_hang(case):
+    """A task that hangs there is listed as running too."""
+    tracker = health.WorkerHealthTracker()
+    record_hung(tracker, ['a.0', 'a.1', 'b.0', 'b.1'])
+    end = health.MIN_QUARANTINE_SECONDS
+    tracker.record_placement(VM, ('c.0', 1), end)
+    tracker.record_running(VM, ('c.0', 1), end)
+    tracker.clear_working(end + health.MIN_WORK_SECONDS)
+    case.assertTrue(tracker.awaits_probe(VM, 100.0))
+
+
 def test_success_resets_failures(case):
     tracker = health.WorkerHealthTracker()
     record_failures(tracker, ['a', 'b', 'c'])
