Give up a task that has survived a start only after five crashes

A task that crashes its workers does so at each start, so that one that was seen to run on after a start is none. That was known, and forgotten: a crash that it survived did not count among the four, but two more and a trial were enough, and clearing a task dropped it altogether. The state keeps it now, from the events that the log has already. Such a task is given up after five crashes, which users allow.

--- a/packages/scheduler/portwharf/scheduler/state.py
+++ b/packages/scheduler/portwharf/scheduler/state.py
@@ -33,6 +33,8 @@
     """One task that has been placed at least once.
 
     :param crashes: crashes of its workers since it last ran past its startup
+    :param has_survived: whether one of its attempts is known to have run on
+        after its start
     :param throttle_percent: the share that an owner has set for its current
         attempt, which may have been released since; 0 for none
     """
@@ -49,6 +51,7 @@
     crashes: list[suspects.CrashRecord] = dataclasses.field(
         default_factory=list
     )
+    has_survived: bool = False
     throttle_percent: int = 0
 
 
@@ -481,15 +484,17 @@
         if not suspects.is_in_startup(event.ran_ms):
             self._clear_suspect(event)
             return
-        task.crashes.append(
-            suspects.make_crash_record(
-                event.crash, event.ran_ms, event.listed_ms
-            )
+        crash = suspects.make_crash_record(
+            event.crash, event.ran_ms, event.listed_ms
         )
+        task.crashes.append(crash)
+        task.has_survived = task.has_survived or crash.survived
         self.suspects[task.id] = task
 
     def _clear_suspect(self, event):
-        self._clear_crashes(self.tasks[event.task])
+        task = self.tasks[event.task]
+        task.has_survived = True
+        self._clear_crashes(task)
 
     def _clear_crashes(self, task):
         """Remove the crashes of a task; it is no suspect any more."""
--- a/packages/scheduler/portwharf/scheduler/suspects.py
+++ b/packages/scheduler/portwharf/scheduler/suspects.py
@@ -20,8 +20,9 @@
 task of another job that had is ruled out once it has run past its startup, but
 not if it was cancelled before. Each further crash costs everything that runs
 on a VM, and giving up too early fails a healthy job. So four crashes are
-conclusive if the task is not known to have run on after one of these starts,
-and five in any case, because users allow no more. A worker that has crashed
+conclusive, and five in any case, because users allow no more. Only the latter
+counts for a task that is known to have run on after one of its starts, as what
+crashes workers does so at each start. A worker that has crashed
 recently, under no task that was given up, may be faulty itself: its crash
 proves little, and no trial runs there.
 
@@ -48,8 +49,8 @@
 STARTUP_MS = 3000
 # From this number of crashes on, a task is held back and assessed.
 SUSPECT_CRASHES = 2
-# A task is given up from this number of crashes on, not counting those after
-# starts that it survived, unless one of another job was under as many of them.
+# A task is given up from this number of crashes on, unless it has survived a
+# start or one of another job was under as many of them.
 GIVE_UP_CRASHES = 4
 MAX_CRASHES = 5
 # A quiet period is at least this long, and at least this many times the
@@ -257,10 +258,10 @@
     if task.state != data.TaskState.WAITING or count < SUSPECT_CRASHES:
         return Verdict.PLACE
     unit = find_failure_unit(state, task)
-    possible = sum(not one.survived for one in task.crashes)
     is_shared = times.has_other_cause(task.crashes[-1].name, unit)
     if count >= MAX_CRASHES or (
-        possible >= GIVE_UP_CRASHES
+        count >= GIVE_UP_CRASHES
+        and not task.has_survived
         and not is_shared
         and _is_prime_suspect(state, task)
     ):
@@ -271,6 +272,7 @@
         return Verdict.HOLD
     if (
         is_trial
+        and not task.has_survived
         and _is_conclusive(task, times)
         and _is_prime_suspect(state, task)
     ):
--- a/packages/scheduler/portwharf/scheduler/suspects_test.py
+++ b/packages/scheduler/portwharf/scheduler/suspects_test.py
@@ -167,6 +167,32 @@
     case.assertIs(scenario.assess(61.0), GIVE_UP)
 
 
+def test_task_that_survived_a_start_is_given_up_only_at_the_limit(case):
+    """What crashes its workers does so at each start."""
+    scenario = Scenario()
+    scenario.crash(50.0, 'vm-1', 900, listed_ms=600)
+    scenario.crash(51.0, 'vm-2')
+    scenario.crash(55.0, 'vm-3')
+    case.assertIs(scenario.assess(65.0, is_trial=True), TRY)
+    scenario.crash(70.0, 'vm-4')
+    case.assertIs(scenario.assess(85.0, is_trial=True), TRY)
+    scenario.crash(90.0, 'vm-5')
+    case.assertIs(scenario.assess(90.0, is_trial=True), GIVE_UP)
+
+
+def test_cleared_task_is_given_up_only_at_the_limit(case):
+    scenario = Scenario()
+    scenario.crash(50.0, 'vm-1')
+    scenario.state.apply(events.TaskCleared(TASK))
+    for turn in range(4):
+        scenario.crash(60.0 + 5 * turn, f'vm-{turn}')
+    case.assertIs(scenario.assess(85.0, is_trial=True), TRY)
+    restored = state.ShardState.unpack(scenario.state.pack())
+    case.assertTrue(restored.tasks[TASK].has_survived)
+    scenario.crash(90.0, 'vm-5')
+    case.assertIs(scenario.assess(90.0), GIVE_UP)
+
+
 def crash_in_shared_trial():
     """Let a trial crash while a task of another job starts beside it.
 
--- a/packages/testing/portwharf/testing/crash_day.py
+++ b/packages/testing/portwharf/testing/crash_day.py
@@ -7,7 +7,8 @@
 jobs, wide jobs and long-running tasks. Kinds of days differ by what crashes
 workers: crashers, which are tasks that crash the worker they start on, or
 ordinary crashes of single workers, racks, zones, all workers, workers one
-after another, and workers that crash again and again.
+after another, workers that crash again and again, and workers that crash right
+after some tasks are started again.
 """
 
 import collections
@@ -42,9 +43,21 @@
 # Range of the delay from the start of a crasher to the crash of its worker.
 CRASH_DELAY_SECONDS = (0.004, 0.03)
 RESTART_SECONDS = 3.3
+# On days of the kind ``restarts``: the share of second and later attempts
+# after whose start the worker crashes by itself, and the range of the delay.
+RESTART_CRASH_SHARE = 0.12
+RESTART_CRASH_DELAY_SECONDS = (0.02, 0.12)
 _PASS_INTERVAL_SECONDS = 0.05
 # Kinds of days with ordinary crashes, and with crashers.
-ORDINARY_KINDS = ('single', 'rack', 'zone', 'all', 'series', 'flapping')
+ORDINARY_KINDS = (
+    'single',
+    'rack',
+    'zone',
+    'all',
+    'series',
+    'flapping',
+    'restarts',
+)
 CRASHER_KINDS = ('crasher', 'two-crashers', 'unanswered', 'crasher-in-series')
 
 
@@ -110,6 +123,7 @@
         self._random = random.Random(f'{seed} {kind}')
         # A separate generator, so that known seeds keep their days.
         self._listing_random = random.Random(f'{seed} {kind} listings')
+        self._restart_random = random.Random(f'{seed} {kind} restarts')
         self._kind = kind
         self._with_detection = with_detection
         self._clock = clock.ManualClock(0.0)
@@ -190,7 +204,7 @@
         rnd = self._random
         names = list(self._runs)
         at = rnd.uniform(6, 12)
-        if kind == 'single':
+        if kind in ('single', 'restarts'):
             for _ in range(rnd.randint(1, 6)):
                 self._schedule_at(
                     rnd.uniform(5, 25), self._crash, rnd.choice(names)
@@ -416,10 +430,27 @@
                 incarnation,
             )
         elif record.workload.run_ms:
+            self._crash_after_restart(name, run)
             factor = self._random.uniform(0.7, 1.3)
             seconds = factor * record.workload.run_ms / 1000
             self._schedule_at(self._now + seconds, self._complete, name, run)
 
+    def _crash_after_restart(self, name, run):
+        if self._kind != 'restarts' or run.attempt < 2:
+            return
+        if self._restart_random.random() < RESTART_CRASH_SHARE:
+            delay = self._restart_random.uniform(*RESTART_CRASH_DELAY_SECONDS)
+            self._schedule_at(
+                self._now + delay,
+                self._crash_incarnation,
+                name,
+                self._incarnations[name],
+            )
+
+    def _crash_incarnation(self, name, incarnation):
+        if self._incarnations[name] == incarnation:
+            self._crash(name)
+
     def _crash_by_task(self, name, run, incarnation):
         if self._incarnations[name] == incarnation:
             self._crash(name, crasher=run.task)
--- a/packages/testing/portwharf/testing/crash_day_test.py
+++ b/packages/testing/portwharf/testing/crash_day_test.py
@@ -6,7 +6,8 @@
 gave up healthy jobs. Two crashes alone were enough for it (racks, zones, all
 workers, with tasks placed ahead of the wave), or a trial began after one
 second without a crash (crashes 1.3 s apart), or after two seconds (crashes
-2.1 to 2.4 s apart).
+2.1 to 2.4 s apart), or three crashes were enough for tasks that had survived
+earlier starts.
 """
 
 from portwharf.scheduler import faults_test
@@ -17,12 +18,17 @@
     ('rack', 20),
     ('zone', 2),
     ('all', 8),
+    ('all', 109),
+    ('all', 183),
     ('series', 11),
     ('series', 25),
     ('series', 49),
     ('series', 103),
     ('series', 128),
+    ('restarts', 18),
+    ('restarts', 51),
     ('crasher-in-series', 28),
+    ('crasher-in-series', 100),
     ('crasher-in-series', 154),
 )
 
