HTTP server: end in order though the backlog cannot be accepted

An error of accept() at the end, for example when no descriptors are left, failed the stop thread. It is logged now, and the server goes on with the connections that it has. Found by reading.

The new test fails before: "Expected 'excepthook' to not have been called. Called 1 times", OSError(24). It then also hangs at its exit, as nothing ends the pool's threads; it was run with a time limit.

--- a/packages/core/portwharf/core/web_connections.py
+++ b/packages/core/portwharf/core/web_connections.py
@@ -75,8 +75,12 @@
     def _accept_backlog(self):
         """Accept what the kernel has queued, and close the listener."""
         listener, self.server.socket = self.server.socket, None
-        while (conn := self._from_server_socket(listener)) is not None:
-            self.server.process_conn(conn)
+        try:
+            while (conn := self._from_server_socket(listener)) is not None:
+                self.server.process_conn(conn)
+        except OSError as exc:
+            # For example, there are no descriptors left.
+            LOG.warning('cannot accept: %s', exc)
         self._selector.unregister(listener.fileno())
         listener.close()
 
--- a/packages/core/portwharf/core/web_test.py
+++ b/packages/core/portwharf/core/web_test.py
@@ -3,6 +3,7 @@
 """Status pages, shutdown and idle timeout of the server."""
 
 import concurrent.futures
+import errno
 import http.client
 import socket
 import threading
@@ -167,3 +168,24 @@
     case.assertTrue(server.finish(20))
     server._server._connections.put(conn)
     case.assertEqual(client.recv(1), b'')
+
+
+def test_backlog_that_cannot_be_accepted_does_not_fail_the_end(case):
+    app = web.StatusPages(lambda: True)
+    server = case.enterContext(web.Server('127.0.0.1', 0, app))
+    address = ('127.0.0.1', server.port)
+    # Calls in progress would be cut, as a failed thread ends the process.
+    failed = case.enterContext(
+        mock.patch.object(threading, 'excepthook', autospec=True)
+    )
+    accept = case.enterContext(
+        mock.patch.object(
+            web_connections.ConnectionManager,
+            '_from_server_socket',
+            autospec=True,
+        )
+    )
+    accept.side_effect = OSError(errno.EMFILE, 'too many open files')
+    case.assertTrue(server.finish(20))
+    failed.assert_not_called()
+    case.assertRaises(OSError, socket.create_connection, address, 8)
