HTTP server: close the listener right after the last accept

Between the last accept() and the close of the listening socket the server took its selector's lock.

--- a/packages/core/portwharf/core/web_connections.py
+++ b/packages/core/portwharf/core/web_connections.py
@@ -75,13 +75,14 @@
     def _accept_backlog(self):
         """Accept what the kernel has queued, and close the listener."""
         listener, self.server.socket = self.server.socket, None
+        # First, so that the listener is closed right after the last accept.
+        self._selector.unregister(listener.fileno())
         try:
             while (conn := self._from_server_socket(listener)) is not None:
                 self.server.process_conn(conn)
         except OSError as exc:
             # For example, there are no descriptors left.
             LOG.warning('cannot accept: %s', exc)
-        self._selector.unregister(listener.fileno())
         listener.close()
 
     def _dispatch_requests(self, seconds):
