Soak: a crasher does not succeed because its crash is late

The stand-in crashes 20 ms after a start by a timer, and ended the run as done if its work was over first: on a loaded machine, whose timers are late, or when the run was resumed with its work done. A run that is to crash its runner now goes on until it does.

--- a/packages/testing/portwharf/testing/soak_runner.py
+++ b/packages/testing/portwharf/testing/soak_runner.py
@@ -96,6 +96,11 @@
     return Work(**json.loads(spec)['steps'][step])
 
 
+def _is_crasher(work, task):
+    """Return whether a task crashes the runners that start it."""
+    return work.crashes and task.endswith('.0')
+
+
 def _read_span_work(span):
     """Return the :class:`Work` of a run."""
     return read_work(span.spec, span.task)
@@ -209,12 +214,12 @@
                 )
             )
             self._paces[task] = soak_pressure.FULL_PACE_PERCENT
-            if work.crashes and task.endswith('.0'):
+            if _is_crasher(work, task):
                 self._schedule_crash(task, run)
         return status, value
 
     def _schedule_crash(self, task, run):
-        """Crash shortly after a run's start, unless the run ends before."""
+        """Crash shortly after a run's start, unless it was stopped before."""
 
         def crash():
             with self._lock:
@@ -353,6 +358,9 @@
         work = read_work(span.spec, span.task)
         if work.lasts or self._get_done_ms(span) < work.ms:
             return
+        if _is_crasher(work, span.task):
+            # The timer of its crash may be late.
+            return
         how = 'failed' if span.run <= work.fails else 'done'
         self._end_run(span.task, how)
 
