Test: standing tasks of a lost VM wait again when the owner is lost too

Callers would see tasks that last without a run for 9.2, 10.2, 11.2 and 12.2 s when the owner is killed 1, 2, 3 and 4 s after a VM that is gone for good; 9, 9, 10 and 11 are allowed. A new owner waits (C + G + L)(1 + d) from its first majority for the leases of a VM that it has not heard, whatever of that time the former owner had waited already.

--- a/packages/scheduler/portwharf/scheduler/standing_tasks_test.py
+++ b/packages/scheduler/portwharf/scheduler/standing_tasks_test.py
@@ -9,6 +9,7 @@
 from portwharf.core import data
 from portwharf.scheduler import jobs_test
 from portwharf.testing import cluster
+from portwharf.testing import standing_walk
 
 # Longest time from the end of the faults until every standing task runs.
 MAX_WAIT_SECONDS = 4.0
@@ -178,3 +179,45 @@
         advance(made, 2.8)
     worker.crash(1.4)
     case.assertLessEqual(measure_wait(made, 12), MAX_AWAY_SECONDS)
+
+
+def lose_vm_and_owner(made, seconds):
+    """Lose the VM of a standing task for good, and then the owner's process.
+
+    :param seconds: time between the two
+    :returns: seconds until the task runs again
+    """
+    advance(made, 3)
+    task = submit(made, 1)
+    advance(made, 5)
+    node = find_running(made)[task]
+    if node.owner:
+        made.restart_side(node)
+        next(one for one in made.nodes if one is not node).claim()
+        advance(made, 8)
+        node = find_running(made)[task]
+    made.fail_vm(node)
+    began = made.time.read_monotonic()
+    advance(made, seconds)
+    (former,) = made.list_owners()
+    made.restart_side(former)
+    advance(made, standing_walk.TAKEOVER_SECONDS)
+    others = [one for one in made.nodes if one not in (node, former)]
+    others[0].claim()
+    while task not in find_running(made):
+        advance(made, _STEP_SECONDS)
+    return made.time.read_monotonic() - began
+
+
+def test_loss_of_the_owner_does_not_keep_tasks_of_a_lost_vm_waiting(case):
+    """The new owner waits anew for the leases of the silent VM to end."""
+    late = {}
+    for seconds in (0.5, 1.0, 2.0, 3.0, 4.0, 5.0):
+        made = cluster.Cluster(5, cluster_limits=standing_walk.LIMITS)
+        wait = lose_vm_and_owner(made, seconds)
+        calm = max(
+            seconds + standing_walk.CALM_SECONDS, standing_walk.AWAY_SECONDS
+        )
+        if wait > calm + standing_walk.LOST_SECONDS:
+            late[seconds] = round(wait, 1)
+    case.assertEqual(late, {})
