Tests: share the seeds' loop of walks and the set-up of ending servers

standing_walk repeated walk's loop over seeds, and the tests of the server's end their set-up. replace_lost_owner says what take_over did.

--- a/packages/core/portwharf/core/web_test.py
+++ b/packages/core/portwharf/core/web_test.py
@@ -123,13 +123,28 @@
         pause.wait(0.01)
 
 
-def test_request_of_an_accepted_connection_is_not_cut_by_the_end(case):
-    limit = 'FIRST_REQUEST_SECONDS'
-    case.enterContext(mock.patch.object(web_connections, limit, 20))
-    app = web.StatusPages(lambda: True)
-    server = case.enterContext(web.Server('127.0.0.1', 0, app))
+def make_server():
+    """Return a server that accepts nothing before it is entered."""
+    return web.Server('127.0.0.1', 0, web.StatusPages(lambda: True))
+
+
+def connect(case, server):
+    """Return a new connection to a server, and the server's address."""
     address = ('127.0.0.1', server.port)
-    conn = case.enterContext(socket.create_connection(address, timeout=8))
+    conn = socket.create_connection(address, timeout=8)
+    return case.enterContext(conn), address
+
+
+def limit_first_request(case, seconds):
+    """Set how long an ending server waits for the first request."""
+    name = 'FIRST_REQUEST_SECONDS'
+    case.enterContext(mock.patch.object(web_connections, name, seconds))
+
+
+def test_request_of_an_accepted_connection_is_not_cut_by_the_end(case):
+    limit_first_request(case, 20)
+    server = case.enterContext(make_server())
+    conn, address = connect(case, server)
     pool = case.enterContext(concurrent.futures.ThreadPoolExecutor(1))
     fut = pool.submit(server.finish, 20)
     wait_until_refused(address)
@@ -139,30 +154,23 @@
 
 
 def test_request_in_the_listen_backlog_is_not_cut_by_the_end(case):
-    app = web.StatusPages(lambda: True)
-    # Nothing is accepted before the server is entered.
-    server = web.Server('127.0.0.1', 0, app)
-    address = ('127.0.0.1', server.port)
-    conn = case.enterContext(socket.create_connection(address, timeout=8))
+    server = make_server()
+    conn, _ = connect(case, server)
     conn.sendall(REQUEST)
     case.assertTrue(server.finish(8))
     case.assertEqual(read_status(conn), b'HTTP/1.1 200 OK')
 
 
 def test_silent_connection_does_not_delay_the_end(case):
-    limit = 'FIRST_REQUEST_SECONDS'
-    case.enterContext(mock.patch.object(web_connections, limit, 0))
-    app = web.StatusPages(lambda: True)
-    server = case.enterContext(web.Server('127.0.0.1', 0, app))
-    address = ('127.0.0.1', server.port)
-    conn = case.enterContext(socket.create_connection(address, timeout=8))
+    limit_first_request(case, 0)
+    server = case.enterContext(make_server())
+    conn, _ = connect(case, server)
     case.assertTrue(server.finish(20))
     case.assertEqual(conn.recv(1), b'')
 
 
 def test_connection_kept_open_after_the_end_is_closed_not_an_error(case):
-    app = web.StatusPages(lambda: True)
-    server = web.Server('127.0.0.1', 0, app)
+    server = make_server()
     client, accepted = socket.socketpair()
     case.enterContext(client)
     conn = web_connections.Connection(server._server, accepted)
@@ -172,9 +180,7 @@
 
 
 def test_backlog_that_cannot_be_accepted_does_not_fail_the_end(case):
-    app = web.StatusPages(lambda: True)
-    server = case.enterContext(web.Server('127.0.0.1', 0, app))
-    address = ('127.0.0.1', server.port)
+    server = case.enterContext(make_server())
     # Calls in progress would be cut, as a failed thread ends the process.
     failed = case.enterContext(
         mock.patch.object(threading, 'excepthook', autospec=True)
@@ -189,4 +195,5 @@
     accept.side_effect = OSError(errno.EMFILE, 'too many open files')
     case.assertTrue(server.finish(20))
     failed.assert_not_called()
-    case.assertRaises(OSError, socket.create_connection, address, 8)
+    with case.assertRaises(ConnectionRefusedError):
+        connect(case, server)
--- a/packages/testing/portwharf/testing/standing_walk.py
+++ b/packages/testing/portwharf/testing/standing_walk.py
@@ -8,7 +8,6 @@
 """
 
 import sys
-import time
 
 from portwharf.core import data
 from portwharf.scheduler import limits
@@ -85,7 +84,7 @@
         while self.cluster.time.read_monotonic() < ended:
             self.cluster.tick(_TICK_SECONDS)
             now = self.cluster.time.read_monotonic()
-            self.take_over(now)
+            self.replace_lost_owner(now)
             for node in self.cluster.nodes:
                 for run in list(node.worker.runs):
                     if not run.running:
@@ -98,7 +97,7 @@
                                 run.attempt.task, data.RunState.FAILED
                             )
 
-    def take_over(self, now):
+    def replace_lost_owner(self, now):
         """Have a node claim the shard that no reachable owner holds."""
         if any(self._can_act(node) for node in self.cluster.list_owners()):
             self._owned_at = now
@@ -284,20 +283,7 @@
 
 def main():
     """Walk for each seed from the first argument up to the second."""
-    first, last = int(sys.argv[1]), int(sys.argv[2])
-    began = time.monotonic()
-    failed = 0
-    for seed in range(first, last):
-        try:
-            StandingWalk(seed).run()
-        except cluster_fakes.Violation as exc:
-            failed += 1
-            print(f'seed {seed}: {exc}', flush=True)
-    elapsed_seconds = time.monotonic() - began
-    print(
-        f'{last - first} walks, {failed} violations, {elapsed_seconds:.1f} s'
-    )
-    return 1 if failed else 0
+    return walk.run_seeds(StandingWalk)
 
 
 if __name__ == '__main__':
--- a/packages/testing/portwharf/testing/walk.py
+++ b/packages/testing/portwharf/testing/walk.py
@@ -350,19 +350,20 @@
 )
 
 
-def main():
+def run_seeds(make_walk):
     """Walk for each seed from the first argument up to the second.
 
-    Further arguments are options of :class:`Walk`: ``more``, ``births``,
-    ``jobs`` and ``zones``.
+    Prints the violations, and how many there were.
+
+    :param make_walk: returns the walk of a seed
+    :returns: the exit code, 0 only without violations
     """
     first, last = int(sys.argv[1]), int(sys.argv[2])
     began = time.monotonic()
     failed = 0
-    options = dict.fromkeys(sys.argv[3:], True)
     for seed in range(first, last):
         try:
-            Walk(seed, **options).run()
+            make_walk(seed).run()
         except cluster_fakes.Violation as exc:
             failed += 1
             print(f'seed {seed}: {exc}', flush=True)
@@ -373,5 +374,15 @@
     return 1 if failed else 0
 
 
+def main():
+    """Walk for each seed from the first argument up to the second.
+
+    Further arguments are options of :class:`Walk`: ``more``, ``births``,
+    ``jobs`` and ``zones``.
+    """
+    options = dict.fromkeys(sys.argv[3:], True)
+    return run_seeds(lambda seed: Walk(seed, **options))
+
+
 if __name__ == '__main__':
     sys.exit(main())
