--- a/packages/scheduler/portwharf/scheduler/decisions/health_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/health_test.py
@@ -78,21 +78,21 @@
     case.assertTrue(tracker.awaits_probe(VM, later))
 
 
-def start_probe(tracker):
+def start_probe():
     """Quarantine a worker and start a standing task there as the probe.
 
-    :returns: when it was reported as running
+    :returns: the tracker, and when the task was reported as running
     """
+    tracker = health.WorkerHealthTracker()
     record_failures(tracker, ['a', 'a', 'b', 'b'])
     end = health.MIN_QUARANTINE_SECONDS
     tracker.record_placement(VM, ('c.0', 1), end)
     tracker.record_running(VM, ('c.0', 1), end + 0.1)
-    return end + 0.1
+    return tracker, end + 0.1
 
 
 def test_standing_probe_that_stays_at_work_ends_the_quarantine(case):
-    tracker = health.WorkerHealthTracker()
-    since = start_probe(tracker)
+    tracker, since = start_probe()
     tracker.clear_working(since + health.MIN_WORK_SECONDS - 0.1)
     case.assertTrue(tracker.is_probing(VM, since + 0.1))
     tracker.clear_working(since + health.MIN_WORK_SECONDS)
@@ -100,8 +100,7 @@
 
 
 def test_standing_probe_that_ends_does_not_end_the_quarantine(case):
-    tracker = health.WorkerHealthTracker()
-    since = start_probe(tracker)
+    tracker, since = start_probe()
     tracker.record_end(VM, ('c.0', 1))
     tracker.clear_working(since + health.MIN_WORK_SECONDS)
     case.assertTrue(tracker.awaits_probe(VM, 100.0))
@@ -109,8 +108,7 @@
 
 def test_task_from_before_the_quarantine_does_not_end_it(case):
     """A side reports all that runs again on a new connection."""
-    tracker = health.WorkerHealthTracker()
-    since = start_probe(tracker)
+    tracker, since = start_probe()
     tracker.record_end(VM, ('c.0', 1))
     tracker.record_running(VM, ('d.0', 1), since)
     tracker.clear_working(since + health.MIN_WORK_SECONDS)
--- a/packages/scheduler/portwharf/scheduler/decisions/service_protection.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/service_protection.py
@@ -181,7 +181,7 @@
                 # There is nothing to protect and nothing to release.
                 continue
             if not services and now - self._began < STALE_SECONDS:
-                # Its services may not have been measured under this owner yet.
+                # Not all services may have reported to a new owner.
                 continue
             neighbours = self.list_neighbours(vm, now)
             if not services:
--- a/packages/scheduler/portwharf/scheduler/membership_test.py
+++ b/packages/scheduler/portwharf/scheduler/membership_test.py
@@ -230,11 +230,16 @@
     return run_until_read, reads
 
 
+def make_cluster_with_new_vms(size, count):
+    """Return a cluster, and what ``add_vms_to_list`` returns for it."""
+    made = cluster.Cluster(size)
+    made.run(4)
+    return made, *add_vms_to_list(made, count)
+
+
 def test_vms_of_one_list_are_added_without_reading_it_for_each(case):
     """A hundred new VMs would cost as many readings, and their time."""
-    made = cluster.Cluster(5)
-    made.run(4)
-    run_until_read, reads = add_vms_to_list(made, 3)
+    made, run_until_read, reads = make_cluster_with_new_vms(5, 3)
     owner = made.nodes[0].owner
     run_until_read()
     made.run(0.5, step=0.1)
@@ -243,17 +248,15 @@
 
 
 def test_owner_does_not_wait_for_input_while_it_adds_members(case):
-    made = cluster.Cluster(5)
-    made.run(4)
-    run_until_read, _ = add_vms_to_list(made, 1)
+    made, run_until_read, _ = make_cluster_with_new_vms(5, 1)
     owner = made.nodes[0].owner
     take_items, taken = owner.take_items, []
 
-    def take_and_record():
+    def record_items():
         taken.extend(take_items())
         return []
 
-    owner.take_items = take_and_record
+    owner.take_items = record_items
     run_until_read()
     case.assertEqual(len(owner._state.members), 6)
     case.assertIn(None, taken)
@@ -261,9 +264,7 @@
 
 def test_vms_that_wait_for_a_majority_are_added_once_there_is_one(case):
     """Not only after the list is read again, five seconds later."""
-    made = cluster.Cluster(3)
-    made.run(4)
-    run_until_read, reads = add_vms_to_list(made, 1)
+    made, run_until_read, reads = make_cluster_with_new_vms(3, 1)
     owner = made.nodes[0].owner
     has_majority = owner._grants.has_majority
     owner._grants.has_majority = lambda now: False
@@ -276,9 +277,7 @@
 
 
 def test_vm_list_that_was_not_answered_is_read_again_soon(case):
-    made = cluster.Cluster(3)
-    made.run(4)
-    run_until_read, reads = add_vms_to_list(made, 1)
+    made, run_until_read, reads = make_cluster_with_new_vms(3, 1)
     read_list = made.listing.read
 
     def fail_once():
--- a/packages/scheduler/portwharf/scheduler/standing_tasks_test.py
+++ b/packages/scheduler/portwharf/scheduler/standing_tasks_test.py
@@ -132,6 +132,14 @@
     find_running(made)[task].worker.crash()
 
 
+def flap(made, worker, down_seconds, interval_seconds):
+    """Crash a worker three times, at an interval."""
+    for _ in range(2):
+        worker.crash(down_seconds)
+        advance(made, interval_seconds)
+    worker.crash(down_seconds)
+
+
 def test_crashes_do_not_keep_a_standing_task_waiting(case):
     """Two workers crash under it soon after another one had."""
     made = cluster.Cluster(4)
@@ -158,11 +166,7 @@
     for number in range(2):
         submit(made, number, size=2000)
     advance(made, 5)
-    worker = made.nodes[1].worker
-    for _ in range(2):
-        worker.crash(0.2)
-        advance(made, 1.0)
-    worker.crash(0.2)
+    flap(made, made.nodes[1].worker, 0.2, 1.0)
     case.assertLessEqual(measure_wait(made, 2), MAX_HOLD_WAIT_SECONDS)
 
 
@@ -173,11 +177,7 @@
     tasks = {submit(made, number, size=500) for number in range(12)}
     advance(made, 5)
     case.assertEqual(find_running(made).keys(), tasks)
-    worker = made.nodes[2].worker
-    for _ in range(2):
-        worker.crash(1.4)
-        advance(made, 2.8)
-    worker.crash(1.4)
+    flap(made, made.nodes[2].worker, 1.4, 2.8)
     case.assertLessEqual(measure_wait(made, 12), MAX_AWAY_SECONDS)
 
 
--- a/packages/scheduler/portwharf/scheduler/takeover.py
+++ b/packages/scheduler/portwharf/scheduler/takeover.py
@@ -267,11 +267,11 @@
             return
         self._record_log_end(contents.ok_value.seq, began)
         restored = state.restore_state(contents.ok_value)
-        self._take_members(restored)
+        self._store_members(restored)
         self._guard.learn_epoch(restored.epoch)
         self._guard.restart_wait()
 
-    def _take_members(self, restored):
+    def _store_members(self, restored):
         self._members = dict(restored.members)
         self._members_hash = membership.hash_members(self._members)
         self._last_owner = restored.owner
@@ -318,7 +318,7 @@
         if contents.is_ok():
             self._record_log_end(contents.ok_value.seq, now)
             restored = state.restore_state(contents.ok_value)
-            self._take_members(restored)
+            self._store_members(restored)
             if restored.epoch > self._guard.epoch:
                 self._follow_log(restored.epoch)
 
@@ -494,7 +494,7 @@
             members,
         )
         if claimed.is_err() and isinstance(claimed.err_value, MembersChanged):
-            self._take_members(claimed.err_value.state)
+            self._store_members(claimed.err_value.state)
             return
         self._start_owner(claimed)
 
@@ -511,7 +511,7 @@
             return
         self._failures = 0
         claim = claimed.ok_value
-        self._take_members(claim.state)
+        self._store_members(claim.state)
         extra = logs.fields(
             shard=self._env.shard,
             epoch=claim.state.epoch,
--- a/packages/side/portwharf/side/task_traits_test.py
+++ b/packages/side/portwharf/side/task_traits_test.py
@@ -50,6 +50,13 @@
     deployment.run(2)
 
 
+def throttle_filling_tasks(deployment):
+    """Place filling tasks beside servers that miss their targets."""
+    place_filling_tasks(deployment)
+    set_tails(deployment, TARGET_MS + 10)
+    deployment.run(4)
+
+
 def set_tails(deployment, tail_ms):
     """Set the tail latency of all serving tasks."""
     for node in deployment.nodes:
@@ -87,9 +94,7 @@
 def test_restarted_side_releases_an_earlier_throttle(case):
     deployment = make_cluster()
     node = deployment.nodes[2]
-    place_filling_tasks(deployment)
-    set_tails(deployment, TARGET_MS + 10)
-    deployment.run(4)
+    throttle_filling_tasks(deployment)
     deployment.restart_side(node)
     set_tails(deployment, 1)
     deployment.run(8)
@@ -100,9 +105,7 @@
 def test_restarted_side_releases_a_throttle_whose_server_has_ended(case):
     deployment = make_cluster()
     node = deployment.nodes[2]
-    place_filling_tasks(deployment)
-    set_tails(deployment, TARGET_MS + 10)
-    deployment.run(4)
+    throttle_filling_tasks(deployment)
     filling = find_filling(node)
     case.assertLessEqual(find_share(node), pacing.LEAST)
     deployment.restart_side(node)
