Logs: what limits the shares of filling tasks, and the headroom left

It now tells, as means of all polls since the last line, the processors that they lack by limit (an estimate of interference that has been measured or not, the throttle factor, the least share, a tail at its target) and how much headroom is left. 'worked at a share' has the lost time by limit, which report delays sums up for each queue.

Sharing out the headroom is a module of its own, share_assignment, which names the limit of each share. Shares are as before; the tests of pacing pass unchanged.

--- a/packages/entry/portwharf/entry/delay_commands.py
+++ b/packages/entry/portwharf/entry/delay_commands.py
@@ -25,7 +25,8 @@
     """Explain from logs why jobs were late or did not end.
 
     Takes the log files of all processes. Prints, for each queue, the mean
-    seconds of its late jobs by cause, and then the slowest jobs.
+    seconds of its late jobs by cause, and those that throttling cost by what
+    limited the shares, and then the slowest jobs.
 
     Example: portwharf report delays owner.log side-*.log entry-*.log
     """
@@ -47,6 +48,8 @@
             return
         _print_queues(measured, counted)
         print()
+        _print_limits(counted)
+        print()
         _print_jobs(counted)
 
 
@@ -89,6 +92,19 @@
     tables.print_table(headers + _list_headers(), rows)
 
 
+def _print_limits(counted):
+    """Print the mean paced seconds of each queue, by what limited shares."""
+    rows = []
+    for queue in sorted({delay.job.queue for delay in counted}):
+        paced = [d.paced_by for d in counted if d.job.queue == queue]
+        seconds = collections.Counter()
+        for one in paced:
+            seconds.update(one)
+        for limit, total in seconds.most_common():
+            rows.append((queue, limit, f'{total / len(paced):.2f}'))
+    tables.print_table(('QUEUE', 'PACED BY', 'MEAN S'), rows)
+
+
 def _print_jobs(counted):
     """Print the slowest jobs, with their seconds by cause."""
     slowest = sorted(counted, key=lambda delay: -delay.took)[:MAX_LISTED_JOBS]
@@ -129,4 +145,5 @@
         'late': delay.is_late,
         'tail': delay.tail,
         'seconds': dict(delay.seconds),
+        'paced_by': dict(delay.paced_by),
     }
--- a/packages/entry/portwharf/entry/delays.py
+++ b/packages/entry/portwharf/entry/delays.py
@@ -78,6 +78,7 @@
     :param seconds: map of cause to seconds, which add up to ``took``
     :param tail: seconds at the ends of the steps in which at most a quarter
         of the tasks were unfinished; included in the causes
+    :param paced_by: the seconds of PACED by what limited the shares
     """
 
     job: object = None
@@ -86,6 +87,9 @@
         default_factory=collections.Counter
     )
     tail: float = 0.0
+    paced_by: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
     @property
     def is_late(self):
@@ -190,7 +194,7 @@
         ended = until if attempt.ended is None else attempt.ended
         ended = min(until, max(begin, ended))
         paced = min(ended - begin, attempt.paced)
-        self._delay.seconds[PACED] += paced
+        self._add_paced(attempt, paced)
         self._add_span(
             _find_attempt_cause(attempt.reason), begin + paced, ended
         )
@@ -202,13 +206,20 @@
         paced = min(spent, attempt.paced)
         rest = spent - paced
         run_seconds = _estimate_run_seconds(step)
-        self._delay.seconds[PACED] += paced
+        self._add_paced(attempt, paced)
         if run_seconds is None:
             self._delay.seconds[UNEXPLAINED] += rest
             return
         self._delay.seconds[RUN] += min(rest, run_seconds)
         self._delay.seconds[SLOW] += max(0.0, rest - run_seconds)
 
+    def _add_paced(self, attempt, seconds):
+        """Attribute paced seconds, in proportion to the attempt's limits."""
+        self._delay.seconds[PACED] += seconds
+        total = sum(attempt.paced_by.values())
+        for limit, lost in attempt.paced_by.items():
+            self._delay.paced_by[limit] += seconds * lost / total
+
     def _add_span(self, cause, begin, end):
         """Attribute a span, and the part without an owner to NO_OWNER."""
         if end <= begin:
--- a/packages/entry/portwharf/entry/delays_test.py
+++ b/packages/entry/portwharf/entry/delays_test.py
@@ -97,11 +97,15 @@
             attempt=1,
             ran_ms=7000,
             paced_ms=4500,
+            paced_by={'least-share': 4000, 'throttle-factor': 500},
         ),
         succeed(7, '0.1', 2000),
         end(7),
     )
     check(case, delay, PACED=4.5, RUN=2.0, SLOW=0.5)
+    case.assertEqual(
+        delay.paced_by, {'least-share': 4.0, 'throttle-factor': 0.5}
+    )
 
 
 def test_unsuccessful_attempts_count_by_reason(case):
--- a/packages/entry/portwharf/entry/job_history.py
+++ b/packages/entry/portwharf/entry/job_history.py
@@ -31,6 +31,7 @@
     :param reason: why it was unsuccessful: MOVED, LOST or the state reported
         by its side; '' if it succeeded or still runs
     :param paced: seconds lost because the side slowed it down
+    :param paced_by: these seconds by what limited its share
     """
 
     placed: float = 0.0
@@ -39,6 +40,7 @@
     reason: str = ''
     paced: float = 0.0
     succeeded: bool = False
+    paced_by: dict = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True)
@@ -207,6 +209,10 @@
         attempt = self._find_attempt(fields)
         if attempt is not None:
             attempt.paced = fields.get('paced_ms', 0) / _MS_PER_SECOND
+            attempt.paced_by = {
+                limit: lost_ms / _MS_PER_SECOND
+                for limit, lost_ms in (fields.get('paced_by') or {}).items()
+            }
 
     def _add_wait(self, moment, fields):
         step = self._find_step(fields['workload'])
--- a/packages/scheduler/portwharf/scheduler/decisions/tail_interference.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/tail_interference.py
@@ -124,6 +124,11 @@
         known = self._estimates.get((serving, filling))
         return known.press if known is not None else PRIOR_PRESS
 
+    def is_known(self, serving, filling):
+        """Return whether the press of a pair rests on measurements."""
+        known = self._estimates.get((serving, filling))
+        return known is not None and known.deviation <= _MAX_KNOWN_DEVIATION
+
     def get_upper_bound(self, serving, filling):
         """Return the press of a pair plus its deviation, for placement."""
         known = self._estimates.get((serving, filling))
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -478,7 +478,9 @@
         now_ms = self._clock.read_unix_ms()
         paced = self._pacer.list_paced()
         self._runtimes.update(self._listing.attempts, paced, now)
-        self._slowdowns.update(self._listing.attempts, paced, now)
+        self._slowdowns.update(
+            self._listing.attempts, paced, self._pacer.get_limit, now
+        )
         self._progress.update(
             self._listing.attempts, self._pacer.get_share, now
         )
--- a/packages/side/portwharf/side/pacing.py
+++ b/packages/side/portwharf/side/pacing.py
@@ -23,9 +23,12 @@
 from portwharf.scheduler.decisions import precedence
 from portwharf.scheduler.decisions import tail_interference
 from portwharf.side import pacing_log
+from portwharf.side import share_assignment
+from portwharf.side import share_limits
 from portwharf.side import task_traits
 
-FULL = 100
+FULL = share_assignment.FULL
+LEAST = share_assignment.LEAST
 # Share of the target that tail latency is steered to. The rest absorbs load
 # changes between two polls.
 TARGET_SHARE = 0.85
@@ -34,8 +37,6 @@
 _MAX_TARGET_RATIO = 1.0
 _THROTTLE_BACKOFF = 0.5
 _THROTTLE_RECOVERY = 0.2
-# The least share of a filling task, in percent, so that it ends eventually.
-LEAST = 3
 # Filling tasks are suspended after a serving task has been over its target for
 # this long, because several tasks at ``LEAST`` still interfere. The throttle
 # factor needs three polls of 0.4 s to reach that. A missed target counts as
@@ -83,8 +84,10 @@
         # The share that each attempt was last set to, in percent; None where a
         # previous side process or an unanswered command may have set another.
         self._sent = {}
-        # The share that each attempt should have, in percent.
+        # The share that each attempt should have, in percent, and what limits
+        # it, a name of ``share_limits``.
         self._wanted = {}
+        self._limits = {}
         # The progress of each attempt, in percent.
         self._progress = {}
         self._throttle_factor = 1.0
@@ -171,13 +174,15 @@
                 tail_interference.DEFAULT_HEADROOM, headroom
             )
         self._record_headrooms(serving)
-        wanted = self._assign_shares(
+        shares = self._assign_shares(
             filling, headrooms, capacity_milli, now_ms
         )
         if self._is_suspended(now):
-            wanted = dict.fromkeys(wanted, 0)
-        self._wanted = wanted
-        changes = self._list_changes(filling, wanted)
+            none = share_assignment.Share(0, share_limits.SUSPENDED)
+            shares = dict.fromkeys(shares, none)
+        self._limits = {name: one.limit for name, one in shares.items()}
+        self._wanted = {name: one.percent for name, one in shares.items()}
+        changes = self._list_changes(filling, self._wanted)
         self._log_filling(serving, filling, now)
         return changes
 
@@ -212,9 +217,24 @@
                 map(self._compute_target_ratio, serving), default=0.0
             ),
             throttle=self._throttle_factor,
+            limits=self._sum_unmet(filling),
+            headroom=min((one.room for one in self._headrooms), default=0.0),
         )
         self.log.record_filling(state, now)
 
+    def _sum_unmet(self, filling):
+        """Return the processors that filling tasks lack, by limit.
+
+        :returns: map of limit to thousandths of a processor
+        """
+        unmet = collections.Counter()
+        for one in filling:
+            name = (one.task, one.attempt)
+            lacking = FULL - self._wanted[name]
+            milli = self._traits.find(one).fill_milli * lacking // FULL
+            unmet[self._limits[name]] += milli
+        return unmet
+
     def _compute_target_ratio(self, attempt):
         """Return a serving attempt's tail latency as a share of its target."""
         return attempt.tail_ms / self._traits.find(attempt).target_ms
@@ -255,6 +275,14 @@
         share = self._sent.get(name, FULL)
         return 0 if share is None else share
 
+    def get_limit(self, name):
+        """Return what limits the share of an attempt.
+
+        :param name: (task, attempt)
+        :returns: a name of ``share_limits``
+        """
+        return self._limits.get(name, share_limits.UNKNOWN_SHARE)
+
     def list_paced(self):
         """Return the ``messages.PacedTask`` of each throttled attempt.
 
@@ -358,28 +386,18 @@
         """Assign a share to each filling task, by precedence.
 
         :param headrooms: headroom by serving image
-        :returns: map of (task, attempt) to percent
+        :returns: map of (task, attempt) to ``share_assignment.Share``
         """
-        left = dict(headrooms)
-        wanted = {}
+        ranked = []
         for one in sorted(
             filling, key=lambda a: self._rank(a, headrooms, now_ms)
         ):
             trait = self._traits.find(one)
-            share = 1.0
-            for image, headroom in left.items():
-                press = self.presses.get_pacing_press(image, trait.image)
-                cost = press * trait.fill_milli / capacity_milli
-                if cost > 0:
-                    share = min(share, headroom / cost)
-            share = max(LEAST / FULL, share)
-            for image in left:
-                press = self.presses.get_pacing_press(image, trait.image)
-                cost = press * trait.fill_milli / capacity_milli
-                left[image] = max(0.0, left[image] - cost * share)
-            percent = int(FULL * share * self._throttle_factor)
-            wanted[(one.task, one.attempt)] = max(LEAST, percent)
-        return wanted
+            asked = trait.fill_milli / capacity_milli
+            ranked.append(((one.task, one.attempt), trait.image, asked))
+        return share_assignment.assign_shares(
+            ranked, headrooms, self.presses, self._throttle_factor
+        )
 
     def _rank(self, attempt, headrooms, now_ms):
         """Return the sort key of a filling task: precedence, then name."""
--- a/packages/side/portwharf/side/pacing_log.py
+++ b/packages/side/portwharf/side/pacing_log.py
@@ -8,9 +8,11 @@
 an episode has only a few lines. The CPU that filling tasks use tells their own
 share of an episode, and the gap between two polls a side that was slow. While
 filling tasks are throttled, a line every few seconds tells how much of what
-they ask for they get.
+they ask for they get, what limits their shares, and how much headroom is left:
+means of the polls since the last line.
 """
 
+import collections
 import dataclasses
 import logging
 
@@ -40,6 +42,10 @@
     :param tail_ratio: highest tail latency of the serving tasks there, as a
         share of its target; 0 if none is measured
     :param throttle: the factor, 0 to 1, on the shares of all of them
+    :param limits: processors that they lack, in thousandths, by what limits
+        their shares (``share_limits``)
+    :param headroom: least headroom that is left to a serving task, as growth
+        of the logarithm of its tail latency
     """
 
     count: int = 0
@@ -49,6 +55,10 @@
     used_milli: int = 0
     tail_ratio: float = 0.0
     throttle: float = 1.0
+    limits: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    headroom: float = 0.0
 
 
 class PacingLog:
@@ -65,6 +75,8 @@
         self._failures = 0
         self._next_failure_log = 0.0
         self._next_filling_log = 0.0
+        # The states with throttled tasks since the last line about them.
+        self._throttled_states = []
 
     def report_unknown(self, attempts):
         """Log when the number of unknown attempts rises, or falls to zero.
@@ -132,9 +144,19 @@
         metrics.FILLING_MILLI.labels('asked').set(state.asked_milli)
         metrics.FILLING_MILLI.labels('used').set(state.used_milli)
         metrics.LEAST_SHARE_ATTEMPTS.set(state.least)
-        if not state.throttled or now < self._next_filling_log:
+        if not state.throttled:
+            return
+        self._throttled_states.append(state)
+        if now < self._next_filling_log:
             return
         self._next_filling_log = now + FILLING_LOG_SECONDS
+        polls = len(self._throttled_states)
+        unmet = sum(
+            (one.limits for one in self._throttled_states),
+            collections.Counter(),
+        )
+        headroom = sum(one.headroom for one in self._throttled_states) / polls
+        self._throttled_states.clear()
         LOG.info(
             'filling tasks throttled',
             extra=logs.fields(
@@ -145,6 +167,9 @@
                 used_milli=state.used_milli,
                 tail_percent=int(100 * state.tail_ratio),
                 percent=int(100 * state.throttle),
+                polls=polls,
+                unmet_milli={n: total // polls for n, total in unmet.items()},
+                headroom_percent=int(100 * headroom),
             ),
         )
 
--- a/packages/side/portwharf/side/pacing_log_test.py
+++ b/packages/side/portwharf/side/pacing_log_test.py
@@ -112,6 +112,19 @@
     case.assertEqual((record.tail_percent, record.percent), (62, 50))
 
 
+def test_throttled_filling_tasks_are_logged_with_means_of_the_polls(case):
+    log = pacing_log.PacingLog()
+    rows = [({'a': 600}, 0.5), ({'a': 200, 'b': 500}, 0.1), ({'b': 100}, 0.3)]
+    with case.assertLogs(pacing_log.LOG, logging.INFO) as caught:
+        for number, (limits, headroom) in enumerate(rows):
+            state = pacing_log.FillingState(2, 1, headroom=headroom)
+            state.limits.update(limits)
+            log.record_filling(state, 2.6 * number)
+    record = caught.records[-1]
+    case.assertEqual((record.polls, record.headroom_percent), (2, 20))
+    case.assertEqual(record.unmet_milli, {'a': 100, 'b': 300})
+
+
 def test_filling_tasks_at_their_full_share_are_not_logged(case):
     log = pacing_log.PacingLog()
     state = pacing_log.FillingState(count=4, asked_milli=7200, used_milli=7200)
--- a/packages/side/portwharf/side/slowdowns_test.py
+++ b/packages/side/portwharf/side/slowdowns_test.py
@@ -4,6 +4,7 @@
 
 from portwharf.core import data
 from portwharf.peers import messages
+from portwharf.side import share_limits
 from portwharf.side import slowdowns
 from portwharf import workers
 
@@ -16,11 +17,16 @@
     return workers.Attempt(*TASK, state, kind=data.Kind.BATCH)
 
 
-def run_at_shares(log, *rows):
+def get_limit(name):
+    """Return the only limit of these tests."""
+    return share_limits.LEAST_SHARE
+
+
+def run_at_shares(log, *rows, limit=get_limit):
     """Run an attempt at CPU shares, given as (time, percent)."""
     for now, percent in rows:
         paced = [messages.PacedTask(*TASK, percent, 0)]
-        log.update([make_attempt()], paced, now)
+        log.update([make_attempt()], paced, limit, now)
 
 
 def read_losses(logged):
@@ -33,7 +39,7 @@
     with case.assertLogs(LOGGER) as logged:
         run_at_shares(log, (0, 50), (1, 0), (2, 100))
         done = make_attempt(data.RunState.SUCCEEDED)
-        log.update([done], [], 4)
+        log.update([done], [], get_limit, 4)
     case.assertEqual(read_losses(logged), [(4000, 1500)])
 
 
@@ -47,6 +53,22 @@
 def test_unthrottled_attempt_is_not_logged(case):
     log = slowdowns.SlowdownLog()
     with case.assertNoLogs(LOGGER):
-        log.update([make_attempt()], [], 0)
-        log.update([make_attempt()], [], 3)
-        log.update([], [], 4)
+        log.update([make_attempt()], [], get_limit, 0)
+        log.update([make_attempt()], [], get_limit, 3)
+        log.update([], [], get_limit, 4)
+
+
+def test_loss_is_told_by_what_limits_the_share(case):
+    log = slowdowns.SlowdownLog()
+    with case.assertLogs(LOGGER) as logged:
+        run_at_shares(log, (0, 50), (1, 0))
+        run_at_shares(
+            log, (2, 75), limit=lambda _: share_limits.KNOWN_ESTIMATE
+        )
+        log.update([], [], get_limit, 4)
+    (record,) = logged.records
+    case.assertEqual(record.paced_ms, 2000)
+    case.assertEqual(
+        record.paced_by,
+        {share_limits.LEAST_SHARE: 1500, share_limits.KNOWN_ESTIMATE: 500},
+    )
