Place filling tasks by the headroom that is left, without counting on others to yield

Cause: a task was placed where tasks that rank after it would yield their headroom and processors.

Paces are now predicted by the headroom that the tasks there leave, by the press that sides pace by; processors count by pace, for moves as well. Weights of views have no use any more.

--- a/packages/scheduler/portwharf/scheduler/decisions/job_admission.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/job_admission.py
@@ -18,7 +18,6 @@
 from portwharf.scheduler.decisions import class_backlog
 from portwharf.scheduler.decisions import forecast
 from portwharf.scheduler.decisions import placement
-from portwharf.scheduler.decisions import precedence
 from portwharf.scheduler.decisions import shard_load
 from portwharf.scheduler.decisions import worker_sizes
 from portwharf.scheduler import jobs
@@ -350,10 +349,9 @@
         return False
     if not step.fills:
         return True
-    last = precedence.LAST_WEIGHT
     return (
-        view.compute_idle_milli(last) >= step.resources.cpu_milli
-        and view.predict_pace(step, last) >= MIN_FREE_PACE
+        view.compute_idle_milli() >= step.resources.cpu_milli
+        and view.predict_pace(step) >= MIN_FREE_PACE
     )
 
 
--- a/packages/scheduler/portwharf/scheduler/decisions/vm_choice.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vm_choice.py
@@ -35,7 +35,6 @@
     :param view: the chosen ``vmview.VmView``, or None if there is none
     :param parts: addends of its score, as ``events.Part``
     :param refusals: number of refused VMs by reason
-    :param weight: the weight of the task's job, for a filling task
     :param declined: number of VMs that were refused only because the demand
         waits for a better pace than the usual one (``Demand.min_pace``)
     """
@@ -45,7 +44,6 @@
     refusals: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
-    weight: float = 0.0
     declined: int = 0
 
     @property
@@ -100,7 +98,7 @@
             for index in self._outdated:
                 self._assess(index, spread)
             self._outdated = ()
-        choice = Choice(weight=self._demand.weight)
+        choice = Choice()
         choice.refusals.update(filter(None, self._reasons))
         choice.declined = sum(self._declined)
         lowest = min(self._totals, default=math.inf)
@@ -163,7 +161,7 @@
         reason = _refuse(self._size, view) or _refuse_step(demand, view)
         if reason:
             return reason
-        if workload.fills and demand.is_selective:
+        if demand.needs_pace:
             if self._predict_pace(view) < demand.min_pace:
                 return REFUSED_SLOWS_SERVICE
         name = view.vm.name
@@ -181,9 +179,7 @@
     def _predict_pace(self, view):
         """Return the pace of a filling task on the VM that is assessed."""
         if self._pace is None:
-            self._pace = view.predict_pace(
-                self._demand.record.workload, self._demand.weight
-            )
+            self._pace = view.predict_pace(self._demand.record.workload)
         return self._pace
 
     def _score(self, view, spread):
@@ -229,7 +225,7 @@
         view.kinds[backlog.get_interference_kind(workload)] += 1
     if demand.crash_count:
         view.record_suspect(demand.unit, demand.crash_count)
-    view.add_task(workload, demand.weight)
+    view.add_task(workload)
     if view.probe or view.early_probe:
         view.closed = REFUSED_QUARANTINED
         view.early_probe = False
@@ -311,7 +307,7 @@
         return reason
     workload = demand.record.workload
     if workload.fills and not demand.is_starving:
-        idle_milli = view.compute_idle_milli(demand.weight)
+        idle_milli = view.compute_idle_milli()
         if workload.resources.cpu_milli > idle_milli:
             return 'processors'
     return ''
--- a/packages/scheduler/portwharf/scheduler/decisions/vmview.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vmview.py
@@ -6,7 +6,6 @@
 import dataclasses
 
 from portwharf.core import data
-from portwharf.scheduler.decisions import precedence
 from portwharf.scheduler.decisions import tail_interference
 
 # Share of its reserved processors that a serving task uses at its peak; the
@@ -19,14 +18,12 @@
 
 @dataclasses.dataclass(slots=True)
 class FillingTask:
-    """A filling task on a VM, as others compete with it for headroom.
+    """A filling task on a VM.
 
-    :param weight: its job's weight, as ``precedence.Claim.weigh`` returns it
     :param image: the image that it runs
     :param share: share of the VM's processors that it uses at its pace
     """
 
-    weight: float = 0.0
     image: str = ''
     share: float = 0.0
 
@@ -123,20 +120,14 @@
         unused_milli = self.serving_milli * (1 - SERVING_UTILIZATION)
         return int(self.reserved.cpu_milli - unused_milli + self.filling_milli)
 
-    def compute_idle_milli(self, weight):
+    def compute_idle_milli(self):
         """Return the processors that a further filling task can have here.
 
-        The filling tasks that rank after it are expected to be slowed down in
-        its favour. The others use what their pace allows. A side does so only
-        where a serving task has too little headroom for all of them.
+        The filling tasks there use what their paces allow.
 
-        :param weight: its job's weight, as ``precedence.Claim.weigh`` returns
-            it
         :returns: thousandths of a processor
         """
-        share = sum(
-            task.share for task in self.fillings if task.weight <= weight
-        )
+        share = sum(task.share for task in self.fillings)
         filling_milli = share * self.capacity.cpu_milli
         free_milli = self.capacity.cpu_milli - (
             self.busy_milli - self.filling_milli
@@ -183,57 +174,58 @@
             return False
         return not workload.label or workload.label in self.labels
 
-    def predict_pace(self, workload, weight=precedence.LAST_WEIGHT):
+    def predict_pace(self, workload):
         """Return the pace, 0 to 1, at which a filling task would run here.
 
-        :param weight: its job's weight; tasks on the VM that rank after it are
-            expected to be slowed down in its favour
+        It gets the headroom that the filling tasks there leave, by the press
+        that its side paces by. None of them has to yield, whatever its rank:
+        it would hardly progress there, and delay its own job.
         """
         pace = 1.0
         share = self._get_cpu_share(workload)
         for serving, room in self.headrooms.items():
-            press = self.pairs.get_upper_bound(serving, workload.image)
-            cost = press * share
-            if cost <= 0:
-                continue
-            if room / cost >= pace:
-                # Tasks that yield would only add to that.
+            press = self.pairs.get_pacing_press(serving, workload.image)
+            if press * share <= 0:
                 continue
-            rank = precedence.rank(weight, press)
-            room += self._sum_yielding(serving, rank)
-            pace = min(pace, max(0.0, room) / cost)
+            left = max(0.0, room - self._sum_margins(serving))
+            pace = min(pace, left / (press * share))
         return pace
 
-    def _sum_yielding(self, serving, rank):
-        """Return the headroom used by filling tasks that come after a rank."""
-        total = 0.0
-        for task in self.fillings:
-            press = self.pairs.get_upper_bound(serving, task.image)
-            if precedence.rank(task.weight, press) > rank:
-                total += press * task.share
-        return total
+    def _sum_margins(self, serving):
+        """Return the headroom that its side keeps for shifts in interference.
+
+        The reported headroom has only the effect of the filling tasks there.
+        """
+        return sum(
+            task.share
+            * (
+                self.pairs.get_pacing_press(serving, task.image)
+                - self.pairs.get_press(serving, task.image)
+            )
+            for task in self.fillings
+        )
 
     def _get_cpu_share(self, workload):
         """Return the share of the VM's processors that a task requests."""
         return workload.resources.cpu_milli / max(1, self.capacity.cpu_milli)
 
-    def record_filling(self, workload, weight, pace):
+    def record_filling(self, workload, pace):
         """Add a filling task that runs at a pace, 0 to 1."""
         share = self._get_cpu_share(workload) * pace
-        self.fillings.append(FillingTask(weight, workload.image, share))
+        self.fillings.append(FillingTask(workload.image, share))
 
-    def reserve_headroom(self, workload, weight):
+    def reserve_headroom(self, workload):
         """Reserve the headroom that a filling task is going to use."""
-        pace = self.predict_pace(workload, weight)
+        pace = self.predict_pace(workload)
         share = self._get_cpu_share(workload)
         for serving in self.headrooms:
-            press = self.pairs.get_upper_bound(serving, workload.image)
+            press = self.pairs.get_press(serving, workload.image)
             self.headrooms[serving] -= press * share * pace
-        self.record_filling(workload, weight, pace)
+        self.record_filling(workload, pace)
 
-    def add_task(self, workload, weight=precedence.LAST_WEIGHT):
+    def add_task(self, workload):
         """Add a newly placed task."""
         if workload.fills:
-            self.reserve_headroom(workload, weight)
+            self.reserve_headroom(workload)
         self.reserved = self.reserved.add(workload.reserved)
         self.add_usage(workload)
--- a/packages/scheduler/portwharf/scheduler/membership_test.py
+++ b/packages/scheduler/portwharf/scheduler/membership_test.py
@@ -115,9 +115,9 @@
     case.assertTrue(owner._decider.waiting)
     view_vms, calls = owner._members.view_vms, []
 
-    def view_and_count(weigher):
+    def view_and_count():
         calls.append(1)
-        return view_vms(weigher)
+        return view_vms()
 
     owner._members.view_vms = view_and_count
     owner.step()
