Forecast objectives by the longest task of each step

A step ends with its longest task, and so does the objective that users hold a job to: stretch times the longest chain of runs.

How much the tasks of a step differ is learnt for each queue, from the differences between its measurements; the longest of n tasks follows from it. Admission uses the same.

--- a/packages/scheduler/portwharf/scheduler/decisions/job_admission.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/job_admission.py
@@ -226,6 +226,7 @@
         records = jobs.make_steps(job, 0, asked_ms)
         run_ms = [
             max(usual_ms, self._runtimes.predict(job.queue, record))
+            * self._runtimes.get_longest_factor(job.queue, record.workload)
             for record in records
         ]
         chain_ms = max(jobs.compute_path_ms(job.steps, run_ms))
@@ -238,7 +239,12 @@
         run_ms = [
             self._runtimes.predict(job.queue, record) for record in records
         ]
-        chains = jobs.compute_path_ms(job.steps, run_ms)
+        longest_ms = [
+            one_ms
+            * self._runtimes.get_longest_factor(job.queue, record.workload)
+            for record, one_ms in zip(records, run_ms, strict=True)
+        ]
+        chains = jobs.compute_path_ms(job.steps, longest_ms)
         objective_ms = jobs.compute_objective_ms(job, max(chains))
         late_ms = asked_ms + jobs.LATE_FACTOR * objective_ms
         left = sum(
