Let steps that are slow on every VM have the best pace there is

A step waits for a pace of 0.8, and of one that has waited only one task takes any VM. A task that no VM could give 0.8, even without other filling tasks, as it asks for much of a VM or slows every server, would run one at a time. It now takes 0.8 of the best pace that any VM could give it. Test, failed before: test_task_that_is_slow_on_every_vm_does_not_wait_for_a_better_one.

--- a/packages/scheduler/portwharf/scheduler/decisions/vm_choice.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vm_choice.py
@@ -24,6 +24,8 @@
 REASON_NO_WORKERS = 'no-worker-is-known'
 # Penalty for a worker that is quarantined; it outweighs all other addends.
 _QUARANTINE_PENALTY = 100.0
+# Pace, 0 to 1, below which a filling task hardly progresses.
+_LEAST_PACE = 0.1
 # Weight of interference with services against the fill of a VM.
 _INTERFERENCE_WEIGHT = 6.0
 
@@ -79,6 +81,7 @@
         # The pace of a filling task on the VM that is being assessed, once it
         # is known.
         self._pace = None
+        self._required_pace = None
         # The next task's properties that the assessments depend on.
         self._properties = None
         # Of each VM: its score, infinite if it is refused, and its addends,
@@ -162,7 +165,8 @@
         if reason:
             return reason
         if demand.needs_pace:
-            if self._predict_pace(view) < demand.min_pace:
+            pace = self._predict_pace(view)
+            if pace < demand.min_pace and pace < self._get_required_pace():
                 return REFUSED_SLOWS_SERVICE
         name = view.vm.name
         if workload.kind == data.Kind.SERVICE and demand.placed[name]:
@@ -176,6 +180,28 @@
             return REFUSED_SUSPECT
         return ''
 
+    def _get_required_pace(self):
+        """Return the pace, 0 to 1, below which a VM is refused.
+
+        A task that would be slow on every VM, even without other filling
+        tasks, does not wait for a better pace than there is.
+        """
+        if self._required_pace is None:
+            demand = self._demand
+            workload = demand.record.workload
+            best = max(
+                (
+                    view.predict_best_pace(workload)
+                    for view in self._views
+                    if not view.closed and view.suits(workload)
+                ),
+                default=1.0,
+            )
+            # Headrooms may be small for a moment only.
+            least = backlog.MIN_PACE if demand.is_selective else _LEAST_PACE
+            self._required_pace = max(least, demand.min_pace * best)
+        return self._required_pace
+
     def _predict_pace(self, view):
         """Return the pace of a filling task on the VM that is assessed."""
         if self._pace is None:
--- a/packages/scheduler/portwharf/scheduler/decisions/vm_choice_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vm_choice_test.py
@@ -169,6 +169,23 @@
     case.assertIs(choice.view, view)
 
 
+def test_task_that_is_slow_on_every_vm_does_not_wait_for_a_better_one(case):
+    """Its step would otherwise run one task at a time."""
+    views = [make_throttled_view([], headroom) for headroom in (0.1, 0.09)]
+    record = state.WorkloadRecord('a.0.0', FILLING.key, 5, FILLING)
+    demand = backlog.Demand(record)
+    demand.placed['vm-09'] += 1
+    case.assertIsNone(vm_choice.choose_vm(demand, views, None).view)
+    demand.accept_any_vm()
+    case.assertIs(vm_choice.choose_vm(demand, views, None).view, views[0])
+    views[0].headrooms = {'desk': 3.0}
+    views[0].closed = 'leaving'
+    case.assertIs(vm_choice.choose_vm(demand, views, None).view, views[1])
+    views[0].closed = ''
+    views[0].filling_milli = 90_000
+    case.assertIsNone(vm_choice.choose_vm(demand, views, None).view)
+
+
 def test_processors_of_tasks_at_their_full_pace_refuse_a_task(case):
     choice = choose_for_filling_task(make_throttled_view([1.0] * 6, 3.0))
     case.assertEqual(choice.refusals, {'processors': 1})
--- a/packages/scheduler/portwharf/scheduler/decisions/vmview.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vmview.py
@@ -191,6 +191,21 @@
             pace = min(pace, left / (press * share))
         return pace
 
+    def predict_best_pace(self, workload):
+        """Return the pace that a filling task would have as the only one."""
+        pace = 1.0
+        share = self._get_cpu_share(workload)
+        for serving, room in self.headrooms.items():
+            press = self.pairs.get_pacing_press(serving, workload.image)
+            if press * share <= 0:
+                continue
+            used = sum(
+                task.share * self.pairs.get_press(serving, task.image)
+                for task in self.fillings
+            )
+            pace = min(pace, max(0.0, room + used) / (press * share))
+        return pace
+
     def _sum_margins(self, serving):
         """Return the headroom that its side keeps for shifts in interference.
 
