--- a/packages/scheduler/portwharf/scheduler/decisions/vm_choice.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vm_choice.py
@@ -189,14 +189,12 @@
         if self._required_pace is None:
             demand = self._demand
             workload = demand.record.workload
-            best = max(
-                (
-                    view.predict_best_pace(workload)
-                    for view in self._views
-                    if not view.closed and view.suits(workload)
-                ),
-                default=1.0,
-            )
+            best = 0.0
+            for view in self._views:
+                if not view.closed and view.suits(workload):
+                    best = max(best, view.predict_best_pace(workload))
+                if best >= 1.0:
+                    break
             # Headrooms may be small for a moment only.
             least = backlog.MIN_PACE if demand.is_selective else _LEAST_PACE
             self._required_pace = max(least, demand.min_pace * best)
--- a/packages/scheduler/portwharf/scheduler/decisions/vmview.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vmview.py
@@ -93,6 +93,8 @@
     largest: data.Resources = dataclasses.field(default_factory=data.Resources)
     lasting: dict = dataclasses.field(default_factory=dict)
     uneven: bool = False
+    # By serving image, the headroom that is left; None until it is needed.
+    _rooms_left: dict = dataclasses.field(default=None, init=False)
 
     def __post_init__(self):
         self.rack = self.rack or self.vm.rack
@@ -147,10 +149,12 @@
             self.headrooms.setdefault(
                 workload.image, tail_interference.DEFAULT_HEADROOM
             )
+            self._rooms_left = None
 
     def set_headrooms(self, pairs, headrooms):
         """Set the presses, and the headrooms from ``messages.Headroom``."""
         self.pairs = pairs
+        self._rooms_left = None
         self.headrooms = {
             headroom.serving: headroom.room for headroom in headrooms
         }
@@ -181,44 +185,49 @@
         that its side paces by. None of them has to yield, whatever its rank:
         it would hardly progress there, and delay its own job.
         """
-        pace = 1.0
-        share = self._get_cpu_share(workload)
-        for serving, room in self.headrooms.items():
-            press = self.pairs.get_pacing_press(serving, workload.image)
-            if press * share <= 0:
-                continue
-            left = max(0.0, room - self._sum_margins(serving))
-            pace = min(pace, left / (press * share))
-        return pace
+        if self._rooms_left is None:
+            self._rooms_left = {
+                serving: room - self._sum_margins(serving)
+                for serving, room in self.headrooms.items()
+            }
+        return self._find_pace(workload, self._rooms_left)
 
     def predict_best_pace(self, workload):
         """Return the pace that a filling task would have as the only one."""
+        rooms = {
+            serving: room + self._sum_effects(serving)
+            for serving, room in self.headrooms.items()
+        }
+        return self._find_pace(workload, rooms)
+
+    def _find_pace(self, workload, rooms):
+        """Return the pace, 0 to 1, that rooms by serving image allow."""
         pace = 1.0
         share = self._get_cpu_share(workload)
-        for serving, room in self.headrooms.items():
+        for serving, room in rooms.items():
             press = self.pairs.get_pacing_press(serving, workload.image)
-            if press * share <= 0:
-                continue
-            used = sum(
-                task.share * self.pairs.get_press(serving, task.image)
-                for task in self.fillings
-            )
-            pace = min(pace, max(0.0, room + used) / (press * share))
+            cost = press * share
+            if cost > 0:
+                pace = min(pace, max(0.0, room) / cost)
         return pace
 
+    def _sum_effects(self, serving):
+        """Return the headroom that the filling tasks here take."""
+        return sum(
+            task.share * self.pairs.get_press(serving, task.image)
+            for task in self.fillings
+        )
+
     def _sum_margins(self, serving):
         """Return the headroom that its side keeps for shifts in interference.
 
         The reported headroom has only the effect of the filling tasks there.
         """
-        return sum(
-            task.share
-            * (
-                self.pairs.get_pacing_press(serving, task.image)
-                - self.pairs.get_press(serving, task.image)
-            )
+        cautious = sum(
+            task.share * self.pairs.get_pacing_press(serving, task.image)
             for task in self.fillings
         )
+        return cautious - self._sum_effects(serving)
 
     def _get_cpu_share(self, workload):
         """Return the share of the VM's processors that a task requests."""
@@ -228,6 +237,7 @@
         """Add a filling task that runs at a pace, 0 to 1."""
         share = self._get_cpu_share(workload) * pace
         self.fillings.append(FillingTask(workload.image, share))
+        self._rooms_left = None
 
     def reserve_headroom(self, workload):
         """Reserve the headroom that a filling task is going to use."""
