--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -32,6 +32,7 @@
 from portwharf.scheduler.decisions import shard_load
 from portwharf.scheduler.decisions import shortage_shares
 from portwharf.scheduler.decisions import task_moves
+from portwharf.scheduler.decisions import uneven_pools
 from portwharf.scheduler import events
 from portwharf.scheduler import job_operations
 from portwharf.scheduler import metrics
@@ -573,7 +574,7 @@
         self.shares.update(
             weigher, now, now_ms, self._is_short, self.load.get_rate
         )
-        views = self._members.view_vms()
+        views = self._members.view_vms(weigher)
         self._crashloops.mark_unstable(views)
         self._crashloops.mark_suspects(views)
         self._timer.mark('views')
@@ -586,6 +587,7 @@
         demands = self._list_demands(now, now_ms, weigher)
         if self._advisor is not None:
             policy.assign_tickets(self._advisor, demands, views)
+        uneven_pools.require_pace(demands, views)
         stalled = self._find_stalled_tasks(now, weigher)
         self._timer.mark('demands')
         early = self._move_before_placement(stalled, demands, views, batch)
--- a/packages/scheduler/portwharf/scheduler/decisions/backlog.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/backlog.py
@@ -19,11 +19,7 @@
 # Importance that a workload gains by waiting, so that none starves.
 AGEING_PER_MINUTE = 2.0
 MAX_AGEING = 400.0
-# Pace, 0 to 1, that a filling task of a job waits for. At a lower one it would
-# hold up its step for longer than it waits for another VM.
-PREFERRED_PACE = 0.8
-# Pace below which a VM has no room for a filling task. Workloads without a job
-# wait for no better one.
+# Pace, 0 to 1, below which a filling task waits for another VM.
 MIN_PACE = 0.35
 _NO_DEADLINE = float('inf')
 # Time after a job has become too late to matter during which its steps are
@@ -77,7 +73,7 @@
         # accepting any VM with room.
         self.is_selective = True
         # Pace, 0 to 1, below which a VM does not suit a filling workload.
-        self.min_pace = PREFERRED_PACE if record.workload.job else MIN_PACE
+        self.min_pace = MIN_PACE
         # Whether its job is promoted, and whether it has waited for long
         # during a shortage, by ``shortage_shares``.
         self.is_owed = False
@@ -151,18 +147,6 @@
         self.avoided = frozenset()
         self.moved_from = {}
 
-    @property
-    def needs_pace(self):
-        """Whether a VM has to give its next task a pace of ``min_pace``.
-
-        Once it has waited long enough, one of its tasks takes any VM. The
-        others would only stand still there, and delay the job by a move.
-        """
-        workload = self.record.workload
-        if not workload.fills:
-            return False
-        return self.is_selective or bool(self.placed and not workload.gang)
-
     @property
     def is_starving(self):
         """Whether it has waited for long and has no task placed.
--- a/packages/scheduler/portwharf/scheduler/decisions/forecast.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/forecast.py
@@ -10,9 +10,6 @@
 and usual run times in another. Once tasks of a step have been measured, their
 median predicts the step's other tasks.
 
-The tasks of a step differ, and a step ends with its longest one, which decides
-by when its job can end. How much they differ is learnt for each queue as well.
-
 The model lives in the owner's memory; a new owner learns it anew within
 seconds.
 """
@@ -32,9 +29,6 @@
 # Least standard deviation of a prediction, in natural logarithms: tasks of one
 # step differ by about this much on the platforms known.
 _MIN_DEVIATION = 0.15
-# Limit on that of a step's tasks from each other: a worker that hangs must not
-# make all objectives long.
-_MAX_TASK_DEVIATION = 0.5
 # Bound, either way, on measured over estimated run time: bounds the effect of
 # a worker that hangs or of a nonsensical estimate.
 _MAX_ERROR_FACTOR = 20.0
@@ -65,16 +59,14 @@
     """Statistics of a queue's run times and of the errors of its estimates.
 
     ``times`` are logarithms of ms, ``errors`` logarithms of measured over
-    estimated run time, ``spreads`` squared differences between the logarithms
-    of two tasks of a step.
+    estimated run time.
     """
 
-    __slots__ = ('errors', 'spreads', 'times')
+    __slots__ = ('errors', 'times')
 
     def __init__(self):
         self.times = _MovingStats()
         self.errors = _MovingStats()
-        self.spreads = _MovingStats()
 
     def predict(self, estimate_ms):
         """Return the predicted run time of a new step's task, in ms.
@@ -91,14 +83,6 @@
             weighted += stated * (math.log(estimate_ms) + self.errors.mean)
         return math.exp(weighted / (usual + stated))
 
-    def get_task_deviation(self):
-        """Return the standard deviation of a step's tasks, in logarithms."""
-        if self.spreads.count < MIN_MEASUREMENTS:
-            return 0.0
-        # The variance of a difference of two is twice that of one.
-        deviation = math.sqrt(self.spreads.mean / 2)
-        return min(_MAX_TASK_DEVIATION, deviation)
-
 
 class RunTimeModel:
     """Run times learnt from measurements; not thread-safe."""
@@ -119,12 +103,10 @@
         if len(samples) >= _MAX_STEP_SAMPLES:
             return
         samples.append(run_ms)
-        model = self._queues.setdefault(queue, _QueueModel())
         if len(samples) > 1:
-            difference = math.log(run_ms / samples[-2])
-            model.spreads.add(difference**2)
             # Each step counts once for its queue, however many tasks it has.
             return
+        model = self._queues.setdefault(queue, _QueueModel())
         model.times.add(math.log(run_ms))
         estimate_ms = record.workload.run_ms
         if estimate_ms:
@@ -147,24 +129,6 @@
         estimate_ms = record.workload.run_ms
         return model.predict(estimate_ms) if model else estimate_ms
 
-    def get_longest_factor(self, queue, workload):
-        """Return by how much a step's longest task exceeds the predicted one.
-
-        It is the mean of the longest of so many tasks whose run times are
-        distributed log-normally about the prediction.
-
-        :returns: the factor, 1 or more
-        """
-        model = self._queues.get(queue)
-        if model is None or workload.kind != data.Kind.BATCH:
-            return 1.0
-        count = max(1, workload.count)
-        # Blom's approximation of the mean of the largest of a normal sample.
-        quantile = statistics.NormalDist().inv_cdf(
-            (count - 0.375) / (count + 0.25)
-        )
-        return math.exp(model.get_task_deviation() * quantile)
-
     def get_usual_ms(self, queue):
         """Return the usual run time of a queue's tasks, in ms.
 
@@ -209,14 +173,12 @@
     :param begin_ms: wall time by which the step has to begin, for the job to
         meet its objective
     :param late_ms: wall time after which the job is too late to matter
-    :param longest_ms: predicted run time of the longest of its tasks
     """
 
     left: float = 0.0
     run_ms: float = 0.0
     begin_ms: float = 0.0
     late_ms: float = 0.0
-    longest_ms: float = 0.0
 
 
 class Forecast:
@@ -250,11 +212,7 @@
         steps = [self._state.workloads[name] for name in names]
         queue = job.job.queue
         run_ms = [self._runtimes.predict(queue, step) for step in steps]
-        longest_ms = [
-            ms * self._runtimes.get_longest_factor(queue, step.workload)
-            for step, ms in zip(steps, run_ms, strict=True)
-        ]
-        chains = jobs.compute_path_ms(job.job.steps, longest_ms)
+        chains = jobs.compute_path_ms(job.job.steps, run_ms)
         objective_ms = jobs.compute_objective_ms(job.job, max(chains))
         begin_ms = steps[0].not_before_ms or job.asked_ms
         late_ms = begin_ms + jobs.LATE_FACTOR * objective_ms
@@ -265,10 +223,6 @@
             for step, ms in zip(steps, run_ms, strict=True)
         )
         return [
-            StepForecast(
-                left, ms, begin_ms + objective_ms - chain_ms, late_ms, longest
-            )
-            for ms, longest, chain_ms in zip(
-                run_ms, longest_ms, chains, strict=True
-            )
+            StepForecast(left, ms, begin_ms + objective_ms - chain_ms, late_ms)
+            for ms, chain_ms in zip(run_ms, chains, strict=True)
         ]
--- a/packages/scheduler/portwharf/scheduler/decisions/forecast_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/forecast_test.py
@@ -186,27 +186,3 @@
     claim = precedence.Weigher(shard_state, NOW, runtimes).make_claim(record)
     case.assertEqual(claim.left, 6.0)
     case.assertEqual(claim.due_ms, NOW + 7000)
-
-
-def test_objective_allows_for_the_longest_task_of_a_step(case):
-    """A step ends with its longest task, and so does the job's objective."""
-    rnd = random.Random(5)
-    runtimes = forecast.RunTimeModel()
-    count, factors = 20, []
-    for number in range(40):
-        record = make_record(number, TRUE_MS)
-        record.workload.count = count
-        run_ms = [TRUE_MS * rnd.lognormvariate(0, 0.3) for _ in range(count)]
-        factors.append(max(run_ms) / TRUE_MS)
-        for one_ms in run_ms:
-            runtimes.record_run_time(QUEUE, record, one_ms)
-    expected = sum(factors) / len(factors)
-    factor = runtimes.get_longest_factor(QUEUE, record.workload)
-    case.assertLess(abs(factor - expected), 0.15 * expected)
-
-
-def test_single_task_is_not_expected_to_run_longer(case):
-    runtimes = forecast.RunTimeModel()
-    record_run_times(runtimes, 20, 0.2)
-    factor = runtimes.get_longest_factor(QUEUE, data.Workload(count=1))
-    case.assertEqual(factor, 1.0)
--- a/packages/scheduler/portwharf/scheduler/decisions/hung_tasks.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/hung_tasks.py
@@ -118,7 +118,9 @@
             if len(moves) >= MAX_MOVES_PER_PASS:
                 break
             leaving = sum(other.record is one.record for other in moves)
-            one.kept = _find_obstacle(one, leaving) or _reserve(one, views)
+            one.kept = _find_obstacle(one, leaving) or _reserve(
+                one, views, weigher
+            )
             if one.kept:
                 kept[(one.task.id, one.task.attempt)] = one
             else:
@@ -222,20 +224,21 @@
     return KEPT_MANY_AWAY if away >= workload.most_away else ''
 
 
-def _reserve(one, views):
+def _reserve(one, views, weigher):
     """Reserve room for a hung task on another VM.
 
     :returns: why there is none, or ''
     """
     workload = one.record.workload
+    weight = weigher.weigh(one.record) if workload.fills else 0.0
     for view in views:
-        if view.vm.name != one.task.vm and _has_room(one, view):
-            view.add_task(workload)
+        if view.vm.name != one.task.vm and _has_room(one, view, weight):
+            view.add_task(workload, weight)
             return ''
     return KEPT_NO_ROOM
 
 
-def _has_room(one, view):
+def _has_room(one, view, weight):
     """Return whether a VM could take a hung task now."""
     workload = one.record.workload
     if view.closed or view.suspects or not view.suits(workload):
@@ -248,7 +251,9 @@
             return False
     if not workload.fills:
         return True
+    idle_milli = view.compute_idle_milli(weight)
     return (
-        workload.resources.cpu_milli <= view.compute_idle_milli()
-        and view.predict_pace(workload) >= task_moves.MIN_DESTINATION_PACE
+        workload.resources.cpu_milli <= idle_milli
+        and view.predict_pace(workload, weight)
+        >= task_moves.MIN_DESTINATION_PACE
     )
--- a/packages/scheduler/portwharf/scheduler/decisions/job_admission.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/job_admission.py
@@ -18,6 +18,7 @@
 from portwharf.scheduler.decisions import class_backlog
 from portwharf.scheduler.decisions import forecast
 from portwharf.scheduler.decisions import placement
+from portwharf.scheduler.decisions import precedence
 from portwharf.scheduler.decisions import shard_load
 from portwharf.scheduler.decisions import worker_sizes
 from portwharf.scheduler import jobs
@@ -226,7 +227,6 @@
         records = jobs.make_steps(job, 0, asked_ms)
         run_ms = [
             max(usual_ms, self._runtimes.predict(job.queue, record))
-            * self._runtimes.get_longest_factor(job.queue, record.workload)
             for record in records
         ]
         chain_ms = max(jobs.compute_path_ms(job.steps, run_ms))
@@ -239,12 +239,7 @@
         run_ms = [
             self._runtimes.predict(job.queue, record) for record in records
         ]
-        longest_ms = [
-            one_ms
-            * self._runtimes.get_longest_factor(job.queue, record.workload)
-            for record, one_ms in zip(records, run_ms, strict=True)
-        ]
-        chains = jobs.compute_path_ms(job.steps, longest_ms)
+        chains = jobs.compute_path_ms(job.steps, run_ms)
         objective_ms = jobs.compute_objective_ms(job, max(chains))
         late_ms = asked_ms + jobs.LATE_FACTOR * objective_ms
         left = sum(
@@ -355,9 +350,10 @@
         return False
     if not step.fills:
         return True
+    last = precedence.LAST_WEIGHT
     return (
-        view.compute_idle_milli() >= step.resources.cpu_milli
-        and view.predict_pace(step) >= MIN_FREE_PACE
+        view.compute_idle_milli(last) >= step.resources.cpu_milli
+        and view.predict_pace(step, last) >= MIN_FREE_PACE
     )
 
 
--- a/packages/scheduler/portwharf/scheduler/decisions/lasting_headroom_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/lasting_headroom_test.py
@@ -48,7 +48,7 @@
         told = [messages.Headroom('desk', room)]
         view.set_headrooms(self.model, told)
         for pace in paces:
-            view.record_filling(FILLING, pace)
+            view.record_filling(FILLING, 1.0, pace)
         self.tracker.update(view, told, heard, origin, heard + delay)
         lasting_headroom.apply_lasting_headrooms(view)
         return view.headrooms['desk']
--- a/packages/scheduler/portwharf/scheduler/decisions/placement.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/placement.py
@@ -90,7 +90,7 @@
     result.ordered = backlog.order_demands(demands, now_ms)
     for demand in result.ordered:
         failed = result.hopeless.get(_get_shape(demand))
-        if failed is not None:
+        if failed is not None and demand.weight >= failed.weight:
             waiting = UnplacedWorkload(demand.record, failed.reason, failed)
             result.waiting.append(waiting)
         elif not _place_demand(demand, views, quotas, now_ms, result):
--- a/packages/scheduler/portwharf/scheduler/decisions/precedence.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/precedence.py
@@ -97,7 +97,7 @@
     def make_claim(self, record):
         """Return the :class:`Claim` of a step's tasks."""
         found = self.get_step_forecast(record)
-        end_ms = int(found.begin_ms + max(found.run_ms, found.longest_ms))
+        end_ms = int(found.begin_ms + found.run_ms)
         left = found.left / _MILLI_MS_PER_CPU_SECOND
         if self.is_owed(record):
             left *= PROMOTED_FACTOR
--- a/packages/scheduler/portwharf/scheduler/decisions/task_moves.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/task_moves.py
@@ -206,7 +206,7 @@
         by_name = {view.vm.name: view for view in views}
         for entry, vm, _ in self._rows.values():
             if vm in by_name:
-                by_name[vm].add_task(entry.workload)
+                by_name[vm].add_task(entry.workload, entry.weight)
 
 
 def choose_moves(stalled, views, limit=MAX_MOVES_PER_PASS):
@@ -235,7 +235,7 @@
             destinations[name] = _list_destinations(entry, idle)
         destination = _pick_destination(entry, destinations[name])
         if destination is not None:
-            destination.add_task(entry.workload)
+            destination.add_task(entry.workload, entry.weight)
             destinations.clear()
             idle = None
             chosen.append((entry, destination.vm.name))
@@ -248,7 +248,7 @@
     :returns: list of (thousandths of a processor, view)
     """
     return [
-        (view.compute_idle_milli(), view)
+        (view.capacity.cpu_milli - view.busy_milli, view)
         for view in views
         if not view.closed and not view.suspects
     ]
@@ -267,7 +267,7 @@
             continue
         if not workload.reserved.fits(view.room) or not view.suits(workload):
             continue
-        pace = view.predict_pace(workload)
+        pace = view.predict_pace(workload, entry.weight)
         if pace >= MIN_DESTINATION_PACE:
             found.append((pace, view))
     found.sort(key=lambda row: -row[0])
--- a/packages/scheduler/portwharf/scheduler/decisions/task_moves_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/task_moves_test.py
@@ -101,25 +101,9 @@
     )
 
 
-def fill(view, milli, pace=1.0):
-    """Add a filling task of another job to a view, and return the view."""
-    size = data.Resources(milli, 1000)
-    other = data.Workload(resources=size, fills=True, image='other')
-    view.add_usage(other)
-    view.record_filling(other, pace)
-    return view
-
-
-def test_stalled_task_moves_where_throttled_tasks_leave_processors(case):
-    """What the tasks there ask for exceeds the processors of the VM."""
-    view = fill(make_view(), 14_000, pace=0.1)
-    moved = task_moves.choose_moves(find_stalled_tasks(3), [view])
-    case.assertEqual([vm for _, vm in moved], ['vm-2'])
-
-
 def test_no_task_moves_to_a_full_closed_or_unsuitable_vm(case):
     views = [
-        fill(make_view(), 14_000),
+        make_view(filling_milli=14000),
         make_view(closed='unreachable'),
         make_view('vm-1'),
         make_view(capacity=data.Resources(16000, 500)),
@@ -228,9 +212,9 @@
 
 def test_second_task_does_not_move_into_room_that_the_first_took(case):
     stalled = find_two_stalled_tasks()
-    views = [fill(make_view('vm-2'), 12_000), make_view('vm-1')]
+    views = [make_view('vm-2', filling_milli=12_000), make_view('vm-1')]
     case.assertEqual(len(task_moves.choose_moves(stalled, views)), 1)
-    both = [fill(make_view(), 12_000) for _ in range(2)]
+    both = [make_view(filling_milli=12_000) for _ in range(2)]
     case.assertEqual(len(task_moves.choose_moves(stalled, both)), 2)
 
 
@@ -288,27 +272,32 @@
     case.assertEqual(len(done.placements), 2)
 
 
-def test_headroom_of_running_tasks_is_left_to_them(case):
-    """A task that yields hardly progresses, and its job waits for it."""
-    step = data.Workload(resources=SIZE, image='plan', fills=True)
+def make_pressed_view(weight):
+    """Return a view filled by a task whose job has a weight."""
     view = make_view(headrooms={'desk': 0.0})
-    view.record_filling(step, 1.0)
-    case.assertEqual(view.predict_pace(step), 0.0)
+    view.record_filling(
+        data.Workload(resources=SIZE, image='plan'), weight, 1.0
+    )
+    return view
 
 
-def test_headroom_is_used_once(case):
-    step = data.Workload(resources=SIZE, image='plan', fills=True)
-    view = make_view()
-    cost = view.pairs.get_pacing_press('desk', 'plan') / 4
-    view.headrooms = {'desk': 1.5 * cost}
-    case.assertEqual(view.predict_pace(step), 1.0)
-    view.add_task(step)
-    case.assertAlmostEqual(view.predict_pace(step), 0.5)
+def test_pace_is_high_where_others_yield(case):
+    size = data.Workload(resources=SIZE, image='plan', fills=True)
+    case.assertEqual(make_pressed_view(90.0).predict_pace(size, 10.0), 1.0)
+    case.assertEqual(make_pressed_view(10.0).predict_pace(size, 90.0), 0.0)
+
+
+def test_headroom_of_yielding_tasks_is_used_once(case):
+    size = data.Workload(resources=SIZE, image='plan', fills=True)
+    view = make_pressed_view(90.0)
+    view.add_task(size, 10.0)
+    case.assertEqual(view.predict_pace(size, 20.0), 0.0)
+    case.assertEqual(view.predict_pace(size, 5.0), 1.0)
 
 
 def test_task_that_requests_no_processor_has_full_pace(case):
     size = data.Resources(0, 1000)
     step = data.Workload(resources=size, image='plan', fills=True)
     view = make_view(headrooms={'desk': 0.0})
-    view.add_task(step)
-    case.assertEqual(view.predict_pace(step), 1.0)
+    view.add_task(step, 1.0)
+    case.assertEqual(view.predict_pace(step, 1.0), 1.0)
--- a/packages/scheduler/portwharf/scheduler/decisions/uneven_pools.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/uneven_pools.py
@@ -106,6 +106,29 @@
                 LOG.info(text, extra=extra)
 
 
+def require_pace(demands, views):
+    """Let the filling steps of uneven pools wait for a VM with a good pace.
+
+    Workloads without a job are left as they are, since their wait for a
+    suitable VM has no limit.
+
+    :param demands: list of ``backlog.Demand``
+    """
+    uneven = [view for view in views if view.uneven]
+    if not uneven:
+        return
+    suits = {}
+    for demand in demands:
+        workload = demand.record.workload
+        if not workload.fills or not workload.job:
+            continue
+        names = (workload.pool, workload.label)
+        if names not in suits:
+            suits[names] = any(view.suits(workload) for view in uneven)
+        if suits[names]:
+            demand.min_pace = GOOD_PACE
+
+
 def _count_vms(views, sample):
     """Return the number of good and of poor VMs, and that of open VMs."""
     total = sample.total()
--- a/packages/scheduler/portwharf/scheduler/decisions/uneven_pools_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/uneven_pools_test.py
@@ -17,7 +17,7 @@
 
 SIZE = data.Resources(16_000, 64_000)
 # Headroom for the full pace of an average filling task.
-FULL = 0.3
+FULL = 0.2
 HOLD = uneven_pools.HOLD_SECONDS
 
 
@@ -123,13 +123,23 @@
     return backlog.Demand(state.WorkloadRecord('a.0.0', '', 5, workload))
 
 
-def test_only_filling_steps_of_jobs_wait_for_a_good_pace(case):
+def test_only_filling_steps_of_uneven_pools_wait_for_a_good_pace(case):
     """The wait of a workload without a job for a suitable VM has no end."""
-    demands = [make_demand(), make_demand(fills=False), make_demand(job='')]
-    case.assertEqual(
-        [one.min_pace for one in demands if one.needs_pace],
-        [backlog.PREFERRED_PACE, backlog.MIN_PACE],
-    )
+    views = make_views(None, 0.0, pool='a')
+    demands = [
+        make_demand(pool='a'),
+        make_demand(),
+        make_demand(pool='b'),
+        make_demand(fills=False),
+        make_demand(job=''),
+    ]
+    uneven_pools.require_pace(demands, views)
+    before = [backlog.MIN_PACE] * 5
+    case.assertEqual([one.min_pace for one in demands], before)
+    case.assertTrue(is_uneven(views))
+    uneven_pools.require_pace(demands, views)
+    expected = [uneven_pools.GOOD_PACE] * 2 + [backlog.MIN_PACE] * 3
+    case.assertEqual([one.min_pace for one in demands], expected)
 
 
 def test_workload_without_a_job_is_placed_after_a_step_that_waits(case):
--- a/packages/scheduler/portwharf/scheduler/decisions/vm_choice.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vm_choice.py
@@ -24,8 +24,6 @@
 REASON_NO_WORKERS = 'no-worker-is-known'
 # Penalty for a worker that is quarantined; it outweighs all other addends.
 _QUARANTINE_PENALTY = 100.0
-# Pace, 0 to 1, below which a filling task hardly progresses.
-_LEAST_PACE = 0.1
 # Weight of interference with services against the fill of a VM.
 _INTERFERENCE_WEIGHT = 6.0
 
@@ -37,6 +35,7 @@
     :param view: the chosen ``vmview.VmView``, or None if there is none
     :param parts: addends of its score, as ``events.Part``
     :param refusals: number of refused VMs by reason
+    :param weight: the weight of the task's job, for a filling task
     :param declined: number of VMs that were refused only because the demand
         waits for a better pace than the usual one (``Demand.min_pace``)
     """
@@ -46,6 +45,7 @@
     refusals: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
+    weight: float = 0.0
     declined: int = 0
 
     @property
@@ -81,7 +81,6 @@
         # The pace of a filling task on the VM that is being assessed, once it
         # is known.
         self._pace = None
-        self._required_pace = None
         # The next task's properties that the assessments depend on.
         self._properties = None
         # Of each VM: its score, infinite if it is refused, and its addends,
@@ -101,7 +100,7 @@
             for index in self._outdated:
                 self._assess(index, spread)
             self._outdated = ()
-        choice = Choice()
+        choice = Choice(weight=self._demand.weight)
         choice.refusals.update(filter(None, self._reasons))
         choice.declined = sum(self._declined)
         lowest = min(self._totals, default=math.inf)
@@ -164,9 +163,8 @@
         reason = _refuse(self._size, view) or _refuse_step(demand, view)
         if reason:
             return reason
-        if demand.needs_pace:
-            pace = self._predict_pace(view)
-            if pace < demand.min_pace and pace < self._get_required_pace():
+        if workload.fills and demand.is_selective:
+            if self._predict_pace(view) < demand.min_pace:
                 return REFUSED_SLOWS_SERVICE
         name = view.vm.name
         if workload.kind == data.Kind.SERVICE and demand.placed[name]:
@@ -180,30 +178,12 @@
             return REFUSED_SUSPECT
         return ''
 
-    def _get_required_pace(self):
-        """Return the pace, 0 to 1, below which a VM is refused.
-
-        A task that would be slow on every VM, even without other filling
-        tasks, does not wait for a better pace than there is.
-        """
-        if self._required_pace is None:
-            demand = self._demand
-            workload = demand.record.workload
-            best = 0.0
-            for view in self._views:
-                if not view.closed and view.suits(workload):
-                    best = max(best, view.predict_best_pace(workload))
-                if best >= 1.0:
-                    break
-            # Headrooms may be small for a moment only.
-            least = backlog.MIN_PACE if demand.is_selective else _LEAST_PACE
-            self._required_pace = max(least, demand.min_pace * best)
-        return self._required_pace
-
     def _predict_pace(self, view):
         """Return the pace of a filling task on the VM that is assessed."""
         if self._pace is None:
-            self._pace = view.predict_pace(self._demand.record.workload)
+            self._pace = view.predict_pace(
+                self._demand.record.workload, self._demand.weight
+            )
         return self._pace
 
     def _score(self, view, spread):
@@ -249,7 +229,7 @@
         view.kinds[backlog.get_interference_kind(workload)] += 1
     if demand.crash_count:
         view.record_suspect(demand.unit, demand.crash_count)
-    view.add_task(workload)
+    view.add_task(workload, demand.weight)
     if view.probe or view.early_probe:
         view.closed = REFUSED_QUARANTINED
         view.early_probe = False
@@ -331,7 +311,7 @@
         return reason
     workload = demand.record.workload
     if workload.fills and not demand.is_starving:
-        idle_milli = view.compute_idle_milli()
+        idle_milli = view.compute_idle_milli(demand.weight)
         if workload.resources.cpu_milli > idle_milli:
             return 'processors'
     return ''
--- a/packages/scheduler/portwharf/scheduler/decisions/vm_choice_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vm_choice_test.py
@@ -43,7 +43,7 @@
             image=rnd.choice(IMAGES),
             resources=data.Resources(rnd.randrange(1, 2000), 100),
         )
-        view.record_filling(filling, rnd.random())
+        view.record_filling(filling, rnd.uniform(1, 50), rnd.random())
         view.add_usage(filling)
     if rnd.random() < 0.3:
         view.services = [remedies.ServiceView('lens/fit', 0.5, 0.6, 0.2)]
@@ -133,11 +133,10 @@
             )
 
 
-def make_throttled_view(paces, headroom=0.0):
-    """Return a view with filling tasks beside a serving one.
+def make_throttled_view(weight, paces):
+    """Return a view without headroom, with filling tasks of one job.
 
     :param paces: the pace of each, 0 to 1
-    :param headroom: what they leave to others
     """
     view = vmview.VmView(fixtures.make_vm(0), data.Resources(16_000, 64_000))
     view.pairs = tail_interference.TailInterferenceModel()
@@ -149,62 +148,37 @@
         resources=data.Resources(8000, 8000),
     )
     view.add_task(serving)
-    view.headrooms = {'desk': headroom}
+    view.headrooms = {'desk': 0.0}
     for pace in paces:
-        view.record_filling(FILLING, pace)
+        view.record_filling(FILLING, weight, pace)
         view.add_usage(FILLING)
     return view
 
 
-def choose_for_filling_task(view):
-    """Return the choice for a filling task."""
+def choose_for_filling_task(view, weight):
+    """Return the choice for a filling task whose job has a weight."""
     record = state.WorkloadRecord('a.0.0', FILLING.key, 5, FILLING)
-    return vm_choice.choose_vm(backlog.Demand(record), [view], None)
+    demand = backlog.Demand(record, weight=weight)
+    return vm_choice.choose_vm(demand, [view], None)
 
 
-def test_processors_that_throttled_tasks_leave_do_not_refuse_a_task(case):
-    view = make_throttled_view([1.0, 1.0, 0.03, 0.03, 0.03, 0.03], 3.0)
-    choice = choose_for_filling_task(view)
+def test_processors_of_tasks_that_would_yield_do_not_refuse_a_task(case):
+    view = make_throttled_view(500.0, [1.0, 1.0, 0.03, 0.03, 0.03, 0.03])
+    case.assertEqual(view.predict_pace(FILLING, 20.0), 1.0)
+    choice = choose_for_filling_task(view, weight=20.0)
     case.assertEqual(choice.refusals, {})
     case.assertIs(choice.view, view)
 
 
-def test_task_that_is_slow_on_every_vm_does_not_wait_for_a_better_one(case):
-    """Its step would otherwise run one task at a time."""
-    views = [make_throttled_view([], headroom) for headroom in (0.1, 0.09)]
-    record = state.WorkloadRecord('a.0.0', FILLING.key, 5, FILLING)
-    demand = backlog.Demand(record)
-    demand.placed['vm-09'] += 1
-    case.assertIsNone(vm_choice.choose_vm(demand, views, None).view)
-    demand.accept_any_vm()
-    case.assertIs(vm_choice.choose_vm(demand, views, None).view, views[0])
-    views[0].headrooms = {'desk': 3.0}
-    views[0].closed = 'leaving'
-    case.assertIs(vm_choice.choose_vm(demand, views, None).view, views[1])
-    views[0].closed = ''
-    views[0].filling_milli = 90_000
-    case.assertIsNone(vm_choice.choose_vm(demand, views, None).view)
-
-
-def test_processors_of_tasks_at_their_full_pace_refuse_a_task(case):
-    choice = choose_for_filling_task(make_throttled_view([1.0] * 6, 3.0))
+def test_processors_of_tasks_that_rank_first_refuse_a_task(case):
+    view = make_throttled_view(20.0, [1.0] * 6)
+    choice = choose_for_filling_task(view, weight=500.0)
     case.assertEqual(choice.refusals, {'processors': 1})
 
 
-def test_throttled_tasks_do_not_make_room_for_ever_more(case):
-    """All of them may run at full pace at the same time."""
-    free_milli = 16_000 - 8000 * vmview.SERVING_UTILIZATION
-    size = FILLING.resources.cpu_milli
-    most = int(vmview.MAX_FILLING_FACTOR * free_milli // size)
-    view = make_throttled_view([0.0] * most)
-    case.assertLess(view.compute_idle_milli(), size)
-    view = make_throttled_view([0.0] * (most - 1))
-    case.assertGreaterEqual(view.compute_idle_milli(), size)
-
-
 def test_tasks_without_headroom_do_not_pile_up_on_a_vm(case):
-    """A step that has waited gets one task there, and the others wait on."""
-    view = make_throttled_view([])
+    """Each is predicted to use no processors, but all may be at work later."""
+    view = make_throttled_view(20.0, [])
     workload = fixtures.make_workload(
         job='a',
         fills=True,
@@ -216,7 +190,9 @@
     demand = backlog.Demand(record, weight=20.0)
     demand.accept_any_vm()
     placed = place_all(demand, [view], None, None)
-    case.assertEqual(len([name for name, *_ in placed if name]), 1)
+    free_milli = 16_000 - 8000 * vmview.SERVING_UTILIZATION
+    most = vmview.MAX_FILLING_FACTOR * free_milli // 1800
+    case.assertEqual(len([name for name, *_ in placed if name]), most)
 
 
 def make_quarantined_view(number):
--- a/packages/scheduler/portwharf/scheduler/decisions/vmview.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vmview.py
@@ -6,6 +6,7 @@
 import dataclasses
 
 from portwharf.core import data
+from portwharf.scheduler.decisions import precedence
 from portwharf.scheduler.decisions import tail_interference
 
 # Share of its reserved processors that a serving task uses at its peak; the
@@ -18,12 +19,14 @@
 
 @dataclasses.dataclass(slots=True)
 class FillingTask:
-    """A filling task on a VM.
+    """A filling task on a VM, as others compete with it for headroom.
 
+    :param weight: its job's weight, as ``precedence.Claim.weigh`` returns it
     :param image: the image that it runs
     :param share: share of the VM's processors that it uses at its pace
     """
 
+    weight: float = 0.0
     image: str = ''
     share: float = 0.0
 
@@ -93,8 +96,6 @@
     largest: data.Resources = dataclasses.field(default_factory=data.Resources)
     lasting: dict = dataclasses.field(default_factory=dict)
     uneven: bool = False
-    # By serving image, the headroom that is left; None until it is needed.
-    _rooms_left: dict = dataclasses.field(default=None, init=False)
 
     def __post_init__(self):
         self.rack = self.rack or self.vm.rack
@@ -122,14 +123,20 @@
         unused_milli = self.serving_milli * (1 - SERVING_UTILIZATION)
         return int(self.reserved.cpu_milli - unused_milli + self.filling_milli)
 
-    def compute_idle_milli(self):
+    def compute_idle_milli(self, weight):
         """Return the processors that a further filling task can have here.
 
-        The filling tasks there use what their paces allow.
+        The filling tasks that rank after it are expected to be slowed down in
+        its favour. The others use what their pace allows. A side does so only
+        where a serving task has too little headroom for all of them.
 
+        :param weight: its job's weight, as ``precedence.Claim.weigh`` returns
+            it
         :returns: thousandths of a processor
         """
-        share = sum(task.share for task in self.fillings)
+        share = sum(
+            task.share for task in self.fillings if task.weight <= weight
+        )
         filling_milli = share * self.capacity.cpu_milli
         free_milli = self.capacity.cpu_milli - (
             self.busy_milli - self.filling_milli
@@ -149,12 +156,10 @@
             self.headrooms.setdefault(
                 workload.image, tail_interference.DEFAULT_HEADROOM
             )
-            self._rooms_left = None
 
     def set_headrooms(self, pairs, headrooms):
         """Set the presses, and the headrooms from ``messages.Headroom``."""
         self.pairs = pairs
-        self._rooms_left = None
         self.headrooms = {
             headroom.serving: headroom.room for headroom in headrooms
         }
@@ -178,79 +183,57 @@
             return False
         return not workload.label or workload.label in self.labels
 
-    def predict_pace(self, workload):
+    def predict_pace(self, workload, weight=precedence.LAST_WEIGHT):
         """Return the pace, 0 to 1, at which a filling task would run here.
 
-        It gets the headroom that the filling tasks there leave, by the press
-        that its side paces by. None of them has to yield, whatever its rank:
-        it would hardly progress there, and delay its own job.
+        :param weight: its job's weight; tasks on the VM that rank after it are
+            expected to be slowed down in its favour
         """
-        if self._rooms_left is None:
-            self._rooms_left = {
-                serving: room - self._sum_margins(serving)
-                for serving, room in self.headrooms.items()
-            }
-        return self._find_pace(workload, self._rooms_left)
-
-    def predict_best_pace(self, workload):
-        """Return the pace that a filling task would have as the only one."""
-        rooms = {
-            serving: room + self._sum_effects(serving)
-            for serving, room in self.headrooms.items()
-        }
-        return self._find_pace(workload, rooms)
-
-    def _find_pace(self, workload, rooms):
-        """Return the pace, 0 to 1, that rooms by serving image allow."""
         pace = 1.0
         share = self._get_cpu_share(workload)
-        for serving, room in rooms.items():
-            press = self.pairs.get_pacing_press(serving, workload.image)
+        for serving, room in self.headrooms.items():
+            press = self.pairs.get_upper_bound(serving, workload.image)
             cost = press * share
-            if cost > 0:
-                pace = min(pace, max(0.0, room) / cost)
+            if cost <= 0:
+                continue
+            if room / cost >= pace:
+                # Tasks that yield would only add to that.
+                continue
+            rank = precedence.rank(weight, press)
+            room += self._sum_yielding(serving, rank)
+            pace = min(pace, max(0.0, room) / cost)
         return pace
 
-    def _sum_effects(self, serving):
-        """Return the headroom that the filling tasks here take."""
-        return sum(
-            task.share * self.pairs.get_press(serving, task.image)
-            for task in self.fillings
-        )
-
-    def _sum_margins(self, serving):
-        """Return the headroom that its side keeps for shifts in interference.
-
-        The reported headroom has only the effect of the filling tasks there.
-        """
-        cautious = sum(
-            task.share * self.pairs.get_pacing_press(serving, task.image)
-            for task in self.fillings
-        )
-        return cautious - self._sum_effects(serving)
+    def _sum_yielding(self, serving, rank):
+        """Return the headroom used by filling tasks that come after a rank."""
+        total = 0.0
+        for task in self.fillings:
+            press = self.pairs.get_upper_bound(serving, task.image)
+            if precedence.rank(task.weight, press) > rank:
+                total += press * task.share
+        return total
 
     def _get_cpu_share(self, workload):
         """Return the share of the VM's processors that a task requests."""
         return workload.resources.cpu_milli / max(1, self.capacity.cpu_milli)
 
-    def record_filling(self, workload, pace):
+    def record_filling(self, workload, weight, pace):
         """Add a filling task that runs at a pace, 0 to 1."""
         share = self._get_cpu_share(workload) * pace
-        self.fillings.append(FillingTask(workload.image, share))
-        self._rooms_left = None
+        self.fillings.append(FillingTask(weight, workload.image, share))
 
-    def reserve_headroom(self, workload):
+    def reserve_headroom(self, workload, weight):
         """Reserve the headroom that a filling task is going to use."""
-        pace = self.predict_pace(workload)
+        pace = self.predict_pace(workload, weight)
         share = self._get_cpu_share(workload)
         for serving in self.headrooms:
-            press = self.pairs.get_press(serving, workload.image)
+            press = self.pairs.get_upper_bound(serving, workload.image)
             self.headrooms[serving] -= press * share * pace
-        self.record_filling(workload, pace)
+        self.record_filling(workload, weight, pace)
 
-    def add_task(self, workload):
+    def add_task(self, workload, weight=precedence.LAST_WEIGHT):
         """Add a newly placed task."""
         if workload.fills:
-            self.reserve_headroom(workload)
+            self.reserve_headroom(workload, weight)
         self.reserved = self.reserved.add(workload.reserved)
         self.add_usage(workload)
--- a/packages/scheduler/portwharf/scheduler/decisions/vmview_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vmview_test.py
@@ -6,6 +6,7 @@
 
 from portwharf.core import data
 from portwharf.peers import messages
+from portwharf.scheduler.decisions import precedence
 from portwharf.scheduler.decisions import tail_interference
 from portwharf.scheduler.decisions import vmview
 from portwharf.testing import fixtures
@@ -28,7 +29,7 @@
         view.headrooms[serving] = rnd.uniform(-0.2, 1.5)
     for _ in range(rnd.randrange(6)):
         task = make_filling_task(rnd)
-        view.record_filling(task, rnd.random())
+        view.record_filling(task, rnd.uniform(1, 90), rnd.random())
     return view
 
 
@@ -41,16 +42,16 @@
     )
 
 
-def compute_pace(view, workload):
-    """Return the pace by what the cautious presses of all tasks leave."""
+def compute_pace(view, workload, weight):
+    """Return the pace, with what all tasks that yield leave it."""
     paces = [1.0]
     for serving, room in view.headrooms.items():
-        # The headroom without filling tasks, less what pacing counts for them.
+        press = view.pairs.get_upper_bound(serving, workload.image)
+        rank = precedence.rank(weight, press)
         for task in view.fillings:
-            room += view.pairs.get_press(serving, task.image) * task.share
-            cautious = view.pairs.get_pacing_press(serving, task.image)
-            room -= cautious * task.share
-        press = view.pairs.get_pacing_press(serving, workload.image)
+            other = view.pairs.get_upper_bound(serving, task.image)
+            if precedence.rank(task.weight, other) > rank:
+                room += other * task.share
         cost = press * workload.resources.cpu_milli / SIZE.cpu_milli
         paces.append(max(0.0, room) / cost)
     return min(paces)
@@ -60,8 +61,9 @@
     for seed in range(300):
         rnd = random.Random(seed)
         view, workload = make_view(rnd), make_filling_task(rnd)
+        weight = rnd.uniform(1, 90)
         with case.subTest(seed=seed):
             case.assertAlmostEqual(
-                view.predict_pace(workload),
-                compute_pace(view, workload),
+                view.predict_pace(workload, weight),
+                compute_pace(view, workload, weight),
             )
--- a/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
@@ -193,7 +193,7 @@
         task_moves_test.test_nothing_moves_where_it_would_work_no_better,
         vmview.VmView,
         'predict_pace',
-        lambda self, workload: 1.0,
+        lambda self, workload, weight: 1.0,
     )
 
 
--- a/packages/scheduler/portwharf/scheduler/jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/jobs_test.py
@@ -238,31 +238,30 @@
     case.assertEqual(placed, [0, 0, 1])
 
 
-def test_rest_of_a_started_step_waits_for_headroom(case):
+def test_rest_of_a_started_step_waits_longer_for_a_good_vm(case):
     made = accept(make_step(2, fills=True, image='plan'))
     made.apply(events.TaskPlaced(f'{FIRST}.0', 1, 'vm-2'))
     view = vmview.VmView(data.Vm('vm-1'), data.Resources(9000, 9000))
+    view.set_headrooms(
+        tail_interference.TailInterferenceModel(),
+        [messages.Headroom('desk', 0.0)],
+    )
     patience = pass_inputs.Patience()
     patience.record_waits({FIRST}, 0.0)
     placed = []
-    long = pass_inputs.REMAINING_PATIENCE_SECONDS + 1
-    for now, headroom in ((2.0, 0.0), (long, 0.0), (2 * long, 9.0)):
-        view.set_headrooms(
-            tail_interference.TailInterferenceModel(),
-            [messages.Headroom('desk', headroom)],
-        )
+    for now in (2.0, pass_inputs.REMAINING_PATIENCE_SECONDS + 1):
         demands = pass_inputs.list_demands(made, lambda _: frozenset(), NOW)
         patience.apply(demands, now)
         done = pass_inputs.plan(made, demands, [view], {}, NOW)
         placed.append(len(done.placements))
-    case.assertEqual(placed, [0, 0, 1])
+    case.assertEqual(placed, [0, 1])
 
 
 def test_job_that_stands_still_gets_one_task_beyond_the_processors(case):
     made = accept(make_step(3, fills=True, image='plan'))
     view = vmview.VmView(data.Vm('vm-1'), data.Resources(9000, 9000))
     view.set_headrooms(tail_interference.TailInterferenceModel(), [])
-    view.record_filling(make_step(resources=view.capacity), 1.0)
+    view.record_filling(make_step(resources=view.capacity), 0.0, 1.0)
     (demand,) = pass_inputs.list_demands(made, lambda _: frozenset(), NOW)
     done = pass_inputs.plan(made, [demand], [view], {}, NOW)
     case.assertEqual(done.placements, [])
@@ -279,7 +278,7 @@
     made.apply(events.JobAccepted(NOW, other))
     view = vmview.VmView(data.Vm('vm-1'), data.Resources(9000, 9000))
     view.set_headrooms(tail_interference.TailInterferenceModel(), [])
-    view.record_filling(make_step(resources=view.capacity), 1.0)
+    view.record_filling(make_step(resources=view.capacity), 0.0, 1.0)
     demands = pass_inputs.list_demands(made, lambda _: frozenset(), NOW)
     for demand in demands:
         demand.accept_any_vm()
@@ -292,7 +291,7 @@
     made = accept(make_step(3, fills=True, gang=True, image='plan'))
     view = vmview.VmView(data.Vm('vm-1'), data.Resources(9000, 9000))
     view.set_headrooms(tail_interference.TailInterferenceModel(), [])
-    view.record_filling(make_step(resources=view.capacity), 1.0)
+    view.record_filling(make_step(resources=view.capacity), 0.0, 1.0)
     (demand,) = pass_inputs.list_demands(made, lambda _: frozenset(), NOW)
     demand.accept_any_vm()
     done = pass_inputs.plan(made, [demand], [view], {}, NOW)
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -15,6 +15,7 @@
 from portwharf.peers import streams
 from portwharf.scheduler.decisions import lasting_headroom
 from portwharf.scheduler.decisions import pass_inputs
+from portwharf.scheduler.decisions import precedence
 from portwharf.scheduler.decisions import uneven_pools
 from portwharf.scheduler.decisions import vmview
 from portwharf.scheduler import events
@@ -60,6 +61,7 @@
         health,
         service_protection,
         pairs=None,
+        runtimes=None,
     ):
         """Create the membership of a new owner.
 
@@ -70,8 +72,10 @@
         :param service_protection: a
             ``service_protection.ServiceProtection`` of the shard's workers
         :param pairs: a ``tail_interference.TailInterferenceModel``, or None
+        :param runtimes: a ``forecast.RunTimeModel``, or None
         """
         self._pairs = pairs
+        self._runtimes = runtimes
         self._service_protection = service_protection
         self._env = env
         self._state = state
@@ -165,9 +169,15 @@
         listed = self._listed.get(name)
         return listed is not None and listed.state != data.VmState.LIVE
 
-    def view_vms(self):
-        """Return a ``vmview.VmView`` of each member, for placement."""
+    def view_vms(self, weigher=None):
+        """Return a ``vmview.VmView`` of each member, for placement.
+
+        :param weigher: the ``precedence.Weigher`` of the pass, or None
+        """
         now = self._env.clock.read_monotonic()
+        weigher = weigher or precedence.Weigher(
+            self._state, self._env.clock.read_unix_ms(), self._runtimes
+        )
         self._health.clear_working(now)
         restricted = self._list_restricted(now)
         views = []
@@ -182,7 +192,7 @@
             view.rack = link.view.rack or view.rack
             view.life = link.view.life
             view.set_headrooms(self._pairs, link.view.headrooms)
-            unmeasured += self._add_fill(link, view)
+            unmeasured += self._add_fill(link, view, weigher)
             if self._env.compares_vms:
                 self._track_headroom(link, view, now)
             view.closed = self._find_closed_reason(
@@ -199,8 +209,8 @@
         self._headrooms.forget(self._links.keys())
         if self._env.compares_vms:
             self._uneven_pools.update(views, self._count_filling, now)
-        for view, workload in unmeasured:
-            view.reserve_headroom(workload)
+        for view, workload, weight in unmeasured:
+            view.reserve_headroom(workload, weight)
         self._service_protection.fill_views(views, now)
         return views
 
@@ -243,11 +253,11 @@
                 pools[link.view.pool].append(name)
         return set().union(*map(self._health.list_restricted, pools.values()))
 
-    def _add_fill(self, link, view):
+    def _add_fill(self, link, view, weigher):
         """Add the load of a VM beyond its reserved resources to its view.
 
-        :returns: list of (view, workload) of the filling tasks whose effect is
-            not reported yet
+        :returns: list of (view, workload, weight) of the filling tasks whose
+            effect is not reported yet
         """
         pace_percents = {
             (pace.task, pace.attempt): pace.percent for pace in link.view.paced
@@ -259,11 +269,12 @@
             if not record.workload.fills:
                 continue
             name = (task.id, task.attempt)
+            weight = weigher.weigh(record)
             if self._is_measured(link, name):
                 pace = pace_percents.get(name, 100) / 100
-                view.record_filling(record.workload, pace)
+                view.record_filling(record.workload, weight, pace)
             else:
-                unmeasured.append((view, record.workload))
+                unmeasured.append((view, record.workload, weight))
         return unmeasured
 
     def _is_measured(self, link, attempt):
--- a/packages/scheduler/portwharf/scheduler/membership_test.py
+++ b/packages/scheduler/portwharf/scheduler/membership_test.py
@@ -115,9 +115,9 @@
     case.assertTrue(owner._decider.waiting)
     view_vms, calls = owner._members.view_vms, []
 
-    def view_and_count():
+    def view_and_count(weigher):
         calls.append(1)
-        return view_vms()
+        return view_vms(weigher)
 
     owner._members.view_vms = view_and_count
     owner.step()
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -110,6 +110,7 @@
             worker_health,
             self._decider.service_protection,
             self._interference.presses,
+            self._decider.runtimes,
         )
         self._decider.set_members(self._members)
         self._operator_api = operator_api.OperatorApi(
--- a/packages/testing/portwharf/testing/overload_day.py
+++ b/packages/testing/portwharf/testing/overload_day.py
@@ -320,6 +320,7 @@
         for demand in demands:
             demand.moved_from = origins
         self._patience.apply(demands, self.now)
+        uneven_pools.require_pace(demands, views)
         self._destinations.apply(views, self.now)
         stalled, moved = [], 0
         if with_moves:
@@ -362,7 +363,8 @@
         self._claims[(placement.vm, record.id)] = claim
         submitted = self._submitted[record.workload.job]
         number = int(record.id.rpartition('.')[2])
-        needs = self._find_needs(placement, submitted, number)
+        variation = 0.9 + 0.2 * self._draw_random(placement, 'needs')
+        needs = submitted.seconds[number] * variation
         saved = self._saved_seconds.get(placement.task, 0.0)
         delay_seconds = START_DELAY_SECONDS + (
             RESTORE_SECONDS if saved else 0.0
@@ -379,12 +381,8 @@
         )
         self._placed_at[(placement.task, placement.attempt)] = self.now
 
-    def _find_needs(self, placement, submitted, number):
-        """Return the true run time of a placed task of a step."""
-        variation = 0.9 + 0.2 * self._draw_random(placement, 'needs')
-        return submitted.seconds[number] * variation
-
     def _view_vms(self):
+        weigher = self._make_weigher()
         views = []
         for number, link in enumerate(self._links):
             vm = data.Vm(link.name, availability_zone=f'zone-{number % 3}')
@@ -402,7 +400,8 @@
                 if not record.workload.fills:
                     continue
                 percent = percent_by_task.get(task.id, 100)
-                view.record_filling(record.workload, percent / 100)
+                weight = weigher.weigh(record)
+                view.record_filling(record.workload, weight, percent / 100)
                 press = self._presses[record.workload.image]
                 headroom -= press * self._share * percent / 100
             told = [messages.Headroom('serve', max(0.0, headroom))]
