--- a/packages/entry/portwharf/entry/delays.py
+++ b/packages/entry/portwharf/entry/delays.py
@@ -218,7 +218,8 @@
         self._delay.seconds[PACED] += seconds
         total = sum(attempt.paced_by.values())
         for limit, lost in attempt.paced_by.items():
-            self._delay.paced_by[limit] += seconds * lost / total
+            if lost:
+                self._delay.paced_by[limit] += seconds * lost / total
 
     def _add_span(self, cause, begin, end):
         """Attribute a span, and the part without an owner to NO_OWNER."""
--- a/packages/entry/portwharf/entry/delays_test.py
+++ b/packages/entry/portwharf/entry/delays_test.py
@@ -97,7 +97,7 @@
             attempt=1,
             ran_ms=7000,
             paced_ms=4500,
-            paced_by={'least-share': 4000, 'throttle-factor': 500},
+            paced_by={'least-share': 4000, 'throttle-factor': 500, 'none': 0},
         ),
         succeed(7, '0.1', 2000),
         end(7),
@@ -108,6 +108,25 @@
     )
 
 
+def test_paced_time_under_a_millisecond_has_no_limit(case):
+    delay = measure(
+        case,
+        accept(0),
+        place(0, '0.1'),
+        make_line(
+            2,
+            'worked at a share',
+            task=f'{STEP}.0',
+            attempt=1,
+            paced_ms=1,
+            paced_by={'least-share': 0},
+        ),
+        succeed(2, '0.1', 2000),
+        end(2),
+    )
+    case.assertEqual(delay.paced_by, {})
+
+
 def test_unsuccessful_attempts_count_by_reason(case):
     task = f'{STEP}.0'
     delay = measure(
