--- a/packages/entry/portwharf/entry/delays_test.py
+++ b/packages/entry/portwharf/entry/delays_test.py
@@ -45,6 +45,19 @@
     )
 
 
+def slow(second, paced_ms, paced_by):
+    """Return the line of the first task's loss by throttling."""
+    return make_line(
+        second,
+        'worked at a share',
+        task=f'{STEP}.0',
+        attempt=1,
+        ran_ms=1000 * second,
+        paced_ms=paced_ms,
+        paced_by=paced_by,
+    )
+
+
 def end(second, state='completed'):
     """Return the line of the job's end."""
     return make_line(second, 'job ended', request=JOB, state=state)
@@ -90,15 +103,7 @@
         case,
         accept(0),
         place(0, '0.1'),
-        make_line(
-            7,
-            'worked at a share',
-            task=f'{STEP}.0',
-            attempt=1,
-            ran_ms=7000,
-            paced_ms=4500,
-            paced_by={'least-share': 4000, 'throttle-factor': 500, 'none': 0},
-        ),
+        slow(7, 4500, {'least-share': 4000, 'throttle-factor': 500}),
         succeed(7, '0.1', 2000),
         end(7),
     )
@@ -113,14 +118,7 @@
         case,
         accept(0),
         place(0, '0.1'),
-        make_line(
-            2,
-            'worked at a share',
-            task=f'{STEP}.0',
-            attempt=1,
-            paced_ms=1,
-            paced_by={'least-share': 0},
-        ),
+        slow(2, 1, {'least-share': 0}),
         succeed(2, '0.1', 2000),
         end(2),
     )
