--- a/packages/core/portwharf/core/logs.py
+++ b/packages/core/portwharf/core/logs.py
@@ -62,6 +62,7 @@
     'parts_ms',
     'throttled',
     'least',
+    'latest',
     'asked_milli',
     'tail_percent',
     'polls',
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -231,8 +231,14 @@
             self.service_protection.record_lost_commands(name)
         for report in item.message.reports:
             self._record_health(name, report)
-            if report.task in self._state.tasks:
+            task = self._state.tasks.get(report.task)
+            if task is not None:
                 decisionlog.log_attempt_end(name, report)
+                if (
+                    report.state == data.RunState.SUCCEEDED
+                    and report.attempt < task.attempt
+                ):
+                    decisionlog.log_superseded_success(name, report, task)
             reconcile.process_report(self._state, name, report, verdict)
             self._crashloops.record_report(name, report)
         batch.events.extend(verdict.events)
--- a/packages/scheduler/portwharf/scheduler/decisionlog.py
+++ b/packages/scheduler/portwharf/scheduler/decisionlog.py
@@ -158,6 +158,21 @@
     LOG.info('attempt ended', extra=extra)
 
 
+def log_superseded_success(vm, report, task):
+    """Log the success of an attempt that a later one has replaced.
+
+    :param task: the ``state.TaskRecord``, with its latest attempt
+    """
+    extra = logs.fields(
+        task=report.task,
+        attempt=report.attempt,
+        vm=vm,
+        latest=task.attempt,
+        state=task.state,
+    )
+    LOG.warning('superseded attempt succeeded', extra=extra)
+
+
 def log_eviction(task, reason):
     """Log that an attempt is checkpointed and stopped."""
     extra = logs.fields(
--- a/packages/scheduler/portwharf/scheduler/decisionlog_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisionlog_test.py
@@ -5,6 +5,7 @@
 import math
 
 from portwharf.core import data
+from portwharf.peers import messages
 from portwharf.scheduler import decisionlog
 from portwharf.scheduler.decisions import job_admission
 from portwharf.scheduler.decisions import placement
@@ -40,6 +41,15 @@
     case.assertEqual(logged, [('a.0.0', '3.1,5.2', 900)])
 
 
+def test_success_of_a_superseded_attempt_is_logged_with_the_latest(case):
+    report = messages.TaskReport('a.0.0.3', 1, data.RunState.SUCCEEDED)
+    task = state.TaskRecord('a.0.0.3', 3, data.TaskState.PLACED, 2, 'vm-2')
+    with case.assertLogs(LOGGER, 'WARNING') as watched:
+        decisionlog.log_superseded_success('vm-1', report, task)
+    logged = [(one.vm, one.attempt, one.latest) for one in watched.records]
+    case.assertEqual(logged, [('vm-1', 1, 2)])
+
+
 def test_time_of_a_job_is_logged_since_its_acceptance(case):
     record = state.JobRecord(5000, data.Job('a', asked_ms=1000))
     with case.assertLogs(LOGGER) as watched:
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -470,6 +470,7 @@
             self._listing,
             self._unconfirmed.list_starts(),
         )
+        self._losses.log_relisted(self._listing)
         self._report_vanished(previous, loss_reporter.GONE_UNLISTED)
         self._leases.update_listing(self._listing, self._listed_at)
         self._leases.renew_or_stop()
--- a/packages/side/portwharf/side/loss_reporter.py
+++ b/packages/side/portwharf/side/loss_reporter.py
@@ -8,6 +8,7 @@
 
 import logging
 
+from portwharf.core import bounded_cache
 from portwharf.core import logs
 from portwharf.peers import messages
 from portwharf.side import crashes
@@ -22,6 +23,8 @@
 GONE_REVOKED = 'revoked-before-it-was-known'
 GONE_STOPPED = 'stopped-before-it-was-known'
 GONE_UNKNOWN = 'not-known-here'
+# Attempts whose loss is remembered.
+MAX_REPORTED = 1000
 
 
 class LossReporter:
@@ -32,6 +35,9 @@
         self._clock = clock
         self._send = send
         self._crashes = crashes.CrashTracker()
+        # The reason that each attempt was last reported with, by (task,
+        # attempt).
+        self._reported = bounded_cache.BoundedCache(MAX_REPORTED)
 
     def record_start(self, task, attempt):
         """Record that the worker has confirmed the start of an attempt."""
@@ -59,6 +65,26 @@
         extra = logs.fields(life=crash, count=len(names))
         LOG.warning('worker crashed', extra=extra)
 
+    def log_relisted(self, listing):
+        """Log, once each, the listed attempts that were reported as gone.
+
+        The owner may have started the next attempt of their tasks since.
+
+        :param listing: the latest ``workers.Listing``
+        """
+        for one in listing.attempts:
+            name = (one.task, one.attempt)
+            reason = self._reported.get(name)
+            if reason:
+                self._reported.put(name, '')
+                extra = logs.fields(
+                    task=one.task,
+                    attempt=one.attempt,
+                    state=one.state,
+                    reason=reason,
+                )
+                LOG.warning('attempt that was gone is listed', extra=extra)
+
     def report_vanished(self, previous, listing, reason):
         """Report attempts that ran and are not listed any more.
 
@@ -84,6 +110,8 @@
         if not names:
             return
         saved = checkpoints or {}
+        for name in names:
+            self._reported.put(name, reason)
         gone = [
             reports.make_gone_report(
                 name, reason, saved.get(name, ''), self._crashes.find(name)
--- a/packages/side/portwharf/side/loss_reporter_test.py
+++ b/packages/side/portwharf/side/loss_reporter_test.py
@@ -213,3 +213,19 @@
     case.assertEqual(
         [heartbeat.capacity for heartbeat in heartbeats], [agent_harness.SIZE]
     )
+
+
+def test_listed_attempt_that_was_reported_gone_is_logged_once(case):
+    bench = agent_harness.AgentHarness()
+    bench.grant()
+    bench.start()
+    listed = list(bench.worker.listing.attempts)
+    bench.worker.listing.attempts.clear()
+    bench.step(0.5)
+    bench.worker.listing.attempts = listed
+    with case.assertLogs('portwharf.side.loss_reporter') as watched:
+        bench.step(0.5)
+        bench.step(0.5)
+    logged = [(one.message, one.task, one.reason) for one in watched.records]
+    text = 'attempt that was gone is listed'
+    case.assertEqual(logged, [(text, 'w.0', 'not-listed-any-more')])
