Soak checks: starts between an end and its acknowledgement count

check_runs_after_completion and check_max_failures compared starts with the acknowledgement plus a second. The bound is the end itself, whether it is acknowledged before the start or later.

--- a/packages/testing/portwharf/testing/soak_checks.py
+++ b/packages/testing/portwharf/testing/soak_checks.py
@@ -13,8 +13,6 @@
 from portwharf.testing import soak_runner
 from portwharf.testing import soak_world
 
-# Time after an acknowledgement in which earlier starts may still arrive.
-ACK_DELAY_SECONDS = 1.0
 # Longest time a cancelled task may run on after the confirmation, when no
 # faults are active.
 CANCEL_DELAY_SECONDS = 3.0
@@ -100,17 +98,17 @@
 
 
 def check_runs_after_completion(jobs, spans):
-    """No task starts again after an acknowledged completion."""
+    """No task starts again after an end as done that is acknowledged.
+
+    The acknowledgement may come before or after the start. An end that was
+    acknowledged after its runner's lease had expired does not count, which
+    ``Span.acked`` already leaves out.
+    """
     problems = []
     for task, runs in _group_by_task(spans).items():
         completed = [run for run in runs if run.how == 'done' and run.acked]
         for run in completed:
-            later = [
-                later_run
-                for later_run in runs
-                if later_run.began > run.acked + ACK_DELAY_SECONDS
-            ]
-            if later:
+            if any(_starts_after(other, run) for other in runs):
                 described = format_runs(runs)
                 problems.append(
                     f'{task}: started again after its acknowledged end: '
@@ -119,6 +117,11 @@
     return problems
 
 
+def _starts_after(span, ended_span):
+    """Return whether a run starts at or after the end of another."""
+    return span is not ended_span and span.began >= ended_span.ended
+
+
 def check_step_order(jobs, spans):
     """A step starts only when all tasks of the previous step are done."""
     ended_at = collections.defaultdict(dict)
@@ -147,18 +150,23 @@
 def check_max_failures(jobs, spans):
     """No task starts after its maximum number of failures.
 
-    Only acknowledged ends count, since others may be lost with their runner.
+    Only failures that are acknowledged count, before the start or after it;
+    others may be lost with their runner.
     """
     problems = []
     for task, runs in _group_by_task(spans).items():
-        acked = sorted(
-            run.acked for run in runs if run.how == 'failed' and run.acked
+        failures = sorted(
+            (run for run in runs if run.how == 'failed' and run.acked),
+            key=lambda run: run.ended,
         )
-        if len(acked) < soak_world.MAX_FAILURES:
+        if len(failures) < soak_world.MAX_FAILURES:
             continue
-        last = acked[soak_world.MAX_FAILURES - 1] + ACK_DELAY_SECONDS
-        if any(run.began > last for run in runs):
-            problems.append(f'{task}: started after its last allowed failure')
+        last = failures[soak_world.MAX_FAILURES - 1]
+        if any(_starts_after(run, last) for run in runs):
+            problems.append(
+                f'{task}: started after its last allowed failure: '
+                f'{format_runs(runs)}'
+            )
     return problems
 
 
--- a/packages/testing/portwharf/testing/soak_checks_test.py
+++ b/packages/testing/portwharf/testing/soak_checks_test.py
@@ -53,6 +53,22 @@
     case.assertIn('again after its acknowledged end', problem)
 
 
+def test_run_between_an_end_and_its_acknowledgement_is_found(case):
+    for acked in (2.02, 3.0, 60.0):
+        spans = [make_span(acked=acked), make_span(began=2.01, ended=2.5)]
+        (problem,) = run_checks(make_job(), *spans)
+        case.assertIn('again after its acknowledged end', problem)
+
+
+def test_run_of_a_lower_attempt_after_an_acknowledged_end_is_found(case):
+    spans = [
+        make_span(run=2, acked=2.1),
+        make_span(began=2.0, ended=2.0, how='lapsed', run=1),
+    ]
+    (problem,) = run_checks(make_job(), *spans)
+    case.assertIn('again after its acknowledged end', problem)
+
+
 def test_step_before_the_previous_one_is_done_is_found(case):
     (problem,) = run_checks(
         make_job(), make_span(), make_span(SECOND_TASK, 1.9, 3.0)
@@ -68,6 +84,18 @@
     ]
     job = make_job(hopeless=True, states=['failed'])
     case.assertEqual(run_checks(job, *failed), [])
+    for began in (6.0, 6.5, 9.0):
+        late = make_span(began=began, ended=10.0, how='failed')
+        (problem,) = run_checks(job, *failed, late)
+        case.assertIn('after its last allowed failure', problem)
+
+
+def test_attempt_before_the_last_failure_is_acknowledged_is_found(case):
+    failed = [
+        make_span(began=at, ended=at + 1, how='failed', acked=20.0)
+        for at in (1.0, 3.0, 5.0)
+    ]
+    job = make_job(hopeless=True, states=['failed'])
     late = make_span(began=9.0, ended=10.0, how='failed')
     (problem,) = run_checks(job, *failed, late)
     case.assertIn('after its last allowed failure', problem)
