Soak checks: every pair of overlapping runs is reported

check_gangs compared each run with the next one to start, and missed an older attempt that overlaps one after a member of the same attempt. Overlapping runs of a task were always found, but not each pair.

--- a/packages/testing/portwharf/testing/soak_checks.py
+++ b/packages/testing/portwharf/testing/soak_checks.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+import itertools
 
 from portwharf.testing import soak_refusals
 from portwharf.testing import soak_runner
@@ -90,7 +91,7 @@
     """No task has two runs at once."""
     problems = []
     for task, runs in _group_by_task(spans).items():
-        for run, other in zip(runs, runs[1:], strict=False):
+        for run, other in itertools.combinations(runs, 2):
             if run.ended is None or run.ended > other.began:
                 described = format_runs(runs)
                 problems.append(f'{task}: two runs at once: {described}')
@@ -211,7 +212,7 @@
             gangs[(job_id, step)].append(span)
     for (job_id, _), members in gangs.items():
         members.sort(key=lambda span: span.began)
-        for span, other in zip(members, members[1:], strict=False):
+        for span, other in itertools.combinations(members, 2):
             overlaps = span.ended is None or span.ended > other.began
             if overlaps and span.run != other.run:
                 problems.append(f'{job_id}: two attempts of a gang at once')
--- a/packages/testing/portwharf/testing/soak_checks_test.py
+++ b/packages/testing/portwharf/testing/soak_checks_test.py
@@ -46,6 +46,17 @@
     case.assertIn('two runs at once', problem)
 
 
+def test_run_that_overlaps_the_next_but_one_is_found(case):
+    spans = [
+        make_span(ended=9.0, how='stopped'),
+        make_span(began=4.0, ended=5.0, how='stopped', run=2),
+        make_span(began=8.0, ended=8.5, how='stopped', run=3),
+    ]
+    problems = run_checks(make_job(), *spans)
+    case.assertTrue(all('two runs at once' in one for one in problems))
+    case.assertEqual(len(problems), 2)
+
+
 def test_run_after_an_acknowledged_end_is_found(case):
     again = make_span(began=9.0, ended=10.0, run=2)
     case.assertEqual(run_checks(make_job(), make_span(), again), [])
@@ -128,6 +139,18 @@
     case.assertIn('two attempts of a gang at once', problem)
 
 
+def test_mixed_attempts_that_do_not_start_in_a_row_are_found(case):
+    job = make_job()
+    job.steps[0]['gang'] = True
+    spans = [
+        make_span(how='broken', ended=9.0, run=1),
+        make_span(f'{JOB_ID}.0.0.1', 1.5, 1.6, how='broken', run=1),
+        make_span(f'{JOB_ID}.0.0.1', 4.0, 8.0, run=2),
+    ]
+    (problem,) = run_checks(job, *spans)
+    case.assertIn('two attempts of a gang at once', problem)
+
+
 def test_job_without_its_final_state_is_found(case):
     (problem,) = run_checks(make_job(states=['running']))
     case.assertIn('expected completed', problem)
