Soak runner: hangs with a start under way; lapses seen before renewals

A start that got no answer may be carried out seconds later, after newer orders. hang_at_next_start brings the case about in which the leases have expired meanwhile and a newer order has renewed them. Starts under way no longer renew the lease as they arrive, and go to the instance that they name. A renewal between a lapse and the next tick kept runs alive that the lapse had to end.

--- a/packages/testing/portwharf/testing/soak_runner.py
+++ b/packages/testing/portwharf/testing/soak_runner.py
@@ -130,6 +130,10 @@
         self._delayed_starts = []
         # Until when starts and stops get no answer.
         self._ignores_until = 0.0
+        # Until when nothing gets an answer, and, if the next start begins such
+        # a time, its length and the delay of that start after it.
+        self._hangs_until = 0.0
+        self._next_hang = None
         self._lapsed_at = 0.0
         # Current capacity; the soak shrinks it for a while.
         self.cpu_milli = CPU_MILLI
@@ -163,29 +167,61 @@
         with self._lock:
             self._ignores_until = time.monotonic() + seconds
 
+    def hang_at_next_start(self, seconds, delay_seconds):
+        """Answer nothing for a while, once the next start arrives.
+
+        :param seconds: how long nothing is answered
+        :param delay_seconds: time after that at which the start is carried out
+        """
+        with self._lock:
+            self._next_hang = (seconds, delay_seconds)
+
+    def cancel_next_hang(self):
+        """Take back :meth:`hang_at_next_start` if no start has arrived."""
+        with self._lock:
+            self._next_hang = None
+
+    @property
+    def _is_silent(self):
+        return self.silent or time.monotonic() < self._hangs_until
+
     def read_ms(self):
         """Return the time by the runner's own clock, in ms."""
         return int(time.monotonic() * 1000 * self._speed)
 
     def __call__(self, environ, start_response):
-        while self.silent and not self._stop_event.is_set():
+        while self._is_silent and not self._stop_event.is_set():
             time.sleep(_TICK_INTERVAL_SECONDS)
-        with self._lock:
-            self._check_lapse()
         return super().__call__(environ, start_response)
 
-    def _start(self, body):
-        if time.monotonic() < self._ignores_until:
-            return self._delay_start(body, _IGNORED_START_SECONDS)
+    def _execute(self, order, body, target_instance):
+        # Before the order renews the lease.
+        self._end_lapsed_runs()
+        if order == 'run-start':
+            delay_seconds = self._take_start_delay()
+            if delay_seconds:
+                return self._delay_start(body, target_instance, delay_seconds)
+        return super()._execute(order, body, target_instance)
+
+    def _take_start_delay(self):
+        """Return how late a start that arrives now is carried out, or 0."""
+        now = time.monotonic()
+        if self._next_hang is not None:
+            seconds, delay_seconds = self._next_hang
+            self._next_hang = None
+            self._hangs_until = now + seconds
+            return seconds + delay_seconds
+        if now < self._ignores_until:
+            return _IGNORED_START_SECONDS
         if self.late_starts > 0:
             self.late_starts -= 1
-            return self._delay_start(body, _LATE_START_SECONDS)
-        return self._start_run(body)
+            return _LATE_START_SECONDS
+        return 0
 
-    def _delay_start(self, body, seconds):
+    def _delay_start(self, body, target_instance, seconds):
         """Carry a start out after some seconds, without an answer."""
         due = time.monotonic() + seconds
-        self._delayed_starts.append((due, self.instance, body))
+        self._delayed_starts.append((due, target_instance, body))
         self._lock.wait(_UNANSWERED_SECONDS)
         return 500, {}
 
@@ -195,7 +231,7 @@
             return 500, {}
         return super()._stop(body)
 
-    def _start_run(self, body):
+    def _start(self, body):
         task, run = body['task'], body['run']
         work = read_work(body['spec'], task)
         if self.running.get(task) != run and not self._has_capacity(work):
@@ -328,19 +364,21 @@
     def _run_ticks(self):
         while not self._stop_event.wait(_TICK_INTERVAL_SECONDS):
             with self._lock:
-                self._run_delayed_starts()
-                if self._check_lapse():
-                    for task in list(self.running):
-                        self._end_run(task, 'lapsed')
-                for span in self._list_running():
-                    self._end_if_done(span)
-
-    def _check_lapse(self):
-        """Return whether the lease is over, and note when this was seen."""
+                self._run_tick()
+
+    def _run_tick(self):
+        self._end_lapsed_runs()
+        self._run_delayed_starts()
+        for span in self._list_running():
+            self._end_if_done(span)
+
+    def _end_lapsed_runs(self):
+        """End all runs if the lease is over, and note when this was seen."""
         if self.read_ms() < self._until_ms:
-            return False
+            return
         self._lapsed_at = time.monotonic()
-        return True
+        for task in list(self.running):
+            self._end_run(task, 'lapsed')
 
     def _run_delayed_starts(self):
         now = time.monotonic()
@@ -348,11 +386,12 @@
         self._delayed_starts = [
             row for row in self._delayed_starts if row[0] > now
         ]
-        for _, life, body in due:
-            if life == self.instance and body['fence'] >= self.fence:
-                # Renewals since may have moved the lease on.
-                until_ms = max(body['untilMs'], self._until_ms)
-                self._start_run({**body, 'untilMs': until_ms})
+        for _, instance, body in due:
+            # Renewals since may have moved the lease on.
+            until_ms = max(body['untilMs'], self._until_ms)
+            super()._execute(
+                'run-start', {**body, 'untilMs': until_ms}, instance
+            )
 
     def _end_if_done(self, span):
         work = read_work(span.spec, span.task)
@@ -376,7 +415,7 @@
             now = time.monotonic()
             while delayed and delayed[0][0] <= now:
                 self._send_heartbeat(*delayed.pop(0)[1:])
-            if self.silent:
+            if self._is_silent:
                 continue
             previous, last = last, (self.instance, self._make_heartbeat())
             if previous is not None and previous[1]['born'] != last[1]['born']:
