--- a/packages/testing/portwharf/testing/soak.py
+++ b/packages/testing/portwharf/testing/soak.py
@@ -8,7 +8,8 @@
 direction or both; open connections go silent for good. The store is down or
 slow, or loses answers, leases, keys or its history. Runners crash by
 themselves or because of a task, fall silent, change their capacity, carry out
-orders late or ignore them, and send heartbeats of incarnations that are over.
+orders late, also after their leases have expired, or ignore them, and send
+heartbeats of incarnations that are over.
 Jobs come in bursts of more work than the runners can do in that time. At the
 end all faults are healed, all jobs have to reach their final state, and the
 records of clients and runners are checked.
@@ -42,6 +43,11 @@
 _ZONE_CLOSURE_SHARE = 0.2
 _BURST_SHARE = 0.2
 _IGNORED_ORDERS_SHARE = 0.1
+_HANG_SHARE = 0.2
+# Longer than the leases of 6 s, and the delay of the start that was under way;
+# together no more than the 12 s by which an order may be late.
+_HANG_SECONDS = (6.2, 9.0)
+_HANG_START_DELAY_SECONDS = (0.1, 3.0)
 _ROLLING_STOP_SHARE = 0.15
 _MAX_STOP_INTERVAL_SECONDS = 0.8
 _MAX_BURSTS = 2
@@ -63,8 +69,8 @@
     def __init__(self, world, seed, crashers=True):
         """Take a started ``soak_world.World`` and a seed.
 
-        :param crashers: some tasks crash runners, runners shrink or ignore
-            orders, zones close, jobs come in bursts and entries stop in
+        :param crashers: some tasks crash runners, runners shrink, hang or
+            ignore orders, zones close, jobs come in bursts and entries stop in
             series as well; False for kept seeds, which are older
         """
         self._world = world
@@ -77,6 +83,7 @@
         self._burst_random = random.Random(-4 - seed) if crashers else None
         self._order_random = random.Random(-6 - seed) if crashers else None
         self._stop_random = random.Random(-7 - seed) if crashers else None
+        self._hang_random = random.Random(-8 - seed) if crashers else None
         self._stop_threads = []
         self._bursts = 0
         # Ids of long-running jobs that were cancelled to let bursts end.
@@ -121,6 +128,7 @@
             self._shrink_runner()
             self._close_zone()
             self._ignore_orders()
+            self._hang_runner()
             self._start_burst()
             self._stop_entries()
         for client in self.clients:
@@ -326,6 +334,26 @@
         self.faults += 1
         print(f'  {time.monotonic():.1f} ignore orders', flush=True)
 
+    def _hang_runner(self):
+        """At random, have a runner hang from the next start that it gets.
+
+        That start is under way meanwhile, and carried out afterwards.
+        """
+        if (
+            self._hang_random is None
+            or self._hang_random.random() > _HANG_SHARE
+        ):
+            return
+        runner = self._hang_random.choice(self._world.sides).runner
+        runner.hang_at_next_start(
+            self._hang_random.uniform(*_HANG_SECONDS),
+            self._hang_random.uniform(*_HANG_START_DELAY_SECONDS),
+        )
+        self.faults += 1
+        print(f'  {time.monotonic():.1f} hang', flush=True)
+        at = time.monotonic() + self._hang_random.uniform(3.0, 9.0)
+        self._recoveries.append(Recovery(at, runner.cancel_next_hang))
+
     def _start_burst(self):
         """At random, submit more work than the runners can do for a while."""
         if (
