Walks: starts that are carried out late, overlaps found from records

With late_starts, workers hang at a start and carry it out when they answer again, under a lease renewed since, unless they have seen a higher fencing token or a stop. The fake worker now takes acknowledgements only as they reach it, and a start extends the lease of all that runs there, as the protocol says.

check_no_overlaps compares all recorded runs; check_exclusive_tasks looks only between the steps of nodes. Walks go on for five seconds at their end, so that the last ends are acknowledged before the records are checked.

--- a/packages/testing/portwharf/testing/cluster.py
+++ b/packages/testing/portwharf/testing/cluster.py
@@ -86,6 +86,7 @@
         self.server.agent.is_zone_closed = lambda: self.zones.is_closed(
             self.vm.availability_zone
         )
+        self.worker.reset_side()
         self.owner = None
         self.knows_epoch = False
 
@@ -225,6 +226,8 @@
         self.time.advance(seconds)
         for node in self.nodes:
             node.worker.expire()
+        for node in self.nodes:
+            node.worker.carry_out_late_starts()
         for _ in range(_ROUNDS_PER_TICK):
             self.connect_all()
             self.deliver_all()
@@ -342,6 +345,7 @@
             node.down = False
             node.worker.broken = False
             node.worker.silent = False
+            node.worker.cancel_next_hang()
             node.worker.lost_answers = 0
 
     def break_pipes(self, node):
--- a/packages/testing/portwharf/testing/cluster_checks.py
+++ b/packages/testing/portwharf/testing/cluster_checks.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import itertools
 
 from portwharf.core import data
 from portwharf.core import ids
@@ -43,7 +44,10 @@
             task = run.attempt.task
             if task in vm_names:
                 both_vms = f'{vm_names[task]} and {node.vm.name}'
-                raise cluster_fakes.Violation(f'{task} runs on {both_vms}')
+                described = format_runs(nodes, task)
+                raise cluster_fakes.Violation(
+                    f'{task} runs on {both_vms}: {described}'
+                )
             vm_names[task] = node.vm.name
 
 
@@ -65,20 +69,27 @@
 
 
 def check_zones(cluster):
-    """Check that no task starts in a zone long after it was closed."""
+    """Check that no task starts in a zone long after it was closed.
+
+    Starts that a worker carried out late are not bound by a time.
+    """
     for zone, since in cluster.closed.items():
         for node in cluster.nodes:
             if node.vm.availability_zone != zone:
                 continue
             for run in node.worker.record:
-                if run.true_began - since > ZONE_CLOSE_SECONDS:
+                is_late = run.true_began - since > ZONE_CLOSE_SECONDS
+                if is_late and not run.late:
                     raise cluster_fakes.Violation(
                         f'{run.attempt.task} started in closed zone {zone}'
                     )
 
 
 def check_cancellations(cluster):
-    """Check that no task starts long after its cancellation."""
+    """Check that no task starts long after its cancellation.
+
+    Starts that a worker carried out late are not bound by a time.
+    """
     for node in cluster.nodes:
         for run in node.worker.record:
             task = run.attempt.task
@@ -86,7 +97,9 @@
             if is_job_task(task):
                 name = jobs.split_step_id(name)[0]
             since = cluster.cancelled.get(name)
-            if since is not None and run.true_began - since > CANCEL_SECONDS:
+            if since is None or run.late:
+                continue
+            if run.true_began - since > CANCEL_SECONDS:
                 raise cluster_fakes.Violation(
                     f'{task} started long after its cancellation'
                 )
@@ -94,13 +107,49 @@
 
 def check_record(nodes):
     """Check the starts and ends that the workers recorded."""
+    check_no_overlaps(nodes)
     check_no_start_after_success(nodes)
     check_step_order(nodes)
     check_retry_limit(nodes)
 
 
+def check_no_overlaps(nodes):
+    """Check that no exclusive task ever ran twice at the same time."""
+    for task, runs in _group_by_task(nodes).items():
+        leased = [run for run in runs if run.attempt.lease_until_ms]
+        leased.sort(key=lambda run: run.order)
+        for run, other in itertools.combinations(leased, 2):
+            if not run.end_order or run.end_order > other.order:
+                raise cluster_fakes.Violation(
+                    f'{task} ran twice at once: {format_runs(nodes, task)}'
+                )
+
+
+def format_runs(nodes, task):
+    """Format the runs of a task for a message, in the order of their starts.
+
+    Starts and ends have numbers in the order in which they came about.
+    """
+    rows = [
+        (run, node.vm.name)
+        for node in nodes
+        for run in node.worker.record
+        if run.attempt.task == task
+    ]
+    rows.sort(key=lambda row: row[0].order)
+    return '; '.join(
+        f'{run.attempt.attempt} on {name} at {run.true_began:.1f}, '
+        f'{run.order}-{run.end_order or ""} {run.attempt.state.name}'
+        f'{" acked" if run.noted else ""}{" lapsed" if run.lapsed else ""}'
+        for run, name in rows
+    )
+
+
 def check_no_start_after_success(nodes):
-    """Check that no task starts after an acknowledged success."""
+    """Check that no task starts after an acknowledged success.
+
+    The acknowledgement may come before or after the start.
+    """
     for runs in _group_by_task(nodes).values():
         success_orders = [
             run.end_order
@@ -113,8 +162,9 @@
             if success_orders and run.order > min(success_orders)
         ]
         if late_runs:
+            task = late_runs[0].attempt.task
             raise cluster_fakes.Violation(
-                f'{late_runs[0].attempt.task} started after its success'
+                f'{task} started after its success: {format_runs(nodes, task)}'
             )
 
 
--- a/packages/testing/portwharf/testing/cluster_fakes.py
+++ b/packages/testing/portwharf/testing/cluster_fakes.py
@@ -81,6 +81,7 @@
     :param end_order: sequence number of its end, 0 while it runs
     :param noted: whether its end was acknowledged in time
     :param lapsed: whether the worker's lease expired before that
+    :param late: whether the worker carried its start out after a silence
     """
 
     attempt: workers.Attempt = None
@@ -94,6 +95,7 @@
     end_order: int = 0
     noted: bool = False
     lapsed: bool = False
+    late: bool = False
 
     @property
     def running(self):
@@ -110,6 +112,8 @@
     :ivar broken: whether every start is refused
     :ivar silent: whether listings, starts, stops and renewals get no answer
         and have no effect
+    :ivar late_start_seconds: time after a silence at which the starts that
+        arrived in it are carried out, or None if they never are
     :ivar tails: reported ``tail_ms`` of serving tasks, by task
     :ivar paces: percent that attempts are throttled to, by (task, attempt)
     :ivar labels: reported labels
@@ -131,6 +135,20 @@
         # worker's clock.
         self._until_ms = 0
         self.silent = False
+        self.late_start_seconds = None
+        # Until when the worker is silent as well, and, if the next start
+        # begins such a time, its length and ``late_start_seconds``.
+        self._hangs_until = 0.0
+        self._next_hang = None
+        # Starts to carry out late, each with the side's fencing token.
+        self._late_starts = []
+        self._silent_at = 0.0
+        self._side_fence = 0
+        self._seen_fence = 0
+        # Highest attempt that was stopped or has ended, by task.
+        self._over = {}
+        # Acknowledged attempts whose acknowledgement the worker has not got.
+        self._acks = []
         self.crashers = set()
         self.answers_crashers = True
         self.lost_answers = 0
@@ -168,6 +186,60 @@
             if run.running:
                 self._end_run(run, data.RunState.GONE)
         self.runs = []
+        self._late_starts = []
+        self._over = {}
+
+    def reset_side(self):
+        """Take orders from another side process, which has a higher token."""
+        self._side_fence += 1
+        self._acks = []
+
+    def hang_at_next_start(self, seconds, delay_seconds):
+        """Be silent for a while, once the next start arrives.
+
+        :param seconds: how long the worker is silent
+        :param delay_seconds: the new ``late_start_seconds``
+        """
+        self._next_hang = (seconds, delay_seconds)
+
+    def cancel_next_hang(self):
+        """Take back :meth:`hang_at_next_start` if no start has arrived."""
+        self._next_hang = None
+
+    @property
+    def _is_silent(self):
+        return self.silent or self.clock.read_monotonic() < self._hangs_until
+
+    def carry_out_late_starts(self):
+        """Carry out the starts that arrived in a silence if they are due."""
+        now = self.clock.read_monotonic()
+        if self._is_silent:
+            self._silent_at = now
+        if (
+            not self._late_starts
+            or now - self._silent_at < self.late_start_seconds
+        ):
+            return
+        rows, self._late_starts = self._late_starts, []
+        for start, fence in rows:
+            if fence >= self._seen_fence and not self.is_restarting:
+                self._carry_out_late(start)
+
+    def _carry_out_late(self, start):
+        """Carry a start out, under a lease renewed since if there is one."""
+        if start.lease_until_ms:
+            until_ms = max(start.lease_until_ms, self._until_ms)
+            start = dataclasses.replace(start, lease_until_ms=until_ms)
+        used = start.resources
+        for run in self.runs:
+            if run.running:
+                used = used.add(run.attempt.resources)
+        is_over = start.attempt <= self._over.get(start.task, 0)
+        if not is_over and used.fits(self.capacity):
+            count = len(self.record)
+            self._execute_start(start)
+            for run in self.record[count:]:
+                run.late = True
 
     def resize(self, cpu_milli):
         """Change the capacity; the memory in MB is set to the same number."""
@@ -206,16 +278,20 @@
     def is_unreachable(self):
         """Whether an order to the last seen incarnation does not arrive."""
         return (
-            self.silent or self.is_restarting or self._seen_life != self._life
+            self._is_silent
+            or self.is_restarting
+            or self._seen_life != self._life
         )
 
     def read_listing(self):
-        if self.silent:
+        if self._is_silent:
             return _NO_ANSWER
         if self.is_restarting:
             return result.Ok(workers.Listing(absent=True))
         self.expire()
         self._seen_life = self._life
+        self._seen_fence = self._side_fence
+        self._take_acks()
         listing = workers.Listing(
             self._read_ms(), self.capacity, life=self._life
         )
@@ -229,21 +305,30 @@
         return result.Ok(listing)
 
     def start(self, start):
-        if self.silent or self.is_restarting:
+        if self._next_hang is not None:
+            seconds, self.late_start_seconds = self._next_hang
+            self._next_hang = None
+            self._hangs_until = self.clock.read_monotonic() + seconds
+        if self._is_silent and self.late_start_seconds is not None:
+            self._late_starts.append((start, self._side_fence))
+        if self._is_silent or self.is_restarting:
             return _NO_ANSWER
+        self._seen_fence = self._side_fence
+        return self._execute_start(start)
+
+    def _execute_start(self, start):
         if start.life != self._life:
             return result.Ok(workers.REFUSED_NO_HEARTBEAT)
         if self.broken:
             return result.Ok('worker-is-broken')
         if start.lease_until_ms and self._read_ms() >= start.lease_until_ms:
             return result.Ok('lease-is-past')
+        self._extend_leases(start.lease_until_ms)
         for run in self.runs:
             listed = run.attempt
             if (listed.task, listed.attempt) == (start.task, start.attempt):
                 return result.Ok('')
         self._check_start_fits(start)
-        self._mark_lapsed_ends()
-        self._until_ms = max(self._until_ms, start.lease_until_ms)
         run = Run(
             reports.make_attempt(start),
             self.clock.read_monotonic(),
@@ -261,11 +346,13 @@
         return result.Ok('')
 
     def revoke_expired_starts(self):
+        self._side_fence += 1
         return self.read_listing()
 
     def stop(self, task, attempt, checkpoint):
         if self.is_unreachable:
             return _NO_ANSWER
+        self._over[task] = max(attempt, self._over.get(task, 0))
         for run in self.runs:
             listed = run.attempt
             if run.running and (listed.task, listed.attempt) == (
@@ -288,6 +375,12 @@
     def renew(self, until_ms):
         if self.is_unreachable:
             return _NO_ANSWER
+        self._take_acks()
+        self._extend_leases(until_ms)
+        return result.Ok(None)
+
+    def _extend_leases(self, until_ms):
+        """Extend the worker's lease, which is that of all that runs on it."""
         self.expire()
         self._mark_lapsed_ends()
         self._until_ms = max(self._until_ms, until_ms)
@@ -295,7 +388,6 @@
             until = run.attempt.lease_until_ms
             if run.running and until:
                 run.attempt.lease_until_ms = max(until, until_ms)
-        return result.Ok(None)
 
     def _mark_lapsed_ends(self):
         """Mark the ended attempts if the worker's lease has expired.
@@ -310,6 +402,18 @@
                 run.lapsed = run.lapsed or not run.noted
 
     def forget(self, task, attempt):
+        self._acks.append((task, attempt))
+        if not self.is_unreachable:
+            self._take_acks()
+        return result.Ok(None)
+
+    def _take_acks(self):
+        """Take the acknowledgements that a request brings."""
+        for task, attempt in self._acks:
+            self._take_ack(task, attempt)
+        self._acks = []
+
+    def _take_ack(self, task, attempt):
         self._mark_lapsed_ends()
         for run in self.runs:
             listed = run.attempt
@@ -321,9 +425,10 @@
             if (run.attempt.task, run.attempt.attempt) != (task, attempt)
             or run.running
         ]
-        return result.Ok(None)
 
     def _end_run(self, run, state):
+        task, attempt = run.attempt.task, run.attempt.attempt
+        self._over[task] = max(attempt, self._over.get(task, 0))
         run.attempt.state = state
         run.ended = self.clock.read_monotonic()
         run.end_order = next(_ORDER_NUMBERS)
--- a/packages/testing/portwharf/testing/walk.py
+++ b/packages/testing/portwharf/testing/walk.py
@@ -27,6 +27,14 @@
 _JOB_ACTION_CHANCE = 0.35
 # Chance per step that an availability zone is closed or all are opened.
 _ZONE_ACTION_CHANCE = 0.15
+# Chance per step that a worker hangs at its next start, for how long, and how
+# much later that start is carried out. Some of these times are longer than all
+# leases.
+_HANG_CHANCE = 0.25
+_HANG_SECONDS = (2.0, 6.0, 10.5)
+_LATE_START_SECONDS = (0.5, 1.0)
+# Time in which the last ends are acknowledged.
+_ACK_SECONDS = 5.0
 _WAIT_SECONDS = (0.3, 1.0, 3.0, 8.0, 16.0)
 
 
@@ -41,6 +49,7 @@
         births=False,
         jobs=False,
         zones=False,
+        late_starts=False,
     ):
         """Create the cluster of a walk.
 
@@ -52,12 +61,17 @@
         :param births: workers restart within less than a second
         :param jobs: jobs of several steps, failures, lost answers to starts
         :param zones: availability zones are closed and opened
+        :param late_starts: workers hang with starts under way, and carry these
+            out when they answer again
         """
         self.random = random.Random(seed)
         self.more = random.Random(-1 - seed) if more else None
         self.births = random.Random(f'births {seed}') if births else None
         self.jobs = random.Random(f'jobs {seed}') if jobs else None
         self.zones = random.Random(f'zones {seed}') if zones else None
+        self.late_starts = (
+            random.Random(f'late {seed}') if late_starts else None
+        )
         self.job_numbers = itertools.count(1)
         size = size or self.random.choice((3, 4, 5))
         self.cluster = cluster.Cluster(size)
@@ -75,9 +89,11 @@
             self.restart_worker()
             self.disturb_jobs()
             self.change_zones()
+            self.hang_worker()
         self.restore_workers()
         self.open_zones()
         self.cluster.settle()
+        self.cluster.run(_ACK_SECONDS)
         cluster_checks.check_record(self.cluster.nodes)
         self.cluster.check_end()
 
@@ -139,6 +155,19 @@
         self.cluster.close_zone(node.vm.availability_zone)
         self.cluster.check()
 
+    def hang_worker(self):
+        """At random, have a worker hang at its next start."""
+        if (
+            self.late_starts is None
+            or self.late_starts.random() > _HANG_CHANCE
+        ):
+            return
+        worker = self.late_starts.choice(self.cluster.nodes).worker
+        worker.hang_at_next_start(
+            self.late_starts.choice(_HANG_SECONDS),
+            self.late_starts.choice(_LATE_START_SECONDS),
+        )
+
     def open_zones(self):
         """Open all closed zones."""
         for zone in list(self.cluster.closed):
@@ -378,7 +407,7 @@
     """Walk for each seed from the first argument up to the second.
 
     Further arguments are options of :class:`Walk`: ``more``, ``births``,
-    ``jobs`` and ``zones``.
+    ``jobs``, ``zones`` and ``late_starts``.
     """
     options = dict.fromkeys(sys.argv[3:], True)
     return run_seeds(lambda seed: Walk(seed, **options))
