--- a/packages/testing/portwharf/testing/soak_checks.py
+++ b/packages/testing/portwharf/testing/soak_checks.py
@@ -42,6 +42,8 @@
 def check_zones(closures, spans_by_zone):
     """No run starts in an availability zone well after its closure.
 
+    Starts that a runner carried out very late are not bound by a time.
+
     :param closures: list of :class:`Closure`
     :param spans_by_zone: list of (zone, ``soak_runner.Span``) of all runners
     """
@@ -53,6 +55,7 @@
         for closure in closures
         if closure.zone == zone
         and closure.began + limit < span.began < closure.ended
+        and not _is_very_late(span)
     ]
 
 
@@ -246,13 +249,16 @@
 
 
 def check_starts_after_cancellation(jobs, spans):
-    """No task starts well after the confirmation of its cancellation."""
+    """No task starts well after the confirmation of its cancellation.
+
+    Starts that a runner carried out very late are not bound by a time.
+    """
     limit = CANCEL_DELAY_SECONDS + LATE_START_SECONDS
     return [
         f'{span.task}: started {late:.1f} s after its cancellation: '
         f'{format_runs([span])}'
         for span, late in _list_cancelled(jobs, spans, lambda one: one.began)
-        if late > limit
+        if late > limit and not _is_very_late(span)
     ]
 
 
@@ -260,7 +266,8 @@
     """No task outlasts the confirmation of its cancellation by a lease.
 
     Where its runner ignored stops, the time counts from the end of that: other
-    tasks keep the runner's lease renewed.
+    tasks keep the runner's lease renewed. Where its start was carried out very
+    late, the time counts from then.
     """
     limit = LONGEST_LEASE_SECONDS + LATE_START_SECONDS
     return [
@@ -268,9 +275,15 @@
         f'{format_runs([span])}'
         for span, late in _list_cancelled(jobs, spans, lambda one: one.ended)
         if min(late, span.ended - span.ignored_until) > limit
+        and not (_is_very_late(span) and span.ended - span.began <= limit)
     ]
 
 
+def _is_very_late(span):
+    """Return whether a start was later than the limits of time allow for."""
+    return span.late_seconds > LATE_START_SECONDS
+
+
 def _list_cancelled(jobs, spans, read_time):
     """Return runs of cancelled jobs and how long after the confirmation.
 
--- a/packages/testing/portwharf/testing/soak_checks_test.py
+++ b/packages/testing/portwharf/testing/soak_checks_test.py
@@ -202,6 +202,24 @@
     case.assertIn('ran on for', problem)
 
 
+def test_start_that_was_carried_out_very_late_is_not_bound_by_a_time(case):
+    job = make_job(cancelled=2.0, cancel_sent=True)
+    limit = soak_checks.LONGEST_LEASE_SECONDS + soak_checks.LATE_START_SECONDS
+    span = make_span(
+        began=12.0, ended=12.0 + limit, how='stopped', late_seconds=12.0
+    )
+    case.assertEqual(run_checks(job, span), [])
+    closure = soak_checks.Closure('zone-1', 1.0, 30.0)
+    case.assertEqual(
+        soak_checks.check_zones([closure], [('zone-1', span)]), []
+    )
+    span.ended += 0.1
+    (problem,) = run_checks(job, span)
+    case.assertIn('ran on for', problem)
+    span.late_seconds = soak_checks.LATE_START_SECONDS
+    case.assertEqual(len(run_checks(job, span)), 2)
+
+
 def test_too_many_crashes_of_a_crasher_are_found(case):
     job = make_job(crashes=True, states=['failed'])
     runs = [
--- a/packages/testing/portwharf/testing/soak_runner.py
+++ b/packages/testing/portwharf/testing/soak_runner.py
@@ -47,6 +47,7 @@
     :param how: ``done``, ``failed``, ``stopped``, ``lapsed`` or ``crashed``
     :param acked: when its end was acknowledged, or None
     :param ignored_until: until when the runner ignored stops as it ran, or 0
+    :param late_seconds: how late its start was carried out
     """
 
     task: str = ''
@@ -59,6 +60,7 @@
     how: str = ''
     acked: float = None
     ignored_until: float = 0.0
+    late_seconds: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -221,7 +223,7 @@
     def _delay_start(self, body, target_instance, seconds):
         """Carry a start out after some seconds, without an answer."""
         due = time.monotonic() + seconds
-        self._delayed_starts.append((due, target_instance, body))
+        self._delayed_starts.append((due, seconds, target_instance, body))
         self._lock.wait(_UNANSWERED_SECONDS)
         return 500, {}
 
@@ -386,12 +388,15 @@
         self._delayed_starts = [
             row for row in self._delayed_starts if row[0] > now
         ]
-        for _, instance, body in due:
+        for _, seconds, instance, body in due:
+            count = len(self.record)
             # Renewals since may have moved the lease on.
             until_ms = max(body['untilMs'], self._until_ms)
             super()._execute(
                 'run-start', {**body, 'untilMs': until_ms}, instance
             )
+            for span in self.record[count:]:
+                span.late_seconds = seconds
 
     def _end_if_done(self, span):
         work = read_work(span.spec, span.task)
--- a/packages/testing/portwharf/testing/soak_runner_test.py
+++ b/packages/testing/portwharf/testing/soak_runner_test.py
@@ -120,6 +120,7 @@
     case.assertEqual(manual.runner.record, [])
     manual.pass_time(2)
     case.assertEqual(manual.list_hows(), [''])
+    case.assertEqual(manual.runner.record[0].late_seconds, LEASE_SECONDS + 3)
 
 
 def test_start_of_a_hang_is_refused_for_a_newer_token_stop_or_lapse(case):
