--- a/packages/testing/portwharf/testing/soak_runner.py
+++ b/packages/testing/portwharf/testing/soak_runner.py
@@ -251,6 +251,10 @@
                     time.monotonic(),
                 )
             )
+            if known is not None:
+                # Two runs at once: the map of what runs has room for one. That
+                # they overlap stays on record.
+                self._record_end(task, known, 'stopped', '')
             self._paces[task] = soak_pressure.FULL_PACE_PERCENT
             if _is_crasher(work, task):
                 self._schedule_crash(task, run)
--- a/packages/testing/portwharf/testing/soak_runner_test.py
+++ b/packages/testing/portwharf/testing/soak_runner_test.py
@@ -2,6 +2,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """Runners of the soak test."""
 
+import itertools
 import json
 from unittest import mock
 
@@ -139,6 +140,18 @@
             case.assertEqual(manual.runner.record, [])
 
 
+def test_start_beside_another_run_of_its_task_is_recorded_as_overlap(case):
+    """The replaced run was taken for one that never ends."""
+    manual = ManualRunner(case)
+    manual.start(run=3)
+    manual.pass_time(1)
+    manual._time.monotonic = itertools.count(1002, 0.01).__next__
+    manual.start(run=2)
+    case.assertEqual(manual.list_hows(), ['stopped', ''])
+    higher, lower = manual.runner.record
+    case.assertGreater(higher.ended, lower.began)
+
+
 def test_start_under_way_does_not_renew_the_lease(case):
     manual = ManualRunner(case)
     manual.start(OTHER_TASK)
