Keep a waiting standing task after a late success

What callers saw: a standing task or a service could end for good as succeeded: its VM was lost, the task was requeued, and the lost VM came back with an end as done before the next attempt was placed. Found by reading the code; no run has shown it.

Cause: a success of the current attempt ends only batch tasks (_make_end_event), but a success of an attempt that was requeued ended any task.

Evidence: the new test failed before: test_standing_task_that_waits_is_not_ended_by_a_late_success, AssertionError: <TaskState.SUCCEEDED: 'succeeded'> != <TaskState.WAITING: 'waiting'>

Why this works: _is_success_before_retry asks for the same kind as _make_end_event. The side may forget the report as before.

--- a/packages/scheduler/portwharf/scheduler/reconcile.py
+++ b/packages/scheduler/portwharf/scheduler/reconcile.py
@@ -56,7 +56,7 @@
     task = state.tasks.get(report.task)
     if task is not None and _is_current(task, vm, report):
         _process_current(state, vm, task, report, verdict)
-    elif task is not None and _is_success_before_retry(task, report):
+    elif task is not None and _is_success_before_retry(state, task, report):
         ended = _make_task_ended(report, data.TaskState.SUCCEEDED)
         _add(state, verdict, ended)
         _end_gang_members(state, ended, verdict)
@@ -177,7 +177,7 @@
     return task.vm == vm and task.attempt == report.attempt and bool(task.vm)
 
 
-def _is_success_before_retry(task, report):
+def _is_success_before_retry(state, task, report):
     """Return whether a requeued attempt succeeded before the next one.
 
     It was the task's last attempt and the task still waits, so accepting the
@@ -187,6 +187,7 @@
         task.state == data.TaskState.WAITING
         and task.attempt == report.attempt
         and report.state == data.RunState.SUCCEEDED
+        and state.find_workload(task.id).workload.kind == data.Kind.BATCH
     )
 
 
--- a/packages/scheduler/portwharf/scheduler/reconcile_test.py
+++ b/packages/scheduler/portwharf/scheduler/reconcile_test.py
@@ -79,6 +79,13 @@
     case.assertEqual(made.tasks[TASK].state, data.TaskState.SUCCEEDED)
 
 
+def test_standing_task_that_waits_is_not_ended_by_a_late_success(case):
+    made = make_state(kind=data.Kind.STANDING)
+    made.apply(events.TaskRequeued(TASK, 1))
+    process(made, SUCCEEDED)
+    case.assertEqual(made.tasks[TASK].state, data.TaskState.WAITING)
+
+
 def test_checkpoint_queues_the_task_again(case):
     made = make_state()
     made.apply(events.TaskEvicting(TASK, 1))
