Stop a prepared task of a former owner before it is requeued

What callers saw: a task could run on two workers at once, or start again after it had ended. Only workloads without a job are prepared.

Cause: a new owner requeued a prepared task as soon as its side had reported everything that it runs. A former owner may have started it, in an outage of the store or just before the append of its placement, and the report lacks a start that the worker has not confirmed, which may still be carried out.

Why this works: a task that was prepared when the owner began is stopped instead. The side answers for an attempt that it does not know, or once the worker has confirmed that an unconfirmed start does not run; it refuses that attempt from then on, and the owner requeues the task by its report. A stop that is lost with its connection is sent again after the next full report. On its own VM the task is still placed at once. No message or event changes.

Test changed: test_prepared_task_is_kept_until_its_side_reports also connects the sides before the new owner's first pass. Its deliberate fault, requeuing before the side reports, now makes the owner stop the tasks, which without connections had no effect; with them 14 attempts begin instead of 10.

--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -228,6 +228,7 @@
             )
             self._missing[name] = [(task.id, task.attempt) for task in missing]
             item.link.view.reported = True
+            self.preparation.record_full_report(name)
             self.service_protection.record_lost_commands(name)
         for report in item.message.reports:
             self._record_health(name, report)
@@ -772,12 +773,12 @@
         return self._grants.may_grant(now) and self._members.has_settled(now)
 
     def _resolve_prepared_tasks(self, batch, views, now):
-        """Place or requeue prepared tasks.
+        """Place, stop or requeue prepared tasks.
 
         Their assignment to the VM is logged already, so the starts need not
         wait for the next append.
         """
-        resolved = self.preparation.resolve(
+        resolved, stopped = self.preparation.resolve(
             views,
             lambda vm: self._is_lost(vm, now),
             lambda vm: self._grants.may_replace(vm, now),
@@ -789,6 +790,9 @@
                 command = reconcile.make_start(self._state, task)
                 link = self._members.get_link(event.vm)
                 batch.send_before_commit(link, command)
+        for task in stopped:
+            command = reconcile.make_stop(self._state, task, False)
+            batch.send(self._members.get_link(task.vm), command)
 
     def _prepare_tasks(self, done, views, batch):
         """Commit some starts in advance, for an outage of the store."""
--- a/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_jobs_test.py
@@ -131,6 +131,16 @@
     )
 
 
+def test_start_by_a_former_owner_taken_for_unsent_is_caught(case):
+    check_fault_detected(
+        case,
+        prepared_starts_test.test_unconfirmed_start_is_not_repeated_elsewhere,
+        prepared_starts.PreparedStarts,
+        '_may_run',
+        lambda self, event, is_lost: False,
+    )
+
+
 def test_unanswered_start_reported_gone_at_once_is_caught(case):
     check_fault_detected(
         case,
--- a/packages/scheduler/portwharf/scheduler/prepared_starts.py
+++ b/packages/scheduler/portwharf/scheduler/prepared_starts.py
@@ -11,9 +11,11 @@
 prepares are not started, as a later owner would not know of them.
 
 An owner may requeue a prepared task only while it is certain that nobody has
-started it: the owner itself has not, and the side has reported on this
-connection everything that it runs. For a silent VM it has to wait, as for a
-running task.
+started it: it has prepared the task itself and not started it. A former owner
+may have started a task that it prepared, and the side's report lacks a start
+that its worker has not confirmed. Such a task is stopped; the side reports it
+as gone once it surely does not run. For a silent VM the owner has to wait, as
+for a running task.
 """
 
 import dataclasses
@@ -52,6 +54,14 @@
         self._state = state
         # (task, attempt) of prepared tasks that this owner has started.
         self._started = set()
+        # The same of those that a former owner may have started, and of those
+        # among them that the side was told to stop on this connection.
+        self._inherited = {
+            (task.id, task.attempt)
+            for tasks in state.prepared.values()
+            for task in tasks.values()
+        }
+        self._stopping = set()
         self._freed = {}
 
     def prepare_tasks(self, demands, views):
@@ -91,23 +101,39 @@
     def resolve(self, views, is_lost, may_replace):
         """Place prepared tasks where there is room, or requeue them.
 
+        Those that cannot be requeued yet have to be stopped.
+
         :param views: list of ``vmview.VmView``; their room is used up
         :param is_lost: function of a VM's name; whether its tasks count as
             lost
         :param may_replace: function of a VM's name; whether an exclusive
             task of it may start elsewhere
-        :returns: list of events
+        :returns: list of events, and list of ``state.TaskRecord`` to stop
         """
         rows = {view.vm.name: view for view in views}
         resolved = []
+        stopped = []
         for vm, tasks in self._state.prepared.items():
             for task in list(tasks.values()):
                 event = self._resolve_task(
                     task, rows.get(vm), rows.values(), is_lost, may_replace
                 )
-                if event is not None:
+                if event is None:
+                    continue
+                if self._may_run(event, is_lost(vm)):
+                    self._stopping.add((task.id, task.attempt))
+                    stopped.append(task)
+                else:
                     resolved.append(event)
-        return resolved
+        return resolved, stopped
+
+    def record_full_report(self, vm):
+        """Record that a side's new connection has begun.
+
+        Stops that were sent before may be lost.
+        """
+        for task in self._state.prepared[vm].values():
+            self._stopping.discard((task.id, task.attempt))
 
     def start_in_freed_room(self, vm, reports, unlogged):
         """Start prepared tasks in the room that ended attempts have freed.
@@ -128,6 +154,8 @@
             name = (task.id, task.attempt)
             if name in self._started or name in unlogged:
                 continue
+            if name in self._stopping:
+                continue
             if reconcile.is_unwanted(self._state, task):
                 continue
             if not size.fits(freed.room):
@@ -161,6 +189,15 @@
         size = self._state.find_workload(task.id).workload.resources
         freed.room = freed.room.add(size)
 
+    def _may_run(self, event, is_lost):
+        """Tell whether a requeued task may have been started.
+
+        :param is_lost: whether the tasks of its VM count as lost
+        """
+        if not isinstance(event, events.TaskRequeued) or is_lost:
+            return False
+        return (event.task, event.attempt) in self._inherited
+
     def _resolve_task(self, task, view, views, is_lost, may_replace):
         """Return the event that places or requeues a task, or None."""
         if is_lost(task.vm):
@@ -169,7 +206,7 @@
                 return None
             return events.TaskRequeued(task.id, task.attempt)
         name = (task.id, task.attempt)
-        if name in self._started or view is None:
+        if name in self._started or name in self._stopping or view is None:
             return None
         if not view.reported:
             # A previous owner may have started it while the store was down.
--- a/packages/scheduler/portwharf/scheduler/prepared_starts_test.py
+++ b/packages/scheduler/portwharf/scheduler/prepared_starts_test.py
@@ -8,6 +8,7 @@
 
 from portwharf.peers import messages
 from portwharf.scheduler import batches
+from portwharf.scheduler import late_start_test
 from portwharf.scheduler import operations
 from portwharf.scheduler import ownership_test
 from portwharf.scheduler import shardlog
@@ -56,13 +57,44 @@
     made.nodes[1].claim()
     # The new owner's first pass runs before any side has reported.
     made.time.advance(1.5)
-    made.nodes[1].owner.step()
+    owner = made.nodes[1].owner
+    owner._members.sync_links(owner)
+    made.connect_all()
+    owner.step()
     prepared = made.read_state().prepared
     case.assertTrue(prepared['vm-00'])
+    made.run(1)
     ownership_test.finish(made)
     case.assertEqual(ownership_test.count_runs(made), 10)
 
 
+def test_unconfirmed_start_is_not_repeated_elsewhere(case):
+    """Its owner is replaced, and its worker carries it out late."""
+    made = late_start_test.make_cluster()
+    late, heir, former = made.nodes
+    made.submit(7)
+    made.run(2)
+    (task,) = made.read_state().prepared[late.vm.name]
+    made.fake.faults.down = True
+    made.run(3)
+    late.worker.delays = True
+    late.worker.finish(ownership_test.list_running(late)[0])
+    made.run(1)
+    case.assertEqual({one.task for one in late.worker._starts}, {task})
+    made.restart_side(former)
+    made.fake.faults.down = False
+    made.listing.set_leaving({late.vm.name})
+    heir.claim()
+    made.run(1.5)
+    heir.worker.finish(ownership_test.list_running(heir)[0])
+    made.run(2)
+    late.worker.carry_out()
+    case.assertIn(task, ownership_test.list_running(late))
+    made.run(2)
+    late.worker.delays = False
+    ownership_test.finish(made)
+
+
 def test_prepared_task_of_a_silent_vm_is_not_started_elsewhere(case):
     made = ownership_test.make_cluster(10)
     silent = made.nodes[2]
