Take no reports of another VM at a member's address

A VM whose address is used by another VM of the shard would have its tasks started there, under the attempts that it may still run.

Cause: an owner took whatever side answered at a member's address for that member. A whole report of another VM lacks the member's tasks, and the owner sends their starts again on that connection, without waiting for any lease.

Evidence: the new test failed before: members_test.test_reports_of_another_vm_at_the_address_are_not_taken, AssertionError: True is not false (its whole report is taken)

Why this works: a side's greeting has the name of its VM, of all versions. A connection with another name is closed before anything is sent or taken, so that the member counts as silent and its tasks wait for their leases.

--- a/packages/scheduler/portwharf/scheduler/faults_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_test.py
@@ -19,6 +19,8 @@
 from portwharf.scheduler import grants_test
 from portwharf.scheduler import guard
 from portwharf.scheduler import limits
+from portwharf.scheduler import members
+from portwharf.scheduler import members_test
 from portwharf.scheduler import ownership_test
 from portwharf.scheduler import reconcile
 from portwharf.scheduler import reconcile_test
@@ -77,6 +79,21 @@
     )
 
 
+def test_reports_of_another_vm_taken(case):
+    def attach(self, conn, peer):
+        peer.name = self.name
+        original(self, conn, peer)
+
+    original = members.MemberLink.attach
+    check_fault_detected(
+        case,
+        members_test.test_reports_of_another_vm_at_the_address_are_not_taken,
+        members.MemberLink,
+        'attach',
+        attach,
+    )
+
+
 def test_former_owner_not_rejected(case):
     def accept(self, epoch, name):
         self._owner = name
--- a/packages/scheduler/portwharf/scheduler/members.py
+++ b/packages/scheduler/portwharf/scheduler/members.py
@@ -91,6 +91,12 @@
         return self._owner.make_hello()
 
     def attach(self, conn, peer):
+        if peer.name != self.name:
+            # Its address is used by another VM now, whose reports say nothing
+            # about the tasks of this one.
+            raise streams.PeerError(
+                f'greeting from {peer.name!r:.60} instead of {self.name}'
+            )
         self._owner.check_epoch(peer.epoch)
         conn.post(self._owner.make_grant(self.name, 0))
         # Sent before any command: a restarted side does not know the tasks on
--- a/packages/scheduler/portwharf/scheduler/members_test.py
+++ b/packages/scheduler/portwharf/scheduler/members_test.py
@@ -127,6 +127,17 @@
     case.assertEqual(link.view.capacity, data.Resources(1, 2))
 
 
+def test_reports_of_another_vm_at_the_address_are_not_taken(case):
+    port, conns = accept(case)
+    _, owner = make_link(case, port)
+    for name in ('vm-2', 'vm-1'):
+        conn = conns.get(timeout=10)
+        streams.check_hello(conn.receive())
+        conn.send(messages.Hello(role='side', name=name))
+        conn.try_send(messages.Reports(whole=name == 'vm-2'))
+    case.assertFalse(owner.reports.get(timeout=10).whole)
+
+
 def test_side_of_another_epoch_gets_no_grant(case):
     port, conns = accept(case)
     make_link(case, port)
