--- a/packages/scheduler/portwharf/scheduler/late_successes_test.py
+++ b/packages/scheduler/portwharf/scheduler/late_successes_test.py
@@ -11,6 +11,7 @@
 from portwharf.scheduler import reconcile
 from portwharf.testing import cluster
 from portwharf.testing import cluster_checks
+from portwharf.testing import cluster_fakes
 
 LONG_WAIT_SECONDS = ownership_test.LONG_WAIT_SECONDS
 NEXT = f'{jobs_test.SECOND}.0'
@@ -94,6 +95,27 @@
     ownership_test.finish(made)
 
 
+def test_prepared_attempt_never_begins_after_a_late_success(case):
+    made = ownership_test.make_cluster(6)
+    node = made.nodes[2]
+    task, _ = ownership_test.list_running(node)
+    made.isolate(node)
+    made.run(1)
+    node.worker.finish(task)
+    made.run(LONG_WAIT_SECONDS)
+    state = made.read_state()
+    case.assertEqual(state.tasks[task].state, data.TaskState.PREPARED)
+    node.worker.resize(500)
+    made.run(1)
+    made.heal()
+    made.run(3)
+    state = made.read_state()
+    case.assertEqual(state.tasks[task].state, data.TaskState.SUCCEEDED)
+    node.worker.resize(cluster_fakes.CAPACITY.cpu_milli)
+    ownership_test.finish(made)
+    case.assertEqual(len(list_runs(made, task)), 1)
+
+
 def test_gang_ends_once_and_the_next_step_starts_once(case):
     """A member succeeded on a silent VM; the gang was started again."""
     made = cluster.Cluster(4)
@@ -161,6 +183,16 @@
     )
 
 
+def test_prepared_attempt_kept_after_a_late_success_is_caught(case):
+    faults_test.check_fault_detected(
+        case,
+        test_prepared_attempt_never_begins_after_a_late_success,
+        late_successes.LateSuccesses,
+        'list_tasks',
+        lambda self: set(),
+    )
+
+
 def test_late_success_logged_before_the_later_attempt_is_stopped(case):
     def take_due(self):
         due = list(self._reports.values())
