Test an end that one listing lacks

A worker's listing lacks an attempt once, just as it ends as done; its side reports it as gone, and the next start is refused.

--- a/packages/scheduler/portwharf/scheduler/late_successes_test.py
+++ b/packages/scheduler/portwharf/scheduler/late_successes_test.py
@@ -2,6 +2,10 @@
 # SPDX-License-Identifier: Apache-2.0
 """A success that is reported after the next attempt was placed counts once."""
 
+from unittest import mock
+
+import result
+
 from portwharf.core import data
 from portwharf.scheduler import faults_test
 from portwharf.scheduler import jobs_test
@@ -12,6 +16,7 @@
 from portwharf.testing import cluster
 from portwharf.testing import cluster_checks
 from portwharf.testing import cluster_fakes
+from portwharf import workers
 
 LONG_WAIT_SECONDS = ownership_test.LONG_WAIT_SECONDS
 NEXT = f'{jobs_test.SECOND}.0'
@@ -116,6 +121,26 @@
     case.assertEqual(len(list_runs(made, task)), 1)
 
 
+def test_end_that_one_listing_lacks_is_not_followed_by_a_start(case):
+    made = ownership_test.make_cluster(1, 1)
+    worker = made.nodes[0].worker
+    (task,) = ownership_test.list_running(made.nodes[0])
+    worker.finish(task)
+    worker.broken = True
+    lacking = workers.Listing(
+        worker._read_ms(), worker.capacity, life=worker._life
+    )
+    with mock.patch.object(worker, 'read_listing', lambda: result.Ok(lacking)):
+        made.run(0.5)
+    case.assertEqual(made.read_state().tasks[task].vm, '')
+    made.run(1)
+    worker.broken = False
+    ownership_test.finish(made)
+    cluster_checks.check_no_start_after_success(made.nodes)
+    (run,) = list_runs(made, task)
+    case.assertTrue(run.noted)
+
+
 def test_gang_ends_once_and_the_next_step_starts_once(case):
     """A member succeeded on a silent VM; the gang was started again."""
     made = cluster.Cluster(4)
