--- a/packages/testing/portwharf/testing/walk_test.py
+++ b/packages/testing/portwharf/testing/walk_test.py
@@ -40,7 +40,7 @@
     """A task is started again after a success that was reported too late.
 
     Its worker was silent for longer than its lease, so that the attempt was
-    given up and the next one placed. The late success is dropped.
+    given up and the next one placed. The late success ends the task.
     """
     walk.Walk(1020, jobs=True).run()
 
