Starts under way are revoked when a silent worker's leases expire

Cause: once all leases have expired on a worker that does not answer, the side reports its unconfirmed starts as gone, and the owner starts the next attempt. The side kept its fencing token. A start that was still under way was carried out once the worker answered again and its lease was renewed, and could end before it was found and stopped.

Evidence: a random walk of the real agent over the real client, with orders that arrive late (lost_attempts_walk_test).

Fix: before the starts are given up, the client goes on to its next fencing token. There is no answer that could confirm it, and none is needed: all leases have expired, counting unanswered renewals, so the start is refused until a later order of this side renews them, and each of those carries the higher token. Without a higher token the starts stay unconfirmed. Starts given up because no worker is there are revoked in the same way, before the first request to the next incarnation.

--- /dev/null
+++ b/packages/platform/portwharf/platform/lost_attempts_walk_test.py
@@ -0,0 +1,452 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""A random walk of a side and its runner, with orders that arrive late.
+
+Failure: a task was started again after one of its runs had succeeded.
+
+The owner starts the next attempt as soon as one is reported as gone or
+refused. Invariant: from then on that attempt neither begins nor runs, and no
+list has it as done under a lease that has lasted since its end.
+
+The walk steps the side's agent and its client of the runner. Replies are
+lost, orders arrive up to 12 s late, the runner is silent for longer than its
+leases, owners reconnect and repeat commands, grants lapse, and the side and
+the runner restart.
+"""
+
+import collections
+import random
+from unittest import mock
+
+import result
+
+from portwharf.core import clock
+from portwharf.core import data
+from portwharf.peers import messages
+from portwharf.platform import heartbeats
+from portwharf.platform import http_client
+from portwharf.platform import runner
+from portwharf.platform import runner_connection
+from portwharf.scheduler import guard
+from portwharf.side import agent
+from portwharf.testing import agent_harness
+from portwharf.testing import platform_runner
+
+SEEDS = 60
+STEPS = 400
+MAX_DELAY_SECONDS = 12.0
+MAX_SILENCE_SECONDS = 18.0
+MAX_HOLD_MS = 12_000
+STEP_SECONDS = 0.3
+# Longest time that a call takes.
+CALL_SECONDS = 0.1
+LOST_STATES = (data.RunState.GONE, data.RunState.REFUSED)
+
+
+class InvariantError(AssertionError):
+    """An invariant was violated."""
+
+
+class Runner(platform_runner.FakePlatformRunner):
+    """A runner on a manual clock whose orders may arrive late.
+
+    :ivar lost: the reason of each (task, attempt) that the owner has given
+        up as gone or refused
+    :ivar silent_until: end of its silence, on the manual clock
+    :ivar fault_rate: probability that an order is lost or late
+    """
+
+    def __init__(self, manual_clock, rng):
+        self.clock = manual_clock
+        self.random = rng
+        self.lost = {}
+        self.silent_until = 0.0
+        self.fault_rate = 0.0
+        self.is_down = False
+        # Orders under way: when they arrive, the birth time of the
+        # incarnation that they are sent to, and the order.
+        self._under_way = []
+        # Numbers of the ended attempts whose lease has lapsed since.
+        self._lapsed_numbers = set()
+        # The slowest clock that a runner may have.
+        self._rate = rng.choice((1.0, 0.98))
+        super().__init__()
+
+    def restart(self, instance):
+        self._boot_at = self.clock.read_monotonic()
+        self._lapsed_numbers = set()
+        super().restart(instance)
+
+    def read_ms(self):
+        elapsed = self.clock.read_monotonic() - self._boot_at
+        return int(elapsed * 1000 * self._rate)
+
+    def send(self, path, body, target, born_ms):
+        """Carry out an order now, later or never.
+
+        :returns: Ok(http_client.Reply), or Err(http_client.NoReply)
+        """
+        order = (path.removeprefix('/portwharf/'), body, target)
+        now = self.clock.read_monotonic()
+        if now < self.silent_until:
+            self._delay(self.silent_until, born_ms, order)
+            return lose_reply()
+        if self.random.random() >= self.fault_rate:
+            return result.Ok(self._answer(*order))
+        fault = self.random.choice(('late', 'reply lost', 'unhealthy', 'lost'))
+        if fault == 'late':
+            self._delay(now, born_ms, order)
+        elif fault == 'reply lost':
+            self._answer(*order)
+        elif fault == 'unhealthy':
+            return result.Ok(http_client.Reply(503, {}))
+        return lose_reply()
+
+    def update(self):
+        """Carry out the orders that have arrived, and end expired leases."""
+        now = self.clock.read_monotonic()
+        due = sorted(
+            (row for row in self._under_way if row[0] <= now),
+            key=lambda row: row[0],
+        )
+        self._under_way = [row for row in self._under_way if row[0] > now]
+        self._end_lease()
+        for _, born_ms, order in due:
+            if born_ms == self.born_ms and not self.is_down:
+                self._answer(*order)
+
+    def end_some_run(self):
+        """End a running attempt as done."""
+        if self.running:
+            self.end_run(self.random.choice(sorted(self.running)))
+
+    def check(self):
+        """Check that no lost attempt runs.
+
+        :raises InvariantError: one does
+        """
+        for name in self.running.items():
+            if name in self.lost:
+                self._fail(name, 'runs')
+
+    def _delay(self, since, born_ms, order):
+        longest = self.random.choice((1.0, MAX_DELAY_SECONDS, None))
+        if longest is not None:
+            arrives_at = since + self.random.uniform(0, longest)
+            self._under_way.append((arrives_at, born_ms, order))
+
+    def _answer(self, verb, body, target):
+        with self._lock:
+            status, value = self._execute(verb, body, target)
+        if 'born' in value:
+            value['born'] = self.born_ms
+        return http_client.Reply(status, {**value, 'clockMs': self.read_ms()})
+
+    def _end_lease(self):
+        if self.read_ms() < self._until_ms:
+            return
+        for task in list(self.running):
+            self.end_run(task, 'lapsed')
+        self._lapsed_numbers.update(row[0] for row in self.ended)
+
+    def _start(self, body):
+        name = (body['task'], body['run'])
+        has_begun = self.running.get(name[0]) == name[1]
+        if self._until_ms <= self.read_ms():
+            return 409, {'reason': 'late'}
+        # The lease may have been renewed since the start was sent.
+        status, value = super()._start({**body, 'untilMs': self._until_ms})
+        if status == 200 and not has_begun and name in self.lost:
+            self._fail(name, 'begins')
+        return status, value
+
+    def _hold(self, body):
+        status, value = super()._hold(body)
+        for number, task, run, how, _ in value['ended']:
+            is_leased = number not in self._lapsed_numbers
+            if how == 'done' and is_leased and (task, run) in self.lost:
+                self._fail((task, run), 'is done')
+        return status, value
+
+    def _fail(self, name, text):
+        raise InvariantError(f'{name} {text}, but: {self.lost[name]}')
+
+
+class Connection:
+    """A connection to the incarnation that ran when it was opened."""
+
+    def __init__(self, fake):
+        self._fake = fake
+        self._born_ms = None
+
+    @property
+    def is_open(self):
+        """Whether its incarnation still runs."""
+        return self._born_ms == self._fake.born_ms and not self._fake.is_down
+
+    def open(self, seconds):
+        """Connect to the current incarnation."""
+        if self._fake.is_down:
+            return result.Err(http_client.NoReply('refused', refused=True))
+        self._born_ms = self._fake.born_ms
+        return result.Ok(None)
+
+    def close(self):
+        """Close the connection."""
+        self._born_ms = None
+
+    def call(self, method, path, seconds, body, headers):
+        """Send a request, unless its incarnation has ended."""
+        if not self.is_open:
+            return result.Err(http_client.NoReply('reset', sent=True))
+        fake = self._fake
+        fake.clock.advance(fake.random.uniform(0, CALL_SECONDS))
+        fake.update()
+        target = headers.get('Portwharf-Target-Instance') or fake.instance
+        answer = fake.send(path, body, target, self._born_ms)
+        if answer.is_err():
+            self.close()
+            fake.clock.advance(seconds)
+            fake.update()
+        return answer
+
+
+class Walk:
+    """One walk, determined by its seed."""
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.clock = clock.ManualClock()
+        self.fake = Runner(self.clock, self.random)
+        # The current attempt of each task that is placed on this VM, and the
+        # attempts of the others.
+        self.placed = {}
+        self.waiting = {}
+        self.tasks = 0
+        self.token = 6
+        self.epoch = 3
+        self.is_granting = True
+        self.missing_due = False
+        self.instances = 1
+        self.conn = None
+        self.restart_side()
+
+    def run(self):
+        """Run all steps.
+
+        :raises InvariantError: an invariant was violated
+        """
+        self.deliver_heartbeat()
+        for _ in range(STEPS):
+            self.clock.advance(self.random.uniform(0, STEP_SECONDS))
+            self.fake.update()
+            self.random.choice(ACTIONS)(self)
+            if self.is_granting:
+                now = self.clock.read_monotonic()
+                self.guard.accept_grant(self.epoch, now, True)
+            for _ in range(self.random.randint(1, 3)):
+                self.agent.step()
+            self.fake.update()
+            self.fake.check()
+
+    def restart_side(self):
+        """Restart the side's process, which gets a higher fencing token."""
+        self.token += 1
+        token = self.token
+        self.client = runner.RunnerWorker(
+            self.fake, lambda: token, MAX_HOLD_MS
+        )
+        self.guard = guard.GrantGuard(self.clock, agent_harness.LIMITS)
+        self.guard.learn_epoch(self.epoch)
+        self.agent = agent.Agent(
+            self.client,
+            self.guard,
+            agent_harness.LIMITS,
+            self.clock,
+            lambda: None,
+        )
+        self.client.on_attempt_end(self.agent._poll_soon)
+        self.connect()
+        self.deliver_heartbeat()
+
+    def connect(self):
+        """Connect an owner.
+
+        It has processed all reports of the last connection, or lost them.
+        """
+        if self.random.random() < 0.5:
+            self.process_reports()
+        if self.random.random() < 0.5:
+            self.epoch += 1
+        self.guard.accept_owner(self.epoch, 'vm-9')
+        self.conn = agent_harness.FakeConn()
+        self.missing_due = False
+        self.agent.take_owner(self.conn)
+
+    def deliver_heartbeat(self):
+        """Deliver a heartbeat of the runner."""
+        if self.fake.is_down:
+            return
+        body = self.fake.make_heartbeat()
+        life = heartbeats.parse_life(self.fake.instance, body)
+        self.client.record_heartbeat(life)
+
+    def place(self):
+        """Place an attempt, and send its start once or twice."""
+        if len(self.placed) >= 8:
+            return
+        task = f'5c0e7a21d94b36f8.0.0.{self.tasks}'
+        self.tasks += 1
+        attempt = 1
+        if self.waiting and self.random.random() < 0.5:
+            task = self.random.choice(sorted(self.waiting))
+            attempt = self.waiting.pop(task) + self.random.randint(1, 2)
+        self.placed[task] = attempt
+        for _ in range(self.random.choice((1, 1, 1, 2))):
+            self.send_start(task)
+
+    def send_start(self, task):
+        """Send the start of a placed attempt."""
+        start = messages.StartTask(
+            self.epoch,
+            task,
+            self.placed[task],
+            exclusive=True,
+            resources=data.Resources(1000, 100),
+        )
+        self.agent.command(self.conn, start)
+
+    def send_stop(self, task):
+        """Send a stop of a placed attempt."""
+        stop = messages.StopTask(self.epoch, task, self.placed[task])
+        self.agent.command(self.conn, stop)
+
+    def stop(self):
+        """Stop a placed attempt."""
+        if self.placed:
+            self.send_stop(self.random.choice(sorted(self.placed)))
+
+    def process_reports(self):
+        """Let the owner process the reports that it has received."""
+        if self.conn is None:
+            return
+        forget = []
+        for message in self.conn.take(messages.Reports):
+            if message.whole:
+                self.command_missing(message)
+            for report in message.reports:
+                if report.state == data.RunState.RUNNING:
+                    self.process_running(report)
+                    continue
+                forget.append(messages.TaskRef(report.task, report.attempt))
+                if self.placed.get(report.task) != report.attempt:
+                    continue
+                del self.placed[report.task]
+                if report.state != data.RunState.SUCCEEDED:
+                    self.waiting[report.task] = report.attempt
+                if report.state in LOST_STATES:
+                    name = (report.task, report.attempt)
+                    self.fake.lost[name] = report.reason
+        if forget:
+            self.agent.command(self.conn, messages.ForgetTasks(forget))
+
+    def process_running(self, report):
+        """Stop a running attempt that the owner has given up."""
+        if self.placed.get(report.task) != report.attempt:
+            stop = messages.StopTask(self.epoch, report.task, report.attempt)
+            self.agent.command(self.conn, stop)
+
+    def command_missing(self, message):
+        """Repeat the commands for what a full report lacks."""
+        known = {(one.task, one.attempt) for one in message.reports}
+        for task, attempt in self.placed.items():
+            if (task, attempt) in known:
+                continue
+            send = self.random.choice((self.send_start, self.send_stop))
+            send(task)
+
+    def wait_for_ends(self):
+        """Make the request of the client's thread that waits for ends."""
+        ends = self.client._ends
+        life = self.client._incarnations.current.id
+        answer = self.client._hold(self.client._wait_conn, life)
+        if answer.is_ok() and ends.record_latest(answer.ok_value['ended']):
+            self.agent._poll_soon()
+
+    def end_run(self):
+        """End a running attempt."""
+        self.fake.end_some_run()
+
+    def fall_silent(self):
+        """Let the runner be silent, possibly for longer than all leases."""
+        seconds = self.random.uniform(0, MAX_SILENCE_SECONDS)
+        until = self.clock.read_monotonic() + seconds
+        self.fake.silent_until = max(self.fake.silent_until, until)
+
+    def change_faults(self):
+        """Change how many orders are lost or late."""
+        self.fake.fault_rate = self.random.choice((0.0, 0.1, 0.3, 0.6))
+
+    def change_grants(self):
+        """Let the owner stop or resume granting."""
+        self.is_granting = self.random.random() < 0.7
+
+    def restart_runner(self):
+        """Restart the runner, with the same instance id or the next one."""
+        if self.random.random() < 0.5:
+            self.instances += 1
+        self.fake.is_down = self.random.random() < 0.5
+        self.fake.restart(f'i-{self.instances}')
+
+    def bring_up_runner(self):
+        """Let a runner that is down answer again."""
+        self.fake.is_down = False
+        self.deliver_heartbeat()
+
+    def idle(self):
+        """Let some time pass."""
+        self.clock.advance(self.random.uniform(0, 2))
+
+
+ACTIONS = tuple(
+    collections.Counter(
+        {
+            Walk.place: 8,
+            Walk.process_reports: 8,
+            Walk.end_run: 5,
+            Walk.wait_for_ends: 4,
+            Walk.deliver_heartbeat: 3,
+            Walk.bring_up_runner: 3,
+            Walk.idle: 3,
+            Walk.change_faults: 2,
+            Walk.connect: 2,
+            Walk.stop: 2,
+            Walk.change_grants: 1,
+            Walk.fall_silent: 1,
+            Walk.restart_side: 1,
+            Walk.restart_runner: 1,
+        }
+    ).elements()
+)
+
+
+def lose_reply():
+    """Return what a client gets that waits in vain for a reply."""
+    return result.Err(http_client.NoReply('timed out', sent=True))
+
+
+def walk_all(seeds=range(SEEDS)):
+    """Walk for each seed; returns the first violation, or None."""
+    with mock.patch.object(
+        runner_connection.http_client, 'Connection', Connection
+    ):
+        for seed in seeds:
+            try:
+                Walk(seed).run()
+            except InvariantError as exc:
+                return seed, str(exc)
+    return None
+
+
+def test_no_attempt_runs_after_it_was_reported_as_lost(case):
+    case.assertIsNone(walk_all())
--- a/packages/platform/portwharf/platform/runner.py
+++ b/packages/platform/portwharf/platform/runner.py
@@ -49,6 +49,7 @@
 # Other statuses of a start that was certainly not carried out.
 _NOT_STARTED = (400, _MISDIRECTED, 429, 503)
 _MS_PER_SECOND = 1000
+_NO_TOKEN_LEFT = 'no higher fencing token is left'
 # Number of remembered starts besides those of running attempts, which are all
 # kept.
 MAX_REMEMBERED_STARTS = 1000
@@ -192,9 +193,15 @@
 
     def revoke_expired_starts(self):
         if not self._fence.advance_beyond(self._start_token):
-            return result.Err('no higher fencing token is left')
+            return result.Err(_NO_TOKEN_LEFT)
         return self.read_listing()
 
+    def abandon_starts(self):
+        # The next request on either connection carries the higher token.
+        if not self._fence.advance_beyond(self._start_token):
+            return result.Err(_NO_TOKEN_LEFT)
+        return result.Ok(None)
+
     def stop(self, task, attempt, checkpoint):
         body = {'task': task, 'run': attempt}
         return self._send_command('/portwharf/run-stop', body)
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -505,7 +505,7 @@
     def _report_lapsed(self):
         """Report the remaining attempts; no task may wait for them."""
         self._monitor.record_expiry()
-        gone = self._unconfirmed.drop_starts()
+        gone = self._unconfirmed.abandon_starts(self._worker)
         self._losses.report_gone(gone, loss_reporter.GONE_LAPSED)
         self._report(self._full_report_due)
 
--- a/packages/side/portwharf/side/unconfirmed.py
+++ b/packages/side/portwharf/side/unconfirmed.py
@@ -108,7 +108,7 @@
             attempt)
         """
         if listing.absent:
-            return self.drop_starts()
+            return self.abandon_starts(worker)
         self._drop_listed(listing)
         stopped = self._stop_starts(worker)
         if not stopped:
@@ -169,6 +169,23 @@
             stopped.append(name)
         return stopped
 
+    def abandon_starts(self, worker):
+        """Give up all unconfirmed starts, as nothing runs on the worker.
+
+        Those that are still under way must not be carried out once the worker
+        answers again.
+
+        :returns: names of attempts that will never run, as a list of (task,
+            attempt)
+        """
+        if not self._starts:
+            return []
+        abandoned = worker.abandon_starts()
+        if abandoned.is_err():
+            LOG.warning('starts not abandoned: %s', abandoned.err_value)
+            return []
+        return self.drop_starts()
+
     def drop_starts(self):
         """Return and drop the unconfirmed starts, none of which can run."""
         names = sorted(self._starts)
--- a/packages/side/portwharf/side/unconfirmed_test.py
+++ b/packages/side/portwharf/side/unconfirmed_test.py
@@ -153,3 +153,22 @@
     listing = workers.Listing(0, life=data.IncarnationId('i-2', 1))
     gone = revoke_start(listing, result.Ok(listing))
     case.assertEqual(gone, [('w.0', 1)])
+
+
+def abandon_start(listing, abandoned):
+    """Abandon a start on a worker that is absent.
+
+    :param abandoned: the worker's answer
+    :returns: the attempts that will never run
+    """
+    orders, worker = unconfirmed.UnconfirmedCommands(), UnresponsiveWorker()
+    orders.add_start('w.0', 1, agent_harness.SIZE, 1000)
+    worker.abandon_starts = lambda: abandoned
+    return orders.settle_starts(worker, listing)
+
+
+def test_start_to_an_absent_worker_is_given_up_only_if_it_is_abandoned(case):
+    """A start that is still under way would be carried out by the next one."""
+    absent = workers.Listing(absent=True)
+    case.assertEqual(abandon_start(absent, result.Err('no token')), [])
+    case.assertEqual(abandon_start(absent, result.Ok(None)), [('w.0', 1)])
--- a/packages/workers/portwharf/workers/base.py
+++ b/packages/workers/portwharf/workers/base.py
@@ -10,6 +10,8 @@
 import abc
 import dataclasses
 
+import result
+
 from portwharf.core import data
 
 # Reasons for a refusal. Those in EXPECTED_REFUSALS do not count as a failure
@@ -153,6 +155,17 @@
             lease that it does not list never runs
         """
 
+    def abandon_starts(self):
+        """Ensure that no unanswered start is carried out after later calls.
+
+        Called when all leases have expired on a worker that does not answer.
+        A worker that refuses a start after the end of its lease need not do
+        anything.
+
+        :returns: Ok(None)
+        """
+        return result.Ok(None)
+
     def restore_start(self, start):
         """Restore the :class:`Start` of an attempt.
 
