Attempts found while unconfirmed starts are settled are known at once

Cause: to settle a start without an answer, the side stops the attempt and reads the listing again. An attempt that it then lists, because the start was carried out late and the stop has not taken effect yet, counted as confirmed; but the agent went on with the listing before that, which lacks it. Until its next poll, 0.4 s later, it answered a repeated start or a stop of this attempt by "gone", left it out of a full report, and counted its room as free. The owner started the next attempt while this one ran, and ran perhaps to its end.

Evidence: four tests of unconfirmed_test failed before, for a repeated start, a stop, a full report and the room:

AssertionError: Lists differ: [('w.0', 1)] != [] AssertionError: Lists differ: [('w.0', 1)] != [] AssertionError: Lists differ: [] != ['w.0'] AssertionError: Lists differ: [] != ['no-room-on-the-vm']

The walk of lost attempts now has stops that take up to 1 s, starts that are carried out after a number of later orders, and commands that are repeated at once.

Fix: the agent takes each listing that is read to settle or revoke starts as its own, in the same way as that of a poll, before the attempts in it count as confirmed. So an attempt is at each time unconfirmed, listed, or never to run.

lost_ended_attempts_test.test_no_start_is_based_on_an_outdated_listing has another sequence: its own, in which a start without an answer brings the next incarnation's listing, no longer leaves the agent with the former one, so that the start after it is right. It now has the runner restart between the poll and the start, and still fails without RunnerWorker._check_start; it passed before this change too. The sequence that it had is test_start_is_based_on_a_listing_read_after_an_unanswered_one, which failed before: AssertionError: != (the birth that the start names).

--- a/packages/platform/portwharf/platform/lost_attempts_walk_test.py
+++ b/packages/platform/portwharf/platform/lost_attempts_walk_test.py
@@ -29,17 +29,22 @@
 from portwharf.platform import runner_connection
 from portwharf.scheduler import guard
 from portwharf.side import agent
+from portwharf.side import unconfirmed
 from portwharf.testing import agent_harness
 from portwharf.testing import platform_runner
 
 SEEDS = 60
 STEPS = 400
+# Tasks that the owner places on the VM at once.
+MAX_PLACED = 8
 MAX_DELAY_SECONDS = 12.0
 MAX_SILENCE_SECONDS = 18.0
+MAX_OVERTAKING = 8
 MAX_HOLD_MS = 12_000
 STEP_SECONDS = 0.3
 # Longest time that a call takes.
 CALL_SECONDS = 0.1
+STOP_SECONDS = 1.0
 LOST_STATES = (data.RunState.GONE, data.RunState.REFUSED)
 
 
@@ -54,6 +59,7 @@
         up as gone or refused
     :ivar silent_until: end of its silence, on the manual clock
     :ivar fault_rate: probability that an order is lost or late
+    :ivar unanswered_starts: how many of the next starts are lost or late
     """
 
     def __init__(self, manual_clock, rng):
@@ -62,12 +68,17 @@
         self.lost = {}
         self.silent_until = 0.0
         self.fault_rate = 0.0
+        self.unanswered_starts = 0
         self.is_down = False
         # Orders under way: when they arrive, the birth time of the
         # incarnation that they are sent to, and the order.
         self._under_way = []
+        # The same, but how many later orders overtake each of them.
+        self._overtaken = []
         # Numbers of the ended attempts whose lease has lapsed since.
         self._lapsed_numbers = set()
+        # When running attempts that were told to stop do so, by task.
+        self._stopping = {}
         # The slowest clock that a runner may have.
         self._rate = rng.choice((1.0, 0.98))
         super().__init__()
@@ -75,6 +86,7 @@
     def restart(self, instance):
         self._boot_at = self.clock.read_monotonic()
         self._lapsed_numbers = set()
+        self._stopping = {}
         super().restart(instance)
 
     def read_ms(self):
@@ -87,10 +99,15 @@
         :returns: Ok(http_client.Reply), or Err(http_client.NoReply)
         """
         order = (path.removeprefix('/portwharf/'), body, target)
+        self._carry_out_overtaken()
         now = self.clock.read_monotonic()
         if now < self.silent_until:
             self._delay(self.silent_until, born_ms, order)
             return lose_reply()
+        if self.unanswered_starts and order[0] == 'run-start':
+            self.unanswered_starts -= 1
+            self._delay(now, born_ms, order)
+            return lose_reply()
         if self.random.random() >= self.fault_rate:
             return result.Ok(self._answer(*order))
         fault = self.random.choice(('late', 'reply lost', 'unhealthy', 'lost'))
@@ -111,9 +128,12 @@
         )
         self._under_way = [row for row in self._under_way if row[0] > now]
         self._end_lease()
+        for task in [t for t, at in self._stopping.items() if at <= now]:
+            del self._stopping[task]
+            if task in self.running:
+                self.end_run(task, 'stopped')
         for _, born_ms, order in due:
-            if born_ms == self.born_ms and not self.is_down:
-                self._answer(*order)
+            self._arrive(born_ms, order)
 
     def end_some_run(self):
         """End a running attempt as done."""
@@ -130,10 +150,26 @@
                 self._fail(name, 'runs')
 
     def _delay(self, since, born_ms, order):
-        longest = self.random.choice((1.0, MAX_DELAY_SECONDS, None))
-        if longest is not None:
-            arrives_at = since + self.random.uniform(0, longest)
+        kind = self.random.choice(('time', 'overtaken', 'lost'))
+        if kind == 'time':
+            arrives_at = since + self.random.uniform(0, MAX_DELAY_SECONDS)
             self._under_way.append((arrives_at, born_ms, order))
+        elif kind == 'overtaken':
+            count = self.random.randint(1, MAX_OVERTAKING)
+            self._overtaken.append([count, born_ms, order])
+
+    def _carry_out_overtaken(self):
+        if self.clock.read_monotonic() < self.silent_until:
+            return
+        for row in list(self._overtaken):
+            row[0] -= 1
+            if row[0] == 0:
+                self._overtaken.remove(row)
+                self._arrive(*row[1:])
+
+    def _arrive(self, born_ms, order):
+        if born_ms == self.born_ms and not self.is_down:
+            self._answer(*order)
 
     def _answer(self, verb, body, target):
         with self._lock:
@@ -160,6 +196,15 @@
             self._fail(name, 'begins')
         return status, value
 
+    def _stop(self, body):
+        task, run = body['task'], body['run']
+        if self.running.get(task) != run:
+            return super()._stop(body)
+        self._over[task] = max(run, self._over.get(task, 0))
+        takes = self.random.uniform(0, STOP_SECONDS)
+        self._stopping.setdefault(task, self.clock.read_monotonic() + takes)
+        return 200, {}
+
     def _hold(self, body):
         status, value = super()._hold(body)
         for number, task, run, how, _ in value['ended']:
@@ -283,6 +328,12 @@
         self.missing_due = False
         self.agent.take_owner(self.conn)
 
+    def reconnect(self):
+        """Connect an owner that repeats commands at once."""
+        self.connect()
+        self.agent.step()
+        self.process_reports()
+
     def deliver_heartbeat(self):
         """Deliver a heartbeat of the runner."""
         if self.fake.is_down:
@@ -291,9 +342,12 @@
         life = heartbeats.parse_life(self.fake.instance, body)
         self.client.record_heartbeat(life)
 
-    def place(self):
-        """Place an attempt, and send its start once or twice."""
-        if len(self.placed) >= 8:
+    def place(self, copies=1):
+        """Place an attempt.
+
+        :param copies: how often its start is sent
+        """
+        if len(self.placed) >= MAX_PLACED:
             return
         task = f'5c0e7a21d94b36f8.0.0.{self.tasks}'
         self.tasks += 1
@@ -302,9 +356,17 @@
             task = self.random.choice(sorted(self.waiting))
             attempt = self.waiting.pop(task) + self.random.randint(1, 2)
         self.placed[task] = attempt
-        for _ in range(self.random.choice((1, 1, 1, 2))):
+        for _ in range(copies):
             self.send_start(task)
 
+    def place_unanswered(self):
+        """Place an attempt whose starts are lost or late, and repeat it."""
+        self.fake.unanswered_starts = 2
+        self.place(copies=2)
+        for _ in range(2):
+            self.agent.step()
+        self.process_reports()
+
     def send_start(self, task):
         """Send the start of a placed attempt."""
         start = messages.StartTask(
@@ -412,6 +474,7 @@
     collections.Counter(
         {
             Walk.place: 8,
+            Walk.place_unanswered: 2,
             Walk.process_reports: 8,
             Walk.end_run: 5,
             Walk.wait_for_ends: 4,
@@ -419,7 +482,8 @@
             Walk.bring_up_runner: 3,
             Walk.idle: 3,
             Walk.change_faults: 2,
-            Walk.connect: 2,
+            Walk.connect: 1,
+            Walk.reconnect: 3,
             Walk.stop: 2,
             Walk.change_grants: 1,
             Walk.fall_silent: 1,
@@ -450,3 +514,18 @@
 
 def test_no_attempt_runs_after_it_was_reported_as_lost(case):
     case.assertIsNone(walk_all())
+
+
+def test_walks_find_starts_that_are_carried_out_after_all_leases(case):
+    with mock.patch.object(
+        runner.RunnerWorker, 'abandon_starts', lambda self: result.Ok(None)
+    ):
+        case.assertIsNotNone(walk_all())
+
+
+def test_walks_find_late_starts_that_the_agent_does_not_know(case):
+    create = unconfirmed.UnconfirmedCommands
+    with mock.patch.object(
+        unconfirmed, 'UnconfirmedCommands', lambda on_listing: create()
+    ):
+        case.assertIsNotNone(walk_all())
--- a/packages/platform/portwharf/platform/lost_ended_attempts_test.py
+++ b/packages/platform/portwharf/platform/lost_ended_attempts_test.py
@@ -74,12 +74,19 @@
 
 
 def test_no_start_is_based_on_an_outdated_listing(case):
-    """A start without a response is followed by another request.
+    """The start would have a time on the former incarnation's clock."""
+    bench, side = open_side(case, ends=0)
+    bench.grant()
+    side.restart()
+    side.deliver_heartbeat()
+    bench.agent.command(bench.conn, make_start(OTHER))
+    bench.agent.step()
+    case.assertEqual(side.fake.running, {})
+    case.assertIn(workers.REFUSED_NO_HEARTBEAT, bench.list_refused())
+
 
-    Its response may come from the next incarnation while the agent still uses
-    the former listing. A start then has a time on the former incarnation's
-    clock.
-    """
+def test_start_is_based_on_a_listing_read_after_an_unanswered_one(case):
+    """The listing that settles the unanswered start is of the next life."""
     bench, side = open_side(case, ends=0)
     stop = side.client.stop
 
@@ -96,10 +103,12 @@
     with lost, restart_on_stop:
         bench.agent.command(bench.conn, make_start(TASK))
         bench.agent.step()
-    bench.agent.command(bench.conn, make_start(OTHER))
-    bench.agent.step()
-    case.assertEqual(side.fake.running, {})
-    case.assertIn(workers.REFUSED_NO_HEARTBEAT, bench.list_refused())
+    with mock.patch.object(side.client, 'start', wraps=side.client.start) as s:
+        bench.agent.command(bench.conn, make_start(OTHER))
+        bench.agent.step()
+    (start,) = s.call_args.args
+    case.assertEqual(start.life.born_ms, side.fake.born_ms)
+    case.assertEqual(side.fake.running, {OTHER: 1})
 
 
 def make_start(task):
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -99,7 +99,7 @@
         started_at = clock.read_monotonic()
         self._leases = leases.LeaseKeeper(worker, guard, limits, started_at)
         self._monitor = worker_monitor.WorkerMonitor(worker)
-        self._unconfirmed = unconfirmed.UnconfirmedCommands()
+        self._unconfirmed = unconfirmed.UnconfirmedCommands(self._take_listing)
         self._losses = loss_reporter.LossReporter(clock, self._send)
         self._pace_controller = pace_controller.PaceController(worker)
         self._pacer = self._pace_controller.pacer
@@ -458,21 +458,7 @@
             self._handle_silence(polled.err_value)
             return
         self._monitor.record_response()
-        previous, previous_at = self._listing, self._listed_at
-        self._listing = polled.ok_value
-        self._listed_at = self._clock.read_monotonic()
-        if self._listing.absent or self._listing.life != previous.life:
-            self._leases.reset()
-        self._report_capacity(previous)
-        self._losses.check_for_crash(
-            previous,
-            previous_at,
-            self._listing,
-            self._unconfirmed.list_starts(),
-        )
-        self._losses.log_relisted(self._listing)
-        self._report_vanished(previous, loss_reporter.GONE_UNLISTED)
-        self._leases.update_listing(self._listing, self._listed_at)
+        self._take_listing(polled.ok_value)
         self._leases.renew_or_stop()
         self._settle_unconfirmed()
         now = self._clock.read_monotonic()
@@ -489,6 +475,21 @@
         self._update_services()
         self._report(self._full_report_due)
 
+    def _take_listing(self, listing):
+        """Use a listing that was just read; report what it lacks as gone."""
+        previous, previous_at = self._listing, self._listed_at
+        self._listing = listing
+        self._listed_at = self._clock.read_monotonic()
+        if listing.absent or listing.life != previous.life:
+            self._leases.reset()
+        self._report_capacity(previous)
+        self._losses.check_for_crash(
+            previous, previous_at, listing, self._unconfirmed.list_starts()
+        )
+        self._losses.log_relisted(listing)
+        self._report_vanished(previous, loss_reporter.GONE_UNLISTED)
+        self._leases.update_listing(listing, self._listed_at)
+
     def _handle_silence(self, text):
         """Handle a failed poll, and expired leases on a silent worker."""
         now = self._clock.read_monotonic()
--- a/packages/side/portwharf/side/unconfirmed.py
+++ b/packages/side/portwharf/side/unconfirmed.py
@@ -51,7 +51,14 @@
 class UnconfirmedCommands:
     """Starts and stops that the worker has not confirmed yet."""
 
-    def __init__(self):
+    def __init__(self, on_listing=lambda listing: None):
+        """Start without any.
+
+        :param on_listing: called with each ``workers.Listing`` that is read
+            here, before the starts that it shows count as confirmed: these
+            attempts must be known from then on
+        """
+        self._on_listing = on_listing
         # The :class:`UnconfirmedStart` by (task, attempt), in the order in
         # which stops are sent.
         self._starts = {}
@@ -117,6 +124,7 @@
         polled = worker.read_listing()
         if polled.is_err():
             return []
+        self._on_listing(polled.ok_value)
         self._drop_listed(polled.ok_value)
         gone = [name for name in stopped if name in self._starts]
         for name in gone:
@@ -141,6 +149,7 @@
         if revoked.is_err():
             LOG.warning('expired starts not revoked: %s', revoked.err_value)
             return []
+        self._on_listing(revoked.ok_value)
         self._drop_listed(revoked.ok_value)
         gone = [name for name in expired if name in self._starts]
         for name in gone:
--- a/packages/side/portwharf/side/unconfirmed_test.py
+++ b/packages/side/portwharf/side/unconfirmed_test.py
@@ -10,6 +10,8 @@
 import result
 
 from portwharf.core import data
+from portwharf.peers import messages
+from portwharf.side import agent
 from portwharf.side import reports
 from portwharf.side import unconfirmed
 from portwharf.testing import agent_harness
@@ -172,3 +174,59 @@
     absent = workers.Listing(absent=True)
     case.assertEqual(abandon_start(absent, result.Err('no token')), [])
     case.assertEqual(abandon_start(absent, result.Ok(None)), [('w.0', 1)])
+
+
+def send_late_start(bench):
+    """Send a start without an answer that is carried out before its stop.
+
+    The stop is answered, but has not taken effect yet.
+    """
+    lost = result.Err('lost')
+    agent_harness.lose_answers(bench, lost, lost)
+    start = workers.Start('w.0', 1, resources=agent_harness.SIZE)
+    attempt = reports.make_attempt(start)
+
+    def stop(task, number, checkpoint):
+        bench.worker.listing.attempts = [attempt]
+        return result.Ok(None)
+
+    bench.worker.stop = stop
+    bench.grant()
+    command = messages.StartTask(3, 'w.0', 1, resources=agent_harness.SIZE)
+    bench.agent.command(bench.conn, command)
+    bench.agent._execute(bench.agent._pop_command(0.0))
+
+
+def test_late_start_is_not_gone_when_its_command_is_repeated(case):
+    bench = agent_harness.AgentHarness()
+    send_late_start(bench)
+    bench.step()
+    bench.start()
+    case.assertEqual(agent_harness.list_gone(bench), [])
+
+
+def test_late_start_is_not_gone_when_it_is_stopped(case):
+    bench = agent_harness.AgentHarness()
+    send_late_start(bench)
+    bench.step()
+    bench.agent.command(bench.conn, messages.StopTask(3, 'w.0', 1))
+    bench.step()
+    case.assertEqual(agent_harness.list_gone(bench), [])
+
+
+def test_late_start_is_not_missing_from_a_full_report(case):
+    """It was found after the listing that the report began with."""
+    bench = agent_harness.AgentHarness()
+    send_late_start(bench)
+    bench.conn = bench.connect()
+    (message,) = bench.conn.take(messages.Reports)
+    case.assertTrue(message.whole)
+    case.assertEqual([one.task for one in message.reports], ['w.0'])
+
+
+def test_late_start_counts_as_used_capacity(case):
+    bench = agent_harness.AgentHarness()
+    send_late_start(bench)
+    bench.step()
+    bench.start('w.1', resources=data.Resources(4000, 1000))
+    case.assertEqual(bench.list_refused(), [agent.REFUSED_CAPACITY])
