Attempts that a full page of ended attempts may hide are not gone

Cause: a runner lists 500 ended attempts at once. Behind as many that are not acknowledged, one that has just ended is in neither of its lists. The side reported it as gone; when the others had been acknowledged, its success was listed, was no longer of use, and was acknowledged. A side that had restarted behind such a page also answered repeated starts and stops of what it hides by "gone", and left it out of its full report.

Evidence: five tests of lost_attempts_test failed before, for an attempt that was listed, one whose start had no answer, and a repeated start, a stop and the full report after a restart.

Fix: a listing with a full page is marked as truncated. Attempts that ran in the listing before stay in it as running until a whole one is read, unconfirmed starts stay unconfirmed, and a side that has just started does not count as knowing all: it obeys no command about a task and sends no full report yet. Ends that are listed are reported meanwhile, so that the owner acknowledges them and the next page comes.

--- a/packages/platform/portwharf/platform/lost_attempts_test.py
+++ b/packages/platform/portwharf/platform/lost_attempts_test.py
@@ -10,6 +10,7 @@
 from unittest import mock
 
 from portwharf.core import clock
+from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.platform import heartbeats
 from portwharf.platform import lost_attempts_walk_test as walk
@@ -25,20 +26,32 @@
 class Side(agent_harness.AgentHarness):
     """A side whose runner has a manual clock."""
 
-    def __init__(self, case):
-        self.fake = walk.Runner(clock.ManualClock(), random.Random(0))
+    def __init__(self, case, fake=None, token=7):
+        """Start the side.
+
+        :param fake: the ``walk.Runner`` of its former process, or None
+        :param token: its fencing token
+        """
+        self.fake = fake or walk.Runner(clock.ManualClock(), random.Random(0))
         case.enterContext(
             mock.patch.object(
                 runner_connection.http_client, 'Connection', walk.Connection
             )
         )
-        client = runner.RunnerWorker(self.fake, lambda: 7, walk.MAX_HOLD_MS)
+        client = runner.RunnerWorker(
+            self.fake, lambda: token, walk.MAX_HOLD_MS
+        )
         super().__init__(client)
-        self.fake.clock = self.clock
         self.deliver_heartbeat()
         self.grant()
         self.step(1)
 
+    def connect(self):
+        now = self.fake.clock.read_monotonic()
+        self.clock.advance(now - self.clock.read_monotonic())
+        self.fake.clock = self.clock
+        return super().connect()
+
     def deliver_heartbeat(self):
         """Deliver the runner's next heartbeat to the client."""
         body = self.fake.make_heartbeat()
@@ -85,3 +98,87 @@
     side.start(OTHER)
     side.fake.carry_out('run-start', body)
     case.assertEqual(side.fake.running, {OTHER: 1})
+
+
+def open_side_with_full_page(case):
+    """Return a side whose runner lists a full page of ended attempts."""
+    side = Side(case)
+    for number in range(walk.PAGE_ROWS):
+        task = f'other.{number}'
+        side.fake.running[task] = 1
+        side.fake.end_run(task)
+    return side
+
+
+def acknowledge_page(side):
+    """Let the owner forget the listed page of ended attempts."""
+    refs = [messages.TaskRef(row[1], row[2]) for row in side.fake.ended]
+    page = messages.ForgetTasks(refs[: walk.PAGE_ROWS])
+    side.agent.command(side.conn, page)
+    side.step()
+    side.step(0.5)
+
+
+def list_states(side, task):
+    """Take all reports sent so far; returns the states of a task."""
+    return [
+        report.state
+        for message in side.conn.take(messages.Reports)
+        for report in message.reports
+        if report.task == task
+    ]
+
+
+def test_success_behind_a_full_page_of_ended_attempts_is_not_gone(case):
+    side = open_side_with_full_page(case)
+    side.start(TASK)
+    side.conn.take(messages.Reports)
+    side.fake.end_run(TASK)
+    side.step(0.5)
+    case.assertEqual(list_states(side, TASK), [])
+    acknowledge_page(side)
+    case.assertEqual(list_states(side, TASK), [data.RunState.SUCCEEDED])
+
+
+def test_late_success_behind_a_full_page_of_ended_attempts_is_not_gone(case):
+    """Its start had no answer, and its stop found that it had ended."""
+    side = open_side_with_full_page(case)
+    body = side.start_unanswered(TASK)
+    side.fake.carry_out('run-start', body)
+    side.fake.end_run(TASK)
+    side.step(0.5)
+    case.assertEqual(list_states(side, TASK), [])
+    acknowledge_page(side)
+    case.assertEqual(list_states(side, TASK), [data.RunState.SUCCEEDED])
+
+
+def open_restarted_side(case):
+    """Return a restarted side; the page before its restart hides a success."""
+    former = open_side_with_full_page(case)
+    former.start(TASK)
+    former.fake.end_run(TASK)
+    return Side(case, former.fake, token=8)
+
+
+def test_restarted_side_sends_no_full_report_of_a_full_page(case):
+    side = open_restarted_side(case)
+    sent = side.conn.take(messages.Reports)
+    case.assertEqual({message.whole for message in sent}, {False})
+    acknowledge_page(side)
+    (message,) = side.conn.take(messages.Reports)
+    case.assertTrue(message.whole)
+    case.assertEqual([one.task for one in message.reports], [TASK])
+
+
+def test_repeated_start_of_a_success_behind_a_full_page_is_not_refused(case):
+    side = open_restarted_side(case)
+    side.grant()
+    side.start(TASK)
+    case.assertEqual(list_states(side, TASK), [])
+
+
+def test_stop_of_a_success_behind_a_full_page_is_not_answered_by_gone(case):
+    side = open_restarted_side(case)
+    side.agent.command(side.conn, messages.StopTask(3, TASK, 1))
+    side.step()
+    case.assertEqual(list_states(side, TASK), [])
--- a/packages/platform/portwharf/platform/lost_attempts_walk_test.py
+++ b/packages/platform/portwharf/platform/lost_attempts_walk_test.py
@@ -10,8 +10,8 @@
 
 The walk steps the side's agent and its client of the runner. Replies are
 lost, orders arrive up to 12 s late, the runner is silent for longer than its
-leases, owners reconnect and repeat commands, grants lapse, and the side and
-the runner restart.
+leases, owners reconnect and repeat commands, grants lapse, the side and the
+runner restart, and more attempts end than the runner lists at once.
 """
 
 import collections
@@ -27,6 +27,7 @@
 from portwharf.platform import http_client
 from portwharf.platform import runner
 from portwharf.platform import runner_connection
+from portwharf.platform import runner_lists
 from portwharf.scheduler import guard
 from portwharf.side import agent
 from portwharf.side import unconfirmed
@@ -41,6 +42,9 @@
 MAX_SILENCE_SECONDS = 18.0
 MAX_OVERTAKING = 8
 MAX_HOLD_MS = 12_000
+# Ended attempts that the runner lists at once.
+PAGE_ROWS = 500
+BURST_ROWS = 520
 STEP_SECONDS = 0.3
 # Longest time that a call takes.
 CALL_SECONDS = 0.1
@@ -207,6 +211,7 @@
 
     def _hold(self, body):
         status, value = super()._hold(body)
+        value['ended'] = value['ended'][:PAGE_ROWS]
         for number, task, run, how, _ in value['ended']:
             is_leased = number not in self._lapsed_numbers
             if how == 'done' and is_leased and (task, run) in self.lost:
@@ -263,6 +268,7 @@
         self.random = random.Random(seed)
         self.clock = clock.ManualClock()
         self.fake = Runner(self.clock, self.random)
+        self.has_bursts = seed % 5 == 0
         # The current attempt of each task that is placed on this VM, and the
         # attempts of the others.
         self.placed = {}
@@ -465,6 +471,16 @@
         self.fake.is_down = False
         self.deliver_heartbeat()
 
+    def end_many(self):
+        """End more attempts than the runner lists at once."""
+        if not self.has_bursts or self.fake.is_down or self.fake.ended:
+            return
+        for _ in range(BURST_ROWS):
+            task = f'other.{self.tasks}'
+            self.fake.running[task] = 1
+            self.fake.end_run(task)
+            self.tasks += 1
+
     def idle(self):
         """Let some time pass."""
         self.clock.advance(self.random.uniform(0, 2))
@@ -489,6 +505,7 @@
             Walk.fall_silent: 1,
             Walk.restart_side: 1,
             Walk.restart_runner: 1,
+            Walk.end_many: 1,
         }
     ).elements()
 )
@@ -529,3 +546,8 @@
         unconfirmed, 'UnconfirmedCommands', lambda on_listing: create()
     ):
         case.assertIsNotNone(walk_all())
+
+
+def test_walks_find_ended_attempts_that_a_listing_lacks(case):
+    with mock.patch.object(runner_lists, 'MAX_ENDED_ROWS', 10 * PAGE_ROWS):
+        case.assertIsNotNone(walk_all())
--- a/packages/platform/portwharf/platform/runner.py
+++ b/packages/platform/portwharf/platform/runner.py
@@ -369,6 +369,7 @@
             life.leaves_in_ms,
             life=life.id,
             rack=life.rack,
+            is_truncated=len(value['ended']) >= runner_lists.MAX_ENDED_ROWS,
         )
 
     def _parse_running(self, row, now_ms):
--- a/packages/platform/portwharf/platform/runner_lists.py
+++ b/packages/platform/portwharf/platform/runner_lists.py
@@ -8,6 +8,10 @@
 
 from portwharf.platform import json_fields
 
+# Ended attempts that the runner lists at once. It lists the others after
+# these are acknowledged.
+MAX_ENDED_ROWS = 500
+
 
 def check_lists(value):
     """Check the body of a response to ``hold``.
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -457,7 +457,7 @@
         if polled.is_err():
             self._handle_silence(polled.err_value)
             return
-        self._monitor.record_response()
+        self._monitor.record_response(polled.ok_value)
         self._take_listing(polled.ok_value)
         self._leases.renew_or_stop()
         self._settle_unconfirmed()
@@ -478,6 +478,7 @@
     def _take_listing(self, listing):
         """Use a listing that was just read; report what it lacks as gone."""
         previous, previous_at = self._listing, self._listed_at
+        listing = worker_monitor.keep_missing(previous, listing)
         self._listing = listing
         self._listed_at = self._clock.read_monotonic()
         if listing.absent or listing.life != previous.life:
@@ -562,6 +563,9 @@
         """Report attempts whose state has changed, or all of them."""
         if self._conn is None or self._guard.epoch_unknown:
             return
+        # Without the results that a truncated listing lacks, a report would
+        # tell the owner that these attempts do not run.
+        whole = whole and self._monitor.knows_all
         changed = []
         for attempt in self._listing.attempts:
             name = (attempt.task, attempt.attempt)
@@ -570,7 +574,8 @@
                 self._reported_states[name] = attempt.state
         if not changed and not whole:
             return
-        self._full_report_due = False
+        if whole:
+            self._full_report_due = False
         self._send(messages.Reports(whole, changed))
 
     def _send_heartbeat(self):
--- a/packages/side/portwharf/side/unconfirmed.py
+++ b/packages/side/portwharf/side/unconfirmed.py
@@ -125,11 +125,7 @@
         if polled.is_err():
             return []
         self._on_listing(polled.ok_value)
-        self._drop_listed(polled.ok_value)
-        gone = [name for name in stopped if name in self._starts]
-        for name in gone:
-            del self._starts[name]
-        return gone
+        return self._drop_unlisted(stopped, polled.ok_value)
 
     def revoke_expired_starts(self, worker, listing):
         """Revoke the unconfirmed starts whose leases have expired.
@@ -150,10 +146,8 @@
             LOG.warning('expired starts not revoked: %s', revoked.err_value)
             return []
         self._on_listing(revoked.ok_value)
-        self._drop_listed(revoked.ok_value)
-        gone = [name for name in expired if name in self._starts]
+        gone = self._drop_unlisted(expired, revoked.ok_value)
         for name in gone:
-            del self._starts[name]
             extra = logs.fields(task=name[0], attempt=name[1])
             LOG.warning('expired start revoked', extra=extra)
         return gone
@@ -162,6 +156,21 @@
         for attempt in listing.attempts:
             self._starts.pop((attempt.task, attempt.attempt), None)
 
+    def _drop_unlisted(self, names, listing):
+        """Drop the starts that a listing settles.
+
+        :param names: (task, attempt) of starts that the worker ignores now
+        :returns: the names of those that have not been carried out
+        """
+        self._drop_listed(listing)
+        if listing.is_truncated:
+            # They may have been carried out, and have ended.
+            return []
+        gone = [name for name in names if name in self._starts]
+        for name in gone:
+            del self._starts[name]
+        return gone
+
     def _stop_starts(self, worker):
         """Send stops for the unconfirmed starts.
 
--- a/packages/side/portwharf/side/worker_monitor.py
+++ b/packages/side/portwharf/side/worker_monitor.py
@@ -3,11 +3,11 @@
 """Monitors whether the worker responds and whether its state is known.
 
 A side that has just started does not know what its previous process started.
-Until it has read the worker's listing, or until every lease that the previous
-process may have granted has expired, unknown attempts may still run: the side
-must not report them as gone or refused. After that it reports all that it
-knows, which may be nothing, so that no task waits for a worker that never
-responds.
+Until it has read the worker's whole listing, or until every lease that the
+previous process may have granted has expired, unknown attempts may still run,
+or may have succeeded: the side must not report them as gone or refused. After
+that it reports all that it knows, which may be nothing, so that no task waits
+for a worker that never responds.
 """
 
 import dataclasses
@@ -34,12 +34,13 @@
         """Whether an attempt that is not listed surely does not run."""
         return self._knows_all
 
-    def record_response(self):
-        """Record that the worker has returned its listing."""
+    def record_response(self, listing):
+        """Record that the worker has returned a ``workers.Listing``."""
         if self._silent_since is not None:
             LOG.info('worker responds again')
             self._silent_since = None
-        self._knows_all = True
+        if not listing.is_truncated:
+            self._knows_all = True
 
     def record_silence(self, text, now):
         """Record that a poll of the worker got no answer."""
@@ -76,6 +77,18 @@
     )
 
 
+def keep_missing(previous, listing):
+    """Return a listing with the attempts that a truncated one may lack.
+
+    An attempt that was running and is not listed as running has ended, but
+    its result is not known yet.
+    """
+    if not listing.is_truncated or listing.life != previous.life:
+        return listing
+    missing = list_vanished(previous, listing)
+    return dataclasses.replace(listing, attempts=listing.attempts + missing)
+
+
 def list_vanished(previous, listing):
     """Return the attempts that ran and are not listed any more."""
     listed = {(a.task, a.attempt) for a in listing.attempts}
--- a/packages/workers/portwharf/workers/base.py
+++ b/packages/workers/portwharf/workers/base.py
@@ -109,6 +109,7 @@
     :param absent: there is no worker, so no task is running
     :param life: the incarnation of the worker that answered
     :param rack: the rack of the worker, or ''
+    :param is_truncated: there may be ended attempts that are not listed yet
     """
 
     now_ms: int = 0
@@ -123,6 +124,7 @@
     absent: bool = False
     life: data.IncarnationId = data.IncarnationId()
     rack: str = ''
+    is_truncated: bool = False
 
 
 class Worker(abc.ABC):
@@ -152,7 +154,7 @@
         Such a start may have been delayed on its way to the worker.
 
         :returns: Ok(Listing), read afterwards: an attempt with an expired
-            lease that it does not list never runs
+            lease that it does not list never runs, unless it is truncated
         """
 
     def abandon_starts(self):
