An end is acknowledged only after it was reported

What callers saw: a task ran again although a run of it had succeeded, and its success was never taken note of.

Cause: the owner has each report of an end forgotten, also those of attempts that were refused or gone. The client kept these names for as long as the runner lived, so that an attempt that did end later, or was found to have ended, was acknowledged in the request after the one that listed it and was left out of the listing. With the faults fixed so far this is left for an attempt that succeeds while the runner is silent for longer than its lease.

Evidence: test_success_that_was_gone_before_it_was_listed_is_reported failed before:

AssertionError: Lists differ: [] != [<RunState.SUCCEEDED: 'succeeded'>]

Fix: forgetting an attempt counts only once its end was in a listing that the side has read. So each success is reported, and the owner takes it if the next attempt has not begun (reconcile._is_success_before_retry). The names no longer add up either.

--- a/packages/platform/portwharf/platform/ended_attempts.py
+++ b/packages/platform/portwharf/platform/ended_attempts.py
@@ -15,13 +15,15 @@
     :ivar acked: the runner may drop all ended attempts up to this number
     """
 
-    __slots__ = ('acked', '_listed', '_logged', '_latest')
+    __slots__ = ('acked', '_listed', '_returned', '_logged', '_latest')
 
     def __init__(self):
         self.acked = 0
         # (task, attempt) by number, of listed ended attempts that are not
         # acknowledged, and the ones that are in the log.
         self._listed = {}
+        # Those among them that the side has been told of.
+        self._returned = set()
         self._logged = set()
         self._latest = 0
 
@@ -35,8 +37,12 @@
         for number, task, run, *_ in rows:
             if number > self.acked:
                 self._listed[number] = (task, run)
-        # An attempt may have been logged before it was listed here.
-        self._advance_ack()
+
+    def record_returned(self, rows):
+        """Record that the side has been told of the rows of a listing."""
+        for number, task, run, *_ in rows:
+            if number > self.acked:
+                self._returned.add((task, run))
 
     def record_latest(self, rows):
         """Record the highest number; tells whether it is a new one."""
@@ -47,14 +53,22 @@
         return True
 
     def forget(self, task, attempt):
-        """Mark an ended attempt as logged, so that it can be dropped."""
-        self._logged.add((task, attempt))
-        self._advance_ack()
+        """Mark an ended attempt as logged, so that it can be dropped.
+
+        Without effect for one that the side has not been told of: the owner
+        has logged that it was refused or gone, and not how it ended.
+        """
+        if (task, attempt) in self._returned:
+            self._logged.add((task, attempt))
+            self._advance_ack()
 
     def _advance_ack(self):
         """Raise ``acked`` over all listed ended attempts that are logged."""
         for number in sorted(self._listed):
-            if self._listed[number] not in self._logged:
+            name = self._listed[number]
+            if name not in self._logged:
                 return
-            self._logged.discard(self._listed.pop(number))
+            del self._listed[number]
+            self._logged.discard(name)
+            self._returned.discard(name)
             self.acked = number
--- a/packages/platform/portwharf/platform/lost_attempts_test.py
+++ b/packages/platform/portwharf/platform/lost_attempts_test.py
@@ -6,6 +6,7 @@
 ``lost_attempts_walk_test`` has found, step by step.
 """
 
+import math
 import random
 from unittest import mock
 
@@ -60,10 +61,11 @@
     def be_silent(self, seconds):
         """Let the runner answer nothing for a time, under grants."""
         until = self.clock.read_monotonic() + seconds
-        self.fake.silent_until = until
+        self.fake.silent_until = math.inf
         while self.clock.read_monotonic() < until:
             self.grant()
             self.step(0.5)
+        self.fake.silent_until = 0.0
 
     def start_unanswered(self, task):
         """Start an attempt by an order that stays under way; returns it."""
@@ -182,3 +184,22 @@
     side.agent.command(side.conn, messages.StopTask(3, TASK, 1))
     side.step()
     case.assertEqual(list_states(side, TASK), [])
+
+
+def test_success_that_was_gone_before_it_was_listed_is_reported(case):
+    """The owner takes it, unless the next attempt has begun."""
+    side = Side(case)
+    side.start(TASK)
+    side.fake.end_run(TASK)
+    side.be_silent(LIMITS.replace_after_grant + 2)
+    case.assertEqual(list_states(side, TASK)[-1], data.RunState.GONE)
+    gone = messages.ForgetTasks([messages.TaskRef(TASK, 1)])
+    side.agent.command(side.conn, gone)
+    side.step()
+    side.step(1)
+    case.assertEqual(list_states(side, TASK), [data.RunState.SUCCEEDED])
+    case.assertEqual(len(side.fake.ended), 1)
+    side.agent.command(side.conn, gone)
+    side.step()
+    side.step(1)
+    case.assertEqual(side.fake.ended, [])
--- a/packages/platform/portwharf/platform/runner.py
+++ b/packages/platform/portwharf/platform/runner.py
@@ -350,6 +350,8 @@
         life = self._incarnations.current
         self._listed_life = life.id
         now_ms = value['clockMs']
+        with self._lock:
+            self._ends.record_returned(value['ended'])
         self._starts.set_in_use((row[0], row[1]) for row in value['running'])
         running = [
             self._parse_running(row, now_ms) for row in value['running']
