An attempt that is gone is not started beside a listed older one

Cause: a repeated start of an attempt that has been reported as gone is answered by "gone" again, but only while no attempt of the task is listed. Beside an older one that has ended, and is listed until the owner has logged it, the start was carried out, while the next attempt may have begun elsewhere. An owner repeats starts that a full report lacks, as that of one that was unconfirmed.

Evidence: the test failed before, as the attempt was begun:

AssertionError: Lists differ: [] != [('w.0', 2)]

Fix: an older listed attempt does not count.

--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -289,8 +289,9 @@
         ):
             return
         started = self._unconfirmed.has_started(message.task, message.attempt)
-        if started and known is None:
-            # The attempt ran in an earlier incarnation of the worker.
+        if started and (known is None or known.attempt < message.attempt):
+            # The attempt is over, or ran in an earlier incarnation of the
+            # worker.
             name = (message.task, message.attempt)
             self._losses.report_gone([name], loss_reporter.GONE_UNLISTED)
             return
--- a/packages/side/portwharf/side/loss_reporter_test.py
+++ b/packages/side/portwharf/side/loss_reporter_test.py
@@ -65,6 +65,21 @@
     case.assertEqual(len(starts), 1)
 
 
+def test_attempt_that_is_gone_is_not_started_beside_an_older_one(case):
+    """The older one has ended and is listed until the owner has logged it."""
+    bench = agent_harness.AgentHarness()
+    bench.grant()
+    bench.start()
+    bench.worker.listing.attempts[0].state = data.RunState.FAILED
+    agent_harness.lose_answers(bench, result.Err('lost'), result.Err('lost'))
+    bench.start(attempt=2)
+    case.assertEqual(agent_harness.list_gone(bench), [('w.0', 2)])
+    bench.start(attempt=2)
+    case.assertEqual(agent_harness.list_gone(bench), [('w.0', 2)])
+    starts = [call for call in bench.worker.calls if call[0] == 'start']
+    case.assertEqual(starts, [('start', 'w.0', 1), *[('start', 'w.0', 2)] * 2])
+
+
 def test_silent_worker_has_no_capacity(case):
     bench = agent_harness.AgentHarness()
     bench.grant()
