Running attempts are not refused to a former owner

Cause: every start of a former epoch was refused, also the repeated start of an attempt that runs here or is unconfirmed. The agent's thread checks the command's connection before it carries the command out, and sends the report on the connection of then; if the next owner connects in between, it gets the refusal and starts the next attempt.

Evidence: the test failed before:

AssertionError: Lists differ: ['command-of-a-former-owner'] != []

Fix: the epoch is checked with the other conditions for a start, after whether the attempt is known.

--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -253,10 +253,10 @@
             # side restarted. The owner sends it again after the full report,
             # which is still due.
             return
-        elif not self._guard.accepts_epoch(message.epoch):
-            self._refuse(message, REFUSED_EPOCH)
         elif isinstance(message, messages.StartTask):
             self._start(message)
+        elif not self._guard.accepts_epoch(message.epoch):
+            return
         elif isinstance(message, messages.StopTask):
             self._stop_attempt(message)
         elif isinstance(message, messages.ThrottleTask):
@@ -280,7 +280,8 @@
 
     def _start(self, message):
         """Start an attempt if all conditions for it hold."""
-        self._pacer.record_start(message)
+        if self._guard.accepts_epoch(message.epoch):
+            self._pacer.record_start(message)
         known = reports.find_latest(self._listing.attempts, message.task)
         if known is not None and known.attempt == message.attempt:
             return
@@ -342,6 +343,8 @@
 
     def _check_start(self, message, known):
         """Return why an attempt must not start here, or ''."""
+        if not self._guard.accepts_epoch(message.epoch):
+            return REFUSED_EPOCH
         if self._worker is None:
             return REFUSED_CAPACITY
         if self._listing.draining:
--- a/packages/side/portwharf/side/agent_test.py
+++ b/packages/side/portwharf/side/agent_test.py
@@ -42,6 +42,15 @@
     case.assertEqual(bench.worker.calls, [])
 
 
+def test_running_attempt_is_not_refused_to_a_former_owner(case):
+    """The report may reach the next owner, which would start the next one."""
+    bench = agent_harness.AgentHarness()
+    bench.grant()
+    bench.start()
+    bench.start(epoch=2)
+    case.assertEqual(bench.list_refused(), [])
+
+
 def test_command_of_an_ended_connection_is_dropped(case):
     bench = agent_harness.AgentHarness()
     bench.grant()
