A start without a token does not hide the token of one before it

Cause: a revocation goes beyond the token of the latest start. While a side has no token, as its registration is lost, its starts carry 0; a revocation after one then used no higher token, and a start before it that was still under way was reported as gone and could be carried out.

Evidence: the delayed start was carried out after its revocation before:

AssertionError: 200 != 409

Fix: the highest token of all starts counts.

--- a/packages/platform/portwharf/platform/runner.py
+++ b/packages/platform/portwharf/platform/runner.py
@@ -93,7 +93,7 @@
         # lease, in ms on its clock.
         self._ends = ended_attempts.EndedAttempts()
         self._lease_until_ms = 0
-        # The fencing token of the latest start.
+        # The highest fencing token of a start.
         self._start_token = 0
         # The incarnation that sent the latest list. Orders are based on that
         # list and go to this incarnation only. The current incarnation may be
@@ -174,7 +174,7 @@
             body['ticket'] = start.ticket
         self._starts.put((start.task, start.attempt), start)
         answer = self._order_conn.order('/portwharf/run-start', body)
-        self._start_token = self._fence.read()
+        self._start_token = max(self._start_token, self._fence.read())
         if answer.is_err():
             return answer.map_err(_get_error_text)
         reply = answer.ok_value
--- a/packages/platform/portwharf/platform/runner_test.py
+++ b/packages/platform/portwharf/platform/runner_test.py
@@ -5,6 +5,7 @@
 import io
 import threading
 import time
+from unittest import mock
 
 from portwharf.core import data
 from portwharf.core import settings
@@ -364,6 +365,16 @@
     case.assertTrue(client.revoke_expired_starts().is_err())
 
 
+def test_delayed_start_is_revoked_if_a_later_one_had_no_token(case):
+    """The side's registration was lost for a while."""
+    client, fake = open_runner(case)
+    body = lose_start(client, fake)
+    with mock.patch.object(client._fence, '_read_token', lambda: 0):
+        start(client, task='j.0.0.2')
+    client.revoke_expired_starts()
+    case.assertEqual(fake.carry_out('run-start', body), 409)
+
+
 def test_fake_runner_ignores_an_order_whose_body_was_cut(case):
     """It logged an error where a connection was cut during a request."""
     fake = platform_runner.FakePlatformRunner()
