--- a/packages/platform/portwharf/platform/lost_attempts_walk_test.py
+++ b/packages/platform/portwharf/platform/lost_attempts_walk_test.py
@@ -5,8 +5,9 @@
 Failure: a task was started again after one of its runs had succeeded.
 
 The owner starts the next attempt as soon as one is reported as gone or
-refused. Invariant: from then on that attempt neither begins nor runs, and no
-list has it as done under a lease that has lasted since its end.
+refused. Invariants: from then on that attempt neither begins nor runs, and no
+list has it as done under a lease that has lasted since its end. No success is
+acknowledged before the owner was told of it.
 
 The walk steps the side's agent and its client of the runner. Replies are
 lost, orders arrive up to 12 s late, the runner is silent for longer than its
@@ -23,6 +24,7 @@
 from portwharf.core import clock
 from portwharf.core import data
 from portwharf.peers import messages
+from portwharf.platform import ended_attempts
 from portwharf.platform import heartbeats
 from portwharf.platform import http_client
 from portwharf.platform import runner
@@ -61,6 +63,7 @@
 
     :ivar lost: the reason of each (task, attempt) that the owner has given
         up as gone or refused
+    :ivar dropped: the (task, attempt) whose success was acknowledged
     :ivar silent_until: end of its silence, on the manual clock
     :ivar fault_rate: probability that an order is lost or late
     :ivar unanswered_starts: how many of the next starts are lost or late
@@ -70,6 +73,7 @@
         self.clock = manual_clock
         self.random = rng
         self.lost = {}
+        self.dropped = set()
         self.silent_until = 0.0
         self.fault_rate = 0.0
         self.unanswered_starts = 0
@@ -210,7 +214,9 @@
         return 200, {}
 
     def _hold(self, body):
+        before = {(row[1], row[2]) for row in self.ended if row[3] == 'done'}
         status, value = super()._hold(body)
+        self.dropped |= before - {(row[1], row[2]) for row in self.ended}
         value['ended'] = value['ended'][:PAGE_ROWS]
         for number, task, run, how, _ in value['ended']:
             is_leased = number not in self._lapsed_numbers
@@ -273,6 +279,8 @@
         # attempts of the others.
         self.placed = {}
         self.waiting = {}
+        # The (task, attempt) whose success the owner was told of.
+        self.succeeded = set()
         self.tasks = 0
         self.token = 6
         self.epoch = 3
@@ -299,6 +307,9 @@
                 self.agent.step()
             self.fake.update()
             self.fake.check()
+            unseen = self.fake.dropped - self.succeeded
+            if unseen:
+                raise InvariantError(f'acknowledged unseen: {unseen}')
 
     def restart_side(self):
         """Restart the side's process, which gets a higher fencing token."""
@@ -406,14 +417,16 @@
                 if report.state == data.RunState.RUNNING:
                     self.process_running(report)
                     continue
-                forget.append(messages.TaskRef(report.task, report.attempt))
+                name = (report.task, report.attempt)
+                forget.append(messages.TaskRef(*name))
+                if report.state == data.RunState.SUCCEEDED:
+                    self.succeeded.add(name)
                 if self.placed.get(report.task) != report.attempt:
                     continue
                 del self.placed[report.task]
                 if report.state != data.RunState.SUCCEEDED:
                     self.waiting[report.task] = report.attempt
                 if report.state in LOST_STATES:
-                    name = (report.task, report.attempt)
                     self.fake.lost[name] = report.reason
         if forget:
             self.agent.command(self.conn, messages.ForgetTasks(forget))
@@ -551,3 +564,20 @@
 def test_walks_find_ended_attempts_that_a_listing_lacks(case):
     with mock.patch.object(runner_lists, 'MAX_ENDED_ROWS', 10 * PAGE_ROWS):
         case.assertIsNotNone(walk_all())
+
+
+class HastyEnds(ended_attempts.EndedAttempts):
+    """Acknowledges ended attempts that were forgotten before any listing."""
+
+    def add_rows(self, rows):
+        super().add_rows(rows)
+        self._advance_ack()
+
+    def forget(self, task, attempt):
+        self._logged.add((task, attempt))
+        self._advance_ack()
+
+
+def test_walks_find_successes_that_are_acknowledged_unseen(case):
+    with mock.patch.object(ended_attempts, 'EndedAttempts', HastyEnds):
+        case.assertIsNotNone(walk_all())
