An attempt that was listed is never started again

Cause: a restarted side reports that an attempt has ended which its former process started, while the owner's repeated start of it is under way. If the runner restarts in between, nothing that is left knows the attempt, and the start is carried out after the owner has begun the next one.

Evidence: the test failed before: AssertionError: Lists differ: [('start', 'w.0', 1)] != []

Fix: each attempt in a listing counts as started here, and a repeated start of it is answered by "gone".

--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -493,6 +493,9 @@
         )
         self._losses.log_relisted(listing)
         self._report_vanished(previous, loss_reporter.GONE_UNLISTED)
+        for attempt in listing.attempts:
+            # It may have been started by a previous process of this side.
+            self._unconfirmed.record_start(attempt.task, attempt.attempt)
         self._leases.update_listing(listing, self._listed_at)
 
     def _handle_silence(self, text):
--- a/packages/side/portwharf/side/loss_reporter_test.py
+++ b/packages/side/portwharf/side/loss_reporter_test.py
@@ -80,6 +80,21 @@
     case.assertEqual(starts, [('start', 'w.0', 1), *[('start', 'w.0', 2)] * 2])
 
 
+def test_attempt_that_a_former_process_started_is_not_started_again(case):
+    """Its end is reported while the owner repeats its start."""
+    bench = agent_harness.AgentHarness()
+    bench.grant()
+    ended = workers.Attempt('w.0', 1, data.RunState.GONE, reason='lapsed')
+    bench.worker.listing.attempts = [ended]
+    bench.step(0.5)
+    case.assertEqual(agent_harness.list_gone(bench), [('w.0', 1)])
+    bench.worker.listing.attempts = []
+    bench.step(0.5)
+    bench.start()
+    case.assertEqual(bench.worker.calls, [])
+    case.assertEqual(agent_harness.list_gone(bench), [('w.0', 1)])
+
+
 def test_silent_worker_has_no_capacity(case):
     bench = agent_harness.AgentHarness()
     bench.grant()
