Walks: starts that are carried out after a silence, six seeds

The fake worker's token rises when the side gives up its unconfirmed starts, as that of the runner's client does.

--- a/packages/testing/portwharf/testing/cluster_fakes.py
+++ b/packages/testing/portwharf/testing/cluster_fakes.py
@@ -349,6 +349,10 @@
         self._side_fence += 1
         return self.read_listing()
 
+    def abandon_starts(self):
+        self._side_fence += 1
+        return result.Ok(None)
+
     def stop(self, task, attempt, checkpoint):
         if self.is_unreachable:
             return _NO_ANSWER
--- a/packages/testing/portwharf/testing/walk_test.py
+++ b/packages/testing/portwharf/testing/walk_test.py
@@ -36,6 +36,18 @@
             walk.Walk(seed, jobs=True, zones=True).run()
 
 
+def test_starts_carried_out_after_a_silence_repeat_no_ended_task(case):
+    for seed in (47, 197, 200):
+        with case.subTest(seed=seed):
+            walk.Walk(seed, jobs=True, late_starts=True).run()
+
+
+def test_starts_carried_out_after_a_silence_overlap_no_attempt(case):
+    for seed in (19, 38, 262):
+        with case.subTest(seed=seed):
+            walk.Walk(seed, jobs=True, late_starts=True).run()
+
+
 def test_acknowledgement_after_the_lease_does_not_count(case):
     """A task is started again after a success that was reported too late.
 
