--- a/packages/scheduler/portwharf/scheduler/reconcile.py
+++ b/packages/scheduler/portwharf/scheduler/reconcile.py
@@ -248,12 +248,12 @@
     If its worker lists no end, none is acknowledged: should one be listed
     later, it is not the one that was reported.
     """
-    if report.state == data.RunState.REFUSED:
-        return
-    if report.state == data.RunState.GONE:
-        if report.reason in messages.UNLISTED_REASONS:
-            return
-    verdict.forget.append(_make_ref(report))
+    is_unlisted = report.state == data.RunState.REFUSED or (
+        report.state == data.RunState.GONE
+        and report.reason in messages.UNLISTED_REASONS
+    )
+    if not is_unlisted:
+        verdict.forget.append(_make_ref(report))
 
 
 def _end_gang_members(state, ended, verdict):
