Attempts hidden by a full page are not gone at a runner's first heartbeat

Cause: before the first heartbeat the instance id of a runner is not known. With that heartbeat the listings of the same incarnation get another id, and keep_missing took it for a new incarnation: an attempt that had run in the listing before, and had ended behind a full page since, was reported as gone. A side that restarts behind such a page is in this case.

Evidence: the new test failed before:

AssertionError: Lists differ: [<RunState.GONE: 'gone'>] != []

Fix: a listing without an instance id may be of the same incarnation if the birth time is the same.

--- a/packages/platform/portwharf/platform/lost_attempts_test.py
+++ b/packages/platform/portwharf/platform/lost_attempts_test.py
@@ -172,6 +172,20 @@
     case.assertEqual([one.task for one in message.reports], [TASK])
 
 
+def test_success_behind_a_full_page_is_not_gone_at_the_first_heartbeat(case):
+    former = open_side_with_full_page(case)
+    former.start(TASK)
+    with mock.patch.object(Side, 'deliver_heartbeat', autospec=True):
+        side = Side(case, former.fake, token=8)
+    side.conn.take(messages.Reports)
+    side.fake.end_run(TASK)
+    side.deliver_heartbeat()
+    side.step(0.5)
+    case.assertEqual(list_states(side, TASK), [])
+    acknowledge_page(side)
+    case.assertEqual(list_states(side, TASK), [data.RunState.SUCCEEDED])
+
+
 def test_repeated_start_of_a_success_behind_a_full_page_is_not_refused(case):
     side = open_restarted_side(case)
     side.grant()
--- a/packages/side/portwharf/side/worker_monitor.py
+++ b/packages/side/portwharf/side/worker_monitor.py
@@ -83,12 +83,23 @@
     An attempt that was running and is not listed as running has ended, but
     its result is not known yet.
     """
-    if not listing.is_truncated or listing.life != previous.life:
+    is_same = _may_be_same(previous.life, listing.life)
+    if not listing.is_truncated or not is_same:
         return listing
     missing = list_vanished(previous, listing)
     return dataclasses.replace(listing, attempts=listing.attempts + missing)
 
 
+def _may_be_same(previous, life):
+    """Tell whether two ids may be of one incarnation.
+
+    Its instance id is not known before its first heartbeat.
+    """
+    if not previous.instance:
+        return previous.born_ms == life.born_ms
+    return previous == life
+
+
 def list_vanished(previous, listing):
     """Return the attempts that ran and are not listed any more."""
     listed = {(a.task, a.attempt) for a in listing.attempts}
