Commands are not sent on a later connection than they were made for

Cause: a batch sent its commands on whatever connection was open once its events were logged. While the append stalls, the side may refuse the attempt, by an earlier copy of its start, and restart. The start that the batch holds then went to the restarted side, which knows of no refusal and began the attempt; the report of the refusal was waiting at the owner, which placed the next attempt.

Why it works: reports of a connection come before those of the next one, so that a command for the next connection is made after they were processed. A command that is dropped is like one that is lost with its connection: it is repeated after the full report, if still needed.

--- a/packages/scheduler/portwharf/scheduler/batches.py
+++ b/packages/scheduler/portwharf/scheduler/batches.py
@@ -78,12 +78,12 @@
     def send_before_commit(self, link, message):
         """Send a message that needs only events that are logged already."""
         if link is not None:
-            self.before_commit.append(lambda: link.send(message))
+            self.before_commit.append(_make_send(link, message))
 
     def send(self, link, message):
         """Send a message after the events are logged."""
         if link is not None:
-            self.after_commit.append(lambda: link.send(message))
+            self.after_commit.append(_make_send(link, message))
 
     def answer(self, fut, value):
         """Answer an operator after the events are logged."""
@@ -97,3 +97,14 @@
     # The store has not confirmed the append; the next step retries it.
     STALLED = 2
     DEPOSED = 3
+
+
+def _make_send(link, message):
+    """Return a function that sends a message on the present connection.
+
+    After it the side may have restarted and forgotten what it has refused,
+    while these reports wait for the next pass. What is lost is sent again
+    after the full report.
+    """
+    connection = link.view.connection
+    return lambda: link.send_on(connection, message)
--- a/packages/scheduler/portwharf/scheduler/members.py
+++ b/packages/scheduler/portwharf/scheduler/members.py
@@ -109,6 +109,16 @@
         if known.presses:
             conn.post(known)
 
+    def send_on(self, connection, message):
+        """Send a message on a connection, unless it has ended.
+
+        :param connection: its number, as in ``MemberView``
+        """
+        conn = self._conn
+        # Read after ``_conn``, as it changes before the next one begins.
+        if conn is not None and connection == self.view.connection:
+            conn.try_post(message)
+
     def detach(self):
         self.view.connection += 1
         self.view.reported = False
