A failure in the message of a late success does not fail the task

Cause: the tasks that a late success will end were listed before a message was processed. A full report that holds the success of a former attempt and the last allowed failure of the later one, both from one VM, failed the task.

Evidence: the new test failed before:

AssertionError: <TaskState.FAILED: 'failed'> != <TaskState.WAITING: 'waiting'>

Fix: a late success counts for the reports after it in the same message.

--- a/packages/scheduler/portwharf/scheduler/reconcile.py
+++ b/packages/scheduler/portwharf/scheduler/reconcile.py
@@ -41,8 +41,8 @@
         after that
     :param late: ``messages.TaskReport`` of successes that cannot be accepted
         while a later attempt is assigned to a VM
-    :param succeeded: ids of tasks with such a success, also of earlier
-        reports
+    :param succeeded: ids of tasks that such a success will end, also one of
+        earlier reports
     """
 
     events: list = dataclasses.field(default_factory=list)
@@ -68,7 +68,7 @@
         _end_gang_members(state, ended, verdict)
         verdict.forget.append(_make_ref(report))
     elif task is not None and _is_late_success(state, task, report):
-        verdict.late.append(report)
+        _add_late(state, verdict, task, report)
     elif report.state in _ENDED_STATES:
         _forget(verdict, report)
     else:
@@ -256,6 +256,14 @@
         verdict.forget.append(_make_ref(report))
 
 
+def _add_late(state, verdict, task, report):
+    """Keep a late success, also for the reports that follow it."""
+    record = state.find_workload(task.id)
+    tasks = record.tasks if record.workload.gang else [task]
+    verdict.late.append(report)
+    verdict.succeeded = verdict.succeeded.union(one.id for one in tasks)
+
+
 def _end_gang_members(state, ended, verdict):
     """End a gang's other members if the ended one has succeeded."""
     record = state.find_workload(ended.task)
--- a/packages/scheduler/portwharf/scheduler/reconcile_test.py
+++ b/packages/scheduler/portwharf/scheduler/reconcile_test.py
@@ -88,6 +88,21 @@
         case.assertEqual(has_failed, not succeeded)
 
 
+def test_later_attempt_fails_in_the_message_of_a_late_success(case):
+    latest = reconcile.MAX_FAILURES
+    made = make_state(attempt=latest - 1)
+    made.apply(events.TaskRequeued(TASK, latest - 1))
+    made.apply(events.TaskPlaced(TASK, latest, 'vm-1'))
+    verdict = reconcile.ReportOutcome()
+    for attempt, run_state in (
+        (latest - 1, SUCCEEDED),
+        (latest, data.RunState.FAILED),
+    ):
+        report = messages.TaskReport(TASK, attempt, run_state)
+        reconcile.process_report(made, 'vm-1', report, verdict)
+    case.assertEqual(made.tasks[TASK].state, data.TaskState.WAITING)
+
+
 def test_late_success_before_the_next_attempt_counts(case):
     made = make_state()
     made.apply(events.TaskRequeued(TASK, 1))
