Test a stop of an inherited prepared task that is lost with its connection

No test failed without PreparedStarts.record_full_report, which has such a stop sent again. Without it the new test fails, as the task stays prepared for good:

--- a/packages/scheduler/portwharf/scheduler/prepared_starts_test.py
+++ b/packages/scheduler/portwharf/scheduler/prepared_starts_test.py
@@ -7,6 +7,7 @@
 import result
 
 from portwharf.peers import messages
+from portwharf.peers import streams
 from portwharf.scheduler import batches
 from portwharf.scheduler import late_start_test
 from portwharf.scheduler import operations
@@ -95,6 +96,35 @@
     ownership_test.finish(made)
 
 
+def test_lost_stop_of_a_prepared_task_is_repeated(case):
+    """A new owner's stop is lost with its connection."""
+    made = late_start_test.make_cluster()
+    late, heir, former = made.nodes
+    made.submit(7)
+    made.run(2)
+    (task,) = made.read_state().prepared[late.vm.name]
+    made.restart_side(former)
+    made.listing.set_leaving({late.vm.name})
+    take = late.server.take_owner_message
+    lost = []
+
+    def lose_first(conn, hello, message):
+        is_stop = isinstance(message, messages.StopTask)
+        if is_stop and message.task == task and not lost:
+            lost.append(message)
+            raise streams.PeerError('cut')
+        take(conn, hello, message)
+
+    with mock.patch.object(late.server, 'take_owner_message', lose_first):
+        heir.claim()
+        made.run(1.5)
+        heir.worker.finish(ownership_test.list_running(heir)[0])
+        made.run(3)
+    case.assertTrue(lost)
+    case.assertNotIn(task, made.read_state().prepared[late.vm.name])
+    ownership_test.finish(made)
+
+
 def test_prepared_task_of_a_silent_vm_is_not_started_elsewhere(case):
     made = ownership_test.make_cluster(10)
     silent = made.nodes[2]
