Tests: lost_attempts_test uses the late runner from its module

Since moved it there all seven tests of lost_attempts_test end in AttributeError: module 'portwharf.platform.lost_attempts_walk_test' has no attribute 'Runner'. Assertions are as before.

--- a/packages/platform/portwharf/platform/lost_attempts_test.py
+++ b/packages/platform/portwharf/platform/lost_attempts_test.py
@@ -14,10 +14,11 @@
 from portwharf.core import data
 from portwharf.peers import messages
 from portwharf.platform import heartbeats
-from portwharf.platform import lost_attempts_walk_test as walk
+from portwharf.platform import lost_attempts_walk_test
 from portwharf.platform import runner
 from portwharf.platform import runner_connection
 from portwharf.testing import agent_harness
+from portwharf.testing import late_runner
 
 TASK = '5c0e7a21d94b36f8.0.0.1'
 OTHER = '5c0e7a21d94b36f8.0.0.2'
@@ -30,17 +31,21 @@
     def __init__(self, case, fake=None, token=7):
         """Start the side.
 
-        :param fake: the ``walk.Runner`` of its former process, or None
+        :param fake: the ``LateRunner`` of its former process, or None
         :param token: its fencing token
         """
-        self.fake = fake or walk.Runner(clock.ManualClock(), random.Random(0))
+        self.fake = fake or late_runner.LateRunner(
+            clock.ManualClock(), random.Random(0)
+        )
         case.enterContext(
             mock.patch.object(
-                runner_connection.http_client, 'Connection', walk.Connection
+                runner_connection.http_client,
+                'Connection',
+                late_runner.Connection,
             )
         )
         client = runner.RunnerWorker(
-            self.fake, lambda: token, walk.MAX_HOLD_MS
+            self.fake, lambda: token, lost_attempts_walk_test.MAX_HOLD_MS
         )
         super().__init__(client)
         self.deliver_heartbeat()
@@ -76,7 +81,7 @@
             if not path.endswith('/run-start'):
                 return send(path, body, target, born_ms)
             kept.append(body)
-            return walk.lose_reply()
+            return late_runner.make_lost_reply()
 
         with mock.patch.object(self.fake, 'send', keep):
             self.agent.command(self.conn, self.make_start(task))
@@ -105,7 +110,7 @@
 def open_side_with_full_page(case):
     """Return a side whose runner lists a full page of ended attempts."""
     side = Side(case)
-    for number in range(walk.PAGE_ROWS):
+    for number in range(late_runner.PAGE_ROWS):
         task = f'other.{number}'
         side.fake.running[task] = 1
         side.fake.end_run(task)
@@ -115,7 +120,7 @@
 def acknowledge_page(side):
     """Let the owner forget the listed page of ended attempts."""
     refs = [messages.TaskRef(row[1], row[2]) for row in side.fake.ended]
-    page = messages.ForgetTasks(refs[: walk.PAGE_ROWS])
+    page = messages.ForgetTasks(refs[: late_runner.PAGE_ROWS])
     side.agent.command(side.conn, page)
     side.step()
     side.step(0.5)
