--- a/packages/scheduler/portwharf/scheduler/late_successes_test.py
+++ b/packages/scheduler/portwharf/scheduler/late_successes_test.py
@@ -33,6 +33,18 @@
     return sorted(runs, key=lambda run: run.order)
 
 
+def make_gang_cluster():
+    """Return a cluster with a gang of two on two VMs and a step after it."""
+    made = cluster.Cluster(4)
+    steps = [
+        jobs_test.make_step(2, gang=True, resources=data.Resources(2000, 100)),
+        jobs_test.make_step(1, ['0']),
+    ]
+    made.submit_job(jobs_test.make_job(*steps))
+    made.run(4)
+    return made
+
+
 def succeed_behind_a_partition(made, node):
     """Let the task of a node succeed while nobody hears of it.
 
@@ -143,13 +155,7 @@
 
 def test_gang_ends_once_and_the_next_step_starts_once(case):
     """A member succeeded on a silent VM; the gang was started again."""
-    made = cluster.Cluster(4)
-    steps = [
-        jobs_test.make_step(2, gang=True, resources=data.Resources(2000, 100)),
-        jobs_test.make_step(1, ['0']),
-    ]
-    made.submit_job(jobs_test.make_job(*steps))
-    made.run(4)
+    made = make_gang_cluster()
     node = next(
         one for one in made.nodes[1:] if ownership_test.list_running(one)
     )
@@ -173,13 +179,7 @@
 
 def test_gang_ends_once_when_a_member_is_lost_as_another_succeeds(case):
     """The success is still under way as the other member's worker crashes."""
-    made = cluster.Cluster(4)
-    steps = [
-        jobs_test.make_step(2, gang=True, resources=data.Resources(2000, 100)),
-        jobs_test.make_step(1, ['0']),
-    ]
-    made.submit_job(jobs_test.make_job(*steps))
-    made.run(4)
+    made = make_gang_cluster()
     one, other = (
         node for node in made.nodes if ownership_test.list_running(node)
     )
