Reports of a link that was replaced are not taken

Cause: when a VM gets another address, the owner replaces its link, and the thread of the former one may still hand over a message. A refusal or a loss that it brings may come after the start was repeated on the new link: the task is then given the next attempt while the repeated one runs.

Evidence: the new test failed before: batches_test.test_refusal_from_a_replaced_link_starts_no_other_attempt, Violation: ...2 runs on vm-00 and vm-02

Why it works: the new link begins with a full report, which has all that still holds.

--- a/packages/scheduler/portwharf/scheduler/batches_test.py
+++ b/packages/scheduler/portwharf/scheduler/batches_test.py
@@ -1,8 +1,10 @@
 # Copyright the portwharf authors.
 # SPDX-License-Identifier: Apache-2.0
-"""A command goes to the connection that it was decided for, or is lost."""
+"""Commands and reports belong to one connection of one link."""
 
 from portwharf.core import data
+from portwharf.peers import messages
+from portwharf.scheduler import ownership_test
 from portwharf.testing import cluster
 from portwharf.testing import cluster_fakes
 
@@ -44,3 +46,15 @@
         if run.attempt.task == first_task
     ]
     case.assertEqual(len(runs), 1)
+
+
+def test_refusal_from_a_replaced_link_starts_no_other_attempt(case):
+    made = ownership_test.make_cluster()
+    owner = next(node.owner for node in made.nodes if node.owner is not None)
+    node = made.nodes[2]
+    (task,) = ownership_test.list_running(node)
+    replaced = cluster_fakes.ManualLink(node.vm, owner)
+    refused = messages.TaskReport(task, 1, data.RunState.REFUSED)
+    owner.take_reports(replaced, messages.Reports(reports=[refused]))
+    made.run(2)
+    case.assertEqual(ownership_test.count_runs(made), 3)
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -217,10 +217,14 @@
 
         :param item: a ``batches.ReportsItem``
         """
+        name = item.link.name
+        if self._members.get_link(name) is not item.link:
+            # The VM has another address now. Its full report there has all
+            # that still holds, and commands may have followed it already.
+            return
         verdict = reconcile.ReportOutcome(
             succeeded=self._late_successes.list_tasks()
         )
-        name = item.link.name
         # Reports from an earlier connection are not a complete list any
         # more: the side may have restarted since.
         is_current = item.connection == item.link.view.connection
