--- a/packages/scheduler/portwharf/scheduler/decisions/service_protection_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/service_protection_test.py
@@ -212,15 +212,15 @@
     owner = sim.nodes[0].owner
     link = owner._members.get_link('vm-01')
     lost = []
-    send = link.send
+    send_on = link.send_on
 
-    def lose(message):
+    def lose(connection, message):
         if isinstance(message, messages.ThrottleTask) and not lost:
             lost.append(message)
             link.pipe.closed = True
-        return send(message)
+        send_on(connection, message)
 
-    link.send = lose
+    link.send_on = lose
     report_measurements(sim, sim.nodes[0], 5_000, 60)
     case.assertEqual([one.percent for one in lost], [100])
     case.assertEqual(list_throttled(sim), [])
@@ -286,17 +286,16 @@
     sim = cluster.Cluster(3)
     throttle_neighbour(sim)
     link = sim.nodes[0].owner._members.get_link('vm-01')
-    send, lost = link.send, []
+    send_on, lost = link.send_on, []
 
-    def lose(message):
-        if not isinstance(message, messages.ThrottleTask):
-            return send(message)
-        if message.percent < 100:
-            return send(message)
-        lost.append((message.task, message.attempt))
-        return True
+    def lose(connection, message):
+        is_throttle = isinstance(message, messages.ThrottleTask)
+        if is_throttle and message.percent == 100:
+            lost.append((message.task, message.attempt))
+        else:
+            send_on(connection, message)
 
-    link.send = lose
+    link.send_on = lose
     sim.run(service_protection.STALE_SECONDS + 30, 1.0)
     sim.restart_side(sim.nodes[0])
     sim.run(1)
