--- a/review/standins.py
+++ b/review/standins.py
@@ -98,8 +98,23 @@
     def __init__(self, place, app):
         self.app = app
         self._silent = []
+        self._open = set()
         super().__init__(place, _Handler)
 
+    def process_request(self, request, client_address):
+        self._open.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        self._open.discard(request)
+        super().shutdown_request(request)
+
+    def close_connections(self):
+        """Close all connections, as the end of the process does."""
+        for sock in list(self._open):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
     def handle_error(self, request, client_address):
         pass
 
@@ -302,6 +317,7 @@
     def __init__(self, name, address, zone, rack, record, capacity):
         self.name, self.address, self.zone = name, address, zone
         self.capacity, self.rack, self.record = capacity, rack, record
+        self.labels = ['a', rack]
         self.lock = threading.Condition()
         self.sizes = {}
         self.runs = []
@@ -323,16 +339,28 @@
         with self.lock:
             self.up = True
         self._server = contextlib.ExitStack()
-        self._server.enter_context(serve((self.address, APP_PORT), self))
+        server = serve((self.address, APP_PORT), self)
+        self._http = self._server.enter_context(server)
+
+    def restart(self):
+        """Start a new incarnation after a crash."""
+        with self.lock:
+            self._born()
+        self.start()
+        self.record(self.name, 'restart', life=self.instance)
+        self._send_beat(self.instance)
 
     def crash(self):
-        """End the process: all runs die, connections reset."""
+        """End the process: all runs die, connections close, the port too."""
         with self.lock:
             for run in self.running.values():
                 run.ended, run.how = time.monotonic(), 'crashed'
                 self.record(self.name, 'crashed', task=run.task, run=run.run)
+            self.running = {}
             self.up = False
             self.lock.notify_all()
+        self._server.close()
+        self._http.close_connections()
         self.record(self.name, 'crash', life=self.instance)
 
     def __call__(self, method, path, query, body, headers):
@@ -457,7 +485,7 @@
                 'service': SERVICE, 'address': f'{self.address}:{APP_PORT}',
                 'zone': self.zone, 'version': 'v1', 'slots': 8,
                 'state': 'ready', 'coldLeftMs': 0, 'capacity': self.capacity,
-                'labels': ['a', self.rack], 'clockMs': self.clock_ms(),
+                'labels': self.labels, 'clockMs': self.clock_ms(),
                 'seq': self._seq,
             }
         call((self.address, CONTROL_PORT), 'POST',
