--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,5 @@
 """A worker that crashes again and again under a lasting job; see claim.txt."""
 
-import os
 import pathlib
 import sys
 import time
@@ -68,15 +67,5 @@
     return 1 if state == 'failed' and 'failed' not in hows else 0
 
 
-def main():
-    record = standins.Record(HERE / 'record.txt')
-    trouble = os.environ.get('TROUBLE') != '0'
-    try:
-        return run(record, trouble)
-    except OSError as exc:
-        print(f'cannot run: {exc!r}')
-        return 2
-
-
 if __name__ == '__main__':
-    sys.exit(main())
+    sys.exit(standins.run_case(HERE, run))
--- a/review/standins.py
+++ b/review/standins.py
@@ -23,6 +23,7 @@
 import threading
 import time
 import tomllib
+import traceback
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -318,6 +319,8 @@
         self.name, self.address, self.zone = name, address, zone
         self.capacity, self.rack, self.record = capacity, rack, record
         self.labels = ['a', rack]
+        # Starts are answered with 503, and nothing is done.
+        self.unhealthy = False
         self.lock = threading.Condition()
         self.sizes = {}
         self.runs = []
@@ -393,6 +396,9 @@
 
     def _run_start(self, body):
         task, number = body['task'], body['run']
+        if self.unhealthy:
+            self.record(self.name, 'refused 503', task=task, run=number)
+            return 503, {}
         if body['untilMs'] <= self.clock_ms():
             return 409, {'reason': 'late'}
         self._extend(body['untilMs'])
@@ -700,6 +706,7 @@
     def __init__(self, deployment, name, seed=0):
         self._deployment, self.name = deployment, name
         self._random = random.Random(f'{name}-{seed}')
+        self.jobs = []
 
     def call(self, method, rest, body=None, front=None, seconds=3.0):
         front = front or self._random.choice(self._deployment.fronts)
@@ -709,6 +716,7 @@
 
     def submit(self, job, tries=5):
         job.first_sent = job.first_sent or time.monotonic()
+        self.jobs.append(job)
         record = self._deployment.record
         for attempt in range(tries):
             status, _ = self.call(
@@ -733,6 +741,30 @@
         return status, ''
 
 
+def run_case(folder, run):
+    """Run a case and return its exit code; 2 if it could not run.
+
+    :param run: called with the record and whether to disturb; returns 0 or 1
+    """
+    record = Record(folder / 'record.txt')
+    try:
+        return run(record, os.environ.get('TROUBLE') != '0')
+    except Exception as exc:
+        traceback.print_exc()
+        record('case', 'could not run', error=repr(exc))
+        return 2
+
+
+def wait_until(condition, seconds):
+    """Wait until a condition holds; returns whether it did in time."""
+    end = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() > end:
+            return False
+        time.sleep(0.05)
+    return True
+
+
 def _find_network():
     """Return the second byte of loopback addresses that are free."""
     numbers = list(range(80, 250))
