--- a/review/standins.py
+++ b/review/standins.py
@@ -298,11 +298,11 @@
     """One run of a task on a runner."""
 
     __slots__ = ('task', 'run', 'spec', 'began', 'work', 'ended', 'how',
-                 'number', 'acked', 'runner', 'life', 'stopping')
+                 'number', 'acked', 'runner', 'life', 'stopping', 'labels')
 
-    def __init__(self, task, run, spec, work, runner, life):
+    def __init__(self, task, run, spec, work, runner, life, labels):
         self.task, self.run, self.spec, self.work = task, run, spec, work
-        self.runner, self.life = runner, life
+        self.runner, self.life, self.labels = runner, life, labels
         self.began = time.monotonic()
         self.ended = self.how = self.number = self.acked = None
         self.stopping = None
@@ -410,10 +410,12 @@
         _, _, step, _ = task.split('.')
         works = body['spec'].split(',')
         work = int(works[int(step)]) / 1000
-        run = Run(task, number, body['spec'], work, self.name, self.instance)
+        run = Run(task, number, body['spec'], work, self.name, self.instance,
+                  list(self.labels))
         self.running[task] = run
         self.runs.append(run)
-        self.record(self.name, 'start', task=task, run=number, life=self.instance)
+        self.record(self.name, 'start', task=task, run=number,
+                    life=self.instance, labels=self.labels)
         self.lock.notify_all()
         return 200, {}
 
