--- a/review/standins.py
+++ b/review/standins.py
@@ -127,7 +127,9 @@
 def serve(place, app):
     """Serve an application on an (address, port) while in use."""
     server = _Server(place, app)
-    threading.Thread(target=server.serve_forever, daemon=True).start()
+    threading.Thread(
+        target=server.serve_forever, args=(0.01,), daemon=True
+    ).start()
     try:
         yield server
     finally:
@@ -749,6 +751,13 @@
     :param run: called with the record and whether to disturb; returns 0 or 1
     """
     record = Record(folder / 'record.txt')
+
+    def stop(*_):
+        # The deployment ends its processes on the way out.
+        raise SystemExit(2)
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
     try:
         return run(record, os.environ.get('TROUBLE') != '0')
     except Exception as exc:
