--- a/review/standins.py
+++ b/review/standins.py
@@ -347,6 +347,8 @@
         self.labels = ['a', rack]
         # Starts are answered with 503, and nothing is done.
         self.unhealthy = False
+        # By how much longer each further task of a step works, as a share.
+        self.uneven = 0.0
         self.lock = threading.Condition()
         self.sizes = {}
         self.runs = []
@@ -433,9 +435,9 @@
             return 200, {}
         if known is not None or number <= self._over.get(task, 0):
             return 409, {'reason': 'old'}
-        _, _, step, _ = task.split('.')
+        _, _, step, index = task.split('.')
         works = body['spec'].split(',')
-        work = int(works[int(step)]) / 1000
+        work = int(works[int(step)]) / 1000 * (1 + self.uneven * int(index))
         run = Run(
             task,
             number,
