--- a/packages/scheduler/portwharf/scheduler/faults_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_test.py
@@ -159,6 +159,36 @@
     )
 
 
+def count_store_as_majority(self, sent_at):
+    """Begin the wait before a second attempt with an answer of the store."""
+    record_store(self, sent_at)
+    if self._majority_since is None:
+        self._majority_since = sent_at
+
+
+record_store = grants.GrantTable.record_store
+
+
+def test_store_alone_begins_the_wait_before_a_second_attempt(case):
+    """The former owner may still have a majority on its side of a cut."""
+    check_fault_detected(
+        case,
+        ownership_test.test_majority_without_the_store_runs_nothing_twice,
+        grants.GrantTable,
+        'record_store',
+        count_store_as_majority,
+    )
+
+
+def test_walk_with_splits_finds_a_wait_that_the_store_begins(case):
+    with mock.patch.object(
+        grants.GrantTable, 'record_store', count_store_as_majority
+    ):
+        case.assertTrue(
+            any(fails(make_walk(seed, splits=True)) for seed in range(6))
+        )
+
+
 def test_commands_of_ended_connections_obeyed(case):
     def obey(self, command):
         if command is not None:
@@ -329,9 +359,9 @@
         case.assertTrue(any(fails(make_walk(seed)) for seed in range(12)))
 
 
-def make_walk(seed):
+def make_walk(seed, **options):
     """Return a test function that runs a random walk."""
-    return lambda case: walk.Walk(seed).run()
+    return lambda case: walk.Walk(seed, **options).run()
 
 
 def test_work_never_placed(case):
--- a/packages/scheduler/portwharf/scheduler/ownership_test.py
+++ b/packages/scheduler/portwharf/scheduler/ownership_test.py
@@ -128,6 +128,30 @@
     case.assertEqual(count_runs(made), 3)
 
 
+def split_from_store(seconds):
+    """Cut a majority with the owner off, and have another node take over.
+
+    The owner goes on with its majority for some time. The new owner has the
+    store.
+
+    :param seconds: how long the groups stay apart after the takeover
+    :returns: the cluster
+    """
+    made = make_cluster(5, size=5)
+    made.split(made.nodes[:3])
+    made.run(1)
+    made.nodes[3].claim()
+    made.run(seconds)
+    return made
+
+
+def test_majority_without_the_store_runs_nothing_twice(case):
+    """A new owner with the store alone must outwait the former majority."""
+    made = split_from_store(2 * LONG_WAIT_SECONDS)
+    case.assertIsNotNone(made.nodes[3].owner)
+    finish(made)
+
+
 def test_result_survives_an_outage_and_its_owner(case):
     made = make_cluster()
     made.fake.faults.down = True
--- a/packages/testing/portwharf/testing/cluster.py
+++ b/packages/testing/portwharf/testing/cluster.py
@@ -331,6 +331,14 @@
             self.cut(node, other)
         node.pool.cut = store
 
+    def split(self, group):
+        """Cut a group of nodes off from all others and from the store."""
+        for node in group:
+            node.pool.cut = True
+            for other in self.nodes:
+                if other not in group:
+                    self.cut(node, other)
+
     def heal(self):
         """Remove the faults of the network, nodes, VM list and store.
 
--- a/packages/testing/portwharf/testing/walk.py
+++ b/packages/testing/portwharf/testing/walk.py
@@ -33,6 +33,10 @@
 _HANG_CHANCE = 0.25
 _HANG_SECONDS = (2.0, 6.0, 10.5)
 _LATE_START_SECONDS = (0.5, 1.0)
+# Chance per step that the VMs are split into two groups, one of them without
+# the store, and how long they stay apart before the next step.
+_SPLIT_CHANCE = 0.3
+_SPLIT_SECONDS = (10.0, 30.0, 50.0)
 # Time in which the last ends are acknowledged.
 _ACK_SECONDS = 5.0
 _WAIT_SECONDS = (0.3, 1.0, 3.0, 8.0, 16.0)
@@ -50,6 +54,7 @@
         jobs=False,
         zones=False,
         late_starts=False,
+        splits=False,
     ):
         """Create the cluster of a walk.
 
@@ -63,6 +68,8 @@
         :param zones: availability zones are closed and opened
         :param late_starts: workers hang with starts under way, and carry these
             out when they answer again
+        :param splits: the owner's group is cut off from the store and from the
+            others, one of which takes over, for up to longer than all limits
         """
         self.random = random.Random(seed)
         self.more = random.Random(-1 - seed) if more else None
@@ -72,6 +79,7 @@
         self.late_starts = (
             random.Random(f'late {seed}') if late_starts else None
         )
+        self.splits = random.Random(f'splits {seed}') if splits else None
         self.job_numbers = itertools.count(1)
         size = size or self.random.choice((3, 4, 5))
         self.cluster = cluster.Cluster(size)
@@ -90,6 +98,7 @@
             self.disturb_jobs()
             self.change_zones()
             self.hang_worker()
+            self.split_cluster()
         self.restore_workers()
         self.open_zones()
         self.cluster.settle()
@@ -168,6 +177,28 @@
             self.late_starts.choice(_LATE_START_SECONDS),
         )
 
+    def split_cluster(self):
+        """At random, cut the owner and some others off, and take over."""
+        if self.splits is None or self.splits.random() > _SPLIT_CHANCE:
+            return
+        nodes = list(self.cluster.nodes)
+        self.splits.shuffle(nodes)
+        owners = self.cluster.list_owners()
+        if owners:
+            latest = max(owners, key=lambda node: node.owner.epoch)
+            nodes.remove(latest)
+            nodes.insert(0, latest)
+        count = self.splits.randint(1, len(nodes) - 1)
+        self.cluster.split(nodes[:count])
+        self.cluster.run(self.splits.choice((0.5, 3.0)))
+        for node in nodes[count:]:
+            if not node.paused and not node.down:
+                node.claim()
+                break
+        self.cluster.run(self.splits.choice(_SPLIT_SECONDS), 1.0)
+        if self.splits.random() < 0.7:
+            self.mend_network()
+
     def open_zones(self):
         """Open all closed zones."""
         for zone in list(self.cluster.closed):
@@ -407,7 +438,7 @@
     """Walk for each seed from the first argument up to the second.
 
     Further arguments are options of :class:`Walk`: ``more``, ``births``,
-    ``jobs``, ``zones`` and ``late_starts``.
+    ``jobs``, ``zones``, ``late_starts`` and ``splits``.
     """
     options = dict.fromkeys(sys.argv[3:], True)
     return run_seeds(lambda seed: Walk(seed, **options))
