A late answer to an append does not confirm its owner anew

No caller is known to have seen it.

An owner whose append was not answered reads it back, and counted that as the store's word of that moment. But the entry may have been in the log for long, with a successor's claim after it. For one pass the former owner then granted again, for up to confirm, guard and lease: it could extend a lease on a VM that only it reaches and that the successor had nearly outwaited.

The confirmation now counts from the first sending of the entry, after which it was the last of the log.

The new test has a former owner that is cut from the store between an append and its answer, and from its successor, and reaches the store again for one step 6 s later.

--- a/packages/scheduler/portwharf/scheduler/faults_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_test.py
@@ -21,6 +21,7 @@
 from portwharf.scheduler import limits
 from portwharf.scheduler import members
 from portwharf.scheduler import members_test
+from portwharf.scheduler import owner
 from portwharf.scheduler import ownership_test
 from portwharf.scheduler import reconcile
 from portwharf.scheduler import reconcile_test
@@ -189,6 +190,21 @@
         )
 
 
+def test_append_confirms_from_its_last_sending(case):
+    def append_entry(self, chunk):
+        self._pending_since = None
+        return append(self, chunk)
+
+    append = owner.Owner._append_entry
+    check_fault_detected(
+        case,
+        ownership_test.test_append_that_is_read_back_late_extends_no_grant,
+        owner.Owner,
+        '_append_entry',
+        append_entry,
+    )
+
+
 def test_commands_of_ended_connections_obeyed(case):
     def obey(self, command):
         if command is not None:
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -606,8 +606,10 @@
         answer = self._log.append(chunk)
         metrics.APPENDS.inc()
         if answer.is_ok():
+            # The entry may be in the log since it was first sent, with others
+            # after it.
+            self._grants.record_store(self._pending_since)
             self._pending_since = None
-            self._grants.record_store(sent_at)
             self._next_append = sent_at + self._env.append_interval
             return batches.StepResult.DONE
         error = answer.err_value
--- a/packages/scheduler/portwharf/scheduler/ownership_test.py
+++ b/packages/scheduler/portwharf/scheduler/ownership_test.py
@@ -11,6 +11,7 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import urllib3
 
 from portwharf.core import data
 from portwharf.peers import messages
@@ -152,6 +153,49 @@
     finish(made)
 
 
+def append_unanswered(node):
+    """Have a node's owner append, and cut it from the store before the answer.
+
+    The entry is in the log.
+    """
+    request = node.pool.request
+
+    def request_and_cut(method, path, *args, **options):
+        answer = request(method, path, *args, **options)
+        if path.endswith('/txn'):
+            node.pool.cut = True
+            raise urllib3.exceptions.ReadTimeoutError(None, path, 'cut')
+        return answer
+
+    node.pool.request = request_and_cut
+    node.owner.step(node.owner.take_items())
+    node.pool.request = request
+
+
+def test_append_that_is_read_back_late_extends_no_grant(case):
+    """A former owner finds its entry in the log, and not the claim after it.
+
+    If it counted that as a confirmation, it would extend the leases of a side
+    that its successor cannot reach and has nearly outwaited.
+    """
+    made = make_cluster(5, size=5)
+    former, successor, *others, side = made.nodes
+    for node in (successor, *others):
+        made.cut(side, node)
+        made.cut(former, node)
+    made.submit()
+    append_unanswered(former)
+    case.assertTrue(former.owner.stalled)
+    successor.claim()
+    made.run(cluster.LIMITS.guard)
+    case.assertTrue(list_running(side))
+    former.pool.cut = False
+    former.owner.step()
+    former.pool.cut = True
+    made.run(LONG_WAIT_SECONDS)
+    finish(made)
+
+
 def test_result_survives_an_outage_and_its_owner(case):
     made = make_cluster()
     made.fake.faults.down = True
