Tasks of a lost majority run again; outages are bridged for a bounded time

With all 11 replaced by new ones at new addresses no submission was accepted any more.

Cause: an owner could grant with a majority alone, without the store, for as long as it liked. So a new owner without a majority could never be sure that a former one had stopped, and neither replaced tasks nor changed the members; and an owner links to members only, so that new sides heard none and deposed each other each 10.5 s.

New VMs are members at once, without a vote; voters change only when no former owner can grant. An idle owner asks the store each `confirm`.

The simulated VM list, which is in the store, is cut off with it.

--- a/packages/core/portwharf/core/logs.py
+++ b/packages/core/portwharf/core/logs.py
@@ -85,6 +85,8 @@
     'hearing',
     'not_hearing',
     'unheard',
+    'voters',
+    'waited_ms',
 )
 _TEXT_FORMAT = '%(asctime)s %(levelname)s %(name)s: %(message)s'
 _JSON_FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
--- a/packages/platform/portwharf/platform/boot.py
+++ b/packages/platform/portwharf/platform/boot.py
@@ -120,6 +120,8 @@
         confirm=1.6,
         guard=min(2.6, longest_lease * 0.45),
         lease=min(2.0, longest_lease * 0.35),
+        degraded_outage=6.0,
+        outage=20.0,
         takeover=1.3,
         rank_step=0.3,
         unreachable=1.5,
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -501,14 +501,19 @@
             self._apply_event(batch, event)
 
     def _update_members(self, batch):
-        """Add or remove one member if the VM list has changed."""
+        """Add or remove one member, or give it a vote, if that is due."""
         event = self._members.pop_member_change(
             self._env.clock.read_monotonic()
         )
-        if event is not None:
-            self._apply_event(batch, event)
-            self._grants.set_members(self._state.members)
-            batch.after_commit.append(self._on_member_change)
+        if event is None:
+            return
+        former = self._state.list_voters()
+        self._apply_event(batch, event)
+        voters = self._state.list_voters()
+        # A successor may have claimed the shard without this change.
+        self._grants.set_voters(former | voters)
+        batch.after_commit.append(lambda: self._grants.set_voters(voters))
+        batch.after_commit.append(self._on_member_change)
 
     def _requeue_lost_tasks(self, batch):
         """Requeue the tasks of lost VMs.
--- a/packages/scheduler/portwharf/scheduler/events.py
+++ b/packages/scheduler/portwharf/scheduler/events.py
@@ -62,9 +62,20 @@
 
 @dataclasses.dataclass(slots=True)
 class MemberAdded:
-    """A VM joined the shard, or came back with another address."""
+    """A VM joined the shard, or came back with another address.
+
+    :param votes: its acknowledgements confirm owners at once
+    """
 
     vm: data.Vm = dataclasses.field(default_factory=data.Vm)
+    votes: bool = True
+
+
+@dataclasses.dataclass(slots=True)
+class VoteGranted:
+    """The acknowledgements of a member confirm owners from now on."""
+
+    vm: str = ''
 
 
 @dataclasses.dataclass(slots=True)
@@ -264,6 +275,7 @@
     'owner': OwnerChanged,
     'member+': MemberAdded,
     'member-': MemberRemoved,
+    'vote': VoteGranted,
     'accept': WorkloadAccepted,
     'change': WorkloadChanged,
     'cancel': WorkloadCancelled,
--- a/packages/scheduler/portwharf/scheduler/limits.py
+++ b/packages/scheduler/portwharf/scheduler/limits.py
@@ -31,6 +31,9 @@
     :param rank_step: additional silence for each following place in line
     :param unreachable: silence of a side before its VM gets no new tasks
     :param gone: how long the VM list must lack a VM before it is removed
+    :param degraded_outage: how long an owner that a majority of the voters
+        acknowledges may grant since the store last confirmed it
+    :param outage: the same while all voters acknowledge it
     """
 
     heartbeat: float = 1.0
@@ -41,6 +44,8 @@
     rank_step: float = 0.5
     unreachable: float = 3.0
     gone: float = 120.0
+    degraded_outage: float = 20.0
+    outage: float = 300.0
 
     @property
     def owner_idle(self):
@@ -51,6 +56,21 @@
         """
         return self.takeover * OWNER_IDLE_SHARE
 
+    @property
+    def sole_after_majority(self):
+        """Wait until no former owner can grant any more."""
+        return self.confirm * (1 + MAX_CLOCK_DRIFT)
+
+    @property
+    def extra_without_majority(self):
+        """Added to waits that begin with the first voter, not a majority."""
+        return (self.degraded_outage - self.confirm) * (1 + MAX_CLOCK_DRIFT)
+
+    @property
+    def extra_without_voters(self):
+        """Added to waits that begin with the claim of the shard."""
+        return (self.outage - self.confirm) * (1 + MAX_CLOCK_DRIFT)
+
     @property
     def lapse_after_majority(self):
         """Wait until no grant of a former owner can be valid."""
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -324,31 +324,65 @@
     def pop_member_change(self, now):
         """Compare the members with the VM list that was read last.
 
-        The members change by one an entry, so a list may take many passes.
+        The members change by one an entry, so a list may take many passes. A
+        new member has no vote at first, so that it can be used at once. The
+        voters change only when no former owner can grant any more, as such an
+        owner may not know of the change.
 
-        :returns: an event that adds or removes one member, or None
+        :returns: an event that changes one member, or None
         """
         shard_vms, self._unprocessed_vms = self._unprocessed_vms, None
         if shard_vms is not None:
             self._listed = {vm.name: vm for vm in shard_vms}
             self._listed_at.update((vm.name, now) for vm in shard_vms)
             self._wanted_vms = shard_vms
-        if self._wanted_vms is None or not self._grants.has_majority(now):
-            # Only an owner that a majority has confirmed may change the list,
-            # so that the majorities of two owners always overlap.
-            return None
-        event = self._find_change(self._wanted_vms, now)
-        if event is None:
+        may_change_voters = self._grants.may_change_voters(now)
+        event = self._find_addition(may_change_voters)
+        if event is None and may_change_voters:
+            event = self._find_vote()
+        if event is None and self._wanted_vms is not None:
+            event = self._find_removal(may_change_voters, now)
+        if event is None and may_change_voters:
             self._wanted_vms = None
         return event
 
-    def _find_change(self, shard_vms, now):
-        for vm in shard_vms:
+    def _find_addition(self, may_change_voters):
+        """Return the event that adds or moves a listed VM, or None.
+
+        A VM that has moved has to win its vote anew.
+        """
+        for vm in self._wanted_vms or ():
             known = self._state.members.get(vm.name)
-            if known is None or not pass_inputs.is_same_place(known, vm):
-                return events.MemberAdded(vm)
+            if known is None:
+                return events.MemberAdded(vm, votes=False)
+            if not pass_inputs.is_same_place(known, vm) and (
+                may_change_voters or vm.name in self._state.nonvoters
+            ):
+                return events.MemberAdded(vm, votes=False)
+        return None
+
+    def _find_vote(self):
+        """Return the event that gives a member a vote, or None.
+
+        Its side must have acknowledged this owner, so that members that never
+        answer do not raise the majority.
+        """
+        for name in self._state.nonvoters:
+            link = self._links.get(name)
+            if link is not None and link.view.granted:
+                return events.VoteGranted(name)
+        return None
+
+    def _find_removal(self, may_change_voters, now):
+        """Return the event that removes a member that is gone, or None."""
+        voters = self._state.list_voters()
         for name in self._state.members:
-            if self._is_gone(name, now) and not self._state.held[name]:
+            may_remove = name not in voters or (
+                may_change_voters and len(voters) > 1
+            )
+            if not may_remove or self._state.held[name]:
+                continue
+            if self._is_gone(name, now):
                 return events.MemberRemoved(name)
         return None
 
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -90,7 +90,11 @@
         self._snapshot_seq = log.next_seq
         self._members_hash = membership.hash_members(state.members)
         worker_health = health.WorkerHealthTracker()
-        self._grants = grants.GrantTable(state.members, env.limits)
+        self._began = env.clock.read_monotonic()
+        self._grants = grants.GrantTable(
+            state.list_voters(), env.limits, self._began
+        )
+        self._outwaited = False
         self._advisor = policy.TicketCache(env.policy, env.clock, self._wake)
         self._timer = pass_timing.PassTimer(env.clock)
         self._decider = decider.Decider(
@@ -425,6 +429,7 @@
         """
         if not self._confirm_ownership():
             return False
+        self._log_outwaited()
         self._timer.mark('confirm')
         self._members.sync_links(self)
         self._timer.mark('links')
@@ -569,11 +574,13 @@
         """
         now = self.read_clock()
         requested = self._check_requested.is_set()
-        if not requested and self._grants.has_majority(now):
-            return True
-        if not requested and now < self._next_store_check:
+        interval = self._env.limits.confirm
+        if not self._grants.has_majority(now):
+            interval /= 3
+        is_recent = self._grants.measure_store_age(now) < interval
+        if not requested and (is_recent or now < self._next_store_check):
             return True
-        self._next_store_check = now + self._env.limits.confirm / 3
+        self._next_store_check = now + interval
         answer = self._log.check_head()
         if answer.is_err():
             return True
@@ -584,6 +591,19 @@
         LOG.warning('deposed by the log', extra=self._extra())
         return False
 
+    def _log_outwaited(self):
+        """Log once that no former owner can grant any more, and why."""
+        now = self.read_clock()
+        basis = '' if self._outwaited else self._grants.find_basis(now)
+        if basis:
+            self._outwaited = True
+            extra = logs.fields(
+                reason=basis,
+                voters=len(self._state.list_voters()),
+                waited_ms=int((now - self._began) * _MS_PER_SECOND),
+            )
+            LOG.info('former owners outwaited', extra=self._extra() | extra)
+
     def _commit(self):
         """Append the events of the batch, split into entries as needed."""
         remaining = self._batch.events
--- a/packages/scheduler/portwharf/scheduler/state.py
+++ b/packages/scheduler/portwharf/scheduler/state.py
@@ -119,6 +119,7 @@
     rosters: list[data.Roster] = dataclasses.field(default_factory=list)
     jobs: list[JobRecord] = dataclasses.field(default_factory=list)
     withdrawn: list[str] = dataclasses.field(default_factory=list)
+    nonvoters: list[str] = dataclasses.field(default_factory=list)
 
 
 class ShardState:
@@ -128,6 +129,8 @@
         self.epoch = 0
         self.owner = ''
         self.members = {}
+        # Names of the members whose acknowledgements do not confirm owners.
+        self.nonvoters = set()
         self.workloads = {}
         self.jobs = {}
         # Workloads that may still have tasks to run, by id.
@@ -256,6 +259,7 @@
             self.rosters,
             list(self.jobs.values()),
             list(self.withdrawn),
+            sorted(self.nonvoters),
         )
         return codec.pack(snapshot)
 
@@ -285,6 +289,7 @@
         state.epoch = snapshot.epoch
         state.owner = snapshot.owner
         state.members = {vm.name: vm for vm in snapshot.members}
+        state.nonvoters = set(snapshot.nonvoters)
         state.jobs = {record.job.id: record for record in snapshot.jobs}
         for record in snapshot.workloads:
             state._add_workload(record)
@@ -327,11 +332,23 @@
         for vm in event.members:
             self.members[vm.name] = vm
 
+    def list_voters(self):
+        """Return the names of the members that have a vote."""
+        return self.members.keys() - self.nonvoters
+
     def _add_member(self, event):
         self.members[event.vm.name] = event.vm
+        if event.votes:
+            self.nonvoters.discard(event.vm.name)
+        else:
+            self.nonvoters.add(event.vm.name)
 
     def _remove_member(self, event):
         self.members.pop(event.vm, None)
+        self.nonvoters.discard(event.vm)
+
+    def _grant_vote(self, event):
+        self.nonvoters.discard(event.vm)
 
     def _accept_workload(self, event):
         record = WorkloadRecord(
@@ -539,6 +556,7 @@
     events.OwnerChanged: ShardState._change_owner,
     events.MemberAdded: ShardState._add_member,
     events.MemberRemoved: ShardState._remove_member,
+    events.VoteGranted: ShardState._grant_vote,
     events.WorkloadAccepted: ShardState._accept_workload,
     events.WorkloadChanged: ShardState._change_workload,
     events.WorkloadCancelled: ShardState._cancel_workload,
--- a/packages/scheduler/portwharf/scheduler/state_test.py
+++ b/packages/scheduler/portwharf/scheduler/state_test.py
@@ -217,3 +217,32 @@
     case.assertEqual(len(kept), state.MAX_WITHDRAWN)
     case.assertNotIn(f'{1:016x}', kept)
     case.assertIn(f'{2:016x}', kept)
+
+
+def test_votes_are_in_the_snapshot(case):
+    made = state.ShardState()
+    voter, learner = fixtures.make_vm(1), fixtures.make_vm(2)
+    made.apply(events.OwnerChanged(1, voter.name, [voter]))
+    made.apply(events.MemberAdded(learner, votes=False))
+    restored = state.ShardState.unpack(made.pack())
+    case.assertEqual(restored.list_voters(), {voter.name})
+    restored.apply(events.VoteGranted(learner.name))
+    case.assertEqual(restored.list_voters(), {voter.name, learner.name})
+
+
+def test_member_of_an_older_log_has_a_vote(case):
+    """Entries from before votes were logged have no such field."""
+    vm = fixtures.make_vm(1)
+    (row,) = events.write_events([events.MemberAdded(vm)])
+    case.assertEqual(set(row[1]), {'vm'})
+    made = state.ShardState()
+    made.apply(*events.read_events([row]))
+    case.assertEqual(made.list_voters(), {vm.name})
+
+
+def test_member_that_moves_loses_its_vote(case):
+    made = state.ShardState()
+    vm = fixtures.make_vm(1)
+    made.apply(events.OwnerChanged(1, vm.name, [vm]))
+    made.apply(events.MemberAdded(vm, votes=False))
+    case.assertEqual(made.list_voters(), set())
--- a/packages/side/portwharf/side/settings.py
+++ b/packages/side/portwharf/side/settings.py
@@ -135,17 +135,34 @@
 
 def _check_limits(values):
     """Return the problems of limits that are valid one by one."""
-    if values['heartbeat_seconds'] * 2 <= values['confirm_seconds']:
-        return []
-    return [
-        data.Problem(
-            'bad-setting',
-            'limits.confirm_seconds',
-            str(values['confirm_seconds']),
-            'must be at least twice heartbeat_seconds, or no owner can grant',
-            'raise it, or lower heartbeat_seconds',
+    problems = []
+    if values['heartbeat_seconds'] * 2 > values['confirm_seconds']:
+        problems.append(
+            data.Problem(
+                'bad-setting',
+                'limits.confirm_seconds',
+                str(values['confirm_seconds']),
+                'must be at least twice heartbeat_seconds, or no owner can '
+                'grant',
+                'raise it, or lower heartbeat_seconds',
+            )
         )
-    ]
+    for name, least in (
+        ('degraded_outage_seconds', 'confirm_seconds'),
+        ('outage_seconds', 'degraded_outage_seconds'),
+    ):
+        if values[name] < values[least]:
+            problems.append(
+                data.Problem(
+                    'bad-setting',
+                    f'limits.{name}',
+                    str(values[name]),
+                    f'must be at least {least}, as an owner that more members '
+                    'confirm grants for longer',
+                    f'raise it, or lower {least}',
+                )
+            )
+    return problems
 
 
 def _build_settings(values):
--- a/packages/side/portwharf/side/settings_test.py
+++ b/packages/side/portwharf/side/settings_test.py
@@ -51,6 +51,15 @@
     case.assertEqual(list_fields(case, text), {'limits.confirm_seconds'})
 
 
+def test_bridged_outages_are_in_order(case):
+    text = GOOD + '[limits]\noutage_seconds = 10.0\n'
+    case.assertEqual(list_fields(case, text), {'limits.outage_seconds'})
+    text = GOOD + '[limits]\ndegraded_outage_seconds = 2.0\n'
+    case.assertEqual(
+        list_fields(case, text), {'limits.degraded_outage_seconds'}
+    )
+
+
 def test_side_needs_a_worker_or_a_runner(case):
     head, _, rest = GOOD.partition('[worker]')
     text = head + '[tls]' + rest.partition('[tls]')[2]
--- a/packages/testing/portwharf/testing/cluster.py
+++ b/packages/testing/portwharf/testing/cluster.py
@@ -124,7 +124,9 @@
             name=self.vm.name,
             clock=self.clock,
             limits=self.cluster.limits,
-            vmlist=self.cluster.listing,
+            vmlist=cluster_fakes.CuttableVmList(
+                self.cluster.listing, self.pool
+            ),
             keeper=self.keeper,
             append_interval=0.0,
             make_link=cluster_fakes.ManualLink,
@@ -202,6 +204,16 @@
         self.stale_pipes = []
         self._create_shard()
 
+    def add_node(self):
+        """Start a side on a new VM at a new address, and return its node."""
+        number = len(self.nodes)
+        vm = fixtures.make_vm(number)
+        speed = CLOCK_SPEEDS[number % len(CLOCK_SPEEDS)]
+        node = Node(self, vm, speed)
+        self.nodes.append(node)
+        self.listing.vms.append(vm)
+        return node
+
     def _create_shard(self):
         """Found the shard with the first node as its owner."""
         first = self.nodes[0]
--- a/packages/testing/portwharf/testing/cluster_fakes.py
+++ b/packages/testing/portwharf/testing/cluster_fakes.py
@@ -461,6 +461,20 @@
         return result.Ok(list(self.vms))
 
 
+class CuttableVmList(vmlist.VmList):
+    """A VM list in the store, as read by a node that can be cut off."""
+
+    def __init__(self, listing, pool):
+        """Take the ``FakeVmList`` and the node's ``CuttablePool``."""
+        self._listing = listing
+        self._pool = pool
+
+    def read(self):
+        if self._pool.cut:
+            return result.Err('cut')
+        return self._listing.read()
+
+
 class CuttablePool(fixtures.WsgiPool):
     """A node's connection pool to the store, which can be cut off."""
 
--- a/packages/testing/portwharf/testing/walk.py
+++ b/packages/testing/portwharf/testing/walk.py
@@ -12,6 +12,7 @@
 import time
 
 from portwharf.core import data
+from portwharf.scheduler import limits
 from portwharf.testing import cluster
 from portwharf.testing import cluster_checks
 from portwharf.testing import cluster_fakes
@@ -37,6 +38,15 @@
 # the store, and how long they stay apart before the next step.
 _SPLIT_CHANCE = 0.3
 _SPLIT_SECONDS = (10.0, 30.0, 50.0)
+# Chance that the sides without the store are paused later, and when: shortly
+# before or after an owner among them may not grant any more.
+_PAUSE_CHANCE = 0.4
+_PAUSE_SECONDS = (3.0, 7.0, 9.0, 19.0)
+# Chance that a split cuts off all VMs, and new ones take over.
+_REPLACE_ALL_CHANCE = 0.3
+_MAX_NODES = 8
+# Outages of the store that are bridged, short enough for splits to outlast.
+SPLIT_LIMITS = limits.Limits(degraded_outage=8.0, outage=20.0, gone=30.0)
 # Time in which the last ends are acknowledged.
 _ACK_SECONDS = 5.0
 _WAIT_SECONDS = (0.3, 1.0, 3.0, 8.0, 16.0)
@@ -69,7 +79,8 @@
         :param late_starts: workers hang with starts under way, and carry these
             out when they answer again
         :param splits: the owner's group is cut off from the store and from the
-            others, one of which takes over, for up to longer than all limits
+            others, one of which takes over, for up to longer than all limits,
+            and at times paused
         """
         self.random = random.Random(seed)
         self.more = random.Random(-1 - seed) if more else None
@@ -82,7 +93,9 @@
         self.splits = random.Random(f'splits {seed}') if splits else None
         self.job_numbers = itertools.count(1)
         size = size or self.random.choice((3, 4, 5))
-        self.cluster = cluster.Cluster(size)
+        self.cluster = cluster.Cluster(
+            size, cluster_limits=SPLIT_LIMITS if splits else cluster.LIMITS
+        )
 
     def run(self, steps=STEPS):
         """Walk, then heal all faults and check how all work ended.
@@ -181,6 +194,7 @@
         """At random, cut the owner and some others off, and take over."""
         if self.splits is None or self.splits.random() > _SPLIT_CHANCE:
             return
+        replaces_all = self.splits.random() < _REPLACE_ALL_CHANCE
         nodes = list(self.cluster.nodes)
         self.splits.shuffle(nodes)
         owners = self.cluster.list_owners()
@@ -189,15 +203,23 @@
             nodes.remove(latest)
             nodes.insert(0, latest)
         count = self.splits.randint(1, len(nodes) - 1)
+        if replaces_all and len(nodes) < _MAX_NODES:
+            count = len(nodes)
+            nodes += [self.cluster.add_node(), self.cluster.add_node()]
         self.cluster.split(nodes[:count])
         self.cluster.run(self.splits.choice((0.5, 3.0)))
         for node in nodes[count:]:
             if not node.paused and not node.down:
                 node.claim()
                 break
+        if self.splits.random() < _PAUSE_CHANCE:
+            self.cluster.run(self.splits.choice(_PAUSE_SECONDS))
+            for node in nodes[:count]:
+                node.paused = True
         self.cluster.run(self.splits.choice(_SPLIT_SECONDS), 1.0)
         if self.splits.random() < 0.7:
             self.mend_network()
+            self.resume()
 
     def open_zones(self):
         """Open all closed zones."""
--- a/packages/testing/portwharf/testing/walk_test.py
+++ b/packages/testing/portwharf/testing/walk_test.py
@@ -36,6 +36,13 @@
             walk.Walk(seed, jobs=True, zones=True).run()
 
 
+def test_walks_with_splits(case):
+    """Checks that nothing runs twice when VMs that were cut off come back."""
+    for seed in (2, 5, 17):
+        with case.subTest(seed=seed):
+            walk.Walk(seed, splits=True).run()
+
+
 def test_starts_carried_out_after_a_silence_repeat_no_ended_task(case):
     for seed in (47, 197, 200):
         with case.subTest(seed=seed):
