Ranges of values that fill a page each are read to their end

Cause: a page of the store's range begins with the last key of the page before. A page that holds this one item only, as it and the next exceed 1 MB together, was followed by itself without end.

After a page of one item the next one begins with the first key that sorts after it. read_range and list_keys share the loop.

The new test reads, lists and deletes four items on pages of one; it failed before (stopped at 40 calls).

--- a/packages/platform/portwharf/platform/store_client.py
+++ b/packages/platform/portwharf/platform/store_client.py
@@ -34,6 +34,8 @@
 # Statuses that guarantee that nothing was changed.
 _UNCHANGED_STATUSES = (400, 403, 404, 429, 503)
 _MS_PER_SECOND = 1000
+# Added to a key, it makes the first key that sorts after it.
+_FIRST_CHARACTER = '\0'
 
 
 class PlatformStore(store.LeaseStore):
@@ -64,26 +66,43 @@
         return result.Ok(_read_entry(value))
 
     def read_range(self, first, last, limit=0, keys_only=False):
-        prefix = os.path.commonprefix([first, last])
         found = []
-        query = _encode_query(pathPrefix=prefix)
-        while True:
-            reply = self._call('GET', f'/portwharf/kv-range?{query}', _OK)
-            if reply.is_err():
-                return reply
-            items = reply.ok_value.value['items']
+        for page in self._read_pages(os.path.commonprefix([first, last])):
+            if page.is_err():
+                return page
+            items = page.ok_value['items']
             # A page may begin with the last item of the page before.
             last_key = found[-1].key if found else ''
             for item in items:
                 key = item['privateKey']
                 if first <= key < last and key != last_key:
                     found.append(_read_entry(item, keys_only))
-            more = reply.ok_value.value.get('more') and items
-            if not more or (limit and len(found) >= limit):
-                return result.Ok(found[: limit or None])
-            if items[-1]['privateKey'] >= last:
-                return result.Ok(found)
-            start = items[-1]['privateKey']
+            if limit and len(found) >= limit:
+                break
+            if items and items[-1]['privateKey'] >= last:
+                break
+        return result.Ok(found[: limit or None])
+
+    def _read_pages(self, prefix):
+        """Read the items with a prefix of their keys, page by page.
+
+        :returns: generator of Ok(answer of a page), until the last one or an
+            Err(StoreError)
+        """
+        query = _encode_query(pathPrefix=prefix)
+        while True:
+            reply = self._call('GET', f'/portwharf/kv-range?{query}', _OK)
+            if reply.is_err():
+                yield reply
+                return
+            page = reply.ok_value.value
+            yield result.Ok(page)
+            if not (page.get('more') and page['items']):
+                return
+            start = page['items'][-1]['privateKey']
+            if len(page['items']) == 1:
+                # Together with the next item it does not fit on a page.
+                start += _FIRST_CHARACTER
             query = _encode_query(pathPrefix=prefix, watchRev=start)
 
     def swap(self, key, value, revision, guard=None):
@@ -135,21 +154,16 @@
         return result.Ok(entries[-1] if entries else None)
 
     def list_keys(self, prefix):
-        query = _encode_query(pathPrefix=prefix)
         names = store.KeyList()
-        while True:
-            reply = self._call('GET', f'/portwharf/kv-range?{query}', _OK)
-            if reply.is_err():
-                return reply
-            value = reply.ok_value.value
+        for page in self._read_pages(prefix):
+            if page.is_err():
+                return page
             # The pages are not one snapshot. A watch from the first page's
             # revision covers all later changes.
-            names.revision = names.revision or value['at']
-            found = [item['privateKey'] for item in value['items']]
+            names.revision = names.revision or page.ok_value['at']
+            found = [item['privateKey'] for item in page.ok_value['items']]
             names.keys += [key for key in found if key not in names.keys]
-            if not (value.get('more') and found):
-                return result.Ok(names)
-            query = _encode_query(pathPrefix=prefix, watchRev=found[-1])
+        return result.Ok(names)
 
     def wait_for_key_changes(self, prefix, revision, timeout):
         wait = min(timeout, MAX_WATCH_SECONDS)
--- a/packages/platform/portwharf/platform/store_client_test.py
+++ b/packages/platform/portwharf/platform/store_client_test.py
@@ -11,10 +11,13 @@
 from portwharf.testing import fixtures
 from portwharf.testing import platform_store
 
+# More than a test needs, to end it where pages are read without end.
+MAX_CALLS = 40
 
-def open_store(case):
+
+def open_store(case, page_items=platform_store.PAGE_ITEMS):
     """Return a client of a fake store, and the fake."""
-    fake = platform_store.FakePlatformStore()
+    fake = platform_store.FakePlatformStore(page_items)
     port = fixtures.serve(case, fake)
     endpoint = settings.Endpoint('127.0.0.1', port)
     return case.enterContext(store_client.PlatformStore(endpoint)), fake
@@ -55,6 +58,29 @@
     case.assertEqual(len(client.read_range('log/1', 'log/8', 2).ok_value), 2)
 
 
+def test_range_of_large_values_is_read_to_its_end(case):
+    """A page of one item was followed by itself, without end.
+
+    The deciding thread of an owner read it as it trimmed a snapshot of over
+    1 MB.
+    """
+    client, fake = open_store(case, page_items=1)
+    for number in range(4):
+        client.swap(f'log/{number}', b'%d' % number, 0)
+    call = client._call
+
+    def call_and_count(*arguments, **options):
+        case.assertLess(len(fake.calls), MAX_CALLS)
+        return call(*arguments, **options)
+
+    client._call = call_and_count
+    found = client.read_range('log/0', 'log/9').ok_value
+    case.assertEqual([e.key[-1] for e in found], list('0123'))
+    names = client.list_keys('log/').ok_value
+    case.assertEqual([key[-1] for key in names.keys], list('0123'))
+    case.assertEqual(client.delete_range('log/0', 'log/9').ok_value, 4)
+
+
 def test_range_of_keys_has_no_values(case):
     client, _ = open_store(case)
     for number in range(9):
