A task that runs on is not given up for crashes of one worker

Cause: five crashes under a task are conclusive in any case, because users allow no more. A task that is known to have run on after a start does not crash its workers by starting, and one that can run on few workers comes back to the one that keeps crashing: that worker explains all five.

Such a task is given up at the limit only if more than one worker crashed under it. It is still held back and tried as before. A task that never ran on, and one that took several workers down, are judged as before.

The new test failed before (given up at the fifth crash); the other one keeps the limit for a second worker.

--- a/packages/scheduler/portwharf/scheduler/suspects.py
+++ b/packages/scheduler/portwharf/scheduler/suspects.py
@@ -22,7 +22,8 @@
 on a VM, and giving up too early fails a healthy job. So four crashes are
 conclusive, and five in any case, because users allow no more. Only the latter
 counts for a task that is known to have run on after one of its starts, as what
-crashes workers does so at each start. A worker that has crashed
+crashes workers does so at each start, and only if more than one worker crashed
+under it. A worker that has crashed
 recently, under no task that was given up, may be faulty itself: its crash
 proves little, and no trial runs there.
 
@@ -270,7 +271,7 @@
         return Verdict.PLACE
     unit = find_failure_unit(state, task)
     is_shared = times.has_other_cause(task.crashes[-1].name, unit)
-    if count >= MAX_CRASHES or (
+    if (count >= MAX_CRASHES and not _is_worker_at_fault(task)) or (
         count >= GIVE_UP_CRASHES
         and not task.has_survived
         and not is_shared
@@ -297,6 +298,20 @@
     return Verdict.HOLD
 
 
+def _is_worker_at_fault(task):
+    """Return whether one worker explains all crashes of a task.
+
+    A task that is known to have run on after a start, and may run on few
+    workers, comes back to one that keeps crashing.
+    """
+    return task.has_survived and len(_list_vms(task)) == 1
+
+
+def _list_vms(task):
+    """Return the names of the VMs whose workers crashed under a task."""
+    return {_parse_vm(crash.name) for crash in task.crashes}
+
+
 def _get_max_hold_seconds(state, task):
     """Return how long a task is held back at most after its last crash."""
     workload = state.find_workload(task.id).workload
--- a/packages/scheduler/portwharf/scheduler/suspects_test.py
+++ b/packages/scheduler/portwharf/scheduler/suspects_test.py
@@ -203,6 +203,25 @@
     case.assertIs(scenario.assess(90.0, is_trial=True), GIVE_UP)
 
 
+def test_task_that_runs_on_is_not_given_up_for_one_faulty_worker(case):
+    """A lasting job failed with a worker that alone had its label."""
+    for kind in (data.Kind.STANDING, data.Kind.BATCH):
+        with case.subTest(kind=kind):
+            scenario = Scenario(kind=kind)
+            for turn in range(8):
+                scenario.crash(50.0 + 6 * turn, 'vm-1', 2000, listed_ms=1800)
+            case.assertIsNot(scenario.assess(92.0), GIVE_UP)
+            case.assertIs(scenario.assess(120.0), TRY)
+
+
+def test_task_that_runs_on_is_given_up_as_a_second_worker_crashes(case):
+    scenario = Scenario()
+    for turn in range(4):
+        scenario.crash(50.0 + 6 * turn, 'vm-1', 2000, listed_ms=1800)
+    scenario.crash(75.0, 'vm-2', 2000, listed_ms=1800)
+    case.assertIs(scenario.assess(75.0), GIVE_UP)
+
+
 def test_cleared_task_is_given_up_only_at_the_limit(case):
     scenario = Scenario()
     scenario.crash(50.0, 'vm-1')
