Sides refuse starts on a worker of another kind

Tasks that require its former label began on it again, in 16 of 32 starts.

Cause: the side reported the lost attempts before the new labels, so the owner placed the tasks by the old ones, and the start named neither pool nor label. The side checked room only.

A start names the pool and label that its task requires, and the side refuses it unless the incarnation that the start is bound to has them. The side reports a new kind before the attempts that were lost with the old one, as it does with a new capacity. The refusal says nothing about the worker's health.

Both new tests failed before.

--- a/packages/peers/portwharf/peers/messages.py
+++ b/packages/peers/portwharf/peers/messages.py
@@ -19,6 +19,9 @@
 REFUSED_GRANT = 'no-valid-grant'
 # The reason when an operator has closed the side's availability zone.
 REFUSED_ZONE = 'availability-zone-is-closed'
+# The reason when the worker is not of the pool, or lacks the label, that the
+# task requires.
+REFUSED_KIND = 'other-pool-or-label'
 # The reasons when a side reports an attempt as gone that its worker does not
 # list as ended.
 UNLISTED_REASONS = frozenset(
@@ -316,6 +319,9 @@
     left: float = 0.0
     due_ms: int = 0
     late_ms: int = 0
+    # The pool and the label that the worker must have, '' for any.
+    pool: str = ''
+    label: str = ''
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -50,7 +50,11 @@
 _DROP_INTERVAL_SECONDS = 20.0
 # Time for which preemption waits for an eviction that is in progress.
 _MAX_EVICTION_SECONDS = 3.0
-_HEALTHY_REFUSALS = (messages.REFUSED_GRANT, messages.REFUSED_ZONE)
+_HEALTHY_REFUSALS = (
+    messages.REFUSED_GRANT,
+    messages.REFUSED_ZONE,
+    messages.REFUSED_KIND,
+)
 
 
 class Decider:
--- a/packages/scheduler/portwharf/scheduler/decisions/vm_choice.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/vm_choice.py
@@ -11,6 +11,7 @@
 import math
 
 from portwharf.core import data
+from portwharf.peers import messages
 from portwharf.scheduler.decisions import backlog
 from portwharf.scheduler.decisions import scoring
 from portwharf.scheduler import events
@@ -295,7 +296,7 @@
     """
     workload = demand.record.workload
     if not view.suits(workload):
-        return 'other-pool-or-label'
+        return messages.REFUSED_KIND
     limit = workload.most_per_vm
     if limit and demand.placed[view.vm.name] >= limit:
         return 'enough-of-them-there'
--- a/packages/scheduler/portwharf/scheduler/reconcile.py
+++ b/packages/scheduler/portwharf/scheduler/reconcile.py
@@ -123,6 +123,8 @@
         claim.left,
         claim.due_ms,
         claim.late_ms,
+        workload.pool,
+        workload.label,
     )
 
 
--- a/packages/side/portwharf/side/agent.py
+++ b/packages/side/portwharf/side/agent.py
@@ -48,6 +48,7 @@
 REFUSED_EPOCH = 'command-of-a-former-owner'
 REFUSED_GRANT = messages.REFUSED_GRANT
 REFUSED_ZONE = messages.REFUSED_ZONE
+REFUSED_KIND = messages.REFUSED_KIND
 REFUSED_ATTEMPT = 'older-than-a-known-attempt'
 REFUSED_LEAVING = 'the-worker-is-leaving'
 REFUSED_SILENT = 'the-worker-does-not-answer'
@@ -355,6 +356,8 @@
             return REFUSED_SILENT
         if self._listing.absent:
             return REFUSED_ABSENT
+        if not self._is_of_kind(message):
+            return REFUSED_KIND
         if message.attempt <= self._refused.get(message.task, 0):
             return REFUSED_ATTEMPT
         if known is not None and known.attempt > message.attempt:
@@ -372,6 +375,16 @@
             return REFUSED_CAPACITY
         return ''
 
+    def _is_of_kind(self, message):
+        """Tell whether the worker has the pool and label of a task.
+
+        It may have begun again as another kind since the owner chose it.
+        """
+        listing = self._listing
+        return message.pool in ('', listing.pool) and (
+            not message.label or message.label in listing.labels
+        )
+
     def _is_granted(self):
         """Tell whether the command may be carried out under a grant.
 
@@ -519,16 +532,17 @@
         self._report(self._full_report_due)
 
     def _report_capacity(self, previous):
-        """Report the worker's capacity at once if it has changed.
+        """Report the worker's capacity and kind at once if they have changed.
 
         This must precede the report of attempts that ended with the old
-        capacity: otherwise the owner places their tasks on this VM again,
-        where they are refused. Without this, 153 starts were refused in 4 s.
+        capacity or kind: otherwise the owner places their tasks on this VM
+        again, where they are refused. Without this, 153 starts were refused in
+        4 s.
         """
         capacity, before = self._listing.capacity, previous.capacity
-        if capacity == before:
+        if capacity == before and self._has_same_kind(previous):
             return
-        if capacity.cpu_milli and before.cpu_milli:
+        if capacity != before and capacity.cpu_milli and before.cpu_milli:
             LOG.info(
                 'capacity changed: %s, was %s',
                 _format_resources(capacity),
@@ -537,6 +551,13 @@
         self._next_heartbeat = 0.0
         self._send_heartbeat()
 
+    def _has_same_kind(self, previous):
+        """Tell whether the worker has the pool and labels that it had."""
+        listing = self._listing
+        return (
+            listing.pool == previous.pool and listing.labels == previous.labels
+        )
+
     def _report_vanished(self, previous, reason):
         """Report vanished attempts as gone; drop their reported state."""
         for name in self._losses.report_vanished(
--- a/packages/side/portwharf/side/agent_test.py
+++ b/packages/side/portwharf/side/agent_test.py
@@ -34,6 +34,40 @@
     case.assertEqual(bench.worker.calls, [('start', 's.0', 1)])
 
 
+def test_start_on_a_worker_of_another_kind_is_refused(case):
+    """A worker had begun again without the label that a lost task requires."""
+    bench = agent_harness.AgentHarness()
+    bench.worker.listing.pool = 'desk'
+    bench.worker.listing.labels = ['a', 'rack-1']
+    bench.grant()
+    bench.step(1.0)
+    bench.start('w.0', label='b', pool='desk')
+    bench.start('w.1', label='a', pool='other')
+    case.assertEqual(bench.list_refused(), [agent.REFUSED_KIND] * 2)
+    case.assertEqual(bench.worker.calls, [])
+    bench.start('w.2', label='a', pool='desk')
+    case.assertEqual(bench.worker.calls, [('start', 'w.2', 1)])
+
+
+def test_new_kind_of_a_worker_is_reported_before_its_lost_attempts(case):
+    """Else the owner chooses the worker again for what it cannot run."""
+    bench = agent_harness.AgentHarness()
+    bench.worker.listing.labels = ['b']
+    bench.grant()
+    bench.start()
+    bench.conn.sent.clear()
+    bench.worker.listing.labels = ['a']
+    bench.worker.listing.attempts = []
+    bench.step(agent._POLL_SECONDS)
+    kinds = [
+        type(message)
+        for message in bench.conn.sent
+        if isinstance(message, messages.Reports)
+        or getattr(message, 'labels', None) == ['a']
+    ]
+    case.assertEqual(kinds[:2], [messages.Heartbeat, messages.Reports])
+
+
 def test_command_of_a_former_owner_is_refused(case):
     bench = agent_harness.AgentHarness()
     bench.grant()
--- a/packages/testing/portwharf/testing/agent_harness.py
+++ b/packages/testing/portwharf/testing/agent_harness.py
@@ -31,6 +31,8 @@
         now_ms = int(self._clock.read_monotonic() * 1000)
         listing = workers.Listing(now_ms, self.listing.capacity)
         listing.attempts = list(self.listing.attempts)
+        listing.pool = self.listing.pool
+        listing.labels = self.listing.labels
         return result.Ok(listing)
 
     def start(self, start):
