Jobs are pending until a worker has begun one of their tasks

Cause: a job counted as begun once a task of it was placed. The start may be refused, again and again, or not be answered.

The owner counts by the reports that it has: a job has begun once a side has reported an attempt of it as running or ended. The log does not tell, as starts are not logged a second time; a new owner learns it from the full reports of its members, and counts a job of which it has none as pending.

--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -16,6 +16,7 @@
 from portwharf.core import logs
 from portwharf.peers import messages
 from portwharf.scheduler import batches
+from portwharf.scheduler import begun_jobs
 from portwharf.scheduler import capacity_reports
 from portwharf.scheduler import claim_updates
 from portwharf.scheduler import crashloop
@@ -110,6 +111,7 @@
             self.shares,
         )
         self.preparation = prepared_starts.PreparedStarts(state)
+        self.begun_jobs = begun_jobs.BegunJobs(state)
         self._late_successes = late_successes.LateSuccesses(state)
         self.rosters = rosters.RosterKeeper(state)
         self._claims = claim_updates.ClaimNotifier(state)
@@ -255,6 +257,7 @@
                     decisionlog.log_superseded_success(name, report, task)
             reconcile.process_report(self._state, name, report, verdict)
             self._crashloops.record_report(name, report)
+            self.begun_jobs.record_report(report)
         self._apply_outcome(verdict, name, item.link, batch)
 
     def _apply_outcome(self, verdict, name, link, batch):
@@ -882,6 +885,7 @@
             self._health.drop_workload(workload_id)
         for job_id in pass_inputs.list_expired_jobs(self._state, now_ms):
             self._apply_event(batch, events.JobDropped(job_id))
+        self.begun_jobs.forget_ended()
         self.runtimes.forget(self._state.unended)
         self._hung_tasks.forget(self._state.unended)
 
--- a/packages/scheduler/portwharf/scheduler/job_operations.py
+++ b/packages/scheduler/portwharf/scheduler/job_operations.py
@@ -36,7 +36,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Pending:
-    """Answer to ``count-pending``: how many jobs have not started."""
+    """Answer to ``count-pending``: how many jobs have not begun."""
 
     count: int = 0
 
@@ -120,14 +120,3 @@
         for task in state.workloads[name].tasks
         if task.vm
     ]
-
-
-def count_pending(state, queue):
-    """Return the :class:`Pending` jobs of a queue, '' for all queues."""
-    count = sum(
-        1
-        for record in state.jobs.values()
-        if queue in ('', record.job.queue)
-        and state.find_job_state(record.job.id) == data.JobState.QUEUED
-    )
-    return Pending(count)
--- a/packages/scheduler/portwharf/scheduler/operator_api.py
+++ b/packages/scheduler/portwharf/scheduler/operator_api.py
@@ -153,10 +153,8 @@
             if method == 'read-job':
                 return result.Ok(self._view_job(query.id))
             if method == 'count-pending':
-                queue = query.id
-                return result.Ok(
-                    job_operations.count_pending(self._state, queue)
-                )
+                count = self._decider.begun_jobs.count_pending(query.id)
+                return result.Ok(job_operations.Pending(count))
             views = self._members.view_vms()
             if method == 'list-tasks':
                 return operations.list_tasks(self._state, query)
