Soak: more than half of the machines are replaced at once

The soak never lost a machine for good. Once a run, at random, more than half of the machines of sides and runners, or all, lose power and as many come at new addresses, while the other faults go on. Their runs stay in the records that are checked.

A lost runner carried out an order that was under way, as a new incarnation ("two runs at once"); it now does nothing. And a request was called cut by an entry that stops (POST, timed out after 3 s): the entry had been paused for 6.5 s (its log has no line between 06.28 and 13.06, then seven calls that arrived at once), was resumed and asked to stop. LOST does not count requests around which an unplanned disruption struck, so one that was sent before its entry was resumed is not counted; any other is, as before. Both have a test.

--- a/packages/testing/portwharf/testing/soak.py
+++ b/packages/testing/portwharf/testing/soak.py
@@ -5,7 +5,9 @@
 The seed determines a schedule of faults, which overlap. Processes are killed,
 paused, stopped and started; entries are also stopped in series while clients
 go on calling. Relays cut connections, delay data, or hold it back in one
-direction or both; open connections go silent for good. The store is down or
+direction or both; open connections go silent for good. Most machines of sides
+and runners, or all, are lost for good, and as many are added at new addresses.
+The store is down or
 slow, or loses answers, leases, keys or its history. Runners crash by
 themselves or because of a task, fall silent, change their capacity, carry out
 orders late, also after their leases have expired, or ignore them, and send
@@ -51,6 +53,8 @@
 _ROLLING_STOP_SHARE = 0.15
 _MAX_STOP_INTERVAL_SECONDS = 0.8
 _MAX_BURSTS = 2
+_LOSS_SHARE = 0.1
+_ADDED_AFTER_SECONDS = (0.0, 4.0)
 _SETTLE_SECONDS = 90.0
 _SEEDS_PATH = pathlib.Path(__file__).parent / 'soak_seeds.toml'
 
@@ -84,6 +88,7 @@
         self._order_random = random.Random(-6 - seed) if crashers else None
         self._stop_random = random.Random(-7 - seed) if crashers else None
         self._hang_random = random.Random(-8 - seed) if crashers else None
+        self._loss_random = random.Random(-9 - seed) if crashers else None
         self._stop_threads = []
         self._bursts = 0
         # Ids of long-running jobs that were cancelled to let bursts end.
@@ -131,6 +136,7 @@
             self._hang_runner()
             self._start_burst()
             self._stop_entries()
+            self._replace_sides()
         for client in self.clients:
             client.stop()
         for thread in self._stop_threads:
@@ -213,6 +219,34 @@
         self.faults += 1
         print(f'  {time.monotonic():.1f} stop entries', flush=True)
 
+    def _replace_sides(self):
+        """Once, at random, replace more than half of the machines."""
+        if (
+            self._loss_random is None
+            or self._loss_random.random() > _LOSS_SHARE
+            or self._world.lost_sides
+        ):
+            return
+        sides = self._world.sides
+        count = self._loss_random.randint(len(sides) // 2 + 1, len(sides))
+        added = 0
+        if count == len(sides):
+            self._world.add_side()
+            added = 1
+        for program in self._loss_random.sample(sides, count):
+            self._world.lose_side(program)
+        self.faults += 1
+        print(
+            f'  {time.monotonic():.1f} replace {count} of {len(sides)} sides',
+            flush=True,
+        )
+        at = time.monotonic() + self._loss_random.uniform(
+            *_ADDED_AFTER_SECONDS
+        )
+        self._recoveries += [
+            Recovery(at, self._world.add_side) for _ in range(count - added)
+        ]
+
     def _restart(self, program):
         """Stop a program and start it again."""
         if not self._world.stop(program):
@@ -507,14 +541,11 @@
         jobs = [job for client in self.clients for job in client.jobs]
         for client in self.clients:
             self.problems += client.problems
-        spans = [
-            span for side in self._world.sides for span in side.runner.record
-        ]
+        sides = self._world.sides + self._world.lost_sides
+        spans = [span for side in sides for span in side.runner.record]
         self.problems += soak_checks.check_all(jobs, spans)
         spans_by_zone = [
-            (side.zone, span)
-            for side in self._world.sides
-            for span in side.runner.record
+            (side.zone, span) for side in sides for span in side.runner.record
         ]
         self.problems += soak_checks.check_zones(self._closures, spans_by_zone)
         by_id = {job.id: job for job in jobs}
--- a/packages/testing/portwharf/testing/soak_clients.py
+++ b/packages/testing/portwharf/testing/soak_clients.py
@@ -195,6 +195,7 @@
         # An answer that asks for it has closed the connection.
         is_new = conn is None or conn.sock is None
         was_stopping = entry.stopping
+        sent_at = time.monotonic()
         if conn is None:
             endpoint = self._world.find_client_place(entry)
             conn = http.client.HTTPConnection(
@@ -219,7 +220,10 @@
             was_accepted = is_new and not isinstance(
                 exc, ConnectionRefusedError
             )
-            if was_accepted and (was_stopping or entry.stopping):
+            # A request that waited while its entry was paused is not counted.
+            was_paused = sent_at <= entry.resumed_at
+            is_cut = was_accepted and not was_paused
+            if is_cut and (was_stopping or entry.stopping):
                 self.problems.append(
                     f'{method} {path}: cut by {entry.name}, which stops: '
                     f'{exc!r}'
--- a/packages/testing/portwharf/testing/soak_runner.py
+++ b/packages/testing/portwharf/testing/soak_runner.py
@@ -164,6 +164,12 @@
             self.numbered_ends = {}
         self.restart(f'{self._name}-{self._life_count // 2}')
 
+    def lose(self):
+        """Lose the machine for good, with the orders that are under way."""
+        self.silent = True
+        self._stop_event.set()
+        self.crash()
+
     def ignore_orders(self, seconds):
         """Leave starts and stops unanswered; carry starts out very late."""
         with self._lock:
@@ -197,6 +203,8 @@
         return super().__call__(environ, start_response)
 
     def _execute(self, order, body, target_instance):
+        if self._stop_event.is_set():
+            return 503, {}
         # Before the order renews the lease.
         self._end_lapsed_runs()
         if order == 'run-start':
--- a/packages/testing/portwharf/testing/soak_runner_test.py
+++ b/packages/testing/portwharf/testing/soak_runner_test.py
@@ -31,6 +31,28 @@
         case.assertEqual(runner.running, {TASK: 1})
 
 
+def test_lost_runner_carries_out_no_order_that_was_under_way(case):
+    runner = soak_runner.SoakRunner('runner', '', '', 1.0)
+    body = {
+        'task': TASK,
+        'run': 1,
+        'spec': json.dumps({'steps': [{'ms': 60_000}]}),
+        'untilMs': runner.read_ms() + 60_000,
+        'fence': 0,
+    }
+    with runner._lock:
+        case.assertEqual(
+            runner._execute('run-start', body, runner.instance)[0], 200
+        )
+    runner.lose()
+    with runner._lock:
+        status, _ = runner._execute(
+            'run-start', {**body, 'run': 2}, runner.instance
+        )
+    case.assertEqual(status, 503)
+    case.assertEqual([span.how for span in runner.record], ['crashed'])
+
+
 class ManualTime:
     """The functions of ``time`` that runners use; a test advances it."""
 
--- a/packages/testing/portwharf/testing/soak_world.py
+++ b/packages/testing/portwharf/testing/soak_world.py
@@ -13,6 +13,7 @@
 import contextlib
 import dataclasses
 import json
+import math
 import os
 import pathlib
 import signal
@@ -63,6 +64,9 @@
 
     :param handle: the process, or None before the first start
     :param stopping: it was asked to stop and has not ended yet
+    :param resumed_at: when it was last resumed after a pause, infinite while
+        it is paused
+    :param lost: its machine was lost for good
     :param store: relay from the process to the store
     :param peers: relay from peers to a side, else None
     :param orders: relay from a side to its runner, else None
@@ -74,6 +78,8 @@
     zone: str = ''
     handle: subprocess.Popen = None
     stopping: bool = False
+    resumed_at: float = 0.0
+    lost: bool = False
     store: relay.Relay = None
     peers: relay.Relay = None
     orders: relay.Relay = None
@@ -107,6 +113,8 @@
         self.store = platform_store.FakePlatformStore(page_items)
         self.store.rewrite = self._replace_port
         self.programs = {}
+        # Sides whose machines were lost for good, with their runners.
+        self.lost_sides = []
 
     def __enter__(self):
         with self._stack:
@@ -169,7 +177,9 @@
             self.store.revoke(key)
 
     def start(self, program):
-        """Start the process of a program that is not running."""
+        """Start the process of a program that is not running or lost."""
+        if program.lost:
+            return
         log = open(self._folder / f'{program.name}.log', 'ab')
         settings = str(self._folder / f'{program.name}.toml')
         argv = [sys.executable, str(_ROOT / 'deploy/start.py'), program.role]
@@ -204,9 +214,29 @@
             program.stopping = False
 
     def pause(self, program, paused):
-        """Pause a process, or resume it."""
+        """Pause a process, or resume it, unless it is lost."""
+        if program.lost:
+            return
         signal_number = signal.SIGSTOP if paused else signal.SIGCONT
         program.handle.send_signal(signal_number)
+        program.resumed_at = math.inf if paused else time.monotonic()
+
+    def lose_side(self, program):
+        """Lose a side's machine for good, with its runner."""
+        program.lost = True
+        del self.programs[program.name]
+        self.lost_sides.append(program)
+        _kill_if_running(program.handle)
+        program.runner.lose()
+        for one in (program.store, program.peers, program.orders):
+            one.silence(True)
+
+    def add_side(self):
+        """Add an empty machine with a side and a runner at a new address."""
+        number = len(self.sides) + len(self.lost_sides)
+        name = f'side-{number}'
+        self._prepare(name, 'side', _FIRST_SIDE + number)
+        self.start(self.programs[name])
 
     def _start_all(self):
         self._folder.mkdir(parents=True, exist_ok=True)
