A vote under way counts before its answer: test, and the rule taken out

Rule 7 of DESIGN, section 3, has an owner count a new voter from before the append of its vote. A new voter whose vote is logged, but not answered, may take over while a former owner without the store counts the others alone: in the new scenario a task then runs on two VMs.

--- a/packages/scheduler/portwharf/scheduler/faults_lost_members_test.py
+++ b/packages/scheduler/portwharf/scheduler/faults_lost_members_test.py
@@ -51,6 +51,13 @@
 update_members = decider.Decider._update_members
 
 
+def update_members_late(self, batch):
+    """Count by the former voters until the change is in the log."""
+    former = self._state.list_voters()
+    update_members(self, batch)
+    self._grants.set_voters(former)
+
+
 def record_any_ack(self, member, sent_at, now):
     """Begin the wait of a first voter with any member."""
     if self._voter_since is None:
@@ -173,6 +180,17 @@
     )
 
 
+def test_new_voter_does_not_count_before_the_log_has_it(case):
+    check_rule(
+        case,
+        lost.test_new_voter_counts_before_its_vote_is_known_to_be_logged,
+        None,
+        decider.Decider,
+        '_update_members',
+        update_members_late,
+    )
+
+
 def test_idle_owner_never_asks_the_store(case):
     faults_test.check_fault_detected(
         case,
--- a/packages/scheduler/portwharf/scheduler/lost_members_test.py
+++ b/packages/scheduler/portwharf/scheduler/lost_members_test.py
@@ -6,6 +6,8 @@
 again, and those of the latter only once they have surely stopped.
 """
 
+from unittest import mock
+
 from portwharf.core import data
 from portwharf.scheduler import membership
 from portwharf.scheduler import ownership_test
@@ -205,6 +207,30 @@
     made.check_end()
 
 
+def test_new_voter_counts_before_its_vote_is_known_to_be_logged(case):
+    """It may take over, and is a voter by the log that it has read."""
+    made = make_cluster(3, 3)
+    former = list(made.nodes)
+    owner = made.nodes[0].owner
+    added = made.add_node()
+    with mock.patch.object(
+        owner._grants, 'may_change_voters', lambda now: False
+    ):
+        while added.vm.name not in made.read_state().members:
+            made.run(0.5)
+        made.run(2)
+    ownership_test.append_unanswered(made.nodes[0])
+    case.assertTrue(owner.stalled)
+    case.assertIn(added.vm.name, made.read_state().list_voters())
+    made.split(former)
+    added.claim()
+    made.run(LIMITS.outage - 2)
+    pause_sides(former)
+    made.run(LONGEST_SECONDS)
+    made.settle()
+    made.check_end()
+
+
 def test_removed_voter_counts_until_its_removal_is_logged(case):
     """It may take over without knowing of the removal."""
     made = make_cluster(3, 2)
