--- a/review/standins_2/world.py
+++ b/review/standins_2/world.py
@@ -445,7 +445,7 @@
                     elif not row['work'].get('lasts') and (
                         (now - row['began']) * 1000 >= row['work']['ms']
                     ):
-                        self._end(row, 'done')
+                        self._end(row, 'failed' if row['work'].get('fails') else 'done')
 
     def _beat(self):
         while True:
@@ -646,7 +646,8 @@
         }
         self.store.operate('op/config', config)
         for number, machine in enumerate(self.sides):
-            labels = ['a', f'r-{number // 3}']
+            # Its kind and its rack; the last two runners are of another kind.
+            labels = ['b' if number >= 9 else 'a', f'r-{number // 3}']
             machine.runner = Runner(
                 machine, self.record, self.service, labels,
                 self._cpu, self._mem, 6000,
@@ -733,15 +734,17 @@
 
 
 def make_job(steps, **fields):
-    """Return a job's body; each step has also ``ms`` and maybe ``lasts``."""
+    """Return a job's body; steps have also ``ms`` and maybe ``fails``."""
     spec = {'steps': [
         {
             'ms': step.get('ms', 1000), 'cpu': step.get('cpu', 0),
             'mem': step.get('memMb', 0), 'lasts': step.get('longRunning', False),
+            'fails': step.get('fails', False),
         }
         for step in steps
     ]}
-    wire = [{k: v for k, v in step.items() if k != 'ms'} for step in steps]
+    own = ('ms', 'fails')
+    wire = [{k: v for k, v in step.items() if k not in own} for step in steps]
     for step, row in zip(wire, spec['steps'], strict=True):
         step.setdefault('estimateMs', row['ms'])
     return {'spec': json.dumps(spec), 'steps': wire, **fields}
