--- a/review/standins_2/world.py
+++ b/review/standins_2/world.py
@@ -590,7 +590,9 @@
 class World:
     """The deployment: 3 fronts and 11 sides in 3 zones; a context manager."""
 
-    def __init__(self, folder, sides=11, fronts=3, cpu=16000, mem=64000):
+    def __init__(
+        self, folder, sides=11, fronts=3, cpu=16000, mem=64000, of_kind_b=2
+    ):
         self.record = Record(folder)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='portwharf-case-'))
         text = (ROOT / 'deploy' / 'system.toml').read_text()
@@ -608,7 +610,7 @@
             self._add(f'side-{number}', 'side', f'{base}.{10 + number}', number)
         for number in range(fronts):
             self._add(f'front-{number}', 'entry', f'{base}.{50 + number}', number)
-        self._cpu, self._mem = cpu, mem
+        self._cpu, self._mem, self._of_kind_b = cpu, mem, of_kind_b
 
     @property
     def sides(self):
@@ -646,8 +648,9 @@
         }
         self.store.operate('op/config', config)
         for number, machine in enumerate(self.sides):
-            # Its kind and its rack; the last two runners are of another kind.
-            labels = ['b' if number >= 9 else 'a', f'r-{number // 3}']
+            # Its kind and its rack; the last runners are of another kind.
+            kind = 'a' if number < len(self.sides) - self._of_kind_b else 'b'
+            labels = [kind, f'r-{number // 3}']
             machine.runner = Runner(
                 machine, self.record, self.service, labels,
                 self._cpu, self._mem, 6000,
