--- a/review/standins_2/world.py
+++ b/review/standins_2/world.py
@@ -635,6 +635,8 @@
         self.machines[name] = Machine(self, name, role, address, zone)
 
     def __enter__(self):
+        # A script that is stopped ends its processes too.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         routes = [
             {
                 'name': name, 'host': self.host, 'service': self.service,
