--- a/review/4/case.py
+++ b/review/4/case.py
@@ -78,10 +78,14 @@
             job_id, status = deployment.submit(world.make_job(usual))
             if status == 200:
                 accepted.append(job_id)
-        time.sleep(4)
-        before = [deployment.read_state(one, 3)[1] for one in accepted]
-        if len(accepted) < 5 or set(before) != {'completed'}:
-            return world.finish(record, 2, 'usual jobs do not end', before)
+        if len(accepted) < 5 or not world.wait_until(
+            lambda: all(
+                deployment.read_state(one, 3)[1] == 'completed'
+                for one in accepted
+            ),
+            20,
+        ):
+            return world.finish(record, 2, 'usual jobs do not end')
         record('largest side before, MB:', max(m.memory_mb() for m in deployment.sides))
         runs = RUNS_OF_A_YEAR if world.is_trouble() else 6
         answers = {}
