--- a/review/standins_2/world.py
+++ b/review/standins_2/world.py
@@ -81,7 +81,9 @@
         for conn in conns:
             try:
                 conn.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+                    socket.SOL_SOCKET,
+                    socket.SO_LINGER,
+                    struct.pack('ii', 1, 0),
                 )
                 conn.shutdown(socket.SHUT_RD)
                 conn.close()
@@ -121,19 +123,22 @@
         if len(first) < 3:
             return False
         headers = {}
-        while (line := reader.readline().strip()):
+        while line := reader.readline().strip():
             name, _, value = line.partition(b':')
             headers[name.strip().lower().decode()] = value.strip().decode()
         raw = reader.read(int(headers.get('content-length', 0)))
         body = json.loads(raw) if raw else {}
-        found = self._handle(first[0].decode(), first[1].decode(), headers, body)
+        found = self._handle(
+            first[0].decode(), first[1].decode(), headers, body
+        )
         if found is None:
             return False
         status, value = found
         payload = json.dumps(value).encode()
         conn.sendall(
             f'HTTP/1.1 {status} Status\r\nContent-Type: application/json\r\n'
-            f'Content-Length: {len(payload)}\r\n\r\n'.encode() + payload
+            f'Content-Length: {len(payload)}\r\n\r\n'.encode()
+            + payload
         )
         return headers.get('connection', '').lower() != 'close'
 
@@ -167,7 +172,9 @@
             time.sleep(0.1)
             with self._lock:
                 now = time.monotonic()
-                over = {n for n, (end, _) in self._leases.items() if end <= now}
+                over = {
+                    n for n, (end, _) in self._leases.items() if end <= now
+                }
                 for number in over:
                     del self._leases[number]
                 if over:
@@ -183,7 +190,9 @@
         query = dict(urllib.parse.parse_qsl(query))
         name, _, rest = path.removeprefix('/portwharf/').partition('/')
         with self._lock:
-            return getattr(self, '_' + name.replace('-', '_'))(query, body, rest)
+            return getattr(self, '_' + name.replace('-', '_'))(
+                query, body, rest
+            )
 
     def _kv_key(self, query, body, rest):
         item = self._items.get(query['privateKey'])
@@ -193,7 +202,9 @@
 
     def _kv_range(self, query, body, rest):
         prefix = query['pathPrefix']
-        begin = bisect.bisect_left(self._keys, max(prefix, query.get('watchRev', '')))
+        begin = bisect.bisect_left(
+            self._keys, max(prefix, query.get('watchRev', ''))
+        )
         items, size, more = [], 0, False
         for key in self._keys[begin:]:
             if not key.startswith(prefix):
@@ -215,7 +226,8 @@
             found = [
                 event
                 for _, event in self._events
-                if event['rev'] > after and event['privateKey'].startswith(prefix)
+                if event['rev'] > after
+                and event['privateKey'].startswith(prefix)
             ]
             left = end - time.monotonic()
             if found or left <= 0:
@@ -257,13 +269,18 @@
         known = self._leases.get(int(rest))
         if known is None:
             return 404, {}
-        self._leases[int(rest)] = (time.monotonic() + known[1] / 1000, known[1])
+        self._leases[int(rest)] = (
+            time.monotonic() + known[1] / 1000,
+            known[1],
+        )
         return 200, {'ttl_ms': known[1]}
 
     def _kv_lease_end(self, query, body, rest):
         if self._leases.pop(int(rest), None) is None:
             return 404, {}
-        for key in [k for k, i in self._items.items() if i['lease'] == int(rest)]:
+        for key in [
+            k for k, i in self._items.items() if i['lease'] == int(rest)
+        ]:
             self._remove(key)
         return 200, {}
 
@@ -374,13 +391,21 @@
         ):
             return 409, {'reason': 'room'}
         row = {
-            'task': task, 'run': run, 'work': work, 'began': self._record.now(),
-            'ended': None, 'how': '', 'runner': self.machine.name,
-            'life': self.id, 'stopping': None,
+            'task': task,
+            'run': run,
+            'work': work,
+            'began': self._record.now(),
+            'ended': None,
+            'how': '',
+            'runner': self.machine.name,
+            'life': self.id,
+            'stopping': None,
         }
         self.running[task] = row
         self.runs.append(row)
-        self._record('start', task, 'run', run, 'on', self.machine.name, self.id)
+        self._record(
+            'start', task, 'run', run, 'on', self.machine.name, self.id
+        )
         return 200, {}
 
     def _run_stop(self, body):
@@ -411,10 +436,15 @@
         for row in self.running.values():
             age = (now - row['began']) * 1000
             whole = 500 if row['work'].get('lasts') else row['work']['ms']
-            rows.append([
-                row['task'], row['run'], '',
-                min(100, int(100 * age / whole)), row['work']['cpu'],
-            ])
+            rows.append(
+                [
+                    row['task'],
+                    row['run'],
+                    '',
+                    min(100, int(100 * age / whole)),
+                    row['work']['cpu'],
+                ]
+            )
         return 200, {'running': rows, 'ended': self._ended[:500]}
 
     def _end(self, row, how):
@@ -446,7 +476,10 @@
                     elif not row['work'].get('lasts') and (
                         (now - row['began']) * 1000 >= row['work']['ms']
                     ):
-                        self._end(row, 'failed' if row['work'].get('fails') else 'done')
+                        self._end(
+                            row,
+                            'failed' if row['work'].get('fails') else 'done',
+                        )
 
     def _beat(self):
         while True:
@@ -457,11 +490,20 @@
                     body = {
                         'service': self._service,
                         'address': f'{self.machine.address}:{APP}',
-                        'zone': self.machine.zone, 'version': 'v1', 'slots': 8,
-                        'state': self.state, 'coldLeftMs': 0,
-                        'capacity': {'cpu': self._cpu, 'memMb': self._mem, 'gpu': 0},
-                        'labels': self._labels, 'clockMs': self.clock(),
-                        'seq': self._seq, 'machine': self.machine.name,
+                        'zone': self.machine.zone,
+                        'version': 'v1',
+                        'slots': 8,
+                        'state': self.state,
+                        'coldLeftMs': 0,
+                        'capacity': {
+                            'cpu': self._cpu,
+                            'memMb': self._mem,
+                            'gpu': 0,
+                        },
+                        'labels': self._labels,
+                        'clockMs': self.clock(),
+                        'seq': self._seq,
+                        'machine': self.machine.name,
                     }
                 self._send_beat(instance, body)
             for _ in range(15):
@@ -470,11 +512,15 @@
                     break
 
     def _send_beat(self, instance, body):
-        conn = http.client.HTTPConnection(self.machine.address, CONTROL, timeout=1)
+        conn = http.client.HTTPConnection(
+            self.machine.address, CONTROL, timeout=1
+        )
         try:
             conn.request(
-                'POST', f'/portwharf/instances/{instance}/heartbeat',
-                json.dumps(body), {'Content-Type': 'application/json'},
+                'POST',
+                f'/portwharf/instances/{instance}/heartbeat',
+                json.dumps(body),
+                {'Content-Type': 'application/json'},
             )
             conn.getresponse().read()
         except (OSError, http.client.HTTPException):
@@ -498,13 +544,21 @@
         path.write_text(self._settings())
         words = self.world.commands[self.role].split()
         log = open(self.world.folder / f'{self.name}.log', 'ab')
-        env = {k: os.environ[k] for k in ('PATH', 'HOME', 'LANG') if k in os.environ}
+        env = {
+            k: os.environ[k]
+            for k in ('PATH', 'HOME', 'LANG')
+            if k in os.environ
+        }
         env['PYTHONPATH'] = str(ROOT / 'target' / 'deps')
         env['PYTHONDONTWRITEBYTECODE'] = '1'
         env['PORTWHARF_BOOT'] = str(path)
         with log:
             self.process = subprocess.Popen(
-                words, cwd=ROOT, env=env, stdout=log, stderr=log,
+                words,
+                cwd=ROOT,
+                env=env,
+                stdout=log,
+                stderr=log,
                 stdin=subprocess.DEVNULL,
             )
         self.starts += 1
@@ -527,9 +581,7 @@
     def _settings(self):
         listen = f'control = "{self.address}:{CONTROL}"'
         if self.role == 'entry':
-            listen = (
-                f'front = "{self.address}:{FRONT}"\nready = "{self.address}:{READY}"'
-            )
+            listen = f'front = "{self.address}:{FRONT}"\nready = "{self.address}:{READY}"'
         app = f'app = "{self.address}:{APP}"\n' if self.role == 'side' else ''
         kind = 'front' if self.role == 'entry' else 'side'
         memory = 300 if self.role == 'entry' else 168
@@ -608,9 +660,13 @@
         }
         self.machines = {}
         for number in range(sides):
-            self._add(f'side-{number}', 'side', f'{base}.{10 + number}', number)
+            self._add(
+                f'side-{number}', 'side', f'{base}.{10 + number}', number
+            )
         for number in range(fronts):
-            self._add(f'front-{number}', 'entry', f'{base}.{50 + number}', number)
+            self._add(
+                f'front-{number}', 'entry', f'{base}.{50 + number}', number
+            )
         self._cpu, self._mem, self._of_kind_b = cpu, mem, of_kind_b
 
     @property
@@ -640,13 +696,19 @@
         signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         routes = [
             {
-                'name': name, 'host': self.host, 'service': self.service,
-                'stretch': 2.0, 'targetLatencyMs': 1000, **row,
+                'name': name,
+                'host': self.host,
+                'service': self.service,
+                'stretch': 2.0,
+                'targetLatencyMs': 1000,
+                **row,
             }
             for name, row in self._queues.items()
         ]
         config = {
-            'version': 7, 'routes': routes, 'limits': {},
+            'version': 7,
+            'routes': routes,
+            'limits': {},
             'services': [{'name': self.service, 'admissionCheck': True}],
         }
         self.store.operate('op/config', config)
@@ -655,8 +717,13 @@
             kind = 'a' if number < len(self.sides) - self._of_kind_b else 'b'
             labels = [kind, f'r-{number // 3}']
             machine.runner = Runner(
-                machine, self.record, self.service, labels,
-                self._cpu, self._mem, HOLD_MS,
+                machine,
+                self.record,
+                self.service,
+                labels,
+                self._cpu,
+                self._mem,
+                HOLD_MS,
             )
         for machine in self.machines.values():
             machine.start()
@@ -672,9 +739,12 @@
     def call(self, method, path, body=None, front=None, seconds=3.0):
         """Send one call; returns the status (0: no answer) and the value."""
         front = front or random.choice(self.fronts)
-        conn = http.client.HTTPConnection(front.address, FRONT, timeout=seconds)
+        conn = http.client.HTTPConnection(
+            front.address, FRONT, timeout=seconds
+        )
         headers = {
-            'Host': self.host, 'Content-Type': 'application/json',
+            'Host': self.host,
+            'Content-Type': 'application/json',
             'Portwharf-Deadline-Ms': str(int(seconds * 1000)),
         }
         try:
@@ -713,7 +783,9 @@
         job_id = f'{random.getrandbits(64):016x}'
         status = 0
         for _ in range(tries):
-            status, _ = self.call('POST', (prefix or self.prefix) + job_id, job)
+            status, _ = self.call(
+                'POST', (prefix or self.prefix) + job_id, job
+            )
             if status not in (0, 502, 503, 504):
                 break
             time.sleep(0.3)
@@ -741,14 +813,18 @@
 
 def make_job(steps, **fields):
     """Return a job's body; steps have also ``ms`` and maybe ``fails``."""
-    spec = {'steps': [
-        {
-            'ms': step.get('ms', 1000), 'cpu': step.get('cpu', 0),
-            'mem': step.get('memMb', 0), 'lasts': step.get('longRunning', False),
-            'fails': step.get('fails', False),
-        }
-        for step in steps
-    ]}
+    spec = {
+        'steps': [
+            {
+                'ms': step.get('ms', 1000),
+                'cpu': step.get('cpu', 0),
+                'mem': step.get('memMb', 0),
+                'lasts': step.get('longRunning', False),
+                'fails': step.get('fails', False),
+            }
+            for step in steps
+        ]
+    }
     own = ('ms', 'fails')
     wire = [{k: v for k, v in step.items() if k not in own} for step in steps]
     for step, row in zip(wire, spec['steps'], strict=True):
