Recurring jobs have workloads only for the runs that are due

Cause: on acceptance a workload was made for each step of each run, by the owner and by every process that reads the log, and kept until the job was dropped.

Ruled out: a limit on the number of runs. A hundred jobs of a thousand runs each end the sides as well, and the number is the client's to choose.

Now a job keeps its steps once, and a run gets workloads by an entry of the log when it is due. A run that has succeeded is dropped by another entry and counted. Lasting runs never end, so a job with more of them than fit is refused.

The test of due times checks a clock that is set back as well, as its mutation was no longer found once runs that are not due have no workloads.

--- a/packages/scheduler/portwharf/scheduler/begun_jobs.py
+++ b/packages/scheduler/portwharf/scheduler/begun_jobs.py
@@ -52,5 +52,7 @@
             return True
         if state != data.JobState.RUNNING or job_id in self._ids:
             return False
+        if record.succeeded:
+            return False
         steps = (self._state.workloads[name] for name in record.steps)
         return not any(step.succeeded for step in steps)
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -38,6 +38,7 @@
 from portwharf.scheduler import job_operations
 from portwharf.scheduler import late_successes
 from portwharf.scheduler import metrics
+from portwharf.scheduler import occurrences
 from portwharf.scheduler import operations
 from portwharf.scheduler import pass_timing
 from portwharf.scheduler import pending_calls
@@ -112,6 +113,7 @@
         )
         self.preparation = prepared_starts.PreparedStarts(state)
         self.begun_jobs = begun_jobs.BegunJobs(state)
+        self._occurrences = occurrences.OccurrenceSchedule(state)
         self._late_successes = late_successes.LateSuccesses(state)
         self.rosters = rosters.RosterKeeper(state)
         self._claims = claim_updates.ClaimNotifier(state)
@@ -181,7 +183,9 @@
         self._timer.mark('members')
         self._relieve_services(batch)
         self._timer.mark('relieve')
+        self._expand_recurring_jobs(batch)
         views = self._place_tasks(batch)
+        self._drop_occurrences(batch)
         self._drop_expired(batch)
         if views is not None:
             self._update_roster(views, batch)
@@ -364,6 +368,7 @@
         if not name:
             return
         job = self._state.jobs[name]
+        self._occurrences.record_task_end(ids.split_task_id(event.task))
         if event.state == data.TaskState.FAILED and not job.cancelled:
             self._apply_event(batch, events.JobCancelled(name))
             for task in job_operations.list_held(self._state, job):
@@ -492,6 +497,7 @@
         decisionlog.log_submission(outcome, job)
         if outcome.is_ok() and outcome.ok_value.answer.created:
             self.admission.record_accepted(job, now_ms)
+            self._occurrences.add(self._state.jobs[job.id])
         return outcome
 
     def _is_short(self, capacity_class):
@@ -871,6 +877,17 @@
         self.rosters.publish()
         self._members.announce(self.rosters.make_update())
 
+    def _expand_recurring_jobs(self, batch):
+        """Give occurrences of recurring jobs that are due their workloads."""
+        now_ms = self._env.clock.read_unix_ms()
+        for event in self._occurrences.make_due_events(now_ms):
+            self._apply_event(batch, event)
+
+    def _drop_occurrences(self, batch):
+        """Drop the occurrences of recurring jobs that have succeeded."""
+        for event in self._occurrences.make_drop_events():
+            self._apply_event(batch, event)
+
     def _drop_expired(self, batch):
         """Drop workloads and jobs that ended long ago, at intervals."""
         now = self._env.clock.read_monotonic()
--- a/packages/scheduler/portwharf/scheduler/decisions/forecast.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/forecast.py
@@ -207,9 +207,9 @@
 
         :param time: number of the run, from 0
         """
-        count = len(job.job.steps)
-        names = job.steps[time * count : (time + 1) * count]
-        steps = [self._state.workloads[name] for name in names]
+        steps = [
+            self._state.workloads[name] for name in job.list_occurrence(time)
+        ]
         queue = job.job.queue
         run_ms = [self._runtimes.predict(queue, step) for step in steps]
         chains = jobs.compute_path_ms(job.job.steps, run_ms)
--- a/packages/scheduler/portwharf/scheduler/events.py
+++ b/packages/scheduler/portwharf/scheduler/events.py
@@ -122,6 +122,31 @@
     job: data.Job = dataclasses.field(default_factory=data.Job)
 
 
+@dataclasses.dataclass(slots=True)
+class OccurrencesDue:
+    """Occurrences of a recurring job get workloads, as they are due.
+
+    A version that does not know this kind has made the workloads of all
+    occurrences when the job was accepted.
+
+    :param until: number of the first occurrence that does not get any yet
+    """
+
+    id: str = ''
+    until: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class OccurrencesDropped:
+    """Occurrences of a recurring job have succeeded; they are only counted.
+
+    :param numbers: the numbers of the occurrences
+    """
+
+    id: str = ''
+    numbers: list[int] = dataclasses.field(default_factory=list)
+
+
 @dataclasses.dataclass(slots=True)
 class JobCancelled:
     """A job was cancelled, or one of its tasks has failed."""
@@ -281,6 +306,8 @@
     'cancel': WorkloadCancelled,
     'drop': WorkloadDropped,
     'job': JobAccepted,
+    'job-due': OccurrencesDue,
+    'job-done': OccurrencesDropped,
     'job-cancel': JobCancelled,
     'job-withdraw': JobWithdrawn,
     'job-drop': JobDropped,
--- a/packages/scheduler/portwharf/scheduler/jobs.py
+++ b/packages/scheduler/portwharf/scheduler/jobs.py
@@ -5,7 +5,7 @@
 The steps of a job form a directed acyclic graph: a step becomes ready when all
 tasks of the steps that it depends on have succeeded. Each step is a workload,
 so that placement, limits, recovery and ``explain`` need no special cases; a
-recurring job has a workload for each step of each occurrence.
+recurring job has a workload for each step of the occurrences that are due.
 """
 
 import dataclasses
@@ -17,6 +17,13 @@
 # Importance of a job of rank 0, and how much less each further rank has.
 _TOP_RANK_IMPORTANCE = 900
 _IMPORTANCE_PER_RANK = 100
+# Memory that the workloads of one recurring job may take, in bytes.
+MAX_RECURRING_BYTES = 2**20
+# Estimated memory of an accepted job's parts, in bytes, in each process that
+# reads the log.
+_WORKLOAD_BYTES = 1000
+_DEPENDENCY_BYTES = 75
+_TASK_BYTES = 450
 
 
 @dataclasses.dataclass(slots=True)
@@ -49,6 +56,32 @@
     return job_id, int(occurrence), int(number)
 
 
+def find_due_ms(job, occurrence):
+    """Return the wall time at which an occurrence of a job is due.
+
+    It may not fit into 64 bits.
+    """
+    return job.first_ms + occurrence * job.interval_ms
+
+
+def count_due(job, now_ms):
+    """Return how many occurrences of a recurring job are due at a time."""
+    passed_ms = now_ms - job.first_ms
+    if passed_ms < 0:
+        return 0
+    if not job.interval_ms:
+        return job.times
+    return min(job.times, passed_ms // job.interval_ms + 1)
+
+
+def estimate_occurrence_bytes(job):
+    """Return the memory that one occurrence of a job takes, in bytes."""
+    return sum(
+        _estimate_step_bytes(step) + _TASK_BYTES * step.count
+        for step in job.steps
+    )
+
+
 def make_steps(job, occurrence, unix_ms):
     """Return the :class:`StepRecord` values of one occurrence of a job.
 
@@ -57,7 +90,7 @@
     """
     start_ms = unix_ms
     if job.times:
-        start_ms = job.first_ms + occurrence * job.interval_ms
+        start_ms = find_due_ms(job, occurrence)
     made = []
     for number, step in enumerate(job.steps):
         name = make_step_id(job.id, occurrence, number)
@@ -119,7 +152,30 @@
             if not dependency.isdecimal() or int(dependency) >= number:
                 text = 'must be the number of an earlier step'
                 return _make_problem(job, f'{field}.after', dependency, text)
-    return None
+    return _find_endless_problem(job)
+
+
+def _estimate_step_bytes(step):
+    """Return the memory of a workload without its tasks, in bytes."""
+    texts = (step.label, step.image, step.program, step.data_rack)
+    return (
+        _WORKLOAD_BYTES
+        + _DEPENDENCY_BYTES * len(step.after)
+        + sum(map(len, texts))
+    )
+
+
+def _find_endless_problem(job):
+    """Return why a job's lasting occurrences cannot be held, or None.
+
+    They never end, so that later ones cannot wait for them.
+    """
+    if all(step.kind == data.Kind.BATCH for step in job.steps):
+        return None
+    if job.times * estimate_occurrence_bytes(job) <= MAX_RECURRING_BYTES:
+        return None
+    text = 'is too high for tasks that never end, as all would run at once'
+    return _make_problem(job, 'times', str(job.times), text)
 
 
 def _make_problem(job, field, value, text):
--- a/packages/scheduler/portwharf/scheduler/jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/jobs_test.py
@@ -13,6 +13,7 @@
 from portwharf.scheduler import events
 from portwharf.scheduler import job_operations
 from portwharf.scheduler import jobs
+from portwharf.scheduler import occurrences
 from portwharf.scheduler import reconcile
 from portwharf.scheduler import state
 from portwharf.testing import cluster
@@ -46,6 +47,8 @@
 
 def list_demanded(made, now_ms=NOW):
     """Return the ids of the workloads that have demand."""
+    for event in occurrences.OccurrenceSchedule(made).make_due_events(now_ms):
+        made.apply(event)
     demands = pass_inputs.list_demands(made, lambda _: frozenset(), now_ms)
     return [demand.record.id for demand in demands]
 
@@ -126,6 +129,8 @@
     case.assertEqual(list_demanded(made, NOW + 10), [f'{ID}.0.0'])
     both = [f'{ID}.0.0', f'{ID}.1.0']
     case.assertEqual(list_demanded(made, NOW + 60), both)
+    # The clock is set back.
+    case.assertEqual(list_demanded(made, NOW + 10), [f'{ID}.0.0'])
 
 
 def test_step_deadline_leaves_time_for_dependent_steps(case):
--- a/packages/scheduler/portwharf/scheduler/metrics.py
+++ b/packages/scheduler/portwharf/scheduler/metrics.py
@@ -41,6 +41,10 @@
     'Jobs that were refused, as they could not end in time or never run.',
     ['reason'],
 )
+HELD_BACK_JOBS = prometheus_client.Gauge(
+    'portwharf_owner_held_back_jobs',
+    'Recurring jobs with occurrences that are due and wait for others.',
+)
 CLASS_BACKLOG = prometheus_client.Gauge(
     'portwharf_owner_class_backlog_cpu_seconds',
     'Work left of a short capacity class, when it was last computed.',
--- a/packages/scheduler/portwharf/scheduler/state.py
+++ b/packages/scheduler/portwharf/scheduler/state.py
@@ -85,8 +85,15 @@
 class JobRecord:
     """One accepted job; each of its steps is a workload.
 
+    A recurring job has workloads for those of its occurrences that are due
+    and have not succeeded.
+
     :param steps: ids of its workloads, in order of occurrence and step
     :param failed: whether one of its tasks has failed permanently
+    :param expanded: of a recurring job, number of the first occurrence that
+        has not had workloads yet
+    :param succeeded: of a recurring job, how many of its occurrences have
+        succeeded and been dropped
     """
 
     unix_ms: int = 0
@@ -94,6 +101,8 @@
     steps: list[str] = dataclasses.field(default_factory=list)
     cancelled: bool = False
     failed: bool = False
+    expanded: int = 0
+    succeeded: int = 0
 
     @property
     def asked_ms(self):
@@ -103,6 +112,18 @@
         """
         return self.job.asked_ms or self.unix_ms
 
+    @property
+    def may_expand(self):
+        """Whether more occurrences of the job will get workloads."""
+        return not self.cancelled and self.expanded < self.job.times
+
+    def list_occurrence(self, number):
+        """Return the ids of the workloads of one occurrence."""
+        return [
+            jobs.make_step_id(self.job.id, number, step)
+            for step in range(len(self.job.steps))
+        ]
+
 
 @dataclasses.dataclass(slots=True)
 class Snapshot:
@@ -222,9 +243,9 @@
         if job.cancelled:
             return data.JobState.CANCELLED
         steps = [self.workloads[name] for name in job.steps]
-        if all(self.is_done(step) for step in steps):
+        if not job.may_expand and all(self.is_done(step) for step in steps):
             return data.JobState.COMPLETED
-        if any(step.begun for step in steps):
+        if job.succeeded or any(step.begun for step in steps):
             return data.JobState.RUNNING
         return data.JobState.QUEUED
 
@@ -291,6 +312,7 @@
         state.members = {vm.name: vm for vm in snapshot.members}
         state.nonvoters = set(snapshot.nonvoters)
         state.jobs = {record.job.id: record for record in snapshot.jobs}
+        _collapse_occurrences(snapshot)
         for record in snapshot.workloads:
             state._add_workload(record)
             for task in record.tasks:
@@ -367,10 +389,31 @@
         job = event.job
         record = JobRecord(event.unix_ms, job)
         self.jobs[job.id] = record
-        for time in range(max(1, job.times)):
-            for step in jobs.make_steps(job, time, event.unix_ms):
-                record.steps.append(step.id)
-                self._add_workload(WorkloadRecord(**jobs.to_fields(step)))
+        if not job.times:
+            self._add_occurrence(record, 0)
+
+    def _add_occurrence(self, record, number):
+        """Add the workloads of one occurrence of a job."""
+        for step in jobs.make_steps(record.job, number, record.unix_ms):
+            record.steps.append(step.id)
+            self._add_workload(WorkloadRecord(**jobs.to_fields(step)))
+
+    def _expand_job(self, event):
+        self._expand_until(self.jobs[event.id], event.until)
+
+    def _expand_until(self, record, until):
+        """Add the workloads of all occurrences before a number."""
+        while record.may_expand and record.expanded < until:
+            self._add_occurrence(record, record.expanded)
+            record.expanded += 1
+
+    def _drop_occurrences(self, event):
+        record = self.jobs[event.id]
+        for number in event.numbers:
+            for name in record.list_occurrence(number):
+                record.steps.remove(name)
+                self._drop_workload(events.WorkloadDropped(name))
+            record.succeeded += 1
 
     def _cancel_job(self, event):
         record = self.jobs[event.id]
@@ -410,8 +453,22 @@
             del self.tasks[task.id]
             self.suspects.pop(task.id, None)
 
+    def _find_startable(self, task_id):
+        """Return the workload of a task that is placed or prepared.
+
+        Earlier versions log no :class:`events.OccurrencesDue`: the first
+        start of an occurrence tells that it is due.
+        """
+        record = self.find_workload(task_id)
+        if record is None:
+            name = ids.split_task_id(task_id)
+            job_id, occurrence, _ = jobs.split_step_id(name)
+            self._expand_until(self.jobs[job_id], occurrence + 1)
+            record = self.workloads[name]
+        return record
+
     def _place_task(self, event):
-        record = self.find_workload(event.task)
+        record = self._find_startable(event.task)
         task = self.tasks.get(event.task)
         if task is None:
             task = self._create_task(record, event.task)
@@ -431,7 +488,7 @@
         self._reserve(record, task)
 
     def _prepare_task(self, event):
-        record = self.find_workload(event.task)
+        record = self._find_startable(event.task)
         task = self.tasks.get(event.task)
         if task is None:
             task = self._create_task(record, event.task)
@@ -562,6 +619,8 @@
     events.WorkloadCancelled: ShardState._cancel_workload,
     events.WorkloadDropped: ShardState._drop_workload,
     events.JobAccepted: ShardState._accept_job,
+    events.OccurrencesDue: ShardState._expand_job,
+    events.OccurrencesDropped: ShardState._drop_occurrences,
     events.JobCancelled: ShardState._cancel_job,
     events.JobWithdrawn: ShardState._withdraw_job,
     events.JobDropped: ShardState._drop_job,
@@ -578,6 +637,30 @@
 }
 
 
+def _collapse_occurrences(snapshot):
+    """Remove workloads of occurrences that may not be due from a snapshot.
+
+    Earlier versions made the workloads of all occurrences at once. Those that
+    no task has begun are made anew when they are due.
+    """
+    begun = {record.id for record in snapshot.workloads if record.begun}
+    removed = set()
+    for record in snapshot.jobs:
+        if not record.job.times or record.expanded or not record.steps:
+            continue
+        record.expanded = len(record.steps) // len(record.job.steps)
+        while record.expanded:
+            names = record.list_occurrence(record.expanded - 1)
+            if not begun.isdisjoint(names):
+                break
+            removed.update(names)
+            record.expanded -= 1
+        record.steps = [one for one in record.steps if one not in removed]
+    snapshot.workloads = [
+        record for record in snapshot.workloads if record.id not in removed
+    ]
+
+
 def restore_state(contents):
     """Return the state that results from a log's contents.
 
