A number beyond all floats is refused like any other odd number

Cause: JSON integers have any size, and math.isfinite() and float() raise OverflowError for them, which is no ValueError and passes every handler. Now integers are compared as integers, and the text of the error is bounded.

The property tests of jobs, configurations and heartbeats draw such numbers. They failed before with "int too large to convert to float".

--- a/packages/platform/portwharf/platform/json_fields.py
+++ b/packages/platform/portwharf/platform/json_fields.py
@@ -13,6 +13,13 @@
 MAX_EXACT_INT = 2**53
 
 
+def is_number(item):
+    """Return whether a value is a finite number, of any size."""
+    if isinstance(item, float):
+        return math.isfinite(item)
+    return isinstance(item, int) and not isinstance(item, bool)
+
+
 def read_int(value, name, minimum=0, default=0):
     """Return an integer; a fraction is truncated.
 
@@ -20,12 +27,11 @@
     :raises ValueError: not a number, or out of range
     """
     item = _get_field(value, name, default)
-    is_number = not isinstance(item, bool) and isinstance(item, int | float)
-    if not is_number or not math.isfinite(item):
+    if not is_number(item):
         raise ValueError(f'"{name}" is {_format(item)}, not a number')
     if not minimum <= item <= MAX_EXACT_INT:
         raise ValueError(
-            f'"{name}" is {item}, not {minimum} to {MAX_EXACT_INT}'
+            f'"{name}" is {_format(item)}, not {minimum} to {MAX_EXACT_INT}'
         )
     return int(item)
 
@@ -33,12 +39,12 @@
 def read_float(value, name, default):
     """Return a number that is not negative, as a float.
 
-    :raises ValueError: not a number, or negative
+    :raises ValueError: not a number, or out of range
     """
     item = _get_field(value, name, default)
-    is_number = not isinstance(item, bool) and isinstance(item, int | float)
-    if not is_number or not math.isfinite(item) or item < 0:
-        raise ValueError(f'"{name}" is {_format(item)}, not a number >= 0')
+    if not is_number(item) or not 0 <= item <= MAX_EXACT_INT:
+        text = f'not a number from 0 to {MAX_EXACT_INT}'
+        raise ValueError(f'"{name}" is {_format(item)}, {text}')
     return float(item)
 
 
@@ -105,4 +111,7 @@
 
 def _format(item):
     """Return a value's representation, truncated for an error message."""
-    return f'{item!r:.40}'
+    try:
+        return f'{item!r:.40}'
+    except (ValueError, RecursionError):
+        return 'a value that cannot be shown'
--- a/packages/platform/portwharf/platform/malformed_input_test.py
+++ b/packages/platform/portwharf/platform/malformed_input_test.py
@@ -85,6 +85,7 @@
     strategies.none()
     | strategies.booleans()
     | strategies.integers(-(2**80), 2**80)
+    | strategies.sampled_from([10**400, -(10**400), 2**64, 2**70])
     | strategies.floats()
     | strategies.text(strategies.characters(exclude_categories=()))
 )
