--- a/packages/platform/portwharf/platform/decoding.py
+++ b/packages/platform/portwharf/platform/decoding.py
@@ -25,6 +25,8 @@
 MAX_SPEC_BYTES = 4000
 MAX_STEPS = 64
 MAX_TASKS = 100_000
+# A longer estimate, which is a rough guess, counts as this one: some decades.
+MAX_ESTIMATE_MS = 10**12
 
 
 def parse_config(text, revision):
@@ -78,7 +80,7 @@
     if len(job.steps) > MAX_STEPS or tasks > MAX_TASKS:
         text = f'must be at most {MAX_STEPS} with {MAX_TASKS} tasks in all'
         return result.Err(_make_problem(job_id, 'steps', text))
-    problem = jobs.validate_job(job)
+    problem = jobs.validate_job(job) or jobs.check_size(job)
     return result.Ok(job) if problem is None else result.Err(problem)
 
 
@@ -111,7 +113,11 @@
         queue.rank,
         json_fields.read_str(value, 'spec').encode(),
         steps,
-        int(queue.stretch * max(chains, default=0)) + queue.allowance_ms,
+        int(
+            jobs.limit_objective_ms(
+                queue.stretch * max(chains, default=0) + queue.allowance_ms
+            )
+        ),
         max_runs,
         json_fields.read_int(value, 'initialMs'),
         json_fields.read_int(value, 'intervalMs'),
@@ -148,24 +154,24 @@
         target_ms=json_fields.read_int(step, 'target_ms'),
         fills=json_fields.read_bool(step, 'fills'),
         most_away=json_fields.read_int(step, 'may_miss'),
-        run_ms=json_fields.read_int(step, 'estimateMs'),
+        run_ms=min(json_fields.read_int(step, 'estimateMs'), MAX_ESTIMATE_MS),
         max_failures=queue.max_failures,
         ticket_ms=queue.ticket_ms,
     )
 
 
 def _parse_dependencies(step, number):
-    """Return the names of the steps that a step depends on.
+    """Return the names of the steps that a step depends on, each once.
 
     A step's name is its index as text. On the wire, steps are numbers.
     """
     after = json_fields.read_list(step, 'watchRev', int)
     if not all(0 <= index < number for index in after):
         raise ValueError(f'"watchRev" of step {number}: not an earlier step')
-    return [str(index) for index in after]
+    return [str(index) for index in dict.fromkeys(after)]
 
 
 def _make_problem(job_id, field, text):
     return data.Problem(
-        'bad-job', field, '', text, f'mend it and send {job_id} again'
+        jobs.CODE_BAD_JOB, field, '', text, f'mend it and send {job_id} again'
     )
--- a/packages/scheduler/portwharf/scheduler/capacity_reports.py
+++ b/packages/scheduler/portwharf/scheduler/capacity_reports.py
@@ -5,6 +5,8 @@
 from portwharf.scheduler import operations
 
 _MILLI_MS_PER_CPU_SECOND = 1e6
+# Keeps a sum over jobs of any size within 64 bits.
+_MAX_SECONDS = 2**53
 
 
 def make_reports(loads, refusals, returning, owed, queues):
@@ -33,7 +35,9 @@
         if load is not None:
             left = load.left or 0.0
             report.rate_milli = int(load.rate)
-            report.backlog_seconds = int(left / _MILLI_MS_PER_CPU_SECOND)
+            report.backlog_seconds = int(
+                min(_MAX_SECONDS, left / _MILLI_MS_PER_CPU_SECOND)
+            )
             report.is_short = load.is_short
             report.owed = [
                 f'{group.queue} {group.dimension} {group.name}'
--- a/packages/scheduler/portwharf/scheduler/jobs.py
+++ b/packages/scheduler/portwharf/scheduler/jobs.py
@@ -10,13 +10,20 @@
 
 import dataclasses
 
+from portwharf.core import codec
 from portwharf.core import data
 
+CODE_BAD_JOB = 'bad-job'
 # A job that takes this many times its objective is of no use any more.
 LATE_FACTOR = 3
 # Importance of a job of rank 0, and how much less each further rank has.
 _TOP_RANK_IMPORTANCE = 900
 _IMPORTANCE_PER_RANK = 100
+# Limit of an objective, some thousand years. Times that are computed from it
+# fit into 64 bits.
+_MAX_OBJECTIVE_MS = 2**48
+# Size limit of a job in the log: several fit into one entry.
+MAX_JOB_BYTES = 256 * 1024
 # Memory that the workloads of one recurring job may take, in bytes.
 MAX_RECURRING_BYTES = 2**20
 # Estimated memory of an accepted job's parts, in bytes, in each process that
@@ -135,8 +142,13 @@
     :param chain_ms: length of the job's critical path
     """
     if not job.stretch:
-        return job.objective_ms
-    return job.stretch * chain_ms + job.allowance_ms
+        return limit_objective_ms(job.objective_ms)
+    return limit_objective_ms(job.stretch * chain_ms + job.allowance_ms)
+
+
+def limit_objective_ms(objective_ms):
+    """Return an objective that calculations can use, in ms."""
+    return min(objective_ms, _MAX_OBJECTIVE_MS)
 
 
 def validate_job(job):
@@ -155,6 +167,15 @@
     return _find_endless_problem(job)
 
 
+def check_size(job):
+    """Return why a job is too large for the log, or None."""
+    size = len(codec.pack(job))
+    if size <= MAX_JOB_BYTES:
+        return None
+    text = f'must be at most {MAX_JOB_BYTES} bytes in the log'
+    return _make_problem(job, 'job', f'{size} bytes', text)
+
+
 def _estimate_step_bytes(step):
     """Return the memory of a workload without its tasks, in bytes."""
     texts = (step.label, step.image, step.program, step.data_rack)
@@ -180,5 +201,5 @@
 
 def _make_problem(job, field, value, text):
     return data.Problem(
-        'bad-job', field, value, text, f'mend it and submit {job.id} again'
+        CODE_BAD_JOB, field, value, text, f'mend it and submit {job.id} again'
     )
--- a/packages/scheduler/portwharf/scheduler/operations.py
+++ b/packages/scheduler/portwharf/scheduler/operations.py
@@ -17,6 +17,9 @@
 from portwharf.scheduler.decisions import placement
 from portwharf.scheduler import events
 
+# Code of arguments that cannot be read or held, however often they are sent.
+CODE_BAD_ARGUMENTS = 'bad-arguments'
+
 
 @dataclasses.dataclass(slots=True)
 class Submission:
@@ -394,7 +397,9 @@
     except ValueError as exc:
         return result.Err(
             data.Problem(
-                'bad-arguments', text=str(exc), remedy='report this as a bug'
+                CODE_BAD_ARGUMENTS,
+                text=str(exc),
+                remedy='report this as a bug',
             )
         )
 
--- a/packages/scheduler/portwharf/scheduler/operator_api.py
+++ b/packages/scheduler/portwharf/scheduler/operator_api.py
@@ -23,6 +23,7 @@
 from portwharf.scheduler.decisions import job_admission
 from portwharf.scheduler.decisions import pass_inputs
 from portwharf.scheduler import job_operations
+from portwharf.scheduler import jobs
 from portwharf.scheduler import metrics
 from portwharf.scheduler import operations
 from portwharf.scheduler import pending_calls
@@ -44,6 +45,8 @@
     'cancel': operations.Query,
 }
 CANCELS = ('cancel-job', 'cancel')
+# Size limit of a write call's arguments. They go into one entry of the log.
+MAX_ARGUMENT_BYTES = 2 * jobs.MAX_JOB_BYTES
 # A call is refused if its estimated wait is longer than what its caller still
 # waits by this factor. Passes differ in length, so it is not refused if it may
 # be in time.
@@ -116,8 +119,8 @@
                 )
             )
         elif method in WRITES:
-            arguments = operations.read_arguments(
-                WRITES[method], operation.body
+            arguments = _check_size(operation.body).and_then(
+                lambda body: operations.read_arguments(WRITES[method], body)
             )
             if arguments.is_err():
                 answer(arguments)
@@ -279,6 +282,20 @@
     return messages.OperationResult(number, status, problems=[problem])
 
 
+def _check_size(body):
+    """Return Ok(the arguments of a write call), or Err(Problem)."""
+    if len(body) <= MAX_ARGUMENT_BYTES:
+        return result.Ok(body)
+    return result.Err(
+        data.Problem(
+            operations.CODE_BAD_ARGUMENTS,
+            value=f'{len(body)} bytes',
+            text=f'must be at most {MAX_ARGUMENT_BYTES} bytes',
+            remedy='make it smaller and send it again',
+        )
+    )
+
+
 def refuse_call(called):
     """Refuse a queued call unless it has been answered.
 
--- a/packages/scheduler/portwharf/scheduler/operator_api_test.py
+++ b/packages/scheduler/portwharf/scheduler/operator_api_test.py
@@ -104,6 +104,17 @@
     case.assertEqual(busy.taken, [])
 
 
+def test_call_that_is_too_large_for_the_log_is_refused(case):
+    api, busy = make_api()
+    call = make_call('submit-job')
+    call.body += bytes(operator_api.MAX_ARGUMENT_BYTES)
+    (answer,) = execute(api, call)
+    case.assertEqual(answer.status, 'refused')
+    case.assertEqual(answer.problems[0].code, operations.CODE_BAD_ARGUMENTS)
+    case.assertIn('at most', answer.problems[0].describe())
+    case.assertEqual(busy.taken, [])
+
+
 def test_call_that_may_be_in_time_is_taken(case):
     api, busy = make_api()
     for seconds in (0.0, 1.0, 2.0):
