A job that an owner cannot read or hold is answered 400

Callers saw a 502, after which a client hands the same job in again, at any node: a job that can never be taken was sent as often as clients retry.

Cause: entries knew no status for the owner's codes bad-arguments and bad-job. The test of statuses failed before: 502 != 400.

--- a/packages/platform/portwharf/platform/job_api.py
+++ b/packages/platform/portwharf/platform/job_api.py
@@ -14,6 +14,7 @@
 from portwharf.entry import owner_client
 from portwharf.platform import decoding
 from portwharf.scheduler import job_operations
+from portwharf.scheduler import jobs
 from portwharf.scheduler import operations
 
 LOG = logging.getLogger(__name__)
@@ -50,6 +51,9 @@
     owner_client.NOT_ACCEPTED: 503,
     owner_client.OUTCOME_UNKNOWN: 504,
     owner_client.UNKNOWN_ID: 410,
+    # A client sends what got a 502 again, which would not help here.
+    jobs.CODE_BAD_JOB: 400,
+    operations.CODE_BAD_ARGUMENTS: 400,
 }
 _BAD_GATEWAY = 502
 _MS_PER_SECOND = 1000
--- a/packages/platform/portwharf/platform/job_api_test.py
+++ b/packages/platform/portwharf/platform/job_api_test.py
@@ -16,6 +16,7 @@
 from portwharf.platform import job_api
 from portwharf.scheduler import configuration
 from portwharf.scheduler import job_operations
+from portwharf.scheduler import jobs
 from portwharf.scheduler import operations
 from portwharf.testing import fixtures
 
@@ -142,6 +143,8 @@
         owner_client.NO_ANSWER: 504,
         owner_client.OUTCOME_UNKNOWN: 504,
         owner_client.UNKNOWN_ID: 410,
+        jobs.CODE_BAD_JOB: 400,
+        operations.CODE_BAD_ARGUMENTS: 400,
     }
     for code, status in statuses.items():
         pool, calls, _, _ = open_calls()
