Jobs that have ended are kept for three minutes, however long they ran

Cause: the age of an ended job counted from its acceptance. It counts from when its owner has first seen the end; the log does not tell when that was, so a new owner keeps jobs longer.

--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -36,6 +36,7 @@
 from portwharf.scheduler.decisions import uneven_pools
 from portwharf.scheduler import events
 from portwharf.scheduler import job_operations
+from portwharf.scheduler import job_retention
 from portwharf.scheduler import late_successes
 from portwharf.scheduler import metrics
 from portwharf.scheduler import occurrences
@@ -114,6 +115,7 @@
         self.preparation = prepared_starts.PreparedStarts(state)
         self.begun_jobs = begun_jobs.BegunJobs(state)
         self._occurrences = occurrences.OccurrenceSchedule(state)
+        self._retention = job_retention.JobRetention(state)
         self._late_successes = late_successes.LateSuccesses(state)
         self.rosters = rosters.RosterKeeper(state)
         self._claims = claim_updates.ClaimNotifier(state)
@@ -900,7 +902,7 @@
         ):
             self._apply_event(batch, events.WorkloadDropped(workload_id))
             self._health.drop_workload(workload_id)
-        for job_id in pass_inputs.list_expired_jobs(self._state, now_ms):
+        for job_id in self._retention.list_expired(now, now_ms):
             self._apply_event(batch, events.JobDropped(job_id))
         self.begun_jobs.forget_ended()
         self.runtimes.forget(self._state.unended)
--- a/packages/scheduler/portwharf/scheduler/decisions/pass_inputs.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/pass_inputs.py
@@ -19,9 +19,6 @@
 # Ended workloads and jobs beyond this number are dropped earlier, the oldest
 # first.
 MAX_ENDED = 2000
-# Jobs that were accepted within this time are kept all the same: their clients
-# may still ask for them, or submit them again.
-KEEP_RECENT_SECONDS = 180
 # Time that a step with no placed task waits for a VM that suits it while
 # others have room. It is short, as a slow start is better than none.
 FIRST_PATIENCE_SECONDS = 1.5
@@ -207,24 +204,6 @@
     ]
 
 
-def list_expired_jobs(state, now_ms):
-    """Return the ids of the ended jobs to drop from the state."""
-    ended = [
-        record
-        for record in state.jobs.values()
-        if state.find_job_state(record.job.id) in data.ENDED_JOB_STATES
-        and all(state.has_ended(state.workloads[n]) for n in record.steps)
-    ]
-    surplus = max(0, len(ended) - MAX_ENDED)
-    limit = now_ms - KEEP_ENDED_SECONDS * _MS_PER_SECOND
-    recent = now_ms - KEEP_RECENT_SECONDS * _MS_PER_SECOND
-    return [
-        record.job.id
-        for number, record in enumerate(ended)
-        if record.unix_ms < (recent if number < surplus else limit)
-    ]
-
-
 def list_endpoint_vms(vms, shard):
     """Return the endpoint VMs of a shard."""
     return [
--- /dev/null
+++ b/packages/scheduler/portwharf/scheduler/job_retention.py
@@ -0,0 +1,56 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""How long ended jobs are kept, for clients that still ask for them.
+
+The log does not tell when a job ended, so its age counts from when this owner
+has first seen that it had. A new owner keeps jobs for longer.
+"""
+
+from portwharf.core import data
+from portwharf.scheduler.decisions import pass_inputs
+
+# Time for which every ended job is kept. Clients may ask for it, or submit it
+# again.
+KEEP_SECONDS = 180
+
+
+class JobRetention:
+    """Tells which ended jobs to drop from the state; not thread-safe."""
+
+    def __init__(self, state):
+        """Take the ``state.ShardState``."""
+        self._state = state
+        # Monotonic time at which each job was first seen to have ended.
+        self._ended_at = {}
+
+    def list_expired(self, now, now_ms):
+        """Return the ids of the ended jobs to drop, the oldest first.
+
+        :param now: monotonic time
+        :param now_ms: wall time
+        """
+        ended = [
+            record
+            for record in self._state.jobs.values()
+            if self._has_ended(record)
+        ]
+        self._ended_at = {
+            record.job.id: self._ended_at.get(record.job.id, now)
+            for record in ended
+        }
+        surplus = max(0, len(ended) - pass_inputs.MAX_ENDED)
+        limit_ms = now_ms - pass_inputs.KEEP_ENDED_SECONDS * 1000
+        return [
+            record.job.id
+            for number, record in enumerate(ended)
+            if now - self._ended_at[record.job.id] >= KEEP_SECONDS
+            and (number < surplus or record.unix_ms < limit_ms)
+        ]
+
+    def _has_ended(self, record):
+        """Return whether a job has ended and none of its tasks runs."""
+        state = self._state.find_job_state(record.job.id)
+        return state in data.ENDED_JOB_STATES and all(
+            self._state.has_ended(self._state.workloads[name])
+            for name in record.steps
+        )
