Jobs beyond a process's memory are refused with the reason

Cause: nothing told how much an owner may accept.

A job that does not fit into 0.3 of memoryMb beside the others is refused before it is logged, with the figures and a time to return, or none if it can never fit. The bound is the setting [memory] jobs_mb elsewhere.

--- a/packages/core/portwharf/core/logs.py
+++ b/packages/core/portwharf/core/logs.py
@@ -45,6 +45,7 @@
     'target_ms',
     'strangers',
     'bytes',
+    'job_bytes',
     'life',
     'ran_ms',
     'listed_ms',
--- a/packages/platform/portwharf/platform/boot.py
+++ b/packages/platform/portwharf/platform/boot.py
@@ -14,6 +14,7 @@
 
 from portwharf.core import data
 from portwharf.core import settings
+from portwharf.scheduler import environment
 from portwharf.scheduler import limits
 
 PATH_VARIABLE = 'PORTWHARF_BOOT'
@@ -22,6 +23,10 @@
 _MAX_HOLD_MS = 6000
 # One process's calls per second, as a share of the store's writes per second.
 _PROCESS_WRITE_SHARE = 0.15
+# Accepted jobs may take this share of a process's memory. To read or write a
+# snapshot takes as much again, for a moment.
+_JOB_MEMORY_SHARE = 0.3
+_BYTES_PER_MB = 2**20
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,6 +44,7 @@
     :param advice: Endpoint of the advice service, or None
     :param max_hold_ms: the longest lease that a runner accepts
     :param grace_seconds: time from the stop signal to the kill
+    :param max_job_bytes: memory that accepted jobs may take in this process
     """
 
     vm: data.Vm = None
@@ -52,6 +58,7 @@
     advice: settings.Endpoint = None
     max_hold_ms: int = _MAX_HOLD_MS
     grace_seconds: float = 6.0
+    max_job_bytes: int = environment.MAX_JOB_BYTES
 
 
 def read_settings(environ=os.environ):
@@ -102,6 +109,7 @@
         _find_endpoint(values, 'advice'),
         int(bounds.get('maxHoldMs', _MAX_HOLD_MS)),
         float(bounds.get('graceS', 6.0)),
+        _find_job_bytes(values.get('limits', {})),
     )
 
 
@@ -129,6 +137,14 @@
     )
 
 
+def _find_job_bytes(process_limits):
+    """Return the memory that jobs may take, by the limits of a process."""
+    memory_mb = process_limits.get('memoryMb')
+    if not memory_mb:
+        return environment.MAX_JOB_BYTES
+    return int(memory_mb * _BYTES_PER_MB * _JOB_MEMORY_SHARE)
+
+
 def _find_endpoint(values, name):
     """Return the Endpoint in a field, or None if the field is missing."""
     text = values.get(name, '')
--- a/packages/platform/portwharf/platform/boot_test.py
+++ b/packages/platform/portwharf/platform/boot_test.py
@@ -8,6 +8,7 @@
 from portwharf.core import data
 from portwharf.core import settings
 from portwharf.platform import boot
+from portwharf.scheduler import environment
 
 TEXT = """
 node = "vm-1"
@@ -46,6 +47,13 @@
     case.assertEqual(found.store_calls, 60)
 
 
+def test_jobs_may_take_a_share_of_the_memory(case):
+    found = read(case, TEXT + '[limits]\nmemoryMb = 200\n').ok_value
+    case.assertEqual(found.max_job_bytes, 60 * 2**20)
+    found = read(case, TEXT).ok_value
+    case.assertEqual(found.max_job_bytes, environment.MAX_JOB_BYTES)
+
+
 def test_entry_has_the_entry_role(case):
     found = read(case, TEXT.replace('"side"', '"front"')).ok_value
     case.assertEqual(found.vm.role, data.Role.ENTRY)
--- a/packages/platform/portwharf/platform/programs.py
+++ b/packages/platform/portwharf/platform/programs.py
@@ -158,6 +158,7 @@
         pages_port=settings.pages_port,
         limits=boot.make_limits(settings),
         append_interval=APPEND_SECONDS,
+        max_job_bytes=settings.max_job_bytes,
     )
     return process.SideProcess(
         cfg, side_environment.PlatformEnvironment(settings)
--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -111,11 +111,12 @@
             began,
             scheduled_returns.ScheduledReturns(self.returns, self._is_short),
             self.shares,
+            env.max_job_bytes,
         )
         self.preparation = prepared_starts.PreparedStarts(state)
         self.begun_jobs = begun_jobs.BegunJobs(state)
         self._occurrences = occurrences.OccurrenceSchedule(state)
-        self._retention = job_retention.JobRetention(state)
+        self._retention = job_retention.JobRetention(state, env.max_job_bytes)
         self._late_successes = late_successes.LateSuccesses(state)
         self.rosters = rosters.RosterKeeper(state)
         self._claims = claim_updates.ClaimNotifier(state)
@@ -896,6 +897,7 @@
         if now < self._next_drop_time:
             return
         self._next_drop_time = now + _DROP_INTERVAL_SECONDS
+        metrics.JOB_BYTES.set(self._state.job_bytes)
         now_ms = self._env.clock.read_unix_ms()
         for workload_id in pass_inputs.list_expired_workloads(
             self._state, now_ms
--- a/packages/scheduler/portwharf/scheduler/decisions/job_admission.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/job_admission.py
@@ -6,7 +6,8 @@
 to be of no use by the time it could end: a class of capacity that it needs is
 short (``shard_load``), and even if all work that is served before it took half
 the predicted time, it would end after its late limit. Where the load, the run
-times or the objective are not known well, a job is accepted.
+times or the objective are not known well, a job is accepted. A job for which
+the processes that read the log have no memory is refused as well.
 """
 
 import collections
@@ -25,6 +26,10 @@
 
 CODE_NO_ROOM = 'no-room'
 REASON_LATE = 'cannot-end-in-time'
+REASON_FULL = 'jobs-take-all-memory'
+# Time after which a job that was refused for want of memory may be accepted:
+# the interval at which ended jobs are dropped.
+FULL_RETRY_MS = 20_000
 # Least pace, 0 to 1, at which a filling task is not short of processors.
 MIN_FREE_PACE = shard_load.MIN_FILLING_SHARE
 
@@ -79,7 +84,14 @@
     """Decides on the submissions to one owner; not thread-safe."""
 
     def __init__(
-        self, state, runtimes, tracker, began, returns=None, shares=None
+        self,
+        state,
+        runtimes,
+        tracker,
+        began,
+        returns=None,
+        shares=None,
+        max_job_bytes=math.inf,
     ):
         """Take what the decisions depend on.
 
@@ -90,7 +102,9 @@
         :param returns: a schedule of returns; if None, an
             ``admission_defaults.NoReturns``
         :param shares: fair shares; if None, an ``admission_defaults.NoShares``
+        :param max_job_bytes: memory that accepted jobs may take
         """
+        self._max_job_bytes = max_job_bytes
         self._state = state
         self._runtimes = runtimes
         self._tracker = tracker
@@ -118,6 +132,13 @@
         :returns: the :class:`Verdict`, and the ``data.Problem`` to answer, or
             None if the job is accepted
         """
+        verdict = self._check_memory(job)
+        if verdict.reason:
+            useful = jobs.estimate_job_bytes(job) <= self._max_job_bytes
+            offer = admission_defaults.ReturnOffer(
+                now_ms + FULL_RETRY_MS, useful
+            )
+            return verdict, _make_problem(job, verdict, offer, now_ms)
         early = self._returns.find_early(job, now_ms, self._has_free_workers)
         if early is not None:
             known = self._returns.find_refusal(job)
@@ -152,6 +173,17 @@
             )
             self._tracker.add_step(workload, row)
 
+    def _check_memory(self, job):
+        """Return the :class:`Verdict` on a job by the memory that it takes."""
+        needed = jobs.estimate_job_bytes(job)
+        if self._state.job_bytes + needed <= self._max_job_bytes:
+            return Verdict()
+        detail = (
+            f'it takes about {needed} bytes, and the jobs that are kept '
+            f'{self._state.job_bytes} of {self._max_job_bytes}'
+        )
+        return Verdict(REASON_FULL, detail)
+
     def assess(self, job, now_ms, asked_ms):
         """Return the :class:`Verdict` on a job.
 
--- a/packages/scheduler/portwharf/scheduler/environment.py
+++ b/packages/scheduler/portwharf/scheduler/environment.py
@@ -7,6 +7,9 @@
 from portwharf.scheduler import configuration
 from portwharf.scheduler import members
 
+# Memory that accepted jobs may take, where the settings do not say.
+MAX_JOB_BYTES = 48 * 2**20
+
 
 @dataclasses.dataclass(slots=True)
 class Environment:
@@ -26,6 +29,8 @@
     :param config_key: the store key of the configuration
     :param policy: the ``policy.Policy`` that governs queues, or None
     :param zones: the ``zones.ZoneKeeper`` of this process
+    :param max_job_bytes: memory that accepted jobs may take, in bytes, in each
+        process that reads the log
     :param compares_vms: placement treats pools whose VMs differ as uneven
         (``uneven_pools``)
     """
@@ -44,4 +49,5 @@
     config_key: str = configuration.KEY
     policy: object = None
     zones: object = None
+    max_job_bytes: int = MAX_JOB_BYTES
     compares_vms: bool = False
--- a/packages/scheduler/portwharf/scheduler/job_retention_test.py
+++ b/packages/scheduler/portwharf/scheduler/job_retention_test.py
@@ -6,10 +6,13 @@
 again is accepted and runs once more.
 """
 
+import math
+
 from portwharf.core import data
 from portwharf.scheduler.decisions import pass_inputs
 from portwharf.scheduler import events
 from portwharf.scheduler import job_retention
+from portwharf.scheduler import jobs
 from portwharf.scheduler import state
 
 NOW = 1000.0
@@ -38,7 +41,7 @@
     made = end_jobs(
         pass_inputs.MAX_ENDED + 5, NOW_MS - STATUS_SECONDS * 1000 // 2
     )
-    kept = job_retention.JobRetention(made)
+    kept = job_retention.JobRetention(made, math.inf)
     case.assertEqual(kept.list_expired(NOW, NOW_MS), [])
     later = NOW + STATUS_SECONDS
     case.assertEqual(kept.list_expired(later, NOW_MS), [])
@@ -50,7 +53,7 @@
     """Guards against unknown jobs after a long run (incident 0034)."""
     for count in (1, pass_inputs.MAX_ENDED + 1):
         made = end_jobs(count, NOW_MS - DAYS_2_MS)
-        kept = job_retention.JobRetention(made)
+        kept = job_retention.JobRetention(made, math.inf)
         case.assertEqual(kept.list_expired(NOW, NOW_MS), [])
         later = NOW + STATUS_SECONDS
         case.assertEqual(kept.list_expired(later, NOW_MS), [])
@@ -60,7 +63,7 @@
 
 def test_job_of_an_id_that_was_dropped_ages_anew(case):
     made = end_jobs(1, NOW_MS - DAYS_2_MS)
-    kept = job_retention.JobRetention(made)
+    kept = job_retention.JobRetention(made, math.inf)
     kept.list_expired(NOW, NOW_MS)
     later = NOW + job_retention.KEEP_SECONDS
     (name,) = kept.list_expired(later, NOW_MS)
@@ -69,3 +72,13 @@
     made.jobs.update(end_jobs(1, NOW_MS - DAYS_2_MS).jobs)
     made.workloads.update(end_jobs(1, 0).workloads)
     case.assertEqual(kept.list_expired(later + 20, NOW_MS), [])
+
+
+def test_ended_jobs_make_room_once_memory_is_half_full(case):
+    made = end_jobs(10, NOW_MS)
+    each = jobs.estimate_job_bytes(next(iter(made.jobs.values())).job)
+    kept = job_retention.JobRetention(made, 14 * each)
+    case.assertEqual(kept.list_expired(NOW, NOW_MS), [])
+    later = NOW + job_retention.KEEP_SECONDS
+    expected = [f'{number:016x}' for number in range(3)]
+    case.assertEqual(kept.list_expired(later, NOW_MS), expected)
--- a/packages/scheduler/portwharf/scheduler/jobs.py
+++ b/packages/scheduler/portwharf/scheduler/jobs.py
@@ -28,6 +28,7 @@
 MAX_RECURRING_BYTES = 2**20
 # Estimated memory of an accepted job's parts, in bytes, in each process that
 # reads the log.
+_JOB_BYTES = 1000
 _WORKLOAD_BYTES = 1000
 _DEPENDENCY_BYTES = 75
 _TASK_BYTES = 450
@@ -81,6 +82,13 @@
     return min(job.times, passed_ms // job.interval_ms + 1)
 
 
+def estimate_job_bytes(job):
+    """Return the memory that a job takes with one occurrence, in bytes."""
+    own = _JOB_BYTES + len(job.argument)
+    own += sum(_estimate_step_bytes(step) for step in job.steps)
+    return own + estimate_occurrence_bytes(job)
+
+
 def estimate_occurrence_bytes(job):
     """Return the memory that one occurrence of a job takes, in bytes."""
     return sum(
--- a/packages/scheduler/portwharf/scheduler/metrics.py
+++ b/packages/scheduler/portwharf/scheduler/metrics.py
@@ -38,9 +38,13 @@
 )
 REFUSED_JOBS = prometheus_client.Counter(
     'portwharf_owner_refused_jobs',
-    'Jobs that were refused, as they could not end in time or never run.',
+    'Jobs that were refused, as they could not end in time, run or be kept.',
     ['reason'],
 )
+JOB_BYTES = prometheus_client.Gauge(
+    'portwharf_owner_job_bytes',
+    'Estimated memory of accepted jobs in each process that reads the log.',
+)
 HELD_BACK_JOBS = prometheus_client.Gauge(
     'portwharf_owner_held_back_jobs',
     'Recurring jobs with occurrences that are due and wait for others.',
--- a/packages/scheduler/portwharf/scheduler/owner.py
+++ b/packages/scheduler/portwharf/scheduler/owner.py
@@ -650,9 +650,15 @@
         with self._lock:
             raw = self._state.pack()
             history = self._state.pack_history()
+        extra = self._extra() | logs.fields(
+            bytes=len(raw), job_bytes=self._state.job_bytes
+        )
         written = self._log.write_snapshot(raw, history)
         if written.is_err():
-            LOG.warning('snapshot not written: %s', written.err_value)
+            text = written.err_value
+            LOG.warning('snapshot not written: %s', text, extra=extra)
+        else:
+            LOG.info('snapshot written', extra=extra)
         return True
 
     def _is_stalled(self):
--- a/packages/scheduler/portwharf/scheduler/state.py
+++ b/packages/scheduler/portwharf/scheduler/state.py
@@ -154,6 +154,8 @@
         self.nonvoters = set()
         self.workloads = {}
         self.jobs = {}
+        # Estimated memory of the jobs, in bytes.
+        self.job_bytes = 0
         # Workloads that may still have tasks to run, by id.
         self.unended = {}
         # Services that were not dropped, by id.
@@ -312,6 +314,9 @@
         state.members = {vm.name: vm for vm in snapshot.members}
         state.nonvoters = set(snapshot.nonvoters)
         state.jobs = {record.job.id: record for record in snapshot.jobs}
+        state.job_bytes = sum(
+            jobs.estimate_job_bytes(record.job) for record in snapshot.jobs
+        )
         _collapse_occurrences(snapshot)
         for record in snapshot.workloads:
             state._add_workload(record)
@@ -389,6 +394,7 @@
         job = event.job
         record = JobRecord(event.unix_ms, job)
         self.jobs[job.id] = record
+        self.job_bytes += jobs.estimate_job_bytes(job)
         if not job.times:
             self._add_occurrence(record, 0)
 
@@ -427,7 +433,9 @@
             del self.withdrawn[next(iter(self.withdrawn))]
 
     def _drop_job(self, event):
-        for name in self.jobs.pop(event.id).steps:
+        record = self.jobs.pop(event.id)
+        self.job_bytes -= jobs.estimate_job_bytes(record.job)
+        for name in record.steps:
             self._drop_workload(events.WorkloadDropped(name))
 
     def _change_workload(self, event):
--- a/packages/side/portwharf/side/process.py
+++ b/packages/side/portwharf/side/process.py
@@ -153,6 +153,7 @@
             policy=self._open_policy(),
             zones=self._zones,
             compares_vms=cfg.compares_vms,
+            max_job_bytes=cfg.max_job_bytes,
         )
         return takeover.OwnerWatcher(env, self._guard, kv)
 
--- a/packages/side/portwharf/side/settings.py
+++ b/packages/side/portwharf/side/settings.py
@@ -10,12 +10,14 @@
 from portwharf.core import data
 from portwharf.core import settings
 from portwharf.peers import tls
+from portwharf.scheduler import environment
 from portwharf.scheduler import limits
 
 # Log appends per second of all owners together, below the 40 that users allow,
 # which leaves room for snapshots and trimming.
 STORE_WRITES = 36
 _MAX_SECONDS = 3600
+_BYTES_PER_MB = 2**20
 _LIMITS_SCHEMA = {
     voluptuous.Optional(
         f'{field.name}_seconds', default=field.default
@@ -56,6 +58,11 @@
                 'store_writes_per_second', default=STORE_WRITES
             ): settings.integer(1, 100_000),
         },
+        voluptuous.Optional('memory', default=dict): {
+            voluptuous.Optional(
+                'jobs_mb', default=environment.MAX_JOB_BYTES // _BYTES_PER_MB
+            ): settings.integer(1, 100_000),
+        },
         voluptuous.Optional('placement', default=dict): {
             voluptuous.Optional('compare_vms', default=False): bool,
         },
@@ -91,6 +98,7 @@
     :param append_interval: seconds between two appends of an owner
     :param tls: TlsFiles, or None for plain text
     :param compares_vms: placement treats pools whose VMs differ as uneven
+    :param max_job_bytes: memory that accepted jobs may take in this process
     """
 
     vm: data.Vm = None
@@ -105,6 +113,7 @@
     log_style: str = 'json'
     log_level: str = 'INFO'
     compares_vms: bool = False
+    max_job_bytes: int = environment.MAX_JOB_BYTES
 
 
 def read_settings(path):
@@ -179,6 +188,7 @@
         log_style=values['log']['style'],
         log_level=values['log']['level'],
         compares_vms=values['placement']['compare_vms'],
+        max_job_bytes=values['memory']['jobs_mb'] * _BYTES_PER_MB,
     )
     cfg.limits = limits.Limits(
         **{
--- a/packages/side/portwharf/side/settings_test.py
+++ b/packages/side/portwharf/side/settings_test.py
@@ -70,3 +70,10 @@
     case.assertFalse(read(case, GOOD).ok_value.compares_vms)
     text = GOOD + '[placement]\ncompare_vms = true\n'
     case.assertTrue(read(case, text).ok_value.compares_vms)
+
+
+def test_memory_for_jobs_is_read(case):
+    text = GOOD + '[memory]\njobs_mb = 20\n'
+    case.assertEqual(read(case, text).ok_value.max_job_bytes, 20 * 2**20)
+    text = GOOD + '[memory]\njobs_mb = 0\n'
+    case.assertEqual(list_fields(case, text), {'memory.jobs_mb'})
