An answer that cannot be read is no answer, and ends no process

An answer that is a list or null reached callers that expect an object.

Cause: the client handled ValueError only, and returned any JSON value. Now it returns an object or an error; unreadable bodies have a counter by kind, and a log line the first time that a reason is seen.

The tests fail before with "RecursionError: maximum recursion depth exceeded while decoding a JSON array".

--- a/packages/platform/portwharf/platform/http_client.py
+++ b/packages/platform/portwharf/platform/http_client.py
@@ -1,6 +1,9 @@
 # Copyright the portwharf authors.
 # SPDX-License-Identifier: Apache-2.0
-"""HTTP clients for the platform's programs, with JSON bodies."""
+"""HTTP clients for the platform's programs, with JSON bodies.
+
+A body that cannot be read is no response: callers get a JSON object or none.
+"""
 
 import dataclasses
 import http.client
@@ -11,8 +14,10 @@
 import urllib3.connection
 
 from portwharf.core import pools
+from portwharf.platform import unreadable
 
 JSON_HEADERS = {'Content-Type': 'application/json'}
+_UNREADABLE = unreadable.UnreadableInput('answer')
 
 
 @dataclasses.dataclass(slots=True)
@@ -151,9 +156,12 @@
 def _read_reply(response):
     """Return the library's response as Ok(Reply), or Err(NoReply)."""
     try:
-        value = json.loads(response.data) if response.data else {}
+        value = {}
+        if response.data:
+            value = unreadable.decode_object(response.data)
     except ValueError as exc:
+        _UNREADABLE.record(exc, status=response.status)
         if response.status == 200:
-            return result.Err(NoReply(f'body is not JSON: {exc}', sent=True))
+            return result.Err(NoReply(f'unreadable body: {exc}', sent=True))
         value = {}
     return result.Ok(Reply(response.status, value))
--- a/packages/platform/portwharf/platform/http_client_test.py
+++ b/packages/platform/portwharf/platform/http_client_test.py
@@ -1,6 +1,6 @@
 # Copyright the portwharf authors.
 # SPDX-License-Identifier: Apache-2.0
-"""A timeout drops all idle connections, so that few calls are lost.
+"""Calls over connections that fall silent, and unreadable answers.
 
 When packets are lost, every pooled connection is silent. The first call that
 times out drops the others as well, and the next calls open new ones.
@@ -8,9 +8,11 @@
 
 import concurrent.futures
 import threading
+from unittest import mock
 
 from portwharf.core import settings
 from portwharf.platform import http_client
+from portwharf.platform import unreadable
 from portwharf.testing import fixtures
 from portwharf.testing import platform_store
 from portwharf.testing import relay
@@ -94,3 +96,65 @@
     answer = conn.call('GET', '/', 10, {}, {})
     case.assertTrue(answer.is_err())
     case.assertFalse(answer.err_value.sent)
+
+
+UNREADABLE_BODIES = (
+    b'[' * 60_000,
+    b'{"a":' * 60_000,
+    b'[]',
+    b'null',
+    b'7',
+    b'9' * 5000,
+    b'\xff\xfe',
+    b'{"a": 1',
+)
+
+
+def serve_body(case, status, raw):
+    """Return the endpoint of a server that answers with a body."""
+
+    def answer(environ, start_response):
+        headers = [('Content-Length', str(len(raw)))]
+        start_response(f'{status} Status', headers)
+        return [raw]
+
+    port = fixtures.serve(case, answer)
+    return settings.Endpoint('127.0.0.1', port)
+
+
+def test_unreadable_answer_is_none_and_ends_no_thread(case):
+    """Guards against processes that end by one answer (incident 0035)."""
+    for raw in UNREADABLE_BODIES:
+        endpoint = serve_body(case, 200, raw)
+        client = case.enterContext(http_client.Client(endpoint))
+        answer = call(client, '/')
+        case.assertIn('unreadable body', answer.err_value.text)
+        case.assertTrue(answer.err_value.sent)
+        conn = http_client.Connection(endpoint)
+        case.addCleanup(conn.close)
+        conn.open(10)
+        case.assertTrue(conn.call('GET', '/', 10, {}, {}).is_err())
+
+
+def test_refusal_with_an_unreadable_body_is_a_refusal(case):
+    for raw in UNREADABLE_BODIES:
+        endpoint = serve_body(case, 503, raw)
+        client = case.enterContext(http_client.Client(endpoint))
+        answer = call(client, '/').ok_value
+        case.assertEqual((answer.status, answer.value), (503, {}))
+
+
+def test_unreadable_answers_are_counted_and_logged_once(case):
+    endpoint = serve_body(case, 200, b'[]')
+    client = case.enterContext(http_client.Client(endpoint))
+    fresh = unreadable.UnreadableInput('answer')
+    before = fixtures.read_counter('portwharf_unreadable', kind='answer')
+    with (
+        mock.patch.object(http_client, '_UNREADABLE', fresh),
+        case.assertLogs('portwharf.platform.unreadable') as found,
+    ):
+        for _ in range(3):
+            call(client, '/')
+    case.assertEqual(len(found.records), 1)
+    after = fixtures.read_counter('portwharf_unreadable', kind='answer')
+    case.assertEqual(after - before, 3)
--- a/packages/testing/portwharf/testing/fixtures.py
+++ b/packages/testing/portwharf/testing/fixtures.py
@@ -11,6 +11,8 @@
 import pathlib
 import tempfile
 
+import prometheus_client
+
 from portwharf.core import data
 from portwharf.core import web
 from portwharf import store
@@ -88,6 +90,14 @@
     return server.port
 
 
+def read_counter(name, **labels):
+    """Return the value of a counter, 0 if it has not counted anything."""
+    found = prometheus_client.REGISTRY.get_sample_value(
+        f'{name}_total', labels
+    )
+    return found or 0.0
+
+
 def make_workload(**fields):
     """Return a valid batch ``data.Workload``; fields override its values."""
     values = {
