An odd row of a runner's lists costs that row alone

Cause: rows were checked for their types only, and each odd one refused the whole list. What the check let in could not be packed into a report: numbers over 64 bits, texts with lone surrogates, fractions. A checkpoint of any length would have gone into the log, and a refused start with a reason that is a list ended the side by a TypeError.

Now a row that cannot be one of our attempts is passed over, and an odd detail of one that can be is left out, each counted and logged. A running row that names a task of ours but no attempt still refuses the list, since to pass over it would say that the task does not run. Numbers of ended attempts are bounded, as one acknowledged hides all lower ones.

The property test now takes each accepted list through a report and back, and refuses no list for a row; before, only types were checked. The tests with a client and a fake runner fail before: "unhashable type: 'list'", and no list.

--- a/packages/core/portwharf/core/bounded_cache.py
+++ b/packages/core/portwharf/core/bounded_cache.py
@@ -27,6 +27,10 @@
         """Set the keys that are in use, replacing those set before."""
         self._in_use = frozenset(keys)
 
+    def list_keys(self):
+        """Return all keys, the one that was written first at the front."""
+        return list(self._values)
+
     def get(self, key, default=None):
         """Return the value of a key, or the default."""
         return self._values.get(key, default)
--- a/packages/platform/portwharf/platform/malformed_input_test.py
+++ b/packages/platform/portwharf/platform/malformed_input_test.py
@@ -16,6 +16,7 @@
 
 from portwharf.core import codec
 from portwharf.core import data
+from portwharf.peers import messages
 from portwharf.platform import decoding
 from portwharf.platform import heartbeats
 from portwharf.platform import json_fields
@@ -192,21 +193,40 @@
     check()
 
 
-def test_lists_are_refused_or_have_valid_types(case):
-    runner_lists.check_lists(LISTS)
+def test_lists_are_refused_or_can_be_reported(case):
+    def never(task):
+        return False
+
+    case.assertEqual(runner_lists.read_lists(LISTS, never), LISTS)
 
     @for_variants(LISTS)
     def check(value):
+        if not isinstance(value, dict):
+            # The client of all answers returns objects only.
+            return
         try:
-            runner_lists.check_lists(value)
+            found = runner_lists.read_lists(value, never)
         except (ValueError, AttributeError):
+            # An odd row alone is no reason.
+            lists = [value.get(one) for one in ('running', 'ended')]
+            is_odd = not all(isinstance(one, list) for one in lists)
+            case.assertTrue(is_odd or value['clockMs'] != LISTS['clockMs'])
             return
-        for task, run, saved, *_ in value['running']:
-            case.assertIsInstance(task + saved, str)
-            case.assertIsInstance(run, int | float)
-        for number, task, run, how, *_ in value['ended']:
-            case.assertIsInstance(task + how, str)
-            case.assertIsInstance(number + run, int | float)
+        reports = [
+            messages.TaskReport(
+                task, run, 'running', saved, cpu_milli=used, memory_mb=percent
+            )
+            for task, run, saved, percent, used in found['running']
+        ]
+        reports += [
+            messages.TaskReport(task, run, how, saved)
+            for _, task, run, how, saved in found['ended']
+        ]
+        raw = codec.pack(messages.Reports(True, reports))
+        read = codec.unpack(messages.Reports, raw)
+        case.assertEqual(read.reports, reports)
+        for number, *_ in found['ended']:
+            case.assertEqual(json.loads(json.dumps(number)), number)
 
     check()
 
--- a/packages/platform/portwharf/platform/runner.py
+++ b/packages/platform/portwharf/platform/runner.py
@@ -30,9 +30,9 @@
 from portwharf.core import logs
 from portwharf.platform import ended_attempts
 from portwharf.platform import http_client
-from portwharf.platform import metrics
 from portwharf.platform import runner_connection
 from portwharf.platform import runner_lists
+from portwharf.platform import unreadable
 from portwharf import workers
 
 LOG = logging.getLogger(__name__)
@@ -53,6 +53,9 @@
 # Number of remembered starts besides those of running attempts, which are all
 # kept.
 MAX_REMEMBERED_STARTS = 1000
+# Reasons of refusals that the runner gives go into reports.
+MAX_REASON_CHARS = 60
+_UNREADABLE = unreadable.UnreadableInput('list')
 
 _REFUSALS = {
     'fence': workers.REFUSED_FENCE,
@@ -184,8 +187,7 @@
             )
             return result.Ok('')
         if reply.status == _CONFLICT:
-            reason = reply.value.get('reason', '')
-            return result.Ok(_REFUSALS.get(reason, f'runner: {reason}'))
+            return result.Ok(_read_refusal(reply.value.get('reason', '')))
         if reply.status in _NOT_STARTED:
             return result.Ok(f'runner: HTTP status {reply.status}')
         # Any other status leaves open whether the attempt has started.
@@ -332,11 +334,12 @@
         if answer.ok_value.status != _OK:
             status = answer.ok_value.status
             return result.Err(http_client.NoReply(f'HTTP status {status}'))
-        value = answer.ok_value.value
         try:
-            runner_lists.check_lists(value)
-        except (ValueError, AttributeError) as exc:
-            metrics.UNREADABLE.labels('list').inc()
+            value = runner_lists.read_lists(
+                answer.ok_value.value, self._has_started
+            )
+        except ValueError as exc:
+            _UNREADABLE.record(exc, life=life.instance)
             return result.Err(http_client.NoReply(f'malformed lists: {exc}'))
         if life.instance:
             # The numbers of an unidentified incarnation must not be
@@ -345,6 +348,10 @@
                 ended_attempts.add_rows(value['ended'])
         return result.Ok(value)
 
+    def _has_started(self, task):
+        """Return whether an attempt of a task was started here."""
+        return any(one == task for one, _ in self._starts.list_keys())
+
     def _parse_listing(self, value):
         """Return the body of a ``hold`` response as a ``workers.Listing``."""
         life = self._incarnations.current
@@ -375,8 +382,7 @@
         )
 
     def _parse_running(self, row, now_ms):
-        task, run, saved, percent, *measurements = row
-        measurement = measurements[0] if measurements else 0
+        task, run, saved, percent, measurement = row
         start = self._starts.get((task, run)) or workers.Start()
         # The end of the lease is unknown if a former process of this side gave
         # it.
@@ -423,6 +429,14 @@
     return no_reply.text
 
 
+def _read_refusal(reason):
+    """Return the reason of a refused start, as the runner gives it."""
+    if not isinstance(reason, str):
+        return 'runner: no reason given'
+    shown = ascii(reason)[:MAX_REASON_CHARS]
+    return _REFUSALS.get(reason, f'runner: {shown}')
+
+
 def _parse_ended(row):
     number, task, run, how, saved = row
     state = _END_STATES.get(how, data.RunState.GONE)
--- a/packages/testing/portwharf/testing/platform_runner.py
+++ b/packages/testing/portwharf/testing/platform_runner.py
@@ -77,6 +77,8 @@
     :ivar running: map of task to run number
     :ivar ended: rows of ended runs that are not acknowledged yet
     :ivar fence: highest fencing token received
+    :ivar odd_running: rows that are listed besides those of running tasks
+    :ivar odd_ended: rows that are listed besides those of ended runs
     """
 
     def __init__(self, instance='i-1'):
@@ -88,6 +90,8 @@
         self.unhealthy = 0
         self.orders = []
         self.ticket = ''
+        self.odd_running = []
+        self.odd_ended = []
         # Number of requests accepted whose answer may wait for an end.
         self._wait_count = 0
 
@@ -221,7 +225,10 @@
             self._lock.notify_all()
             self._lock.wait_for(lambda: self.ended, body['waitMs'] / 1000)
         rows = [[task, run, '', 5, 7] for task, run in self.running.items()]
-        value = {'running': rows, 'ended': self.ended[:MAX_LISTED_ENDS]}
+        value = {
+            'running': rows + self.odd_running,
+            'ended': self.ended[:MAX_LISTED_ENDS] + self.odd_ended,
+        }
         return 200, {**value, 'born': self.born_ms}
 
     def _pace(self, body):
