A heartbeat whose instance id cannot be sent back is refused

An id with a line break, or with characters beyond Latin-1, was accepted, and the next order to the runner, which names it in a header, raised a ValueError in the side's thread: one odd heartbeat ends the side.

--- a/packages/platform/portwharf/platform/heartbeats.py
+++ b/packages/platform/portwharf/platform/heartbeats.py
@@ -2,24 +2,23 @@
 # SPDX-License-Identifier: Apache-2.0
 """Receives the heartbeats of the runner beside a side."""
 
-import json
-import logging
+import re
 
 from portwharf.core import data
-from portwharf.core import logs
 from portwharf.core import web
 from portwharf.platform import json_fields
-from portwharf.platform import metrics
+from portwharf.platform import unreadable
 from portwharf import workers
 
-LOG = logging.getLogger(__name__)
-
 READY = 'ready'
 DRAINING = 'draining'
 _STATES = (READY, DRAINING)
 PREFIX = '/portwharf/instances/'
 MAX_BODY_BYTES = 64 * 1024
-MAX_REASON_CHARS = 200
+MAX_LOGGED_CHARS = 60
+# Instance ids are sent back in a header of each order.
+_INSTANCE_ID = re.compile('[!-~]{1,200}')
+_UNREADABLE = unreadable.UnreadableInput('heartbeat')
 
 
 class HeartbeatReceiver:
@@ -32,8 +31,6 @@
             valid heartbeat
         """
         self._on_life = on_life
-        # The reason of the last refusal, None after a valid heartbeat.
-        self._last_refusal = None
 
     def __call__(self, environ, start_response):
         path = environ.get('PATH_INFO', '')
@@ -47,24 +44,14 @@
         try:
             size = web.read_length(environ)
             raw = environ['wsgi.input'].read(min(size, MAX_BODY_BYTES))
-            life = parse_life(instance, json.loads(raw))
-        except (ValueError, AttributeError, RecursionError) as exc:
-            return self._refuse(start_response, instance, exc)
-        self._last_refusal = None
+            life = parse_life(instance, unreadable.decode_object(raw))
+        except unreadable.DECODE_ERRORS as exc:
+            _UNREADABLE.record(exc, life=ascii(instance)[:MAX_LOGGED_CHARS])
+            text = f'not a heartbeat: {exc}; send its fields as JSON\n'
+            return web.send_text(start_response, 400, text)
         self._on_life(life)
         return web.send_json(start_response, 200, {})
 
-    def _refuse(self, start_response, instance, exc):
-        """Refuse a malformed heartbeat; logs the same reason once in a row."""
-        metrics.UNREADABLE.labels('heartbeat').inc()
-        reason = f'{exc}'[:MAX_REASON_CHARS]
-        if reason != self._last_refusal:
-            self._last_refusal = reason
-            extra = logs.fields(life=instance, reason=reason)
-            LOG.warning('heartbeat refused', extra=extra)
-        text = f'not a heartbeat: {reason}; send its fields as JSON\n'
-        return web.send_text(start_response, 400, text)
-
 
 def read_birth_time(value):
     """Return the birth time of the runner's incarnation; 0 if it is missing.
@@ -83,6 +70,10 @@
 
     :raises ValueError: a field is missing, malformed or has no valid value
     """
+    if not _INSTANCE_ID.fullmatch(instance):
+        raise ValueError(
+            'the instance id is not 1 to 200 printable characters'
+        )
     capacity = json_fields.read_dict(value, 'capacity')
     # The first label is the runner's kind, the second one its rack.
     labels = json_fields.read_list(value, 'labels', str)
--- a/packages/platform/portwharf/platform/heartbeats_test.py
+++ b/packages/platform/portwharf/platform/heartbeats_test.py
@@ -68,3 +68,34 @@
         case.assertIn(b'not a heartbeat', answer.data)
     case.assertEqual(send(received, '/other', HEARTBEAT).status, 404)
     case.assertEqual(received, [])
+
+
+def test_odd_instance_id_is_refused(case):
+    """An order could not be sent to it, and would end the side."""
+    received = []
+    before = fixtures.read_counter('portwharf_unreadable', kind='heartbeat')
+    odd = ('i\n7', 'i 7', '\ud800', 'i\u20ac', 'x' * 201, 'i\0')
+    for instance in odd:
+        path = f'/portwharf/instances/{instance}/heartbeat'
+        case.assertEqual(send(received, path, HEARTBEAT).status, 400)
+    case.assertEqual(received, [])
+    after = fixtures.read_counter('portwharf_unreadable', kind='heartbeat')
+    case.assertEqual(after - before, len(odd))
+
+
+def test_odd_field_is_refused_and_counted(case):
+    received = []
+    path = '/portwharf/instances/i-7/heartbeat'
+    deep = json.loads('[' * 900 + ']' * 900)
+    odd = (10**400, 2**64, -1, float('inf'), deep, '7', [])
+    before = fixtures.read_counter('portwharf_unreadable', kind='heartbeat')
+    for item in odd:
+        for name in ('seq', 'born', 'remainingMs', 'capacity'):
+            body = {**HEARTBEAT, name: item}
+            case.assertEqual(send(received, path, body).status, 400)
+        body = {**HEARTBEAT, 'capacity': {'cpu': item}}
+        case.assertEqual(send(received, path, body).status, 400)
+    case.assertEqual(received, [])
+    after = fixtures.read_counter('portwharf_unreadable', kind='heartbeat')
+    case.assertEqual(after - before, 5 * len(odd))
+    case.assertEqual(send(received, path, HEARTBEAT).status, 200)
