An odd item or answer of the store costs itself, not the reading thread

An item without a key, with a revision over 64 bits, a key that cannot be encoded or a value that is no base64 raised KeyError, TypeError or ValueError in the thread that reads the list (configuration, zones, registration, owner), and so ended the process; so did an answer without its fields.

Now items that cannot be read are passed over, and a value that cannot be read is empty, which each reader refuses as it refuses other contents. An answer that cannot be read is a failed call; of a write, one with an unknown outcome. Each is counted and logged. A page without one readable item ends the reading, as the next page would begin with it again.

All five tests fail before, with the errors named above.

--- /dev/null
+++ b/packages/platform/portwharf/platform/odd_entries_test.py
@@ -0,0 +1,89 @@
+# Copyright the portwharf authors.
+# SPDX-License-Identifier: Apache-2.0
+"""What others write to the store costs their entries alone.
+
+These guard against processes that end, or stop following a list, by one odd
+entry of another writer (incident 0035).
+"""
+
+from portwharf.core import settings
+from portwharf.platform import store_client
+from portwharf.testing import fixtures
+from portwharf.testing import platform_store
+
+LARGE = 10**400
+GOOD = {'privateKey': 'a/2', 'value': 'eA==', 'rev': 12}
+ODD_ITEMS = (
+    None,
+    7,
+    [],
+    {},
+    {**GOOD, 'privateKey': 7},
+    {**GOOD, 'privateKey': '\ud800'},
+    {**GOOD, 'rev': LARGE},
+    {**GOOD, 'rev': 'x'},
+)
+ODD_VALUES = (LARGE, [], 'no base64', '\ud800', {'a': 1})
+
+
+def open_client(case, body, status=200):
+    """Return the client of a store that always answers with a body."""
+
+    def answer(environ, start_response):
+        return platform_store.answer(start_response, status, body)
+
+    port = fixtures.serve(case, answer)
+    endpoint = settings.Endpoint('127.0.0.1', port)
+    return case.enterContext(store_client.PlatformStore(endpoint))
+
+
+def test_odd_items_of_a_range_are_passed_over(case):
+    before = fixtures.read_counter('portwharf_unreadable', kind='store-item')
+    items = [*ODD_ITEMS, GOOD]
+    client = open_client(case, {'items': items, 'at': 20, 'more': False})
+    (entry,) = client.read_range('a/', 'b').ok_value
+    case.assertEqual((entry.key, entry.value), ('a/2', b'x'))
+    case.assertEqual(client.list_keys('a/').ok_value.keys, ['a/2'])
+    after = fixtures.read_counter('portwharf_unreadable', kind='store-item')
+    case.assertEqual(after - before, 2 * len(ODD_ITEMS))
+
+
+def test_odd_value_is_read_as_none(case):
+    for value in ODD_VALUES:
+        items = [{**GOOD, 'value': value}]
+        client = open_client(case, {'items': items, 'at': 20})
+        (entry,) = client.read_range('a/', 'b').ok_value
+        case.assertEqual((entry.value, entry.revision), (b'', 12))
+
+
+def test_odd_events_of_a_watch_are_passed_over(case):
+    events = [*ODD_ITEMS, {**GOOD, 'privateKey': 'a'}]
+    client = open_client(case, {'events': events, 'at': 20})
+    entry = client.wait_for_change('a', 1, 1).ok_value
+    case.assertEqual(entry.value, b'x')
+    for odd in ODD_ITEMS:
+        client = open_client(case, {'events': [odd], 'at': 20})
+        case.assertIsNone(client.wait_for_change('a', 1, 1).ok_value)
+        changed = client.wait_for_key_changes('a', 1, 1).ok_value
+        case.assertEqual(changed.revision, 0)
+
+
+def test_odd_answer_is_an_error(case):
+    odd = ({}, {'items': 7}, {'events': {}}, {'lease': LARGE, 'rev': -1})
+    for body in (*odd, {'items': [], 'at': LARGE}, {'items': [7], 'more': 1}):
+        client = open_client(case, body)
+        for found in (
+            client.read('a'),
+            client.read_range('a/', 'b'),
+            client.list_keys('a/'),
+            client.wait_for_change('a', 1, 1),
+            client.grant_lease(5),
+        ):
+            case.assertIn('unreadable answer', found.err_value.text)
+        written = client.swap('a', b'x', 0).err_value
+        case.assertTrue(written.unknown)
+
+
+def test_page_without_a_readable_item_ends_the_reading(case):
+    client = open_client(case, {'items': [7, 8], 'at': 20, 'more': True})
+    case.assertTrue(client.read_range('a/', 'b').is_err())
--- a/packages/platform/portwharf/platform/store_client.py
+++ b/packages/platform/portwharf/platform/store_client.py
@@ -6,15 +6,21 @@
 ``pathPrefix`` the prefix of key names. ``watchRev`` is the revision after
 which a watch begins, but in a range request the key that the page begins
 with.
+
+Other programs write to the store too. An item that cannot be read is passed
+over, and one whose value cannot be read has none.
 """
 
 import base64
+import dataclasses
 import os
 import urllib.parse
 
 import result
 
 from portwharf.platform import http_client
+from portwharf.platform import json_fields
+from portwharf.platform import unreadable
 from portwharf import store
 
 # The slowest responses that were seen took 0.4 s. A lost response costs its
@@ -34,6 +40,8 @@
 # Statuses that guarantee that nothing was changed.
 _UNCHANGED_STATUSES = (400, 403, 404, 429, 503)
 _MS_PER_SECOND = 1000
+_ANSWERS = unreadable.UnreadableInput('store-answer')
+_ITEMS = unreadable.UnreadableInput('store-item')
 # Added to a key, it makes the first key that sorts after it.
 _FIRST_CHARACTER = '\0'
 
@@ -60,49 +68,51 @@
         if reply.is_err():
             return reply
         value = reply.ok_value.value
-        self._last_revisions[key] = value.get('at', 0)
         if reply.ok_value.status == _NOT_FOUND:
-            return result.Ok(None)
-        return result.Ok(_read_entry(value))
+            entry = result.Ok(None)
+        else:
+            entry = _decode(value, _read_entry)
+        if entry.is_ok():
+            self._last_revisions[key] = _read_revision(value)
+        return entry
 
     def read_range(self, first, last, limit=0, keys_only=False):
         found = []
-        for page in self._read_pages(os.path.commonprefix([first, last])):
+        prefix = os.path.commonprefix([first, last])
+        for page in self._read_pages(prefix, keys_only):
             if page.is_err():
                 return page
-            items = page.ok_value['items']
             # A page may begin with the last item of the page before.
             last_key = found[-1].key if found else ''
-            for item in items:
-                key = item['privateKey']
-                if first <= key < last and key != last_key:
-                    found.append(_read_entry(item, keys_only))
+            entries = page.ok_value.entries
+            for entry in entries:
+                if first <= entry.key < last and entry.key != last_key:
+                    found.append(entry)
             if limit and len(found) >= limit:
                 break
-            if items and items[-1]['privateKey'] >= last:
+            if entries and entries[-1].key >= last:
                 break
         return result.Ok(found[: limit or None])
 
-    def _read_pages(self, prefix):
+    def _read_pages(self, prefix, keys_only):
         """Read the items with a prefix of their keys, page by page.
 
-        :returns: generator of Ok(answer of a page), until the last one or an
+        :param keys_only: the values are left out
+        :returns: generator of Ok(_Page), until the last one or an
             Err(StoreError)
         """
         query = _encode_query(pathPrefix=prefix)
         while True:
             reply = self._call('GET', f'/portwharf/kv-range?{query}', _OK)
-            if reply.is_err():
-                yield reply
-                return
-            page = reply.ok_value.value
-            yield result.Ok(page)
-            if not (page.get('more') and page['items']):
+            page = reply.and_then(
+                lambda one: _decode(
+                    one.value, lambda value: _read_page(value, keys_only)
+                )
+            )
+            yield page
+            if page.is_err() or not page.ok_value.next_key:
                 return
-            start = page['items'][-1]['privateKey']
-            if len(page['items']) == 1:
-                # Together with the next item it does not fit on a page.
-                start += _FIRST_CHARACTER
+            start = page.ok_value.next_key
             query = _encode_query(pathPrefix=prefix, watchRev=start)
 
     def swap(self, key, value, revision, guard=None):
@@ -145,23 +155,26 @@
         if reply.ok_value.status == _HISTORY_GONE:
             return result.Ok(None)
         value = reply.ok_value.value
-        self._last_revisions[key] = max(after, value.get('at', 0))
+        events = _decode(value, _read_events)
+        if events.is_err():
+            return events
+        self._last_revisions[key] = max(after, _read_revision(value))
         entries = [
-            _read_entry(event)
-            for event in value['events']
-            if event['privateKey'] == key and not event.get('gone')
+            entry
+            for entry, is_gone in events.ok_value
+            if entry.key == key and not is_gone
         ]
         return result.Ok(entries[-1] if entries else None)
 
     def list_keys(self, prefix):
         names = store.KeyList()
-        for page in self._read_pages(prefix):
+        for page in self._read_pages(prefix, keys_only=True):
             if page.is_err():
                 return page
             # The pages are not one snapshot. A watch from the first page's
             # revision covers all later changes.
-            names.revision = names.revision or page.ok_value['at']
-            found = [item['privateKey'] for item in page.ok_value['items']]
+            names.revision = names.revision or page.ok_value.revision
+            found = [entry.key for entry in page.ok_value.entries]
             names.keys += [key for key in found if key not in names.keys]
         return result.Ok(names)
 
@@ -184,13 +197,20 @@
         if reply.ok_value.status == _HISTORY_GONE:
             return result.Ok(store.KeyList())
         value = reply.ok_value.value
-        unchanged = 0 if value['events'] else value.get('at', 0)
+        # An event that cannot be read is a change all the same.
+        has_changed = value.get('events') != []
+        unchanged = 0 if has_changed else _read_revision(value)
         return result.Ok(store.KeyList(revision=unchanged))
 
     def grant_lease(self, seconds):
         body = {'ttl_ms': int(seconds * _MS_PER_SECOND)}
         reply = self._call('POST', '/portwharf/kv-lease', _OK, body=body)
-        return reply.map(lambda found: found.value['lease'])
+        return reply.and_then(
+            lambda found: _decode(
+                found.value,
+                lambda value: json_fields.read_int(value, 'lease', 1, None),
+            )
+        )
 
     def renew_lease(self, lease):
         path = f'/portwharf/kv-keep/{lease}'
@@ -218,7 +238,7 @@
             return reply
         if reply.ok_value.status == _CONFLICT:
             return result.Ok(store.WriteResult())
-        return result.Ok(store.WriteResult(True, reply.ok_value.value['rev']))
+        return _decode(reply.ok_value.value, _read_write, unknown=True)
 
     def _call(
         self,
@@ -259,11 +279,99 @@
     return item
 
 
+@dataclasses.dataclass(slots=True)
+class _Page:
+    """One page of a range.
+
+    :param revision: the store's revision
+    :param next_key: the key that the next page begins with, '' after the last
+    """
+
+    entries: list = dataclasses.field(default_factory=list)
+    revision: int = 0
+    next_key: str = ''
+
+
+def _decode(value, read, unknown=False):
+    """Return Ok(what a function reads of a body), or Err(StoreError).
+
+    :param unknown: the call may have taken effect
+    """
+    try:
+        return result.Ok(read(value))
+    except unreadable.DECODE_ERRORS as exc:
+        _ANSWERS.record(exc)
+        text = f'unreadable answer: {type(exc).__name__}'
+        return result.Err(store.StoreError(text, unknown))
+
+
+def _read_page(value, keys_only):
+    items = json_fields.read_list(value, 'items', object, None)
+    entries = _read_items(items, keys_only)
+    revision = json_fields.read_int(value, 'at', 0, None)
+    if not (value.get('more') and items):
+        return _Page(entries, revision)
+    if not entries:
+        raise ValueError('no item of a page can be read')
+    next_key = entries[-1].key
+    if len(items) == 1:
+        # Together with the next item it does not fit on a page.
+        next_key += _FIRST_CHARACTER
+    return _Page(entries, revision, next_key)
+
+
+def _read_events(value):
+    """Return (entry, whether its key is gone) of each event of a watch."""
+    events = json_fields.read_list(value, 'events', object, None)
+    return [
+        (entry, bool(event.get('gone')))
+        for event in events
+        for entry in _read_items([event])
+    ]
+
+
+def _read_items(items, keys_only=False):
+    """Return the ``store.Entry`` of each item that can be read."""
+    entries = []
+    for item in items:
+        try:
+            entries.append(_read_entry(item, keys_only))
+        except unreadable.DECODE_ERRORS as exc:
+            _ITEMS.record(exc)
+    return entries
+
+
 def _read_entry(item, key_only=False):
-    value = '' if key_only else item.get('value', '')
-    return store.Entry(
-        item['privateKey'], base64.b64decode(value), item['rev']
-    )
+    """Return an item as a ``store.Entry``.
+
+    :param key_only: its value is left out
+    :raises ValueError: its key or revision cannot be read
+    """
+    key = json_fields.read_str(item, 'privateKey', None)
+    revision = json_fields.read_int(item, 'rev', 0, None)
+    if key_only:
+        return store.Entry(key, b'', revision)
+    try:
+        value = base64.b64decode(
+            json_fields.read_str(item, 'value'), validate=True
+        )
+    except ValueError as exc:
+        _ITEMS.record(exc)
+        value = b''
+    return store.Entry(key, value, revision)
+
+
+def _read_revision(value):
+    """Return the store's revision in an answer, 0 if it cannot be read."""
+    try:
+        return json_fields.read_int(value, 'at')
+    except ValueError:
+        return 0
+
+
+def _read_write(value):
+    revision = json_fields.read_int(value, 'rev', 1, None)
+    return store.WriteResult(True, revision)
 
 
 def open_rate_limited_store(settings, clock):
