One odd VM of a list costs itself, also in the platform's VM list

In the registry a shard of 2^63, a negative one, or any text as state was taken.

The test of the log line looks at the module that writes it now.

--- a/packages/vmlist/portwharf/vmlist/registry.py
+++ b/packages/vmlist/portwharf/vmlist/registry.py
@@ -11,7 +11,6 @@
 """
 
 import dataclasses
-import ipaddress
 import logging
 import threading
 
@@ -25,7 +24,7 @@
 from portwharf.core import logs
 from portwharf import store
 from portwharf.vmlist import base
-from portwharf.vmlist import metrics
+from portwharf.vmlist import validators
 
 LOG = logging.getLogger(__name__)
 
@@ -38,10 +37,7 @@
 # Shortest suspension that is logged, above the error from reading two clocks
 # one after the other.
 MIN_LOGGED_SUSPENSION_SECONDS = 0.1
-# One more than the highest port.
-PORT_LIMIT = 65536
 MAX_SKIPPED_REVISIONS = 1000
-MAX_REASON_CHARACTERS = 200
 
 
 class Registry(base.VmList):
@@ -72,13 +68,11 @@
         try:
             vm = codec.unpack(data.Vm, entry.value)
             check_vm(entry.key, vm)
-        except ValueError as exc:
-            metrics.SKIPPED_ENTRIES.inc()
-            if self._skipped_revisions.get(entry.key) != entry.revision:
-                self._skipped_revisions.put(entry.key, entry.revision)
-                reason = f'{exc}'[:MAX_REASON_CHARACTERS]
-                extra = logs.fields(vm=entry.key, reason=reason)
-                LOG.warning('registration skipped', extra=extra)
+        except (RecursionError, ValueError) as exc:
+            known = self._skipped_revisions.get(entry.key)
+            self._skipped_revisions.put(entry.key, entry.revision)
+            is_new = known != entry.revision
+            validators.record_skipped(entry.key, exc, is_new)
             return None
         return dataclasses.replace(vm, instance='')
 
@@ -202,12 +196,8 @@
 
     :param key: the key of the entry
     :param vm: the ``data.Vm`` that was read from its value
-    :raises ValueError: the key is not that of the VM, or the VM has an
-        invalid address, port or role
+    :raises ValueError: the key is not that of the VM, or the VM is not valid
     """
     if key != PREFIX + vm.name:
         raise ValueError(f'key does not match the VM name {vm.name!r:.60}')
-    ipaddress.ip_address(vm.address)
-    if not 0 < vm.port < PORT_LIMIT:
-        raise ValueError(f'port {vm.port} is not from 1 to 65535')
-    data.Role(vm.role)
+    validators.check_vm(vm)
--- a/packages/vmlist/portwharf/vmlist/registry_test.py
+++ b/packages/vmlist/portwharf/vmlist/registry_test.py
@@ -169,7 +169,7 @@
 def test_skipped_entry_is_logged_once(case):
     registration, _, _ = open_registration(case)
     registration._kv.put('vms/garbled', b'\xc1', 0)
-    with case.assertLogs('portwharf.vmlist.registry') as logged:
+    with case.assertLogs('portwharf.vmlist.validators') as logged:
         registration.read()
         registration.read()
     case.assertEqual(len(logged.output), 1)
