An odd route costs itself; an odd configuration leaves the last one in force

A configuration that is not UTF-8, nested deeply, or holds a number of thousands of digits raised in the thread that watches it, which ended owners and entries; with one odd route none of the others came into force.

Now a route that cannot be read is left out, counted and logged, unless none can be read. What cannot be read as a whole is counted and logged, and the last configuration holds. Both tests fail before: UnicodeDecodeError, and no configuration for one odd route.

--- a/packages/core/portwharf/core/settings.py
+++ b/packages/core/portwharf/core/settings.py
@@ -59,7 +59,7 @@
     """
     try:
         values = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as exc:
+    except (RecursionError, ValueError) as exc:
         problem = data.Problem(
             code='not-toml',
             text=f'is not valid TOML: {exc}',
--- a/packages/platform/portwharf/platform/decoding.py
+++ b/packages/platform/portwharf/platform/decoding.py
@@ -10,12 +10,11 @@
 tasks per VM.
 """
 
-import json
-
 import result
 
 from portwharf.core import data
 from portwharf.platform import json_fields
+from portwharf.platform import unreadable
 from portwharf.scheduler import configuration
 from portwharf.scheduler import jobs
 
@@ -27,19 +26,24 @@
 MAX_TASKS = 100_000
 # A longer estimate, which is a rough guess, counts as this one: some decades.
 MAX_ESTIMATE_MS = 10**12
+_ROUTES = unreadable.UnreadableInput('route')
 
 
 def parse_config(text, revision):
     """Decode the configuration.
 
+    A route that cannot be read is left out, unless none can be.
+
     :param text: JSON, or '' for an empty configuration
     :returns: Ok(configuration.Configuration), or Err(list of Problems)
     """
     try:
-        value = json.loads(text) if text else {}
+        value = unreadable.decode_object(text or '{}')
         routes = json_fields.read_list(value, 'routes', dict)
-        queues = [_parse_queue(route) for route in routes]
-    except (AttributeError, ValueError, RecursionError) as exc:
+        queues, unread = _parse_queues(routes)
+        if unread is not None and not queues:
+            raise unread
+    except unreadable.DECODE_ERRORS as exc:
         problem = data.Problem(
             'bad-configuration',
             CONFIG_KEY,
@@ -71,7 +75,7 @@
     """
     try:
         job = _parse_job(job_id, queue, value)
-    except (AttributeError, ValueError) as exc:
+    except unreadable.DECODE_ERRORS as exc:
         return result.Err(_make_problem(job_id, '', f'cannot be read: {exc}'))
     if len(job.argument) > MAX_SPEC_BYTES:
         text = f'must be at most {MAX_SPEC_BYTES} bytes'
@@ -84,6 +88,18 @@
     return result.Ok(job) if problem is None else result.Err(problem)
 
 
+def _parse_queues(routes):
+    """Return the queues of routes, and the last error, or None."""
+    queues, unread = [], None
+    for route in routes:
+        try:
+            queues.append(_parse_queue(route))
+        except unreadable.DECODE_ERRORS as exc:
+            _ROUTES.record(exc, queue=ascii(route.get('name'))[:60])
+            unread = exc
+    return queues, unread
+
+
 def _parse_queue(route):
     return configuration.Queue(
         json_fields.read_str(route, 'name', None),
--- a/packages/platform/portwharf/platform/malformed_input_test.py
+++ b/packages/platform/portwharf/platform/malformed_input_test.py
@@ -172,6 +172,26 @@
     check()
 
 
+def test_odd_route_is_left_out_and_the_others_hold(case):
+    """Guards against a configuration thread that ends (incident 0035)."""
+    good = CONFIG['routes'][0]
+    before = fixtures.read_counter('portwharf_unreadable', kind='route')
+    odd = [{**good, 'name': 'odd', 'host': 7}]
+    for name in ('priority', 'maxAttempts', 'targetLatencyMs', 'stretch'):
+        odd += [{**good, 'name': 'odd', name: n} for n in (10**400, -1, [])]
+    odd += [
+        {**good, 'name': 'odd', 'advice': a} for a in (7, {'valid_ms': []})
+    ]
+    for route in odd:
+        text = json.dumps({**CONFIG, 'routes': [route, good]})
+        (queue,) = decoding.parse_config(text, 1).ok_value.queues
+        case.assertEqual(queue.name, good['name'])
+    after = fixtures.read_counter('portwharf_unreadable', kind='route')
+    case.assertEqual(after - before, len(odd))
+    for text in ('[' * 60_000, '[]', '7', 'null', '{"routes": 7}'):
+        case.assertTrue(decoding.parse_config(text, 1).is_err())
+
+
 def test_heartbeat_is_refused_or_accepted(case):
     accepted = []
     pool = fixtures.WsgiPool(heartbeats.HeartbeatReceiver(accepted.append))
--- a/packages/scheduler/portwharf/scheduler/configuration.py
+++ b/packages/scheduler/portwharf/scheduler/configuration.py
@@ -21,6 +21,7 @@
 from portwharf.core import data
 from portwharf.core import settings
 from portwharf.peers import messages
+from portwharf.scheduler import metrics
 
 LOG = logging.getLogger(__name__)
 
@@ -230,6 +231,7 @@
         if parsed.is_err():
             # The text was written without validation or by a newer version.
             # The current one stays in force, which ``config status`` shows.
+            metrics.REJECTED_CONFIGURATIONS.inc()
             for problem in parsed.err_value:
                 LOG.error('configuration rejected: %s', problem.describe())
             return False
@@ -299,7 +301,13 @@
         return False
 
     def _offer(self, entry):
-        self._keeper.update(entry.revision, entry.value.decode())
+        try:
+            text = entry.value.decode()
+        except UnicodeDecodeError as exc:
+            metrics.REJECTED_CONFIGURATIONS.inc()
+            LOG.error('configuration rejected: not UTF-8: %s', exc)
+            return
+        self._keeper.update(entry.revision, text)
 
 
 def propose_configuration(kv, base_revision, text):
@@ -354,7 +362,7 @@
 
 def _describe_conflict(base_revision, raw, entry):
     current = entry.revision if entry else 0
-    theirs = entry.value.decode() if entry else ''
+    theirs = entry.value.decode(errors='replace') if entry else ''
     difference = '\n'.join(
         difflib.unified_diff(
             theirs.splitlines(),
--- a/packages/scheduler/portwharf/scheduler/configuration_test.py
+++ b/packages/scheduler/portwharf/scheduler/configuration_test.py
@@ -4,6 +4,7 @@
 
 from portwharf.core import data
 from portwharf.scheduler import configuration
+from portwharf import store
 from portwharf.testing import fixtures
 
 TEXT = '[weights]\nevictions = 3.0\n'
@@ -106,3 +107,20 @@
     keeper.update(5, TEXT)
     keeper.update(4, OTHER_TEXT)
     case.assertEqual(revisions, [5])
+
+
+def test_configuration_that_cannot_be_read_is_passed_over(case):
+    """Guards against a watching thread that ends (incident 0035)."""
+    kv, _ = fixtures.make_store()
+    keeper = configuration.ConfigKeeper()
+    watcher = configuration.ConfigWatcher(kv, keeper)
+    before = fixtures.read_counter('portwharf_config_rejected')
+    odd = [b'\xff\xfe', b'a = ' + b'[' * 60_000, b'weights = 10']
+    odd.append(b'[weights]\nevictions = ' + b'9' * 5000)
+    for number, raw in enumerate(odd):
+        watcher._offer(store.Entry(configuration.KEY, raw, 9 + number))
+    case.assertEqual(keeper.read().revision, 0)
+    after = fixtures.read_counter('portwharf_config_rejected')
+    case.assertEqual(after - before, len(odd))
+    watcher._offer(store.Entry(configuration.KEY, TEXT.encode(), 20))
+    case.assertEqual(keeper.read().revision, 20)
--- a/packages/scheduler/portwharf/scheduler/metrics.py
+++ b/packages/scheduler/portwharf/scheduler/metrics.py
@@ -64,6 +64,10 @@
     'Time from the receipt of a queued call to its answer.',
     buckets=(0.01, 0.03, 0.1, 0.3, 0.6, 1.0, 2.0, 4.0, 8.0),
 )
+REJECTED_CONFIGURATIONS = prometheus_client.Counter(
+    'portwharf_config_rejected',
+    'Readings of a configuration that is not valid, so the last one holds.',
+)
 CLOSED_ZONES = prometheus_client.Gauge(
     'portwharf_closed_zones',
     'Availability zones that an operator has closed to new starts.',
