An odd row of advice costs itself, and an odd answer its step alone

A row of the advice service that is no pair, or a ticket that is no text, raised in the thread that asks, and ended the owner; an unreadable answer about one step was asked for again before all others, so that no other step on such a queue could start.

Now odd rows are passed over, counted and logged, an answer that cannot be read is none, and a query without an answer goes behind the others. The tests fail before: "not enough values to unpack", and the first step is asked again.

--- a/packages/platform/portwharf/platform/advice.py
+++ b/packages/platform/portwharf/platform/advice.py
@@ -5,12 +5,18 @@
 import result
 
 from portwharf.platform import http_client
+from portwharf.platform import json_fields
+from portwharf.platform import unreadable
 from portwharf.scheduler import policy
 
 # The service answers one question at a time and takes some milliseconds for
 # each worker that the question names.
 CALL_SECONDS = 5.0
+# A ticket goes into each start of its step.
+MAX_TICKET_BYTES = 4000
 _OK = 200
+_ANSWERS = unreadable.UnreadableInput('advice')
+_ROWS = unreadable.UnreadableInput('ticket')
 
 
 class AdviceClient(policy.Policy):
@@ -38,11 +44,32 @@
             return result.Err(reply.err_value.text)
         if reply.ok_value.status != _OK:
             return result.Err(f'HTTP status {reply.ok_value.status}')
-        rows = reply.ok_value.value.get('good', [])
-        return result.Ok(
-            [
-                policy.Permit(by_instance[instance], ticket)
-                for instance, ticket in rows
-                if instance in by_instance
-            ]
-        )
+        try:
+            # An empty list may be left out.
+            rows = json_fields.read_list(reply.ok_value.value, 'good', object)
+        except ValueError as exc:
+            _ANSWERS.record(exc, workload=step)
+            return result.Err(f'unreadable answer: {exc}')
+        return result.Ok(_read_permits(rows, by_instance))
+
+
+def _read_permits(rows, by_instance):
+    """Return a ``policy.Permit`` for each row that can be read.
+
+    :param by_instance: the ``data.IncarnationId`` of each worker, by its
+        instance id
+    """
+    permits = []
+    for row in rows:
+        try:
+            instance, ticket = row
+            if not isinstance(instance, str) or not isinstance(ticket, str):
+                raise ValueError('a row is no instance id with its ticket')
+            if len(ticket.encode()) > MAX_TICKET_BYTES:
+                raise ValueError('a ticket is too long')
+        except unreadable.DECODE_ERRORS as exc:
+            _ROWS.record(exc)
+            continue
+        if instance in by_instance:
+            permits.append(policy.Permit(by_instance[instance], ticket))
+    return permits
--- a/packages/scheduler/portwharf/scheduler/policy.py
+++ b/packages/scheduler/portwharf/scheduler/policy.py
@@ -164,6 +164,10 @@
             LOG.warning(
                 'policy query failed: %s', answer.err_value, extra=extra
             )
+            with self._lock:
+                if query.step in self._pending:
+                    # The answer for one step may fail each time.
+                    self._pending.move_to_end(query.step)
             return False
         self._store_answer(query, answer.ok_value, sent)
         self._on_answer()
--- a/packages/scheduler/portwharf/scheduler/policy_test.py
+++ b/packages/scheduler/portwharf/scheduler/policy_test.py
@@ -152,3 +152,15 @@
     policy.assign_tickets(advisor, [], make_views())
     case.assertTrue(advisor.ask_next())
     case.assertEqual(service.queries, [])
+
+
+def test_step_without_an_answer_does_not_hold_up_the_others(case):
+    advisor, service, _ = open_advisor(FIRST)
+    advisor.request('odd', [SECOND], VALID_MS)
+    advisor.request(STEP, [FIRST], VALID_MS)
+    service.down = True
+    case.assertFalse(advisor.ask_next())
+    service.down = False
+    case.assertTrue(advisor.ask_next())
+    case.assertEqual(service.queries, [[SECOND], [FIRST]])
+    case.assertTrue(advisor.find_ticket(STEP, FIRST))
