Odd answers of an etcd gateway, a worker or an entry end no thread

The same cause on the related paths of the product's own interfaces: an answer of the etcd gateway without its fields, deeply nested or with odd numbers raised in the thread that asked; so did a worker's list with a number over 64 bits or a lone surrogate, at the next report. Settings with inf or nesting ended a program with a traceback in place of the field and the remedy.

All these are errors now, read by one set of decoders' exceptions. The tests fail before with RecursionError, KeyError, TypeError and OverflowError.

--- a/packages/entry/portwharf/entry/entry_peers.py
+++ b/packages/entry/portwharf/entry/entry_peers.py
@@ -8,7 +8,6 @@
 """
 
 import dataclasses
-import json
 import logging
 
 import urllib3
@@ -16,6 +15,7 @@
 from portwharf import callers
 from portwharf.core import codec
 from portwharf.core import data
+from portwharf.core import json_input
 
 LOG = logging.getLogger(__name__)
 
@@ -71,7 +71,8 @@
             response = self._http.request(
                 'GET', f'http://{vm.address}:{vm.port}{PATH}'
             )
-            return codec.from_map(EntryPage, json.loads(response.data))
+            value = json_input.decode_object(response.data)
+            return codec.from_map(EntryPage, value)
         except (urllib3.exceptions.HTTPError, ValueError, TypeError) as exc:
             LOG.info('entry %s does not answer: %s', vm.name, exc)
             return None
--- a/packages/operators/portwharf/operators/client.py
+++ b/packages/operators/portwharf/operators/client.py
@@ -91,6 +91,6 @@
     try:
         value = json.loads(response.data)
         error = RpcError(value['code'], value.get('message', ''))
-    except (ValueError, KeyError):
+    except (KeyError, RecursionError, TypeError, ValueError):
         error = RpcError('unknown', f'HTTP status {response.status}')
     return result.Err(error)
--- a/packages/platform/portwharf/platform/advice.py
+++ b/packages/platform/portwharf/platform/advice.py
@@ -4,6 +4,7 @@
 
 import result
 
+from portwharf.core import json_input
 from portwharf.platform import http_client
 from portwharf.platform import json_fields
 from portwharf.platform import unreadable
@@ -67,7 +68,7 @@
                 raise ValueError('a row is no instance id with its ticket')
             if len(ticket.encode()) > MAX_TICKET_BYTES:
                 raise ValueError('a ticket is too long')
-        except unreadable.DECODE_ERRORS as exc:
+        except json_input.DECODE_ERRORS as exc:
             _ROWS.record(exc)
             continue
         if instance in by_instance:
--- a/packages/platform/portwharf/platform/boot.py
+++ b/packages/platform/portwharf/platform/boot.py
@@ -13,6 +13,7 @@
 import result
 
 from portwharf.core import data
+from portwharf.core import json_input
 from portwharf.core import settings
 from portwharf.scheduler import environment
 from portwharf.scheduler import limits
@@ -70,11 +71,11 @@
     try:
         with open(path, 'rb') as source:
             values = tomllib.load(source)
-    except (OSError, ValueError) as exc:
+    except (OSError, RecursionError, ValueError) as exc:
         return result.Err([_make_problem(PATH_VARIABLE, path, str(exc))])
     try:
         return result.Ok(decode_settings(values))
-    except (KeyError, TypeError, ValueError) as exc:
+    except json_input.DECODE_ERRORS as exc:
         return result.Err(
             [_make_problem('', path, f'missing or bad field: {exc}')]
         )
--- a/packages/platform/portwharf/platform/boot_test.py
+++ b/packages/platform/portwharf/platform/boot_test.py
@@ -77,3 +77,19 @@
 def test_error_names_the_missing_file(case):
     found = boot.read_settings({boot.PATH_VARIABLE: '/nowhere/boot.toml'})
     case.assertIn('/nowhere/boot.toml', found.err_value[0].describe())
+
+
+def test_odd_setting_is_an_error(case):
+    changes = (
+        ('maxHoldMs = 10000', 'maxHoldMs = inf'),
+        ('graceS = 6', 'graceS = []'),
+        ('writes_per_s = 400', 'writes_per_s = "x"'),
+        ('"10.1.0.14:8166"', '7'),
+        ('[7720, 7735]', '7'),
+        ('[7720, 7735]', '[' * 60_000),
+    )
+    for one, other in changes:
+        found = read(case, TEXT.replace(one, other))
+        case.assertTrue(found.err_value[0].describe())
+    odd = TEXT + '[limits]\nmemoryMb = inf\n'
+    case.assertTrue(read(case, odd).is_err())
--- a/packages/platform/portwharf/platform/decoding.py
+++ b/packages/platform/portwharf/platform/decoding.py
@@ -13,6 +13,7 @@
 import result
 
 from portwharf.core import data
+from portwharf.core import json_input
 from portwharf.platform import json_fields
 from portwharf.platform import unreadable
 from portwharf.scheduler import configuration
@@ -38,12 +39,12 @@
     :returns: Ok(configuration.Configuration), or Err(list of Problems)
     """
     try:
-        value = unreadable.decode_object(text or '{}')
+        value = json_input.decode_object(text or '{}')
         routes = json_fields.read_list(value, 'routes', dict)
         queues, unread = _parse_queues(routes)
         if unread is not None and not queues:
             raise unread
-    except unreadable.DECODE_ERRORS as exc:
+    except json_input.DECODE_ERRORS as exc:
         problem = data.Problem(
             'bad-configuration',
             CONFIG_KEY,
@@ -75,7 +76,7 @@
     """
     try:
         job = _parse_job(job_id, queue, value)
-    except unreadable.DECODE_ERRORS as exc:
+    except json_input.DECODE_ERRORS as exc:
         return result.Err(_make_problem(job_id, '', f'cannot be read: {exc}'))
     if len(job.argument) > MAX_SPEC_BYTES:
         text = f'must be at most {MAX_SPEC_BYTES} bytes'
@@ -94,7 +95,7 @@
     for route in routes:
         try:
             queues.append(_parse_queue(route))
-        except unreadable.DECODE_ERRORS as exc:
+        except json_input.DECODE_ERRORS as exc:
             _ROUTES.record(exc, queue=ascii(route.get('name'))[:60])
             unread = exc
     return queues, unread
--- a/packages/platform/portwharf/platform/heartbeats.py
+++ b/packages/platform/portwharf/platform/heartbeats.py
@@ -5,6 +5,7 @@
 import re
 
 from portwharf.core import data
+from portwharf.core import json_input
 from portwharf.core import web
 from portwharf.platform import json_fields
 from portwharf.platform import unreadable
@@ -44,8 +45,8 @@
         try:
             size = web.read_length(environ)
             raw = environ['wsgi.input'].read(min(size, MAX_BODY_BYTES))
-            life = parse_life(instance, unreadable.decode_object(raw))
-        except unreadable.DECODE_ERRORS as exc:
+            life = parse_life(instance, json_input.decode_object(raw))
+        except json_input.DECODE_ERRORS as exc:
             _UNREADABLE.record(exc, life=ascii(instance)[:MAX_LOGGED_CHARS])
             text = f'not a heartbeat: {exc}; send its fields as JSON\n'
             return web.send_text(start_response, 400, text)
--- a/packages/platform/portwharf/platform/http_client.py
+++ b/packages/platform/portwharf/platform/http_client.py
@@ -13,6 +13,7 @@
 import urllib3
 import urllib3.connection
 
+from portwharf.core import json_input
 from portwharf.core import pools
 from portwharf.platform import unreadable
 
@@ -158,7 +159,7 @@
     try:
         value = {}
         if response.data:
-            value = unreadable.decode_object(response.data)
+            value = json_input.decode_object(response.data)
     except ValueError as exc:
         _UNREADABLE.record(exc, status=response.status)
         if response.status == 200:
--- a/packages/platform/portwharf/platform/runner_lists.py
+++ b/packages/platform/portwharf/platform/runner_lists.py
@@ -9,6 +9,7 @@
 nothing is known of that task, so the whole list is refused.
 """
 
+from portwharf.core import json_input
 from portwharf.platform import json_fields
 from portwharf.platform import unreadable
 
@@ -71,7 +72,7 @@
         if not isinstance(row, list) or len(row) < _ROW_SIZE - 1:
             raise ValueError('a row is no list of that many items')
         return read(*row[:_ROW_SIZE])
-    except unreadable.DECODE_ERRORS as exc:
+    except json_input.DECODE_ERRORS as exc:
         _UNREADABLE.record(exc)
         return None
 
--- a/packages/platform/portwharf/platform/store_client.py
+++ b/packages/platform/portwharf/platform/store_client.py
@@ -18,6 +18,7 @@
 
 import result
 
+from portwharf.core import json_input
 from portwharf.platform import http_client
 from portwharf.platform import json_fields
 from portwharf.platform import unreadable
@@ -299,7 +300,7 @@
     """
     try:
         return result.Ok(read(value))
-    except unreadable.DECODE_ERRORS as exc:
+    except json_input.DECODE_ERRORS as exc:
         _ANSWERS.record(exc)
         text = f'unreadable answer: {type(exc).__name__}'
         return result.Err(store.StoreError(text, unknown))
@@ -336,7 +337,7 @@
     for item in items:
         try:
             entries.append(_read_entry(item, keys_only))
-        except unreadable.DECODE_ERRORS as exc:
+        except json_input.DECODE_ERRORS as exc:
             _ITEMS.record(exc)
     return entries
 
--- a/packages/platform/portwharf/platform/unreadable.py
+++ b/packages/platform/portwharf/platform/unreadable.py
@@ -6,7 +6,6 @@
 end the thread that reads it, and with it the process.
 """
 
-import json
 import logging
 import threading
 
@@ -16,16 +15,6 @@
 
 LOG = logging.getLogger(__name__)
 
-# What decoders raise. JSON integers may be too large for other types, and
-# bodies too deeply nested.
-DECODE_ERRORS = (
-    ArithmeticError,
-    AttributeError,
-    LookupError,
-    RecursionError,
-    TypeError,
-    ValueError,
-)
 MAX_REASON_CHARS = 200
 # Reasons that are remembered, so that each is logged once.
 _MAX_REASONS = 100
@@ -57,17 +46,3 @@
             self._logged.put(text, True)
         extra = logs.fields(reason=text, **fields)
         LOG.warning('unreadable %s passed over', self._kind, extra=extra)
-
-
-def decode_object(raw):
-    """Return the JSON object that some bytes encode, as a dict.
-
-    :raises ValueError: the bytes are not JSON, or not an object
-    """
-    try:
-        value = json.loads(raw)
-    except RecursionError as exc:
-        raise ValueError('the JSON is nested too deeply') from exc
-    if not isinstance(value, dict):
-        raise ValueError(f'the JSON is a {type(value).__name__}, no object')
-    return value
--- a/packages/store/portwharf/store/etcd.py
+++ b/packages/store/portwharf/store/etcd.py
@@ -13,6 +13,7 @@
 import result
 import urllib3
 
+from portwharf.core import json_input
 from portwharf.core import pools
 from portwharf.store import base
 
@@ -42,7 +43,7 @@
     def read(self, key):
         body = {'key': _encode(key.encode())}
         answer = self._call('/v3/kv/range', body)
-        return answer.map(lambda value: _read_first(value.get('kvs')))
+        return answer.and_then(lambda value: _decode(value, _read_first))
 
     def read_range(self, first, last, limit=0, keys_only=False):
         body = {
@@ -54,7 +55,7 @@
             'keys_only': keys_only,
         }
         answer = self._call('/v3/kv/range', body)
-        return answer.map(_read_entries)
+        return answer.and_then(lambda value: _decode(value, _read_entries))
 
     def swap(self, key, value, revision, guard=None):
         compares = [_make_compare(key, revision)]
@@ -63,7 +64,9 @@
         put = {'key': _encode(key.encode()), 'value': _encode(value)}
         body = {'compare': compares, 'success': [{'request_put': put}]}
         answer = self._call('/v3/kv/txn', body, changes=True)
-        return answer.map(_read_swap)
+        return answer.and_then(
+            lambda value: _decode(value, _read_swap, unknown=True)
+        )
 
     def delete_range(self, first, last):
         body = {
@@ -71,7 +74,9 @@
             'range_end': _encode(last.encode()),
         }
         answer = self._call('/v3/kv/deleterange', body, changes=True)
-        return answer.map(lambda value: int(value.get('deleted', 0)))
+        return answer.and_then(
+            lambda value: _decode(value, _read_deleted, unknown=True)
+        )
 
     def wait_for_change(self, key, revision, timeout):
         create = {
@@ -83,7 +88,7 @@
     def list_keys(self, prefix):
         body = {**_make_range(prefix), 'keys_only': True}
         answer = self._call('/v3/kv/range', body)
-        return answer.map(_read_names)
+        return answer.and_then(lambda value: _decode(value, _read_names))
 
     def wait_for_key_changes(self, prefix, revision, timeout):
         create = {
@@ -158,11 +163,23 @@
         text = f'HTTP status {response.status}'
         return result.Err(base.StoreError(text, unknown=changes))
     try:
-        return result.Ok(json.loads(response.data))
+        return result.Ok(json_input.decode_object(response.data))
     except ValueError as exc:
         return result.Err(base.StoreError(str(exc), unknown=changes))
 
 
+def _decode(value, read, unknown=False):
+    """Return Ok(what a function reads of a body), or Err(StoreError).
+
+    :param unknown: the call may have taken effect
+    """
+    try:
+        return result.Ok(read(value))
+    except json_input.DECODE_ERRORS as exc:
+        text = f'unreadable answer: {type(exc).__name__}'
+        return result.Err(base.StoreError(text, unknown))
+
+
 def _read_watch(response):
     """Return the first change in the stream of lines of a watch."""
     if response.status != 200:
@@ -178,15 +195,17 @@
                     return result.Ok(entry)
     except urllib3.exceptions.HTTPError:
         return result.Ok(None)
-    except ValueError as exc:
-        return result.Err(base.StoreError(str(exc)))
+    except json_input.DECODE_ERRORS as exc:
+        text = f'unreadable answer: {type(exc).__name__}'
+        return result.Err(base.StoreError(text))
     return result.Ok(None)
 
 
 def _read_watch_line(line):
     if not line.strip():
         return None
-    events = json.loads(line).get('result', {}).get('events', [])
+    value = json_input.decode_object(line)
+    events = value.get('result', {}).get('events', [])
     if not events:
         return None
     return _read_entry(events[-1]['kv'])
@@ -206,10 +225,15 @@
     return base.KeyList(keys, int(value['header']['revision']))
 
 
-def _read_first(kvs):
+def _read_first(value):
+    kvs = value.get('kvs')
     return _read_entry(kvs[0]) if kvs else None
 
 
+def _read_deleted(value):
+    return int(value.get('deleted', 0))
+
+
 def _read_entries(value):
     return [_read_entry(kv) for kv in value.get('kvs', [])]
 
--- a/packages/store/portwharf/store/etcd_test.py
+++ b/packages/store/portwharf/store/etcd_test.py
@@ -138,3 +138,54 @@
     fake.remove('z/a')
     changed = kv.wait_for_key_changes('z/', names.revision, 2.0)
     case.assertEqual(changed.ok_value.revision, 0)
+
+
+def open_odd(case, raw):
+    """Return the client of a gateway that always answers with a body."""
+
+    def answer(environ, start_response):
+        start_response('200 OK', [('Content-Length', str(len(raw)))])
+        return [raw]
+
+    port = fixtures.serve(case, answer)
+    return case.enterContext(store.open_etcd('127.0.0.1', port))
+
+
+def test_odd_answer_is_an_error(case):
+    """Guards against threads that end by one answer (incident 0035)."""
+    large = b'9' * 400
+    odd = (
+        b'[' * 60_000,
+        b'[]',
+        b'null',
+        b'{"kvs": [7], "succeeded": true, "deleted": []}',
+        b'{"kvs": [{"key": "a"}], "succeeded": true, "deleted": "x"}',
+        b'{"kvs": {"a": 1}, "header": {"revision": []}, "succeeded": 1,'
+        b' "deleted": {}}',
+        b'{"kvs": [{"key": 7, "mod_revision": ' + large + b'}],'
+        b' "succeeded": true, "header": 7, "deleted": null}',
+    )
+    for raw in odd:
+        kv = open_odd(case, raw)
+        for found in (
+            kv.read('a'),
+            kv.read_range('a', 'b'),
+            kv.list_keys('a'),
+        ):
+            case.assertTrue(found.is_err(), raw[:60])
+        for written in (kv.swap('a', b'x', 0), kv.delete_range('a', 'b')):
+            case.assertTrue(written.err_value.unknown)
+
+
+def test_odd_event_of_a_watch_is_an_error(case):
+    odd = (
+        b'[' * 60_000,
+        b'[]',
+        b'{"result": 7}',
+        b'{"result": {"events": 7}}',
+        b'{"result": {"events": [{"kv": 7}]}}',
+        b'{"result": {"events": [{"kv": {"key": "a"}}]}}',
+    )
+    for raw in odd:
+        kv = open_odd(case, raw + b'\n')
+        case.assertTrue(kv.wait_for_change('a', 1, 1).is_err(), raw[:60])
--- a/packages/vmlist/portwharf/vmlist/http.py
+++ b/packages/vmlist/portwharf/vmlist/http.py
@@ -2,14 +2,13 @@
 # SPDX-License-Identifier: Apache-2.0
 """The VM list over HTTP: ``GET /vms`` returns JSON with a map for each VM."""
 
-import json
-
 import result
 import urllib3
 
 from portwharf.core import bounded_cache
 from portwharf.core import codec
 from portwharf.core import data
+from portwharf.core import json_input
 from portwharf.vmlist import base
 from portwharf.vmlist import validators
 
@@ -43,12 +42,12 @@
             response = self._pool.request('GET', '/vms')
             if response.status != 200:
                 return result.Err(f'HTTP status {response.status}')
-            vms = json.loads(response.data)['vms']
+            vms = json_input.decode_object(response.data)['vms']
             if not isinstance(vms, list):
                 raise TypeError('"vms" is no list')
         except urllib3.exceptions.HTTPError as exc:
             return result.Err(str(exc))
-        except (KeyError, RecursionError, TypeError, ValueError) as exc:
+        except (KeyError, TypeError, ValueError) as exc:
             return result.Err(f'invalid VM list: {exc}')
         found = [self._read_vm(value) for value in vms]
         return result.Ok([vm for vm in found if vm is not None])
--- a/packages/workers/portwharf/workers/http.py
+++ b/packages/workers/portwharf/workers/http.py
@@ -14,6 +14,7 @@
 import urllib3
 
 from portwharf.core import codec
+from portwharf.core import json_input
 from portwharf.workers import base
 
 CALL_TIMEOUT_SECONDS = 2.0
@@ -46,7 +47,7 @@
         body = codec.to_map(start)
         body['argument'] = base64.b64encode(start.argument).decode()
         answer = self._call('POST', '/tasks', body)
-        return answer.map(lambda value: value.get('refused', ''))
+        return answer.map(_read_refusal)
 
     def revoke_expired_starts(self):
         # The worker itself refuses a start after the end of its lease.
@@ -78,7 +79,7 @@
         raw = None if body is None else json.dumps(body)
         try:
             response = self._pool.request(method, path, body=raw)
-            value = json.loads(response.data)
+            value = json_input.decode_object(response.data)
         except (urllib3.exceptions.HTTPError, ValueError) as exc:
             return result.Err(str(exc))
         if response.status not in (200, REFUSED_STATUS):
@@ -86,10 +87,21 @@
         return result.Ok(value)
 
 
+def _read_refusal(value):
+    """Return why a start was refused, '' if it was not."""
+    reason = value.get('refused', '')
+    if isinstance(reason, str):
+        return reason.encode(errors='replace').decode()
+    return 'the worker gave no reason'
+
+
 def _read_listing(value):
     try:
         for attempt in value.get('attempts', []):
             attempt['result'] = base64.b64decode(attempt.get('result', ''))
-        return result.Ok(codec.from_map(base.Listing, value))
-    except (TypeError, ValueError, AttributeError) as exc:
+        found = codec.from_map(base.Listing, value)
+        # What cannot be packed could not be reported.
+        codec.pack(found)
+        return result.Ok(found)
+    except json_input.DECODE_ERRORS as exc:
         return result.Err(f'invalid worker listing: {exc}')
--- a/packages/workers/portwharf/workers/http_test.py
+++ b/packages/workers/portwharf/workers/http_test.py
@@ -114,3 +114,36 @@
 def test_unreachable_worker_is_an_error(case):
     client = case.enterContext(workers.HttpWorker('127.0.0.1', 1))
     case.assertTrue(client.read_listing().is_err())
+
+
+def open_odd_worker(case, raw):
+    """Return the client of a worker that always answers with a body."""
+
+    def answer(environ, start_response):
+        start_response('200 OK', [('Content-Length', str(len(raw)))])
+        return [raw]
+
+    port = fixtures.serve(case, answer)
+    return case.enterContext(workers.HttpWorker('127.0.0.1', port))
+
+
+def test_odd_listing_is_an_error(case):
+    """Guards against an agent that ends by one listing (incident 0035)."""
+    large = b'9' * 400
+    odd = (
+        b'[' * 60_000,
+        b'[]',
+        b'7',
+        b'{"attempts": 7}',
+        b'{"attempts": [7]}',
+        b'{"attempts": [{"result": 7}]}',
+        b'{"now_ms": ' + large + b'}',
+        b'{"attempts": [{"attempt": ' + large + b'}]}',
+        b'{"attempts": [{"task": "\\ud800"}]}',
+    )
+    for raw in odd:
+        client = open_odd_worker(case, raw)
+        case.assertTrue(client.read_listing().is_err(), raw[:60])
+    for raw in (b'{"refused": []}', b'{"refused": "\\ud800"}'):
+        client = open_odd_worker(case, raw)
+        case.assertTrue(client.start(make_start()).ok_value.encode())
