Owners forget which workers an ended step avoided

An entry for each step of a job that failed or was refused anywhere stayed in the owner's memory: only workloads of operators were dropped from that table. A recurring job adds one for each run that meets a refusal, for a year.

The test fails before, as there is no such method and all 100 entries stay.

--- a/packages/scheduler/portwharf/scheduler/decider.py
+++ b/packages/scheduler/portwharf/scheduler/decider.py
@@ -903,10 +903,10 @@
             self._state, now_ms
         ):
             self._apply_event(batch, events.WorkloadDropped(workload_id))
-            self._health.drop_workload(workload_id)
         for job_id in self._retention.list_expired(now, now_ms):
             self._apply_event(batch, events.JobDropped(job_id))
         self.begun_jobs.forget_ended()
+        self._health.forget(self._state.unended)
         self.runtimes.forget(self._state.unended)
         self._hung_tasks.forget(self._state.unended)
 
--- a/packages/scheduler/portwharf/scheduler/decisions/health.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/health.py
@@ -102,9 +102,12 @@
         avoided = self._avoided.get(workload, {})
         return {vm for vm, entry in avoided.items() if now < entry.until}
 
-    def drop_workload(self, workload):
-        """Drop what is known of a workload that has ended."""
-        self._avoided.pop(workload, None)
+    def forget(self, live):
+        """Drop which workers are avoided by all workloads but the live ones.
+
+        :param live: ids of the workloads that may still run
+        """
+        self._avoided = {n: a for n, a in self._avoided.items() if n in live}
 
     def record_failure(self, vm, workload, now, job=''):
         """Record a failed attempt.
--- a/packages/scheduler/portwharf/scheduler/decisions/health_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/health_test.py
@@ -189,3 +189,12 @@
     tracker.record_failure(VM, 'a', now)
     later = now + health.MIN_AVOID_SECONDS
     case.assertEqual(tracker.list_avoided('a', later), set())
+
+
+def test_workloads_that_have_ended_are_forgotten(case):
+    tracker = health.WorkerHealthTracker()
+    for number in range(100):
+        tracker.record_refusal(VM, f'job.{number}.0', 0.0)
+    tracker.forget({'job.99.0'})
+    case.assertEqual(tracker.list_avoided('job.99.0', 0.1), {VM})
+    case.assertEqual(len(tracker._avoided), 1)
