explain shows the state of an accepted job, and of its runs without workloads

For the id of an accepted job explain said "refused" once any of its tasks had a decision, and "does not exist" before; with runs that have no workloads before they are due and after they end, the same would hold for each of them. It shows the job's state now, with how many runs were due and have succeeded. The test fails before: unknown-id for the job.

--- a/packages/scheduler/portwharf/scheduler/occurrences_test.py
+++ b/packages/scheduler/portwharf/scheduler/occurrences_test.py
@@ -12,6 +12,7 @@
 from portwharf.scheduler import faults_test
 from portwharf.scheduler import jobs
 from portwharf.scheduler import occurrences
+from portwharf.scheduler import operations
 from portwharf.scheduler import state
 from portwharf.testing import cluster
 
@@ -245,6 +246,23 @@
     case.assertEqual(begun.count_pending('plans'), 0)
 
 
+def test_recurring_job_is_explained(case):
+    """Its runs are no workloads before they are due and after they end."""
+    made = accept(make_job())
+    planner = Planner(made)
+    planner.expand(NOW)
+    planner.finish(0)
+    shown = []
+    for subject in (ID, f'{ID}.0.0', f'{ID}.0.0.0', f'{ID}.7.0'):
+        query = operations.Query(subject)
+        found = operations.explain(made, query, {}, NOW).ok_value
+        shown.append(found.state)
+    job = f'running: 1 were due, 1 of {RUNS_OF_A_YEAR} runs have succeeded'
+    case.assertEqual(shown, [job, *['not due yet, or ended'] * 3])
+    unknown = operations.explain(made, operations.Query('f'), {}, NOW)
+    case.assertEqual(unknown.err_value.code, 'unknown-id')
+
+
 def test_log_of_a_version_that_expands_at_once_is_read(case):
     made = accept(make_job(times=3))
     task = f'{ID}.1.0.0'
--- a/packages/scheduler/portwharf/scheduler/operations.py
+++ b/packages/scheduler/portwharf/scheduler/operations.py
@@ -378,9 +378,10 @@
         refusal = find_refusal(query.id) if find_refusal else None
         if refusal is not None:
             explanation.decisions.append(refusal)
-        if not explanation.decisions:
+        job_id = query.id.partition(ids.TASK_SEPARATOR)[0]
+        if not explanation.decisions and job_id not in state.jobs:
             return result.Err(make_unknown_id(query.id))
-        explanation.state = 'refused'
+        explanation.state = _describe_job(state, job_id, query.id)
     wait = waiting.get(record.id) if record else None
     if wait is not None:
         explanation.decisions.append(placement.explain_wait(wait, now_ms))
@@ -433,6 +434,23 @@
     )
 
 
+def _describe_job(state, job_id, subject):
+    """Return the state of a job, or of a part without a record, as text.
+
+    :param subject: the job's id, or that of a workload or a task of it
+    """
+    record = state.jobs.get(job_id)
+    if record is None:
+        return 'refused'
+    if subject != job_id:
+        return 'not due yet, or ended'
+    text = str(state.find_job_state(job_id))
+    if not record.job.times:
+        return text
+    done = f'{record.succeeded} of {record.job.times} runs have succeeded'
+    return f'{text}: {record.expanded} were due, {done}'
+
+
 def _describe_counts(counts):
     parts = [f'{counts[s]} {s}' for s in data.TaskState if counts[s]]
     return ', '.join(parts) or 'no tasks'
