At most half of the workers with a required label are quarantined

Cause: failures of several jobs quarantine a worker, and half of a pool's workers at most, as a pool may be all that a job can run on. So may be the workers of a pool that have a label, and all of these were quarantined at once.

Ruled out: that the sound job avoids the workers by itself, as it has not failed there; and that probes would let it in, as hopeless jobs that wait are probed first.

Now the same bound holds among the workers of a pool with each label that a waiting or running workload requires. The test fails without it (3 workers take tasks, 4 expected); labels that nobody requires change nothing.

--- a/packages/scheduler/portwharf/scheduler/hopeless_jobs_test.py
+++ b/packages/scheduler/portwharf/scheduler/hopeless_jobs_test.py
@@ -103,3 +103,23 @@
         link.view.pool = 'desk'
     quarantine(made, ['vm-00', 'vm-01'])
     case.assertEqual(len(list_open(made)), 3)
+
+
+def test_half_of_the_workers_with_a_required_label_are_quarantined(case):
+    """Guards against jobs that wait for the only workers with their label.
+
+    All of them were barred by four hopeless jobs (incident 0036).
+    """
+    made = cluster.Cluster(5)
+    for node in made.nodes[:2]:
+        node.worker.labels = ['b']
+    made.run(3)
+    quarantine(made, ['vm-00', 'vm-01'])
+    case.assertEqual(len(list_open(made)), 3)
+    step = data.Workload(resources=SMALL, run_ms=500, label='b')
+    made.submit_job(data.Job(f'{7:016x}', 'plans', 1, b'', [step], 2000))
+    made.run(1)
+    case.assertEqual(len(list_open(made)), 4)
+    made.run(MAX_WAIT_SECONDS)
+    running = list_running(made)
+    case.assertEqual(running, [f'{7:016x}.0.0.0'])
--- a/packages/scheduler/portwharf/scheduler/membership.py
+++ b/packages/scheduler/portwharf/scheduler/membership.py
@@ -241,17 +241,27 @@
     def _list_restricted(self, now):
         """Return the set of VMs whose workers are kept from most tasks.
 
-        Only half of the VMs that would take tasks are, in each pool, as a pool
-        may be all that a job can run on.
+        Only half of the VMs that would take tasks are, in each pool and among
+        those with a label that a workload requires: they may be all that a job
+        can run on.
         """
-        pools = collections.defaultdict(list)
+        required = {
+            record.workload.label for record in self._state.unended.values()
+        }
+        groups = collections.defaultdict(list)
         for name, link in self._links.items():
             if not (
                 self._find_closed_reason(name, link, now)
                 or self._find_zone_closed_reason(link)
             ):
-                pools[link.view.pool].append(name)
-        return set().union(*map(self._health.list_restricted, pools.values()))
+                for label in {'', *required.intersection(link.view.labels)}:
+                    groups[(link.view.pool, label)].append(name)
+        restricted, spared = set(), set()
+        for names in groups.values():
+            found = self._health.list_restricted(names)
+            restricted |= found
+            spared |= set(names) - found
+        return restricted - spared
 
     def _add_fill(self, link, view, weigher):
         """Add the load of a VM beyond its reserved resources to its view.
