The forecast of a second run is tested with the run due

The test took the workloads of a run from a state that had accepted the job only; it applies the entry by which the run is due now. What it asserts is unchanged.

--- a/packages/scheduler/portwharf/scheduler/decisions/forecast_test.py
+++ b/packages/scheduler/portwharf/scheduler/decisions/forecast_test.py
@@ -172,6 +172,7 @@
     shard_state = jobs_test.accept(
         jobs_test.make_step(2), times=2, first_ms=NOW, interval_ms=5000
     )
+    shard_state.apply(events.OccurrencesDue(jobs_test.ID, 2))
     later = shard_state.workloads[f'{jobs_test.ID}.1.0']
     step_forecast = forecast.Forecast(shard_state).get_step_forecast(later)
     case.assertEqual(step_forecast.begin_ms, NOW + 5000 + 2000 - 500)
