A page whose items cannot be read behind its first one ends the reading

A page begins with the last item of the page before. The test fails before, at its limit of ten calls.

--- a/packages/platform/portwharf/platform/odd_entries_test.py
+++ b/packages/platform/portwharf/platform/odd_entries_test.py
@@ -99,6 +99,22 @@
     case.assertTrue(client.read_range('a/', 'b').is_err())
 
 
+def test_page_that_leads_to_itself_ends_the_reading(case):
+    """The last readable item of each page is the first one of the next."""
+    client = open_client(case, {'items': [GOOD, 7], 'at': 20, 'more': True})
+    calls = []
+    original = client._call
+
+    def count_call(*args, **options):
+        calls.append(args)
+        case.assertLess(len(calls), 10)
+        return original(*args, **options)
+
+    client._call = count_call
+    case.assertTrue(client.read_range('a/', 'b').is_err())
+    case.assertTrue(client.list_keys('a/').is_err())
+
+
 def test_odd_registrations_are_passed_over(case):
     """An odd one among those of other VMs, as another writer leaves it."""
     odd = [
--- a/packages/platform/portwharf/platform/store_client.py
+++ b/packages/platform/portwharf/platform/store_client.py
@@ -103,6 +103,7 @@
             Err(StoreError)
         """
         query = _encode_query(pathPrefix=prefix)
+        start = ''
         while True:
             reply = self._call('GET', f'/portwharf/kv-range?{query}', _OK)
             page = reply.and_then(
@@ -113,6 +114,11 @@
             yield page
             if page.is_err() or not page.ok_value.next_key:
                 return
+            if page.ok_value.next_key <= start:
+                # Nothing behind the first item of the page can be read.
+                text = f'no readable item follows {start!a:.60}'
+                yield result.Err(store.StoreError(text))
+                return
             start = page.ok_value.next_key
             query = _encode_query(pathPrefix=prefix, watchRev=start)
 
