Recurring jobs are tested through owner changes and outages

Twelve seeds of a cluster whose owner changes, whose sides restart and whose store is lost; the cluster checks after each step that nothing runs twice, and all runs of the job have to end once.

--- a/packages/scheduler/portwharf/scheduler/occurrences_test.py
+++ b/packages/scheduler/portwharf/scheduler/occurrences_test.py
@@ -6,6 +6,8 @@
 memory by one accepted job (incident 0032).
 """
 
+import random
+
 from portwharf.core import data
 from portwharf.scheduler import begun_jobs
 from portwharf.scheduler import events
@@ -319,3 +321,50 @@
     ]
     case.assertEqual(len(started), 8)
     case.assertEqual(len(set(started)), 8)
+
+
+def play_changes(made, rnd):
+    """Change the owner, restart sides and lose the store, at random."""
+    node = rnd.choice(made.nodes)
+    action = rnd.choice(('claim', 'restart', 'down', 'up', 'none', 'none'))
+    if action == 'claim':
+        node.claim()
+    elif action == 'restart':
+        made.restart_side(node)
+    elif action in ('down', 'up'):
+        made.fake.faults.down = action == 'down'
+
+
+def test_runs_end_once_each_through_owner_changes_and_outages(case):
+    """The cluster checks after each step that nothing runs twice."""
+    for seed in range(12):
+        rnd = random.Random(seed)
+        made = cluster.Cluster()
+        made.run(4)
+        now_ms = made.nodes[0].clock.read_unix_ms()
+        times = rnd.choice((5, 30))
+        interval_ms = rnd.choice((0, 700, 5000))
+        job = make_job(
+            times=times, first_ms=now_ms + 1000, interval_ms=interval_ms
+        )
+        made.submit_job(job)
+        made.run(2)
+        for _ in range(12):
+            play_changes(made, rnd)
+            made.run(rnd.uniform(0.5, 4))
+            made.finish_running()
+        made.fake.faults.down = False
+        for _ in range(120):
+            found = made.read_state()
+            if found.find_job_state(ID) == data.JobState.COMPLETED:
+                break
+            if not made.list_owners():
+                made.nodes[0].claim()
+            made.run(2)
+            made.finish_running()
+        state_at_end = found.find_job_state(ID)
+        case.assertEqual(state_at_end, data.JobState.COMPLETED, seed)
+        record = found.jobs[ID]
+        done = record.succeeded + len(record.steps) // 2
+        case.assertEqual((seed, done), (seed, times))
+        case.assertFalse(record.failed)
