--- a/review/standins_3/world.py
+++ b/review/standins_3/world.py
@@ -140,6 +140,8 @@
         self.runners = {}
         self.store = None
         self._servers = []
+        # Programs and runners of machines that leave.
+        self._retired = []
         self._net = None
 
     # Set-up.
@@ -160,6 +162,11 @@
                 program.handle.wait()
             if program.log is not None:
                 program.log.close()
+        for program, one in self._retired:
+            if program.handle.poll() is None:
+                program.handle.kill()
+                program.handle.wait()
+            one.close()
         for one in self.runners.values():
             one.close()
         for one in self._servers:
@@ -204,6 +211,32 @@
         one.close()
         self.record(f'{name} is removed for good')
 
+    def retire_side(self, name, grace_seconds=6.0, runner_seconds=6.0):
+        """A side machine leaves as planned: SIGTERM, and it never returns.
+
+        Its runner goes on for a while without its side, then the machine is
+        gone. Returns at once.
+        """
+        program = self.programs.pop(name)
+        one = self.runners.pop(name)
+
+        def leave():
+            program.handle.send_signal(signal.SIGTERM)
+            self.record(f'{name} gets SIGTERM')
+            try:
+                program.handle.wait(grace_seconds)
+            except subprocess.TimeoutExpired:
+                program.handle.kill()
+                program.handle.wait()
+            program.log.close()
+            self.record(f'{name} has stopped, and does not come back')
+            time.sleep(runner_seconds)
+            one.crash()
+            one.close()
+
+        self._retired.append((program, one))
+        threading.Thread(target=leave, daemon=True).start()
+
     def add_side(self):
         """An empty side machine comes at another address; returns its name."""
         number = self._side_count
